--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,61 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+
+/** Where this differs from the Airbnb guide, with the reason; see CONTRIBUTING.md. */
+const DIFFERENCES = {
+  // Formatting is Prettier's; what it cannot break may be long.
+  '@stylistic/max-len': [
+    'error',
+    {
+      code: 100,
+      ignoreUrls: true,
+      ignoreStrings: true,
+      ignoreTemplateLiterals: true,
+      ignoreRegExpLiterals: true,
+    },
+  ],
+  // Entities stand in tables, and systems that are handed a row change its fields.
+  'no-param-reassign': ['error', { props: false }],
+  // Protocol loops wait for each step on purpose.
+  'no-await-in-loop': 'off',
+  // Node.js 20 needs no transpiled iterators; the other forbidden statements stay forbidden.
+  'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+  'no-void': ['error', { allowAsStatement: true }],
+  // One concept a file, by its name: named exports only.
+  'import-x/prefer-default-export': 'off',
+  // Commands of one topic stand together.
+  'max-classes-per-file': ['error', 4],
+};
+
+export default [
+  { ignores: ['dist/**', 'node_modules/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  ...configs.base.recommended,
+  plugins.typescriptEslint,
+  ...configs.base.typescript,
+  prettier,
+  { rules: DIFFERENCES },
+  {
+    files: ['**/*.ts'],
+    languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        { fixStyle: 'separate-type-imports' },
+      ],
+    },
+  },
+  {
+    // Hash functions are made of these operators.
+    files: ['packages/fakes/src/textModel.ts'],
+    rules: { 'no-bitwise': 'off' },
+  },
+  {
+    files: ['scripts/**', '*.mjs'],
+    languageOptions: { globals: { process: 'readonly' } },
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
+];
--- /dev/null
+++ b/packages/bench/index.ts
@@ -0,0 +1,4 @@
+export * from './src/caller';
+export * from './src/childProcess';
+export * from './src/deployment';
+export * from './src/statistics';
--- /dev/null
+++ b/packages/bench/src/caller.ts
@@ -0,0 +1,154 @@
+/** A caller: asks for addresses, streams completions, calls services. */
+import { createInterface } from 'node:readline';
+import { callHttp, callJson, createAgent, openCall } from '@spoolplank/node';
+import type { HttpAnswer } from '@spoolplank/node';
+import { fromErrorBody } from '@spoolplank/shared';
+import type { JsonValue } from '@spoolplank/shared';
+
+export interface StreamedAnswer {
+  readonly text: string;
+  readonly tokens: number;
+  readonly sessionId: string;
+  readonly lastEventId: string;
+  readonly isWhole: boolean;
+  readonly firstTokenMs: number;
+  readonly durationMs: number;
+  /** Time between tokens. */
+  readonly gapsMs: readonly number[];
+  readonly error: JsonValue;
+}
+
+export interface StreamOptions {
+  readonly address: string;
+  readonly token: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  /** Goes on after this event instead of beginning anew. */
+  readonly lastEventId?: string;
+  readonly onToken?: (position: number) => void;
+}
+
+const AGENT = createAgent();
+
+function endpointOf(address: string): { readonly host: string; readonly port: number } {
+  const [host = '', port = ''] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+interface Chunk {
+  readonly choices?: readonly { readonly delta?: { readonly content?: string } }[];
+  readonly error?: JsonValue;
+}
+
+/** Streams a chat completion; an answer that breaks off is returned as far as it came. */
+export async function streamCompletion(options: StreamOptions): Promise<StreamedAnswer> {
+  const { address, token, model, prompt, maxTokens, lastEventId } = options;
+  const startedMs = performance.now();
+  const response = await openCall({
+    endpoint: endpointOf(address),
+    method: 'POST',
+    path: '/v1/chat/completions',
+    agent: AGENT,
+    timeoutMs: 30_000,
+    headers: {
+      authorization: `Bearer ${token}`,
+      'content-type': 'application/json',
+      ...(lastEventId === undefined ? {} : { 'last-event-id': lastEventId }),
+    },
+    body: JSON.stringify({
+      model,
+      stream: true,
+      max_tokens: maxTokens,
+      messages: [{ role: 'user', content: prompt }],
+    }),
+  });
+  if (response.statusCode !== 200) {
+    const chunks: Buffer[] = [];
+    for await (const chunk of response as AsyncIterable<Buffer>) chunks.push(chunk);
+    throw fromErrorBody(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+  }
+  const texts: string[] = [];
+  const gapsMs: number[] = [];
+  let lastId = lastEventId ?? '';
+  let lastMs = startedMs;
+  let firstTokenMs = 0;
+  let isWhole = false;
+  let error: JsonValue = null;
+  try {
+    for await (const line of createInterface({ input: response })) {
+      if (line.startsWith('id: ')) lastId = line.slice(4);
+      if (line === 'data: [DONE]') isWhole = true;
+      else if (line.startsWith('data: ')) {
+        const chunk = JSON.parse(line.slice(6)) as Chunk;
+        if (chunk.error !== undefined) error = chunk.error;
+        const text = chunk.choices?.[0]?.delta?.content;
+        if (text !== undefined) {
+          const nowMs = performance.now();
+          if (texts.length === 0) firstTokenMs = nowMs - startedMs;
+          else gapsMs.push(nowMs - lastMs);
+          lastMs = nowMs;
+          texts.push(text);
+          options.onToken?.(texts.length - 1);
+        }
+      }
+    }
+  } catch {
+    // Broken off: what came is returned, and `isWhole` says so.
+  }
+  return {
+    text: texts.join(''),
+    tokens: texts.length,
+    sessionId: lastId.split(':')[0] ?? '',
+    lastEventId: lastId,
+    isWhole,
+    firstTokenMs,
+    durationMs: performance.now() - startedMs,
+    gapsMs,
+    error,
+  };
+}
+
+/** What the stand-in model is given for a chat prompt. */
+export function chatPrompt(prompt: string): string {
+  return `user: ${prompt}`;
+}
+
+export interface ServiceCall {
+  readonly address: string;
+  readonly token: string;
+  readonly service: string;
+  readonly path?: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Calls a plain service. */
+export function callService(options: ServiceCall): Promise<HttpAnswer> {
+  const { address, token, service, path = '/', method = 'POST', body = '{}', headers } = options;
+  return callHttp({
+    endpoint: endpointOf(address),
+    method,
+    path: `/v1/services/${service}${path}`,
+    agent: AGENT,
+    timeoutMs: 30_000,
+    headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json', ...headers },
+    body,
+  });
+}
+
+export interface Addresses {
+  readonly addresses: readonly { readonly address: string; readonly weight: number }[];
+  readonly keepMs: number;
+}
+
+/** Asks an entry VM which addresses to use. */
+export async function askAddresses(address: string): Promise<Addresses> {
+  const { json } = await callJson({
+    endpoint: endpointOf(address),
+    method: 'GET',
+    path: '/v1/addresses',
+  });
+  return json as unknown as Addresses;
+}
--- /dev/null
+++ b/packages/bench/src/childProcess.ts
@@ -0,0 +1,117 @@
+/** Starts the programs of a demo, a process test or a benchmark, and ends just those. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream, existsSync, readFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { delay } from '@spoolplank/node';
+
+export interface ManagedProcess {
+  readonly pid: number;
+  readonly logFile: string;
+  readonly isRunning: boolean;
+  signal(name: NodeJS.Signals): void;
+  /** Ends it and resolves with its exit code; null when a signal ended it. */
+  end(name?: NodeJS.Signals): Promise<number | null>;
+  /** Resolves when it has ended. */
+  readonly ended: Promise<number | null>;
+  readLog(): string;
+}
+
+export interface StartOptions {
+  readonly command: string;
+  readonly args: readonly string[];
+  readonly logFile: string;
+  /** Told of each line on standard output. */
+  readonly onLine?: (line: string) => void;
+}
+
+const live = new Set<ChildProcess>();
+
+// Nothing that was started may outlive the script that started it.
+process.on('exit', () => live.forEach((child) => child.kill('SIGKILL')));
+
+export function startProcess({ command, args, logFile, onLine }: StartOptions): ManagedProcess {
+  const child = spawn(command, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+  live.add(child);
+  const log = createWriteStream(logFile, { flags: 'a' });
+  child.stderr.pipe(log, { end: false });
+  let rest = '';
+  child.stdout.on('data', (chunk: Buffer) => {
+    const lines = (rest + chunk.toString('utf8')).split('\n');
+    rest = lines.pop() ?? '';
+    lines.forEach((line) => onLine?.(line));
+  });
+  let isRunning = true;
+  const ended = new Promise<number | null>((resolve) => {
+    child.on('error', () => resolve(1));
+    child.on('close', (code) => {
+      isRunning = false;
+      live.delete(child);
+      log.end(() => resolve(code));
+    });
+  });
+  return {
+    pid: child.pid ?? 0,
+    logFile,
+    get isRunning() {
+      return isRunning;
+    },
+    signal(name) {
+      child.kill(name);
+    },
+    async end(name = 'SIGKILL') {
+      if (isRunning) child.kill(name);
+      return ended;
+    },
+    ended,
+    readLog: () => (existsSync(logFile) ? readFileSync(logFile, 'utf8') : ''),
+  };
+}
+
+/** Ports that are free now, each different. */
+export async function findFreePorts(count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve, reject) => {
+          const server = createServer();
+          server.once('error', reject);
+          server.listen(0, '127.0.0.1', () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.close(resolve);
+        }),
+    ),
+  );
+  return ports;
+}
+
+/**
+ * Waits until a condition holds.
+ *
+ * @throws Error that names what was waited for.
+ */
+export async function waitUntil(
+  what: string,
+  condition: () => Promise<boolean> | boolean,
+  {
+    withinMs = 20_000,
+    everyMs = 20,
+  }: { readonly withinMs?: number; readonly everyMs?: number } = {},
+): Promise<void> {
+  const untilMs = performance.now() + withinMs;
+  for (;;) {
+    const holds = await Promise.resolve(condition()).catch(() => false);
+    if (holds) return;
+    if (performance.now() > untilMs) throw new Error(`waited ${withinMs} ms in vain until ${what}`);
+    await delay(everyMs);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/deployment.ts
@@ -0,0 +1,283 @@
+/** A deployment on this machine: VMs and stand-ins, each a process of its own. */
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import type { FakeEngineOptions, FakeServiceOptions } from '@spoolplank/fakes';
+import { callJson, digestToken } from '@spoolplank/node';
+import type { Role, SettingsTree, Timings, VmAddress, VmSettings } from '@spoolplank/settings';
+import type { JsonValue } from '@spoolplank/shared';
+import { findFreePorts, startProcess, waitUntil } from './childProcess';
+import type { ManagedProcess } from './childProcess';
+
+export const OPERATOR_TOKEN = 'operator-token-of-this-run';
+export const BACKEND_SERVER_TOKEN = 'backend-server-token-of-this-run';
+export const SHARED_KEY = 'shared-key-of-this-run';
+
+export interface VmPlan {
+  readonly vmId: string;
+  readonly dataCentre: string;
+  readonly roles: readonly Role[];
+}
+
+export interface DeploymentOptions {
+  readonly vms: readonly VmPlan[];
+  readonly timings?: Partial<Timings>;
+  /** Changes the settings of a VM before it starts, say to lead peers over a cuttable link. */
+  readonly adjust?: (settings: VmSettings) => VmSettings;
+}
+
+export interface DeployedVm {
+  readonly vmId: string;
+  readonly address: VmAddress;
+  readonly callerAddress: string;
+  readonly settingsFile: string;
+  readonly dataFolder: string;
+  process: ManagedProcess;
+}
+
+export interface Deployment {
+  readonly folder: string;
+  readonly vms: readonly DeployedVm[];
+  readonly addresses: readonly string[];
+  vm(vmId: string): DeployedVm;
+  /** Starts a VM that was ended. */
+  restart(vmId: string): void;
+  startEngine(
+    options: Partial<FakeEngineOptions> & { readonly name: string },
+  ): Promise<RunningFake>;
+  startService(
+    options: Partial<FakeServiceOptions> & { readonly name: string },
+  ): Promise<RunningFake>;
+  /** Runs the command line of the product and resolves with what it printed. */
+  command(
+    args: readonly string[],
+    vmId?: string,
+  ): Promise<{ readonly code: number | null; readonly output: string; readonly errors: string }>;
+  operatorGet(vmId: string, path: string): Promise<JsonValue>;
+  operatorPost(
+    vmId: string,
+    path: string,
+    json: JsonValue,
+  ): Promise<{ readonly status: number; readonly json: JsonValue }>;
+  /** Resolves when every running VM takes requests. */
+  waitUntilTaking(): Promise<void>;
+  /** Puts a tree in force on every VM. */
+  setTree(tree: SettingsTree): Promise<number>;
+  stop(): Promise<void>;
+}
+
+export interface RunningFake {
+  readonly name: string;
+  readonly port: number;
+  readonly process: ManagedProcess;
+  get(path: string): Promise<JsonValue>;
+  post(path: string, json: JsonValue): Promise<JsonValue>;
+}
+
+const PROGRAM = resolve('dist/spoolplank');
+const FAKES_PROGRAM = resolve('dist/fakes.cjs');
+const HOST = '127.0.0.1';
+
+function createFake(name: string, port: number, process: ManagedProcess): RunningFake {
+  const call = async (method: string, path: string, json?: JsonValue) =>
+    (
+      await callJson({
+        endpoint: { host: HOST, port },
+        method,
+        path,
+        json,
+      })
+    ).json;
+  return {
+    name,
+    port,
+    process,
+    get: (path) => call('GET', path),
+    post: (path, json) => call('POST', path, json),
+  };
+}
+
+export async function startDeployment(options: DeploymentOptions): Promise<Deployment> {
+  const folder = mkdtempSync(join(tmpdir(), 'spoolplank-'));
+  const ports = await findFreePorts(options.vms.length * 2);
+  const addresses = options.vms.map((plan, index): VmAddress => ({
+    ...plan,
+    host: HOST,
+    callerPort: ports[index * 2] ?? 0,
+    peerPort: ports[index * 2 + 1] ?? 0,
+  }));
+  const fakes: RunningFake[] = [];
+  let commands = 0;
+
+  function writeSettings(address: VmAddress): {
+    readonly settingsFile: string;
+    readonly dataFolder: string;
+  } {
+    const dataFolder = join(folder, address.vmId);
+    const settings: VmSettings = {
+      deployment: 'local',
+      vm: address,
+      sharedKey: SHARED_KEY,
+      operatorTokenDigest: digestToken(OPERATOR_TOKEN),
+      backendServerTokenDigest: digestToken(BACKEND_SERVER_TOKEN),
+      peers: addresses.filter(({ vmId }) => vmId !== address.vmId),
+      ...(address.roles.includes('control') ? { dataFolder } : {}),
+      ...(options.timings ? { timings: options.timings } : {}),
+    };
+    const settingsFile = join(folder, `${address.vmId}.json`);
+    writeFileSync(settingsFile, JSON.stringify(options.adjust?.(settings) ?? settings, null, 2));
+    return { settingsFile, dataFolder };
+  }
+
+  function startVmProcess({ vmId, roles }: VmAddress, settingsFile: string): ManagedProcess {
+    const role: Role = roles.includes('control') ? 'control' : 'entry';
+    return startProcess({
+      command: PROGRAM,
+      args: [role, '--settings', settingsFile],
+      logFile: join(folder, `${vmId}.log`),
+    });
+  }
+
+  const vms = addresses.map((address): DeployedVm => {
+    const { settingsFile, dataFolder } = writeSettings(address);
+    return {
+      vmId: address.vmId,
+      address,
+      callerAddress: `${HOST}:${address.callerPort}`,
+      settingsFile,
+      dataFolder,
+      process: startVmProcess(address, settingsFile),
+    };
+  });
+
+  function vm(vmId: string): DeployedVm {
+    const found = vms.find((candidate) => candidate.vmId === vmId);
+    if (!found) throw new Error(`there is no VM ${vmId}`);
+    return found;
+  }
+
+  async function callOperator(vmId: string, method: string, path: string, json?: JsonValue) {
+    return callJson({
+      endpoint: { host: HOST, port: vm(vmId).address.callerPort },
+      method,
+      path,
+      json,
+      timeoutMs: 15_000,
+      headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+    });
+  }
+
+  async function startFake(kind: string, given: { readonly name: string }): Promise<RunningFake> {
+    const text = JSON.stringify({
+      addresses: vms.map(({ callerAddress }) => callerAddress),
+      token: BACKEND_SERVER_TOKEN,
+      ...given,
+    });
+    let port = 0;
+    const started = startProcess({
+      command: process.execPath,
+      args: [FAKES_PROGRAM, kind, text],
+      logFile: join(folder, `${given.name}.log`),
+      onLine(line) {
+        ({ port } = JSON.parse(line) as { port: number });
+      },
+    });
+    await waitUntil(`${given.name} has started`, () => port > 0);
+    const fake = createFake(given.name, port, started);
+    fakes.push(fake);
+    return fake;
+  }
+
+  async function isTaking({ address }: DeployedVm): Promise<boolean> {
+    const { status } = await callJson({
+      endpoint: { host: HOST, port: address.callerPort },
+      method: 'GET',
+      path: '/healthz',
+      timeoutMs: 1000,
+    });
+    return status === 200;
+  }
+
+  return {
+    folder,
+    vms,
+    addresses: vms.map(({ callerAddress }) => callerAddress),
+    vm,
+    restart(vmId) {
+      const found = vm(vmId);
+      found.process = startVmProcess(found.address, found.settingsFile);
+    },
+    startEngine: (given) => startFake('engine', given),
+    startService: (given) => startFake('service', given),
+    async command(args, vmId) {
+      commands += 1;
+      const lines: string[] = [];
+      const chosen =
+        vmId === undefined
+          ? vms.map(({ callerAddress }) => callerAddress).join(',')
+          : vm(vmId).callerAddress;
+      const tokenFile = join(folder, 'operator-token');
+      writeFileSync(tokenFile, OPERATOR_TOKEN);
+      const started = startProcess({
+        command: PROGRAM,
+        args: [...args, '--address', chosen, '--token-file', tokenFile],
+        logFile: join(folder, `command-${commands}.log`),
+        onLine: (line) => lines.push(line),
+      });
+      const code = await started.ended;
+      return { code, output: lines.join('\n'), errors: started.readLog() };
+    },
+    operatorGet: async (vmId, path) => (await callOperator(vmId, 'GET', path)).json,
+    operatorPost: (vmId, path, json) => callOperator(vmId, 'POST', path, json),
+    async waitUntilTaking() {
+      for (const candidate of vms.filter(({ process: { isRunning } }) => isRunning)) {
+        await waitUntil(`${candidate.vmId} takes requests`, () => isTaking(candidate));
+      }
+    },
+    async setTree(tree) {
+      const [first] = vms;
+      if (!first) throw new Error('there is no VM');
+      const { version: baseVersion } = (await callOperator(first.vmId, 'GET', '/v1/config'))
+        .json as { version: number };
+      const edits = [{ pointer: '', value: tree as unknown as JsonValue }];
+      const { status, json } = await callOperator(first.vmId, 'POST', '/v1/config/changes', {
+        baseVersion,
+        edits,
+      });
+      const { version } = json as { version: number };
+      if (status !== 200) throw new Error(`the tree was refused: ${JSON.stringify(json)}`);
+      for (const candidate of vms.filter(({ process: { isRunning } }) => isRunning)) {
+        await waitUntil(`${candidate.vmId} has version ${version}`, async () => {
+          const reply = (await callOperator(candidate.vmId, 'GET', '/v1/config')).json as {
+            version: number;
+          };
+          return reply.version >= version;
+        });
+      }
+      return version;
+    },
+    async stop() {
+      await Promise.all([...fakes, ...vms].map((running) => running.process.end('SIGKILL')));
+      rmSync(folder, { recursive: true, force: true });
+    },
+  };
+}
+
+/** Plans VMs in data centres by turns, the first ones with the role control. */
+export function planVms(
+  controls: number,
+  entries: number,
+  dataCentres: readonly string[],
+): readonly VmPlan[] {
+  return Array.from({ length: controls + entries }, (_unused, index) => ({
+    vmId: `vm${index + 1}`,
+    dataCentre: dataCentres[index % dataCentres.length] ?? 'dc1',
+    roles: index < controls ? (['control', 'entry'] as const) : (['entry'] as const),
+  }));
+}
+
+/** Makes sure that a folder exists and is empty. */
+export function emptyFolder(folder: string): void {
+  rmSync(folder, { recursive: true, force: true });
+  mkdirSync(folder, { recursive: true });
+}
--- /dev/null
+++ b/packages/cli/index.ts
@@ -0,0 +1,2 @@
+export { createVmContext } from './src/vm/vmContext';
+export { startVm } from './src/vm/vm';
--- /dev/null
+++ b/packages/cli/src/control/bootstrap.ts
@@ -0,0 +1,48 @@
+/**
+ * How a control VM with a blank folder finds its group. It forms a new one only when every
+ * control VM says that it is blank too: a majority is not enough, as the one VM that cannot
+ * be asked may hold what was accepted. See docs/design/replicated-log.md.
+ */
+import type { Configuration, ReplicaId } from '@spoolplank/consensus';
+import { listReplicas } from '@spoolplank/consensus';
+
+/** What a control VM says of itself. */
+export interface GroupDescription {
+  readonly replicaId: ReplicaId;
+  /** Null while its folder is blank. */
+  readonly configuration: Configuration | null;
+}
+
+export type BootstrapStep =
+  /** The group knows this replica: take part. */
+  | { readonly kind: 'take-part' }
+  /** The group does not know this replica: ask to be taken in. */
+  | { readonly kind: 'join' }
+  /** No group exists: found it with this configuration. */
+  | { readonly kind: 'found'; readonly configuration: Configuration }
+  | { readonly kind: 'wait'; readonly reason: string };
+
+export interface BootstrapView {
+  readonly self: ReplicaId;
+  /** An answer for every other control VM; undefined when it gave none. */
+  readonly others: readonly (GroupDescription | undefined)[];
+}
+
+/** Decides the next step of a blank replica. */
+export function decideBootstrap({ self, others }: BootstrapView): BootstrapStep {
+  const answers = others.filter((other) => other !== undefined);
+  const groups = answers.flatMap(({ configuration }) => (configuration ? [configuration] : []));
+  if (groups.some((configuration) => listReplicas(configuration).includes(self)))
+    return { kind: 'take-part' };
+  if (groups.length > 0) return { kind: 'join' };
+  if (answers.length < others.length) {
+    return {
+      kind: 'wait',
+      reason: 'not every control VM answers, and one that does not may hold the state',
+    };
+  }
+  const voters = [self, ...answers.map(({ replicaId }) => replicaId)].sort();
+  // One VM founds the group, so that two cannot found different ones.
+  if (voters[0] !== self) return { kind: 'wait', reason: `${voters[0]} founds the group` };
+  return { kind: 'found', configuration: { voters, learners: [] } };
+}
--- /dev/null
+++ b/packages/cli/src/control/raftTransport.ts
@@ -0,0 +1,56 @@
+/** Carries messages of the replicated log between control VMs. */
+import type { Message } from '@spoolplank/consensus';
+import type { PeerTarget } from '@spoolplank/node';
+import type { VmContext } from '../vm/vmContext';
+
+export interface RaftTransport {
+  send(message: Message): void;
+}
+
+interface Lane {
+  waiting: Message[];
+  isSending: boolean;
+}
+
+/** Messages that may wait for one VM; beyond it the oldest are lost, as the log allows. */
+const MAX_WAITING = 1000;
+
+/** The VM of a replica identity. */
+export function vmOfReplica(replicaId: string): string {
+  return replicaId.split('#')[0] ?? replicaId;
+}
+
+/** Sends what has gathered for a VM in one request, one request at a time. */
+export function createRaftTransport(
+  { peers }: VmContext,
+  targets: ReadonlyMap<string, PeerTarget>,
+): RaftTransport {
+  const lanes = new Map<string, Lane>();
+
+  function flush(vmId: string, target: PeerTarget, lane: Lane): void {
+    if (lane.isSending || lane.waiting.length === 0) return;
+    const messages = lane.waiting;
+    lane.waiting = [];
+    lane.isSending = true;
+    peers
+      .call(target, 'consensus.step', { messages })
+      .catch(() => {})
+      .finally(() => {
+        lane.isSending = false;
+        flush(vmId, target, lane);
+      });
+  }
+
+  return {
+    send(message) {
+      const vmId = vmOfReplica(message.to);
+      const target = targets.get(vmId);
+      if (!target) return;
+      const lane = lanes.get(vmId) ?? { waiting: [], isSending: false };
+      lanes.set(vmId, lane);
+      lane.waiting.push(message);
+      if (lane.waiting.length > MAX_WAITING) lane.waiting.shift();
+      queueMicrotask(() => flush(vmId, target, lane));
+    },
+  };
+}
--- /dev/null
+++ b/packages/cli/src/entry/controlClient.ts
@@ -0,0 +1,93 @@
+/** How every VM reaches the leader of the control group, wherever it is. */
+import { delay } from '@spoolplank/node';
+import type { PeerMethod } from '@spoolplank/node';
+import type { VmAddress } from '@spoolplank/settings';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { JsonValue } from '@spoolplank/shared';
+import { vmOfReplica } from '../control/raftTransport';
+import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
+import type { VmContext } from '../vm/vmContext';
+
+export interface ControlClient {
+  /**
+   * Calls a method of the leader. It is tried again until the time is over, so every method
+   * must give a repeated request the same effect as one.
+   *
+   * @throws SpoolplankError what the method threw, or the last failure to reach a leader.
+   */
+  call<Result>(method: string, params: unknown, options?: ControlCallOptions): Promise<Result>;
+}
+
+export interface ControlCallOptions {
+  /** Time for all tries together. */
+  readonly withinMs?: number;
+  /** Time for one try. */
+  readonly tryTimeoutMs?: number;
+}
+
+const DEFAULT_WITHIN_MS = 4000;
+const RETRY_DELAY_MS = 50;
+/** Failures after which another VM may still do it. */
+const RETRIED_CODES: ReadonlySet<string> = new Set([
+  'not-leader',
+  'unreachable',
+  'no-quorum',
+  'shutting-down',
+]);
+
+export function createControlClient(
+  context: VmContext,
+  localMethods: Readonly<Record<string, PeerMethod>> = {},
+): ControlClient {
+  const { settings, peers, clock, timings } = context;
+  const controlVms = listVmsWithRole(settings, 'control');
+  let preferredVmId: string | undefined;
+  let nextAt = context.random.nextInt(Math.max(1, controlVms.length));
+
+  function pickVm(): VmAddress {
+    const preferred = controlVms.find(({ vmId }) => vmId === preferredVmId);
+    if (preferred) return preferred;
+    nextAt = (nextAt + 1) % controlVms.length;
+    const vm = controlVms[nextAt];
+    if (!vm) throw new SpoolplankError('unreachable', { detail: 'No VM has the role control.' });
+    return vm;
+  }
+
+  async function callOnce(
+    vm: VmAddress,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    const isLocal = vm.vmId === settings.vm.vmId;
+    const local = isLocal ? localMethods[method] : undefined;
+    if (local) return local(params as JsonValue, vm.vmId);
+    return peers.call(toPeerTarget(vm), method, params, timeoutMs);
+  }
+
+  function noteFailure(error: SpoolplankError): void {
+    const hinted = error.leaderId === undefined ? undefined : vmOfReplica(error.leaderId);
+    preferredVmId = hinted === preferredVmId ? undefined : hinted;
+  }
+
+  return {
+    async call<Result>(method: string, params: unknown, options: ControlCallOptions = {}) {
+      const { withinMs = DEFAULT_WITHIN_MS, tryTimeoutMs = timings.peerTimeoutMs } = options;
+      const untilMs = clock.nowMs() + withinMs;
+      for (;;) {
+        const vm = pickVm();
+        try {
+          const result = (await callOnce(vm, method, params, tryTimeoutMs)) as Result;
+          preferredVmId = vm.vmId;
+          return result;
+        } catch (thrown) {
+          const error = toSpoolplankError(thrown);
+          if (!RETRIED_CODES.has(error.code)) throw error;
+          noteFailure(error);
+          if (clock.nowMs() + RETRY_DELAY_MS >= untilMs) throw error;
+          await delay(RETRY_DELAY_MS);
+        }
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/cli/src/entry/dispatchPlain.ts
@@ -0,0 +1,148 @@
+/** Sends a plain request to a backend server, and again to another where that is allowed. */
+import { Agent } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
+import { callHttp, createAgent } from '@spoolplank/node';
+import type { HttpAnswer } from '@spoolplank/node';
+import type { Announcement } from '@spoolplank/membership';
+import { selectBackendServer } from '@spoolplank/routing';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { Outcome } from '@spoolplank/shared';
+import { listBackendServers } from './backendServers';
+import { deadlineOf } from './callerRequest';
+import type { CallerRequest } from './callerRequest';
+import type { EntryContext } from './entryContext';
+import { copyRequestHeaders } from './forwardedHeaders';
+
+export interface PlainCall {
+  readonly caller: CallerRequest;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+const KEPT_AGENT = createAgent();
+/**
+ * For requests that must not run twice: a connection of their own. A kept one may be closed
+ * by the other side just as the request is written, and nobody can tell whether it ran.
+ */
+const FRESH_AGENT = new Agent({ keepAlive: false });
+const RETRY_AFTER_NONE_MS = 1000;
+/** With it a backend server says that it did not run a request. */
+const OUTCOME_HEADER = 'spoolplank-outcome';
+
+async function attempt(
+  context: EntryContext,
+  call: PlainCall,
+  target: Announcement,
+): Promise<HttpAnswer> {
+  const { caller } = call;
+  const remainingMs = Math.floor(deadlineOf(caller) - context.clock.nowMs());
+  const controller = new AbortController();
+  const timer = setTimeout(() => controller.abort(), remainingMs);
+  try {
+    const answer = await callHttp({
+      endpoint: target,
+      method: call.method,
+      path: call.path,
+      body: call.body,
+      agent: caller.isRepeatable ? KEPT_AGENT : FRESH_AGENT,
+      timeoutMs: remainingMs,
+      signal: controller.signal,
+      headers: copyRequestHeaders(call.headers, {
+        'spoolplank-organisation': caller.organisation,
+        'spoolplank-request': caller.requestId,
+        'spoolplank-deadline-ms': String(remainingMs),
+      }),
+    });
+    if (answer.status === 503 && answer.headers[OUTCOME_HEADER] === 'not-run') {
+      throw new SpoolplankError('backend-server-failed', {
+        outcome: 'not-run',
+        detail: `${target.name} refused it.`,
+      });
+    }
+    return answer;
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+async function attemptCounted(
+  context: EntryContext,
+  call: PlainCall,
+  target: Announcement,
+): Promise<HttpAnswer> {
+  const { loads, clock, metrics } = context;
+  const startedMs = clock.nowMs();
+  loads.start(target.name);
+  let isFailure = true;
+  try {
+    const answer = await attempt(context, call, target);
+    isFailure = false;
+    return answer;
+  } finally {
+    const durationMs = clock.nowMs() - startedMs;
+    loads.finish(target.name, { isFailure, durationMs, nowMs: clock.nowMs() });
+    metrics.count('spoolplank_attempts_total', {
+      service: call.caller.service,
+      result: isFailure ? 'failed' : 'answered',
+    });
+    metrics.observe('spoolplank_attempt_ms', durationMs, { service: call.caller.service });
+  }
+}
+
+/** The worst that may be true of a request after all its attempts. */
+function worse(a: Outcome, b: Outcome): Outcome {
+  return a === 'not-run' ? b : a;
+}
+
+/**
+ * Dispatches a request until it has an answer.
+ *
+ * @throws SpoolplankError whose outcome covers every attempt: `not-run` only if none of them
+ * can have run.
+ */
+export async function dispatchPlain(context: EntryContext, call: PlainCall): Promise<HttpAnswer> {
+  const { caller } = call;
+  const { retryBudget, clock, random, loads, metrics, settings } = context;
+  const excluded = new Set<string>();
+  let outcome: Outcome = 'not-run';
+  let lastError: SpoolplankError | undefined;
+  retryBudget.earn();
+  for (let tries = 0; tries <= caller.policy.maxRetries; tries += 1) {
+    if (clock.nowMs() >= deadlineOf(caller)) {
+      throw new SpoolplankError('deadline-exceeded', { outcome, cause: lastError });
+    }
+    const selection = {
+      service: caller.service,
+      dataCentre: settings.vm.dataCentre,
+      excluded,
+      nowMs: clock.nowMs(),
+    };
+    const target = selectBackendServer(listBackendServers(context), selection, loads, random);
+    if (!target) break;
+    try {
+      return await attemptCounted(context, call, target);
+    } catch (thrown) {
+      lastError = toSpoolplankError(thrown);
+      excluded.add(target.name);
+      outcome = worse(outcome, lastError.outcome);
+      const isSafe = lastError.outcome === 'not-run' || caller.isRepeatable;
+      if (!isSafe || !retryBudget.spend()) break;
+      metrics.count('spoolplank_retries_total', { service: caller.service });
+    }
+  }
+  if (clock.nowMs() >= deadlineOf(caller))
+    throw new SpoolplankError('deadline-exceeded', { outcome, cause: lastError });
+  if (lastError && outcome !== 'not-run') {
+    throw new SpoolplankError('backend-server-failed', {
+      outcome,
+      detail: lastError.message,
+      cause: lastError,
+    });
+  }
+  throw new SpoolplankError('no-backend-server', {
+    retryAfterMs: RETRY_AFTER_NONE_MS,
+    cause: lastError,
+  });
+}
--- /dev/null
+++ b/packages/cli/src/entry/entryRole.ts
@@ -0,0 +1,142 @@
+/** The role `entry`: the parts of an entry VM, wired. */
+import type { Server } from 'node:http';
+import { closeServer, delay } from '@spoolplank/node';
+import type { PeerMethod } from '@spoolplank/node';
+import { createBackendLoadTable, createRetryBudget } from '@spoolplank/routing';
+import type { JsonValue } from '@spoolplank/shared';
+import type { SettingsPull } from '../control/settingsService';
+import type { VmContext } from '../vm/vmContext';
+import { createClaimsClient } from './claimsClient';
+import { createCompletionRoute } from './completions';
+import { createControlClient } from './controlClient';
+import { createDirectorySync } from './directorySync';
+import type { DirectoryPull } from './directorySync';
+import type { EntryContext } from './entryContext';
+import { listenForCallers } from './entryServer';
+import { createGate } from './gate';
+import { createOperatorRoutes } from './operatorRoutes';
+import { createSessionReplication } from './sessionReplication';
+import { createSessionStore, toSessionUpdate } from './sessionStore';
+import type { SessionUpdate } from './sessionStore';
+import { createSettingsMirror } from './settingsMirror';
+
+export interface EntryRole {
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  start(): Promise<void>;
+  /** Leaves the address answers, refuses new requests, and resolves when the last has ended. */
+  drain(): Promise<void>;
+  /** Ends at once; returns how many requests were cut off. */
+  stop(): Promise<number>;
+  describe(): JsonValue;
+}
+
+export interface EntryRoleOptions {
+  readonly context: VmContext;
+  readonly controlMethods: Readonly<Record<string, PeerMethod>>;
+  readonly describeControl: () => JsonValue;
+}
+
+const DRAIN_POLL_MS = 50;
+
+export function createEntryRole({
+  context,
+  controlMethods,
+  describeControl,
+}: EntryRoleOptions): EntryRole {
+  const { clock, settings } = context;
+  let isShuttingDown = false;
+  let server: Server | undefined;
+  const control = createControlClient(context, controlMethods);
+  const mirror = createSettingsMirror({ context, control });
+  const gate = createGate(mirror, clock);
+  const isTaking = () => !isShuttingDown && mirror.isFresh();
+  const directorySync = createDirectorySync({
+    context,
+    isTaking,
+    readLoad: () => ({ running: gate.running, queued: gate.waiting }),
+  });
+  const sessions = createSessionStore({ clock });
+  const entry: EntryContext = {
+    ...context,
+    control,
+    mirror,
+    directorySync,
+    gate,
+    sessions,
+    isTaking,
+    claims: createClaimsClient(control),
+    loads: createBackendLoadTable(),
+    retryBudget: createRetryBudget(),
+    isShuttingDown: () => isShuttingDown,
+  };
+  const replication = createSessionReplication(context, sessions);
+  const completions = createCompletionRoute(entry, replication);
+  const operators = createOperatorRoutes(entry, describeControl);
+
+  const methods: Readonly<Record<string, PeerMethod>> = {
+    'directory.pull': async (params) =>
+      (await directorySync.serve(params as unknown as DirectoryPull)) as unknown as JsonValue,
+    'settings.relay': async (params) =>
+      (await mirror.relay(params as unknown as SettingsPull)) as unknown as JsonValue,
+    'sessions.put': (params) => {
+      const { updates } = params as unknown as { readonly updates: readonly SessionUpdate[] };
+      const missing = updates.filter((update) => !sessions.applyUpdate(update)).map(({ id }) => id);
+      return { missing };
+    },
+    'sessions.get': (params) => {
+      const record = sessions.find((params as unknown as { readonly id: string }).id);
+      return (record ? toSessionUpdate(record, 0, true) : null) as unknown as JsonValue;
+    },
+  };
+
+  function describe(): JsonValue {
+    return {
+      vm: settings.vm as unknown as JsonValue,
+      instance: context.instance,
+      isTaking: isTaking(),
+      isShuttingDown,
+      settings: { version: mirror.version, remainingMs: mirror.remainingMs() },
+      directory: directorySync.directory.listAll() as unknown as JsonValue,
+      admission: gate.counts() as unknown as JsonValue,
+      retryBudget: entry.retryBudget.saved,
+      sessions: sessions.size,
+      control: describeControl(),
+      memory: {
+        residentBytes: process.memoryUsage.rss(),
+        heapBytes: process.memoryUsage().heapUsed,
+      },
+      processorTimeMs: Math.round((process.cpuUsage().user + process.cpuUsage().system) / 1000),
+    };
+  }
+
+  return {
+    methods,
+    async start() {
+      await mirror.start();
+      directorySync.start();
+      replication.start();
+      server = await listenForCallers({
+        context: entry,
+        completions,
+        operators,
+        dump: describe,
+      });
+    },
+    async drain() {
+      isShuttingDown = true;
+      await directorySync.leave();
+      while (gate.running + gate.waiting > 0) await delay(DRAIN_POLL_MS);
+      await replication.flush();
+    },
+    async stop() {
+      const cut = gate.running + gate.waiting;
+      isShuttingDown = true;
+      mirror.stop();
+      directorySync.stop();
+      replication.stop();
+      if (server) await closeServer(server, true);
+      return cut;
+    },
+    describe,
+  };
+}
--- /dev/null
+++ b/packages/cli/src/entry/sessionReplication.ts
@@ -0,0 +1,155 @@
+/** Copies sessions to other entry VMs, in batches, and fetches them from there. */
+import { rankByRendezvous } from '@spoolplank/shared';
+import type { VmAddress } from '@spoolplank/settings';
+import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
+import type { VmContext } from '../vm/vmContext';
+import { toSessionUpdate } from './sessionStore';
+import type { SessionRecord, SessionStore, SessionUpdate } from './sessionStore';
+
+export interface SessionReplication {
+  /** Notes that a record changed; copies follow shortly. */
+  note(record: SessionRecord): void;
+  /** Copies what was noted, now. */
+  flush(): Promise<void>;
+  /** Looks for a session here and on the VMs that hold its copies. */
+  fetch(id: string): Promise<SessionRecord | undefined>;
+  start(): void;
+  stop(): void;
+}
+
+const COPIES = 2;
+const FLUSH_INTERVAL_MS = 150;
+const SWEEP_INTERVAL_MS = 10_000;
+const FETCH_FROM = 4;
+const FETCH_TIMEOUT_MS = 600;
+
+interface CopyState {
+  readonly record: SessionRecord;
+  /** Tokens that each holder is known to have; absent before it has the request. */
+  readonly sent: Map<string, number>;
+}
+
+/** The VMs that hold copies of a session, the first ones first. */
+export function rankHolders(
+  context: Pick<VmContext, 'settings'>,
+  id: string,
+): readonly VmAddress[] {
+  const entries = listVmsWithRole(context.settings, 'entry');
+  const ranked = rankByRendezvous(
+    id,
+    entries.map(({ vmId }) => vmId),
+  );
+  return ranked.flatMap((vmId) => entries.filter((entry) => entry.vmId === vmId));
+}
+
+export function createSessionReplication(
+  context: VmContext,
+  store: SessionStore,
+): SessionReplication {
+  const { settings, peers, metrics } = context;
+  const states = new Map<string, CopyState>();
+  const dirty = new Set<string>();
+  let flushTimer: NodeJS.Timeout | undefined;
+  let sweepTimer: NodeJS.Timeout | undefined;
+
+  function holdersOf(id: string): readonly VmAddress[] {
+    return rankHolders(context, id)
+      .filter(({ vmId }) => vmId !== settings.vm.vmId)
+      .slice(0, COPIES);
+  }
+
+  function collectByHolder(): ReadonlyMap<VmAddress, readonly CopyState[]> {
+    const byHolder = new Map<VmAddress, CopyState[]>();
+    dirty.forEach((id) => {
+      const state = states.get(id);
+      if (!state) return;
+      holdersOf(id).forEach((holder) =>
+        byHolder.set(holder, [...(byHolder.get(holder) ?? []), state]),
+      );
+    });
+    dirty.clear();
+    return byHolder;
+  }
+
+  async function sendTo(holder: VmAddress, changed: readonly CopyState[]): Promise<void> {
+    const updates: readonly SessionUpdate[] = changed.map(({ record, sent }) => {
+      const known = sent.get(holder.vmId);
+      return toSessionUpdate(record, known ?? 0, known === undefined);
+    });
+    try {
+      const { missing } = await peers.call<{ missing: readonly string[] }>(
+        toPeerTarget(holder),
+        'sessions.put',
+        { updates },
+      );
+      updates.forEach(({ id, fromPosition, tokens }) => {
+        const sent = states.get(id)?.sent;
+        if (missing.includes(id)) sent?.delete(holder.vmId);
+        else sent?.set(holder.vmId, fromPosition + tokens.length);
+      });
+      missing.forEach((id) => dirty.add(id));
+    } catch {
+      metrics.count('spoolplank_session_copy_failures_total');
+    }
+  }
+
+  async function flush(): Promise<void> {
+    const byHolder = collectByHolder();
+    await Promise.all([...byHolder].map(([holder, changed]) => sendTo(holder, changed)));
+    states.forEach(({ record }, id) => {
+      if (record.isDone && !dirty.has(id)) states.delete(id);
+    });
+  }
+
+  function loop(): void {
+    flush()
+      .catch(() => {})
+      .finally(() => {
+        if (flushTimer) flushTimer = setTimeout(loop, FLUSH_INTERVAL_MS);
+      });
+  }
+
+  return {
+    note(record) {
+      if (!states.has(record.id)) states.set(record.id, { record, sent: new Map() });
+      dirty.add(record.id);
+    },
+    flush,
+    async fetch(id) {
+      const local = store.find(id);
+      const others = rankHolders(context, id)
+        .filter(({ vmId }) => vmId !== settings.vm.vmId)
+        .slice(0, FETCH_FROM);
+      const updates = await Promise.all(
+        others.map((holder) =>
+          peers
+            .call<SessionUpdate | null>(
+              toPeerTarget(holder),
+              'sessions.get',
+              { id },
+              FETCH_TIMEOUT_MS,
+            )
+            .catch(() => null),
+        ),
+      );
+      // The longest copy of the newest attempt is the one to go on from.
+      updates.forEach((update) => {
+        const have = store.find(id);
+        const isBetter =
+          update &&
+          (!have || update.attempt > have.attempt || update.tokens.length > have.tokens.length);
+        if (isBetter) store.applyUpdate(update);
+      });
+      return store.find(id) ?? local;
+    },
+    start() {
+      flushTimer = setTimeout(loop, FLUSH_INTERVAL_MS);
+      sweepTimer = setInterval(() => store.sweep(), SWEEP_INTERVAL_MS);
+    },
+    stop() {
+      clearTimeout(flushTimer);
+      clearInterval(sweepTimer);
+      flushTimer = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/cli/src/entry/stageProbe.ts
@@ -0,0 +1,28 @@
+/** Asks the stages of a chain whether they are there. */
+import { callHttp } from '@spoolplank/node';
+import type { ChainStage } from '@spoolplank/routing';
+
+const PROBE_TIMEOUT_MS = 200;
+const PROBE_PATH = '/totals';
+
+async function isAnswering(stage: ChainStage): Promise<boolean> {
+  try {
+    const answer = await callHttp({
+      endpoint: stage,
+      method: 'GET',
+      path: PROBE_PATH,
+      timeoutMs: PROBE_TIMEOUT_MS,
+    });
+    return answer.status === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** The stages that give no answer. */
+export async function findSilentStages(
+  stages: readonly ChainStage[],
+): Promise<readonly ChainStage[]> {
+  const answers = await Promise.all(stages.map(isAnswering));
+  return stages.filter((_stage, index) => !answers[index]);
+}
--- /dev/null
+++ b/packages/consensus/index.ts
@@ -0,0 +1,6 @@
+export * from './src/configuration';
+export * from './src/groupRunner';
+export * from './src/messages';
+export * from './src/replica';
+export * from './src/storage';
+export type { ReplicaRole } from './src/replicaState';
--- /dev/null
+++ b/packages/consensus/src/election.ts
@@ -0,0 +1,131 @@
+/**
+ * Election with pre-vote.
+ *
+ * Source: Ongaro and Ousterhout, "In search of an understandable consensus algorithm", 2014;
+ * Ongaro, "Consensus: bridging theory and practice", 2014, section 9.6 (pre-vote) and
+ * section 6.4.1 (leader leases).
+ */
+import { quorumSize } from './configuration';
+import type { MessageOf, PreVoteMessage, VoteMessage } from './messages';
+import { becomeLeader, isLeaseValid } from './replication';
+import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
+import type { ReplicaState } from './replicaState';
+
+function isLogUpToDate(
+  state: ReplicaState,
+  { lastIndex, lastTerm }: PreVoteMessage | VoteMessage,
+): boolean {
+  const { log } = state;
+  return lastTerm > log.lastTerm || (lastTerm === log.lastTerm && lastIndex >= log.lastIndex);
+}
+
+/**
+ * Whether a leader may still count on this replica not to vote. This is what makes the
+ * leader's lease safe, so it holds from the start of the process on: what the replica
+ * promised before it was restarted is not remembered.
+ */
+function isBoundToLeader(state: ReplicaState): boolean {
+  if (state.role === 'leader') return isLeaseValid(state);
+  return state.clock.nowMs() - state.lastLeaderContactMs < state.timings.electionTimeoutMs;
+}
+
+function countVotes(state: ReplicaState, isGranted: boolean): number {
+  return state.log.configuration.voters.filter((id) => state.votes.get(id) === isGranted).length;
+}
+
+function askForVotes(state: ReplicaState, kind: 'pre-vote' | 'vote', term: number): void {
+  const { lastIndex, lastTerm } = state.log;
+  state.log.configuration.voters
+    .filter((id) => id !== state.id)
+    .forEach((id) => {
+      if (kind === 'vote') {
+        queueMessage(state, id, {
+          kind,
+          term,
+          lastIndex,
+          lastTerm,
+          isTransfer: state.isTransferElection,
+        });
+      } else {
+        queueMessage(state, id, {
+          kind,
+          term,
+          lastIndex,
+          lastTerm,
+        });
+      }
+    });
+}
+
+function startElection(state: ReplicaState): void {
+  state.role = 'candidate';
+  state.term += 1;
+  state.votedFor = state.id;
+  state.leaderId = null;
+  state.votes.clear();
+  state.votes.set(state.id, true);
+  resetElectionDeadline(state);
+  askForVotes(state, 'vote', state.term);
+  if (countVotes(state, true) >= quorumSize(state.log.configuration)) becomeLeader(state);
+}
+
+/** Asks whether an election could be won, without disturbing anyone's term. */
+export function startPreVote(state: ReplicaState): void {
+  state.role = 'pre-candidate';
+  state.leaderId = null;
+  state.isTransferElection = false;
+  state.votes.clear();
+  state.votes.set(state.id, true);
+  resetElectionDeadline(state);
+  askForVotes(state, 'pre-vote', state.term + 1);
+  if (countVotes(state, true) >= quorumSize(state.log.configuration)) startElection(state);
+}
+
+/** Starts an election at once, because the leader hands over. */
+export function startTransferElection(state: ReplicaState): void {
+  if (!isVoter(state)) return;
+  state.isTransferElection = true;
+  startElection(state);
+}
+
+export function receivePreVote(state: ReplicaState, message: MessageOf<'pre-vote'>): void {
+  const isGranted =
+    message.term > state.term && !isBoundToLeader(state) && isLogUpToDate(state, message);
+  const term = isGranted ? message.term : state.term;
+  queueMessage(state, message.from, { kind: 'pre-vote-reply', term, isGranted });
+}
+
+export function receivePreVoteReply(
+  state: ReplicaState,
+  message: MessageOf<'pre-vote-reply'>,
+): void {
+  if (state.role !== 'pre-candidate') return;
+  if (!message.isGranted) {
+    if (message.term > state.term) becomeFollower(state, message.term, null);
+    return;
+  }
+  if (message.term !== state.term + 1) return;
+  state.votes.set(message.from, true);
+  if (countVotes(state, true) >= quorumSize(state.log.configuration)) startElection(state);
+}
+
+export function receiveVote(state: ReplicaState, message: MessageOf<'vote'>): void {
+  // Not even the term is taken over: a candidate that ignores a living leader is not heard.
+  if (message.term > state.term && !message.isTransfer && isBoundToLeader(state)) return;
+  if (message.term > state.term) becomeFollower(state, message.term, null);
+  const isFree = state.votedFor === null || state.votedFor === message.from;
+  const isGranted = message.term === state.term && isFree && isLogUpToDate(state, message);
+  if (isGranted) {
+    state.votedFor = message.from;
+    resetElectionDeadline(state);
+  }
+  queueMessage(state, message.from, { kind: 'vote-reply', isGranted });
+}
+
+export function receiveVoteReply(state: ReplicaState, message: MessageOf<'vote-reply'>): void {
+  if (state.role !== 'candidate' || message.term !== state.term) return;
+  state.votes.set(message.from, message.isGranted);
+  const quorum = quorumSize(state.log.configuration);
+  if (countVotes(state, true) >= quorum) becomeLeader(state);
+  else if (countVotes(state, false) >= quorum) becomeFollower(state, state.term, null);
+}
--- /dev/null
+++ b/packages/consensus/src/replica.ts
@@ -0,0 +1,280 @@
+import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import { changeConfiguration } from './configuration';
+import type { Configuration, ConfigurationChange, ReplicaId } from './configuration';
+import {
+  receivePreVote,
+  receivePreVoteReply,
+  receiveVote,
+  receiveVoteReply,
+  startPreVote,
+  startTransferElection,
+} from './election';
+import type { HardState, LogEntry, Message, SnapshotMeta } from './messages';
+import { createRaftLog } from './raftLog';
+import {
+  advanceCommit,
+  appendAsLeader,
+  checkQuorumContact,
+  flushReplication,
+  isLeaseValid,
+  receiveAppend,
+  receiveAppendReply,
+} from './replication';
+import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
+import type { ReplicaRole, ReplicaState, ReplicaTimings } from './replicaState';
+import { receiveSnapshot, receiveSnapshotReply } from './snapshotTransfer';
+import type { LogBase, StoredState } from './storage';
+
+export interface ReplicaOptions {
+  readonly id: ReplicaId;
+  /** Name of the group; several groups can live in one process. */
+  readonly group: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly stored: StoredState;
+  readonly timings?: Partial<ReplicaTimings>;
+}
+
+export const DEFAULT_REPLICA_TIMINGS: ReplicaTimings = {
+  electionTimeoutMs: 1000,
+  heartbeatIntervalMs: 150,
+  maxBatchEntries: 512,
+  maxInFlightEntries: 4096,
+};
+
+/** Work the caller must do, in this order: save, send, apply; then call `onSaved`. */
+export interface Ready {
+  readonly hardState: HardState | null;
+  readonly snapshot: { readonly meta: SnapshotMeta; readonly data: string } | null;
+  readonly entries: readonly LogEntry[];
+  /** To be sent only after everything above is on disk. */
+  readonly messages: readonly Message[];
+  /** May be sent while the disk is still busy. */
+  readonly earlyMessages: readonly Message[];
+  readonly committed: readonly LogEntry[];
+}
+
+export interface ReplicaStatus {
+  readonly id: ReplicaId;
+  readonly role: ReplicaRole;
+  readonly term: number;
+  readonly leaderId: ReplicaId | null;
+  readonly commitIndex: number;
+  readonly lastIndex: number;
+  readonly savedIndex: number;
+  readonly snapshotIndex: number;
+  readonly configuration: Configuration;
+  readonly isLeaseValid: boolean;
+  /** Leader only: what each follower is known to hold. */
+  readonly matchIndexes: Readonly<Record<ReplicaId, number>>;
+}
+
+/** One member of a replicated log. It does no I/O: time, disk and network are its caller's. */
+export interface Replica {
+  /** Takes in a message from another replica. */
+  receive(message: Message): void;
+  /** Lets time pass: elections, heartbeats, the check for a quorum. */
+  tick(): void;
+  /** Adds a command; returns its place, or null when this replica does not lead. */
+  propose(command: JsonValue): { readonly index: number; readonly term: number } | null;
+  /** Changes the membership by one step; null when not leading or a change is under way. */
+  proposeConfiguration(
+    change: ConfigurationChange,
+  ): { readonly index: number; readonly term: number } | null;
+  /** Hands the lead to another voter; returns whether the transfer has begun. */
+  transferLeadership(): boolean;
+  /** Whether a read of applied state is current now; waits for nothing. */
+  canRead(): boolean;
+  takeReady(): Ready;
+  /** Tells that everything of a `Ready` is on disk. */
+  onSaved(ready: Ready): void;
+  /** The place to cut the log at `index`, or at its present beginning when that is later. */
+  baseFor(index: number): LogBase;
+  /** Forgets entries up to `baseIndex`, after a snapshot was saved. */
+  compact(baseIndex: number, snapshot: SnapshotMeta): void;
+  status(): ReplicaStatus;
+}
+
+type Receive = (state: ReplicaState, message: never) => void;
+
+const RECEIVERS: Readonly<Record<Message['kind'], Receive>> = {
+  'pre-vote': receivePreVote,
+  'pre-vote-reply': receivePreVoteReply,
+  vote: receiveVote,
+  'vote-reply': receiveVoteReply,
+  append: receiveAppend,
+  'append-reply': receiveAppendReply,
+  snapshot: receiveSnapshot,
+  'snapshot-reply': receiveSnapshotReply,
+  'timeout-now': startTransferElection,
+};
+
+/** Messages that carry a term without claiming it: a higher one is no reason to step down. */
+const TERM_NEUTRAL_KINDS: ReadonlySet<Message['kind']> = new Set([
+  'pre-vote',
+  'pre-vote-reply',
+  'vote',
+]);
+
+function createState({ id, group, clock, random, stored, timings }: ReplicaOptions): ReplicaState {
+  const { hardState, snapshot } = stored;
+  const state: ReplicaState = {
+    id,
+    group,
+    clock,
+    random,
+    timings: { ...DEFAULT_REPLICA_TIMINGS, ...timings },
+    log: createRaftLog(stored),
+    role: 'follower',
+    term: hardState.term,
+    votedFor: hardState.votedFor,
+    savedHardState: hardState,
+    leaderId: null,
+    commitIndex: snapshot?.index ?? 0,
+    handedOutIndex: snapshot?.index ?? 0,
+    termStartIndex: 0,
+    becameLeaderMs: 0,
+    lastLeaderContactMs: clock.nowMs(),
+    electionDeadlineMs: 0,
+    isTransferElection: false,
+    transferTarget: null,
+    transferDeadlineMs: 0,
+    votes: new Map(),
+    progress: new Map(),
+    incomingSnapshot: null,
+    pendingSnapshot: null,
+    outbox: [],
+  };
+  resetElectionDeadline(state);
+  return state;
+}
+
+function receiveMessage(state: ReplicaState, message: Message): void {
+  if (message.group !== state.group || message.to !== state.id) return;
+  if (message.term > state.term && !TERM_NEUTRAL_KINDS.has(message.kind)) {
+    becomeFollower(state, message.term, null);
+  }
+  if (message.kind === 'timeout-now' && message.term !== state.term) return;
+  RECEIVERS[message.kind](state, message as never);
+}
+
+function tickReplica(state: ReplicaState): void {
+  const nowMs = state.clock.nowMs();
+  if (state.role === 'leader') {
+    checkQuorumContact(state);
+    // The request to take over may still be on its way, so the lease must not come back to
+    // life in this term: a transfer that did not finish ends the lead all the same.
+    const isTransferOver = state.transferTarget !== null && nowMs >= state.transferDeadlineMs;
+    if (isTransferOver) becomeFollower(state, state.term, null);
+    return;
+  }
+  if (nowMs >= state.electionDeadlineMs && isVoter(state)) startPreVote(state);
+}
+
+function takeHardState(state: ReplicaState): HardState | null {
+  const { term, votedFor, savedHardState } = state;
+  if (term === savedHardState.term && votedFor === savedHardState.votedFor) return null;
+  state.savedHardState = { term, votedFor };
+  return state.savedHardState;
+}
+
+function takeCommitted(state: ReplicaState): readonly LogEntry[] {
+  const from = state.handedOutIndex + 1;
+  const committed = state.log.slice(from, state.commitIndex - state.handedOutIndex);
+  state.handedOutIndex += committed.length;
+  return committed;
+}
+
+function takeReady(state: ReplicaState): Ready {
+  flushReplication(state);
+  const hardState = takeHardState(state);
+  const snapshot = state.pendingSnapshot;
+  state.pendingSnapshot = null;
+  const { outbox } = state;
+  state.outbox = [];
+  // A leader's entries may reach followers before its own disk: its copy is counted only
+  // after it was saved. Everything else is a promise that must be on disk first.
+  const isEarly = ({ kind }: Message) =>
+    kind === 'append' && hardState === null && snapshot === null;
+  return {
+    hardState,
+    snapshot,
+    entries: state.log.takeUnsaved(),
+    messages: outbox.filter((message) => !isEarly(message)),
+    earlyMessages: outbox.filter(isEarly),
+    committed: takeCommitted(state),
+  };
+}
+
+function transferLeadership(state: ReplicaState): boolean {
+  if (state.role !== 'leader') return false;
+  const { voters } = state.log.configuration;
+  const [best] = [...state.progress.entries()]
+    .filter(([id]) => voters.includes(id))
+    .sort(([, a], [, b]) => b.matchIndex - a.matchIndex || b.ackedSentAtMs - a.ackedSentAtMs);
+  if (!best) return false;
+  const [target, progress] = best;
+  state.transferTarget = target;
+  state.transferDeadlineMs = state.clock.nowMs() + state.timings.electionTimeoutMs;
+  if (progress.matchIndex >= state.log.lastIndex)
+    queueMessage(state, target, { kind: 'timeout-now' });
+  else progress.nextSendMs = state.clock.nowMs();
+  return true;
+}
+
+function proposeConfiguration(state: ReplicaState, change: ConfigurationChange) {
+  const isSettled =
+    state.commitIndex >= state.log.configurationIndex && state.commitIndex >= state.termStartIndex;
+  if (state.role !== 'leader' || state.transferTarget !== null || !isSettled) return null;
+  const configuration = changeConfiguration(state.log.configuration, change);
+  if (configuration.voters.length === 0) return null;
+  const index = appendAsLeader(state, { kind: 'configuration', configuration });
+  return { index, term: state.term };
+}
+
+function describe(state: ReplicaState): ReplicaStatus {
+  const { log } = state;
+  return {
+    id: state.id,
+    role: state.role,
+    term: state.term,
+    leaderId: state.leaderId,
+    commitIndex: state.commitIndex,
+    lastIndex: log.lastIndex,
+    savedIndex: log.savedIndex,
+    snapshotIndex: log.snapshot?.index ?? 0,
+    configuration: log.configuration,
+    isLeaseValid: isLeaseValid(state),
+    matchIndexes: Object.fromEntries(
+      [...state.progress].map(([id, { matchIndex }]) => [id, matchIndex]),
+    ),
+  };
+}
+
+/** Creates a replica from what its disk holds; see docs/design/replicated-log.md. */
+export function createReplica(options: ReplicaOptions): Replica {
+  const state = createState(options);
+  return {
+    receive: (message) => receiveMessage(state, message),
+    tick: () => tickReplica(state),
+    propose(command) {
+      if (state.role !== 'leader' || state.transferTarget !== null) return null;
+      return { index: appendAsLeader(state, { kind: 'command', command }), term: state.term };
+    },
+    proposeConfiguration: (change) => proposeConfiguration(state, change),
+    transferLeadership: () => transferLeadership(state),
+    canRead: () => isLeaseValid(state) && state.commitIndex >= state.termStartIndex,
+    takeReady: () => takeReady(state),
+    onSaved({ entries }) {
+      const last = entries.at(-1);
+      if (last) state.log.markSaved(last.index, last.term);
+      advanceCommit(state);
+    },
+    baseFor(index) {
+      const term = state.log.termAt(index);
+      return term === undefined ? state.log.base : { index, term };
+    },
+    compact: (baseIndex, snapshot) => state.log.compact(baseIndex, snapshot),
+    status: () => describe(state),
+  };
+}
--- /dev/null
+++ b/packages/consensus/src/replicaState.ts
@@ -0,0 +1,113 @@
+import type { Clock, Random } from '@spoolplank/shared';
+import type { ReplicaId } from './configuration';
+import type { HardState, Message, SnapshotMeta } from './messages';
+import type { RaftLog } from './raftLog';
+
+export type ReplicaRole = 'follower' | 'pre-candidate' | 'candidate' | 'leader';
+
+/**
+ * How the leader feeds one follower. `probe`: one message at a time until the logs are known
+ * to match; `replicate`: messages follow each other without waiting; `snapshot`: in chunks.
+ */
+export type ProgressMode = 'probe' | 'replicate' | 'snapshot';
+
+export interface Progress {
+  mode: ProgressMode;
+  matchIndex: number;
+  nextIndex: number;
+  /** Latest send time, on the leader's clock, that the follower has answered. */
+  ackedSentAtMs: number;
+  /** When to send even though there is nothing new, or the last probe went unanswered. */
+  nextSendMs: number;
+  snapshotOffset: number;
+  snapshotIndex: number;
+}
+
+/** A snapshot on its way in. */
+export interface IncomingSnapshot {
+  readonly meta: SnapshotMeta;
+  readonly from: ReplicaId;
+  data: string;
+}
+
+export interface ReplicaTimings {
+  readonly electionTimeoutMs: number;
+  readonly heartbeatIntervalMs: number;
+  /** Greatest number of entries in one message. */
+  readonly maxBatchEntries: number;
+  /** Greatest number of entries on their way to one follower. */
+  readonly maxInFlightEntries: number;
+}
+
+/** Everything a replica holds in memory; the functions of this package run over it. */
+export interface ReplicaState {
+  readonly id: ReplicaId;
+  readonly group: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly timings: ReplicaTimings;
+  readonly log: RaftLog;
+  role: ReplicaRole;
+  term: number;
+  votedFor: ReplicaId | null;
+  savedHardState: HardState;
+  leaderId: ReplicaId | null;
+  commitIndex: number;
+  /** Index up to which committed entries were handed out to be applied. */
+  handedOutIndex: number;
+  /** Index of the first entry of this leader's term; reads wait until it is committed. */
+  termStartIndex: number;
+  becameLeaderMs: number;
+  lastLeaderContactMs: number;
+  electionDeadlineMs: number;
+  isTransferElection: boolean;
+  transferTarget: ReplicaId | null;
+  transferDeadlineMs: number;
+  readonly votes: Map<ReplicaId, boolean>;
+  readonly progress: Map<ReplicaId, Progress>;
+  incomingSnapshot: IncomingSnapshot | null;
+  /** A received snapshot that is whole and waits to be installed. */
+  pendingSnapshot: { readonly meta: SnapshotMeta; readonly data: string } | null;
+  outbox: Message[];
+}
+
+type Body<M> = M extends Message
+  ? Omit<M, 'group' | 'from' | 'to' | 'term'> & { readonly term?: number }
+  : never;
+
+/** Puts a message in the outbox, under the replica's own term unless another is given. */
+export function queueMessage(state: ReplicaState, to: ReplicaId, body: Body<Message>): void {
+  const envelope = { group: state.group, from: state.id, to };
+  state.outbox.push({ ...envelope, ...body, term: body.term ?? state.term });
+}
+
+/** Sets the time of the next election: random, so that replicas rarely collide. */
+export function resetElectionDeadline(state: ReplicaState): void {
+  const { electionTimeoutMs } = state.timings;
+  state.electionDeadlineMs =
+    state.clock.nowMs() + electionTimeoutMs * (1 + state.random.nextFloat());
+}
+
+/** Whether this replica may vote and be elected. */
+export function isVoter(state: ReplicaState): boolean {
+  return state.log.configuration.voters.includes(state.id);
+}
+
+/** Enters a term as a follower. */
+export function becomeFollower(
+  state: ReplicaState,
+  term: number,
+  leaderId: ReplicaId | null,
+): void {
+  if (term > state.term) {
+    state.term = term;
+    state.votedFor = null;
+  }
+  state.role = 'follower';
+  state.leaderId = leaderId;
+  state.isTransferElection = false;
+  state.transferTarget = null;
+  state.votes.clear();
+  state.progress.clear();
+  resetElectionDeadline(state);
+}
--- /dev/null
+++ b/packages/control/index.ts
@@ -0,0 +1,6 @@
+export * from './src/claimState';
+export * from './src/commands';
+export * from './src/controlState';
+export * from './src/leaseState';
+export * from './src/logClock';
+export * from './src/settingsState';
--- /dev/null
+++ b/packages/fakes/src/streamTable.ts
@@ -0,0 +1,70 @@
+/** The streams that callers of an engine hold open. */
+import type { ServerResponse } from 'node:http';
+import type { LineageMark } from '@spoolplank/routing';
+import type { StreamLine, StreamOrder } from './engineProtocol';
+import { renderToken } from './textModel';
+
+interface OpenStream {
+  readonly response: ServerResponse;
+  readonly maxTokens: number;
+  nextPosition: number;
+}
+
+export interface StreamTable {
+  readonly size: number;
+  has(handle: string): boolean;
+  /** Answers an order with a stream; `onClose` runs when the other side lets go of it. */
+  open(order: StreamOrder, response: ServerResponse, onClose: () => void): void;
+  /** Sends a token; returns whether another one is wanted. */
+  deliver(handle: string, tokenId: number, lineage: readonly LineageMark[]): boolean;
+  fail(handle: string, problem: string): void;
+}
+
+export function createStreamTable(): StreamTable {
+  const streams = new Map<string, OpenStream>();
+
+  function write(stream: OpenStream, line: StreamLine): void {
+    stream.response.write(`${JSON.stringify(line)}\n`);
+  }
+
+  function finish(handle: string, line: StreamLine): void {
+    const stream = streams.get(handle);
+    streams.delete(handle);
+    if (!stream) return;
+    write(stream, line);
+    stream.response.end();
+  }
+
+  return {
+    get size() {
+      return streams.size;
+    },
+    has: (handle) => streams.has(handle),
+    open({ handle, maxTokens, historyTokenIds }, response, onClose) {
+      response.writeHead(200, { 'content-type': 'application/x-ndjson' });
+      response.flushHeaders();
+      streams.set(handle, { response, maxTokens, nextPosition: historyTokenIds.length });
+      response.on('close', () => {
+        if (streams.delete(handle)) onClose();
+      });
+    },
+    deliver(handle, tokenId, lineage) {
+      const stream = streams.get(handle);
+      if (!stream) return false;
+      write(stream, {
+        kind: 'token',
+        position: stream.nextPosition,
+        tokenId,
+        text: renderToken(tokenId),
+        lineage,
+      });
+      stream.nextPosition += 1;
+      if (stream.nextPosition < stream.maxTokens) return true;
+      finish(handle, { kind: 'end' });
+      return false;
+    },
+    fail(handle, problem) {
+      finish(handle, { kind: 'problem', problem });
+    },
+  };
+}
--- /dev/null
+++ b/packages/fakes/src/weightStore.ts
@@ -0,0 +1,46 @@
+/** A stand-in for the store of model weights, with one limit on all that it sends. */
+import { closeServer, delay, listen, portOf, sendJson } from '@spoolplank/node';
+
+export interface FakeWeightStoreOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly bytesPerS: number;
+  readonly bytesPerLayer: number;
+}
+
+export const DEFAULT_WEIGHT_STORE_OPTIONS: FakeWeightStoreOptions = {
+  host: '127.0.0.1',
+  port: 0,
+  bytesPerS: 1e9,
+  bytesPerLayer: 1e7,
+};
+
+export interface FakeWeightStore {
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+const MS_PER_S = 1000;
+
+/** Serves `GET /weights?firstLayer=&lastLayer=`: answers once the layers would have arrived. */
+export async function startFakeWeightStore(
+  given: Partial<FakeWeightStoreOptions> = {},
+): Promise<FakeWeightStore> {
+  const options = { ...DEFAULT_WEIGHT_STORE_OPTIONS, ...given };
+  let freeAtMs = 0;
+  const server = await listen({
+    ...options,
+    onRequest(request, response) {
+      const { searchParams } = new URL(request.url ?? '/', 'http://store');
+      const layers =
+        Number(searchParams.get('lastLayer')) - Number(searchParams.get('firstLayer')) + 1;
+      const bytes = layers * options.bytesPerLayer;
+      const nowMs = performance.now();
+      freeAtMs = Math.max(freeAtMs, nowMs) + (bytes / options.bytesPerS) * MS_PER_S;
+      delay(freeAtMs - nowMs)
+        .then(() => sendJson(response, 200, { bytes }))
+        .catch(() => {});
+    },
+  });
+  return { port: portOf(server), close: () => closeServer(server, true) };
+}
--- /dev/null
+++ b/packages/membership/index.ts
@@ -0,0 +1,2 @@
+export * from './src/announcement';
+export * from './src/directory';
--- /dev/null
+++ b/packages/membership/src/announcement.ts
@@ -0,0 +1,172 @@
+import { Ajv } from 'ajv';
+import type { ValidateFunction } from 'ajv';
+import { SpoolplankError } from '@spoolplank/shared';
+
+/** A connection to another engine, as measured by the engine that announces it. */
+export interface EngineLink {
+  readonly to: string;
+  readonly delayMs: number;
+  readonly bytesPerS: number;
+}
+
+/** What a model engine can do. */
+export interface EngineDescription {
+  readonly model: string;
+  readonly version: string;
+  readonly adapters: readonly string[];
+  readonly acceleratorKind: string;
+  /** First and last layer held, both included. */
+  readonly firstLayer: number;
+  readonly lastLayer: number;
+  readonly maxBatch: number;
+  /** Time of one step with one item, and what each further item adds. */
+  readonly stepBaseMs: number;
+  readonly stepPerItemMs: number;
+  /** Whether the engine refuses an order that carries an old fencing number. */
+  readonly isFencingChecked: boolean;
+  readonly links: readonly EngineLink[];
+}
+
+/** Load as the backend server last measured it. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly queued: number;
+}
+
+/** How a backend server tells the system that it is there. */
+export interface Announcement {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly port: number;
+  /** Rises with every start of the backend server. */
+  readonly incarnation: number;
+  /** Rises with every announcement of one incarnation. */
+  readonly sequence: number;
+  readonly state: 'ready' | 'leaving';
+  /** Names of the plain services that are served. */
+  readonly services: readonly string[];
+  readonly engine?: EngineDescription;
+  readonly load: ReportedLoad;
+}
+
+const NAME = { type: 'string', pattern: '^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$' };
+const COUNT = { type: 'integer', minimum: 0, maximum: Number.MAX_SAFE_INTEGER };
+const MAX_LINKS = 256;
+
+const ANNOUNCEMENT_SCHEMA = {
+  type: 'object',
+  additionalProperties: false,
+  required: [
+    'name',
+    'dataCentre',
+    'host',
+    'port',
+    'incarnation',
+    'sequence',
+    'state',
+    'services',
+    'load',
+  ],
+  properties: {
+    name: NAME,
+    dataCentre: NAME,
+    host: { type: 'string', maxLength: 64, minLength: 2 },
+    port: { type: 'integer', minimum: 1, maximum: 65_535 },
+    incarnation: COUNT,
+    sequence: COUNT,
+    state: { enum: ['ready', 'leaving'] },
+    services: { type: 'array', maxItems: 64, items: NAME },
+    load: {
+      type: 'object',
+      additionalProperties: false,
+      required: ['running', 'queued'],
+      properties: { running: COUNT, queued: COUNT },
+    },
+    engine: {
+      type: 'object',
+      additionalProperties: false,
+      required: [
+        'model',
+        'version',
+        'adapters',
+        'acceleratorKind',
+        'firstLayer',
+        'lastLayer',
+        'maxBatch',
+        'stepBaseMs',
+        'stepPerItemMs',
+        'isFencingChecked',
+        'links',
+      ],
+      properties: {
+        model: NAME,
+        version: NAME,
+        adapters: { type: 'array', maxItems: 256, items: NAME },
+        acceleratorKind: NAME,
+        firstLayer: { type: 'integer', minimum: 0, maximum: 999 },
+        lastLayer: { type: 'integer', minimum: 0, maximum: 999 },
+        maxBatch: { type: 'integer', minimum: 1, maximum: 100_000 },
+        stepBaseMs: { type: 'number', minimum: 0 },
+        stepPerItemMs: { type: 'number', minimum: 0 },
+        isFencingChecked: { type: 'boolean' },
+        links: {
+          type: 'array',
+          maxItems: MAX_LINKS,
+          items: {
+            type: 'object',
+            additionalProperties: false,
+            required: ['to', 'delayMs', 'bytesPerS'],
+            properties: {
+              to: NAME,
+              delayMs: { type: 'number', minimum: 0 },
+              bytesPerS: { type: 'number', exclusiveMinimum: 0 },
+            },
+          },
+        },
+      },
+    },
+  },
+};
+
+let validate: ValidateFunction | undefined;
+
+/**
+ * Checks an announcement from the wire.
+ *
+ * @throws SpoolplankError `bad-request` with every finding.
+ */
+export function parseAnnouncement(value: unknown): Announcement {
+  validate ??= new Ajv({ allErrors: true, strict: false }).compile(ANNOUNCEMENT_SCHEMA);
+  if (!validate(value)) {
+    const findings = (validate.errors ?? []).map(({ instancePath, message }) => ({
+      source: 'announcement',
+      pointer: instancePath,
+      problem: message ?? 'not valid',
+    }));
+    throw new SpoolplankError('bad-request', {
+      detail: 'The announcement has findings.',
+      findings,
+    });
+  }
+  const announcement = value as Announcement;
+  const { engine } = announcement;
+  if (engine && engine.firstLayer > engine.lastLayer) {
+    const finding = {
+      source: 'announcement',
+      pointer: '/engine/lastLayer',
+      problem: 'is below firstLayer',
+    };
+    throw new SpoolplankError('bad-request', {
+      detail: 'The announcement has findings.',
+      findings: [finding],
+    });
+  }
+  return announcement;
+}
+
+/** Whether `a` was said after `b` by the same backend server. */
+export function isNewer(a: Announcement, b: Announcement): boolean {
+  if (a.incarnation !== b.incarnation) return a.incarnation > b.incarnation;
+  return a.sequence > b.sequence;
+}
--- /dev/null
+++ b/packages/node/src/fileStorage.ts
@@ -0,0 +1,215 @@
+/** Storage of one replica in a folder: a log of records and the newest snapshot. */
+import { mkdir, open, readdir, rm } from 'node:fs/promises';
+import type { FileHandle } from 'node:fs/promises';
+import { join } from 'node:path';
+import { BLANK_STATE } from '@spoolplank/consensus';
+import type {
+  HardState,
+  LogBase,
+  LogEntry,
+  ReplicaStorage,
+  SaveRequest,
+  SnapshotMeta,
+  StoredState,
+} from '@spoolplank/consensus';
+import { SpoolplankError } from '@spoolplank/shared';
+import { readFileIfAny, replaceFile, syncFolder, toStorageError } from './dataFolder';
+import { decodeRecords, encodeRecord } from './recordFile';
+
+type LogRecord =
+  | { readonly kind: 'base'; readonly base: LogBase }
+  | { readonly kind: 'hard-state'; readonly hardState: HardState }
+  | { readonly kind: 'entry'; readonly entry: LogEntry };
+
+const SNAPSHOT_FILE = 'snapshot';
+const LOG_FILE = 'log';
+
+export interface FileStorageOptions {
+  readonly folder: string;
+  /** Whether to wait for the disk; only a measurement of what that costs turns it off. */
+  readonly isSynced?: boolean;
+  /** Opens the log for appending; replaced by tests that make a disk fail. */
+  readonly openLog?: (path: string) => Promise<FileHandle>;
+}
+
+interface MutableState {
+  hardState: HardState;
+  snapshot: SnapshotMeta | null;
+  base: LogBase;
+  entries: LogEntry[];
+}
+
+type Replay = (state: MutableState, record: never) => void;
+
+const REPLAYS: Readonly<Record<LogRecord['kind'], Replay>> = {
+  base(state, { base }: Extract<LogRecord, { kind: 'base' }>) {
+    state.base = base;
+    state.entries = [];
+  },
+  'hard-state': (state, { hardState }: Extract<LogRecord, { kind: 'hard-state' }>) => {
+    state.hardState = hardState;
+  },
+  entry(state, { entry }: Extract<LogRecord, { kind: 'entry' }>) {
+    state.entries.length = Math.max(0, entry.index - state.base.index - 1);
+    state.entries.push(entry);
+  },
+};
+
+function encodeAll(records: readonly LogRecord[]): Buffer {
+  return Buffer.concat(records.map((record) => encodeRecord(JSON.stringify(record))));
+}
+
+function toRecords(entries: readonly LogEntry[]): readonly LogRecord[] {
+  return entries.map((entry) => ({ kind: 'entry', entry }));
+}
+
+/** Opens the storage of a replica in a folder of its own. */
+export function createFileStorage(options: FileStorageOptions): ReplicaStorage {
+  const { folder, isSynced = true, openLog = (path: string) => open(path, 'a') } = options;
+  const logPath = join(folder, LOG_FILE);
+  const snapshotPath = join(folder, SNAPSHOT_FILE);
+  const state: MutableState = { ...BLANK_STATE, entries: [] };
+  let handle: FileHandle | null = null;
+  let writtenBytes = 0;
+
+  async function reopen(): Promise<FileHandle> {
+    handle ??= await openLog(logPath);
+    return handle;
+  }
+
+  /** Takes back what a failed write left, so that the file ends with a whole record. */
+  async function cutLog(): Promise<void> {
+    const cut = await open(logPath, 'r+');
+    await cut.truncate(writtenBytes);
+    await cut.sync();
+    await cut.close();
+  }
+
+  async function appendRecords(records: readonly LogRecord[]): Promise<void> {
+    const bytes = encodeAll(records);
+    try {
+      const log = await reopen();
+      await log.writeFile(bytes);
+      if (isSynced) await log.datasync();
+      writtenBytes += bytes.length;
+    } catch (error) {
+      await handle?.close();
+      handle = null;
+      await cutLog();
+      throw toStorageError(error, logPath);
+    }
+  }
+
+  /** Writes the log anew, without what the snapshot holds. */
+  async function rewriteLog(): Promise<void> {
+    const { base, hardState, entries } = state;
+    const bytes = encodeAll([
+      { kind: 'base', base },
+      { kind: 'hard-state', hardState },
+      ...toRecords(entries),
+    ]);
+    await replaceFile(logPath, bytes);
+    await handle?.close();
+    handle = null;
+    writtenBytes = bytes.length;
+  }
+
+  async function writeSnapshot(meta: SnapshotMeta, data: string): Promise<void> {
+    const bytes = Buffer.concat([encodeRecord(JSON.stringify(meta)), encodeRecord(data)]);
+    await replaceFile(snapshotPath, bytes);
+    state.snapshot = meta;
+  }
+
+  async function readSnapshotRecords(): Promise<readonly string[]> {
+    const bytes = await readFileIfAny(snapshotPath);
+    if (!bytes) return [];
+    const { payloads } = decodeRecords(bytes, snapshotPath);
+    if (payloads.length !== 2) {
+      throw new SpoolplankError('storage-damaged', {
+        detail: `${snapshotPath} at byte ${bytes.length}: ends early`,
+      });
+    }
+    return payloads;
+  }
+
+  async function loadLog(): Promise<void> {
+    const bytes = await readFileIfAny(logPath);
+    if (!bytes) {
+      await replaceFile(logPath, '');
+      return;
+    }
+    const { payloads, wholeBytes } = decodeRecords(bytes, logPath);
+    payloads
+      .map((payload) => JSON.parse(payload) as LogRecord)
+      .forEach((record) => REPLAYS[record.kind](state, record as never));
+    writtenBytes = wholeBytes;
+    if (wholeBytes < bytes.length) await cutLog();
+  }
+
+  /** A snapshot from the leader may be newer than a log that was not rewritten in time. */
+  function alignWithSnapshot(): void {
+    const { snapshot, base, entries } = state;
+    if (!snapshot || base.index + entries.length >= snapshot.index) return;
+    state.base = { index: snapshot.index, term: snapshot.term };
+    state.entries = [];
+  }
+
+  function assertContiguous(): void {
+    state.entries.forEach(({ index }, position) => {
+      if (index !== state.base.index + position + 1) {
+        throw new SpoolplankError('storage-damaged', {
+          detail: `${logPath}: entry ${index} is out of place`,
+        });
+      }
+    });
+    if (!state.snapshot && state.base.index > 0) {
+      throw new SpoolplankError('storage-damaged', { detail: `${snapshotPath} is missing` });
+    }
+  }
+
+  return {
+    async load(): Promise<StoredState> {
+      Object.assign(state, BLANK_STATE, { entries: [] });
+      await mkdir(folder, { recursive: true });
+      const names = await readdir(folder);
+      await Promise.all(
+        names.filter((name) => name.endsWith('.tmp')).map((name) => rm(join(folder, name))),
+      );
+      const [meta] = await readSnapshotRecords();
+      if (meta !== undefined) state.snapshot = JSON.parse(meta) as SnapshotMeta;
+      await loadLog();
+      alignWithSnapshot();
+      assertContiguous();
+      await syncFolder(folder);
+      const { hardState, snapshot, base, entries } = state;
+      return {
+        hardState,
+        snapshot,
+        base,
+        entries: [...entries],
+      };
+    },
+    async save({ hardState, entries }: SaveRequest) {
+      const records: LogRecord[] = hardState ? [{ kind: 'hard-state', hardState }] : [];
+      records.push(...toRecords(entries));
+      await appendRecords(records);
+      records.forEach((record) => REPLAYS[record.kind](state, record as never));
+    },
+    async saveSnapshot(meta, data, base) {
+      await writeSnapshot(meta, data);
+      state.entries = state.entries.filter(({ index }) => index > base.index);
+      state.base = base;
+      await rewriteLog();
+    },
+    async installSnapshot(meta, data) {
+      await writeSnapshot(meta, data);
+      state.base = { index: meta.index, term: meta.term };
+      state.entries = [];
+      await rewriteLog();
+    },
+    async readSnapshot() {
+      const [, data] = await readSnapshotRecords();
+      return data ?? '';
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/httpClient.ts
@@ -0,0 +1,130 @@
+/** The client side of HTTP, on kept-alive connections. */
+import { Agent, request as startRequest } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import { SpoolplankError } from '@spoolplank/shared';
+import type { JsonValue } from '@spoolplank/shared';
+
+export interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+export interface HttpCallOptions {
+  readonly endpoint: Endpoint;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string | readonly string[]>>;
+  readonly body?: Buffer | string;
+  /** Time until the response headers. */
+  readonly timeoutMs?: number;
+  readonly agent?: Agent;
+  readonly signal?: AbortSignal;
+  /** Told once the first byte of the request may have left. */
+  readonly onMaySend?: () => void;
+}
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+const DEFAULT_TIMEOUT_MS = 10_000;
+const MAX_FREE_SOCKETS = 64;
+
+/** Creates a pool of kept-alive connections. */
+export function createAgent(maxSockets = Number.POSITIVE_INFINITY): Agent {
+  return new Agent({
+    keepAlive: true,
+    maxSockets,
+    maxFreeSockets: MAX_FREE_SOCKETS,
+    scheduling: 'lifo',
+  });
+}
+
+const SHARED_AGENT = createAgent();
+
+/**
+ * Sends a request and resolves with the response once its headers are there.
+ *
+ * @throws SpoolplankError `unreachable`; its outcome is `not-run` when the connection was
+ * never made.
+ */
+export function openCall(options: HttpCallOptions): Promise<IncomingMessage> {
+  const { endpoint, method, path, headers, body, timeoutMs = DEFAULT_TIMEOUT_MS, signal } = options;
+  return new Promise((resolve, reject) => {
+    let maySend = false;
+    const call = startRequest({
+      host: endpoint.host,
+      port: endpoint.port,
+      method,
+      path,
+      headers: {
+        ...headers,
+        ...(body === undefined ? {} : { 'content-length': Buffer.byteLength(body) }),
+      },
+      agent: options.agent ?? SHARED_AGENT,
+      signal,
+    });
+    const noteSend = () => {
+      maySend = true;
+      options.onMaySend?.();
+    };
+    const timer = setTimeout(
+      () => call.destroy(new Error(`no answer within ${timeoutMs} ms`)),
+      timeoutMs,
+    );
+    call.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', noteSend);
+      else noteSend();
+    });
+    call.on('error', (error) => {
+      clearTimeout(timer);
+      reject(
+        new SpoolplankError('unreachable', {
+          detail: `${endpoint.host}:${endpoint.port}: ${error.message}`,
+          outcome: maySend ? 'unknown' : 'not-run',
+          cause: error,
+        }),
+      );
+    });
+    call.on('response', (response) => {
+      clearTimeout(timer);
+      resolve(response);
+    });
+    call.end(body);
+  });
+}
+
+/** Sends a request and resolves with the whole answer. */
+export async function callHttp(options: HttpCallOptions): Promise<HttpAnswer> {
+  const response = await openCall(options);
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) chunks.push(chunk);
+  } catch (error) {
+    throw new SpoolplankError('unreachable', { detail: 'The answer broke off.', cause: error });
+  }
+  if (!response.complete)
+    throw new SpoolplankError('unreachable', { detail: 'The answer broke off.' });
+  return {
+    status: response.statusCode ?? 0,
+    headers: response.headers,
+    body: Buffer.concat(chunks),
+  };
+}
+
+/** Sends JSON and resolves with the JSON of the answer and its status. */
+export async function callJson(
+  options: Omit<HttpCallOptions, 'body'> & { readonly json?: unknown },
+): Promise<{ readonly status: number; readonly json: JsonValue }> {
+  const { json, headers, ...rest } = options;
+  const body = json === undefined ? undefined : JSON.stringify(json);
+  const answer = await callHttp({
+    ...rest,
+    body,
+    headers: { 'content-type': 'application/json', ...headers },
+  });
+  const text = answer.body.toString('utf8');
+  return { status: answer.status, json: text ? (JSON.parse(text) as JsonValue) : null };
+}
--- /dev/null
+++ b/packages/node/src/peerRpc.ts
@@ -0,0 +1,204 @@
+/**
+ * Requests between VMs: JSON-RPC 2.0 in HTTP bodies on kept-alive connections, signed with
+ * the deployment's shared key.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { JSONRPCClient, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
+import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0';
+import { fromErrorBody, SpoolplankError, toErrorBody, toSpoolplankError } from '@spoolplank/shared';
+import type { JsonValue } from '@spoolplank/shared';
+import { callHttp, createAgent } from './httpClient';
+import type { Endpoint } from './httpClient';
+import { listen, readBody, sendError } from './httpServer';
+import { isEqualSecret, signMessage } from './tokens';
+
+export interface PeerIdentity {
+  readonly deployment: string;
+  readonly vmId: string;
+  readonly sharedKey: string;
+}
+
+/** Answers one method; the sender's VM is known and was proved by the signature. */
+export type PeerMethod = (params: JsonValue, senderVmId: string) => Promise<JsonValue> | JsonValue;
+
+export interface PeerServerOptions extends PeerIdentity, Endpoint {
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  /** Told of every message that was refused because it is not of this deployment. */
+  readonly onRefused?: (reason: string) => void;
+  /** Told of bytes received and sent. */
+  readonly onTraffic?: (receivedBytes: number, sentBytes: number) => void;
+}
+
+interface SenderContext {
+  readonly senderVmId: string;
+}
+
+const RPC_PATH = '/rpc';
+const MAX_BODY_BYTES = 33_554_432;
+const DEPLOYMENT_HEADER = 'spoolplank-deployment';
+const SENDER_HEADER = 'spoolplank-vm';
+const RECEIVER_HEADER = 'spoolplank-to';
+const SIGNATURE_HEADER = 'spoolplank-signature';
+const APPLICATION_ERROR = -32_000;
+/** What HTTP adds to a body, for the account of control traffic. */
+const HEADER_ESTIMATE_BYTES = 350;
+
+function headerOf(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+function authenticate(request: IncomingMessage, body: string, identity: PeerIdentity): string {
+  const deployment = headerOf(request, DEPLOYMENT_HEADER);
+  const sender = headerOf(request, SENDER_HEADER);
+  const receiver = headerOf(request, RECEIVER_HEADER);
+  const expected = signMessage(identity.sharedKey, [deployment, sender, receiver, body]);
+  const isOurs = deployment === identity.deployment && receiver === identity.vmId;
+  if (!isOurs || !isEqualSecret(expected, headerOf(request, SIGNATURE_HEADER))) {
+    throw new SpoolplankError('wrong-deployment');
+  }
+  return sender;
+}
+
+function createRpcServer(
+  methods: Readonly<Record<string, PeerMethod>>,
+): JSONRPCServer<SenderContext> {
+  const server = new JSONRPCServer<SenderContext>({ errorListener: () => {} });
+  Object.entries(methods).forEach(([name, method]) => {
+    server.addMethod(name, async (params: JsonValue, { senderVmId }: SenderContext) => {
+      try {
+        return await method(params, senderVmId);
+      } catch (error) {
+        const known = toSpoolplankError(error);
+        throw new JSONRPCErrorException(known.message, APPLICATION_ERROR, toErrorBody(known));
+      }
+    });
+  });
+  return server;
+}
+
+/** Starts the door for other VMs. */
+export function listenForPeers(options: PeerServerOptions): Promise<Server> {
+  const rpc = createRpcServer(options.methods);
+
+  async function answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.method !== 'POST' || request.url !== RPC_PATH)
+      throw new SpoolplankError('not-found');
+    const body = (await readBody(request, MAX_BODY_BYTES)).toString('utf8');
+    const senderVmId = authenticate(request, body, options);
+    const reply = await rpc.receiveJSON(body, { senderVmId });
+    const text = reply ? JSON.stringify(reply) : '';
+    options.onTraffic?.(body.length + HEADER_ESTIMATE_BYTES, text.length + HEADER_ESTIMATE_BYTES);
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+    });
+    response.end(text);
+  }
+
+  return listen({
+    host: options.host,
+    port: options.port,
+    onRequest(request, response) {
+      answer(request, response).catch((error: unknown) => {
+        const { code } = sendError(response, error);
+        options.onRefused?.(code);
+      });
+    },
+  });
+}
+
+export interface PeerClientOptions extends PeerIdentity {
+  readonly timeoutMs: number;
+  readonly onTraffic?: (receivedBytes: number, sentBytes: number) => void;
+}
+
+export interface PeerTarget extends Endpoint {
+  readonly vmId: string;
+}
+
+export interface PeerClient {
+  /**
+   * Calls a method of another VM.
+   *
+   * @throws SpoolplankError what the method threw there, or `unreachable`.
+   */
+  call<Result>(
+    target: PeerTarget,
+    method: string,
+    params: unknown,
+    timeoutMs?: number,
+  ): Promise<Result>;
+  close(): void;
+}
+
+/** Creates the caller's side; one for a process. */
+export function createPeerClient(options: PeerClientOptions): PeerClient {
+  const agent = createAgent();
+  const clients = new Map<string, JSONRPCClient<{ timeoutMs: number }>>();
+
+  async function post(
+    target: PeerTarget,
+    body: string,
+    timeoutMs: number,
+  ): Promise<JSONRPCResponse> {
+    const answer = await callHttp({
+      endpoint: target,
+      method: 'POST',
+      path: RPC_PATH,
+      agent,
+      timeoutMs,
+      body,
+      headers: {
+        'content-type': 'application/json',
+        [DEPLOYMENT_HEADER]: options.deployment,
+        [SENDER_HEADER]: options.vmId,
+        [RECEIVER_HEADER]: target.vmId,
+        [SIGNATURE_HEADER]: signMessage(options.sharedKey, [
+          options.deployment,
+          options.vmId,
+          target.vmId,
+          body,
+        ]),
+      },
+    });
+    options.onTraffic?.(
+      answer.body.length + HEADER_ESTIMATE_BYTES,
+      body.length + HEADER_ESTIMATE_BYTES,
+    );
+    const json = JSON.parse(answer.body.toString('utf8')) as JSONRPCResponse;
+    if (answer.status !== 200) throw fromErrorBody(json);
+    return json;
+  }
+
+  function clientFor(target: PeerTarget): JSONRPCClient<{ timeoutMs: number }> {
+    const name = `${target.vmId}@${target.host}:${target.port}`;
+    const known = clients.get(name);
+    if (known) return known;
+    const client: JSONRPCClient<{ timeoutMs: number }> = new JSONRPCClient(
+      async (request: JSONRPCRequest, { timeoutMs }) => {
+        client.receive(await post(target, JSON.stringify(request), timeoutMs));
+      },
+    );
+    clients.set(name, client);
+    return client;
+  }
+
+  return {
+    async call<Result>(
+      target: PeerTarget,
+      method: string,
+      params: unknown,
+      timeoutMs = options.timeoutMs,
+    ) {
+      try {
+        return (await clientFor(target).request(method, params, { timeoutMs })) as Result;
+      } catch (error) {
+        if (error instanceof JSONRPCErrorException) throw fromErrorBody(error.data);
+        if (error instanceof SpoolplankError) throw error;
+        throw new SpoolplankError('unreachable', { detail: String(error), cause: error });
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/admission.ts
@@ -0,0 +1,119 @@
+/** Limits on running and waiting requests, counted per branch of the settings tree. */
+import type { Policy } from '@spoolplank/settings';
+import { SpoolplankError } from '@spoolplank/shared';
+
+/** A branch that a request counts against, with the limits in force there. */
+export interface AdmissionBranch {
+  /** JSON pointer of the branch. */
+  readonly pointer: string;
+  readonly policy: Pick<Policy, 'maxInFlight' | 'maxQueueLength'>;
+}
+
+interface BranchCount {
+  running: number;
+  waiting: number;
+}
+
+export interface AdmissionCounts {
+  readonly pointer: string;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** The place of one admitted request. */
+export interface AdmissionTicket {
+  /** The request leaves the queue and runs. */
+  start(): void;
+  /** The request has ended, in whatever way. */
+  end(): void;
+}
+
+export interface Admission {
+  /**
+   * Admits a request to wait or run.
+   *
+   * @throws SpoolplankError `overloaded`, at once, with the time after which to try again.
+   */
+  admit(branches: readonly AdmissionBranch[]): AdmissionTicket;
+  /** Whether every branch has room for one more running request. */
+  hasRoom(branches: readonly AdmissionBranch[]): boolean;
+  counts(): readonly AdmissionCounts[];
+  /** Notes how long a request ran, which tells how fast a queue drains. */
+  observeDuration(durationMs: number): void;
+}
+
+const DURATION_WEIGHT = 0.05;
+const INITIAL_DURATION_MS = 100;
+const MIN_RETRY_AFTER_MS = 200;
+const MAX_RETRY_AFTER_MS = 30_000;
+
+export function createAdmission(): Admission {
+  const counts = new Map<string, BranchCount>();
+  let meanDurationMs = INITIAL_DURATION_MS;
+
+  function countOf(pointer: string): BranchCount {
+    const known = counts.get(pointer);
+    if (known) return known;
+    const count = { running: 0, waiting: 0 };
+    counts.set(pointer, count);
+    return count;
+  }
+
+  /** When the queue in front of a branch will have drained, from how fast it does. */
+  function retryAfterMs({ pointer, policy }: AdmissionBranch): number {
+    const { waiting } = countOf(pointer);
+    const drainMs = ((waiting + 1) * meanDurationMs) / Math.max(1, policy.maxInFlight);
+    return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, drainMs)));
+  }
+
+  function release(pointer: string, kind: keyof BranchCount): void {
+    const count = countOf(pointer);
+    count[kind] -= 1;
+    if (count.running === 0 && count.waiting === 0) counts.delete(pointer);
+  }
+
+  function isFull({ pointer, policy }: AdmissionBranch): boolean {
+    const { running, waiting } = countOf(pointer);
+    return running + waiting >= policy.maxInFlight + policy.maxQueueLength;
+  }
+
+  return {
+    admit(branches) {
+      const full = branches.find(isFull);
+      if (full) {
+        throw new SpoolplankError('overloaded', {
+          detail: `Limit of ${full.pointer || '/'}.`,
+          retryAfterMs: retryAfterMs(full),
+        });
+      }
+      let state: keyof BranchCount | 'ended' = 'waiting';
+      branches.forEach(({ pointer }) => {
+        countOf(pointer).waiting += 1;
+      });
+      return {
+        start() {
+          if (state !== 'waiting') return;
+          state = 'running';
+          branches.forEach(({ pointer }) => {
+            const count = countOf(pointer);
+            count.waiting -= 1;
+            count.running += 1;
+          });
+        },
+        end() {
+          if (state === 'ended') return;
+          const kind = state;
+          state = 'ended';
+          branches.forEach(({ pointer }) => release(pointer, kind));
+        },
+      };
+    },
+    hasRoom: (branches) =>
+      branches.every(({ pointer, policy }) => countOf(pointer).running < policy.maxInFlight),
+    counts: () =>
+      [...counts].map(([pointer, { running, waiting }]) => ({ pointer, running, waiting })),
+    observeDuration(durationMs) {
+      meanDurationMs += DURATION_WEIGHT * (durationMs - meanDurationMs);
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/chain.ts
@@ -0,0 +1,133 @@
+/** Choice of a chain of engines that holds every layer of a model once, in order. */
+import type { Announcement, EngineDescription } from '@spoolplank/membership';
+import type { BackendLoadTable } from './backendLoad';
+
+export interface ChainStage {
+  readonly name: string;
+  readonly host: string;
+  readonly port: number;
+  readonly firstLayer: number;
+  readonly lastLayer: number;
+}
+
+export interface Chain {
+  readonly version: string;
+  readonly stages: readonly ChainStage[];
+  /** Estimated time of one token through the chain, in milliseconds. */
+  readonly estimatedStepMs: number;
+}
+
+export interface ChainRequest {
+  readonly model: string;
+  readonly layers: number;
+  /** Only engines of this version; any one version when absent. */
+  readonly version?: string;
+  readonly excluded: ReadonlySet<string>;
+  readonly dataCentre: string;
+  readonly nowMs: number;
+}
+
+type Engine = Announcement & { readonly engine: EngineDescription };
+
+interface PartialChain {
+  readonly engine: Engine;
+  readonly costMs: number;
+  readonly next: PartialChain | null;
+}
+
+/** Size of the activation that one token carries from stage to stage. */
+const ACTIVATION_BYTES = 16_384;
+const MS_PER_S = 1000;
+const REMOTE_PENALTY_MS = 2;
+/** A chain whose batch is full makes others wait; past this share its cost rises steeply. */
+const FULL_SHARE = 0.9;
+const FULL_PENALTY = 4;
+
+function isEngine(announcement: Announcement): announcement is Engine {
+  return announcement.engine !== undefined;
+}
+
+function stepCostMs({ name, engine }: Engine, loads: BackendLoadTable): number {
+  const items = loads.estimate(name) + 1;
+  const stepMs = engine.stepBaseMs + engine.stepPerItemMs * Math.min(items, engine.maxBatch);
+  // Items beyond a full batch wait for further steps.
+  const rounds = Math.max(1, items / engine.maxBatch);
+  const crowding = items > engine.maxBatch * FULL_SHARE ? FULL_PENALTY : 1;
+  return stepMs * rounds * crowding;
+}
+
+function linkCostMs(from: Engine, to: Engine): number {
+  const link = from.engine.links.find((candidate) => candidate.to === to.name);
+  if (link) return link.delayMs + (ACTIVATION_BYTES / link.bytesPerS) * MS_PER_S;
+  return from.dataCentre === to.dataCentre ? 0 : REMOTE_PENALTY_MS;
+}
+
+/** Cheapest completion for each starting layer, built from the last layer backwards. */
+function chainOfVersion(
+  engines: readonly Engine[],
+  request: ChainRequest,
+  loads: BackendLoadTable,
+): PartialChain | undefined {
+  const byFirstLayer = new Map<number, PartialChain[]>();
+  const ordered = [...engines].sort((a, b) => b.engine.firstLayer - a.engine.firstLayer);
+  ordered.forEach((engine) => {
+    const { firstLayer, lastLayer } = engine.engine;
+    const ownMs = stepCostMs(engine, loads);
+    const isLast = lastLayer === request.layers - 1;
+    const followers = byFirstLayer.get(lastLayer + 1) ?? [];
+    const options = followers.map((next) => ({
+      engine,
+      next,
+      costMs: ownMs + linkCostMs(engine, next.engine) + next.costMs,
+    }));
+    const best = isLast
+      ? { engine, next: null, costMs: ownMs }
+      : options.sort((a, b) => a.costMs - b.costMs)[0];
+    if (!best) return;
+    byFirstLayer.set(firstLayer, [...(byFirstLayer.get(firstLayer) ?? []), best]);
+  });
+  const remoteMs = ({ engine }: PartialChain) =>
+    engine.dataCentre === request.dataCentre ? 0 : REMOTE_PENALTY_MS;
+  return byFirstLayer.get(0)?.sort((a, b) => a.costMs + remoteMs(a) - b.costMs - remoteMs(b))[0];
+}
+
+function toChain(version: string, head: PartialChain): Chain {
+  const stages: ChainStage[] = [];
+  for (let part: PartialChain | null = head; part; part = part.next) {
+    const { name, host, port, engine } = part.engine;
+    stages.push({
+      name,
+      host,
+      port,
+      firstLayer: engine.firstLayer,
+      lastLayer: engine.lastLayer,
+    });
+  }
+  return { version, stages, estimatedStepMs: head.costMs };
+}
+
+/** Picks the chain with the least estimated time for a token; undefined when layers are missing. */
+export function selectChain(
+  announced: readonly Announcement[],
+  request: ChainRequest,
+  loads: BackendLoadTable,
+): Chain | undefined {
+  const fitting = announced
+    .filter(isEngine)
+    .filter(({ name, engine }) => engine.model === request.model && !request.excluded.has(name));
+  const engines = loads.withoutEjected(fitting, request.nowMs);
+  const versions =
+    request.version === undefined
+      ? [...new Set(engines.map(({ engine }) => engine.version))]
+      : [request.version];
+  return versions
+    .flatMap((version) => {
+      const head = chainOfVersion(
+        engines.filter(({ engine }) => engine.version === version),
+        request,
+        loads,
+      );
+      return head ? [toChain(version, head)] : [];
+    })
+    .sort((a, b) => a.estimatedStepMs - b.estimatedStepMs)[0];
+}
--- /dev/null
+++ b/packages/routing/src/retryBudget.ts
@@ -0,0 +1,38 @@
+/** Keeps retries to a share of the traffic, so that a failure does not become a storm. */
+export interface RetryBudgetOptions {
+  /** Retries earned by each first attempt. */
+  readonly share?: number;
+  /** Retries that can be saved up, so that little traffic can be retried too. */
+  readonly maxSaved?: number;
+}
+
+export interface RetryBudget {
+  readonly saved: number;
+  /** Counts a first attempt. */
+  earn(): void;
+  /** Takes one retry out of the budget; false when there is none left. */
+  spend(): boolean;
+}
+
+const DEFAULT_SHARE = 0.1;
+const DEFAULT_MAX_SAVED = 20;
+
+export function createRetryBudget({
+  share = DEFAULT_SHARE,
+  maxSaved = DEFAULT_MAX_SAVED,
+}: RetryBudgetOptions = {}): RetryBudget {
+  let saved = maxSaved;
+  return {
+    get saved() {
+      return saved;
+    },
+    earn() {
+      saved = Math.min(maxSaved, saved + share);
+    },
+    spend() {
+      if (saved < 1) return false;
+      saved -= 1;
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/settings/src/validation.ts
@@ -0,0 +1,165 @@
+import { Ajv } from 'ajv';
+import { isIP } from 'node:net';
+import { formatPointer, parsePointer, SpoolplankError } from '@spoolplank/shared';
+import type { ErrorObject, ValidateFunction } from 'ajv';
+import type { Finding } from '@spoolplank/shared';
+import { TREE_SCHEMA } from './tree';
+import type { SettingsTree } from './tree';
+import { VM_SETTINGS_SCHEMA } from './vmSettings';
+import type { VmSettings } from './vmSettings';
+
+type Explain = (
+  error: ErrorObject,
+) => Pick<Finding, 'problem' | 'expected'> & { readonly pointer?: string };
+
+/** How each kind of schema violation is put to a person. */
+const EXPLANATIONS: Readonly<Record<string, Explain>> = {
+  additionalProperties: ({ params, instancePath, parentSchema }) => ({
+    pointer: `${instancePath}${formatPointer([String(params.additionalProperty)])}`,
+    problem: 'unknown key',
+    expected: `one of ${Object.keys((parentSchema?.properties ?? {}) as object).join(', ')}`,
+  }),
+  required: ({ params, instancePath }) => ({
+    pointer: `${instancePath}${formatPointer([String(params.missingProperty)])}`,
+    problem: 'missing',
+    expected: 'a value',
+  }),
+  enum: ({ params }) => ({
+    problem: 'not an allowed value',
+    expected: `one of ${(params.allowedValues as readonly unknown[]).join(', ')}`,
+  }),
+  type: ({ params }) => ({ problem: 'wrong type', expected: String(params.type) }),
+  pattern: ({ params }) => ({
+    problem: 'wrong form',
+    expected: `text matching ${String(params.pattern)}`,
+  }),
+  format: () => ({ problem: 'wrong form', expected: 'an IP number' }),
+};
+
+/** Violations that only repeat another one. */
+const REDUNDANT_KEYWORDS: ReadonlySet<string> = new Set(['if', 'propertyNames']);
+
+function toFinding(source: string, error: ErrorObject): Finding {
+  const explain = EXPLANATIONS[error.keyword];
+  const { pointer, problem, expected } = explain
+    ? explain(error)
+    : { pointer: undefined, problem: error.message ?? error.keyword, expected: undefined };
+  return {
+    source,
+    pointer: pointer ?? error.instancePath,
+    problem,
+    ...(expected ? { expected } : {}),
+  };
+}
+
+function createValidator(schema: object): ValidateFunction {
+  const ajv = new Ajv({ allErrors: true, verbose: true, strict: false });
+  ajv.addFormat('ip', (text: string) => isIP(text) !== 0);
+  return ajv.compile(schema);
+}
+
+const validators = new Map<object, ValidateFunction>();
+
+function collectSchemaFindings(schema: object, value: unknown, source: string): readonly Finding[] {
+  // Compiled on first use: a daemon that never checks a tree does not pay for its validator.
+  const validate = validators.get(schema) ?? createValidator(schema);
+  validators.set(schema, validate);
+  if (validate(value)) return [];
+  return (validate.errors ?? [])
+    .filter(({ keyword }) => !REDUNDANT_KEYWORDS.has(keyword))
+    .map((error) => toFinding(source, error));
+}
+
+function collectReferenceFindings(tree: SettingsTree, source: string): readonly Finding[] {
+  const known = new Set(Object.keys(tree.services ?? {}));
+  return Object.entries(tree.organisations ?? {}).flatMap(([organisation, branch]) =>
+    Object.keys(branch.services ?? {})
+      .filter((service) => !known.has(service))
+      .map((service) => ({
+        source,
+        pointer: formatPointer(['organisations', organisation, 'services', service]),
+        problem: 'refers to a service that is not defined',
+        expected: known.size ? `one of ${[...known].join(', ')}` : 'a service under /services',
+      })),
+  );
+}
+
+/** Everything wrong with a settings tree; empty when it can be put in force. */
+export function collectTreeFindings(value: unknown, source: string): readonly Finding[] {
+  const findings = collectSchemaFindings(TREE_SCHEMA, value, source);
+  return findings.length ? findings : collectReferenceFindings(value as SettingsTree, source);
+}
+
+function collectVmReferenceFindings(settings: VmSettings, source: string): readonly Finding[] {
+  const findings: Finding[] = [];
+  if (settings.vm.roles.includes('control') && !settings.dataFolder) {
+    findings.push({
+      source,
+      pointer: '/dataFolder',
+      problem: 'missing',
+      expected: 'a folder, for the role control',
+    });
+  }
+  const seen = new Set([settings.vm.vmId]);
+  settings.peers.forEach(({ vmId }, index) => {
+    if (seen.has(vmId)) {
+      findings.push({
+        source,
+        pointer: `/peers/${index}/vmId`,
+        problem: `the name ${vmId} stands twice`,
+        expected: 'a unique name',
+      });
+    }
+    seen.add(vmId);
+  });
+  const hasControl = [settings.vm, ...settings.peers].some(({ roles }) =>
+    roles.includes('control'),
+  );
+  if (!hasControl) {
+    findings.push({
+      source,
+      pointer: '/peers',
+      problem: 'no VM has the role control',
+      expected: 'at least one',
+    });
+  }
+  return findings;
+}
+
+/** Everything wrong with the settings file of a VM. */
+export function collectVmFindings(value: unknown, source: string): readonly Finding[] {
+  const findings = collectSchemaFindings(VM_SETTINGS_SCHEMA, value, source);
+  return findings.length ? findings : collectVmReferenceFindings(value as VmSettings, source);
+}
+
+/**
+ * Parses JSON text.
+ *
+ * @throws SpoolplankError `invalid-settings` with one finding that names line and column.
+ */
+export function parseJson(text: string, source: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    const offset = Number(/position (\d+)/.exec(message)?.[1] ?? text.length);
+    const before = text.slice(0, offset).split('\n');
+    const place = `line ${before.length}, column ${(before.at(-1)?.length ?? 0) + 1}`;
+    const finding: Finding = {
+      source,
+      pointer: '',
+      problem: `not JSON at ${place}`,
+      expected: 'a JSON document',
+    };
+    throw new SpoolplankError('invalid-settings', {
+      detail: `${source}: ${place}`,
+      findings: [finding],
+      cause: error,
+    });
+  }
+}
+
+/** Whether a pointer addresses a place the tree may have; used to explain edits. */
+export function isTreePointer(pointer: string): boolean {
+  return pointer === '' || (pointer.startsWith('/') && parsePointer(pointer).length > 0);
+}
--- /dev/null
+++ b/packages/shared/index.ts
@@ -0,0 +1,6 @@
+export * from './src/clock';
+export * from './src/errors';
+export * from './src/findings';
+export * from './src/json';
+export * from './src/random';
+export * from './src/rendezvous';
