--- /dev/null
+++ b/packages/consensus/__tests__/groupRunner.spec.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock, createSeededRandom, SpoolplankError } from '@spoolplank/shared';
+import type { JsonValue } from '@spoolplank/shared';
+import { BLANK_STATE, createGroupRunner } from '../index';
+import type { GroupRunner, ReplicaStorage, SaveRequest, StoredState } from '../index';
+
+interface Fixture {
+  readonly runner: GroupRunner;
+  readonly saves: SaveRequest[];
+  readonly applied: JsonValue[];
+  readonly storageStates: (string | null)[];
+  /** Lets the disk be full, or not. */
+  setFull(isFull: boolean): void;
+  /** Runs timers that are due after time has passed. */
+  advance(durationMs: number): Promise<void>;
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
+}
+
+async function createFixture(): Promise<Fixture> {
+  const clock = createManualClock();
+  const saves: SaveRequest[] = [];
+  const applied: JsonValue[] = [];
+  const storageStates: (string | null)[] = [];
+  let timers: { readonly atMs: number; readonly run: () => void }[] = [];
+  let isFull = false;
+  const stored: StoredState = {
+    ...BLANK_STATE,
+    snapshot: { index: 1, term: 0, configuration: { voters: ['a'], learners: [] } },
+    base: { index: 1, term: 0 },
+  };
+  const storage: ReplicaStorage = {
+    load: () => Promise.resolve(stored),
+    save(request) {
+      if (isFull) return Promise.reject(new SpoolplankError('storage-full'));
+      saves.push(request);
+      return Promise.resolve();
+    },
+    saveSnapshot: () => Promise.resolve(),
+    installSnapshot: () => Promise.resolve(),
+    readSnapshot: () => Promise.resolve(''),
+  };
+  const runner = createGroupRunner({
+    id: 'a',
+    group: 'g',
+    clock,
+    random: createSeededRandom(1),
+    storage,
+    send: () => {},
+    onStorageState: (error) => storageStates.push(error?.code ?? null),
+    stateMachine: {
+      apply: (command) => applied.push(command),
+      takeSnapshot: () => '',
+      restore: () => {},
+    },
+    schedule(run, delayMs) {
+      const timer = { atMs: clock.nowMs() + delayMs, run };
+      timers.push(timer);
+      return () => {
+        timers = timers.filter((other) => other !== timer);
+      };
+    },
+  });
+  await runner.start();
+  return {
+    runner,
+    saves,
+    applied,
+    storageStates,
+    setFull(next) {
+      isFull = next;
+    },
+    async advance(durationMs) {
+      const untilMs = clock.nowMs() + durationMs;
+      while (clock.nowMs() < untilMs) {
+        clock.advance(25);
+        const due = timers.filter(({ atMs }) => atMs <= clock.nowMs());
+        timers = timers.filter((timer) => !due.includes(timer));
+        due.forEach(({ run }) => run());
+        await settle();
+      }
+    },
+  };
+}
+
+describe('group runner', () => {
+  it('writes commands that come together with one save', async () => {
+    const { runner, saves, applied, advance } = await createFixture();
+    await advance(2500);
+    const before = saves.length;
+    const results = Promise.all(
+      Array.from({ length: 50 }, (_unused, index) => runner.propose(index)),
+    );
+    await advance(50);
+    assert.equal((await results).length, 50);
+    assert.equal(applied.length, 50);
+    assert.equal(saves.length - before, 1);
+  });
+
+  it('stands still on a full disk, says so once, and goes on when there is room', async () => {
+    const { runner, applied, storageStates, setFull, advance } = await createFixture();
+    await advance(2500);
+    setFull(true);
+    const pending = runner.propose('first');
+    await advance(1500);
+    await assert.rejects(runner.propose('second'), { code: 'storage-full', outcome: 'not-run' });
+    assert.deepEqual(storageStates, ['storage-full']);
+    setFull(false);
+    await advance(1100);
+    await pending;
+    assert.deepEqual(applied, ['first']);
+    assert.deepEqual(storageStates, ['storage-full', null]);
+  });
+
+  it('refuses commands, as not run, when it does not lead', async () => {
+    const { runner } = await createFixture();
+    await assert.rejects(runner.propose('early'), { code: 'not-leader', outcome: 'not-run' });
+  });
+});
--- /dev/null
+++ b/packages/consensus/__tests__/memoryCluster.ts
@@ -0,0 +1,383 @@
+/** A small group of replicas in one process, under a seeded scheduler. */
+import assert from 'node:assert/strict';
+import { createSeededRandom } from '@spoolplank/shared';
+import type { JsonValue, Random } from '@spoolplank/shared';
+import { BLANK_STATE, createReplica } from '../index';
+import type {
+  Configuration,
+  ConfigurationChange,
+  HardState,
+  LogEntry,
+  Message,
+  Ready,
+  Replica,
+  ReplicaId,
+  SnapshotMeta,
+  StoredState,
+} from '../index';
+
+/** What a disk holds after a loss of power. */
+interface Disk {
+  hardState: HardState;
+  snapshot: SnapshotMeta | null;
+  snapshotData: string;
+  base: StoredState['base'];
+  entries: LogEntry[];
+}
+
+export interface Node {
+  readonly vmId: string;
+  id: ReplicaId;
+  disk: Disk;
+  replica: Replica | null;
+  /** Taken from the replica, not yet on disk. */
+  saving: Ready | null;
+  isFrozen: boolean;
+  /** Cut off: what it sends and what is sent to it stays on the way. */
+  isCut: boolean;
+  /** Commands applied, by index; what a state machine would be. */
+  applied: Map<number, string>;
+  appliedIndex: number;
+  appliedTerm: number;
+  clockRate: number;
+  clockOffsetMs: number;
+}
+
+export interface ClusterOptions {
+  readonly seed: number;
+  readonly size?: number;
+  /** Entries after which a replica takes a snapshot. */
+  readonly snapshotEvery?: number;
+}
+
+const CHUNK_LENGTH = 40;
+const TIMINGS = {
+  electionTimeoutMs: 1000,
+  heartbeatIntervalMs: 150,
+  maxBatchEntries: 4,
+  maxInFlightEntries: 16,
+};
+
+function blankDisk(): Disk {
+  return { ...BLANK_STATE, snapshotData: '', entries: [] };
+}
+
+export class MemoryCluster {
+  readonly random: Random;
+
+  readonly nodes: Node[];
+
+  network: Message[] = [];
+
+  /** What was committed at each index, by whoever applied it first. */
+  readonly committed = new Map<number, string>();
+
+  /** Highest index whose proposer was told that it is done. */
+  ackedIndex = 0;
+
+  readonly leadersByTerm = new Map<number, ReplicaId>();
+
+  #nowMs = 0;
+
+  readonly #snapshotEvery: number;
+
+  #lives = 0;
+
+  #proposed = 0;
+
+  constructor({ seed, size = 3, snapshotEvery = 6 }: ClusterOptions) {
+    this.random = createSeededRandom(seed);
+    this.#snapshotEvery = snapshotEvery;
+    this.nodes = Array.from({ length: size }, (_unused, index) =>
+      this.#createNode(`vm${index + 1}`),
+    );
+    const configuration: Configuration = { voters: this.nodes.map(({ id }) => id), learners: [] };
+    this.nodes.forEach((node) => {
+      node.disk.snapshot = { index: 1, term: 0, configuration };
+      node.disk.base = { index: 1, term: 0 };
+      this.start(node);
+    });
+  }
+
+  #createNode(vmId: string): Node {
+    this.#lives += 1;
+    return {
+      vmId,
+      id: `${vmId}#${this.#lives}`,
+      disk: blankDisk(),
+      replica: null,
+      saving: null,
+      isFrozen: false,
+      isCut: false,
+      applied: new Map(),
+      appliedIndex: 0,
+      appliedTerm: 0,
+      // Clocks of unequal speed, well inside what the lease's margin covers.
+      clockRate: 0.97 + this.random.nextFloat() * 0.06,
+      clockOffsetMs: this.random.nextInt(100_000),
+    };
+  }
+
+  get nowMs(): number {
+    return this.#nowMs;
+  }
+
+  advance(durationMs: number): void {
+    this.#nowMs += durationMs;
+  }
+
+  start(node: Node): void {
+    const clock = {
+      nowMs: () => node.clockOffsetMs + this.#nowMs * node.clockRate,
+      wallMs: () => 0,
+    };
+    const { disk } = node;
+    const stored: StoredState = {
+      hardState: disk.hardState,
+      snapshot: disk.snapshot,
+      base: disk.base,
+      entries: [...disk.entries],
+    };
+    node.replica = createReplica({
+      id: node.id,
+      group: 'g',
+      clock,
+      random: this.random,
+      stored,
+      timings: TIMINGS,
+    });
+    node.applied = new Map(
+      disk.snapshotData === '' ? [] : (JSON.parse(disk.snapshotData) as [number, string][]),
+    );
+    node.appliedIndex = disk.snapshot?.index ?? 0;
+    node.appliedTerm = disk.snapshot?.term ?? 0;
+    node.saving = null;
+    node.isFrozen = false;
+  }
+
+  /** Loses everything that was not on disk; a write under way may have come part of the way. */
+  crash(node: Node): void {
+    const { saving } = node;
+    if (saving && !saving.snapshot && this.random.nextInt(2) === 0) {
+      const reached = saving.entries.slice(0, this.random.nextInt(saving.entries.length + 1));
+      this.#write(node, { ...saving, entries: reached });
+    }
+    node.replica = null;
+    node.saving = null;
+  }
+
+  /** Takes the disk away: the VM comes back blank, under another identity. */
+  wipe(node: Node): void {
+    this.crash(node);
+    this.#lives += 1;
+    node.id = `${node.vmId}#${this.#lives}`;
+    node.disk = blankDisk();
+    node.applied = new Map();
+    node.appliedIndex = 0;
+    this.start(node);
+  }
+
+  leader(): Node | undefined {
+    const leaders = this.nodes.filter(
+      ({ replica, isFrozen }) => !isFrozen && replica?.status().role === 'leader',
+    );
+    return leaders.sort(
+      (a, b) => (b.replica?.status().term ?? 0) - (a.replica?.status().term ?? 0),
+    )[0];
+  }
+
+  propose(node: Node): { readonly index: number; readonly term: number } | null {
+    this.#proposed += 1;
+    return node.replica?.propose(`command-${this.#proposed}`) ?? null;
+  }
+
+  changeMembership(node: Node, change: ConfigurationChange): boolean {
+    return node.replica?.proposeConfiguration(change) !== null;
+  }
+
+  #write(node: Node, { hardState, entries }: Pick<Ready, 'hardState' | 'entries'>): void {
+    const { disk } = node;
+    if (hardState) disk.hardState = hardState;
+    entries.forEach((entry) => {
+      disk.entries.length = Math.max(0, entry.index - disk.base.index - 1);
+      disk.entries.push(entry);
+    });
+  }
+
+  /** First half of a turn: takes what is to be saved, and sends what may leave early. */
+  beginSave(node: Node): boolean {
+    if (!node.replica || node.isFrozen || node.saving) return false;
+    const ready = node.replica.takeReady();
+    const size =
+      ready.entries.length +
+      ready.messages.length +
+      ready.earlyMessages.length +
+      ready.committed.length;
+    if (size === 0 && !ready.hardState && !ready.snapshot) return false;
+    node.saving = ready;
+    this.network.push(...ready.earlyMessages);
+    return true;
+  }
+
+  /** Second half: the disk is done; messages leave and entries are applied. */
+  finishSave(node: Node): boolean {
+    const { saving: ready, replica, disk } = node;
+    if (!ready || !replica || node.isFrozen) return false;
+    node.saving = null;
+    if (ready.snapshot) {
+      Object.assign(disk, {
+        snapshot: ready.snapshot.meta,
+        snapshotData: ready.snapshot.data,
+        entries: [],
+      });
+      disk.base = { index: ready.snapshot.meta.index, term: ready.snapshot.meta.term };
+      node.applied = new Map(JSON.parse(ready.snapshot.data || '[]') as [number, string][]);
+      node.appliedIndex = ready.snapshot.meta.index;
+      node.appliedTerm = ready.snapshot.meta.term;
+    }
+    this.#write(node, ready);
+    replica.onSaved(ready);
+    this.network.push(...ready.messages.flatMap((message) => this.#fillSnapshot(node, message)));
+    ready.committed.forEach((entry) => this.#apply(node, entry));
+    this.#snapshotIfDue(node);
+    return true;
+  }
+
+  #fillSnapshot(node: Node, message: Message): readonly Message[] {
+    if (message.kind !== 'snapshot') return [message];
+    const { snapshot, snapshotData } = node.disk;
+    if (snapshot?.index !== message.meta.index) return [];
+    const end = message.offset + CHUNK_LENGTH;
+    return [
+      {
+        ...message,
+        data: snapshotData.slice(message.offset, end),
+        isLast: end >= snapshotData.length,
+      },
+    ];
+  }
+
+  #apply(node: Node, { index, term, payload }: LogEntry): void {
+    assert.equal(
+      index,
+      node.appliedIndex + 1,
+      `${node.id} applied ${index} after ${node.appliedIndex}`,
+    );
+    const text = JSON.stringify({ term, payload });
+    const known = this.committed.get(index);
+    if (known === undefined) this.committed.set(index, text);
+    else assert.equal(text, known, `${node.id} applied another entry at ${index}`);
+    node.appliedIndex = index;
+    node.appliedTerm = term;
+    if (payload.kind === 'command') node.applied.set(index, JSON.stringify(payload.command));
+    const status = node.replica?.status();
+    // The leader that proposed it tells its caller now.
+    if (status?.role === 'leader' && status.term === term)
+      this.ackedIndex = Math.max(this.ackedIndex, index);
+  }
+
+  #snapshotIfDue(node: Node): void {
+    const { replica, disk } = node;
+    if (!replica) return;
+    const { snapshotIndex, configuration } = replica.status();
+    if (node.appliedIndex - snapshotIndex < this.#snapshotEvery) return;
+    const meta: SnapshotMeta = { index: node.appliedIndex, term: node.appliedTerm, configuration };
+    const base = replica.baseFor(node.appliedIndex - 2);
+    disk.snapshot = meta;
+    disk.snapshotData = JSON.stringify([...node.applied]);
+    disk.entries = disk.entries.filter(({ index }) => index > base.index);
+    disk.base = base;
+    replica.compact(base.index, meta);
+  }
+
+  deliver(at: number): void {
+    const [message] = this.network.splice(at, 1);
+    if (!message) return;
+    const target = this.nodes.find(({ id }) => id === message.to);
+    if (!target?.replica) return;
+    const sender = this.nodes.find(({ id }) => id === message.from);
+    const isHeld = target.isFrozen || target.isCut || sender?.isCut === true;
+    if (isHeld) this.network.push(message);
+    else target.replica.receive(message);
+  }
+
+  tick(): void {
+    this.nodes.forEach(({ replica, isFrozen }) => {
+      if (!isFrozen) replica?.tick();
+    });
+  }
+
+  /** Checks what must hold at any moment. */
+  checkInvariants(): void {
+    this.nodes.forEach((node) => {
+      const status = node.replica?.status();
+      if (!status) return;
+      if (status.role === 'leader') {
+        const known = this.leadersByTerm.get(status.term);
+        assert.ok(known === undefined || known === node.id, `term ${status.term} has two leaders`);
+        this.leadersByTerm.set(status.term, node.id);
+      }
+      if (node.replica?.canRead() && status.commitIndex <= node.appliedIndex) {
+        assert.ok(
+          node.appliedIndex >= this.ackedIndex,
+          `${node.id} would read at ${node.appliedIndex}, ${this.ackedIndex} was acknowledged`,
+        );
+      }
+    });
+  }
+
+  /** Runs without faults for a while. */
+  settle(rounds = 60): void {
+    this.nodes.forEach((node) => {
+      if (!node.replica) this.start(node);
+      node.isFrozen = false;
+      node.isCut = false;
+    });
+    for (let round = 0; round < rounds; round += 1) {
+      this.advance(60);
+      this.tick();
+      this.runTurn();
+      this.checkInvariants();
+    }
+  }
+
+  /** Everything that can happen now without time passing. */
+  runTurn(): void {
+    for (let round = 0; round < 3; round += 1) {
+      this.nodes.forEach((node) => {
+        this.beginSave(node);
+        this.finishSave(node);
+      });
+      const count = this.network.length;
+      for (let at = 0; at < count; at += 1) this.deliver(0);
+    }
+  }
+
+  /** Waits, without faults, until there is a leader; fails when there is none. */
+  electLeader(): Node {
+    for (let round = 0; round < 500; round += 1) {
+      const leader = this.leader();
+      if (leader?.replica?.canRead()) return leader;
+      this.advance(20);
+      this.tick();
+      this.runTurn();
+    }
+    throw new Error('no leader was elected');
+  }
+
+  /** Proposes and runs until it is acknowledged; returns its index. */
+  commit(node: Node, rounds = 50): number {
+    const place = this.propose(node);
+    assert.ok(place, `${node.id} leads`);
+    for (let round = 0; round < rounds && this.ackedIndex < place.index; round += 1) {
+      this.advance(10);
+      this.runTurn();
+    }
+    return place.index;
+  }
+}
+
+/** Whether two sets of commands are the same, for the check at the end. */
+export function appliedCommands(node: Node): JsonValue {
+  return [...node.applied.entries()].sort(([a], [b]) => a - b) as unknown as JsonValue;
+}
--- /dev/null
+++ b/packages/consensus/__tests__/replica.spec.ts
@@ -0,0 +1,291 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import type { ManualClock } from '@spoolplank/shared';
+import { BLANK_STATE, createReplica } from '../index';
+import type { LogEntry, Message, MessageOf, Ready, Replica, StoredState } from '../index';
+
+const VOTERS = ['a', 'b', 'c'];
+const FOUNDED: StoredState = {
+  ...BLANK_STATE,
+  snapshot: { index: 1, term: 0, configuration: { voters: VOTERS, learners: [] } },
+  base: { index: 1, term: 0 },
+};
+
+interface Fixture {
+  readonly clock: ManualClock;
+  readonly replica: Replica;
+  /** Takes what is ready and says that it is on disk. */
+  save(): Ready;
+}
+
+function createFixture(stored: StoredState = FOUNDED, clock = createManualClock(10_000)): Fixture {
+  const replica = createReplica({
+    id: 'a',
+    group: 'g',
+    clock,
+    random: createSeededRandom(1),
+    stored,
+  });
+  return {
+    clock,
+    replica,
+    save() {
+      const ready = replica.takeReady();
+      replica.onSaved(ready);
+      return ready;
+    },
+  };
+}
+
+function entry(index: number, term: number): LogEntry {
+  return { index, term, payload: { kind: 'command', command: `${index}.${term}` } };
+}
+
+function from(sender: string, body: object): Message {
+  return { group: 'g', from: sender, to: 'a', ...body } as Message;
+}
+
+function append(
+  sender: string,
+  term: number,
+  prev: readonly [number, number],
+  entries: readonly LogEntry[],
+  commitIndex = 0,
+): Message {
+  return from(sender, {
+    kind: 'append',
+    term,
+    prevIndex: prev[0],
+    prevTerm: prev[1],
+    entries,
+    commitIndex,
+    sentAtMs: 1,
+  });
+}
+
+function vote(
+  sender: string,
+  term: number,
+  lastIndex = 1,
+  lastTerm = 0,
+  isTransfer = false,
+): Message {
+  return from(sender, { kind: 'vote', term, lastIndex, lastTerm, isTransfer });
+}
+
+function findSent<Kind extends Message['kind']>(ready: Ready, kind: Kind): MessageOf<Kind>[] {
+  const all = [...ready.earlyMessages, ...ready.messages];
+  return all.filter((message): message is MessageOf<Kind> => message.kind === kind);
+}
+
+/** Makes `a` the leader of a term, with followers that hold its first entry. */
+function elect(fixture: Fixture): number {
+  const { replica, clock } = fixture;
+  clock.advance(2100);
+  replica.tick();
+  fixture.save();
+  const term = replica.status().term + 1;
+  replica.receive(from('b', { kind: 'pre-vote-reply', term, isGranted: true }));
+  fixture.save();
+  replica.receive(from('b', { kind: 'vote-reply', term, isGranted: true }));
+  assert.equal(replica.status().role, 'leader');
+  return term;
+}
+
+function acknowledge(
+  { replica, clock }: Fixture,
+  follower: string,
+  term: number,
+  matchIndex: number,
+): void {
+  replica.receive(
+    from(follower, {
+      kind: 'append-reply',
+      term,
+      isAccepted: true,
+      matchIndex,
+      sentAtMs: clock.nowMs(),
+    }),
+  );
+}
+
+describe('replica', () => {
+  it('does not vote twice in a term, also after a restart', () => {
+    const first = createFixture();
+    first.clock.advance(1500);
+    // The term is on disk before the vote is asked for, so the vote alone is new.
+    first.replica.receive(append('b', 5, [1, 0], []));
+    const stored = first.save().hardState;
+    first.clock.advance(1500);
+    first.replica.receive(vote('b', 5));
+    const ready = first.save();
+    assert.equal(findSent(ready, 'vote-reply')[0]?.isGranted, true);
+    const hardState = ready.hardState ?? stored ?? BLANK_STATE.hardState;
+    const second = createFixture({ ...FOUNDED, hardState });
+    second.clock.advance(1500);
+    second.replica.receive(vote('c', 5));
+    assert.equal(findSent(second.save(), 'vote-reply')[0]?.isGranted, false);
+  });
+
+  it('hears no candidate while its leader is near, and none right after a restart', () => {
+    const { replica, clock, save } = createFixture();
+    replica.receive(vote('b', 7));
+    assert.deepEqual(
+      findSent(save(), 'vote-reply'),
+      [],
+      'what it promised before the restart is not known',
+    );
+    clock.advance(1500);
+    replica.receive(append('c', 3, [1, 0], []));
+    clock.advance(500);
+    replica.receive(vote('b', 7));
+    assert.equal(replica.status().term, 3);
+    clock.advance(600);
+    replica.receive(vote('b', 7));
+    assert.equal(findSent(save(), 'vote-reply')[0]?.isGranted, true);
+  });
+
+  it('refuses its vote to a candidate whose log is behind', () => {
+    const { replica, clock, save } = createFixture();
+    replica.receive(append('b', 2, [1, 0], [entry(2, 2), entry(3, 2)]));
+    save();
+    clock.advance(1500);
+    replica.receive(vote('c', 4, 2, 2));
+    assert.equal(findSent(save(), 'vote-reply')[0]?.isGranted, false);
+  });
+
+  it('does not commit an entry of an earlier term because a majority holds it', () => {
+    const fixture = createFixture({
+      ...FOUNDED,
+      entries: [entry(2, 1)],
+      hardState: { term: 2, votedFor: null },
+    });
+    const term = elect(fixture);
+    fixture.save();
+    acknowledge(fixture, 'b', term, 2);
+    assert.equal(fixture.replica.status().commitIndex, 1);
+    acknowledge(fixture, 'b', term, 3);
+    assert.equal(fixture.replica.status().commitIndex, 3);
+  });
+
+  it('counts its own copy of an entry only once it is on disk', () => {
+    const fixture = createFixture();
+    const term = elect(fixture);
+    const ready = fixture.replica.takeReady();
+    assert.equal(ready.entries.length, 1);
+    acknowledge(fixture, 'b', term, 2);
+    assert.equal(fixture.replica.status().commitIndex, 1);
+    fixture.replica.onSaved(ready);
+    assert.equal(fixture.replica.status().commitIndex, 2);
+  });
+
+  it('keeps entries after a snapshot that it holds already', () => {
+    const { replica, save } = createFixture();
+    replica.receive(append('b', 2, [1, 0], [entry(2, 2), entry(3, 2), entry(4, 2)], 2));
+    save();
+    const meta = { index: 3, term: 2, configuration: { voters: VOTERS, learners: [] } };
+    replica.receive(
+      from('b', {
+        kind: 'snapshot',
+        term: 2,
+        meta,
+        offset: 0,
+        data: '',
+        isLast: true,
+        sentAtMs: 1,
+      }),
+    );
+    assert.equal(
+      replica.status().lastIndex,
+      4,
+      'entry 4 was acknowledged and may be committed by that',
+    );
+    assert.equal(replica.status().commitIndex, 3);
+  });
+
+  it('does not cut its log for an old message that says less', () => {
+    const { replica, save } = createFixture();
+    replica.receive(append('b', 2, [1, 0], [entry(2, 2), entry(3, 2)]));
+    save();
+    replica.receive(append('b', 2, [1, 0], [entry(2, 2)]));
+    assert.equal(replica.status().lastIndex, 3);
+  });
+
+  it('commits no further than what it was shown to match', () => {
+    const { replica, save } = createFixture();
+    replica.receive(append('b', 2, [1, 0], [entry(2, 2), entry(3, 2)]));
+    save();
+    replica.receive(append('c', 3, [1, 0], [], 3));
+    assert.equal(replica.status().commitIndex, 1);
+  });
+
+  it('loses its lease for good when a transfer of the lead does not finish', () => {
+    const fixture = createFixture();
+    const term = elect(fixture);
+    fixture.save();
+    acknowledge(fixture, 'b', term, 2);
+    acknowledge(fixture, 'c', term, 2);
+    assert.equal(fixture.replica.canRead(), true);
+    assert.equal(fixture.replica.transferLeadership(), true);
+    assert.equal(fixture.replica.canRead(), false);
+    for (let waitedMs = 0; waitedMs < 1200; waitedMs += 100) {
+      fixture.clock.advance(100);
+      acknowledge(fixture, 'b', term, 2);
+      acknowledge(fixture, 'c', term, 2);
+      fixture.replica.tick();
+      assert.equal(fixture.replica.canRead(), false, 'the request to take over may still arrive');
+    }
+  });
+
+  it('does not read under a lease that no quorum renewed', () => {
+    const fixture = createFixture();
+    const term = elect(fixture);
+    fixture.save();
+    acknowledge(fixture, 'b', term, 2);
+    assert.equal(fixture.replica.canRead(), true);
+    fixture.clock.advance(950);
+    assert.equal(fixture.replica.canRead(), false);
+  });
+
+  it('takes one step of membership at a time', () => {
+    const fixture = createFixture();
+    const term = elect(fixture);
+    fixture.save();
+    acknowledge(fixture, 'b', term, 2);
+    assert.ok(fixture.replica.proposeConfiguration({ kind: 'remove', replicaId: 'c' }));
+    assert.equal(
+      fixture.replica.proposeConfiguration({ kind: 'add-learner', replicaId: 'd' }),
+      null,
+    );
+    fixture.save();
+    acknowledge(fixture, 'b', term, 3);
+    assert.ok(fixture.replica.proposeConfiguration({ kind: 'add-learner', replicaId: 'd' }));
+  });
+
+  it('goes on with entries after a follower took in its snapshot', () => {
+    const fixture = createFixture();
+    const term = elect(fixture);
+    fixture.save();
+    fixture.replica.receive(
+      from('b', { kind: 'append-reply', term, isAccepted: false, matchIndex: 0, sentAtMs: 1 }),
+    );
+    assert.equal(findSent(fixture.save(), 'snapshot').length, 1);
+    acknowledge(fixture, 'b', term, 1);
+    const sent = findSent(fixture.save(), 'append').find(({ to }) => to === 'b');
+    assert.deepEqual(
+      sent?.entries.map(({ index }) => index),
+      [2],
+    );
+  });
+
+  it('disturbs no one with its term when it comes back from isolation', () => {
+    const { replica, clock, save } = createFixture();
+    for (let hours = 0; hours < 100; hours += 1) {
+      clock.advance(36_000);
+      replica.tick();
+      save();
+    }
+    assert.equal(replica.status().term, 0, 'only pre-votes were asked for');
+  });
+});
--- /dev/null
+++ b/packages/consensus/__tests__/schedules.ts
@@ -0,0 +1,194 @@
+/** Random schedules of faults over a group, each repeatable from its seed. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { appliedCommands, MemoryCluster } from './memoryCluster';
+import type { Node } from './memoryCluster';
+
+type Operation = (cluster: MemoryCluster, node: Node) => void;
+
+/** How often each operation comes up, by kind of schedule. */
+interface WeightedOperation {
+  readonly weights: readonly [mixed: number, churn: number, cuts: number, disks: number];
+  readonly run: Operation;
+}
+
+function deliverAny(cluster: MemoryCluster): void {
+  if (cluster.network.length > 0) cluster.deliver(cluster.random.nextInt(cluster.network.length));
+}
+
+/** Brings a wiped replica back in, as the control role does: out with the old, in with the new. */
+function repair(cluster: MemoryCluster): void {
+  const leader = cluster.leader();
+  const configuration = leader?.replica?.status().configuration;
+  if (!leader || !configuration) return;
+  const isCurrent = (id: string) => cluster.nodes.some((node) => node.id === id);
+  const old = [...configuration.voters, ...configuration.learners].find((id) => !isCurrent(id));
+  const missing = cluster.nodes.find(({ id }) => !configuration.voters.includes(id));
+  if (old !== undefined) cluster.changeMembership(leader, { kind: 'remove', replicaId: old });
+  else if (missing) {
+    const isLearner = configuration.learners.includes(missing.id);
+    const matchIndex = leader.replica?.status().matchIndexes[missing.id] ?? 0;
+    if (!isLearner)
+      cluster.changeMembership(leader, { kind: 'add-learner', replicaId: missing.id });
+    else if (matchIndex + 3 >= (leader.replica?.status().commitIndex ?? 0)) {
+      cluster.changeMembership(leader, { kind: 'promote', replicaId: missing.id });
+    }
+  }
+}
+
+/** A disk is taken only while the group can bear it: no other replica is missing or new. */
+function wipeOne(cluster: MemoryCluster, node: Node): void {
+  const leader = cluster.leader();
+  const voters = leader?.replica?.status().configuration.voters ?? [];
+  const isWhole =
+    cluster.nodes.every(({ id }) => voters.includes(id)) && voters.length === cluster.nodes.length;
+  const hasSettled = (leader?.replica?.status().commitIndex ?? 0) >= cluster.ackedIndex;
+  if (isWhole && hasSettled && cluster.nodes.every(({ replica }) => replica)) cluster.wipe(node);
+}
+
+function proposeAtAny(cluster: MemoryCluster, node: Node): void {
+  const leaders = cluster.nodes.filter(({ replica }) => replica?.status().role === 'leader');
+  cluster.propose(leaders[cluster.random.nextInt(Math.max(1, leaders.length))] ?? node);
+}
+
+/** Time for one replica to seek election, however well the leader is. */
+function letElectionBegin(cluster: MemoryCluster, node: Node): void {
+  cluster.advance(600 + cluster.random.nextInt(1200));
+  node.replica?.tick();
+  cluster.beginSave(node);
+  cluster.finishSave(node);
+}
+
+function crashOrStart(cluster: MemoryCluster, node: Node): void {
+  if (node.replica) cluster.crash(node);
+  else cluster.start(node);
+}
+
+/** Crashes and starts again at once: no time passes in which a promise could run out. */
+function restartAtOnce(cluster: MemoryCluster, node: Node): void {
+  if (node.replica) cluster.crash(node);
+  cluster.start(node);
+}
+
+const OPERATIONS: readonly WeightedOperation[] = [
+  { weights: [40, 50, 40, 40], run: deliverAny },
+  { weights: [12, 15, 10, 20], run: (cluster, node) => void cluster.beginSave(node) },
+  { weights: [12, 15, 10, 12], run: (cluster, node) => void cluster.finishSave(node) },
+  {
+    weights: [10, 8, 10, 8],
+    run(cluster) {
+      cluster.advance(cluster.random.nextInt(250));
+      cluster.tick();
+    },
+  },
+  { weights: [2, 6, 3, 2], run: letElectionBegin },
+  { weights: [16, 4, 12, 8], run: (cluster) => cluster.runTurn() },
+  { weights: [12, 10, 14, 12], run: proposeAtAny },
+  {
+    weights: [3, 6, 3, 3],
+    run(cluster) {
+      if (cluster.network.length > 0)
+        cluster.network.splice(cluster.random.nextInt(cluster.network.length), 1);
+    },
+  },
+  {
+    weights: [2, 3, 2, 2],
+    run(cluster) {
+      const copy = cluster.network[cluster.random.nextInt(Math.max(1, cluster.network.length))];
+      if (copy) cluster.network.push(copy);
+    },
+  },
+  { weights: [2, 1, 1, 3], run: crashOrStart },
+  { weights: [1, 4, 1, 6], run: restartAtOnce },
+  {
+    weights: [2, 1, 2, 1],
+    run(_cluster, node) {
+      node.isFrozen = !node.isFrozen;
+    },
+  },
+  {
+    weights: [1, 2, 10, 1],
+    run(_cluster, node) {
+      node.isCut = !node.isCut;
+    },
+  },
+  { weights: [2, 1, 2, 3], run: repair },
+  { weights: [1, 0, 1, 2], run: wipeOne },
+  {
+    weights: [1, 2, 3, 1],
+    run(_cluster, node) {
+      node.replica?.transferLeadership();
+    },
+  },
+];
+
+const KINDS = 4;
+const TOTAL_WEIGHTS = Array.from({ length: KINDS }, (_unused, kind) =>
+  OPERATIONS.reduce((sum, { weights }) => sum + (weights[kind] ?? 0), 0),
+);
+
+function pickOperation(cluster: MemoryCluster, kind: number): Operation {
+  let left = cluster.random.nextInt(TOTAL_WEIGHTS[kind] ?? 1);
+  const found = OPERATIONS.find(({ weights }) => {
+    left -= weights[kind] ?? 0;
+    return left < 0;
+  });
+  return found?.run ?? deliverAny;
+}
+
+export interface ScheduleResult {
+  readonly committed: number;
+  readonly terms: number;
+}
+
+/** Runs one schedule and then checks that nothing acknowledged was lost. */
+export function runSchedule(seed: number, steps: number): ScheduleResult {
+  const kind = seed % KINDS;
+  const cluster = new MemoryCluster({
+    seed,
+    size: seed % 5 === 0 ? 5 : 3,
+    snapshotEvery: seed % 3 === 0 ? 3 : 9,
+  });
+  if (cluster.random.nextInt(4) > 0) cluster.electLeader();
+  for (let step = 0; step < steps; step += 1) {
+    const node = cluster.nodes[cluster.random.nextInt(cluster.nodes.length)];
+    if (node) pickOperation(cluster, kind)(cluster, node);
+    cluster.checkInvariants();
+  }
+  const acked = cluster.ackedIndex;
+  cluster.settle(60);
+  for (let round = 0; round < 8; round += 1) {
+    repair(cluster);
+    cluster.settle(6);
+  }
+  const leader = cluster.leader();
+  assert.ok(leader, `seed ${seed}: no leader after the faults`);
+  assert.ok(
+    leader.appliedIndex >= acked,
+    `seed ${seed}: ${acked} was acknowledged, ${leader.appliedIndex} is left`,
+  );
+  cluster.nodes.forEach((node) => {
+    assert.deepEqual(
+      appliedCommands(node),
+      appliedCommands(leader),
+      `seed ${seed}: ${node.id} differs from the leader`,
+    );
+  });
+  return { committed: cluster.committed.size, terms: cluster.leadersByTerm.size };
+}
+
+const PARTS = 4;
+const SCHEDULES = 10_000;
+const STEPS = 150;
+
+/** One of four equal parts of the schedules; each is a test file, so that they run side by side. */
+export function describeSchedules(part: number): void {
+  describe('a replicated log under faults', () => {
+    it(`keeps what it acknowledged and reads nothing stale, part ${part} of ${PARTS}`, () => {
+      let committed = 0;
+      for (let seed = part; seed <= SCHEDULES; seed += PARTS)
+        committed += runSchedule(seed, STEPS).committed;
+      assert.ok(committed > SCHEDULES / PARTS, 'the schedules get work done');
+    });
+  });
+}
--- /dev/null
+++ b/packages/consensus/__tests__/schedules2.spec.ts
@@ -0,0 +1,3 @@
+import { describeSchedules } from './schedules';
+
+describeSchedules(2);
--- /dev/null
+++ b/packages/node/__tests__/storage.spec.ts
@@ -0,0 +1,182 @@
+import assert from 'node:assert/strict';
+import {
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  truncateSync,
+  writeFileSync,
+  appendFileSync,
+} from 'node:fs';
+import { open } from 'node:fs/promises';
+import type { FileHandle } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, describe, it } from 'node:test';
+import type { LogEntry, SnapshotMeta } from '@spoolplank/consensus';
+import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
+import { createFileStorage, decodeRecords, encodeRecord, loadIdentity } from '../index';
+
+const folders: string[] = [];
+
+function createFolder(): string {
+  const folder = mkdtempSync(join(tmpdir(), 'spoolplank-storage-'));
+  folders.push(folder);
+  return folder;
+}
+
+function entries(from: number, to: number, term = 1): LogEntry[] {
+  return Array.from({ length: to - from + 1 }, (_unused, offset) => ({
+    index: from + offset,
+    term,
+    payload: { kind: 'command', command: `value ${from + offset}` },
+  }));
+}
+
+const META: SnapshotMeta = { index: 4, term: 1, configuration: { voters: ['a'], learners: [] } };
+
+after(() => folders.forEach((folder) => rmSync(folder, { recursive: true, force: true })));
+
+describe('record file', () => {
+  const whole = Buffer.concat(
+    ['one', 'two', 'three'].map((text) => encodeRecord(JSON.stringify(text))),
+  );
+
+  it('cuts a last record that was not finished, wherever it was cut', () => {
+    const second = encodeRecord('"one"').length + encodeRecord('"two"').length;
+    for (let length = second; length < whole.length; length += 1) {
+      assert.deepEqual(decodeRecords(whole.subarray(0, length), 'f'), {
+        payloads: ['"one"', '"two"'],
+        wholeBytes: second,
+      });
+    }
+  });
+
+  it('cuts a tail of zeros, space that was reserved but never written', () => {
+    const padded = Buffer.concat([whole, Buffer.alloc(100)]);
+    assert.equal(decodeRecords(padded, 'f').wholeBytes, whole.length);
+  });
+
+  it('refuses a flipped bit anywhere, and says where', () => {
+    const random = createSeededRandom(3);
+    for (let byte = 0; byte < whole.length; byte += 1) {
+      const damaged = Buffer.from(whole);
+      damaged.writeUInt8(damaged.readUInt8(byte) ^ (1 << random.nextInt(8)), byte);
+      assert.throws(
+        () => decodeRecords(damaged, 'f'),
+        { code: 'storage-damaged', message: /f at byte \d+/ },
+        `byte ${byte}`,
+      );
+    }
+  });
+});
+
+describe('file storage', () => {
+  it('gives back after a restart what was saved', async () => {
+    const folder = createFolder();
+    const first = createFileStorage({ folder });
+    await first.load();
+    await first.save({ hardState: { term: 3, votedFor: 'a' }, entries: entries(1, 5) });
+    await first.save({ hardState: null, entries: entries(4, 4, 2) });
+    const loaded = await createFileStorage({ folder }).load();
+    assert.deepEqual(loaded.hardState, { term: 3, votedFor: 'a' });
+    assert.deepEqual(loaded.entries, [...entries(1, 3), ...entries(4, 4, 2)]);
+  });
+
+  it('keeps the entries after a snapshot, and the snapshot', async () => {
+    const folder = createFolder();
+    const first = createFileStorage({ folder });
+    await first.load();
+    await first.save({ hardState: null, entries: entries(1, 6) });
+    await first.saveSnapshot(META, '{"some":"state"}', { index: 2, term: 1 });
+    await first.save({ hardState: null, entries: entries(7, 7) });
+    const second = createFileStorage({ folder });
+    const loaded = await second.load();
+    assert.deepEqual(loaded.snapshot, META);
+    assert.deepEqual(loaded.base, { index: 2, term: 1 });
+    assert.deepEqual(loaded.entries, entries(3, 7));
+    assert.equal(await second.readSnapshot(), '{"some":"state"}');
+  });
+
+  it('starts again from a torn log, without the entry that was never saved', async () => {
+    const folder = createFolder();
+    const first = createFileStorage({ folder });
+    await first.load();
+    await first.save({ hardState: null, entries: entries(1, 3) });
+    const path = join(folder, 'log');
+    truncateSync(path, readFileSync(path).length - 5);
+    const second = createFileStorage({ folder });
+    assert.deepEqual((await second.load()).entries, entries(1, 2));
+    await second.save({ hardState: null, entries: entries(3, 3) });
+    assert.deepEqual((await createFileStorage({ folder }).load()).entries, entries(1, 3));
+  });
+
+  it('refuses to start on damage before the end, and says where', async () => {
+    const folder = createFolder();
+    const first = createFileStorage({ folder });
+    await first.load();
+    await first.save({ hardState: null, entries: entries(1, 3) });
+    const path = join(folder, 'log');
+    const bytes = readFileSync(path);
+    bytes.writeUInt8(bytes.readUInt8(40) ^ 4, 40);
+    writeFileSync(path, bytes);
+    await assert.rejects(createFileStorage({ folder }).load(), {
+      code: 'storage-damaged',
+      message: /log at byte 0/,
+    });
+  });
+
+  it('refuses to start without the snapshot that its log builds on', async () => {
+    const folder = createFolder();
+    const first = createFileStorage({ folder });
+    await first.load();
+    await first.save({ hardState: null, entries: entries(1, 6) });
+    await first.saveSnapshot(META, '{}', { index: 4, term: 1 });
+    rmSync(join(folder, 'snapshot'));
+    await assert.rejects(createFileStorage({ folder }).load(), {
+      code: 'storage-damaged',
+      message: /snapshot is missing/,
+    });
+  });
+
+  it('takes back a write that did not fit, and goes on when there is room', async () => {
+    const folder = createFolder();
+    let isFull = false;
+    const openLog = async (path: string): Promise<FileHandle> => {
+      const handle = await open(path, 'a');
+      const write = handle.writeFile.bind(handle);
+      handle.writeFile = async (data) => {
+        if (!isFull) return write(data);
+        appendFileSync(path, 'half a rec');
+        throw Object.assign(new Error('no space left'), { code: 'ENOSPC' });
+      };
+      return handle;
+    };
+    const storage = createFileStorage({ folder, openLog });
+    await storage.load();
+    await storage.save({ hardState: null, entries: entries(1, 1) });
+    isFull = true;
+    await assert.rejects(
+      storage.save({ hardState: null, entries: entries(2, 2) }),
+      (error) => error instanceof SpoolplankError && error.code === 'storage-full',
+    );
+    isFull = false;
+    await storage.save({ hardState: null, entries: entries(2, 2) });
+    assert.deepEqual((await createFileStorage({ folder }).load()).entries, entries(1, 2));
+  });
+});
+
+describe('identity of a data folder', () => {
+  it('lasts as long as the folder, and differs after it was lost', async () => {
+    const folder = createFolder();
+    const first = await loadIdentity(folder, 'vm1');
+    assert.equal(await loadIdentity(folder, 'vm1'), first);
+    rmSync(folder, { recursive: true });
+    assert.notEqual(await loadIdentity(folder, 'vm1'), first);
+  });
+
+  it('is refused to another VM', async () => {
+    const folder = createFolder();
+    await loadIdentity(folder, 'vm1');
+    await assert.rejects(loadIdentity(folder, 'vm2'), { code: 'storage-damaged' });
+  });
+});
