--- /dev/null
+++ b/packages/bench/__tests__/fixtures.ts
@@ -0,0 +1,85 @@
+import { digestToken } from '@spoolplank/node';
+import type { SettingsTree } from '@spoolplank/settings';
+import { planVms, startDeployment, waitUntil } from '../index';
+import type { Deployment, DeploymentOptions, RunningFake } from '../index';
+
+export const LAYERS = 12;
+export const MODEL = 'drafts';
+export const SERVICE = 'bookings';
+export const KALAHARI_TOKEN = 'token-of-kalahari';
+export const QUEBEC_TOKEN = 'token-of-quebec';
+
+/** Two organisations, one model, one service whose calls must not run twice unless they say so. */
+export function createTree(): SettingsTree {
+  const services = { [MODEL]: {}, [SERVICE]: {} };
+  return {
+    services: {
+      [MODEL]: { kind: 'model', layers: LAYERS },
+      [SERVICE]: { kind: 'plain', policy: { isRepeatable: false } },
+    },
+    organisations: {
+      kalahari: { tokenDigests: [digestToken(KALAHARI_TOKEN)], services },
+      quebec: { tokenDigests: [digestToken(QUEBEC_TOKEN)], services },
+    },
+  };
+}
+
+/** Short, so that a test of elections is done soon. */
+export const TEST_TIMINGS = { electionTimeoutMs: 500, heartbeatIntervalMs: 60 };
+
+/** A deployment that takes requests, with the tree in force. */
+export async function startReady(controls: number, entries: number, options: Partial<DeploymentOptions> = {}): Promise<Deployment> {
+  const deployment = await startDeployment({ vms: planVms(controls, entries, ['dc1']), timings: TEST_TIMINGS, ...options });
+  try {
+    await deployment.waitUntilTaking();
+    await deployment.setTree(createTree());
+    return deployment;
+  } catch (error) {
+    await deployment.stop();
+    throw error;
+  }
+}
+
+/** Resolves when every running VM knows that many live backend servers. */
+export async function waitForBackendServers(deployment: Deployment, count: number): Promise<void> {
+  for (const { vmId, process } of deployment.vms) {
+    if (process.isRunning) {
+      await waitUntil(`${vmId} knows ${count} backend servers`, async () => {
+        const status = (await deployment.operatorGet(vmId, '/v1/status')) as { backendServers: readonly { state: string }[] };
+        return status.backendServers.filter(({ state }) => state === 'ready').length === count;
+      });
+    }
+  }
+}
+
+/** Engines that hold the layers in three parts, `copies` of each part. */
+export async function startEngines(deployment: Deployment, copies: number): Promise<readonly RunningFake[]> {
+  const ranges = [[0, 3], [4, 7], [8, 11]] as const;
+  const names = ranges.flatMap(([firstLayer, lastLayer], part) =>
+    Array.from({ length: copies }, (_unused, copy) => ({ name: `engine-${part}-${copy}`, firstLayer, lastLayer })),
+  );
+  return Promise.all(
+    names.map((engine) => deployment.startEngine({ ...engine, model: MODEL, layers: LAYERS, announceIntervalMs: 300 })),
+  );
+}
+
+interface ReplicaDump {
+  readonly control: { readonly settingsVersion: number; readonly replica: { readonly id: string; readonly role: string; readonly isLeaseValid: boolean; readonly configuration: { readonly voters: readonly string[] } } | null } | null;
+}
+
+export async function dumpControl(deployment: Deployment, vmId: string): Promise<ReplicaDump['control']> {
+  return ((await deployment.operatorGet(vmId, '/v1/dump')) as unknown as ReplicaDump).control;
+}
+
+/** The control VM that leads, as it says itself. */
+export async function findLeader(deployment: Deployment): Promise<string> {
+  let leader = '';
+  await waitUntil('there is a leader', async () => {
+    for (const { vmId, process } of deployment.vms) {
+      const control = process.isRunning ? await dumpControl(deployment, vmId).catch(() => null) : null;
+      if (control?.replica?.role === 'leader' && control.replica.isLeaseValid) leader = vmId;
+    }
+    return leader !== '';
+  });
+  return leader;
+}
--- /dev/null
+++ b/packages/bench/__tests__/sessionFaults.spec.ts
@@ -0,0 +1,191 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { expectedAnswer } from '@spoolplank/fakes';
+import { chatPrompt, streamCompletion, waitUntil } from '../index';
+import type { Deployment, RunningFake, StreamedAnswer } from '../index';
+import { KALAHARI_TOKEN, LAYERS, MODEL, startEngines, startReady, waitForBackendServers } from './fixtures';
+
+const PROMPT = 'summarise the permit of the quarry';
+const TOKENS = 60;
+const EXPECTED = expectedAnswer(chatPrompt(PROMPT), LAYERS, TOKENS);
+
+interface Run {
+  readonly session: string;
+}
+
+describe('a session', () => {
+  let deployment: Deployment;
+  let engines: RunningFake[];
+
+  before(async () => {
+    deployment = await startReady(3, 2);
+    engines = [...(await startEngines(deployment, 2))];
+    await waitForBackendServers(deployment, 6);
+  });
+
+  after(() => deployment.stop());
+
+  function stream(onToken: (position: number) => void = () => {}, vm = 3): Promise<StreamedAnswer> {
+    return streamCompletion({
+      address: deployment.addresses[vm] ?? '',
+      token: KALAHARI_TOKEN,
+      model: MODEL,
+      prompt: PROMPT,
+      maxTokens: TOKENS,
+      onToken,
+    });
+  }
+
+  /** The engine of a part of the layers that works for the newest session. */
+  async function findWorking(part: number): Promise<RunningFake> {
+    const candidates = engines.filter(({ name, process }) => name.startsWith(`engine-${part}`) && process.isRunning);
+    const counts = await Promise.all(
+      candidates.map(async (engine) => ((await engine.get('/totals')) as { sessions: number }).sessions),
+    );
+    return candidates[counts.indexOf(Math.max(...counts))] ?? (candidates[0] as RunningFake);
+  }
+
+  async function replace(engine: RunningFake): Promise<void> {
+    const part = Number(engine.name.split('-')[1]);
+    const started = await deployment.startEngine({
+      name: engine.name,
+      firstLayer: part * 4,
+      lastLayer: part * 4 + 3,
+      model: MODEL,
+      layers: LAYERS,
+      announceIntervalMs: 300,
+    });
+    engines = engines.map((other) => (other.name === engine.name ? started : other));
+    await waitForBackendServers(deployment, 6);
+  }
+
+  for (const part of [0, 1, 2]) {
+    for (const at of [0, 25, TOKENS - 2]) {
+      it(`gives its whole answer when the engine of part ${part} is killed after token ${at}`, async () => {
+        let killed: RunningFake | undefined;
+        let killing: Promise<unknown> = Promise.resolve();
+        const answer = await stream((position) => {
+          if (position !== at) return;
+          killing = findWorking(part).then((engine) => {
+            killed = engine;
+            return engine.process.end('SIGKILL');
+          });
+        });
+        await killing;
+        assert.equal(answer.text, EXPECTED);
+        assert.equal(answer.isWhole, true);
+        if (killed) await replace(killed);
+      });
+    }
+  }
+
+  it('gives its whole answer when two engines are killed, one after the other', async () => {
+    const killed: RunningFake[] = [];
+    const kills: Promise<unknown>[] = [];
+    const kill = async (part: number) => {
+      const engine = await findWorking(part);
+      killed.push(engine);
+      await engine.process.end('SIGKILL');
+    };
+    const answer = await stream((position) => {
+      if (position === 10) kills.push(kill(0));
+      if (position === 30) kills.push(kill(2));
+    });
+    await Promise.all(kills);
+    assert.equal(answer.text, EXPECTED);
+    for (const engine of killed) await replace(engine);
+  });
+
+  it('moves away from an engine that freezes, and is not touched by it when it wakes up', async () => {
+    let frozen: RunningFake | undefined;
+    const answer = await stream((position) => {
+      if (position !== 20) return;
+      void findWorking(1).then((engine) => {
+        frozen = engine;
+        engine.process.signal('SIGSTOP');
+      });
+    });
+    assert.equal(answer.text, EXPECTED);
+    frozen?.process.signal('SIGCONT');
+    await waitForBackendServers(deployment, 6);
+    assert.equal((await stream()).text, EXPECTED);
+  });
+
+  it('sends on no token of an engine that leaves layers out', async () => {
+    const [first] = engines;
+    assert.ok(first);
+    const liar = await deployment.startEngine({
+      name: 'liar',
+      firstLayer: 0,
+      lastLayer: 3,
+      model: MODEL,
+      layers: LAYERS,
+      stepBaseMs: 0.1,
+      announceIntervalMs: 300,
+    });
+    await liar.post('/faults', { skippedLayer: 2 });
+    await waitForBackendServers(deployment, 7);
+    const answer = await stream();
+    assert.equal(answer.text, EXPECTED);
+    const runs = (await liar.get('/record')) as unknown as readonly Run[];
+    assert.ok(runs.some(({ session }) => session === answer.sessionId), 'the liar was asked first');
+    await liar.process.end('SIGTERM');
+    await waitForBackendServers(deployment, 6);
+  });
+
+  it('goes on at another entry VM when its own dies, without gap or repeat', async () => {
+    let text = '';
+    const first = await stream((position) => {
+      if (position === 30) void deployment.vm('vm5').process.end('SIGKILL');
+    }, 4);
+    text += first.text;
+    assert.equal(first.isWhole, false);
+    const rest = await streamCompletion({
+      address: deployment.addresses[3] ?? '',
+      token: KALAHARI_TOKEN,
+      model: MODEL,
+      prompt: '',
+      maxTokens: 1,
+      lastEventId: first.lastEventId,
+    });
+    text += rest.text;
+    assert.equal(text, EXPECTED);
+    assert.equal(rest.isWhole, true);
+    deployment.restart('vm5');
+    await waitUntil('vm5 is back', async () => ((await deployment.operatorGet('vm5', '/v1/status')) as { isTaking: boolean }).isTaking);
+  });
+
+  it('gets a final answer that it can be resumed after, when no engine is left, and resumes', async () => {
+    const part = engines.filter(({ name }) => name.startsWith('engine-1'));
+    const broken = await stream((position) => {
+      if (position === 15) part.forEach((engine) => void engine.process.end('SIGKILL'));
+    });
+    assert.equal(broken.isWhole, false);
+    const error = broken.error as { code: string; retryAfterMs: number };
+    assert.equal(error.code, 'no-backend-server');
+    assert.ok(error.retryAfterMs > 0);
+    for (const engine of part) await replaceWithoutWaiting(engine);
+    await waitForBackendServers(deployment, 6);
+    const rest = await streamCompletion({
+      address: deployment.addresses[0] ?? '',
+      token: KALAHARI_TOKEN,
+      model: MODEL,
+      prompt: '',
+      maxTokens: 1,
+      lastEventId: broken.lastEventId,
+    });
+    assert.equal(broken.text + rest.text, EXPECTED);
+  });
+
+  async function replaceWithoutWaiting(engine: RunningFake): Promise<void> {
+    const started = await deployment.startEngine({
+      name: engine.name,
+      firstLayer: 4,
+      lastLayer: 7,
+      model: MODEL,
+      layers: LAYERS,
+      announceIntervalMs: 300,
+    });
+    engines = engines.map((other) => (other.name === engine.name ? started : other));
+  }
+});
--- /dev/null
+++ b/packages/cli/__tests__/decisions.spec.ts
@@ -0,0 +1,152 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Configuration, ReplicaStatus } from '@spoolplank/consensus';
+import { createManualClock } from '@spoolplank/shared';
+import { decideBootstrap } from '../src/control/bootstrap';
+import { decideRepair } from '../src/control/membershipRepair';
+import { createReachTracker } from '../src/control/settingsService';
+import { readKeyTime } from '../src/entry/callerRequest';
+import { copyRequestHeaders } from '../src/entry/forwardedHeaders';
+import { createSessionStore, toSessionUpdate } from '../src/entry/sessionStore';
+import { createStagePatience } from '../src/entry/stagePatience';
+
+const GROUP: Configuration = { voters: ['vm1#a', 'vm2#b', 'vm3#c'], learners: [] };
+
+describe('a blank control VM', () => {
+  const blank = (replicaId: string) => ({ replicaId, configuration: null });
+  const member = (replicaId: string) => ({ replicaId, configuration: GROUP });
+
+  it('founds a group only when every other one is blank too', () => {
+    const step = decideBootstrap({ self: 'vm1#x', others: [blank('vm2#y'), blank('vm3#z')] });
+    assert.deepEqual(step, { kind: 'found', configuration: { voters: ['vm1#x', 'vm2#y', 'vm3#z'], learners: [] } });
+  });
+
+  it('waits for one that does not answer, which may hold everything', () => {
+    assert.equal(decideBootstrap({ self: 'vm1#x', others: [blank('vm2#y'), undefined] }).kind, 'wait');
+  });
+
+  it('leaves it to one of them to found the group', () => {
+    assert.equal(decideBootstrap({ self: 'vm2#y', others: [blank('vm1#x'), blank('vm3#z')] }).kind, 'wait');
+  });
+
+  it('joins a group that does not know this life of its disk, and takes part in one that does', () => {
+    assert.equal(decideBootstrap({ self: 'vm1#new', others: [member('vm2#b'), undefined] }).kind, 'join');
+    assert.equal(decideBootstrap({ self: 'vm1#a', others: [member('vm2#b'), blank('vm3#z')] }).kind, 'take-part');
+  });
+});
+
+describe('repair of the membership', () => {
+  function status(configuration: Configuration, matchIndex = 0): ReplicaStatus {
+    return {
+      id: 'vm2#b',
+      role: 'leader',
+      term: 1,
+      leaderId: 'vm2#b',
+      commitIndex: 100,
+      lastIndex: 100,
+      savedIndex: 100,
+      snapshotIndex: 0,
+      configuration,
+      isLeaseValid: true,
+      matchIndexes: { 'vm1#new': matchIndex },
+    };
+  }
+
+  it('goes step by step: out with the lost identity, in as a learner, then a voter', () => {
+    assert.deepEqual(decideRepair(status(GROUP), 'vm1#new'), { kind: 'remove', replicaId: 'vm1#a' });
+    const two = { voters: ['vm2#b', 'vm3#c'], learners: [] };
+    assert.deepEqual(decideRepair(status(two), 'vm1#new'), { kind: 'add-learner', replicaId: 'vm1#new' });
+    const learning = { ...two, learners: ['vm1#new'] };
+    assert.equal(decideRepair(status(learning, 10), 'vm1#new'), null, 'it has to catch up first');
+    assert.deepEqual(decideRepair(status(learning, 99), 'vm1#new'), { kind: 'promote', replicaId: 'vm1#new' });
+  });
+});
+
+describe('reach of a version', () => {
+  it('counts a VM as silent only after its lease must have run out', () => {
+    const clock = createManualClock();
+    const tracker = createReachTracker(clock, 3000, ['vm1', 'vm2', 'vm3']);
+    tracker.note([{ vmId: 'vm1', version: 5 }, { vmId: 'vm2', version: 4 }]);
+    assert.deepEqual(tracker.reach(5), { version: 5, reached: ['vm1'], pending: ['vm2', 'vm3'], silent: [] });
+    clock.advance(3001);
+    tracker.note([{ vmId: 'vm2', version: 4 }]);
+    assert.deepEqual(tracker.reach(5), { version: 5, reached: ['vm1'], pending: ['vm2'], silent: ['vm3'] });
+  });
+});
+
+describe('copy of a session', () => {
+  const request = { model: 'm', prompt: 'p', maxTokens: 9, priority: 5, isChat: true };
+  const token = (tokenId: number) => ({ tokenId, text: ` ${tokenId}` });
+
+  it('follows the original by updates, and asks for what it missed', () => {
+    const clock = createManualClock();
+    const source = createSessionStore({ clock }).create('s', 'o', request);
+    const copy = createSessionStore({ clock });
+    source.attempt = 1;
+    source.tokens.push(token(1), token(2));
+    assert.equal(copy.applyUpdate(toSessionUpdate(source, 1, false)), false, 'it has no beginning');
+    assert.equal(copy.applyUpdate(toSessionUpdate(source, 0, true)), true);
+    source.tokens.push(token(3));
+    assert.equal(copy.applyUpdate(toSessionUpdate(source, 2, false)), true);
+    assert.deepEqual(copy.find('s')?.tokens, source.tokens);
+  });
+
+  it('takes nothing from an older attempt, nor from an older update', () => {
+    const clock = createManualClock();
+    const source = createSessionStore({ clock }).create('s', 'o', request);
+    const copy = createSessionStore({ clock });
+    source.attempt = 2;
+    source.tokens.push(token(1), token(2));
+    const late = { ...toSessionUpdate(source, 0, true), attempt: 1, tokens: [token(9)] };
+    const older = { ...toSessionUpdate(source, 0, true), tokens: [token(1)] };
+    copy.applyUpdate(toSessionUpdate(source, 0, true));
+    copy.applyUpdate(late);
+    copy.applyUpdate(older);
+    assert.deepEqual(copy.find('s')?.tokens, source.tokens);
+  });
+
+  it('is dropped when memory is short, the least recently used first', () => {
+    const clock = createManualClock();
+    const store = createSessionStore({ clock, maxUnits: 10 });
+    ['old', 'new'].forEach((id) => {
+      clock.advance(10);
+      store.create(id, 'o', { ...request, prompt: 'x'.repeat(32) });
+    });
+    store.sweep();
+    assert.equal(store.find('old'), undefined);
+    assert.ok(store.find('new'));
+  });
+});
+
+describe('patience with a chain', () => {
+  it('learns from the intervals between tokens, but not from the prefill', () => {
+    const clock = createManualClock();
+    const patience = createStagePatience({ clock, estimatedStepMs: 20, prefillTokens: 1000 });
+    assert.equal(patience.suspectAtMs(), 1200);
+    clock.advance(900);
+    patience.observe();
+    assert.equal(patience.suspectAtMs(), 1100, 'the prefill did not make it slower');
+    for (let tokens = 0; tokens < 100; tokens += 1) {
+      clock.advance(200);
+      patience.observe();
+    }
+    assert.ok(patience.suspectAtMs() - clock.nowMs() > 900);
+    assert.ok(patience.giveUpAtMs() > patience.suspectAtMs());
+  });
+});
+
+describe('headers', () => {
+  it('of one connection, and ours, are not passed on from a caller', () => {
+    const copied = copyRequestHeaders(
+      { connection: 'close, x-hop', 'x-hop': '1', 'x-kept': '2', authorization: 'Bearer t', 'spoolplank-organisation': 'forged', te: 'trailers' },
+      { 'spoolplank-organisation': 'real' },
+    );
+    assert.deepEqual(copied, { 'x-kept': '2', 'spoolplank-organisation': 'real' });
+  });
+
+  it('tell the age of a key of the form UUID version 7, and of no other', () => {
+    assert.equal(readKeyTime('0193a5c8-1c00-7abc-8def-0123456789ab'), 0x0193a5c81c00);
+    assert.equal(readKeyTime('0193a5c8-1c00-4abc-8def-0123456789ab'), undefined);
+    assert.equal(readKeyTime('order-17'), undefined);
+  });
+});
--- a/packages/cli/src/entry/gate.ts
+++ b/packages/cli/src/entry/gate.ts
@@ -66,6 +66,14 @@
     return queue;
   }
 
+  /** An organisation that ended a request of one service may have room for one of another. */
+  function wakeOthers(service: string): void {
+    queues.forEach((queue, name) => {
+      // Setting it makes the queue look again for what may start.
+      if (name !== service) Object.assign(queue, { concurrency: queue.concurrency });
+    });
+  }
+
   function startQueueTimer(caller: CallerRequest, controller: AbortController): NodeJS.Timeout {
     const untilDeadlineMs = deadlineOf(caller) - clock.nowMs();
     const waitMs = Math.min(caller.policy.maxQueueTimeMs, Math.max(0, untilDeadlineMs));
@@ -105,6 +113,7 @@
           return await work();
         } finally {
           ticket.end();
+          wakeOthers(service);
           admission.observeDuration(clock.nowMs() - startedMs);
         }
       };
--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -142,10 +142,11 @@
   }
 
   function passOn(hop: Hop, activations: readonly number[]): void {
+    const { skippedLayer } = faults;
     const mark = {
       engine: options.name,
       firstLayer: options.firstLayer,
-      lastLayer: options.lastLayer,
+      lastLayer: skippedLayer === null ? options.lastLayer : skippedLayer - 1,
     };
     const lineage = [...hop.lineage, mark];
     const isLast = hop.stageIndex === hop.stages.length - 1;
--- /dev/null
+++ b/packages/membership/__tests__/directory.spec.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { createManualClock } from '@spoolplank/shared';
+import { createDirectory, parseAnnouncement } from '../index';
+import type { Announcement, Directory } from '../index';
+
+const TTL_MS = 3000;
+
+function announcement(overrides: Partial<Announcement> = {}): Announcement {
+  return {
+    name: 's1',
+    dataCentre: 'dc1',
+    host: '127.0.0.1',
+    port: 80,
+    incarnation: 1,
+    sequence: 1,
+    state: 'ready',
+    services: ['bookings'],
+    load: { running: 0, queued: 0 },
+    ...overrides,
+  };
+}
+
+function createFixture() {
+  const clock = createManualClock();
+  const create = (instance: string): Directory => createDirectory({ clock, instance, ttlMs: TTL_MS });
+  return { clock, registrar: create('registrar'), entry: create('entry') };
+}
+
+/** Passes on what the registrar knows, asked for now and answered after a while. */
+function pull({ clock, registrar, entry }: ReturnType<typeof createFixture>, answeredAfterMs = 0): void {
+  const askedAtMs = clock.nowMs();
+  const delta = registrar.deltaSince('', 0);
+  clock.advance(answeredAfterMs);
+  entry.merge(delta, askedAtMs);
+}
+
+describe('directory', () => {
+  it('sends no new work to a backend server that went silent, after its time to live', () => {
+    const { clock, registrar } = createFixture();
+    registrar.announce(announcement());
+    clock.advance(TTL_MS - 1);
+    assert.ok(registrar.findLive('s1'));
+    clock.advance(1);
+    assert.equal(registrar.findLive('s1'), undefined);
+  });
+
+  it('sends no new work to one that is leaving, at once', () => {
+    const { registrar } = createFixture();
+    registrar.announce(announcement());
+    registrar.announce(announcement({ sequence: 2, state: 'leaving' }));
+    assert.equal(registrar.findLive('s1'), undefined);
+  });
+
+  it('lets no late answer make a row last longer', () => {
+    const fixture = createFixture();
+    fixture.registrar.announce(announcement());
+    pull(fixture, 2500);
+    assert.ok(fixture.entry.findLive('s1'));
+    fixture.clock.advance(500);
+    assert.equal(fixture.entry.findLive('s1'), undefined, 'the time on the way counts');
+  });
+
+  it('ends a row everywhere within its time to live, however often VMs pass it round', () => {
+    const fixture = createFixture();
+    const { clock, registrar, entry } = fixture;
+    registrar.announce(announcement());
+    for (let round = 0; round < 30; round += 1) {
+      pull(fixture);
+      registrar.merge(entry.deltaSince('', 0), clock.nowMs());
+      clock.advance(100);
+    }
+    assert.deepEqual([...registrar.listLive(), ...entry.listLive()], []);
+  });
+
+  it('does not go back from leaving to ready for late news of the same incarnation', () => {
+    const { clock, registrar, entry } = createFixture();
+    registrar.announce(announcement());
+    const old = registrar.deltaSince('', 0);
+    registrar.announce(announcement({ sequence: 2, state: 'leaving' }));
+    entry.merge(registrar.deltaSince('', 0), clock.nowMs());
+    entry.merge(old, clock.nowMs());
+    assert.equal(entry.findLive('s1'), undefined);
+  });
+
+  it('takes a backend server back under the same name with a new incarnation', () => {
+    const { registrar } = createFixture();
+    registrar.announce(announcement({ sequence: 9, state: 'leaving' }));
+    registrar.announce(announcement({ incarnation: 2, sequence: 1 }));
+    assert.ok(registrar.findLive('s1'));
+    registrar.announce(announcement({ incarnation: 1, sequence: 10 }));
+    assert.equal(registrar.findLive('s1')?.announcement.incarnation, 2, 'the old process is not heard');
+  });
+
+  it('passes on loads without the body that the other VM has', () => {
+    const { registrar } = createFixture();
+    registrar.announce(announcement());
+    const { instance, revision } = registrar.deltaSince('', 0);
+    registrar.announce(announcement({ sequence: 2, load: { running: 5, queued: 1 } }));
+    const [update] = registrar.deltaSince(instance, revision).updates;
+    assert.equal(update?.body, undefined);
+    assert.deepEqual(update?.load, { running: 5, queued: 1 });
+  });
+
+  it('passes everything on again to a VM that knew another run of it', () => {
+    const { registrar } = createFixture();
+    registrar.announce(announcement());
+    assert.equal(registrar.deltaSince('an earlier run', 99).updates.length, 1);
+  });
+});
+
+describe('announcement', () => {
+  it('is refused with every finding', () => {
+    const wrong = { ...announcement(), name: '@vm1', port: 0, extra: true };
+    assert.throws(
+      () => parseAnnouncement(wrong),
+      (error: { findings: readonly { pointer: string }[] }) => error.findings.length === 3,
+    );
+  });
+
+  it('is refused or taken, never half taken, whatever it is', () => {
+    fc.assert(
+      fc.property(fc.jsonValue(), (value) => {
+        assert.throws(() => parseAnnouncement(value), { code: 'bad-request', outcome: 'not-run' });
+      }),
+      { seed: 5, numRuns: 1000 },
+    );
+  });
+});
--- a/packages/node/src/peerRpc.ts
+++ b/packages/node/src/peerRpc.ts
@@ -113,6 +113,12 @@
   readonly onTraffic?: (receivedBytes: number, sentBytes: number) => void;
 }
 
+interface CallContext {
+  readonly timeoutMs: number;
+  /** The library turns what the transport throws into plain text; this keeps the error itself. */
+  transportError?: SpoolplankError;
+}
+
 export interface PeerTarget extends Endpoint {
   readonly vmId: string;
 }
@@ -135,7 +141,7 @@
 /** Creates the caller's side; one for a process. */
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const agent = createAgent();
-  const clients = new Map<string, JSONRPCClient<{ timeoutMs: number }>>();
+  const clients = new Map<string, JSONRPCClient<CallContext>>();
 
   async function post(
     target: PeerTarget,
@@ -171,13 +177,18 @@
     return json;
   }
 
-  function clientFor(target: PeerTarget): JSONRPCClient<{ timeoutMs: number }> {
+  function clientFor(target: PeerTarget): JSONRPCClient<CallContext> {
     const name = `${target.vmId}@${target.host}:${target.port}`;
     const known = clients.get(name);
     if (known) return known;
-    const client: JSONRPCClient<{ timeoutMs: number }> = new JSONRPCClient(
-      async (request: JSONRPCRequest, { timeoutMs }) => {
-        client.receive(await post(target, JSON.stringify(request), timeoutMs));
+    const client: JSONRPCClient<CallContext> = new JSONRPCClient(
+      async (request: JSONRPCRequest, context) => {
+        try {
+          client.receive(await post(target, JSON.stringify(request), context.timeoutMs));
+        } catch (error) {
+          Object.assign(context, { transportError: toSpoolplankError(error) });
+          throw error;
+        }
       },
     );
     clients.set(name, client);
@@ -191,11 +202,12 @@
       params: unknown,
       timeoutMs = options.timeoutMs,
     ) {
+      const context: CallContext = { timeoutMs };
       try {
-        return (await clientFor(target).request(method, params, { timeoutMs })) as Result;
+        return (await clientFor(target).request(method, params as never, context)) as Result;
       } catch (error) {
+        if (context.transportError) throw context.transportError;
         if (error instanceof JSONRPCErrorException) throw fromErrorBody(error.data);
-        if (error instanceof SpoolplankError) throw error;
         throw new SpoolplankError('unreachable', { detail: String(error), cause: error });
       }
     },
--- a/packages/routing/src/fairQueue.ts
+++ b/packages/routing/src/fairQueue.ts
@@ -54,7 +54,16 @@
     this.#hasRoom = hasRoom;
   }
 
+  /**
+   * Items that wait; 0 while none of them may start, as `p-queue` takes an item whenever the
+   * size is above 0.
+   */
   get size(): number {
+    return this.#size > 0 && this.#nextLane() ? this.#size : 0;
+  }
+
+  /** Items that wait, also those that may not start yet. */
+  get waiting(): number {
     return this.#size;
   }
 
--- a/packages/settings/src/validation.ts
+++ b/packages/settings/src/validation.ts
@@ -39,6 +39,12 @@
 /** Violations that only repeat another one. */
 const REDUNDANT_KEYWORDS: ReadonlySet<string> = new Set(['if', 'propertyNames']);
 
+function pointerOf({ instancePath, propertyName }: ErrorObject): string {
+  return propertyName === undefined
+    ? instancePath
+    : `${instancePath}${formatPointer([propertyName])}`;
+}
+
 function toFinding(source: string, error: ErrorObject): Finding {
   const explain = EXPLANATIONS[error.keyword];
   const { pointer, problem, expected } = explain
@@ -46,7 +52,7 @@
     : { pointer: undefined, problem: error.message ?? error.keyword, expected: undefined };
   return {
     source,
-    pointer: pointer ?? error.instancePath,
+    pointer: pointer ?? pointerOf(error),
     problem,
     ...(expected ? { expected } : {}),
   };
