--- a/packages/bench/__tests__/controlFaults.spec.ts
+++ b/packages/bench/__tests__/controlFaults.spec.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict';
 import { rmSync } from 'node:fs';
 import { afterEach, describe, it } from 'node:test';
+import { callJson } from '@spoolplank/node';
 import type { JsonValue } from '@spoolplank/shared';
 import { waitUntil } from '../index';
 import type { Deployment } from '../index';
-import { dumpControl, findLeader, startReady, TEST_TIMINGS } from './fixtures';
+import { dumpControl, findLeader, KALAHARI_TOKEN, startReady, TEST_TIMINGS } from './fixtures';
 
 interface ChangeAnswer {
   readonly status: number;
@@ -16,9 +17,19 @@
 
   afterEach(() => deployment.stop());
 
-  function change(vmId: string, changeId: string, baseVersion: number, maxInFlight: number): Promise<ChangeAnswer> {
+  function change(
+    vmId: string,
+    changeId: string,
+    baseVersion: number,
+    maxInFlight: number,
+  ): Promise<ChangeAnswer> {
     const edits = [{ pointer: '/policy', value: { maxInFlight } }];
-    return deployment.operatorPost(vmId, '/v1/config/changes', { changeId, baseVersion, edits, author: 'test' });
+    return deployment.operatorPost(vmId, '/v1/config/changes', {
+      changeId,
+      baseVersion,
+      edits,
+      author: 'test',
+    });
   }
 
   function running(): readonly string[] {
@@ -28,7 +39,10 @@
   async function waitForVersion(version: number, vmIds = running()): Promise<void> {
     for (const vmId of vmIds) {
       await waitUntil(`${vmId} has version ${version} in force`, async () => {
-        const reply = (await deployment.operatorGet(vmId, '/v1/config')) as { version: number; isConfirmed: boolean };
+        const reply = (await deployment.operatorGet(vmId, '/v1/config')) as {
+          version: number;
+          isConfirmed: boolean;
+        };
         return reply.version === version && reply.isConfirmed;
       });
     }
@@ -38,7 +52,9 @@
     await waitUntil(`${count} replicas of this life vote`, async () => {
       const leader = await findLeader(deployment);
       const voters = (await dumpControl(deployment, leader))?.replica?.configuration.voters ?? [];
-      const ids = await Promise.all(running().map(async (vmId) => (await dumpControl(deployment, vmId))?.replica?.id));
+      const ids = await Promise.all(
+        running().map(async (vmId) => (await dumpControl(deployment, vmId))?.replica?.id),
+      );
       return voters.length === count && voters.every((voter) => ids.includes(voter));
     });
   }
@@ -48,7 +64,9 @@
     const leader = await findLeader(deployment);
     const asked = Array.from({ length: 20 }, (_unused, index) => index);
     // All at once, each based on the version it expects: those that come too late conflict.
-    const answers = asked.map((index) => change('vm4', `kill-${index}`, index + 1, 100 + index).catch(() => null));
+    const answers = asked.map((index) =>
+      change('vm4', `kill-${index}`, index + 1, 100 + index).catch(() => null),
+    );
     await deployment.vm(leader).process.end('SIGKILL');
     await Promise.all(answers);
     let version = 1;
@@ -61,7 +79,10 @@
       }
     }
     await waitForVersion(version);
-    const history = (await deployment.operatorGet('vm4', '/v1/config/history?limit=100')) as unknown as readonly { changeId: string }[];
+    const history = (await deployment.operatorGet(
+      'vm4',
+      '/v1/config/history?limit=100',
+    )) as unknown as readonly { changeId: string }[];
     const ids = history.map(({ changeId }) => changeId);
     assert.equal(new Set(ids).size, ids.length);
     assert.equal(ids.length, version);
@@ -71,8 +92,14 @@
     deployment = await startReady(3, 1);
     const lagging = 'vm2';
     deployment.vm(lagging).process.signal('SIGSTOP');
-    await waitUntil('a change is accepted without the one that lags', async () => (await change('vm4', 'c1', 1, 11)).status === 200);
-    const leader = await findLeader({ ...deployment, vms: deployment.vms.filter(({ vmId }) => vmId !== lagging) });
+    await waitUntil(
+      'a change is accepted without the one that lags',
+      async () => (await change('vm4', 'c1', 1, 11)).status === 200,
+    );
+    const leader = await findLeader({
+      ...deployment,
+      vms: deployment.vms.filter(({ vmId }) => vmId !== lagging),
+    });
     const victim = ['vm1', 'vm3'].find((vmId) => vmId !== leader) ?? 'vm1';
     await deployment.vm(victim).process.end('SIGKILL');
     rmSync(deployment.vm(victim).dataFolder, { recursive: true });
@@ -95,10 +122,17 @@
     const others = deployment.vms.filter(({ vmId }) => vmId !== frozen);
     const late = change(frozen, 'late', 1, 99);
     const other = others[0]?.vmId ?? '';
-    await waitUntil('the others accept a change', async () => (await change(other, 'c1', 1, 11)).status === 200);
+    await waitUntil(
+      'the others accept a change',
+      async () => (await change(other, 'c1', 1, 11)).status === 200,
+    );
     deployment.vm(frozen).process.signal('SIGCONT');
     const { json } = await late;
-    assert.equal((json as { status: string }).status, 'conflict', 'the order that waited in the frozen VM does not win');
+    assert.equal(
+      (json as { status: string }).status,
+      'conflict',
+      'the order that waited in the frozen VM does not win',
+    );
     await waitForVersion(2);
   });
 
@@ -111,20 +145,42 @@
     await Promise.all(deployment.vms.map(({ process }) => process.end('SIGKILL')));
     deployment.vms.forEach(({ vmId }) => deployment.restart(vmId));
     await waitForVersion(501);
-    const reply = (await deployment.operatorGet('vm4', '/v1/config?effective=true')) as { value: { maxInFlight: number } };
+    const reply = (await deployment.operatorGet('vm4', '/v1/config?effective=true')) as {
+      value: { maxInFlight: number };
+    };
     assert.equal(reply.value.maxInFlight, 500);
-    assert.deepEqual((await change('vm4', 'n7', 7, 7)).json, { status: 'accepted', version: 8 }, 'a resend is answered as the first time');
+    assert.deepEqual(
+      (await change('vm4', 'n7', 7, 7)).json,
+      { status: 'accepted', version: 8 },
+      'a resend is answered as the first time',
+    );
   });
 
   it('go to one of two operators that race, and show the other what is in force', async () => {
     deployment = await startReady(3, 1);
     const answers = await Promise.all([change('vm1', 'a', 1, 21), change('vm4', 'b', 1, 22)]);
-    const replies = answers.map(({ json }) => json as unknown as { status: string; version: number; changesSince?: readonly { changeId: string }[] });
+    const replies = answers.map(
+      ({ json }) =>
+        json as unknown as {
+          status: string;
+          version: number;
+          changesSince?: readonly { changeId: string }[];
+        },
+    );
     assert.deepEqual(replies.map(({ status }) => status).sort(), ['accepted', 'conflict']);
     const conflict = replies.find(({ status }) => status === 'conflict');
     assert.equal(conflict?.version, 2);
     assert.equal(conflict?.changesSince?.length, 1);
-    const { code, output } = await deployment.command(['config', 'set', '--pointer', '/policy/weight', '--value', '2', '--base-version', '1']);
+    const { code, output } = await deployment.command([
+      'config',
+      'set',
+      '--pointer',
+      '/policy/weight',
+      '--value',
+      '2',
+      '--base-version',
+      '1',
+    ]);
     assert.equal(code, 4);
     assert.match(output, /conflict: version 2 is in force/);
   });
@@ -132,11 +188,25 @@
   it('that are invalid are refused whole, with every finding and its place', async () => {
     deployment = await startReady(1, 1);
     const edits = [{ pointer: '/policy', value: { weight: -1, wait: 3 } }];
-    const { status, json } = await deployment.operatorPost('vm2', '/v1/config/changes', { changeId: 'x', baseVersion: 1, edits });
+    const { status, json } = await deployment.operatorPost('vm2', '/v1/config/changes', {
+      changeId: 'x',
+      baseVersion: 1,
+      edits,
+    });
     assert.equal(status, 422);
     const { error } = json as unknown as { error: { findings: readonly { pointer: string }[] } };
-    assert.deepEqual(error.findings.map(({ pointer }) => pointer).sort(), ['/policy/wait', '/policy/weight']);
-    const { code, errors } = await deployment.command(['config', 'set', '--pointer', '/policy/weight', '--value', '-1']);
+    assert.deepEqual(error.findings.map(({ pointer }) => pointer).sort(), [
+      '/policy/wait',
+      '/policy/weight',
+    ]);
+    const { code, errors } = await deployment.command([
+      'config',
+      'set',
+      '--pointer',
+      '/policy/weight',
+      '--value',
+      '-1',
+    ]);
     assert.equal(code, 3);
     assert.match(errors, /settings#\/policy\/weight/);
   });
@@ -145,10 +215,20 @@
     deployment = await startReady(3, 1, { timings: { ...TEST_TIMINGS, settingsLeaseMs: 1200 } });
     const controls = ['vm1', 'vm2', 'vm3'];
     controls.forEach((vmId) => deployment.vm(vmId).process.signal('SIGSTOP'));
-    const status = async () => (await deployment.operatorGet('vm4', '/v1/status')) as { isTaking: boolean };
+    const status = async () =>
+      (await deployment.operatorGet('vm4', '/v1/status')) as { isTaking: boolean };
     await waitUntil('vm4 refuses requests', async () => !(await status()).isTaking);
-    const { status: code, json } = await deployment.operatorPost('vm4', '/v1/chat/completions', {});
-    const { error } = json as unknown as { error: { code: string; outcome: string; retryAfterMs: number } };
+    const { host, callerPort: port } = deployment.vm('vm4').address;
+    const { status: code, json } = await callJson({
+      endpoint: { host, port },
+      method: 'POST',
+      path: '/v1/chat/completions',
+      json: {},
+      headers: { authorization: `Bearer ${KALAHARI_TOKEN}` },
+    });
+    const { error } = json as unknown as {
+      error: { code: string; outcome: string; retryAfterMs: number };
+    };
     assert.equal(code, 503);
     assert.deepEqual([error.code, error.outcome], ['settings-stale', 'not-run']);
     assert.ok(error.retryAfterMs > 0);
--- a/packages/bench/__tests__/fixtures.ts
+++ b/packages/bench/__tests__/fixtures.ts
@@ -28,8 +28,16 @@
 export const TEST_TIMINGS = { electionTimeoutMs: 500, heartbeatIntervalMs: 60 };
 
 /** A deployment that takes requests, with the tree in force. */
-export async function startReady(controls: number, entries: number, options: Partial<DeploymentOptions> = {}): Promise<Deployment> {
-  const deployment = await startDeployment({ vms: planVms(controls, entries, ['dc1']), timings: TEST_TIMINGS, ...options });
+export async function startReady(
+  controls: number,
+  entries: number,
+  options: Partial<DeploymentOptions> = {},
+): Promise<Deployment> {
+  const deployment = await startDeployment({
+    vms: planVms(controls, entries, ['dc1']),
+    timings: TEST_TIMINGS,
+    ...options,
+  });
   try {
     await deployment.waitUntilTaking();
     await deployment.setTree(createTree());
@@ -45,7 +53,9 @@
   for (const { vmId, process } of deployment.vms) {
     if (process.isRunning) {
       await waitUntil(`${vmId} knows ${count} backend servers`, async () => {
-        const status = (await deployment.operatorGet(vmId, '/v1/status')) as { backendServers: readonly { state: string }[] };
+        const status = (await deployment.operatorGet(vmId, '/v1/status')) as {
+          backendServers: readonly { state: string }[];
+        };
         return status.backendServers.filter(({ state }) => state === 'ready').length === count;
       });
     }
@@ -53,21 +63,45 @@
 }
 
 /** Engines that hold the layers in three parts, `copies` of each part. */
-export async function startEngines(deployment: Deployment, copies: number): Promise<readonly RunningFake[]> {
-  const ranges = [[0, 3], [4, 7], [8, 11]] as const;
+export async function startEngines(
+  deployment: Deployment,
+  copies: number,
+): Promise<readonly RunningFake[]> {
+  const ranges = [
+    [0, 3],
+    [4, 7],
+    [8, 11],
+  ] as const;
   const names = ranges.flatMap(([firstLayer, lastLayer], part) =>
-    Array.from({ length: copies }, (_unused, copy) => ({ name: `engine-${part}-${copy}`, firstLayer, lastLayer })),
+    Array.from({ length: copies }, (_unused, copy) => ({
+      name: `engine-${part}-${copy}`,
+      firstLayer,
+      lastLayer,
+    })),
   );
   return Promise.all(
-    names.map((engine) => deployment.startEngine({ ...engine, model: MODEL, layers: LAYERS, announceIntervalMs: 300 })),
+    names.map((engine) =>
+      deployment.startEngine({ ...engine, model: MODEL, layers: LAYERS, announceIntervalMs: 300 }),
+    ),
   );
 }
 
 interface ReplicaDump {
-  readonly control: { readonly settingsVersion: number; readonly replica: { readonly id: string; readonly role: string; readonly isLeaseValid: boolean; readonly configuration: { readonly voters: readonly string[] } } | null } | null;
+  readonly control: {
+    readonly settingsVersion: number;
+    readonly replica: {
+      readonly id: string;
+      readonly role: string;
+      readonly isLeaseValid: boolean;
+      readonly configuration: { readonly voters: readonly string[] };
+    } | null;
+  } | null;
 }
 
-export async function dumpControl(deployment: Deployment, vmId: string): Promise<ReplicaDump['control']> {
+export async function dumpControl(
+  deployment: Deployment,
+  vmId: string,
+): Promise<ReplicaDump['control']> {
   return ((await deployment.operatorGet(vmId, '/v1/dump')) as unknown as ReplicaDump).control;
 }
 
@@ -76,7 +110,9 @@
   let leader = '';
   await waitUntil('there is a leader', async () => {
     for (const { vmId, process } of deployment.vms) {
-      const control = process.isRunning ? await dumpControl(deployment, vmId).catch(() => null) : null;
+      const control = process.isRunning
+        ? await dumpControl(deployment, vmId).catch(() => null)
+        : null;
       if (control?.replica?.role === 'leader' && control.replica.isLeaseValid) leader = vmId;
     }
     return leader !== '';
--- a/packages/bench/__tests__/path.spec.ts
+++ b/packages/bench/__tests__/path.spec.ts
@@ -5,7 +5,16 @@
 import { callHttp, callJson } from '@spoolplank/node';
 import { askAddresses, callService, chatPrompt, streamCompletion } from '../index';
 import type { Deployment, RunningFake } from '../index';
-import { KALAHARI_TOKEN, LAYERS, MODEL, QUEBEC_TOKEN, SERVICE, startEngines, startReady, waitForBackendServers } from './fixtures';
+import {
+  KALAHARI_TOKEN,
+  LAYERS,
+  MODEL,
+  QUEBEC_TOKEN,
+  SERVICE,
+  startEngines,
+  startReady,
+  waitForBackendServers,
+} from './fixtures';
 
 const PROMPT = 'draft a quotation for two skips';
 const TOKENS = 12;
@@ -18,7 +27,11 @@
   before(async () => {
     deployment = await startReady(3, 1);
     engines = await startEngines(deployment, 1);
-    service = await deployment.startService({ name: 'service-1', service: SERVICE, announceIntervalMs: 300 });
+    service = await deployment.startService({
+      name: 'service-1',
+      service: SERVICE,
+      announceIntervalMs: 300,
+    });
     await waitForBackendServers(deployment, 4);
   });
 
@@ -27,7 +40,13 @@
   const address = () => deployment.addresses[0] ?? '';
 
   function stream(at = address(), token = KALAHARI_TOKEN) {
-    return streamCompletion({ address: at, token, model: MODEL, prompt: PROMPT, maxTokens: TOKENS });
+    return streamCompletion({
+      address: at,
+      token,
+      model: MODEL,
+      prompt: PROMPT,
+      maxTokens: TOKENS,
+    });
   }
 
   async function executions(): Promise<number> {
@@ -42,9 +61,15 @@
       method: 'POST',
       path,
       body,
-      headers: { authorization: `Bearer ${KALAHARI_TOKEN}`, 'content-type': 'application/json', ...headers },
+      headers: {
+        authorization: `Bearer ${KALAHARI_TOKEN}`,
+        'content-type': 'application/json',
+        ...headers,
+      },
     });
-    const json = JSON.parse(answer.body.toString('utf8')) as { error?: { code: string; outcome: string; message: string } };
+    const json = JSON.parse(answer.body.toString('utf8')) as {
+      error?: { code: string; outcome: string; message: string };
+    };
     return { status: answer.status, ...json.error };
   }
 
@@ -74,13 +99,30 @@
   it('calls a plain service through each entry VM, once for each key', async () => {
     for (const [index, entry] of deployment.addresses.entries()) {
       const headers = { 'idempotency-key': `path-${index}` };
-      const answer = await callService({ address: entry, token: KALAHARI_TOKEN, service: SERVICE, path: '/charge?x=1', body: '{"a":1}', headers });
+      const answer = await callService({
+        address: entry,
+        token: KALAHARI_TOKEN,
+        service: SERVICE,
+        path: '/charge?x=1',
+        body: '{"a":1}',
+        headers,
+      });
       assert.equal(answer.status, 200);
-      const seen = JSON.parse(answer.body.toString('utf8')) as { path: string; body: string; organisation: string };
-      assert.deepEqual([seen.path, seen.body, seen.organisation], ['/charge?x=1', '{"a":1}', 'kalahari']);
+      const seen = JSON.parse(answer.body.toString('utf8')) as {
+        path: string;
+        body: string;
+        organisation: string;
+      };
+      assert.deepEqual(
+        [seen.path, seen.body, seen.organisation],
+        ['/charge?x=1', '{"a":1}', 'kalahari'],
+      );
     }
     const counts = (await service.get('/-/executions')) as Readonly<Record<string, number>>;
-    assert.deepEqual(deployment.addresses.map((_address, index) => counts[`path-${index}`]), [1, 1, 1, 1]);
+    assert.deepEqual(
+      deployment.addresses.map((_address, index) => counts[`path-${index}`]),
+      [1, 1, 1, 1],
+    );
   });
 
   it('names every entry VM that takes requests', async () => {
@@ -93,7 +135,11 @@
     const before = await executions();
     const chat = '/v1/chat/completions';
     const messages = [{ role: 'user', content: 'x' }];
-    const cases: readonly [Promise<{ status: number; code?: string; outcome?: string }>, number, string][] = [
+    const cases: readonly [
+      Promise<{ status: number; code?: string; outcome?: string }>,
+      number,
+      string,
+    ][] = [
       [post(chat, '{"model":', {}), 400, 'bad-request'],
       [post(chat, JSON.stringify({ model: 'nothing', messages })), 404, 'unknown-model'],
       [post(chat, JSON.stringify({ model: '__proto__', messages })), 404, 'unknown-model'],
@@ -101,10 +147,22 @@
       [post(chat, JSON.stringify({ model: MODEL, messages: 'x' })), 400, 'bad-request'],
       [post(chat, 'x'.repeat(1_100_000)), 413, 'body-too-large'],
       [post(chat, '{}', { authorization: 'Bearer wrong' }), 401, 'unauthorized'],
-      [post(`/v1/services/${SERVICE}/x`, '{}', { authorization: 'Bearer wrong' }), 401, 'unauthorized'],
+      [
+        post(`/v1/services/${SERVICE}/x`, '{}', { authorization: 'Bearer wrong' }),
+        401,
+        'unauthorized',
+      ],
       [post('/v1/services/nothing/x', '{}'), 404, 'unknown-service'],
-      [post(`/v1/services/${SERVICE}/x`, '{}', { 'spoolplank-repeatable': 'perhaps' }), 400, 'invalid-header'],
-      [post(`/v1/services/${SERVICE}/x`, '{}', { 'spoolplank-deadline-ms': '-5' }), 400, 'invalid-header'],
+      [
+        post(`/v1/services/${SERVICE}/x`, '{}', { 'spoolplank-repeatable': 'perhaps' }),
+        400,
+        'invalid-header',
+      ],
+      [
+        post(`/v1/services/${SERVICE}/x`, '{}', { 'spoolplank-deadline-ms': '-5' }),
+        400,
+        'invalid-header',
+      ],
       [post('/nowhere', '{}'), 404, 'not-found'],
       [post('/v1/addresses', '{}'), 405, 'method-not-allowed'],
     ];
@@ -118,7 +176,13 @@
   it('goes on with a session at another entry VM, without gap or repeat', async () => {
     const whole = await stream();
     const [first = '', second = ''] = deployment.addresses;
-    const begun = await streamCompletion({ address: first, token: KALAHARI_TOKEN, model: MODEL, prompt: PROMPT, maxTokens: TOKENS });
+    const begun = await streamCompletion({
+      address: first,
+      token: KALAHARI_TOKEN,
+      model: MODEL,
+      prompt: PROMPT,
+      maxTokens: TOKENS,
+    });
     const position = 4;
     const digest = begun.lastEventId.split(':')[0] ?? '';
     const ids: string[] = [];
@@ -130,18 +194,35 @@
       path: '/v1/chat/completions',
       headers: { authorization: `Bearer ${KALAHARI_TOKEN}`, 'spoolplank-session': digest },
     });
-    replay.body.toString('utf8').split('\n').forEach((line) => {
-      if (line.startsWith('id: ')) ids.push(line.slice(4));
-    });
+    replay.body
+      .toString('utf8')
+      .split('\n')
+      .forEach((line) => {
+        if (line.startsWith('id: ')) ids.push(line.slice(4));
+      });
     assert.equal(ids.length, TOKENS);
-    const rest = await streamCompletion({ address: second, token: KALAHARI_TOKEN, model: MODEL, prompt: '', maxTokens: 1, lastEventId: ids[position] });
+    const rest = await streamCompletion({
+      address: second,
+      token: KALAHARI_TOKEN,
+      model: MODEL,
+      prompt: '',
+      maxTokens: 1,
+      lastEventId: ids[position],
+    });
     assert.equal(rest.tokens, TOKENS - position - 1);
     assert.ok(whole.text.endsWith(rest.text));
   });
 
   it("answers another organisation's session like one that does not exist", async () => {
     const { lastEventId } = await stream();
-    const resume = streamCompletion({ address: address(), token: QUEBEC_TOKEN, model: MODEL, prompt: '', maxTokens: 1, lastEventId });
+    const resume = streamCompletion({
+      address: address(),
+      token: QUEBEC_TOKEN,
+      model: MODEL,
+      prompt: '',
+      maxTokens: 1,
+      lastEventId,
+    });
     await assert.rejects(resume, { code: 'unknown-session', outcome: 'not-run' });
   });
 
@@ -149,7 +230,14 @@
     const { lastEventId } = await stream();
     const forged = lastEventId.replace(/:[0-9a-f]{8}$/, ':00000000');
     await assert.rejects(
-      streamCompletion({ address: address(), token: KALAHARI_TOKEN, model: MODEL, prompt: '', maxTokens: 1, lastEventId: forged }),
+      streamCompletion({
+        address: address(),
+        token: KALAHARI_TOKEN,
+        model: MODEL,
+        prompt: '',
+        maxTokens: 1,
+        lastEventId: forged,
+      }),
       { code: 'answer-invalid' },
     );
   });
@@ -161,15 +249,24 @@
     assert.equal(dump.vm.vmId, 'vm4');
     assert.ok(dump.directory.length >= 4);
     const [host = '', port = ''] = address().split(':');
-    const { status } = await callJson({ endpoint: { host, port: Number(port) }, method: 'GET', path: '/v1/dump' });
+    const { status } = await callJson({
+      endpoint: { host, port: Number(port) },
+      method: 'GET',
+      path: '/v1/dump',
+    });
     assert.equal(status, 401);
   });
 
   it('keeps tokens, keys and prompts out of its logs', () => {
     const logs = deployment.vms.map(({ process }) => process.readLog()).join('');
     assert.ok(logs.includes('vm-started'));
-    logs.split('\n').filter((line) => line !== '').forEach((line) => JSON.parse(line) as unknown);
-    [KALAHARI_TOKEN, PROMPT, 'shared-key-of-this-run', 'operator-token'].forEach((secret) => assert.ok(!logs.includes(secret)));
+    logs
+      .split('\n')
+      .filter((line) => line !== '')
+      .forEach((line) => JSON.parse(line) as unknown);
+    [KALAHARI_TOKEN, PROMPT, 'shared-key-of-this-run', 'operator-token'].forEach((secret) =>
+      assert.ok(!logs.includes(secret)),
+    );
   });
 
   it('uses no io_uring', () => {
@@ -182,7 +279,10 @@
         }
       });
       assert.ok(targets.length > 0);
-      assert.deepEqual(targets.filter((target) => target.includes('io_uring')), []);
+      assert.deepEqual(
+        targets.filter((target) => target.includes('io_uring')),
+        [],
+      );
     });
   });
 
@@ -190,7 +290,11 @@
     const { sessionId } = await stream();
     const positions = chatPrompt(PROMPT).split(/\s+/).length + TOKENS - 1;
     for (const engine of engines) {
-      const runs = (await engine.get('/record')) as unknown as readonly { session: string; fromPosition: number; toPosition: number }[];
+      const runs = (await engine.get('/record')) as unknown as readonly {
+        session: string;
+        fromPosition: number;
+        toPosition: number;
+      }[];
       const ofSession = runs.filter(({ session }) => session === sessionId);
       let next = 0;
       ofSession.forEach(({ fromPosition, toPosition }) => {
--- a/packages/bench/__tests__/requestFaults.spec.ts
+++ b/packages/bench/__tests__/requestFaults.spec.ts
@@ -18,7 +18,9 @@
   before(async () => {
     deployment = await startReady(3, 2);
     services = await Promise.all(
-      ['service-1', 'service-2'].map((name) => deployment.startService({ name, service: SERVICE, announceIntervalMs: 300 })),
+      ['service-1', 'service-2'].map((name) =>
+        deployment.startService({ name, service: SERVICE, announceIntervalMs: 300 }),
+      ),
     );
     await waitForBackendServers(deployment, 2);
   });
@@ -27,14 +29,21 @@
 
   async function executions(key: string): Promise<number> {
     const counts = await Promise.all(services.map((service) => service.get('/-/executions')));
-    return counts.reduce<number>((sum, one) => sum + ((one as Readonly<Record<string, number>>)[key] ?? 0), 0);
+    return counts.reduce<number>(
+      (sum, one) => sum + ((one as Readonly<Record<string, number>>)[key] ?? 0),
+      0,
+    );
   }
 
   function setFaults(faults: object): Promise<unknown> {
     return Promise.all(services.map((service) => service.post('/-/faults', faults as never)));
   }
 
-  async function call(key: string, vm = 3, headers: Readonly<Record<string, string>> = {}): Promise<Answer> {
+  async function call(
+    key: string,
+    vm = 3,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<Answer> {
     const answer = await callService({
       address: deployment.addresses[vm] ?? '',
       token: KALAHARI_TOKEN,
@@ -42,17 +51,27 @@
       path: '/charge',
       headers: { 'idempotency-key': key, ...headers },
     });
-    const body = JSON.parse(answer.body.toString('utf8')) as { served?: string; error?: { code: string; outcome: string } };
+    const body = JSON.parse(answer.body.toString('utf8')) as {
+      served?: string;
+      error?: { code: string; outcome: string };
+    };
     return { status: answer.status, served: body.served, ...body.error };
   }
 
   it('run once when they are sent through two entry VMs at once', async () => {
     await setFaults({ durationMs: 100, failure: 'none' });
-    const answers = await Promise.all([call('twice', 3), call('twice', 4), call('twice', 3), call('twice', 4)]);
+    const answers = await Promise.all([
+      call('twice', 3),
+      call('twice', 4),
+      call('twice', 3),
+      call('twice', 4),
+    ]);
     assert.equal(await executions('twice'), 1);
     answers
       .filter(({ status }) => status !== 200)
-      .forEach(({ code, outcome }) => assert.deepEqual([code, outcome], ['already-running', 'unknown']));
+      .forEach(({ code, outcome }) =>
+        assert.deepEqual([code, outcome], ['already-running', 'unknown']),
+      );
     const later = await call('twice', 4);
     assert.equal(later.status, 200);
     assert.equal(await executions('twice'), 1);
@@ -122,7 +141,10 @@
     assert.deepEqual([status, outcome], [503, 'not-run']);
     assert.equal(await executions('no-quorum'), 0);
     controls.forEach((vmId) => deployment.vm(vmId).process.signal('SIGCONT'));
-    await waitUntil('the key, perhaps claimed, was given back', async () => (await call('no-quorum', 4)).status === 200);
+    await waitUntil(
+      'the key, perhaps claimed, was given back',
+      async () => (await call('no-quorum', 4)).status === 200,
+    );
     assert.equal(await executions('no-quorum'), 1);
   });
 
@@ -148,32 +170,73 @@
   after(() => deployment.stop());
 
   it('of a backend server ends new work there, and loses none', async () => {
-    const leaving = await deployment.startService({ name: 'leaving', service: SERVICE, announceIntervalMs: 300, durationMs: 20 });
-    await deployment.startService({ name: 'staying', service: SERVICE, announceIntervalMs: 300, durationMs: 20 });
+    const leaving = await deployment.startService({
+      name: 'leaving',
+      service: SERVICE,
+      announceIntervalMs: 300,
+      durationMs: 20,
+    });
+    await deployment.startService({
+      name: 'staying',
+      service: SERVICE,
+      announceIntervalMs: 300,
+      durationMs: 20,
+    });
     await waitForBackendServers(deployment, 2);
     const call = async (key: string) =>
-      (await callService({ address: deployment.addresses[1] ?? '', token: KALAHARI_TOKEN, service: SERVICE, headers: { 'idempotency-key': key } })).status;
-    const during = Promise.all(Array.from({ length: 20 }, (_unused, index) => call(`during-${index}`)));
+      (
+        await callService({
+          address: deployment.addresses[1] ?? '',
+          token: KALAHARI_TOKEN,
+          service: SERVICE,
+          headers: { 'idempotency-key': key },
+        })
+      ).status;
+    const during = Promise.all(
+      Array.from({ length: 20 }, (_unused, index) => call(`during-${index}`)),
+    );
     await leaving.process.end('SIGTERM');
     assert.ok((await during).every((status) => status === 200 || status === 502));
     await waitForBackendServers(deployment, 1);
-    const after = await Promise.all(Array.from({ length: 20 }, (_unused, index) => call(`after-${index}`)));
+    const after = await Promise.all(
+      Array.from({ length: 20 }, (_unused, index) => call(`after-${index}`)),
+    );
     assert.ok(after.every((status) => status === 200));
   });
 
   it('of an entry VM interrupts no request, and refuses new ones as not run', async () => {
-    const service = await deployment.startService({ name: 'slow', service: SERVICE, announceIntervalMs: 300, durationMs: 1500 });
+    const service = await deployment.startService({
+      name: 'slow',
+      service: SERVICE,
+      announceIntervalMs: 300,
+      durationMs: 1500,
+    });
     await waitForBackendServers(deployment, 2);
     const address = deployment.addresses[2] ?? '';
-    const call = (key: string) => callService({ address, token: KALAHARI_TOKEN, service: SERVICE, headers: { 'idempotency-key': key } });
+    const call = (key: string) =>
+      callService({
+        address,
+        token: KALAHARI_TOKEN,
+        service: SERVICE,
+        headers: { 'idempotency-key': key },
+      });
     const running = Array.from({ length: 6 }, (_unused, index) => call(`running-${index}`));
-    await waitUntil('a slow one runs', async () => Object.keys((await service.get('/-/executions')) as object).length > 0);
+    await waitUntil(
+      'a slow one runs',
+      async () => Object.keys((await service.get('/-/executions')) as object).length > 0,
+    );
     const { process } = deployment.vm('vm3');
     process.signal('SIGTERM');
     await waitUntil('new requests are refused', async () => {
       const answer = await call('new');
-      const { error } = JSON.parse(answer.body.toString('utf8')) as { error?: { code: string; outcome: string; addresses: readonly string[] } };
-      return error?.code === 'shutting-down' && error.outcome === 'not-run' && error.addresses.length === 2;
+      const { error } = JSON.parse(answer.body.toString('utf8')) as {
+        error?: { code: string; outcome: string; addresses: readonly string[] };
+      };
+      return (
+        error?.code === 'shutting-down' &&
+        error.outcome === 'not-run' &&
+        error.addresses.length === 2
+      );
     });
     const answers = await Promise.all(running);
     assert.deepEqual([...new Set(answers.map(({ status }) => status))], [200]);
--- a/packages/bench/__tests__/sessionFaults.spec.ts
+++ b/packages/bench/__tests__/sessionFaults.spec.ts
@@ -3,7 +3,14 @@
 import { expectedAnswer } from '@spoolplank/fakes';
 import { chatPrompt, streamCompletion, waitUntil } from '../index';
 import type { Deployment, RunningFake, StreamedAnswer } from '../index';
-import { KALAHARI_TOKEN, LAYERS, MODEL, startEngines, startReady, waitForBackendServers } from './fixtures';
+import {
+  KALAHARI_TOKEN,
+  LAYERS,
+  MODEL,
+  startEngines,
+  startReady,
+  waitForBackendServers,
+} from './fixtures';
 
 const PROMPT = 'summarise the permit of the quarry';
 const TOKENS = 60;
@@ -38,9 +45,13 @@
 
   /** The engine of a part of the layers that works for the newest session. */
   async function findWorking(part: number): Promise<RunningFake> {
-    const candidates = engines.filter(({ name, process }) => name.startsWith(`engine-${part}`) && process.isRunning);
+    const candidates = engines.filter(
+      ({ name, process }) => name.startsWith(`engine-${part}`) && process.isRunning,
+    );
     const counts = await Promise.all(
-      candidates.map(async (engine) => ((await engine.get('/totals')) as { sessions: number }).sessions),
+      candidates.map(
+        async (engine) => ((await engine.get('/totals')) as { sessions: number }).sessions,
+      ),
     );
     return candidates[counts.indexOf(Math.max(...counts))] ?? (candidates[0] as RunningFake);
   }
@@ -128,7 +139,10 @@
     const answer = await stream();
     assert.equal(answer.text, EXPECTED);
     const runs = (await liar.get('/record')) as unknown as readonly Run[];
-    assert.ok(runs.some(({ session }) => session === answer.sessionId), 'the liar was asked first');
+    assert.ok(
+      runs.some(({ session }) => session === answer.sessionId),
+      'the liar was asked first',
+    );
     await liar.process.end('SIGTERM');
     await waitForBackendServers(deployment, 6);
   });
@@ -152,7 +166,11 @@
     assert.equal(text, EXPECTED);
     assert.equal(rest.isWhole, true);
     deployment.restart('vm5');
-    await waitUntil('vm5 is back', async () => ((await deployment.operatorGet('vm5', '/v1/status')) as { isTaking: boolean }).isTaking);
+    await waitUntil(
+      'vm5 is back',
+      async () =>
+        ((await deployment.operatorGet('vm5', '/v1/status')) as { isTaking: boolean }).isTaking,
+    );
   });
 
   it('gets a final answer that it can be resumed after, when no engine is left, and resumes', async () => {
--- a/packages/cli/__tests__/decisions.spec.ts
+++ b/packages/cli/__tests__/decisions.spec.ts
@@ -18,20 +18,35 @@
 
   it('founds a group only when every other one is blank too', () => {
     const step = decideBootstrap({ self: 'vm1#x', others: [blank('vm2#y'), blank('vm3#z')] });
-    assert.deepEqual(step, { kind: 'found', configuration: { voters: ['vm1#x', 'vm2#y', 'vm3#z'], learners: [] } });
+    assert.deepEqual(step, {
+      kind: 'found',
+      configuration: { voters: ['vm1#x', 'vm2#y', 'vm3#z'], learners: [] },
+    });
   });
 
   it('waits for one that does not answer, which may hold everything', () => {
-    assert.equal(decideBootstrap({ self: 'vm1#x', others: [blank('vm2#y'), undefined] }).kind, 'wait');
+    assert.equal(
+      decideBootstrap({ self: 'vm1#x', others: [blank('vm2#y'), undefined] }).kind,
+      'wait',
+    );
   });
 
   it('leaves it to one of them to found the group', () => {
-    assert.equal(decideBootstrap({ self: 'vm2#y', others: [blank('vm1#x'), blank('vm3#z')] }).kind, 'wait');
+    assert.equal(
+      decideBootstrap({ self: 'vm2#y', others: [blank('vm1#x'), blank('vm3#z')] }).kind,
+      'wait',
+    );
   });
 
   it('joins a group that does not know this life of its disk, and takes part in one that does', () => {
-    assert.equal(decideBootstrap({ self: 'vm1#new', others: [member('vm2#b'), undefined] }).kind, 'join');
-    assert.equal(decideBootstrap({ self: 'vm1#a', others: [member('vm2#b'), blank('vm3#z')] }).kind, 'take-part');
+    assert.equal(
+      decideBootstrap({ self: 'vm1#new', others: [member('vm2#b'), undefined] }).kind,
+      'join',
+    );
+    assert.equal(
+      decideBootstrap({ self: 'vm1#a', others: [member('vm2#b'), blank('vm3#z')] }).kind,
+      'take-part',
+    );
   });
 });
 
@@ -53,12 +68,21 @@
   }
 
   it('goes step by step: out with the lost identity, in as a learner, then a voter', () => {
-    assert.deepEqual(decideRepair(status(GROUP), 'vm1#new'), { kind: 'remove', replicaId: 'vm1#a' });
+    assert.deepEqual(decideRepair(status(GROUP), 'vm1#new'), {
+      kind: 'remove',
+      replicaId: 'vm1#a',
+    });
     const two = { voters: ['vm2#b', 'vm3#c'], learners: [] };
-    assert.deepEqual(decideRepair(status(two), 'vm1#new'), { kind: 'add-learner', replicaId: 'vm1#new' });
+    assert.deepEqual(decideRepair(status(two), 'vm1#new'), {
+      kind: 'add-learner',
+      replicaId: 'vm1#new',
+    });
     const learning = { ...two, learners: ['vm1#new'] };
     assert.equal(decideRepair(status(learning, 10), 'vm1#new'), null, 'it has to catch up first');
-    assert.deepEqual(decideRepair(status(learning, 99), 'vm1#new'), { kind: 'promote', replicaId: 'vm1#new' });
+    assert.deepEqual(decideRepair(status(learning, 99), 'vm1#new'), {
+      kind: 'promote',
+      replicaId: 'vm1#new',
+    });
   });
 });
 
@@ -66,11 +90,24 @@
   it('counts a VM as silent only after its lease must have run out', () => {
     const clock = createManualClock();
     const tracker = createReachTracker(clock, 3000, ['vm1', 'vm2', 'vm3']);
-    tracker.note([{ vmId: 'vm1', version: 5 }, { vmId: 'vm2', version: 4 }]);
-    assert.deepEqual(tracker.reach(5), { version: 5, reached: ['vm1'], pending: ['vm2', 'vm3'], silent: [] });
+    tracker.note([
+      { vmId: 'vm1', version: 5 },
+      { vmId: 'vm2', version: 4 },
+    ]);
+    assert.deepEqual(tracker.reach(5), {
+      version: 5,
+      reached: ['vm1'],
+      pending: ['vm2', 'vm3'],
+      silent: [],
+    });
     clock.advance(3001);
     tracker.note([{ vmId: 'vm2', version: 4 }]);
-    assert.deepEqual(tracker.reach(5), { version: 5, reached: ['vm1'], pending: ['vm2'], silent: ['vm3'] });
+    assert.deepEqual(tracker.reach(5), {
+      version: 5,
+      reached: ['vm1'],
+      pending: ['vm2'],
+      silent: ['vm3'],
+    });
   });
 });
 
@@ -138,7 +175,14 @@
 describe('headers', () => {
   it('of one connection, and ours, are not passed on from a caller', () => {
     const copied = copyRequestHeaders(
-      { connection: 'close, x-hop', 'x-hop': '1', 'x-kept': '2', authorization: 'Bearer t', 'spoolplank-organisation': 'forged', te: 'trailers' },
+      {
+        connection: 'close, x-hop',
+        'x-hop': '1',
+        'x-kept': '2',
+        authorization: 'Bearer t',
+        'spoolplank-organisation': 'forged',
+        te: 'trailers',
+      },
       { 'spoolplank-organisation': 'real' },
     );
     assert.deepEqual(copied, { 'x-kept': '2', 'spoolplank-organisation': 'real' });
--- a/packages/cli/src/entry/dispatchPlain.ts
+++ b/packages/cli/src/entry/dispatchPlain.ts
@@ -91,6 +91,22 @@
   }
 }
 
+/** Picks a backend server, one that this request has not been to while there is such a one. */
+function selectTarget(
+  context: EntryContext,
+  { service }: CallerRequest,
+  excluded: ReadonlySet<string>,
+): Announcement | undefined {
+  const { clock, random, loads, settings } = context;
+  const announced = listBackendServers(context);
+  const select = (without: ReadonlySet<string>) => {
+    const { dataCentre } = settings.vm;
+    const request = { service, dataCentre, excluded: without, nowMs: clock.nowMs() };
+    return selectBackendServer(announced, request, loads, random);
+  };
+  return select(excluded) ?? select(new Set());
+}
+
 /** The worst that may be true of a request after all its attempts. */
 function worse(a: Outcome, b: Outcome): Outcome {
   return a === 'not-run' ? b : a;
@@ -104,7 +120,7 @@
  */
 export async function dispatchPlain(context: EntryContext, call: PlainCall): Promise<HttpAnswer> {
   const { caller } = call;
-  const { retryBudget, clock, random, loads, metrics, settings } = context;
+  const { retryBudget, clock, metrics } = context;
   const excluded = new Set<string>();
   let outcome: Outcome = 'not-run';
   let lastError: SpoolplankError | undefined;
@@ -113,13 +129,7 @@
     if (clock.nowMs() >= deadlineOf(caller)) {
       throw new SpoolplankError('deadline-exceeded', { outcome, cause: lastError });
     }
-    const selection = {
-      service: caller.service,
-      dataCentre: settings.vm.dataCentre,
-      excluded,
-      nowMs: clock.nowMs(),
-    };
-    const target = selectBackendServer(listBackendServers(context), selection, loads, random);
+    const target = selectTarget(context, caller, excluded);
     if (!target) break;
     try {
       return await attemptCounted(context, call, target);
--- a/packages/cli/src/entry/sessionDriver.ts
+++ b/packages/cli/src/entry/sessionDriver.ts
@@ -1,4 +1,5 @@
 /** Drives a session over chains of engines until its answer is whole. */
+import type { Announcement } from '@spoolplank/membership';
 import { findLineageProblem, selectChain } from '@spoolplank/routing';
 import type { Chain } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
@@ -46,19 +47,48 @@
   });
 }
 
-async function findChain(options: DriveOptions, excluded: ReadonlySet<string>): Promise<Chain> {
+/** An engine that failed this session. */
+interface Blame {
+  /** The run of the engine that failed; the next one is not to blame. */
+  readonly incarnation: number;
+  /** Whether it gave no answer at all, or was only part of a chain that failed. */
+  readonly isSilent: boolean;
+}
+
+type Blames = ReadonlyMap<string, Blame>;
+
+function listExcluded(
+  announced: readonly Announcement[],
+  blames: Blames,
+  isStrict: boolean,
+): ReadonlySet<string> {
+  const isExcluded = ({ name, incarnation }: Announcement) => {
+    const blame = blames.get(name);
+    return blame?.incarnation === incarnation && (isStrict || blame.isSilent);
+  };
+  return new Set(announced.filter(isExcluded).map(({ name }) => name));
+}
+
+async function findChain(options: DriveOptions, blames: Blames): Promise<Chain> {
   const { context, record, layers, signal } = options;
   const untilMs = context.clock.nowMs() + NO_CHAIN_WAIT_MS;
   for (;;) {
-    const request = {
-      model: record.request.model,
-      layers,
-      version: record.version,
-      excluded,
-      dataCentre: context.settings.vm.dataCentre,
-      nowMs: context.clock.nowMs(),
-    };
-    const chain = selectChain(listBackendServers(context), request, context.loads);
+    const announced = listBackendServers(context);
+    const select = (isStrict: boolean) =>
+      selectChain(
+        announced,
+        {
+          model: record.request.model,
+          layers,
+          version: record.version,
+          excluded: listExcluded(announced, blames, isStrict),
+          dataCentre: context.settings.vm.dataCentre,
+          nowMs: context.clock.nowMs(),
+        },
+        context.loads,
+      );
+    // Better a chain with a part that is only under suspicion than none.
+    const chain = select(true) ?? select(false);
     if (chain) return chain;
     // With nothing sent yet the caller is better off elsewhere than waiting here.
     const canWait = record.tokens.length > 0 && context.clock.nowMs() < untilMs && !signal.aborted;
@@ -187,12 +217,23 @@
   }
 }
 
-async function blameFor(failure: AttemptFailure, chain: Chain): Promise<readonly string[]> {
-  if (failure.blamed.length > 0) return failure.blamed;
+async function blameFor(
+  failure: AttemptFailure,
+  chain: Chain,
+  context: EntryContext,
+): Promise<ReadonlyMap<string, Blame>> {
   const silent = await findSilentStages(chain.stages);
-  if (silent.length > 0) return silent.map(({ name }) => name);
-  // Every stage answers: what lies between them must be at fault, so none of it is kept.
-  return chain.stages.map(({ name }) => name);
+  const silentNames = silent.map(({ name }) => name);
+  const known = [...new Set([...failure.blamed, ...silentNames])];
+  // When every stage answers, what lies between them must be at fault, so none of it is kept.
+  const names = known.length > 0 ? known : chain.stages.map(({ name }) => name);
+  return new Map(
+    names.map((name) => {
+      const row = context.directorySync.directory.findLive(name);
+      const incarnation = row?.announcement.incarnation ?? 0;
+      return [name, { incarnation, isSilent: silentNames.includes(name) }];
+    }),
+  );
 }
 
 /**
@@ -203,29 +244,29 @@
 export async function driveSession(options: DriveOptions): Promise<void> {
   const { context, record, replication, signal } = options;
   const { metrics, logger } = context;
-  const excluded = new Set<string>();
+  const blames = new Map<string, Blame>();
   for (
     let tries = 1;
     !signal.aborted && record.tokens.length < record.request.maxTokens;
     tries += 1
   ) {
-    const chain = await findChain(options, excluded);
+    const chain = await findChain(options, blames);
     record.attempt += 1;
     record.version = chain.version;
     replication.note(record);
     const failure = await runAttempt(options, chain);
     if (!failure) break;
     const failedAtMs = context.clock.nowMs();
-    const blamed = await blameFor(failure, chain);
-    if (tries % FORGIVE_AFTER_ATTEMPTS === 0) excluded.clear();
-    blamed.forEach((name) => excluded.add(name));
+    const blamed = await blameFor(failure, chain, context);
+    if (tries % FORGIVE_AFTER_ATTEMPTS === 0) blames.clear();
+    blamed.forEach((blame, name) => blames.set(name, blame));
     metrics.count('spoolplank_session_moves_total');
     metrics.observe('spoolplank_session_blame_ms', context.clock.nowMs() - failedAtMs);
     logger.warn('session-moved', {
       session: record.id,
       attempt: record.attempt,
       reason: failure.reason,
-      blamed: blamed.join(','),
+      blamed: [...blamed.keys()].join(','),
     });
   }
   if (signal.aborted) return;
--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -96,13 +96,15 @@
     const stage = hop.stages[stageIndex];
     if (!stage)
       throw new SpoolplankError('bad-request', { detail: `There is no stage ${stageIndex}.` });
-    const known = links.get(stage.name);
+    // By address: an engine that was restarted has another one under the same name.
+    const address = `${stage.host}:${stage.port}`;
+    const known = links.get(address);
     if (known) return known;
     const link = createHopLink(stage, () => ({
       delayMs: faults.linkDelayMs,
       bytesPerS: faults.linkBytesPerS,
     }));
-    links.set(stage.name, link);
+    links.set(address, link);
     return link;
   }
 
--- a/packages/membership/__tests__/directory.spec.ts
+++ b/packages/membership/__tests__/directory.spec.ts
@@ -24,12 +24,16 @@
 
 function createFixture() {
   const clock = createManualClock();
-  const create = (instance: string): Directory => createDirectory({ clock, instance, ttlMs: TTL_MS });
+  const create = (instance: string): Directory =>
+    createDirectory({ clock, instance, ttlMs: TTL_MS });
   return { clock, registrar: create('registrar'), entry: create('entry') };
 }
 
 /** Passes on what the registrar knows, asked for now and answered after a while. */
-function pull({ clock, registrar, entry }: ReturnType<typeof createFixture>, answeredAfterMs = 0): void {
+function pull(
+  { clock, registrar, entry }: ReturnType<typeof createFixture>,
+  answeredAfterMs = 0,
+): void {
   const askedAtMs = clock.nowMs();
   const delta = registrar.deltaSince('', 0);
   clock.advance(answeredAfterMs);
@@ -90,7 +94,11 @@
     registrar.announce(announcement({ incarnation: 2, sequence: 1 }));
     assert.ok(registrar.findLive('s1'));
     registrar.announce(announcement({ incarnation: 1, sequence: 10 }));
-    assert.equal(registrar.findLive('s1')?.announcement.incarnation, 2, 'the old process is not heard');
+    assert.equal(
+      registrar.findLive('s1')?.announcement.incarnation,
+      2,
+      'the old process is not heard',
+    );
   });
 
   it('passes on loads without the body that the other VM has', () => {
--- a/packages/node/__tests__/peerRpc.spec.ts
+++ b/packages/node/__tests__/peerRpc.spec.ts
@@ -54,7 +54,11 @@
   });
 
   it('carries an error with its code, outcome and time', async () => {
-    await assert.rejects(createClient('d', KEY).call(target(), 'fail', {}), { code: 'overloaded', outcome: 'not-run', retryAfterMs: 70 });
+    await assert.rejects(createClient('d', KEY).call(target(), 'fail', {}), {
+      code: 'overloaded',
+      outcome: 'not-run',
+      retryAfterMs: 70,
+    });
   });
 
   it('refuses and counts messages with another key, of another deployment, and for another VM', async () => {
@@ -70,12 +74,21 @@
 
   it('says of a peer that is not there that nothing was run', async () => {
     const nobody = { vmId: 'vm2', host: '127.0.0.1', port: 1 };
-    await assert.rejects(createClient('d', KEY).call(nobody, 'echo', {}), { code: 'unreachable', outcome: 'not-run' });
+    await assert.rejects(createClient('d', KEY).call(nobody, 'echo', {}), {
+      code: 'unreachable',
+      outcome: 'not-run',
+    });
   });
 
   it('refuses a body that was changed on its way, and one that is no request', async () => {
     const post = (body: string) =>
-      callHttp({ endpoint: target(), method: 'POST', path: '/rpc', body, headers: { 'spoolplank-deployment': 'd', 'spoolplank-vm': 'vm1', 'spoolplank-to': 'vm2' } });
+      callHttp({
+        endpoint: target(),
+        method: 'POST',
+        path: '/rpc',
+        body,
+        headers: { 'spoolplank-deployment': 'd', 'spoolplank-vm': 'vm1', 'spoolplank-to': 'vm2' },
+      });
     assert.equal((await post('{"jsonrpc":"2.0"}')).status, 403);
     assert.equal((await post('not json')).status, 403);
   });
--- a/packages/routing/__tests__/routing.spec.ts
+++ b/packages/routing/__tests__/routing.spec.ts
@@ -30,7 +30,12 @@
   };
 }
 
-function engine(name: string, firstLayer: number, lastLayer: number, overrides: Partial<EngineDescription> = {}): Announcement {
+function engine(
+  name: string,
+  firstLayer: number,
+  lastLayer: number,
+  overrides: Partial<EngineDescription> = {},
+): Announcement {
   const description: EngineDescription = {
     model: 'm',
     version: 'v1',
@@ -61,7 +66,10 @@
       engine('whole', 0, 9, { stepBaseMs: 40 }),
     ];
     const chain = selectChain(engines, chainRequest(), createBackendLoadTable());
-    assert.deepEqual(chain?.stages.map(({ name }) => name), ['a', 'b']);
+    assert.deepEqual(
+      chain?.stages.map(({ name }) => name),
+      ['a', 'b'],
+    );
   });
 
   it('finds none when a layer is missing, and none that overlaps', () => {
@@ -78,9 +86,16 @@
 
   it('counts a slow link, and goes another way round it', () => {
     const links = [{ to: 'b', delayMs: 100, bytesPerS: 1e9 }];
-    const engines = [engine('a', 0, 4, { links }), engine('b', 5, 9), engine('c', 5, 9, { stepBaseMs: 20 })];
+    const engines = [
+      engine('a', 0, 4, { links }),
+      engine('b', 5, 9),
+      engine('c', 5, 9, { stepBaseMs: 20 }),
+    ];
     const chain = selectChain(engines, chainRequest(), createBackendLoadTable());
-    assert.deepEqual(chain?.stages.map(({ name }) => name), ['a', 'c']);
+    assert.deepEqual(
+      chain?.stages.map(({ name }) => name),
+      ['a', 'c'],
+    );
   });
 
   it('spreads sessions over equal chains by what this VM has sent itself', () => {
@@ -119,7 +134,10 @@
     };
     const all = [server('a'), server('b'), server('c')];
     fail('a');
-    assert.deepEqual(loads.withoutEjected(all, 1).map(({ name }) => name), ['b', 'c']);
+    assert.deepEqual(
+      loads.withoutEjected(all, 1).map(({ name }) => name),
+      ['b', 'c'],
+    );
     assert.equal(loads.withoutEjected(all, 6000).length, 3, 'it is tried again after a while');
     fail('b');
     assert.equal(loads.withoutEjected(all, 1).length, 3);
@@ -127,7 +145,8 @@
 
   it('forgives failures of an earlier incarnation', () => {
     const loads = createBackendLoadTable();
-    for (let times = 0; times < 3; times += 1) loads.finish('a', { isFailure: true, durationMs: 1, nowMs: 0 });
+    for (let times = 0; times < 3; times += 1)
+      loads.finish('a', { isFailure: true, durationMs: 1, nowMs: 0 });
     loads.report(server('a', { incarnation: 2 }));
     assert.equal(loads.withoutEjected([server('a'), server('b')], 1).length, 2);
   });
@@ -137,19 +156,38 @@
   it('prefers the less loaded of two, and the nearer one', () => {
     const loads = createBackendLoadTable();
     const random = createSeededRandom(1);
-    const request = { service: 'bookings', dataCentre: 'dc1', excluded: new Set<string>(), nowMs: 0 };
+    const request = {
+      service: 'bookings',
+      dataCentre: 'dc1',
+      excluded: new Set<string>(),
+      nowMs: 0,
+    };
     const busy = server('busy', { load: { running: 9, queued: 0 } });
     loads.report(busy);
     for (let times = 0; times < 20; times += 1) {
-      assert.equal(selectBackendServer([busy, server('idle')], request, loads, random)?.name, 'idle');
-      assert.equal(selectBackendServer([server('near'), server('far', { dataCentre: 'dc2' })], request, loads, random)?.name, 'near');
+      assert.equal(
+        selectBackendServer([busy, server('idle')], request, loads, random)?.name,
+        'idle',
+      );
+      assert.equal(
+        selectBackendServer(
+          [server('near'), server('far', { dataCentre: 'dc2' })],
+          request,
+          loads,
+          random,
+        )?.name,
+        'near',
+      );
     }
   });
 
   it('goes nowhere twice for one request, and nowhere that does not serve it', () => {
     const request = { service: 'bookings', dataCentre: 'dc1', excluded: new Set(['a']), nowMs: 0 };
     const candidates = [server('a'), server('b', { services: ['other'] })];
-    assert.equal(selectBackendServer(candidates, request, createBackendLoadTable(), createSeededRandom(1)), undefined);
+    assert.equal(
+      selectBackendServer(candidates, request, createBackendLoadTable(), createSeededRandom(1)),
+      undefined,
+    );
   });
 });
 
@@ -158,8 +196,17 @@
     { name: 'a', host: '', port: 1, firstLayer: 0, lastLayer: 4 },
     { name: 'b', host: '', port: 2, firstLayer: 5, lastLayer: 9 },
   ];
-  const mark = (name: string, firstLayer: number, lastLayer: number) => ({ engine: name, firstLayer, lastLayer });
-  const token = (position: number, lineage: TokenEvent['lineage']): TokenEvent => ({ position, tokenId: 1, text: '', lineage });
+  const mark = (name: string, firstLayer: number, lastLayer: number) => ({
+    engine: name,
+    firstLayer,
+    lastLayer,
+  });
+  const token = (position: number, lineage: TokenEvent['lineage']): TokenEvent => ({
+    position,
+    tokenId: 1,
+    text: '',
+    lineage,
+  });
   const good = [mark('a', 0, 4), mark('b', 5, 9)];
 
   it('is sound when every layer ran once, in order, at the next position', () => {
@@ -176,18 +223,30 @@
       [token(3, [mark('a', 0, 3), mark('b', 5, 9)]), 'layer-gap'],
       [token(3, [mark('a', 0, 4), mark('b', 5, 8)]), 'layer-gap'],
     ];
-    cases.forEach(([event, problem]) => assert.equal(findLineageProblem(event, 3, stages, 10), problem));
+    cases.forEach(([event, problem]) =>
+      assert.equal(findLineageProblem(event, 3, stages, 10), problem),
+    );
   });
 });
 
 describe('fair queue', () => {
   const run = () => Promise.resolve();
 
-  function drain(queue: FairQueue, owners: ReadonlyMap<() => Promise<unknown>, string>, count: number): readonly string[] {
+  function drain(
+    queue: FairQueue,
+    owners: ReadonlyMap<() => Promise<unknown>, string>,
+    count: number,
+  ): readonly string[] {
     return Array.from({ length: count }, () => owners.get(queue.dequeue() ?? run) ?? '');
   }
 
-  function enqueue(queue: FairQueue, owners: Map<() => Promise<unknown>, string>, organisation: string, count: number, weight = 1): void {
+  function enqueue(
+    queue: FairQueue,
+    owners: Map<() => Promise<unknown>, string>,
+    organisation: string,
+    count: number,
+    weight = 1,
+  ): void {
     for (let item = 0; item < count; item += 1) {
       const task = () => Promise.resolve();
       owners.set(task, organisation);
@@ -224,7 +283,10 @@
   it('passes over an organisation that has no room, and stays within p-queue', async () => {
     let isBlocked = true;
     const done: string[] = [];
-    const queue = new PQueue<FairQueue, FairQueueOptions>({ concurrency: 1, queueClass: createFairQueueClass((organisation) => organisation !== 'full' || !isBlocked) });
+    const queue = new PQueue<FairQueue, FairQueueOptions>({
+      concurrency: 1,
+      queueClass: createFairQueueClass((organisation) => organisation !== 'full' || !isBlocked),
+    });
     const task = (name: string) => () => Promise.resolve(done.push(name));
     await queue.add(task('first'), { organisation: 'other' });
     const blocked = queue.add(task('full'), { organisation: 'full' });
@@ -237,13 +299,23 @@
   });
 
   it('lets go of a request that was given up in the queue', async () => {
-    const queue = new PQueue<FairQueue, FairQueueOptions>({ concurrency: 1, queueClass: createFairQueueClass(() => true) });
+    const queue = new PQueue<FairQueue, FairQueueOptions>({
+      concurrency: 1,
+      queueClass: createFairQueueClass(() => true),
+    });
     let release = () => {};
-    const running = queue.add(() => new Promise<void>((resolve) => {
-      release = resolve;
-    }), {});
+    const running = queue.add(
+      () =>
+        new Promise<void>((resolve) => {
+          release = resolve;
+        }),
+      {},
+    );
     const controller = new AbortController();
-    const waiting = queue.add(() => Promise.reject(new Error('it ran')), { id: 'w', signal: controller.signal });
+    const waiting = queue.add(() => Promise.reject(new Error('it ran')), {
+      id: 'w',
+      signal: controller.signal,
+    });
     controller.abort(new Error('given up'));
     await assert.rejects(waiting, /given up/);
     assert.equal(queue.size, 0);
@@ -253,14 +325,19 @@
 });
 
 describe('admission', () => {
-  const branch = (maxInFlight: number, maxQueueLength: number) => [{ pointer: '/organisations/a', policy: { maxInFlight, maxQueueLength } }];
+  const branch = (maxInFlight: number, maxQueueLength: number) => [
+    { pointer: '/organisations/a', policy: { maxInFlight, maxQueueLength } },
+  ];
 
   it('refuses at once, as not run and with a time, what the queue cannot hold', () => {
     const admission = createAdmission();
     admission.admit(branch(1, 1));
     admission.admit(branch(1, 1));
-    assert.throws(() => admission.admit(branch(1, 1)), (error: { code: string; outcome: string; retryAfterMs: number }) =>
-      error.code === 'overloaded' && error.outcome === 'not-run' && error.retryAfterMs > 0);
+    assert.throws(
+      () => admission.admit(branch(1, 1)),
+      (error: { code: string; outcome: string; retryAfterMs: number }) =>
+        error.code === 'overloaded' && error.outcome === 'not-run' && error.retryAfterMs > 0,
+    );
   });
 
   it('gives places back once, however often a request ends', () => {
--- a/packages/settings/__tests__/settings.spec.ts
+++ b/packages/settings/__tests__/settings.spec.ts
@@ -2,24 +2,49 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import { formatFindings } from '@spoolplank/shared';
-import { applyEdits, collectEditFindings, collectTreeFindings, collectVmFindings, DEFAULT_POLICY, parseJson, resolvePolicy } from '../index';
+import {
+  applyEdits,
+  collectEditFindings,
+  collectTreeFindings,
+  collectVmFindings,
+  DEFAULT_POLICY,
+  parseJson,
+  resolvePolicy,
+} from '../index';
 import type { SettingsTree, VmSettings } from '../index';
 
 const TREE: SettingsTree = {
   policy: { priority: 4, deadlineMs: 9000 },
   services: {
-    drafts: { kind: 'model', layers: 12, policy: { maxInFlight: 40 }, pipelines: { main: { policy: { maxRetries: 1 } } } },
+    drafts: {
+      kind: 'model',
+      layers: 12,
+      policy: { maxInFlight: 40 },
+      pipelines: { main: { policy: { maxRetries: 1 } } },
+    },
   },
   organisations: {
     acme: {
       policy: { priority: 7 },
-      services: { drafts: { policy: { weight: 3 }, pipelines: { main: { backendServers: { e1: { policy: { weight: 9 } } } } } } },
+      services: {
+        drafts: {
+          policy: { weight: 3 },
+          pipelines: { main: { backendServers: { e1: { policy: { weight: 9 } } } } },
+        },
+      },
     },
   },
 };
 
 function createVmSettings(): VmSettings {
-  const vm = { vmId: 'vm1', dataCentre: 'dc1', host: '127.0.0.1', callerPort: 1, peerPort: 2, roles: ['entry', 'control'] as const };
+  const vm = {
+    vmId: 'vm1',
+    dataCentre: 'dc1',
+    host: '127.0.0.1',
+    callerPort: 1,
+    peerPort: 2,
+    roles: ['entry', 'control'] as const,
+  };
   return {
     deployment: 'd',
     vm,
@@ -35,15 +60,21 @@
   it('takes each value from the nearest branch that sets it, and says which', () => {
     const path = { organisation: 'acme', service: 'drafts', pipeline: 'main', backendServer: 'e1' };
     const { policy, origins } = resolvePolicy(TREE, path);
-    assert.deepEqual(
-      [policy.priority, origins.priority],
-      [7, '/organisations/acme'],
-    );
+    assert.deepEqual([policy.priority, origins.priority], [7, '/organisations/acme']);
     assert.deepEqual([policy.deadlineMs, origins.deadlineMs], [9000, '/']);
     assert.deepEqual([policy.maxInFlight, origins.maxInFlight], [40, '/services/drafts']);
-    assert.deepEqual([policy.maxRetries, origins.maxRetries], [1, '/services/drafts/pipelines/main']);
-    assert.deepEqual([policy.weight, origins.weight], [9, '/organisations/acme/services/drafts/pipelines/main/backendServers/e1']);
-    assert.deepEqual([policy.maxQueueLength, origins.maxQueueLength], [DEFAULT_POLICY.maxQueueLength, 'default']);
+    assert.deepEqual(
+      [policy.maxRetries, origins.maxRetries],
+      [1, '/services/drafts/pipelines/main'],
+    );
+    assert.deepEqual(
+      [policy.weight, origins.weight],
+      [9, '/organisations/acme/services/drafts/pipelines/main/backendServers/e1'],
+    );
+    assert.deepEqual(
+      [policy.maxQueueLength, origins.maxQueueLength],
+      [DEFAULT_POLICY.maxQueueLength, 'default'],
+    );
   });
 
   it('changes below a branch only what that branch sets', () => {
@@ -62,7 +93,10 @@
   });
 
   it('remove a place that has no value, and nothing else', () => {
-    const after = applyEdits(TREE, [{ pointer: '/organisations/acme' }, { pointer: '/organisations/nobody/policy' }]);
+    const after = applyEdits(TREE, [
+      { pointer: '/organisations/acme' },
+      { pointer: '/organisations/nobody/policy' },
+    ]);
     assert.deepEqual(after.organisations, {});
     assert.equal(after.policy, TREE.policy);
   });
@@ -73,10 +107,14 @@
   });
 
   it('give the same tree for the same edits, whatever they are', () => {
-    const edit = fc.record({ pointer: fc.constantFrom('', '/policy', '/policy/weight', '/a~1b', '/services/x/y'), value: fc.jsonValue() });
+    const edit = fc.record({
+      pointer: fc.constantFrom('', '/policy', '/policy/weight', '/a~1b', '/services/x/y'),
+      value: fc.jsonValue(),
+    });
     fc.assert(
       fc.property(fc.array(edit, { maxLength: 6 }), (edits) => {
-        const apply = () => JSON.stringify(applyEdits(TREE, edits as Parameters<typeof applyEdits>[1]));
+        const apply = () =>
+          JSON.stringify(applyEdits(TREE, edits as Parameters<typeof applyEdits>[1]));
         assert.equal(apply(), apply());
       }),
       { seed: 1, numRuns: 500 },
@@ -100,7 +138,10 @@
   });
 
   it('name a service that an organisation uses and nobody defines', () => {
-    const findings = collectTreeFindings({ organisations: { acme: { services: { drafts: {} } } } }, 't');
+    const findings = collectTreeFindings(
+      { organisations: { acme: { services: { drafts: {} } } } },
+      't',
+    );
     assert.equal(findings[0]?.pointer, '/organisations/acme/services/drafts');
   });
 
@@ -113,12 +154,20 @@
     const { dataFolder, ...noFolder } = createVmSettings();
     assert.equal(dataFolder, '/data');
     assert.equal(collectVmFindings(noFolder, 'vm.json')[0]?.pointer, '/dataFolder');
-    const wrong = { ...createVmSettings(), sharedKey: 'short', extra: 1, vm: { ...createVmSettings().vm, host: 'name.example' } };
+    const wrong = {
+      ...createVmSettings(),
+      sharedKey: 'short',
+      extra: 1,
+      vm: { ...createVmSettings().vm, host: 'name.example' },
+    };
     const pointers = collectVmFindings(wrong, 'vm.json').map(({ pointer }) => pointer);
     assert.deepEqual(pointers.sort(), ['/extra', '/sharedKey', '/vm/host']);
   });
 
   it('give line and column of what is not JSON', () => {
-    assert.throws(() => parseJson('{\n  "a": 1,\n  oops\n}', 'f.json'), { code: 'invalid-settings', message: /f.json: line 3, column 3/ });
+    assert.throws(() => parseJson('{\n  "a": 1,\n  oops\n}', 'f.json'), {
+      code: 'invalid-settings',
+      message: /f.json: line 3, column 3/,
+    });
   });
 });
