--- /dev/null
+++ b/packages/bench/src/benches/recoveryControl.ts
@@ -0,0 +1,124 @@
+/** From the death of the leader to the next accepted change; and starting from a long log. */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createControlState, createLogClock } from '@spoolplank/control';
+import type { ControlState } from '@spoolplank/control';
+import { createFileStorage, SYSTEM_CLOCK } from '@spoolplank/node';
+import type { LogEntry } from '@spoolplank/consensus';
+import type { JsonValue } from '@spoolplank/shared';
+import { waitUntil } from '../childProcess';
+import type { Deployment } from '../deployment';
+import type { Figure } from '../figures';
+import { fitLine, percentile } from '../statistics';
+import { withDeployment } from './setting';
+
+const ROUNDS = 8;
+const LOG_SIZES = [100, 1000, 5000] as const;
+const ORGANISATIONS = 500;
+
+async function findLeader(deployment: Deployment): Promise<string> {
+  let leader = '';
+  await waitUntil('there is a leader', async () => {
+    for (const { vmId, process } of deployment.vms) {
+      if (process.isRunning) {
+        const { control } = (await deployment.operatorGet(vmId, '/v1/dump')) as {
+          control: { replica: { role: string; isLeaseValid: boolean } | null } | null;
+        };
+        if (control?.replica?.role === 'leader' && control.replica.isLeaseValid) leader = vmId;
+      }
+    }
+    return leader !== '';
+  });
+  return leader;
+}
+
+async function measureFailover(): Promise<readonly number[]> {
+  return withDeployment(3, 1, async (deployment) => {
+    const durationsMs: number[] = [];
+    let { version } = (await deployment.operatorGet('vm4', '/v1/config')) as { version: number };
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const leader = await findLeader(deployment);
+      await deployment.vm(leader).process.end('SIGKILL');
+      const killedMs = performance.now();
+      const change = {
+        changeId: `round-${round}`,
+        baseVersion: version,
+        edits: [{ pointer: '/policy/maxRetries', value: 1 }],
+      };
+      await waitUntil('a change is accepted', async () => {
+        const { json } = await deployment.operatorPost('vm4', '/v1/config/changes', change);
+        return (json as { status?: string }).status === 'accepted';
+      });
+      durationsMs.push(performance.now() - killedMs);
+      version += 1;
+      deployment.restart(leader);
+      await deployment.waitUntilTaking();
+    }
+    return durationsMs;
+  });
+}
+
+function createState(): ControlState {
+  return createControlState({ logClock: createLogClock(SYSTEM_CLOCK) });
+}
+
+function settingsEntry(index: number): LogEntry {
+  const command = {
+    kind: 'settings.change',
+    changeId: `change-${index}`,
+    baseVersion: index - 2,
+    edits: [
+      { pointer: `/organisations/o${index % ORGANISATIONS}/policy`, value: { maxInFlight: index } },
+    ],
+    author: 'operator',
+    wallMs: 0,
+    logTimeMs: index,
+  };
+  return { index, term: 1, payload: { kind: 'command', command: command as unknown as JsonValue } };
+}
+
+/** Time from opening the folder to the state being there again. */
+async function measureRestart(changes: number): Promise<number> {
+  const folder = mkdtempSync(join(tmpdir(), 'spoolplank-restart-'));
+  const writer = createFileStorage({ folder });
+  await writer.load();
+  await writer.installSnapshot(
+    { index: 1, term: 0, configuration: { voters: ['a'], learners: [] } },
+    '',
+  );
+  const entries = Array.from({ length: changes }, (_unused, offset) => settingsEntry(offset + 2));
+  await writer.save({ hardState: { term: 1, votedFor: 'a' }, entries });
+  const startedMs = performance.now();
+  const stored = await createFileStorage({ folder }).load();
+  const state = createState();
+  stored.entries.forEach(({ payload }) => {
+    if (payload.kind === 'command') state.apply(payload.command);
+  });
+  const durationMs = performance.now() - startedMs;
+  rmSync(folder, { recursive: true });
+  if (state.settings.version !== changes)
+    throw new Error(`${state.settings.version} of ${changes} changes came back`);
+  return durationMs;
+}
+
+export async function recoveryControlBench(): Promise<readonly Figure[]> {
+  const restarts: { readonly x: number; readonly y: number }[] = [];
+  for (const size of LOG_SIZES) restarts.push({ x: size, y: await measureRestart(size) });
+  const failovers = await measureFailover();
+  return [
+    { metric: 'leader-killed-to-accepted-p50', value: percentile(failovers, 0.5), unit: 'ms' },
+    {
+      metric: 'leader-killed-to-accepted-p99',
+      value: percentile(failovers, 0.99),
+      unit: 'ms',
+      bound: { atMost: 8000 },
+    },
+    ...restarts.map(({ x, y }): Figure => ({
+      metric: `restart-after-${x}-changes`,
+      value: y,
+      unit: 'ms',
+    })),
+    { metric: 'restart-slope', value: fitLine(restarts).slope * 1000, unit: 'ms/1000 changes' },
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/benches/setting.ts
@@ -0,0 +1,90 @@
+/** What several benchmarks set up alike. */
+import type { FakeEngineOptions } from '@spoolplank/fakes';
+import { digestToken } from '@spoolplank/node';
+import type { SettingsTree } from '@spoolplank/settings';
+import { waitUntil } from '../childProcess';
+import { planVms, startDeployment } from '../deployment';
+import type { Deployment, DeploymentOptions } from '../deployment';
+
+export const BENCH_MODEL = 'drafts';
+export const BENCH_SERVICE = 'bookings';
+export const BENCH_LAYERS = 12;
+export const BENCH_TOKEN = 'token-of-the-bench';
+
+const TREE: SettingsTree = {
+  policy: { maxInFlight: 5000, maxQueueLength: 5000 },
+  services: {
+    [BENCH_MODEL]: { kind: 'model', layers: BENCH_LAYERS },
+    [BENCH_SERVICE]: { kind: 'plain' },
+  },
+  organisations: {
+    bench: {
+      tokenDigests: [digestToken(BENCH_TOKEN)],
+      services: { [BENCH_MODEL]: {}, [BENCH_SERVICE]: {} },
+    },
+  },
+};
+
+/** Runs with a deployment that takes requests, and stops it in the end. */
+export async function withDeployment<Result>(
+  controls: number,
+  entries: number,
+  run: (deployment: Deployment) => Promise<Result>,
+  options: Partial<DeploymentOptions> = {},
+): Promise<Result> {
+  const deployment = await startDeployment({
+    vms: planVms(controls, entries, ['dc1']),
+    ...options,
+  });
+  try {
+    await deployment.waitUntilTaking();
+    await deployment.setTree(TREE);
+    return await run(deployment);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** Resolves when every VM sees that many live backend servers. */
+export async function waitForBackends(deployment: Deployment, count: number): Promise<void> {
+  const knowsAll = async (vmId: string) => {
+    const status = (await deployment.operatorGet(vmId, '/v1/status')) as {
+      backendServers: readonly { state: string }[];
+    };
+    return status.backendServers.filter(({ state }) => state === 'ready').length === count;
+  };
+  await Promise.all(
+    deployment.vms.map(({ vmId }) => waitUntil(`${vmId} knows ${count}`, () => knowsAll(vmId))),
+  );
+}
+
+/** Engines that hold the model in equal parts, several of each part. */
+export function planEngines(
+  parts: number,
+  copies: number,
+  options: Partial<FakeEngineOptions> = {},
+): readonly (Partial<FakeEngineOptions> & { readonly name: string })[] {
+  const size = BENCH_LAYERS / parts;
+  return Array.from({ length: parts * copies }, (_unused, index) => {
+    const part = index % parts;
+    return {
+      name: `engine-${part}-${Math.floor(index / parts)}`,
+      model: BENCH_MODEL,
+      layers: BENCH_LAYERS,
+      firstLayer: part * size,
+      lastLayer: (part + 1) * size - 1,
+      ...options,
+    };
+  });
+}
+
+/** Reads a metric of a VM; 0 when it has none of that name. */
+export async function readMetric(
+  deployment: Deployment,
+  vmId: string,
+  name: string,
+): Promise<number> {
+  const text = await deployment.operatorText(vmId, '/metrics');
+  const line = text.split('\n').find((candidate) => candidate.startsWith(`${name} `));
+  return Number(line?.split(' ')[1] ?? 0);
+}
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import type { FakeEngineOptions, FakeServiceOptions } from '@spoolplank/fakes';
-import { callJson, digestToken } from '@spoolplank/node';
+import { callHttp, callJson, digestToken } from '@spoolplank/node';
 import type { Role, SettingsTree, Timings, VmAddress, VmSettings } from '@spoolplank/settings';
 import type { JsonValue } from '@spoolplank/shared';
 import { findFreePorts, startProcess, waitUntil } from './childProcess';
@@ -54,6 +54,8 @@
     vmId?: string,
   ): Promise<{ readonly code: number | null; readonly output: string; readonly errors: string }>;
   operatorGet(vmId: string, path: string): Promise<JsonValue>;
+  /** The text of an answer that is not JSON, such as the metrics. */
+  operatorText(vmId: string, path: string): Promise<string>;
   operatorPost(
     vmId: string,
     path: string,
@@ -228,6 +230,15 @@
       return { code, output: lines.join('\n'), errors: started.readLog() };
     },
     operatorGet: async (vmId, path) => (await callOperator(vmId, 'GET', path)).json,
+    async operatorText(vmId, path) {
+      const answer = await callHttp({
+        endpoint: { host: HOST, port: vm(vmId).address.callerPort },
+        method: 'GET',
+        path,
+        headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+      });
+      return answer.body.toString('utf8');
+    },
     operatorPost: (vmId, path, json) => callOperator(vmId, 'POST', path, json),
     async waitUntilTaking() {
       for (const candidate of vms.filter(({ process: { isRunning } }) => isRunning)) {
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,55 @@
+/** `npm run --silent bench -- NAME [NAME ...]`: one JSON line a figure; exit 1 past a bound. */
+import { claimsBench } from './benches/claims';
+import { configBench } from './benches/config';
+import { costBench } from './benches/cost';
+import { recoveryBench } from './benches/recovery';
+import { recoveryControlBench } from './benches/recoveryControl';
+import { relayBench } from './benches/relay';
+import { stateBench } from './benches/state';
+import { thinBench } from './benches/thin';
+import { judge, readBaselines } from './figures';
+import type { Bench } from './figures';
+
+const BENCHES: Readonly<Record<string, Bench>> = {
+  thin: thinBench,
+  relay: relayBench,
+  config: configBench,
+  claims: claimsBench,
+  cost: costBench,
+  recovery: recoveryBench,
+  'recovery-control': recoveryControlBench,
+  state: stateBench,
+};
+
+async function main(): Promise<number> {
+  const asked = process.argv.slice(2);
+  const names = asked.includes('all') ? Object.keys(BENCHES) : asked;
+  const unknown = names.filter((name) => !Object.hasOwn(BENCHES, name));
+  if (names.length === 0 || unknown.length > 0) {
+    const known = [...Object.keys(BENCHES), 'all'].join(', ');
+    process.stderr.write(
+      `unknown benchmark: ${unknown.join(', ') || 'none given'}; one of ${known}\n`,
+    );
+    return 2;
+  }
+  const baselines = readBaselines();
+  let isOk = true;
+  for (const name of names) {
+    const figures = await BENCHES[name]?.();
+    figures?.forEach((figure) => {
+      const judged = judge(name, figure, baselines);
+      isOk &&= judged.ok;
+      process.stdout.write(`${JSON.stringify(judged)}\n`);
+    });
+  }
+  return isOk ? 0 : 1;
+}
+
+main()
+  .then((code) => process.exit(code))
+  .catch((error: unknown) => {
+    process.stderr.write(
+      `${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`,
+    );
+    process.exit(1);
+  });
--- a/packages/cli/index.ts
+++ b/packages/cli/index.ts
@@ -1,2 +1,3 @@
 export { createVmContext } from './src/vm/vmContext';
 export { startVm } from './src/vm/vm';
+export type { Vm } from './src/vm/vm';
--- a/packages/cli/src/entry/entryRole.ts
+++ b/packages/cli/src/entry/entryRole.ts
@@ -28,6 +28,7 @@
   /** Ends at once; returns how many requests were cut off. */
   stop(): Promise<number>;
   describe(): JsonValue;
+  settingsVersion(): number;
 }
 
 export interface EntryRoleOptions {
@@ -138,5 +139,6 @@
       return cut;
     },
     describe,
+    settingsVersion: () => mirror.version,
   };
 }
--- a/packages/cli/src/vm/vm.ts
+++ b/packages/cli/src/vm/vm.ts
@@ -11,6 +11,8 @@
 import { createVmContext } from './vmContext';
 
 export interface Vm {
+  /** Version of the settings in force here. */
+  settingsVersion(): number;
   /** Ends gracefully: resolves when every request has ended. */
   shutDown(): Promise<void>;
   /** Ends now; resolves with the number of requests that were cut off. */
@@ -84,6 +86,7 @@
   }
 
   return {
+    settingsVersion: () => entry.settingsVersion(),
     async shutDown() {
       logger.info('vm-shutting-down');
       await entry.drain();
--- a/packages/consensus/__tests__/schedules.ts
+++ b/packages/consensus/__tests__/schedules.ts
@@ -35,14 +35,18 @@
   }
 }
 
-/** A disk is taken only while the group can bear it: no other replica is missing or new. */
+/**
+ * A disk is taken only while the group can bear it: every replica is a voter, and the change
+ * of membership that made it one is committed. Before that the group may still consist of two,
+ * and the loss of one of them is more than any majority can make good.
+ */
 function wipeOne(cluster: MemoryCluster, node: Node): void {
-  const leader = cluster.leader();
-  const voters = leader?.replica?.status().configuration.voters ?? [];
+  const status = cluster.leader()?.replica?.status();
+  if (!status || !cluster.nodes.every(({ replica }) => replica)) return;
+  const { voters } = status.configuration;
   const isWhole =
     cluster.nodes.every(({ id }) => voters.includes(id)) && voters.length === cluster.nodes.length;
-  const hasSettled = (leader?.replica?.status().commitIndex ?? 0) >= cluster.ackedIndex;
-  if (isWhole && hasSettled && cluster.nodes.every(({ replica }) => replica)) cluster.wipe(node);
+  if (isWhole && status.commitIndex === status.lastIndex) cluster.wipe(node);
 }
 
 function proposeAtAny(cluster: MemoryCluster, node: Node): void {
--- a/packages/settings/__tests__/settings.spec.ts
+++ b/packages/settings/__tests__/settings.spec.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import { formatFindings } from '@spoolplank/shared';
@@ -9,6 +10,7 @@
   collectVmFindings,
   DEFAULT_POLICY,
   parseJson,
+  renderSettingsReference,
   resolvePolicy,
 } from '..';
 import type { SettingsTree, VmSettings } from '..';
@@ -171,3 +173,10 @@
     });
   });
 });
+
+describe('settings reference', () => {
+  it('is current; else run npm run reference', () => {
+    const page = readFileSync('docs/operators/settings-reference.md', 'utf8');
+    assert.equal(page, renderSettingsReference());
+  });
+});
--- a/packages/settings/index.ts
+++ b/packages/settings/index.ts
@@ -4,3 +4,4 @@
 export * from './src/tree';
 export * from './src/validation';
 export * from './src/vmSettings';
+export * from './src/reference';
