feat(entry): refuse at once what cannot be done in time, and shed by who had most

Requests waited up to 0.4 s of a deadline of 0.5 s, ran, and were late; and the one shared queue was full of the flooding organisation, so a small one beside it was refused (p99 500 ms, the deadline, against 26 ms alone). Ruled out: the fair queue itself, which serves a small organisation next once it is in. Change: the wait is estimated from the organisation's share of the slots and the mean run time; what would miss its deadline is refused at once with that time as Retry-After, before its body is read. A full shared queue turns away the newest request of whoever has most waiting for its weight. Golden files of four whole sessions, with and without an engine killed; benchmarks overload and throughput.

--- a/packages/bench/__tests__/controlFaults.spec.ts
+++ b/packages/bench/__tests__/controlFaults.spec.ts
@@ -2,6 +2,9 @@
 import { rmSync } from 'node:fs';
 import { afterEach, describe, it } from 'node:test';
 import { callJson } from '@spoolplank/node';
+import { startCutLink } from '@spoolplank/fakes';
+import type { CutLink } from '@spoolplank/fakes';
+import type { VmSettings } from '@spoolplank/settings';
 import type { JsonValue } from '@spoolplank/shared';
 import { waitUntil } from '..';
 import type { Deployment } from '..';
@@ -139,6 +142,53 @@
     await waitForVersion(2);
   });
 
+  it('stay in force while a control VM is cut off and when it comes back', async () => {
+    const links: CutLink[] = [];
+    // Every path to and from vm3 leads over a link that can be cut.
+    deployment = await startReady(3, 1, {
+      adjustAll: async (all) => {
+        const vm3 = all.find(({ vm }) => vm.vmId === 'vm3')?.vm;
+        assert.ok(vm3);
+        const link = await startCutLink({ target: { host: vm3.host, port: vm3.peerPort } });
+        links.push(link);
+        const toVm3 = (peers: VmSettings['peers']) =>
+          peers.map((peer) => (peer.vmId === 'vm3' ? { ...peer, peerPort: link.port } : peer));
+        const fromVm3 = async (peers: VmSettings['peers']) =>
+          Promise.all(
+            peers.map(async (peer) => {
+              const out = await startCutLink({ target: { host: peer.host, port: peer.peerPort } });
+              links.push(out);
+              return { ...peer, peerPort: out.port };
+            }),
+          );
+        return Promise.all(
+          all.map(async (settings) => ({
+            ...settings,
+            peers:
+              settings.vm.vmId === 'vm3' ? await fromVm3(settings.peers) : toVm3(settings.peers),
+          })),
+        );
+      },
+    });
+    try {
+      links.forEach((link) => link.setState('cut'));
+      await waitUntil(
+        'a change is accepted without vm3',
+        async () => (await change('vm4', 'c1', 1, 11)).status === 200,
+      );
+      await waitForVersion(2, ['vm1', 'vm2', 'vm4']);
+      await waitUntil('vm3 refuses requests', async () => {
+        const status = (await deployment.operatorGet('vm3', '/v1/status')) as { isTaking: boolean };
+        return !status.isTaking;
+      });
+      links.forEach((link) => link.setState('open'));
+      await waitForVersion(2);
+      assert.deepEqual((await change('vm3', 'c2', 2, 12)).json, { status: 'accepted', version: 3 });
+    } finally {
+      await Promise.all(links.map((link) => link.close()));
+    }
+  });
+
   it('come back after a restart of everything, after hundreds of changes', async () => {
     deployment = await startReady(3, 1);
     for (let version = 1; version <= 500; version += 1) {
--- /dev/null
+++ b/packages/bench/__tests__/golden.spec.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { expectedAnswer } from '@spoolplank/fakes';
+import { chatPrompt } from '..';
+import { GOLDEN_SCENARIOS, readGolden, startGoldenBench } from '../src/golden';
+import type { GoldenBench } from '../src/golden';
+import { LAYERS } from './fixtures';
+
+describe('a whole session', () => {
+  let bench: GoldenBench;
+
+  before(async () => {
+    bench = await startGoldenBench();
+  });
+
+  after(() => bench.stop());
+
+  Object.entries(GOLDEN_SCENARIOS).forEach(([name, scenario]) => {
+    it(`is as recorded: ${name}`, async () => {
+      assert.equal(await bench.record(name, 'none'), readGolden(name));
+    });
+
+    it(`was recorded right: ${name}`, () => {
+      const golden = readGolden(name);
+      assert.notEqual(golden, '');
+      if (scenario.kind === 'stream') {
+        const { prompt, maxTokens } = scenario;
+        assert.ok(
+          golden.includes(`answer:${expectedAnswer(chatPrompt(prompt), LAYERS, maxTokens)}\n`),
+        );
+        assert.ok(golden.includes('whole: true'));
+      }
+    });
+  });
+
+  it('is as recorded when an engine is killed in the middle of it', async () => {
+    assert.equal(await bench.record('quotation', 'engine-killed'), readGolden('quotation'));
+    assert.equal(await bench.record('refund-reply', 'engine-killed'), readGolden('refund-reply'));
+  });
+});
--- a/packages/bench/src/benches/state.ts
+++ b/packages/bench/src/benches/state.ts
@@ -1,6 +1,7 @@
 /** Memory and time of the state at the size that decides the design. */
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
+import { createSessionStore } from '@spoolplank/cli';
 import { createControlState, createLogClock } from '@spoolplank/control';
 import { createDirectory } from '@spoolplank/membership';
 import type { Announcement } from '@spoolplank/membership';
@@ -17,6 +18,9 @@
 const CLAIMS = 100_000;
 const ROWS = [100, 1000] as const;
 const CHOICES = 2000;
+const SESSIONS = 500;
+const SESSION_TOKENS = 500;
+const PROMPT_WORDS = 250;
 
 setFlagsFromString('--expose-gc');
 const collectGarbage = runInNewContext('gc') as () => void;
@@ -179,6 +183,32 @@
   ];
 }
 
+function measureSessions(): readonly Figure[] {
+  const { bytes, made: store } = measureHeap(() => {
+    const sessions = createSessionStore({ clock: SYSTEM_CLOCK });
+    for (let index = 0; index < SESSIONS; index += 1) {
+      const request = {
+        model: 'model-1',
+        prompt: `${index} `.repeat(PROMPT_WORDS),
+        maxTokens: SESSION_TOKENS,
+        priority: 5,
+        isChat: true,
+      };
+      const record = sessions.create(`session-${index}`, 'organisation-1', request);
+      for (let token = 0; token < SESSION_TOKENS; token += 1) {
+        record.tokens.push({ tokenId: token, text: ` word${token}` });
+      }
+    }
+    return sessions;
+  });
+  return [{ metric: 'session-500-tokens-heap', value: bytes / store.size / 1000, unit: 'KB' }];
+}
+
 export function stateBench(): Promise<readonly Figure[]> {
-  return Promise.resolve([...measureSettings(), ...measureClaims(), ...measureDirectory()]);
+  return Promise.resolve([
+    ...measureSettings(),
+    ...measureClaims(),
+    ...measureSessions(),
+    ...measureDirectory(),
+  ]);
 }
--- a/packages/bench/src/childProcess.ts
+++ b/packages/bench/src/childProcess.ts
@@ -3,7 +3,6 @@
 import type { ChildProcess } from 'node:child_process';
 import { createWriteStream, existsSync, readFileSync } from 'node:fs';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { delay } from '@spoolplank/node';
 
 export interface ManagedProcess {
@@ -69,28 +68,29 @@
   };
 }
 
+/** Below the range from which outgoing connections take their ports, so that none takes ours. */
+const PORT_RANGE = { from: 10_000, count: 20_000 };
+/** Keeps scripts that run side by side apart. */
+const PORT_STRIDE = 97;
+
+let nextPort = (process.pid * PORT_STRIDE) % PORT_RANGE.count;
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
 /** Ports that are free now, each different. */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve, reject) => {
-          const server = createServer();
-          server.once('error', reject);
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise((resolve) => {
-          server.close(resolve);
-        }),
-    ),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = PORT_RANGE.from + nextPort;
+    nextPort = (nextPort + 1) % PORT_RANGE.count;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -24,6 +24,8 @@
   readonly timings?: Partial<Timings>;
   /** Changes the settings of a VM before it starts, say to lead peers over a cuttable link. */
   readonly adjust?: (settings: VmSettings) => VmSettings;
+  /** The same for all VMs together, where it takes time. */
+  readonly adjustAll?: (settings: readonly VmSettings[]) => Promise<readonly VmSettings[]>;
 }
 
 export interface DeployedVm {
@@ -111,11 +113,7 @@
   const fakes: RunningFake[] = [];
   let commands = 0;
 
-  function writeSettings(address: VmAddress): {
-    readonly settingsFile: string;
-    readonly dataFolder: string;
-  } {
-    const dataFolder = join(folder, address.vmId);
+  function createSettings(address: VmAddress): VmSettings {
     const settings: VmSettings = {
       deployment: 'local',
       vm: address,
@@ -123,12 +121,10 @@
       operatorTokenDigest: digestToken(OPERATOR_TOKEN),
       backendServerTokenDigest: digestToken(BACKEND_SERVER_TOKEN),
       peers: addresses.filter(({ vmId }) => vmId !== address.vmId),
-      ...(address.roles.includes('control') ? { dataFolder } : {}),
+      ...(address.roles.includes('control') ? { dataFolder: join(folder, address.vmId) } : {}),
       ...(options.timings ? { timings: options.timings } : {}),
     };
-    const settingsFile = join(folder, `${address.vmId}.json`);
-    writeFileSync(settingsFile, JSON.stringify(options.adjust?.(settings) ?? settings, null, 2));
-    return { settingsFile, dataFolder };
+    return options.adjust?.(settings) ?? settings;
   }
 
   function startVmProcess({ vmId, roles }: VmAddress, settingsFile: string): ManagedProcess {
@@ -140,14 +136,18 @@
     });
   }
 
-  const vms = addresses.map((address): DeployedVm => {
-    const { settingsFile, dataFolder } = writeSettings(address);
+  const planned = addresses.map(createSettings);
+  const adjusted = (await options.adjustAll?.(planned)) ?? planned;
+  const vms = adjusted.map((settings): DeployedVm => {
+    const address = settings.vm;
+    const settingsFile = join(folder, `${address.vmId}.json`);
+    writeFileSync(settingsFile, JSON.stringify(settings, null, 2));
     return {
       vmId: address.vmId,
       address,
       callerAddress: `${HOST}:${address.callerPort}`,
       settingsFile,
-      dataFolder,
+      dataFolder: settings.dataFolder ?? join(folder, address.vmId),
       process: startVmProcess(address, settingsFile),
     };
   });
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,11 +2,13 @@
 import { claimsBench } from './benches/claims';
 import { configBench } from './benches/config';
 import { costBench } from './benches/cost';
+import { overloadBench } from './benches/overload';
 import { recoveryBench } from './benches/recovery';
 import { recoveryControlBench } from './benches/recoveryControl';
 import { relayBench } from './benches/relay';
 import { stateBench } from './benches/state';
 import { thinBench } from './benches/thin';
+import { throughputBench } from './benches/throughput';
 import { judge, readBaselines } from './figures';
 import type { Bench } from './figures';
 
@@ -16,6 +18,8 @@
   config: configBench,
   claims: claimsBench,
   cost: costBench,
+  overload: overloadBench,
+  throughput: throughputBench,
   recovery: recoveryBench,
   'recovery-control': recoveryControlBench,
   state: stateBench,
--- a/packages/cli/index.ts
+++ b/packages/cli/index.ts
@@ -1,3 +1,4 @@
 export { createVmContext } from './src/vm/vmContext';
 export { startVm } from './src/vm/vm';
 export type { Vm } from './src/vm/vm';
+export { createSessionStore } from './src/entry/sessionStore';
--- a/packages/cli/src/entry/plainService.ts
+++ b/packages/cli/src/entry/plainService.ts
@@ -146,6 +146,7 @@
     context.mirror,
     context.clock.nowMs(),
   );
+  context.gate.check(caller);
   const body = await readBody(request, caller.policy.maxBodyBytes);
   const call: PlainCall = {
     caller,
--- a/packages/fakes/src/plainService.ts
+++ b/packages/fakes/src/plainService.ts
@@ -1,5 +1,5 @@
 /** A stand-in for a plain service, which counts how often it ran for each idempotency key. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import {
   closeServer,
   delay,
@@ -70,6 +70,7 @@
   const waiting: (() => void)[] = [];
   let running = 0;
   let isLeaving = false;
+  let lastRequestMs = 0;
 
   async function takeSlot(): Promise<void> {
     if (running >= options.capacity) {
@@ -92,6 +93,7 @@
   }
 
   async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    lastRequestMs = performance.now();
     const body = await readBody(request, MAX_BODY_BYTES);
     const failure = takeFailure();
     if (failure === 'before') {
@@ -125,12 +127,35 @@
     sendJson(response, 200, answer);
   }
 
+  let server: Server;
+
+  const announcer = createAnnouncer({
+    ...options,
+    intervalMs: options.announceIntervalMs,
+    loadLagMs: 0,
+    describe: () => ({
+      name: options.name,
+      dataCentre: options.dataCentre,
+      host: options.host,
+      port: portOf(server),
+      state: isLeaving ? 'leaving' : 'ready',
+      services: [options.service],
+    }),
+    readLoad: () => ({ running, queued: waiting.length }),
+  });
+
   async function route(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/-/executions') {
       sendJson(response, 200, Object.fromEntries(executions));
     } else if (request.url === '/-/faults') {
       Object.assign(faults, parseJsonBody(await readBody(request, MAX_BODY_BYTES)));
       sendJson(response, 200, faults);
+    } else if (request.url === '/-/leave') {
+      isLeaving = true;
+      await announcer.announceNow();
+      sendJson(response, 200, { isLeaving });
+    } else if (request.url === '/-/totals') {
+      sendJson(response, 200, { lastRequestAgoMs: performance.now() - lastRequestMs });
     } else if (request.url?.startsWith('/-/')) {
       throw new SpoolplankError('not-found');
     } else {
@@ -138,7 +163,7 @@
     }
   }
 
-  const server = await listen({
+  server = await listen({
     host: options.host,
     port: options.port,
     onRequest(request, response) {
@@ -146,20 +171,6 @@
     },
   });
   const port = portOf(server);
-  const announcer = createAnnouncer({
-    ...options,
-    intervalMs: options.announceIntervalMs,
-    loadLagMs: 0,
-    describe: () => ({
-      name: options.name,
-      dataCentre: options.dataCentre,
-      host: options.host,
-      port,
-      state: isLeaving ? 'leaving' : 'ready',
-      services: [options.service],
-    }),
-    readLoad: () => ({ running, queued: waiting.length }),
-  });
   announcer.start();
 
   return {
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -35,6 +35,8 @@
    * @throws SpoolplankError `overloaded`, at once, with the time after which to try again.
    */
   admit(branches: readonly AdmissionBranch[]): AdmissionTicket;
+  /** The first branch whose limit is reached; undefined when a request would be admitted. */
+  findFull(branches: readonly AdmissionBranch[]): AdmissionBranch | undefined;
   /** Whether every branch has room for one more running request. */
   hasRoom(branches: readonly AdmissionBranch[]): boolean;
   counts(): readonly AdmissionCounts[];
@@ -108,6 +110,7 @@
         },
       };
     },
+    findFull: (branches) => branches.find(isFull),
     hasRoom: (branches) =>
       branches.every(({ pointer, policy }) => countOf(pointer).running < policy.maxInFlight),
     counts: () =>
--- a/packages/routing/src/fairQueue.ts
+++ b/packages/routing/src/fairQueue.ts
@@ -87,6 +87,39 @@
     this.#size += 1;
   }
 
+  /** Items of an organisation that wait. */
+  waitingOf(organisation: string): number {
+    return this.#lanes.get(organisation)?.items.length ?? 0;
+  }
+
+  /** Sum of the weights of organisations that wait. */
+  get activeWeight(): number {
+    return [...this.#lanes.values()].reduce(
+      (sum, { items, weight }) => sum + (items.length > 0 ? weight : 0),
+      0,
+    );
+  }
+
+  /**
+   * Whom to turn away so that a new item of an organisation can wait in a full queue: the
+   * newest of the lowest priority in the lane that is longest for its weight, if that is longer
+   * than the newcomer's own would be; else an item of the newcomer's own lane that has a
+   * lower priority. Undefined when the newcomer itself has to go.
+   */
+  findVictim(organisation: string, weight: number, priority: number): string | undefined {
+    let longest: Lane | undefined;
+    let longestShare = (this.waitingOf(organisation) + 1) / weight;
+    this.#lanes.forEach((lane) => {
+      const share = lane.items.length / lane.weight;
+      if (share <= longestShare) return;
+      longest = lane;
+      longestShare = share;
+    });
+    if (longest) return longest.items.at(-1)?.id;
+    const lowest = this.#lanes.get(organisation)?.items.at(-1);
+    return lowest && lowest.priority < priority ? lowest.id : undefined;
+  }
+
   dequeue(): RunFunction | undefined {
     const next = this.#nextLane();
     if (!next) return undefined;
@@ -146,10 +179,14 @@
 }
 
 /** Makes the class that `p-queue` instantiates, bound to limits of its own. */
-export function createFairQueueClass(hasRoom: HasRoom): new () => FairQueue {
+export function createFairQueueClass(
+  hasRoom: HasRoom,
+  onCreate: (queue: FairQueue) => void = () => {},
+): new () => FairQueue {
   return class extends FairQueue {
     constructor() {
       super(hasRoom);
+      onCreate(this);
     }
   };
 }
