--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,17 +1,11 @@
 /** The program `spoolplank`. Daemons take a short way that never loads the command line. */
 import { parseArgs } from 'node:util';
-import { setFlagsFromString } from 'node:v8';
 import type { Role } from '@spoolplank/settings';
 import { runVm } from './vm/runVm';
 
 // libuv may use io_uring for files; the platform does not allow it.
 process.env.UV_USE_IO_URING = '0';
 
-// A young generation of 16 MB a half is never needed here, but would be kept once used.
-setFlagsFromString('--max-semi-space-size=2');
-setFlagsFromString('--semi-space-growth-factor=1');
-setFlagsFromString('--optimize-for-size');
-
 const DAEMONS: ReadonlySet<string> = new Set<Role>(['entry', 'control']);
 
 /** The settings file when the arguments are plainly those of a daemon. */
