--- a/packages/cli/src/control/controlRole.ts
+++ b/packages/cli/src/control/controlRole.ts
@@ -17,18 +17,15 @@
 import type { JsonValue } from '@spoolplank/shared';
 import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
 import type { VmContext } from '../vm/vmContext';
-import { decideBootstrap } from './bootstrap';
 import type { GroupDescription } from './bootstrap';
+import { findGroup } from './findGroup';
 import { decideRepair } from './membershipRepair';
 import { createRaftTransport, vmOfReplica } from './raftTransport';
 import { collectChangeFindings, createReachTracker } from './settingsService';
 import type { ReachReport, SettingsPull, SettingsPullReply } from './settingsService';
 
 const GROUP = 'control';
-const BOOTSTRAP_RETRY_MS = 300;
 const REPAIR_INTERVAL_MS = 250;
-/** Place of the founding configuration, before the first elected term. */
-const FOUNDING_PLACE = { index: 1, term: 0 };
 
 /** A change as the operator's tool sends it. */
 export interface ChangeRequest {
@@ -219,14 +216,6 @@
     'control.status': () => status() as unknown as JsonValue,
   };
 
-  async function askOthers(): Promise<readonly (GroupDescription | undefined)[]> {
-    return Promise.all(
-      others.map((vm) =>
-        peers.call<GroupDescription>(toPeerTarget(vm), 'group.describe', {}).catch(() => undefined),
-      ),
-    );
-  }
-
   async function askToJoin(): Promise<void> {
     await Promise.all(
       others.map((vm) =>
@@ -235,27 +224,6 @@
     );
   }
 
-  async function bootstrap(): Promise<void> {
-    let lastReason = '';
-    for (;;) {
-      if (isStopped) return;
-      const step = decideBootstrap({ self: replicaId, others: await askOthers() });
-      if (step.kind === 'found') {
-        const { configuration } = step;
-        await storage.installSnapshot({ ...FOUNDING_PLACE, configuration }, '');
-        logger.info('group-founded', { voters: configuration.voters.join(',') });
-        return;
-      }
-      if (step.kind !== 'wait') {
-        logger.info('group-found', { step: step.kind });
-        return;
-      }
-      if (step.reason !== lastReason) logger.info('group-awaited', { reason: step.reason });
-      lastReason = step.reason;
-      await delay(BOOTSTRAP_RETRY_MS);
-    }
-  }
-
   async function repairMembership(): Promise<void> {
     const current = status();
     if (!current) return;
@@ -296,7 +264,7 @@
     async start() {
       const stored = await storage.load();
       const isBlank = stored.snapshot === null && stored.entries.length === 0;
-      if (isBlank) await bootstrap();
+      if (isBlank) await findGroup({ context, replicaId, storage, isStopped: () => isStopped });
       if (isStopped) return;
       await runner.start();
       isTakingPart = true;
--- a/packages/consensus/src/groupRunner.ts
+++ b/packages/consensus/src/groupRunner.ts
@@ -2,6 +2,9 @@
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { ConfigurationChange, ReplicaId } from './configuration';
 import type { LogEntry, Message, SnapshotMeta } from './messages';
+import { createProposalWaiters } from './proposalWaiters';
+import type { ProposalPlace } from './proposalWaiters';
+import { createReadyStore } from './readyStore';
 import { createReplica } from './replica';
 import type { Ready, Replica, ReplicaStatus } from './replica';
 import type { ReplicaTimings } from './replicaState';
@@ -61,13 +64,6 @@
   stop(): Promise<void>;
 }
 
-interface Waiter {
-  readonly term: number;
-  readonly resolve: (result: JsonValue) => void;
-  readonly reject: (error: SpoolplankError) => void;
-  readonly cancelTimer: () => void;
-}
-
 const DEFAULTS = {
   snapshotEveryEntries: 2000,
   keepEntries: 500,
@@ -76,8 +72,6 @@
   tickIntervalMs: 25,
 };
 
-const STORAGE_RETRY_MS = 1000;
-
 function hasWork({
   hardState,
   snapshot,
@@ -99,39 +93,19 @@
 export function createGroupRunner(options: GroupRunnerOptions): GroupRunner {
   const settings = { ...DEFAULTS, ...options };
   const { storage, stateMachine, clock, schedule } = settings;
-  const waiters = new Map<number, Waiter>();
+  const waiters = createProposalWaiters({ schedule, timeoutMs: settings.proposalTimeoutMs });
   let replica: Replica;
   let appliedIndex = 0;
   let appliedTerm = 0;
   let isStopped = false;
-  let storageError: SpoolplankError | null = null;
   let cancelTick = () => {};
   let pumping: Promise<void> | null = null;
-
-  function fail(index: number, error: SpoolplankError): void {
-    const waiter = waiters.get(index);
-    waiters.delete(index);
-    waiter?.cancelTimer();
-    waiter?.reject(error);
-  }
-
-  function settle({ index, term }: LogEntry, result: JsonValue): void {
-    const waiter = waiters.get(index);
-    if (!waiter) return;
-    if (waiter.term !== term) {
-      fail(
-        index,
-        new SpoolplankError('no-quorum', {
-          outcome: 'not-run',
-          detail: 'Another leader took over.',
-        }),
-      );
-      return;
-    }
-    waiters.delete(index);
-    waiter.cancelTimer();
-    waiter.resolve(result);
-  }
+  const readyStore = createReadyStore({
+    storage,
+    schedule,
+    isStopped: () => isStopped,
+    onStorageState: options.onStorageState,
+  });
 
   function applyCommitted(committed: readonly LogEntry[]): void {
     committed.forEach((entry) => {
@@ -139,7 +113,7 @@
         entry.payload.kind === 'command' ? stateMachine.apply(entry.payload.command) : null;
       appliedIndex = entry.index;
       appliedTerm = entry.term;
-      settle(entry, result);
+      waiters.settle(entry, result);
     });
     if (committed.length) options.onApplied?.();
   }
@@ -148,9 +122,7 @@
     stateMachine.restore(data);
     appliedIndex = meta.index;
     appliedTerm = meta.term;
-    [...waiters.keys()]
-      .filter((index) => index <= meta.index)
-      .forEach((index) => fail(index, new SpoolplankError('no-quorum')));
+    waiters.failUpTo(meta.index);
     options.onApplied?.();
   }
 
@@ -180,40 +152,6 @@
     replica.compact(base.index, meta);
   }
 
-  async function store(ready: Ready): Promise<void> {
-    if (ready.snapshot) await storage.installSnapshot(ready.snapshot.meta, ready.snapshot.data);
-    if (ready.hardState ?? ready.entries.length) {
-      await storage.save({ hardState: ready.hardState, entries: ready.entries });
-    }
-  }
-
-  function delay(durationMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      schedule(resolve, durationMs);
-    });
-  }
-
-  function noteStorage(error: SpoolplankError | null): void {
-    if (Boolean(error) !== Boolean(storageError)) settings.onStorageState?.(error);
-    storageError = error;
-  }
-
-  /** A full disk holds the replica still, with what it has in hand, until there is room. */
-  async function storeUntilDone(ready: Ready): Promise<void> {
-    for (;;) {
-      try {
-        await store(ready);
-        noteStorage(null);
-        return;
-      } catch (error) {
-        const known = toSpoolplankError(error);
-        if (known.code !== 'storage-full' || isStopped) throw known;
-        noteStorage(known);
-        await delay(STORAGE_RETRY_MS);
-      }
-    }
-  }
-
   /** Without room for a snapshot the log only grows longer; the next entries try again. */
   async function snapshotIfThereIsRoom(): Promise<void> {
     try {
@@ -227,7 +165,7 @@
 
   async function processReady(ready: Ready): Promise<void> {
     ready.earlyMessages.forEach(settings.send);
-    await storeUntilDone(ready);
+    await readyStore.store(ready);
     replica.onSaved(ready);
     await sendAll(ready.messages);
     if (ready.snapshot) restore(ready.snapshot.meta, ready.snapshot.data);
@@ -259,36 +197,22 @@
 
   function tick(): void {
     if (isStopped) return;
-    if (!storageError) replica.tick();
+    if (!readyStore.isFull) replica.tick();
     wake();
     cancelTick = schedule(tick, settings.tickIntervalMs);
   }
 
   function assertWritable(): void {
     if (isStopped) throw new SpoolplankError('shutting-down');
-    if (storageError) throw new SpoolplankError('storage-full');
+    if (readyStore.isFull) throw new SpoolplankError('storage-full');
   }
 
-  function waitFor(
-    place: { readonly index: number; readonly term: number } | null,
-  ): Promise<JsonValue> {
+  function waitFor(place: ProposalPlace | null): Promise<JsonValue> {
     if (!place) {
       const leaderId = replica.status().leaderId ?? undefined;
       return Promise.reject(new SpoolplankError('not-leader', { leaderId }));
     }
-    const { index, term } = place;
-    const waiting = new Promise<JsonValue>((resolve, reject) => {
-      const cancelTimer = schedule(
-        () => fail(index, new SpoolplankError('no-quorum')),
-        settings.proposalTimeoutMs,
-      );
-      waiters.set(index, {
-        term,
-        resolve,
-        reject,
-        cancelTimer,
-      });
-    });
+    const waiting = waiters.waitFor(place);
     // After the current turn, so that proposals made together share one write.
     queueMicrotask(wake);
     return waiting;
@@ -310,7 +234,7 @@
       tick();
     },
     receive(message) {
-      if (isStopped || storageError) return;
+      if (isStopped || readyStore.isFull) return;
       replica.receive(message);
       wake();
     },
@@ -324,7 +248,7 @@
     },
     canRead: () =>
       !isStopped &&
-      !storageError &&
+      !readyStore.isFull &&
       replica.canRead() &&
       replica.status().commitIndex <= appliedIndex,
     transferLeadership() {
@@ -337,7 +261,7 @@
       isStopped = true;
       cancelTick();
       await pumping;
-      [...waiters.keys()].forEach((index) => fail(index, new SpoolplankError('no-quorum')));
+      waiters.failUpTo(Number.POSITIVE_INFINITY);
     },
   };
 }
--- /dev/null
+++ b/packages/consensus/src/proposalWaiters.ts
@@ -0,0 +1,68 @@
+import { SpoolplankError } from '@spoolplank/shared';
+import type { JsonValue } from '@spoolplank/shared';
+import type { LogEntry } from './messages';
+
+/** Where a proposal stands in the log. */
+export interface ProposalPlace {
+  readonly index: number;
+  readonly term: number;
+}
+
+/** The callers that wait for their proposals to be applied. */
+export interface ProposalWaiters {
+  /** @throws SpoolplankError `no-quorum` when it takes too long; the outcome is unknown then. */
+  waitFor(place: ProposalPlace): Promise<JsonValue>;
+  /** Gives the result of an applied entry to who waits for it. */
+  settle(entry: LogEntry, result: JsonValue): void;
+  /** Tells those up to an index that what became of their proposals is not known. */
+  failUpTo(index: number): void;
+}
+
+export interface ProposalWaitersOptions {
+  readonly timeoutMs: number;
+  readonly schedule: (run: () => void, delayMs: number) => () => void;
+}
+
+interface Waiter {
+  readonly term: number;
+  readonly resolve: (result: JsonValue) => void;
+  readonly reject: (error: SpoolplankError) => void;
+  readonly cancelTimer: () => void;
+}
+
+export function createProposalWaiters(options: ProposalWaitersOptions): ProposalWaiters {
+  const { timeoutMs, schedule } = options;
+  const waiters = new Map<number, Waiter>();
+
+  function take(index: number): Waiter | undefined {
+    const waiter = waiters.get(index);
+    waiters.delete(index);
+    waiter?.cancelTimer();
+    return waiter;
+  }
+
+  function fail(index: number): void {
+    take(index)?.reject(new SpoolplankError('no-quorum'));
+  }
+
+  return {
+    waitFor: ({ index, term }) =>
+      new Promise((resolve, reject) => {
+        const cancelTimer = schedule(() => fail(index), timeoutMs);
+        waiters.set(index, { term, resolve, reject, cancelTimer });
+      }),
+    settle({ index, term }, result) {
+      const waiter = take(index);
+      if (!waiter) return;
+      if (waiter.term === term) {
+        waiter.resolve(result);
+        return;
+      }
+      const detail = 'Another leader took over.';
+      waiter.reject(new SpoolplankError('no-quorum', { outcome: 'not-run', detail }));
+    },
+    failUpTo(lastIndex) {
+      [...waiters.keys()].filter((index) => index <= lastIndex).forEach(fail);
+    },
+  };
+}
