--- a/packages/bench/__tests__/sessionFaults.spec.ts
+++ b/packages/bench/__tests__/sessionFaults.spec.ts
@@ -56,6 +56,12 @@
     return candidates[counts.indexOf(Math.max(...counts))] ?? (candidates[0] as RunningFake);
   }
 
+  /** How often sessions changed their chain, on the VM that drives them here. */
+  async function readMoves(): Promise<number> {
+    const text = await deployment.operatorText('vm4', '/metrics');
+    return Number(/^spoolplank_session_moves_total (\d+)$/m.exec(text)?.[1] ?? 0);
+  }
+
   async function startAgain(engine: RunningFake): Promise<void> {
     const part = Number(engine.name.split('-')[1]);
     const started = await deployment.startEngine({
@@ -126,6 +132,29 @@
     assert.equal((await stream()).text, EXPECTED);
   });
 
+  it('moves away from a link that has become slow, once, and gives its whole answer', async () => {
+    const long = 120;
+    let slowed: RunningFake | undefined;
+    const movesBefore = await readMoves();
+    const answer = await streamCompletion({
+      address: deployment.addresses[3] ?? '',
+      token: KALAHARI_TOKEN,
+      model: MODEL,
+      prompt: PROMPT,
+      maxTokens: long,
+      onToken(position) {
+        if (position !== 30) return;
+        void findWorking(1).then(async (engine) => {
+          slowed = engine;
+          await engine.post('/faults', { linkDelayMs: 150 });
+        });
+      },
+    });
+    assert.equal(answer.text, expectedAnswer(chatPrompt(PROMPT), LAYERS, long));
+    assert.equal((await readMoves()) - movesBefore, 1);
+    await slowed?.post('/faults', { linkDelayMs: 0.5 });
+  });
+
   it('sends on no token of an engine that leaves layers out', async () => {
     const [first] = engines;
     assert.ok(first);
--- a/packages/bench/src/figures.ts
+++ b/packages/bench/src/figures.ts
@@ -1,5 +1,5 @@
 /** The figures of a benchmark: their bounds, and the baseline they are compared with. */
-import { readFileSync } from 'node:fs';
+import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
 /** The side on which a figure must not leave its bound. */
@@ -35,6 +35,14 @@
   return JSON.parse(readFileSync(BASELINE_FILE, 'utf8')) as Baselines;
 }
 
+/** Adds figures to the stored baseline. */
+export function storeBaselines(figures: readonly JudgedFigure[]): void {
+  const added = figures.map(({ bench, metric, value }) => [baselineKey(bench, metric), value]);
+  const merged: Baselines = { ...readBaselines(), ...Object.fromEntries(added) };
+  const sorted = Object.entries(merged).sort(([a], [b]) => (a < b ? -1 : 1));
+  writeFileSync(BASELINE_FILE, `${JSON.stringify(Object.fromEntries(sorted), null, 2)}\n`);
+}
+
 export function isWithin(value: number, bound: Bound | undefined): boolean {
   if (bound === undefined) return true;
   return 'atMost' in bound ? value <= bound.atMost : value >= bound.atLeast;
--- a/packages/cli/__tests__/decisions.spec.ts
+++ b/packages/cli/__tests__/decisions.spec.ts
@@ -172,6 +172,25 @@
   });
 });
 
+describe('a chain that becomes slow', () => {
+  it('is told from one that was slow from the beginning', () => {
+    const clock = createManualClock();
+    const patience = createStagePatience({ clock, estimatedStepMs: 20, prefillTokens: 0 });
+    const takeTokens = (count: number, gapMs: number) => {
+      for (let tokens = 0; tokens < count; tokens += 1) {
+        clock.advance(gapMs);
+        patience.observe();
+      }
+    };
+    takeTokens(50, 60);
+    assert.equal(patience.degradedGapMs(), undefined, 'slower than estimated, but always so');
+    takeTokens(2, 200);
+    assert.equal(patience.degradedGapMs(), undefined, 'two late tokens are no trend');
+    takeTokens(20, 300);
+    assert.ok((patience.degradedGapMs() ?? 0) > 200);
+  });
+});
+
 describe('headers', () => {
   it('of one connection, and ours, are not passed on from a caller', () => {
     const copied = copyRequestHeaders(
--- a/packages/cli/src/entry/chainFinder.ts
+++ b/packages/cli/src/entry/chainFinder.ts
@@ -21,12 +21,16 @@
 export interface ChainFinder {
   /** The best chain there is now; undefined when layers are missing. */
   find(): Chain | undefined;
+  /** Whether a chain of other engines would take less than a share of an interval a token. */
+  hasQuicker(chain: Chain, gapMs: number): boolean;
   /** Notes why an attempt failed; returns the engines that are left out for it. */
   blame(failure: AttemptFailure, chain: Chain): Promise<readonly string[]>;
 }
 
 /** How long an engine that failed a session is left out of its chains. */
 const BLAME_DURATION_MS = 2000;
+/** A move costs a prefill, so another chain must promise this much less time a token. */
+const QUICKER_SHARE = 0.5;
 
 /** Creates the finder of one session. */
 export function createChainFinder(
@@ -43,25 +47,37 @@
     return isStrict || blame.isSilent;
   }
 
-  function findWithout(announced: readonly Announcement[], isStrict: boolean): Chain | undefined {
-    const left = announced.filter((announcement) => isExcluded(announcement, isStrict));
+  function findExcept(
+    announced: readonly Announcement[],
+    excluded: ReadonlySet<string>,
+  ): Chain | undefined {
     const request = {
       model: record.request.model,
       layers,
       version: record.version,
-      excluded: new Set(left.map(({ name }) => name)),
+      excluded,
       dataCentre: settings.vm.dataCentre,
       nowMs: clock.nowMs(),
     };
     return selectChain(announced, request, loads);
   }
 
+  function findWithout(announced: readonly Announcement[], isStrict: boolean): Chain | undefined {
+    const left = announced.filter((announcement) => isExcluded(announcement, isStrict));
+    return findExcept(announced, new Set(left.map(({ name }) => name)));
+  }
+
   return {
     find() {
       const announced = listBackendServers(context);
       // Better a chain with a part that is only under suspicion than none.
       return findWithout(announced, true) ?? findWithout(announced, false);
     },
+    hasQuicker(chain, gapMs) {
+      const used = new Set(chain.stages.map(({ name }) => name));
+      const other = findExcept(listBackendServers(context), used);
+      return other !== undefined && other.estimatedStepMs < gapMs * QUICKER_SHARE;
+    },
     async blame(failure, chain) {
       const silent = await findSilentStages(chain.stages);
       const silentNames = silent.map(({ name }) => name);
--- a/packages/cli/src/entry/sessionDriver.ts
+++ b/packages/cli/src/entry/sessionDriver.ts
@@ -25,6 +25,8 @@
 const NO_CHAIN_WAIT_MS = 8000;
 const NO_CHAIN_POLL_MS = 50;
 const RETRY_AFTER_MS = 2000;
+/** Least time between two moves away from slow chains, so that sessions do not wander. */
+const SLOW_MOVE_INTERVAL_MS = 5000;
 
 async function waitForChain(
   { context, record, signal }: DriveOptions,
@@ -47,7 +49,11 @@
   }
 }
 
-async function openAndRelay(options: DriveOptions, chain: Chain): Promise<AttemptFailure | null> {
+async function openAndRelay(
+  options: DriveOptions,
+  chain: Chain,
+  isBetterElsewhere: (gapMs: number) => boolean,
+): Promise<AttemptFailure | null> {
   const { context, record, replication, layers, sink, signal } = options;
   let stream: EngineStream;
   try {
@@ -58,19 +64,33 @@
   }
   const onProgress = () => replication.note(record);
   try {
-    return await relayTokens({ context, record, layers, chain, stream, sink, signal, onProgress });
+    return await relayTokens({
+      context,
+      record,
+      layers,
+      chain,
+      stream,
+      sink,
+      signal,
+      onProgress,
+      isBetterElsewhere,
+    });
   } finally {
     stream.cancel();
   }
 }
 
-async function runAttempt(options: DriveOptions, chain: Chain): Promise<AttemptFailure | null> {
+async function runAttempt(
+  options: DriveOptions,
+  chain: Chain,
+  isBetterElsewhere: (gapMs: number) => boolean,
+): Promise<AttemptFailure | null> {
   const { loads, clock } = options.context;
   const startedMs = clock.nowMs();
   chain.stages.forEach(({ name }) => loads.start(name));
   let failure: AttemptFailure | null = null;
   try {
-    failure = await openAndRelay(options, chain);
+    failure = await openAndRelay(options, chain, isBetterElsewhere);
     return failure;
   } finally {
     const nowMs = clock.nowMs();
@@ -91,12 +111,19 @@
   const { context, record, layers, replication, signal } = options;
   const { metrics, logger, clock } = context;
   const finder = createChainFinder(context, record, layers);
+  let lastSlowMoveMs = Number.NEGATIVE_INFINITY;
   while (!signal.aborted && record.tokens.length < record.request.maxTokens) {
     const chain = await waitForChain(options, finder);
     record.attempt += 1;
     record.version = chain.version;
     replication.note(record);
-    const failure = await runAttempt(options, chain);
+    const isBetterElsewhere = (gapMs: number) => {
+      const isSettled = clock.nowMs() - lastSlowMoveMs > SLOW_MOVE_INTERVAL_MS;
+      const shouldMove = isSettled && finder.hasQuicker(chain, gapMs);
+      if (shouldMove) lastSlowMoveMs = clock.nowMs();
+      return shouldMove;
+    };
+    const failure = await runAttempt(options, chain, isBetterElsewhere);
     if (!failure) break;
     const failedAtMs = clock.nowMs();
     const blamed = await finder.blame(failure, chain);
--- a/packages/cli/src/entry/tokenRelay.ts
+++ b/packages/cli/src/entry/tokenRelay.ts
@@ -32,6 +32,8 @@
   readonly signal: AbortSignal;
   /** Told after the record has grown. */
   readonly onProgress: () => void;
+  /** Whether another chain promises to be much quicker than tokens at this interval. */
+  readonly isBetterElsewhere: (gapMs: number) => boolean;
 }
 
 type TokenLine = Extract<StreamLine, { readonly kind: 'token' }>;
@@ -43,6 +45,7 @@
 /** Relays until the answer is whole or the caller has gone (null), or the attempt fails. */
 export function relayTokens(options: TokenRelayOptions): Promise<AttemptFailure | null> {
   const { context, record, layers, chain, stream, sink, signal, onProgress } = options;
+  const { isBetterElsewhere } = options;
   const { clock, metrics } = context;
   const prefillTokens = record.request.prompt.length / CHARACTERS_PER_TOKEN + record.tokens.length;
   const { estimatedStepMs } = chain;
@@ -124,6 +127,11 @@
         finish(null);
         return;
       }
+      const degradedGapMs = patience.degradedGapMs();
+      if (degradedGapMs !== undefined && !isHeldByCaller && isBetterElsewhere(degradedGapMs)) {
+        finish({ reason: 'the chain has become slow', blamed: [] });
+        return;
+      }
       const nowMs = clock.nowMs();
       if (isHeldByCaller || isProbing || nowMs < patience.suspectAtMs()) return;
       if (!hasProbed) probe().catch(reject);
