--- a/packages/cli/src/entry/sessionDriver.ts
+++ b/packages/cli/src/entry/sessionDriver.ts
@@ -2,6 +2,7 @@
 import { delay } from '@spoolplank/node';
 import type { Chain } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { Clock } from '@spoolplank/shared';
 import { createChainFinder } from './chainFinder';
 import type { ChainFinder } from './chainFinder';
 import { openEngineStream } from './engineStream';
@@ -49,6 +50,19 @@
   }
 }
 
+/** Decides when a session leaves a chain that became slow, and not again too soon. */
+function createSlowMoves(finder: ChainFinder, clock: Clock) {
+  let lastMs = Number.NEGATIVE_INFINITY;
+  return {
+    shouldMove(chain: Chain, gapMs: number): boolean {
+      if (clock.nowMs() - lastMs <= SLOW_MOVE_INTERVAL_MS) return false;
+      if (!finder.hasQuicker(chain, gapMs)) return false;
+      lastMs = clock.nowMs();
+      return true;
+    },
+  };
+}
+
 async function openAndRelay(
   options: DriveOptions,
   chain: Chain,
@@ -111,18 +125,13 @@
   const { context, record, layers, replication, signal } = options;
   const { metrics, logger, clock } = context;
   const finder = createChainFinder(context, record, layers);
-  let lastSlowMoveMs = Number.NEGATIVE_INFINITY;
+  const slowMoves = createSlowMoves(finder, clock);
   while (!signal.aborted && record.tokens.length < record.request.maxTokens) {
     const chain = await waitForChain(options, finder);
     record.attempt += 1;
     record.version = chain.version;
     replication.note(record);
-    const isBetterElsewhere = (gapMs: number) => {
-      const isSettled = clock.nowMs() - lastSlowMoveMs > SLOW_MOVE_INTERVAL_MS;
-      const shouldMove = isSettled && finder.hasQuicker(chain, gapMs);
-      if (shouldMove) lastSlowMoveMs = clock.nowMs();
-      return shouldMove;
-    };
+    const isBetterElsewhere = (gapMs: number) => slowMoves.shouldMove(chain, gapMs);
     const failure = await runAttempt(options, chain, isBetterElsewhere);
     if (!failure) break;
     const failedAtMs = clock.nowMs();
