--- /dev/null
+++ b/packages/cli/__tests__/settingsMirror.spec.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { createMetrics, delay } from '@spoolplank/node';
+import { DEFAULT_TIMINGS } from '@spoolplank/settings';
+import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import type { SettingsPullReply } from '../src/control/settingsService';
+import type { ControlClient } from '../src/entry/controlClient';
+import { createSettingsMirror } from '../src/entry/settingsMirror';
+import type { VmContext } from '../src/vm/vmContext';
+
+const LOGGER = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
+
+describe('the settings on an entry VM', () => {
+  let dataFolder: string;
+
+  before(() => {
+    dataFolder = mkdtempSync(join(tmpdir(), 'spoolplank-mirror-'));
+  });
+
+  after(() => rmSync(dataFolder, { recursive: true }));
+
+  function createFixture() {
+    const clock = createManualClock(1000);
+    const metrics = createMetrics();
+    const vm = {
+      vmId: 'vm1',
+      dataCentre: 'dc1',
+      host: '127.0.0.1',
+      callerPort: 1,
+      peerPort: 2,
+      roles: ['entry' as const],
+    };
+    const context = {
+      clock,
+      metrics,
+      logger: LOGGER,
+      timings: DEFAULT_TIMINGS,
+      random: createSeededRandom(1),
+      settings: { vm, peers: [], dataFolder },
+    } as unknown as VmContext;
+    let answer: SettingsPullReply | undefined;
+    let asked = 0;
+    const control: ControlClient = {
+      call<Result>() {
+        asked += 1;
+        const reply = answer;
+        // An answer is given once; after that the source is silent.
+        answer = undefined;
+        return reply ? Promise.resolve(reply as Result) : Promise.reject(new Error('silent'));
+      },
+    };
+    const mirror = createSettingsMirror({ context, control });
+    return {
+      clock,
+      metrics,
+      mirror,
+      async answerWith(version: number, waitedMs = 0) {
+        const tree = { policy: { priority: version % 10 } };
+        answer = { version, waitedMs, leaseMs: 3000, delta: { kind: 'tree', version, tree } };
+        const askedBefore = asked;
+        while (asked < askedBefore + 2) await delay(5);
+      },
+    };
+  }
+
+  it('count as confirmed from when the question was sent, and not longer than the lease', async () => {
+    const { clock, mirror, answerWith } = createFixture();
+    await mirror.start();
+    await answerWith(5, 500);
+    assert.equal(mirror.version, 5);
+    assert.equal(mirror.remainingMs(), 3500);
+    clock.advance(3499);
+    assert.equal(mirror.isFresh(), true);
+    clock.advance(1);
+    assert.equal(mirror.isFresh(), false);
+    mirror.stop();
+  });
+
+  it('never go back to a lower version, also after a restart', async () => {
+    const { mirror, metrics, answerWith } = createFixture();
+    await mirror.start();
+    await answerWith(4);
+    assert.equal(mirror.isFresh(), false, 'version 5 was in force here before');
+    assert.equal(mirror.version, 0);
+    assert.equal(metrics.valueOf('spoolplank_settings_older_refused_total'), 1);
+    await answerWith(6);
+    assert.equal(mirror.isFresh(), true);
+    await answerWith(5);
+    assert.equal(mirror.version, 6);
+    mirror.stop();
+  });
+
+  it('are passed on to other VMs with no more than what is left of the lease', async () => {
+    const { clock, mirror, answerWith } = createFixture();
+    await mirror.start();
+    await answerWith(7);
+    clock.advance(1000);
+    const reply = await mirror.relay({ reports: [], sinceVersion: 0, waitMs: 0 });
+    assert.equal(reply.leaseMs, 2000);
+    assert.equal(reply.version, 7);
+    clock.advance(2000);
+    await assert.rejects(mirror.relay({ reports: [], sinceVersion: 0, waitMs: 0 }), {
+      code: 'settings-stale',
+    });
+    mirror.stop();
+  });
+});
