fix(scripts): planted faults never touch the workspace

Cause: a planted fault was committed ("settings never go back", the floor of the settings version left out): the test of it hung, as its mirror was never stopped, the run was killed, and the file was not put back. Change: the floor is back; faults are planted in a copy of the workspace; the test stops its mirrors.

--- a/packages/cli/__tests__/settingsMirror.spec.ts
+++ b/packages/cli/__tests__/settingsMirror.spec.ts
@@ -2,24 +2,28 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { after, before, describe, it } from 'node:test';
+import { after, afterEach, before, describe, it } from 'node:test';
 import { createMetrics, delay } from '@spoolplank/node';
 import { DEFAULT_TIMINGS } from '@spoolplank/settings';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { SettingsPullReply } from '../src/control/settingsService';
 import type { ControlClient } from '../src/entry/controlClient';
 import { createSettingsMirror } from '../src/entry/settingsMirror';
+import type { SettingsMirror } from '../src/entry/settingsMirror';
 import type { VmContext } from '../src/vm/vmContext';
 
 const LOGGER = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 
 describe('the settings on an entry VM', () => {
   let dataFolder: string;
+  const mirrors: SettingsMirror[] = [];
 
   before(() => {
     dataFolder = mkdtempSync(join(tmpdir(), 'spoolplank-mirror-'));
   });
 
+  afterEach(() => mirrors.forEach((mirror) => mirror.stop()));
+
   after(() => rmSync(dataFolder, { recursive: true }));
 
   function createFixture() {
@@ -53,6 +57,7 @@
       },
     };
     const mirror = createSettingsMirror({ context, control });
+    mirrors.push(mirror);
     return {
       clock,
       metrics,
@@ -76,7 +81,6 @@
     assert.equal(mirror.isFresh(), true);
     clock.advance(1);
     assert.equal(mirror.isFresh(), false);
-    mirror.stop();
   });
 
   it('never go back to a lower version, also after a restart', async () => {
@@ -90,7 +94,6 @@
     assert.equal(mirror.isFresh(), true);
     await answerWith(5);
     assert.equal(mirror.version, 6);
-    mirror.stop();
   });
 
   it('are passed on to other VMs with no more than what is left of the lease', async () => {
@@ -105,6 +108,5 @@
     await assert.rejects(mirror.relay({ reports: [], sinceVersion: 0, waitMs: 0 }), {
       code: 'settings-stale',
     });
-    mirror.stop();
   });
 });
--- a/packages/cli/src/entry/settingsMirror.ts
+++ b/packages/cli/src/entry/settingsMirror.ts
@@ -161,7 +161,7 @@
       waitMs: PULL_WAIT_MS,
     };
     const reply = await ask(pull);
-    if (reply.version < version) {
+    if (reply.version < Math.max(version, floorVersion)) {
       metrics.count('spoolplank_settings_older_refused_total');
       throw new SpoolplankError('version-conflict', {
         detail: `Version ${reply.version} is older than ${version}.`,
--- a/packages/consensus/__tests__/replica.spec.ts
+++ b/packages/consensus/__tests__/replica.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
-import { BLANK_STATE, createReplica } from '..';
+import { BLANK_STATE, createReplica, quorumSize } from '..';
 import type { LogEntry, Message, MessageOf, Ready, Replica, StoredState } from '..';
 
 const VOTERS = ['a', 'b', 'c'];
@@ -248,6 +248,13 @@
     assert.equal(fixture.replica.canRead(), false);
   });
 
+  it('needs more than half of the voters, also of an even number', () => {
+    const sizes = [1, 2, 3, 4, 5].map((count) =>
+      quorumSize({ voters: VOTERS.concat('d', 'e').slice(0, count), learners: [] }),
+    );
+    assert.deepEqual(sizes, [1, 2, 2, 3, 3]);
+  });
+
   it('takes one step of membership at a time', () => {
     const fixture = createFixture();
     const term = elect(fixture);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -1,17 +1,33 @@
 /**
- * Plants faults in the code, one at a time, and reports which test catches each. A fault that
- * no test catches ends it with exit 1. The files are put back whatever happens.
+ * Plants faults, one at a time, in a copy of the workspace, and reports which test catches each.
+ * A fault that no test catches ends it with exit 1. The workspace itself is never touched: a run
+ * that is killed must not leave a fault behind.
  */
 import { spawnSync } from 'node:child_process';
-import { readFileSync, writeFileSync } from 'node:fs';
+import { cpSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 
 const faults = JSON.parse(readFileSync('scripts/mutations.json', 'utf8'));
 const asked = process.argv.slice(2);
 let missed = 0;
 
+const TEST_TIMEOUT_MS = 120_000;
+const COPIED = ['packages', 'node_modules', 'package.json', 'tsconfig.json'];
+
+const copy = mkdtempSync(join(tmpdir(), 'spoolplank-mutations-'));
+COPIED.forEach((name) =>
+  cpSync(name, join(copy, name), { recursive: true, verbatimSymlinks: true }),
+);
+process.on('exit', () => rmSync(copy, { recursive: true, force: true }));
+
 function runTests(files) {
   const args = ['--import', 'tsx', '--test', '--test-reporter=tap', ...files];
-  return spawnSync(process.execPath, args, { encoding: 'utf8', timeout: 300_000 });
+  return spawnSync(process.execPath, args, {
+    cwd: copy,
+    encoding: 'utf8',
+    timeout: TEST_TIMEOUT_MS,
+  });
 }
 
 function firstFailure(output) {
@@ -20,10 +36,11 @@
 }
 
 /** Plants one fault; returns the line to report and whether it was caught. */
-function plant({ name, file, find, replace, tests }) {
+function plant({ name, file: place, find, replace, tests }) {
+  const file = join(copy, place);
   const original = readFileSync(file, 'utf8');
   if (original.split(find).length !== 2) {
-    return { isCaught: false, line: `STALE   ${name}: the place in ${file} is not found once` };
+    return { isCaught: false, line: `STALE   ${name}: the place in ${place} is not found once` };
   }
   try {
     writeFileSync(
