--- /dev/null
+++ b/packages/fakes/src/engineStage.ts
@@ -0,0 +1,225 @@
+/** What an engine does with activations: fencing, batches, layers, and passing them on. */
+import type { ServerResponse } from 'node:http';
+import { SpoolplankError } from '@spoolplank/shared';
+import type { FakeEngineOptions } from './engineOptions';
+import type { Hop, LayerRun, StreamOrder } from './engineProtocol';
+import { createHopLink } from './hopLink';
+import type { HopLink } from './hopLink';
+import type { KvStore } from './kvStore';
+import type { StepLoop } from './stepLoop';
+import type { StreamTable } from './streamTable';
+import { embed, sample, tokenize } from './textModel';
+
+/** What can be changed while the engine runs, to bring about a fault. */
+export interface EngineFaults {
+  linkDelayMs: number;
+  linkBytesPerS: number;
+  /** Layer whose run is left out, to show that the checks see it. */
+  skippedLayer: number | null;
+  refusesStreams: boolean;
+}
+
+export interface EngineStageOptions {
+  readonly options: FakeEngineOptions;
+  readonly faults: EngineFaults;
+  readonly loop: StepLoop;
+  readonly kv: KvStore;
+  readonly streams: StreamTable;
+}
+
+export interface EngineStage {
+  /** Every run of layers, for tests to check. */
+  readonly records: readonly LayerRun[];
+  receiveHop(hop: Hop): void;
+  /**
+   * Begins a stream as the first stage of its chain.
+   *
+   * @throws SpoolplankError `forbidden` for an old fencing number or a handle used before.
+   */
+  beginStream(order: StreamOrder, response: ServerResponse): void;
+}
+
+const MAX_RECORDS = 500_000;
+
+export function createEngineStage(parts: EngineStageOptions): EngineStage {
+  const { options, faults, loop, kv, streams } = parts;
+  const links = new Map<string, HopLink>();
+  const records: LayerRun[] = [];
+  /** Highest fencing number seen for each session, on engines that check it. */
+  const fencingNumbers = new Map<string, number>();
+  const cancelled = new Set<string>();
+
+  function linkTo(hop: Hop, stageIndex: number): HopLink {
+    const stage = hop.stages[stageIndex];
+    if (!stage)
+      throw new SpoolplankError('bad-request', { detail: `There is no stage ${stageIndex}.` });
+    // By address: an engine that was restarted has another one under the same name.
+    const address = `${stage.host}:${stage.port}`;
+    const known = links.get(address);
+    if (known) return known;
+    const link = createHopLink(stage, () => ({
+      delayMs: faults.linkDelayMs,
+      bytesPerS: faults.linkBytesPerS,
+    }));
+    links.set(address, link);
+    return link;
+  }
+
+  function checkFencing({ session, fencingNumber }: Pick<Hop, 'session' | 'fencingNumber'>): void {
+    if (!options.isFencingChecked) return;
+    const highest = fencingNumbers.get(session) ?? 0;
+    if (fencingNumber < highest)
+      throw new SpoolplankError('forbidden', { detail: `Fencing number ${fencingNumber} is old.` });
+    fencingNumbers.set(session, fencingNumber);
+  }
+
+  /** Set below: what handles a hop may in turn hand one to this engine itself. */
+  let receiveHop: (hop: Hop) => void = () => {};
+
+  function reportProblem(hop: Hop, problem: string): void {
+    const back: Hop = {
+      ...hop,
+      kind: 'problem',
+      stageIndex: 0,
+      activations: [],
+      problem,
+    };
+    if (hop.stageIndex === 0) receiveHop(back);
+    else linkTo(hop, 0).send(back);
+  }
+
+  function record(hop: Hop): void {
+    if (records.length >= MAX_RECORDS) records.shift();
+    records.push({
+      handle: hop.handle,
+      session: hop.session,
+      fromPosition: hop.fromPosition,
+      toPosition: hop.fromPosition + hop.activations.length - 1,
+      firstLayer: options.firstLayer,
+      lastLayer: options.lastLayer,
+    });
+  }
+
+  function passOn(hop: Hop, activations: readonly number[]): void {
+    const { skippedLayer } = faults;
+    const mark = {
+      engine: options.name,
+      firstLayer: options.firstLayer,
+      lastLayer: skippedLayer === null ? options.lastLayer : skippedLayer - 1,
+    };
+    const lineage = [...hop.lineage, mark];
+    const isLast = hop.stageIndex === hop.stages.length - 1;
+    if (!isLast) {
+      linkTo(hop, hop.stageIndex + 1).send({
+        ...hop,
+        stageIndex: hop.stageIndex + 1,
+        activations,
+        lineage,
+      });
+      return;
+    }
+    const tokenId = sample(activations.at(-1) ?? 0);
+    const fromPosition = hop.fromPosition + activations.length;
+    const back: Hop = {
+      ...hop,
+      kind: 'token',
+      stageIndex: 0,
+      fromPosition,
+      activations: [tokenId],
+      lineage,
+    };
+    if (hop.stages.length === 1) receiveHop(back);
+    else linkTo(hop, 0).send(back);
+  }
+
+  function runItem(hop: Hop): void {
+    if (cancelled.has(hop.handle)) return;
+    const held = kv.positions(hop.handle);
+    if (held !== hop.fromPosition) {
+      reportProblem(hop, `${options.name} holds ${held} positions, not ${hop.fromPosition}`);
+      return;
+    }
+    record(hop);
+    passOn(
+      hop,
+      hop.activations.map((activation) => kv.run(hop.handle, activation)),
+    );
+  }
+
+  function queueActivations(hop: Hop): void {
+    // A prompt that begins like one of late costs time only for the rest.
+    const known = hop.fromPosition === 0 ? kv.keptPrefix(hop.activations) : 0;
+    const extraTokens = Math.max(0, hop.activations.length - 1 - known);
+    loop.add({ priority: hop.priority, extraTokens, run: () => runItem(hop) });
+  }
+
+  /** Lets go of a handle here and on every later stage. */
+  function endHandle(hop: Hop): void {
+    if (cancelled.has(hop.handle)) return;
+    cancelled.add(hop.handle);
+    kv.release(hop.handle);
+    if (hop.stageIndex + 1 < hop.stages.length) {
+      linkTo(hop, hop.stageIndex + 1).send({
+        ...hop,
+        kind: 'cancel',
+        stageIndex: hop.stageIndex + 1,
+        activations: [],
+      });
+    }
+  }
+
+  function receiveToken(hop: Hop): void {
+    const tokenId = hop.activations[0] ?? 0;
+    const shouldGoOn = streams.deliver(hop.handle, tokenId, hop.lineage);
+    if (!shouldGoOn) {
+      endHandle(hop);
+      return;
+    }
+    queueActivations({
+      ...hop,
+      kind: 'activations',
+      activations: [embed(tokenId)],
+      lineage: [],
+    });
+  }
+
+  const HOP_HANDLERS: Readonly<Record<Hop['kind'], (hop: Hop) => void>> = {
+    activations: queueActivations,
+    token: receiveToken,
+    cancel: endHandle,
+    problem(hop) {
+      streams.fail(hop.handle, hop.problem ?? 'unknown problem');
+      endHandle(hop);
+    },
+  };
+
+  receiveHop = (hop) => {
+    try {
+      if (hop.kind === 'activations') checkFencing(hop);
+    } catch {
+      reportProblem(hop, `${options.name} refused an old fencing number`);
+      return;
+    }
+    HOP_HANDLERS[hop.kind](hop);
+  };
+
+  function beginStream(order: StreamOrder, response: ServerResponse): void {
+    checkFencing(order);
+    if (streams.has(order.handle) || cancelled.has(order.handle)) {
+      throw new SpoolplankError('forbidden', { detail: `Handle ${order.handle} was used before.` });
+    }
+    const inputs = [...tokenize(order.prompt), ...order.historyTokenIds].map(embed);
+    const hop: Hop = {
+      ...order,
+      stageIndex: 0,
+      kind: 'activations',
+      fromPosition: 0,
+      activations: inputs,
+      lineage: [],
+    };
+    streams.open(order, response, () => endHandle(hop));
+    queueActivations(hop);
+  }
+
+  return { records, receiveHop: (hop) => receiveHop(hop), beginStream };
+}
