fix(membership): rows must not lapse between registrars

Cause: read as a newcomer: a backend server announced itself to two of three registrars, an entry VM asks one of the three. At the third its row is up to 0.9 s older, and an entry VM's row may be three rounds old where it is read, 2.7 s of its 3 s; with a busy machine such rows lapse for moments. Ruled out by reading, not by a failure: no test had failed of it since waits are counted from the answer. Change: backend servers announce themselves to all three; rows of entry VMs live three times as long, as one that leaves says so at once.

--- a/packages/cli/src/entry/directorySync.ts
+++ b/packages/cli/src/entry/directorySync.ts
@@ -48,7 +48,17 @@
 }
 
 const REGISTRARS_PER_DATA_CENTRE = 3;
-const REGISTRARS_PER_BACKEND_SERVER = 2;
+/**
+ * All of them: a row that one registrar has only from another is nearly two rounds old there,
+ * and could lapse on its way to an entry VM.
+ */
+const REGISTRARS_PER_BACKEND_SERVER = REGISTRARS_PER_DATA_CENTRE;
+/**
+ * Rows of entry VMs live longer by this: each is announced to one registrar and may be three
+ * rounds old where it is read. One that leaves says so; one that died misleads callers for
+ * not much longer than they keep an answer anyway.
+ */
+const VM_TTL_FACTOR = 3;
 const PULL_WAIT_MS = 800;
 const MIN_PULL_SPACING_MS = 100;
 /** What a pull may take beyond its wait; short, so that another registrar is asked in time. */
@@ -81,6 +91,8 @@
     clock,
     instance,
     ttlMs: timings.announcementTtlMs,
+    ttlMsOf: ({ services }) =>
+      timings.announcementTtlMs * (services.includes(ENTRY_SERVICE) ? VM_TTL_FACTOR : 1),
     onChange(name) {
       const waiting = waiters;
       waiters = [];
--- a/packages/membership/__tests__/directory.spec.ts
+++ b/packages/membership/__tests__/directory.spec.ts
@@ -101,6 +101,24 @@
     );
   });
 
+  it('lets some rows live longer, also where they were passed on', () => {
+    const clock = createManualClock();
+    const ttlMsOf = ({ name }: Announcement) => (name === 's1' ? TTL_MS : 3 * TTL_MS);
+    const create = (instance: string) =>
+      createDirectory({ clock, instance, ttlMs: TTL_MS, ttlMsOf });
+    const [registrar, entry] = [create('registrar'), create('entry')];
+    registrar.announce(announcement());
+    registrar.announce(announcement({ name: '@vm1' }));
+    entry.merge(registrar.deltaSince('', 0), clock.nowMs());
+    clock.advance(2 * TTL_MS);
+    assert.deepEqual(
+      entry.listLive().map((row) => row.announcement.name),
+      ['@vm1'],
+    );
+    clock.advance(TTL_MS);
+    assert.deepEqual(entry.listLive(), []);
+  });
+
   it('passes on loads without the body that the other VM has', () => {
     const { registrar } = createFixture();
     registrar.announce(announcement());
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -35,6 +35,8 @@
   /** Unique to this run of the process. */
   readonly instance: string;
   readonly ttlMs: number;
+  /** Time to live of a row, where it differs from `ttlMs`. */
+  readonly ttlMsOf?: (announcement: Announcement) => number;
   /** Told of rows that appeared, changed beyond their load, or went. */
   readonly onChange?: (name: string) => void;
 }
@@ -77,6 +79,7 @@
 /** The table of backend servers on one VM. */
 export function createDirectory(options: DirectoryOptions): Directory {
   const { clock, instance, ttlMs, onChange } = options;
+  const ttlMsOf = options.ttlMsOf ?? (() => ttlMs);
   const rows = new Map<string, DirectoryRow>();
   let revision = 0;
   let newestBodyRevision = 0;
@@ -103,10 +106,10 @@
 
   function mergeUpdate(update: DirectoryUpdate, saidAtMs: number): void {
     const known = rows.get(update.name);
-    const deadlineMs = saidAtMs + Math.min(update.remainingMs, ttlMs);
     const isOfKnown = known?.announcement.incarnation === update.incarnation;
     const base = update.body ?? (isOfKnown ? known?.announcement : undefined);
     if (!base) return;
+    const deadlineMs = saidAtMs + Math.min(update.remainingMs, ttlMsOf(base));
     const announcement: Announcement = { ...base, sequence: update.sequence, load: update.load };
     if (!known || isNewer(announcement, known.announcement)) {
       put(announcement, deadlineMs);
@@ -129,7 +132,7 @@
     announce(announcement) {
       const known = rows.get(announcement.name);
       if (known && !isNewer(announcement, known.announcement)) return;
-      put(announcement, clock.nowMs() + ttlMs);
+      put(announcement, clock.nowMs() + ttlMsOf(announcement));
     },
     deltaSince(askedInstance, sinceRevision) {
       const since = askedInstance === instance ? sinceRevision : 0;
