fix(entry): a malformed path is a bad request; hostile input at the doors

Change: the path is parsed where its error has a name. Conclusion: settings and log files, and peers that have the key, are not fuzzed yet.

--- a/packages/cli/src/entry/entryServer.ts
+++ b/packages/cli/src/entry/entryServer.ts
@@ -8,6 +8,7 @@
   parseJsonBody,
   readBearerToken,
   readBody,
+  readUrl,
   sendError,
   sendJson,
 } from '@spoolplank/node';
@@ -191,7 +192,7 @@
   const routes = createRoutes(options);
 
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const url = new URL(request.url ?? '/', 'http://vm');
+    const url = readUrl(request);
     await findRoute(routes, request.method ?? '', url.pathname).handle(request, response, url);
   }
 
--- a/packages/node/src/httpServer.ts
+++ b/packages/node/src/httpServer.ts
@@ -132,6 +132,19 @@
   return error;
 }
 
+/**
+ * The path and query of a request.
+ *
+ * @throws SpoolplankError `bad-request` for what is neither.
+ */
+export function readUrl(request: IncomingMessage): URL {
+  try {
+    return new URL(`http://vm${request.url ?? '/'}`);
+  } catch (error) {
+    throw new SpoolplankError('bad-request', { detail: 'The path is malformed.', cause: error });
+  }
+}
+
 /** A header that may stand once; more than once is refused, as no one can say which counts. */
 export function readSingleHeader(request: IncomingMessage, name: string): string | undefined {
   const values = request.headersDistinct[name];
