test: a caller that goes away mid-stream frees every stage

Cause: the cancel through all stages had no proof. Change: a test that drops the connection after the first token and waits until no engine holds the session.

--- a/packages/bench/__tests__/path.spec.ts
+++ b/packages/bench/__tests__/path.spec.ts
@@ -2,8 +2,15 @@
 import { readdirSync, readlinkSync } from 'node:fs';
 import { after, before, describe, it } from 'node:test';
 import { expectedAnswer } from '@spoolplank/fakes';
-import { callHttp, callJson, parseAddress } from '@spoolplank/node';
-import { askAddresses, callService, chatPrompt, streamCompletion, waitForBackendServers } from '..';
+import { callHttp, callJson, openCall, parseAddress } from '@spoolplank/node';
+import {
+  askAddresses,
+  callService,
+  chatPrompt,
+  streamCompletion,
+  waitForBackendServers,
+  waitUntil,
+} from '..';
 import type { Deployment, RunningFake } from '..';
 import {
   KALAHARI_TOKEN,
@@ -238,6 +245,37 @@
     );
   });
 
+  it('lets go of every stage when the caller goes away in the middle', async () => {
+    const body = JSON.stringify({
+      model: MODEL,
+      stream: true,
+      max_tokens: 2000,
+      messages: [{ role: 'user', content: PROMPT }],
+    });
+    const response = await openCall({
+      endpoint: parseAddress(address()),
+      method: 'POST',
+      path: '/v1/chat/completions',
+      headers: { authorization: `Bearer ${KALAHARI_TOKEN}`, 'content-type': 'application/json' },
+      body,
+    });
+    await new Promise((resolve) => {
+      response.once('data', resolve);
+    });
+    const countSessions = async () => {
+      const totals = await Promise.all(engines.map((engine) => engine.get('/totals')));
+      return totals.map((one) => (one as { sessions: number }).sessions);
+    };
+    await waitUntil('each engine holds the session, and no other', async () =>
+      (await countSessions()).every((count) => count === 1),
+    );
+    response.destroy();
+    await waitUntil('no engine holds the session', async () =>
+      (await countSessions()).every((count) => count === 0),
+    );
+    assert.equal((await stream()).isWhole, true);
+  });
+
   it('tells its state on request, by HTTP and by command, and to operators only', async () => {
     const { code, output } = await deployment.command(['dump'], 'vm4');
     assert.equal(code, 0);
