fix(entry): a session with no deadline of its own asks only for its first token in time

A session runs for minutes or hours and its deadline of the settings is for the first token, so with all slots taken every new session would have been refused, however soon a slot came free. Change: isDeadlineForStart; the run time counts only where the whole answer has the deadline.

--- a/packages/cli/__tests__/gate.spec.ts
+++ b/packages/cli/__tests__/gate.spec.ts
@@ -24,6 +24,7 @@
       policy,
       receivedAtMs: clock.nowMs(),
       statedDeadlineMs: clock.nowMs() + deadlineMs,
+      isDeadlineForStart: false,
       isRepeatable: true,
       idempotencyKey: undefined,
       keyIssuedWallMs: undefined,
@@ -112,6 +113,23 @@
     assert.equal(gate.running, 0);
   });
 
+  it('asks only for the first token in time where a session states no deadline', async () => {
+    const { gate, clock, createCaller, run, release } = createFixture({ maxInFlight: 2 });
+    const first = run(createCaller('a'));
+    await settle();
+    clock.advance(200);
+    await release();
+    await first;
+    const running = [run(createCaller('a')), run(createCaller('a'))];
+    await settle();
+    // A slot comes free in 100 ms by estimate; a mean run takes 200 ms.
+    assert.throws(() => gate.check(createCaller('a', 300)), { code: 'overloaded' });
+    gate.check({ ...createCaller('a', 300), isDeadlineForStart: true });
+    await release();
+    await release();
+    await Promise.all(running);
+  });
+
   it('takes nothing for a branch that is disabled', async () => {
     const { createCaller, run } = createFixture({ isEnabled: false });
     await assert.rejects(run(createCaller('a')), { code: 'forbidden', outcome: 'not-run' });
--- a/packages/cli/src/entry/callerRequest.ts
+++ b/packages/cli/src/entry/callerRequest.ts
@@ -14,6 +14,11 @@
   readonly receivedAtMs: number;
   /** When the caller stops waiting; undefined when it set no deadline of its own. */
   readonly statedDeadlineMs: number | undefined;
+  /**
+   * Whether the deadline is for the first token only, as for sessions with a model that state
+   * none: they may last for hours.
+   */
+  readonly isDeadlineForStart: boolean;
   readonly isRepeatable: boolean;
   readonly idempotencyKey: string | undefined;
   /** When the key was made, on the caller's wall clock; undefined when the key does not say. */
@@ -97,6 +102,8 @@
     policy,
     receivedAtMs,
     statedDeadlineMs: durationMs === undefined ? undefined : receivedAtMs + durationMs,
+    isDeadlineForStart:
+      durationMs === undefined && mirror.tree.services?.[service]?.kind === 'model',
     isRepeatable: readRepeatable(request, policy.isRepeatable),
     idempotencyKey,
     keyIssuedWallMs: readKeyTime(idempotencyKey),
--- a/packages/cli/src/entry/gate.ts
+++ b/packages/cli/src/entry/gate.ts
@@ -138,22 +138,25 @@
     return true;
   }
 
+  /** What must fit between the end of the wait and the deadline. */
+  function runTimeMs({ service, isDeadlineForStart }: CallerRequest): number {
+    return isDeadlineForStart ? 0 : serviceOf(service).meanDurationMs;
+  }
+
   function assertInTime(caller: CallerRequest): void {
     const waitMs = estimateWaitMs(caller);
-    const { meanDurationMs } = serviceOf(caller.service);
-    const untilDeadlineMs = deadlineOf(caller) - clock.nowMs() - meanDurationMs;
+    const untilDeadlineMs = deadlineOf(caller) - clock.nowMs() - runTimeMs(caller);
     const leftMs = Math.min(untilDeadlineMs * WAIT_SHARE, caller.policy.maxQueueTimeMs);
     if (waitMs > 0 && waitMs > leftMs) throw refuse('The deadline cannot be met.', waitMs);
   }
 
   /** A slot is not spent on what will be late, unless it never waited. */
   function assertWorthRunning(caller: CallerRequest): void {
-    const { meanDurationMs } = serviceOf(caller.service);
+    const neededMs = runTimeMs(caller);
     const nowMs = clock.nowMs();
-    const leftMs = deadlineOf(caller) - nowMs;
-    const hasWaited = nowMs - caller.receivedAtMs > meanDurationMs;
-    if (hasWaited && leftMs < meanDurationMs) {
-      throw refuse('The deadline cannot be met any more.', meanDurationMs);
+    const hasWaited = nowMs - caller.receivedAtMs > neededMs;
+    if (hasWaited && deadlineOf(caller) - nowMs < neededMs) {
+      throw refuse('The deadline cannot be met any more.', neededMs);
     }
   }
 
