fix(entry): an answer that an engine ended early is not whole

Change: engines say why they end; an end that is neither the model's own stop nor as many tokens as were asked for is a failure of the attempt, and the session goes on elsewhere. finish_reason tells stop from length; a session that ended by stop is not driven again when it is resumed. Conclusion: the engine protocol carries one more field; real engines name it finish_reason.

--- a/packages/bench/__tests__/sessionFaults.spec.ts
+++ b/packages/bench/__tests__/sessionFaults.spec.ts
@@ -148,6 +148,14 @@
     await slowed?.post('/faults', { linkDelayMs: 0.5 });
   });
 
+  it('does not take an answer for whole that an engine ended early', async () => {
+    const early = await findWorking(0);
+    await early.post('/faults', { endAfter: 20 });
+    const answers = [await stream(), await stream()];
+    await early.post('/faults', { endAfter: null });
+    answers.forEach(({ text }) => assert.equal(text, EXPECTED));
+  });
+
   it('sends on no token of an engine that leaves layers out', async () => {
     const [first] = engines;
     assert.ok(first);
--- a/packages/cli/src/entry/answerWriter.ts
+++ b/packages/cli/src/entry/answerWriter.ts
@@ -19,6 +19,11 @@
   fail(error: SpoolplankError): void;
 }
 
+/** `length` when the answer was cut at what was asked for, `stop` when the model ended it. */
+function finishReasonOf({ tokens, request }: SessionRecord): 'length' | 'stop' {
+  return tokens.length >= request.maxTokens ? 'length' : 'stop';
+}
+
 /** Server-sent events with an id each; what a resuming caller has is checked and left out. */
 export function createStreamWriter(
   record: SessionRecord,
@@ -84,7 +89,7 @@
     end() {
       begin();
       clearInterval(keepAlive);
-      response.end(`data: ${toChunk(null, 'length')}\n\ndata: [DONE]\n\n`);
+      response.end(`data: ${toChunk(null, finishReasonOf(record))}\n\ndata: [DONE]\n\n`);
     },
     fail(error) {
       clearInterval(keepAlive);
@@ -108,8 +113,12 @@
       const text = texts.join('');
       const { isChat, model, prompt } = record.request;
       const choice = isChat
-        ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'length' }
-        : { index: 0, text, finish_reason: 'length' };
+        ? {
+            index: 0,
+            message: { role: 'assistant', content: text },
+            finish_reason: finishReasonOf(record),
+          }
+        : { index: 0, text, finish_reason: finishReasonOf(record) };
       const promptTokens = prompt.split(/\s+/).length;
       sendJson(
         response,
--- a/packages/cli/src/entry/engineStream.ts
+++ b/packages/cli/src/entry/engineStream.ts
@@ -22,7 +22,8 @@
 
 export type StreamLine =
   | ({ readonly kind: 'token' } & TokenEvent)
-  | { readonly kind: 'end' }
+  /** `stop`: the model ended its answer; `length`: as many tokens as were asked for. */
+  | { readonly kind: 'end'; readonly reason: 'length' | 'stop' }
   | { readonly kind: 'problem'; readonly problem: string };
 
 export interface StreamListener {
--- a/packages/cli/src/entry/sessionDriver.ts
+++ b/packages/cli/src/entry/sessionDriver.ts
@@ -126,7 +126,7 @@
   const { metrics, logger, clock } = context;
   const finder = createChainFinder(context, record, layers);
   const slowMoves = createSlowMoves(finder, clock);
-  while (!signal.aborted && record.tokens.length < record.request.maxTokens) {
+  while (!signal.aborted && !record.isDone && record.tokens.length < record.request.maxTokens) {
     const chain = await waitForChain(options, finder);
     record.attempt += 1;
     record.version = chain.version;
--- a/packages/cli/src/entry/tokenRelay.ts
+++ b/packages/cli/src/entry/tokenRelay.ts
@@ -96,7 +96,9 @@
     function takeLine(line: StreamLine): boolean {
       if (isOver) return false;
       if (line.kind === 'end') {
-        finish(null);
+        const isWhole = line.reason === 'stop' || record.tokens.length >= record.request.maxTokens;
+        // Who leaves an answer unfinished is at fault; which stage it was cannot be told.
+        finish(isWhole ? null : { reason: 'the answer ended early', blamed: [] });
         return true;
       }
       if (line.kind === 'problem') {
--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -42,6 +42,7 @@
     linkBytesPerS: options.linkBytesPerS,
     skippedLayer: null,
     refusesStreams: false,
+    endAfter: null,
   };
   const loop = createStepLoop(options);
   const cacheEvents = createCacheEventLog({
@@ -49,7 +50,7 @@
     lossEvery: options.cacheEventLossEvery,
   });
   const kv = createKvStore({ ...options, onCacheEvent: cacheEvents.publish });
-  const streams = createStreamTable();
+  const streams = createStreamTable(() => faults.endAfter);
   const stage = createEngineStage({ options, faults, loop, kv, streams });
   let isLeaving = false;
 
--- a/packages/fakes/src/engineProtocol.ts
+++ b/packages/fakes/src/engineProtocol.ts
@@ -47,7 +47,7 @@
       readonly text: string;
       readonly lineage: readonly LineageMark[];
     }
-  | { readonly kind: 'end' }
+  | { readonly kind: 'end'; readonly reason: 'length' | 'stop' }
   | { readonly kind: 'problem'; readonly problem: string };
 
 /** A run of layers over positions, as the engine's record keeps it. */
--- a/packages/fakes/src/engineStage.ts
+++ b/packages/fakes/src/engineStage.ts
@@ -17,6 +17,8 @@
   /** Layer whose run is left out, to show that the checks see it. */
   skippedLayer: number | null;
   refusesStreams: boolean;
+  /** Position at which answers end early, as if they were whole. */
+  endAfter: number | null;
 }
 
 export interface EngineStageOptions {
--- a/packages/fakes/src/streamTable.ts
+++ b/packages/fakes/src/streamTable.ts
@@ -20,7 +20,8 @@
   fail(handle: string, problem: string): void;
 }
 
-export function createStreamTable(): StreamTable {
+/** @param readEndAfter Position at which answers are broken off as if whole; null for never. */
+export function createStreamTable(readEndAfter: () => number | null = () => null): StreamTable {
   const streams = new Map<string, OpenStream>();
 
   function write(stream: OpenStream, line: StreamLine): void {
@@ -59,8 +60,9 @@
         lineage,
       });
       stream.nextPosition += 1;
-      if (stream.nextPosition < stream.maxTokens) return true;
-      finish(handle, { kind: 'end' });
+      const endAt = Math.min(stream.maxTokens, readEndAfter() ?? Number.POSITIVE_INFINITY);
+      if (stream.nextPosition < endAt) return true;
+      finish(handle, { kind: 'end', reason: 'length' });
       return false;
     },
     fail(handle, problem) {
