--- a/packages/consensus/__tests__/memoryCluster.ts
+++ b/packages/consensus/__tests__/memoryCluster.ts
@@ -1,47 +1,11 @@
 /** A small group of replicas in one process, under a seeded scheduler. */
 import assert from 'node:assert/strict';
 import { createSeededRandom } from '@spoolplank/shared';
-import type { JsonValue, Random } from '@spoolplank/shared';
-import { BLANK_STATE, createReplica } from '..';
-import type {
-  Configuration,
-  ConfigurationChange,
-  HardState,
-  LogEntry,
-  Message,
-  Ready,
-  Replica,
-  ReplicaId,
-  SnapshotMeta,
-  StoredState,
-} from '..';
-
-/** What a disk holds after a loss of power. */
-interface Disk {
-  hardState: HardState;
-  snapshot: SnapshotMeta | null;
-  snapshotData: string;
-  base: StoredState['base'];
-  entries: LogEntry[];
-}
-
-export interface Node {
-  readonly vmId: string;
-  id: ReplicaId;
-  disk: Disk;
-  replica: Replica | null;
-  /** Taken from the replica, not yet on disk. */
-  saving: Ready | null;
-  isFrozen: boolean;
-  /** Cut off: what it sends and what is sent to it stays on the way. */
-  isCut: boolean;
-  /** Commands applied, by index; what a state machine would be. */
-  applied: Map<number, string>;
-  appliedIndex: number;
-  appliedTerm: number;
-  clockRate: number;
-  clockOffsetMs: number;
-}
+import type { Random } from '@spoolplank/shared';
+import { createReplica } from '..';
+import type { Configuration, LogEntry, Message, ReplicaId, SnapshotMeta, StoredState } from '..';
+import { blankDisk, fillSnapshot, writeToDisk } from './memoryNode';
+import type { Node } from './memoryNode';
 
 export interface ClusterOptions {
   readonly seed: number;
@@ -50,7 +14,6 @@
   readonly snapshotEvery?: number;
 }
 
-const CHUNK_LENGTH = 40;
 const TIMINGS = {
   electionTimeoutMs: 1000,
   heartbeatIntervalMs: 150,
@@ -58,41 +21,6 @@
   maxInFlightEntries: 16,
 };
 
-function blankDisk(): Disk {
-  return { ...BLANK_STATE, snapshotData: '', entries: [] };
-}
-
-/** Asks a leader for one step of membership. */
-export function changeMembership(node: Node, change: ConfigurationChange): boolean {
-  return node.replica?.proposeConfiguration(change) !== null;
-}
-
-function writeToDisk(
-  node: Node,
-  { hardState, entries }: Pick<Ready, 'hardState' | 'entries'>,
-): void {
-  const { disk } = node;
-  if (hardState) disk.hardState = hardState;
-  entries.forEach((entry) => {
-    disk.entries.length = Math.max(0, entry.index - disk.base.index - 1);
-    disk.entries.push(entry);
-  });
-}
-
-function fillSnapshot(node: Node, message: Message): readonly Message[] {
-  if (message.kind !== 'snapshot') return [message];
-  const { snapshot, snapshotData } = node.disk;
-  if (snapshot?.index !== message.meta.index) return [];
-  const end = message.offset + CHUNK_LENGTH;
-  return [
-    {
-      ...message,
-      data: snapshotData.slice(message.offset, end),
-      isLast: end >= snapshotData.length,
-    },
-  ];
-}
-
 export class MemoryCluster {
   readonly random: Random;
 
@@ -380,8 +308,3 @@
     return place.index;
   }
 }
-
-/** Whether two sets of commands are the same, for the check at the end. */
-export function appliedCommands(node: Node): JsonValue {
-  return [...node.applied.entries()].sort(([a], [b]) => a - b);
-}
--- a/packages/consensus/__tests__/schedules.ts
+++ b/packages/consensus/__tests__/schedules.ts
@@ -1,8 +1,9 @@
 /** Random schedules of faults over a group, each repeatable from its seed. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { appliedCommands, changeMembership, MemoryCluster } from './memoryCluster';
-import type { Node } from './memoryCluster';
+import { MemoryCluster } from './memoryCluster';
+import { appliedCommands, changeMembership } from './memoryNode';
+import type { Node } from './memoryNode';
 
 type Operation = (cluster: MemoryCluster, node: Node) => unknown;
 
