--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -1,5 +1,5 @@
 /** A deployment on this machine: VMs and stand-ins, each a process of its own. */
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import type { FakeEngineOptions, FakeServiceOptions } from '@spoolplank/fakes';
@@ -286,9 +286,3 @@
     roles: index < controls ? (['control', 'entry'] as const) : (['entry'] as const),
   }));
 }
-
-/** Makes sure that a folder exists and is empty. */
-export function emptyFolder(folder: string): void {
-  rmSync(folder, { recursive: true, force: true });
-  mkdirSync(folder, { recursive: true });
-}
--- a/packages/cli/src/entry/directorySync.ts
+++ b/packages/cli/src/entry/directorySync.ts
@@ -32,8 +32,6 @@
   /** VMs that a backend server of a data centre announces itself to, the best first. */
   registrarsFor(name: string, dataCentre: string): readonly VmAddress[];
   serve(pull: DirectoryPull): Promise<DirectoryPullReply>;
-  /** Runs when a backend server appeared, changed or went. */
-  onChange(listener: (name: string) => void): void;
   /** Says that this VM is leaving, at once. */
   leave(): Promise<void>;
   start(): void;
@@ -77,7 +75,6 @@
 }: DirectorySyncOptions): DirectorySync {
   const { settings, clock, timings, peers, metrics, instance } = context;
   const { vm } = settings;
-  const listeners: ((name: string) => void)[] = [];
   const entries = listVmsWithRole(settings, 'entry');
   const dataCentres = [...new Set(entries.map(({ dataCentre }) => dataCentre))];
   const pullStates = new Map<string, PullState>();
@@ -93,11 +90,10 @@
     ttlMs: timings.announcementTtlMs,
     ttlMsOf: ({ services }) =>
       timings.announcementTtlMs * (services.includes(ENTRY_SERVICE) ? VM_TTL_FACTOR : 1),
-    onChange(name) {
+    onChange() {
       const waiting = waiters;
       waiters = [];
       waiting.forEach((resolve) => resolve());
-      listeners.forEach((listener) => listener(name));
     },
   });
 
@@ -235,9 +231,6 @@
       const waitedMs = Math.floor(clock.nowMs() - arrivedAtMs);
       return { waitedMs, delta: directory.deltaSince(asked, sinceRevision) };
     },
-    onChange(listener) {
-      listeners.push(listener);
-    },
     async leave() {
       isLeaving = true;
       const targets = dataCentres.flatMap(targetsIn);
--- a/packages/consensus/src/configuration.ts
+++ b/packages/consensus/src/configuration.ts
@@ -10,8 +10,6 @@
   readonly learners: readonly ReplicaId[];
 }
 
-export const EMPTY_CONFIGURATION: Configuration = { voters: [], learners: [] };
-
 /** One step of a membership change; single steps keep old and new quorums overlapping. */
 export type ConfigurationChange =
   | { readonly kind: 'add-learner'; readonly replicaId: ReplicaId }
