--- /dev/null
+++ b/packages/membership/src/factTable.ts
@@ -0,0 +1,127 @@
+import type { Clock } from '@spoolplank/shared';
+
+/** Something that one party states about itself, and everyone passes on. */
+export interface Fact<Body> {
+  readonly key: string;
+  /** Rises with every statement of whoever states the fact. */
+  readonly sequence: number;
+  readonly body: Body;
+  /** When it was stated, on this VM's monotonic clock. */
+  readonly heardAtMs: number;
+  /** Of this table: rises with every change of any row. */
+  readonly revision: number;
+  /** Revision of the last change of the body. */
+  readonly bodyRevision: number;
+}
+
+/** A fact on its way to another VM; without a body when that VM has it already. */
+export interface FactUpdate<Body> {
+  readonly key: string;
+  readonly sequence: number;
+  readonly ageMs: number;
+  readonly body?: Body;
+}
+
+export interface FactDelta<Body> {
+  /** Tells one run of a table from the next, whose revisions start anew. */
+  readonly instance: string;
+  readonly revision: number;
+  readonly updates: readonly FactUpdate<Body>[];
+}
+
+export interface FactTableOptions<Body> {
+  readonly clock: Clock;
+  /** Unique to this run of the process. */
+  readonly instance: string;
+  /** Whether a changed body is worth passing on at once, rather than with the next exchange. */
+  readonly isUrgent: (body: Body) => boolean;
+  /** Told after an urgent change. */
+  readonly onUrgent?: () => void;
+}
+
+/** Facts that converge on every VM by exchange of what is newer. */
+export interface FactTable<Body> {
+  readonly revision: number;
+  readonly bodyRevision: number;
+  /** States a fact; false when one with this sequence or a later one is known. */
+  put(key: string, sequence: number, body: Body): boolean;
+  find(key: string): Fact<Body> | undefined;
+  list(): readonly Fact<Body>[];
+  /** What another VM lacks that has this table's state of `sinceRevision`. */
+  deltaSince(instance: string, sinceRevision: number): FactDelta<Body>;
+  /** Takes in what another VM knew at `saidAtMs` on this VM's clock. */
+  merge(updates: readonly FactUpdate<Body>[], saidAtMs: number): void;
+  /** Forgets facts that nobody has stated for `retentionMs`. */
+  sweep(retentionMs: number): void;
+}
+
+export function createFactTable<Body>(options: FactTableOptions<Body>): FactTable<Body> {
+  const { clock, instance, isUrgent, onUrgent = () => {} } = options;
+  const rows = new Map<string, Fact<Body>>();
+  let revision = 0;
+  let bodyRevision = 0;
+
+  function store(key: string, sequence: number, body: Body, heardAtMs: number): void {
+    const known = rows.get(key);
+    const isChanged = !known || JSON.stringify(known.body) !== JSON.stringify(body);
+    revision += 1;
+    if (isChanged) bodyRevision = revision;
+    rows.set(key, {
+      key,
+      sequence,
+      body,
+      heardAtMs,
+      revision,
+      bodyRevision: isChanged ? revision : known.bodyRevision,
+    });
+    if (isChanged && isUrgent(body)) onUrgent();
+  }
+
+  function mergeUpdate(update: FactUpdate<Body>, saidAtMs: number): void {
+    const { key, sequence, ageMs } = update;
+    const known = rows.get(key);
+    const heardAtMs = saidAtMs - ageMs;
+    const body = update.body ?? known?.body;
+    if (body === undefined) return;
+    if (!known || sequence > known.sequence) store(key, sequence, body, heardAtMs);
+  }
+
+  return {
+    get revision() {
+      return revision;
+    },
+    get bodyRevision() {
+      return bodyRevision;
+    },
+    put(key, sequence, body) {
+      const known = rows.get(key);
+      if (known && known.sequence >= sequence) return false;
+      store(key, sequence, body, clock.nowMs());
+      return true;
+    },
+    find: (key) => rows.get(key),
+    list: () => [...rows.values()],
+    deltaSince(askedInstance, sinceRevision) {
+      const since = askedInstance === instance ? sinceRevision : 0;
+      const nowMs = clock.nowMs();
+      const updates = [...rows.values()]
+        .filter((row) => row.revision > since)
+        .map(({ key, sequence, heardAtMs, body, bodyRevision: changedAt }) => ({
+          key,
+          sequence,
+          ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
+          ...(changedAt > since ? { body } : {}),
+        }));
+      return { instance, revision, updates };
+    },
+    merge(updates, saidAtMs) {
+      updates.forEach((update) => mergeUpdate(update, saidAtMs));
+    },
+    sweep(retentionMs) {
+      const oldestMs = clock.nowMs() - retentionMs;
+      rows.forEach(({ heardAtMs }, key) => {
+        if (heardAtMs < oldestMs) rows.delete(key);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/membership/src/systemFacts.ts
@@ -0,0 +1,74 @@
+/** The facts that VMs of a deployment exchange. */
+
+/** A process of the system. Its key holds the run, so that a restart is a new member. */
+export interface MemberFact {
+  readonly kind: 'member';
+  readonly vmId: string;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly role: 'entry' | 'control';
+  /** Where callers connect; entries only. */
+  readonly callerAddress?: string;
+  /** Where other VMs call; control only. */
+  readonly peerPort?: number;
+  /** Identity in the replicated log; control with a disk only. */
+  readonly replicaId?: string;
+  readonly state: 'starting' | 'ready' | 'leaving';
+}
+
+/** Requests that an entry VM has in flight on the engines of each data centre. */
+export interface LoadFact {
+  readonly kind: 'load';
+  readonly inFlight: Readonly<Record<string, number>>;
+}
+
+/** A range of layers; `endLayer` is not part of it. */
+export interface LayerRange {
+  readonly firstLayer: number;
+  readonly endLayer: number;
+}
+
+/** What a model engine holds. */
+export interface EngineFact {
+  readonly acceleratorKind: string;
+  /** Null while it holds no layers. */
+  readonly held: LayerRange | null;
+  readonly version: number;
+}
+
+/** A backend server, as it announced itself. */
+export interface BackendFact {
+  readonly kind: 'backend';
+  /** Unique to one run of the backend server. */
+  readonly instanceId: string;
+  readonly service: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly state: 'ready' | 'draining' | 'gone';
+  readonly slots: number;
+  readonly engine?: EngineFact;
+}
+
+/**
+ * An engine that others wait for in vain. Its sequence is that of the last announcement known
+ * then, so that the next announcement of the engine clears it.
+ */
+export interface SuspicionFact {
+  readonly kind: 'suspicion';
+  readonly instanceId: string;
+}
+
+export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact;
+
+export type SystemFactKind = SystemFact['kind'];
+
+/** The key under which a fact is kept. */
+export const FACT_KEYS = {
+  member: (host: string, run: string) => `member/${host}/${run}`,
+  load: (host: string, run: string) => `load/${host}/${run}`,
+  backend: (instanceId: string) => `backend/${instanceId}`,
+  suspicion: (instanceId: string) => `suspicion/${instanceId}`,
+} as const;
+
+/** A sequence that no announcement goes beyond: what ended stays ended. */
+export const FINAL_SEQUENCE = Number.MAX_SAFE_INTEGER;
--- a/packages/node/index.ts
+++ b/packages/node/index.ts
@@ -2,6 +2,7 @@
 export * from './src/fileStorage';
 export * from './src/httpClient';
 export * from './src/httpServer';
+export * from './src/lineLog';
 export * from './src/metrics';
 export * from './src/peerRpc';
 export * from './src/recordFile';
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -5,3 +5,8 @@
 export * from './src/lineage';
 export * from './src/retryBudget';
 export * from './src/selection';
+export * from './src/placement';
+export * from './src/routeTable';
+export * from './src/routingDocument';
+export * from './src/stagePath';
+export * from './src/windowBudget';
--- /dev/null
+++ b/packages/routing/src/routeTable.ts
@@ -0,0 +1,45 @@
+import type { Random } from '@spoolplank/shared';
+import type { Organisation, Route, RouteTarget, RoutingDocument } from './routingDocument';
+
+/** A routing document made ready for look-ups. */
+export interface RouteTable {
+  readonly document: RoutingDocument;
+  /** The route with the longest prefix that begins the path. */
+  findRoute(host: string, path: string): Route | undefined;
+  findOrganisation(key: string): Organisation | undefined;
+}
+
+export function createRouteTable(document: RoutingDocument): RouteTable {
+  const routesByHost = new Map<string, Route[]>();
+  document.routes.forEach((route) => {
+    routesByHost.set(route.host, [...(routesByHost.get(route.host) ?? []), route]);
+  });
+  routesByHost.forEach((routes) =>
+    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length),
+  );
+  const organisationsByKey = new Map(
+    document.organisations.flatMap((organisation) =>
+      organisation.keys.map((key) => [key, organisation] as const),
+    ),
+  );
+  return {
+    document,
+    findRoute: (host, path) =>
+      routesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix)),
+    findOrganisation: (key) => organisationsByKey.get(key),
+  };
+}
+
+/** Draws a target by weight; targets of weight 0 are never drawn. */
+export function drawTarget(targets: readonly RouteTarget[], random: Random): RouteTarget {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random.nextFloat() * total;
+  const drawn = targets.find(({ weight }) => {
+    left -= weight;
+    return left < 0;
+  });
+  const last = targets.findLast(({ weight }) => weight > 0);
+  const target = drawn ?? last;
+  if (!target) throw new RangeError('a route needs a target with a weight above 0');
+  return target;
+}
--- /dev/null
+++ b/packages/routing/src/stagePath.ts
@@ -0,0 +1,112 @@
+/** Choice of a path over engines that hold overlapping ranges of layers. */
+
+/** An engine that a path may run over. */
+export interface StageEngine {
+  readonly id: string;
+  readonly address: string;
+  readonly firstLayer: number;
+  /** Not part of the range. */
+  readonly endLayer: number;
+  /** Estimated time that one layer costs one token there. */
+  readonly layerCostMs: number;
+}
+
+/** A part of a path: the layers that one engine runs. */
+export interface PathStage {
+  readonly id: string;
+  readonly address: string;
+  readonly firstLayer: number;
+  readonly endLayer: number;
+}
+
+export interface StagePath {
+  readonly stages: readonly PathStage[];
+  readonly costMs: number;
+}
+
+export interface StagePathOptions {
+  readonly layers: number;
+  /** What one more engine on the way costs a token. */
+  readonly hopCostMs?: number;
+  /** The path must begin with this engine, for a stream that runs already. */
+  readonly headId?: string;
+}
+
+interface Partial {
+  readonly engine: StageEngine;
+  readonly enteredAt: number;
+  /** Cost up to `enteredAt`. */
+  readonly costMs: number;
+  readonly previous: Partial | null;
+}
+
+/** A hop inside a data centre: 0.2 ms one way, and about as much for a wake-up at the engine. */
+const DEFAULT_HOP_COST_MS = 0.4;
+
+function runCostMs({ engine, enteredAt }: Partial, leftAt: number): number {
+  return (leftAt - enteredAt) * engine.layerCostMs;
+}
+
+/** Where one engine can hand over to another: at its own end, or where the other begins. */
+function handOverPlaces(from: Partial, to: StageEngine): readonly number[] {
+  const { engine, enteredAt } = from;
+  const places = [engine.endLayer, to.firstLayer];
+  return places.filter(
+    (place) => place > enteredAt && place >= to.firstLayer && place <= engine.endLayer,
+  );
+}
+
+function toStages(last: Partial, layers: number): readonly PathStage[] {
+  const stages: PathStage[] = [];
+  let endLayer = layers;
+  for (let part: Partial | null = last; part; part = part.previous) {
+    const { id, address } = part.engine;
+    stages.unshift({ id, address, firstLayer: part.enteredAt, endLayer });
+    endLayer = part.enteredAt;
+  }
+  return stages;
+}
+
+/**
+ * Finds the cheapest path that runs every layer once, in order. Each engine on it ends further
+ * on than the one before, so none stands on it twice. Undefined when layers are missing.
+ *
+ * Source: shortest path by dynamic programming over engines in the order of their last layer.
+ */
+export function findStagePath(
+  engines: readonly StageEngine[],
+  { layers, hopCostMs = DEFAULT_HOP_COST_MS, headId }: StagePathOptions,
+): StagePath | undefined {
+  const ordered = [...engines].sort((a, b) => a.endLayer - b.endLayer);
+  const best = new Map<string, Partial>();
+  const partials: Partial[][] = ordered.map((engine) =>
+    engine.firstLayer === 0 && (headId === undefined || headId === engine.id)
+      ? [{ engine, enteredAt: 0, costMs: 0, previous: null }]
+      : [],
+  );
+  let finished: { readonly last: Partial; readonly costMs: number } | undefined;
+  ordered.forEach((engine, index) => {
+    partials[index]?.forEach((partial) => {
+      if (engine.endLayer >= layers) {
+        const costMs = partial.costMs + runCostMs(partial, layers);
+        if (!finished || costMs < finished.costMs) finished = { last: partial, costMs };
+        return;
+      }
+      ordered.forEach((next, nextIndex) => {
+        if (next.endLayer <= engine.endLayer || next.id === engine.id) return;
+        handOverPlaces(partial, next).forEach((place) => {
+          const costMs = partial.costMs + runCostMs(partial, place) + hopCostMs;
+          const name = `${next.id} ${place}`;
+          const known = best.get(name);
+          if (known && known.costMs <= costMs) return;
+          const improved = { engine: next, enteredAt: place, costMs, previous: partial };
+          best.set(name, improved);
+          const others = partials[nextIndex]?.filter(({ enteredAt }) => enteredAt !== place) ?? [];
+          partials[nextIndex] = [...others, improved];
+        });
+      });
+    });
+  });
+  if (!finished) return undefined;
+  return { stages: toStages(finished.last, layers), costMs: finished.costMs };
+}
--- /dev/null
+++ b/packages/routing/src/windowBudget.ts
@@ -0,0 +1,52 @@
+import type { Clock } from '@spoolplank/shared';
+
+/**
+ * A retry budget over a sliding window. Every VM keeps a share of one budget for the whole
+ * deployment, so the sum stays below it without a message.
+ */
+export interface WindowBudgetOptions {
+  readonly clock: Clock;
+  readonly windowMs: number;
+  /** Retries for each first attempt in the window. */
+  readonly ratio: number;
+  /** Retries in a window beyond that; read anew each time, as the number of VMs changes. */
+  readonly allowance: () => number;
+}
+
+export interface WindowBudget {
+  /** Counts a first attempt. */
+  earn(): void;
+  /** Takes one retry out of the budget; false when there is none left. */
+  spend(): boolean;
+}
+
+export function createWindowBudget({
+  clock,
+  windowMs,
+  ratio,
+  allowance,
+}: WindowBudgetOptions): WindowBudget {
+  const firstsAtMs: number[] = [];
+  const retriesAtMs: number[] = [];
+
+  function dropOld(timesMs: number[]): void {
+    const oldestMs = clock.nowMs() - windowMs;
+    let old = 0;
+    while (old < timesMs.length && (timesMs[old] ?? 0) < oldestMs) old += 1;
+    if (old) timesMs.splice(0, old);
+  }
+
+  return {
+    earn() {
+      dropOld(firstsAtMs);
+      firstsAtMs.push(clock.nowMs());
+    },
+    spend() {
+      dropOld(firstsAtMs);
+      dropOld(retriesAtMs);
+      if (retriesAtMs.length + 1 > firstsAtMs.length * ratio + allowance()) return false;
+      retriesAtMs.push(clock.nowMs());
+      return true;
+    },
+  };
+}
