--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
 };
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
--- a/packages/cli/src/control/controlRole.ts
+++ b/packages/cli/src/control/controlRole.ts
@@ -3,6 +3,8 @@
 import { createGroupRunner } from '@spoolplank/consensus';
 import type { Message, ReplicaStatus } from '@spoolplank/consensus';
 import { createControlState, createLogClock } from '@spoolplank/control';
+import { createRaftTransport, decideRepair, vmOfReplica } from '@spoolplank/controller';
+import type { GroupDescription } from '@spoolplank/controller';
 import type {
   AcceptedChange,
   ChangeResult,
@@ -17,10 +19,7 @@
 import type { JsonValue } from '@spoolplank/shared';
 import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
 import type { VmContext } from '../vm/vmContext';
-import type { GroupDescription } from './bootstrap';
 import { findGroup } from './findGroup';
-import { decideRepair } from './membershipRepair';
-import { createRaftTransport, vmOfReplica } from './raftTransport';
 import { collectChangeFindings, createReachTracker } from './settingsService';
 import type { ReachReport, SettingsPull, SettingsPullReply } from './settingsService';
 
@@ -84,7 +83,7 @@
     random: context.random,
     storage,
     stateMachine: state,
-    send: createRaftTransport(context, targets).send,
+    send: createRaftTransport({ peers, findTarget: (vmId) => targets.get(vmId) }).send,
     schedule: scheduleTimer,
     timings: {
       electionTimeoutMs: timings.electionTimeoutMs,
--- a/packages/cli/src/entry/controlClient.ts
+++ b/packages/cli/src/entry/controlClient.ts
@@ -4,7 +4,7 @@
 import type { VmAddress } from '@spoolplank/settings';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
-import { vmOfReplica } from '../control/raftTransport';
+import { vmOfReplica } from '@spoolplank/controller';
 import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
 import type { VmContext } from '../vm/vmContext';
 
--- /dev/null
+++ b/packages/controller/src/controlNode.ts
@@ -0,0 +1,353 @@
+/** The role `control` with everything it needs injected: log, directory, feed, placement. */
+import type { ReplaceDocument, ReplaceResult, StoredDocument } from '@spoolplank/control';
+import { createDocumentState } from '@spoolplank/control';
+import {
+  createDocumentCache,
+  createFactTable,
+  createFeedClient,
+  createFeedServer,
+  FACT_KEYS,
+  FINAL_SEQUENCE,
+} from '@spoolplank/membership';
+import type {
+  BackendFact,
+  FactTable,
+  FeedClient,
+  FeedReply,
+  FeedRequest,
+  MemberFact,
+  SystemFact,
+} from '@spoolplank/membership';
+import { delay, scheduleTimer } from '@spoolplank/node';
+import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
+import type { RoutingDocument } from '@spoolplank/routing';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import { createCoreGroup } from './coreGroup';
+import type { CoreGroup } from './coreGroup';
+import type { EngineOrders } from './engineOperations';
+import { createPlacementLoop } from './placementLoop';
+
+export interface ControlNodeOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly peers: PeerClient;
+  /** Unique to this run of the process. */
+  readonly run: string;
+  readonly host: string;
+  readonly peerPort: number;
+  readonly dataCentre: string;
+  /** Hosts of control VMs, as the settings name them. */
+  readonly seeds: readonly string[];
+  readonly isFirstStart: boolean;
+  /** Null on a VM without a disk: it relays, and is no replica. */
+  readonly dataFolder: string | null;
+  readonly engineOrders: EngineOrders;
+  /** Reads a stored document that was checked before it was stored. */
+  readonly readDocument: (document: StoredDocument) => RoutingDocument;
+  readonly announcementMs: number;
+  readonly onFatal: (error: SpoolplankError) => void;
+}
+
+export interface ControlNode {
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  start(): Promise<void>;
+  stop(): Promise<void>;
+  /** Takes in what a backend server says of itself; a late call changes nothing. */
+  announce(fact: BackendFact, sequence: number): void;
+  /** Takes in that a backend server has left. */
+  withdraw(instanceId: string): void;
+  /**
+   * Puts a checked document into the log, here or at the leader.
+   *
+   * @throws SpoolplankError when its outcome is not known, or nobody leads.
+   */
+  replaceDocument(document: StoredDocument): Promise<ReplaceResult>;
+  /**
+   * The document in force, confirmed by a quorum; null when there is none yet.
+   *
+   * @throws SpoolplankError `not-leader` when no quorum confirms it.
+   */
+  readDocument(): Promise<StoredDocument | null>;
+  describe(): JsonValue;
+}
+
+/** An exchange held back this long costs 1.25 exchanges a second and process. */
+const FEED_WAIT_MS = 800;
+const FEED_TIMEOUT_MS = 1400;
+const RETRY_MS = 150;
+const TICK_MS = 200;
+/** Ticks between two statements of this process about itself. */
+const STATEMENT_TICKS = 3;
+/** Operators move on after a second: what is not decided by then is answered as unavailable. */
+const DECIDE_MS = 850;
+const FORWARD_TIMEOUT_MS = 800;
+const MIN_FORWARD_MS = 50;
+/** Facts are kept ten times longer than any announcement may be late. */
+const RETENTION_MS = 60_000;
+const MEMBER_LOST_MS = 5000;
+
+export async function createControlNode(options: ControlNodeOptions): Promise<ControlNode> {
+  const { clock, log, peers, host, peerPort, dataCentre, run } = options;
+  const state = createDocumentState();
+  const documents = createDocumentCache<StoredDocument>(clock);
+  let group: CoreGroup | null = null;
+  let isStopped = false;
+  let sequence = 0;
+  let ticks = 0;
+  const clients = new Map<string, FeedClient>();
+
+  let wakeFeed = () => {};
+  const table: FactTable<SystemFact> = createFactTable<SystemFact>({
+    clock,
+    instance: run,
+    isUrgent: ({ kind }) => kind !== 'load',
+    onUrgent: () => wakeFeed(),
+  });
+  const feed = createFeedServer<SystemFact, StoredDocument>({
+    clock,
+    table,
+    documents,
+    schedule: scheduleTimer,
+    maxWaitMs: FEED_WAIT_MS,
+    refreshConfirmation() {
+      if (!group?.canRead()) return;
+      if (state.current) documents.offer(state.current);
+      documents.confirm(state.current?.version ?? 0, clock.nowMs());
+    },
+  });
+
+  wakeFeed = () => feed.wake();
+
+  let decoded: RoutingDocument | null = null;
+  function currentDocument(): RoutingDocument | null {
+    const { current } = documents;
+    if (!current) return null;
+    if (decoded?.version !== current.version) decoded = options.readDocument(current);
+    return decoded;
+  }
+
+  const placement = createPlacementLoop({
+    clock,
+    log,
+    table,
+    orders: options.engineOrders,
+    mayOrder: () => group?.canRead() ?? false,
+    currentDocument,
+    announcementMs: options.announcementMs,
+  });
+
+  function listControlHosts(): readonly string[] {
+    const nowMs = clock.nowMs();
+    const known = table
+      .list()
+      .filter(
+        ({ body, heardAtMs }) =>
+          body.kind === 'member' && body.role === 'control' && nowMs - heardAtMs < MEMBER_LOST_MS,
+      )
+      .map(({ body }) => (body as MemberFact).host);
+    const replicas = group?.status()?.configuration.voters ?? [];
+    const hosts = [...options.seeds, ...known, ...replicas.map((id) => id.split('#')[0] ?? '')];
+    return [...new Set(hosts)].filter((other) => other !== host && other !== '');
+  }
+
+  const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
+
+  function stateSelf(): void {
+    sequence += 1;
+    table.put(FACT_KEYS.member(host, run), sequence, {
+      kind: 'member',
+      vmId: host,
+      dataCentre,
+      host,
+      role: 'control',
+      peerPort,
+      ...(group ? { replicaId: group.replicaId } : {}),
+      state: isStopped ? 'leaving' : 'ready',
+    });
+  }
+
+  /** Control VMs learn from each other in the same way as entries learn from them. */
+  function followOthers(): void {
+    const hosts = listControlHosts();
+    hosts
+      .filter((other) => !clients.has(other))
+      .forEach((other) => {
+        const client = createFeedClient<SystemFact, StoredDocument>({
+          clock,
+          table,
+          documents,
+          statements: () => [],
+          exchange: (request) =>
+            peers.call<FeedReply<SystemFact, StoredDocument>>(
+              findTarget(other),
+              'feed.exchange',
+              request,
+              FEED_TIMEOUT_MS,
+            ),
+          delay,
+          waitMs: FEED_WAIT_MS,
+          retryMs: RETRY_MS * 2,
+          onDocument: () => feed.wake(),
+          onState: (isConnected, problem) =>
+            log.info(isConnected ? 'peer-regained' : 'peer-lost', { peer: other, problem }),
+        });
+        clients.set(other, client);
+        void client.run();
+      });
+    clients.forEach((client, other) => {
+      if (hosts.includes(other)) return;
+      client.stop();
+      clients.delete(other);
+    });
+  }
+
+  function tick(): void {
+    if (isStopped) return;
+    ticks += 1;
+    if (ticks % STATEMENT_TICKS === 1) {
+      stateSelf();
+      followOthers();
+      table.sweep(RETENTION_MS);
+    }
+    placement.tick();
+    scheduleTimer(tick, TICK_MS);
+  }
+
+  async function proposeHere(document: StoredDocument): Promise<ReplaceResult> {
+    if (!group?.canRead()) {
+      throw new SpoolplankError('not-leader', { leaderId: group?.leaderVm() });
+    }
+    const command: ReplaceDocument = { kind: 'document.replace', ...document };
+    const known = state.current;
+    // What is in force already needs no place in the log, only a quorum that confirms it.
+    if (known && known.version >= document.version) {
+      return { status: 'held', versionInForce: known.version };
+    }
+    return (await group.propose(command as unknown as JsonValue)) as unknown as ReplaceResult;
+  }
+
+  function readHere(): StoredDocument | null {
+    if (group?.canRead()) return state.current;
+    throw new SpoolplankError('not-leader', { leaderId: group?.leaderVm() });
+  }
+
+  /** Another VM to ask: the leader, or any control VM where this one holds no replica. */
+  function findLeader(): string | undefined {
+    if (!group) return listControlHosts()[0];
+    const leader = group.leaderVm();
+    return leader === host ? undefined : leader;
+  }
+
+  async function atLeader<Result>(
+    here: () => Promise<Result> | Result,
+    method: string,
+    params: unknown,
+  ): Promise<Result> {
+    const deadlineMs = clock.nowMs() + DECIDE_MS;
+    let last: SpoolplankError = new SpoolplankError('not-leader');
+    while (clock.nowMs() < deadlineMs) {
+      try {
+        if (group?.canRead()) return await here();
+        const leader = findLeader();
+        if (leader !== undefined) {
+          const leftMs = Math.max(MIN_FORWARD_MS, deadlineMs - clock.nowMs());
+          const timeoutMs = Math.min(leftMs, FORWARD_TIMEOUT_MS);
+          return await peers.call<Result>(findTarget(leader), method, params, timeoutMs);
+        }
+      } catch (error) {
+        last = toSpoolplankError(error);
+        if (last.outcome === 'unknown' && last.code !== 'unreachable') throw last;
+      }
+      await delay(RETRY_MS / 2);
+    }
+    throw last;
+  }
+
+  const methods: Readonly<Record<string, PeerMethod>> = {
+    'feed.exchange': (params) =>
+      feed.answer(params as unknown as FeedRequest<SystemFact>) as unknown as Promise<JsonValue>,
+    'document.replace': async (params) =>
+      (await proposeHere(params as unknown as StoredDocument)) as unknown as JsonValue,
+    'document.read': () => readHere() as unknown as JsonValue,
+  };
+
+  if (options.dataFolder !== null) {
+    group = await createCoreGroup({
+      clock,
+      random: options.random,
+      log,
+      peers,
+      vmId: host,
+      dataFolder: options.dataFolder,
+      founders: options.seeds,
+      isFirstStart: options.isFirstStart,
+      listOthers: listControlHosts,
+      findTarget,
+      stateMachine: state,
+      onApplied() {
+        if (!state.current || !documents.offer(state.current)) return;
+        log.info('document-in-force', { version: state.current.version });
+        feed.wake();
+      },
+      onFatal: options.onFatal,
+    });
+  }
+
+  return {
+    methods: { ...methods, ...group?.methods },
+    async start() {
+      tick();
+      await group?.start();
+    },
+    async stop() {
+      isStopped = true;
+      stateSelf();
+      clients.forEach((client) => client.stop());
+      await group?.stop();
+    },
+    announce(fact, factSequence) {
+      const known = table.find(FACT_KEYS.backend(fact.instanceId));
+      const isNews = !known || (known.body as BackendFact).state !== fact.state;
+      const isTaken = table.put(FACT_KEYS.backend(fact.instanceId), factSequence, fact);
+      if (isTaken && isNews) {
+        const { instanceId, service, address, state: newState } = fact;
+        log.info('backend-seen', {
+          instanceId,
+          service,
+          address,
+          state: newState,
+          sequence: factSequence,
+        });
+      }
+    },
+    withdraw(instanceId) {
+      const known = table.find(FACT_KEYS.backend(instanceId))?.body;
+      const fact: BackendFact =
+        known?.kind === 'backend'
+          ? { ...known, state: 'gone' }
+          : {
+              kind: 'backend',
+              instanceId,
+              service: '',
+              address: '',
+              dataCentre: '',
+              state: 'gone',
+              slots: 0,
+            };
+      table.put(FACT_KEYS.backend(instanceId), FINAL_SEQUENCE, fact);
+      log.info('backend-left', { instanceId, address: fact.address });
+    },
+    replaceDocument: (document) =>
+      atLeader(() => proposeHere(document), 'document.replace', document),
+    readDocument: () => atLeader(readHere, 'document.read', {}),
+    describe: () =>
+      ({
+        replica: group?.status() ?? null,
+        documentVersion: documents.current?.version ?? null,
+        confirmedAgeMs: documents.confirmedAgeMs(),
+        facts: table.list(),
+      }) as unknown as JsonValue,
+  };
+}
--- a/packages/cli/src/control/membershipRepair.ts
+++ b/packages/controller/src/membershipRepair.ts
@@ -37,3 +37,19 @@
   const isCaughtUp = (matchIndexes[candidate] ?? 0) + PROMOTE_WITHIN_ENTRIES >= commitIndex;
   return isCaughtUp ? { kind: 'promote', replicaId: candidate } : null;
 }
+
+/**
+ * Removes a silent replica where that lowers the number of votes a majority needs: an even
+ * number of voters tolerates no more losses than one fewer. A learner that fell silent goes
+ * too. Null when nothing is gained.
+ */
+export function decideRetirement(
+  { voters, learners }: Configuration,
+  silent: readonly ReplicaId[],
+): ConfigurationChange | null {
+  const learner = learners.find((id) => silent.includes(id));
+  if (learner !== undefined) return { kind: 'remove', replicaId: learner };
+  const voter = voters.find((id) => silent.includes(id));
+  const isWorthwhile = voters.length > 2 && voters.length % 2 === 0;
+  return voter !== undefined && isWorthwhile ? { kind: 'remove', replicaId: voter } : null;
+}
--- /dev/null
+++ b/packages/controller/src/placementLoop.ts
@@ -0,0 +1,134 @@
+/** Gives the orders that bring every layer of a model to the engines; see `planPlacement`. */
+import { FACT_KEYS } from '@spoolplank/membership';
+import type { BackendFact, Fact, FactTable, LayerRange, SystemFact } from '@spoolplank/membership';
+import type { EventLog } from '@spoolplank/node';
+import { planPlacement } from '@spoolplank/routing';
+import type {
+  ModelDescription,
+  PlacedEngine,
+  PlacementOrder,
+  RoutingDocument,
+} from '@spoolplank/routing';
+import type { Clock } from '@spoolplank/shared';
+import type { EngineOrders } from './engineOperations';
+
+export interface PlacementLoopOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly table: FactTable<SystemFact>;
+  readonly orders: EngineOrders;
+  /** Whether this process may give orders now: it leads and a quorum confirms that. */
+  readonly mayOrder: () => boolean;
+  readonly currentDocument: () => RoutingDocument | null;
+  /** Interval at which engines announce themselves. */
+  readonly announcementMs: number;
+}
+
+export interface PlacementLoop {
+  /** Lets time pass: gives what orders are due. */
+  tick(): void;
+}
+
+interface PendingOrder {
+  readonly range: LayerRange;
+  readonly untilMs: number;
+}
+
+type EngineRow = Fact<SystemFact> & { readonly body: BackendFact };
+
+/** Engines announce themselves within two intervals; before that, some may not be known yet. */
+const SETTLE_INTERVALS = 1.5;
+/** An announcement may come seconds late; beyond this the engine is taken for lost. */
+const LOST_INTERVALS = 3.5;
+/** What an order may take beyond the time of its load before it counts as not carried out. */
+const ORDER_MARGIN_MS = 4000;
+
+function isEngineOf(service: string) {
+  return (fact: Fact<SystemFact>): fact is EngineRow =>
+    fact.body.kind === 'backend' && fact.body.service === service && fact.body.engine !== undefined;
+}
+
+export function createPlacementLoop(options: PlacementLoopOptions): PlacementLoop {
+  const { clock, log, table, orders, announcementMs } = options;
+  const pending = new Map<string, PendingOrder>();
+  let orderableSinceMs: number | null = null;
+
+  function toPlaced({ body, heardAtMs, sequence }: EngineRow, newestMs: number): PlacedEngine {
+    const { instanceId, dataCentre, state, engine } = body;
+    const order = pending.get(instanceId);
+    const range = order?.range ?? engine?.held ?? null;
+    const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
+    const isSuspect = suspicion !== undefined && suspicion.sequence >= sequence;
+    const isHeard = newestMs - heardAtMs < LOST_INTERVALS * announcementMs;
+    const isReliable = isHeard && !isSuspect && state === 'ready';
+    return {
+      id: instanceId,
+      dataCentre,
+      acceleratorKind: engine?.acceleratorKind ?? '',
+      firstLayer: range?.firstLayer ?? null,
+      endLayer: range?.endLayer ?? null,
+      isOrderable: isReliable && order === undefined,
+      isReliable,
+    };
+  }
+
+  function dropSettled(engines: readonly EngineRow[]): void {
+    const nowMs = clock.nowMs();
+    pending.forEach(({ range, untilMs }, id) => {
+      const held = engines.find(({ body }) => body.instanceId === id)?.body.engine?.held;
+      const isDone = held?.firstLayer === range.firstLayer && held.endLayer === range.endLayer;
+      if (!isDone && nowMs < untilMs) return;
+      pending.delete(id);
+      if (!isDone) log.warn('order-overdue', { engine: id, ...range });
+    });
+  }
+
+  async function give(engine: EngineRow, order: PlacementOrder, loadMs: number): Promise<void> {
+    const { instanceId, address } = engine.body;
+    const { firstLayer, endLayer } = order;
+    const range = { firstLayer, endLayer };
+    pending.set(instanceId, { range, untilMs: clock.nowMs() + loadMs + ORDER_MARGIN_MS });
+    const outcome = await orders.place({ instanceId, address }, range);
+    log.info('order-given', {
+      engine: instanceId,
+      ...range,
+      outcome,
+      announcedAgeMs: Math.round(clock.nowMs() - engine.heardAtMs),
+    });
+    if (outcome === 'refused') pending.delete(instanceId);
+  }
+
+  function orderFor(model: ModelDescription, engines: readonly EngineRow[]): void {
+    dropSettled(engines);
+    const newestMs = Math.max(...engines.map(({ heardAtMs }) => heardAtMs));
+    const placed = engines.map((engine) => toPlaced(engine, newestMs));
+    const room = Math.max(1, model.maxConcurrentLoads) * 2 - pending.size;
+    const isFirst = placed.every(({ firstLayer }) => firstLayer === null);
+    const plan = planPlacement(placed, model);
+    // The first loads are cheap, and all of them are needed before requests come.
+    plan.slice(0, isFirst ? plan.length : Math.max(0, room)).forEach((order) => {
+      const engine = engines.find(({ body }) => body.instanceId === order.id);
+      if (!engine) return;
+      const loadMs = (model.loadMs * (order.endLayer - order.firstLayer)) / model.layers;
+      void give(engine, order, loadMs * 2);
+    });
+  }
+
+  return {
+    tick() {
+      const document = options.currentDocument();
+      if (!options.mayOrder() || !document) {
+        orderableSinceMs = null;
+        pending.clear();
+        return;
+      }
+      orderableSinceMs ??= clock.nowMs();
+      const isSettled = clock.nowMs() - orderableSinceMs > SETTLE_INTERVALS * announcementMs;
+      if (!isSettled) return;
+      document.services.forEach(({ name, model }) => {
+        const engines = table.list().filter(isEngineOf(name));
+        if (model && engines.length > 0) orderFor(model, engines);
+      });
+    },
+  };
+}
--- a/packages/cli/src/control/raftTransport.ts
+++ b/packages/controller/src/raftTransport.ts
@@ -1,7 +1,14 @@
 /** Carries messages of the replicated log between control VMs. */
 import type { Message } from '@spoolplank/consensus';
-import type { PeerTarget } from '@spoolplank/node';
-import type { VmContext } from '../vm/vmContext';
+import type { PeerClient, PeerTarget } from '@spoolplank/node';
+
+export interface RaftTransportOptions {
+  readonly peers: PeerClient;
+  /** Where a VM is reached now; undefined while that is not known. */
+  readonly findTarget: (vmId: string) => PeerTarget | undefined;
+  /** Told of each VM that took messages. */
+  readonly onDelivered?: (vmId: string) => void;
+}
 
 export interface RaftTransport {
   send(message: Message): void;
@@ -21,10 +28,11 @@
 }
 
 /** Sends what has gathered for a VM in one request, one request at a time. */
-export function createRaftTransport(
-  { peers }: VmContext,
-  targets: ReadonlyMap<string, PeerTarget>,
-): RaftTransport {
+export function createRaftTransport({
+  peers,
+  findTarget,
+  onDelivered = () => {},
+}: RaftTransportOptions): RaftTransport {
   const lanes = new Map<string, Lane>();
 
   function flush(vmId: string, target: PeerTarget, lane: Lane): void {
@@ -34,6 +42,8 @@
     lane.isSending = true;
     peers
       .call(target, 'consensus.step', { messages })
+      .then(() => onDelivered(vmId))
+      // Lost messages are sent anew by the protocol itself; who is silent shows in its status.
       .catch(() => {})
       .finally(() => {
         lane.isSending = false;
@@ -44,7 +54,7 @@
   return {
     send(message) {
       const vmId = vmOfReplica(message.to);
-      const target = targets.get(vmId);
+      const target = findTarget(vmId);
       if (!target) return;
       const lane = lanes.get(vmId) ?? { waiting: [], isSending: false };
       lanes.set(vmId, lane);
--- /dev/null
+++ b/packages/entry/index.ts
@@ -0,0 +1,4 @@
+export * from './src/addressBook';
+export * from './src/backendOperations';
+export * from './src/callerRequest';
+export * from './src/entryNode';
--- /dev/null
+++ b/packages/entry/src/entryContext.ts
@@ -0,0 +1,43 @@
+/** What every part of an entry is given. */
+import type { EventLog, Metrics } from '@spoolplank/node';
+import type { BackendLoadTable, Organisation, Route, WindowBudget } from '@spoolplank/routing';
+import type { Clock, Random } from '@spoolplank/shared';
+import type { BackendOperations } from './backendOperations';
+import type { CallerAnswer, CallerRequest } from './callerRequest';
+import type { RoutingView } from './routingView';
+
+export interface EntryContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  readonly dataCentre: string;
+  readonly view: RoutingView;
+  readonly operations: BackendOperations;
+  readonly loads: BackendLoadTable;
+  /** The retry budget of a service. */
+  readonly budgetOf: (service: string) => WindowBudget;
+  /** Age of the facts that requests are routed by, in milliseconds. */
+  readonly factsAgeMs: () => number;
+}
+
+/** A request that was admitted, on its way to a service. */
+export interface AdmittedRequest {
+  readonly request: CallerRequest;
+  readonly answer: CallerAnswer;
+  readonly route: Route;
+  readonly service: string;
+  readonly organisation: Organisation | null;
+  /** When the caller or the operator stops waiting, on this VM's clock. */
+  readonly endsAtMs: number;
+}
+
+/** How a request ended, for the log and the counters. */
+export interface RequestEnd {
+  readonly outcome: 'served' | 'failed-there' | 'refused' | 'failed' | 'broken-off' | 'caller-left';
+  readonly status: number;
+  readonly attempts: number;
+  /** Backend server, or the engines of the path, that served last. */
+  readonly servedBy: readonly string[];
+  readonly firstByteMs: number | null;
+}
--- /dev/null
+++ b/packages/entry/src/plainDispatch.ts
@@ -0,0 +1,194 @@
+/** Requests to plain services: one backend server, or another one where that is allowed. */
+import { finished } from 'node:stream/promises';
+import type { BackendFact } from '@spoolplank/membership';
+import { selectCandidate } from '@spoolplank/routing';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { BackendResponse } from './backendOperations';
+import type { RawHeaders } from './callerRequest';
+import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
+
+/** What came of sending a request to one backend server. */
+type AttemptResult =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: RawHeaders;
+      readonly body: Buffer;
+    }
+  /** It has not run there. */
+  | { readonly kind: 'not-run'; readonly problem: string }
+  /** It may have run there, and there is no answer to pass on. */
+  | { readonly kind: 'unknown'; readonly problem: string };
+
+/** An answer is given so long before the time-out, so that it arrives before it. */
+const TIMEOUT_MARGIN_MS = 30;
+/** A connection inside a region takes a few milliseconds; a lost packet is sent again after 200. */
+const CONNECT_TIMEOUT_MS = 400;
+/** A repeatable request waits this many times its target before it is sent elsewhere too. */
+const PATIENCE_FACTOR = 2.5;
+/** Rejections that one request may meet before it is refused. */
+const MAX_REJECTIONS = 3;
+const RETRY_AFTER_MS = 150;
+/** Greatest answer that is held back until it is whole. */
+const MAX_ANSWER_BYTES = 16_777_216;
+const HIGHEST_GOOD_STATUS = 499;
+
+async function readWhole(response: BackendResponse): Promise<Buffer> {
+  const pieces: Buffer[] = [];
+  let bytes = 0;
+  response.body.on('data', (piece: Buffer) => {
+    bytes += piece.length;
+    pieces.push(piece);
+    if (bytes > MAX_ANSWER_BYTES) response.body.destroy(new Error('the answer is too large'));
+  });
+  await finished(response.body, { writable: false });
+  return Buffer.concat(pieces);
+}
+
+export interface PlainDispatch {
+  /**
+   * Serves a request.
+   *
+   * @throws SpoolplankError that the caller is to be refused with.
+   */
+  run(admitted: AdmittedRequest): Promise<RequestEnd>;
+}
+
+export function createPlainDispatch(context: EntryContext): PlainDispatch {
+  const { clock, loads, log, operations, random, view } = context;
+
+  function choose(service: string, excluded: ReadonlySet<string>): BackendFact | undefined {
+    const candidates = view
+      .listBackends(service)
+      .map((fact) => ({ name: fact.instanceId, dataCentre: fact.dataCentre, fact }));
+    const { dataCentre } = context;
+    const nowMs = clock.nowMs();
+    return selectCandidate(candidates, { dataCentre, excluded, nowMs }, loads, random)?.fact;
+  }
+
+  async function judge(response: BackendResponse, backend: BackendFact): Promise<AttemptResult> {
+    const { status, headers, problem, isNotRun, load } = response;
+    if (load) {
+      const sequence = Math.ceil(clock.nowMs());
+      loads.report({ name: backend.instanceId, incarnation: 0, sequence, load });
+    }
+    if (isNotRun) {
+      response.body.resume();
+      return { kind: 'not-run', problem: problem ?? `rejected with status ${status}` };
+    }
+    if (problem !== null) {
+      response.body.destroy();
+      return { kind: 'unknown', problem };
+    }
+    return { kind: 'answered', status, headers, body: await readWhole(response) };
+  }
+
+  async function attempt(
+    { request, organisation, endsAtMs, route }: AdmittedRequest,
+    backend: BackendFact,
+    canRepeat: boolean,
+    abort: AbortController,
+  ): Promise<AttemptResult> {
+    const startedAtMs = clock.nowMs();
+    const remainingMs = endsAtMs - startedAtMs;
+    const patienceMs = canRepeat
+      ? Math.min(remainingMs, route.targetLatencyMs * PATIENCE_FACTOR)
+      : remainingMs;
+    const timer = setTimeout(() => abort.abort(), Math.max(1, patienceMs - TIMEOUT_MARGIN_MS));
+    loads.start(backend.instanceId);
+    let result: AttemptResult;
+    try {
+      const response = await operations.open({
+        target: backend,
+        request,
+        organisation: organisation?.name ?? null,
+        remainingMs,
+        resumeAfter: request.lastEventId,
+        signal: abort.signal,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      });
+      result = await judge(response, backend);
+    } catch (error) {
+      const { outcome, message } = toSpoolplankError(error);
+      result = { kind: outcome === 'not-run' ? 'not-run' : 'unknown', problem: message };
+    } finally {
+      clearTimeout(timer);
+    }
+    const nowMs = clock.nowMs();
+    const isFailure = result.kind !== 'answered';
+    loads.finish(backend.instanceId, { isFailure, durationMs: nowMs - startedAtMs, nowMs });
+    return result;
+  }
+
+  return {
+    async run(admitted) {
+      const { request, answer, route, service } = admitted;
+      const budget = context.budgetOf(service);
+      const excluded = new Set<string>();
+      const abort = new AbortController();
+      let current = abort;
+      answer.onClosed(() => current.abort());
+      let runs = 0;
+      let rejections = 0;
+      let last: AttemptResult | null = null;
+      let servedBy: readonly string[] = [];
+
+      const end = (outcome: RequestEnd['outcome'], status: number): RequestEnd => ({
+        outcome,
+        status,
+        attempts: runs + rejections,
+        servedBy,
+        firstByteMs: clock.nowMs() - request.arrivedAtMs,
+      });
+      const mayRunAgain = () => runs < route.maxAttempts && (runs === 0 || route.kind === 'safe');
+      const isWorthRepeating = (result: AttemptResult) =>
+        result.kind !== 'answered' || result.status > HIGHEST_GOOD_STATUS;
+
+      for (;;) {
+        if (answer.isClosed) return end('caller-left', 0);
+        const remainingMs = admitted.endsAtMs - clock.nowMs();
+        const isFirst = runs + rejections === 0;
+        const canSend =
+          remainingMs > TIMEOUT_MARGIN_MS &&
+          mayRunAgain() &&
+          rejections < MAX_REJECTIONS &&
+          (isFirst || budget.spend());
+        const backend = canSend ? choose(service, excluded) : undefined;
+        if (!backend) break;
+        if (isFirst) budget.earn();
+        excluded.add(backend.instanceId);
+        servedBy = [backend.instanceId];
+        current = new AbortController();
+        const canRepeat = route.kind === 'safe' && runs + 1 < route.maxAttempts;
+        const result = await attempt(admitted, backend, canRepeat, current);
+        if (result.kind === 'not-run') rejections += 1;
+        else runs += 1;
+        // An answer that came is kept while another one is tried for.
+        if (result.kind === 'answered' || last?.kind !== 'answered') last = result;
+        if (!isWorthRepeating(result)) break;
+        log.info('attempt-failed', {
+          requestId: request.id,
+          backend: backend.instanceId,
+          address: backend.address,
+          result: result.kind,
+          problem: result.kind === 'answered' ? `status ${result.status}` : result.problem,
+          factsAgeMs: Math.round(context.factsAgeMs()),
+        });
+        if (result.kind === 'unknown' && route.kind !== 'safe') break;
+      }
+
+      if (answer.isClosed) return end('caller-left', 0);
+      if (last?.kind === 'answered') {
+        answer.send(last.status, last.headers, last.body);
+        return end(last.status > HIGHEST_GOOD_STATUS ? 'failed-there' : 'served', last.status);
+      }
+      if (runs === 0) {
+        throw new SpoolplankError('no-backend-server', { retryAfterMs: RETRY_AFTER_MS });
+      }
+      const isLate = clock.nowMs() >= admitted.endsAtMs - 2 * TIMEOUT_MARGIN_MS;
+      throw new SpoolplankError(isLate ? 'deadline-exceeded' : 'backend-server-failed', {
+        detail: last?.problem,
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/routingView.ts
@@ -0,0 +1,149 @@
+/** What an entry routes by: the document and the facts, made ready for look-ups. */
+import { FACT_KEYS } from '@spoolplank/membership';
+import type {
+  BackendFact,
+  DocumentCache,
+  Fact,
+  FactTable,
+  LoadFact,
+  MemberFact,
+  SystemFact,
+} from '@spoolplank/membership';
+import { createRouteTable } from '@spoolplank/routing';
+import type { RouteTable, RoutingDocument } from '@spoolplank/routing';
+import type { Clock } from '@spoolplank/shared';
+
+export interface RoutingViewOptions<Document extends { readonly version: number }> {
+  readonly clock: Clock;
+  readonly table: FactTable<SystemFact>;
+  readonly documents: DocumentCache<Document>;
+  readonly readDocument: (document: Document) => RoutingDocument;
+  /** When a source last answered; ages count up to then, so that a lost source ages nobody. */
+  readonly syncedAtMs: () => number;
+  readonly announcementMs: number;
+  /** Key of this entry's own load fact. */
+  readonly ownLoadKey: string;
+}
+
+export interface RoutingView {
+  /** Null before the first document. */
+  routes(): RouteTable | null;
+  /** Backend servers of a service that take requests. */
+  listBackends(service: string): readonly BackendFact[];
+  listMembers(role: MemberFact['role']): readonly MemberFact[];
+  /** Requests that other entries have in flight on the engines of a data centre. */
+  othersInFlight(dataCentre: string): number;
+  findByAddress(address: string): Fact<SystemFact> | undefined;
+  /** Changes whenever anything changed that bears on where requests go. */
+  readonly revision: number;
+}
+
+/** An announcement may come seconds late; beyond this a backend server is left out. */
+const LOST_INTERVALS = 3.5;
+/** Two exchanges held back to the full, and one that was lost. */
+const MEMBER_LOST_MS = 2600;
+/** How often ages are looked at when nothing else changes. */
+const REFRESH_MS = 100;
+
+export function createRoutingView<Document extends { readonly version: number }>(
+  options: RoutingViewOptions<Document>,
+): RoutingView {
+  const { clock, table, documents, readDocument, syncedAtMs, announcementMs } = options;
+  let routes: RouteTable | null = null;
+  let refreshedAtMs = Number.NEGATIVE_INFINITY;
+  let seenRevision = -1;
+  let revision = 0;
+  let signature = '';
+  let backends = new Map<string, BackendFact[]>();
+  let members: MemberFact[] = [];
+  let byAddress = new Map<string, Fact<SystemFact>>();
+  let inFlight = new Map<string, number>();
+
+  function isSuspect(instanceId: string, sequence: number): boolean {
+    const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
+    return suspicion !== undefined && suspicion.sequence >= sequence;
+  }
+
+  function takeBackend(fact: Fact<SystemFact>, body: BackendFact, nowMs: number): void {
+    if (body.state !== 'ready') return;
+    const isLost = nowMs - fact.heardAtMs > LOST_INTERVALS * announcementMs;
+    if (isLost || isSuspect(body.instanceId, fact.sequence)) return;
+    backends.set(body.service, [...(backends.get(body.service) ?? []), body]);
+  }
+
+  function takeLoad({ inFlight: loads }: LoadFact): void {
+    Object.entries(loads).forEach(([dataCentre, count]) => {
+      inFlight.set(dataCentre, (inFlight.get(dataCentre) ?? 0) + count);
+    });
+  }
+
+  function refresh(): void {
+    const nowMs = clock.nowMs();
+    if (table.revision === seenRevision && nowMs - refreshedAtMs < REFRESH_MS) return;
+    seenRevision = table.revision;
+    refreshedAtMs = nowMs;
+    backends = new Map();
+    members = [];
+    byAddress = new Map();
+    inFlight = new Map();
+    const facts = table.list();
+    const referenceMs = Math.min(nowMs, syncedAtMs());
+    // An address may have a new owner: the one heard of last has it.
+    facts.forEach((fact) => {
+      if (fact.body.kind !== 'backend') return;
+      const known = byAddress.get(fact.body.address);
+      if (!known || known.heardAtMs < fact.heardAtMs) byAddress.set(fact.body.address, fact);
+    });
+    facts.forEach((fact) => {
+      const { body, heardAtMs, key } = fact;
+      const ageMs = referenceMs - heardAtMs;
+      if (body.kind === 'backend') {
+        if (byAddress.get(body.address) === fact) takeBackend(fact, body, referenceMs);
+      } else if (body.kind === 'member' && ageMs < MEMBER_LOST_MS) members.push(body);
+      else if (body.kind === 'load' && ageMs < MEMBER_LOST_MS && key !== options.ownLoadKey) {
+        takeLoad(body);
+      }
+    });
+    const names = [...backends.values()]
+      .flat()
+      .map(
+        ({ instanceId, engine }) =>
+          `${instanceId}:${engine?.held?.firstLayer}-${engine?.held?.endLayer}`,
+      );
+    const newSignature = names.sort().join(' ');
+    if (newSignature !== signature) {
+      signature = newSignature;
+      revision += 1;
+    }
+  }
+
+  return {
+    routes() {
+      const { current } = documents;
+      if (current && routes?.document.version !== current.version) {
+        routes = createRouteTable(readDocument(current));
+      }
+      return routes;
+    },
+    listBackends(service) {
+      refresh();
+      return backends.get(service) ?? [];
+    },
+    listMembers(role) {
+      refresh();
+      return members.filter((member) => member.role === role);
+    },
+    othersInFlight(dataCentre) {
+      refresh();
+      return inFlight.get(dataCentre) ?? 0;
+    },
+    findByAddress(address) {
+      refresh();
+      return byAddress.get(address);
+    },
+    get revision() {
+      refresh();
+      return revision;
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/streamDispatch.ts
@@ -0,0 +1,316 @@
+/** Streams of a model that runs on a chain of engines. */
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { ModelDescription } from '@spoolplank/routing';
+import type { BackendResponse } from './backendOperations';
+import type { ChainChoice, ChosenChain } from './chainChoice';
+import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
+import { createEventSplitter } from './eventSplitter';
+import type { StreamCut, StreamRow, StreamTable } from './streamTable';
+
+/** What came of one attempt. */
+type StreamResult =
+  | { readonly kind: 'whole'; readonly status: number }
+  /** It has not run. */
+  | { readonly kind: 'not-run'; readonly problem: string; readonly culprit: string | null }
+  /** It broke off, or was ended here; what the caller has of it stays. */
+  | { readonly kind: 'broken'; readonly problem: string; readonly isHeadLost: boolean }
+  | { readonly kind: 'caller-left' };
+
+export interface StreamDispatchOptions {
+  readonly context: EntryContext;
+  readonly streams: StreamTable;
+  readonly chains: ChainChoice;
+  readonly suspect: (instanceId: string, evidence: string) => void;
+  readonly avoid: (instanceId: string) => void;
+}
+
+export interface StreamDispatch {
+  /**
+   * Serves a stream.
+   *
+   * @throws SpoolplankError that the caller is to be refused with; never after it has begun.
+   */
+  run(admitted: AdmittedRequest, model: ModelDescription): Promise<RequestEnd>;
+}
+
+const CONNECT_TIMEOUT_MS = 150;
+const MAX_REJECTIONS = 4;
+/** Engines that end one after the other under one stream: beyond this something else is wrong. */
+const MAX_ATTEMPTS = 6;
+const RETRY_AFTER_MS = 250;
+const TIMEOUT_MARGIN_MS = 30;
+const HIGHEST_GOOD_STATUS = 299;
+
+/** What one request carries from attempt to attempt. */
+interface Progress {
+  lastEventId: string | null;
+  hasBegun: boolean;
+  firstByteMs: number | null;
+  status: number;
+  servedBy: readonly string[];
+}
+
+export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
+  const { context, streams, chains, suspect, avoid } = options;
+  const { clock, log, operations, view } = context;
+
+  function createRow(
+    admitted: AdmittedRequest,
+    model: ModelDescription,
+    chain: ChosenChain,
+    abort: AbortController,
+  ): StreamRow {
+    const nowMs = clock.nowMs();
+    const row: StreamRow = {
+      admitted,
+      model,
+      dataCentre: chain.dataCentre,
+      stages: chain.stages,
+      lostIds: new Set(),
+      hasBegun: false,
+      lastProgressAtMs: nowMs,
+      lastCheckAtMs: 0,
+      isChecking: false,
+      isRepairing: false,
+      isPaused: false,
+      cutReason: null,
+      cut(reason: StreamCut) {
+        row.cutReason ??= reason;
+        abort.abort();
+      },
+    };
+    return row;
+  }
+
+  /** Passes whole events on until the stream ends; rejects when it breaks off. */
+  function relay(row: StreamRow, response: BackendResponse, progress: Progress): Promise<void> {
+    const { answer, request } = row.admitted;
+    const splitter = createEventSplitter();
+    const { body } = response;
+    return new Promise((resolve, reject) => {
+      function passOn(piece: Buffer): void {
+        if (!progress.hasBegun) {
+          answer.begin(response.status, response.headers);
+          Object.assign(progress, {
+            hasBegun: true,
+            status: response.status,
+            firstByteMs: clock.nowMs() - request.arrivedAtMs,
+          });
+        }
+        progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
+        if (answer.write(piece)) return;
+        row.isPaused = true;
+        body.pause();
+        answer.onWritable(() => {
+          row.isPaused = false;
+          row.lastProgressAtMs = clock.nowMs();
+          body.resume();
+        });
+      }
+      body.on('data', (bytes: Buffer) => {
+        row.lastProgressAtMs = clock.nowMs();
+        row.hasBegun = true;
+        const whole = splitter.push(bytes);
+        if (whole.length > 0 && !answer.isClosed) passOn(whole);
+      });
+      body.once('end', () => {
+        if (splitter.hasRest) passOn(splitter.takeRest());
+        else if (!progress.hasBegun) passOn(Buffer.alloc(0));
+        resolve();
+      });
+      body.once('error', reject);
+      body.once('close', () => reject(new Error('the connection closed')));
+    });
+  }
+
+  async function judge(
+    row: StreamRow,
+    response: BackendResponse,
+    progress: Progress,
+  ): Promise<StreamResult> {
+    const { status, isNotRun, problem } = response;
+    if (isNotRun || response.isMisdirected) {
+      response.body.resume();
+      const culprit = response.culpritAddress;
+      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit };
+    }
+    if (problem !== null) {
+      response.body.destroy();
+      return { kind: 'broken', problem, isHeadLost: false };
+    }
+    if (status > HIGHEST_GOOD_STATUS && progress.hasBegun) {
+      response.body.destroy();
+      return { kind: 'broken', problem: `status ${status}`, isHeadLost: false };
+    }
+    await relay(row, response, progress);
+    return { kind: 'whole', status };
+  }
+
+  function explain(row: StreamRow, error: unknown): StreamResult {
+    if (row.cutReason === 'caller-left') return { kind: 'caller-left' };
+    const [head] = row.stages;
+    const known = toSpoolplankError(error);
+    const problem = row.cutReason ?? known.message;
+    if (row.cutReason === null && head) {
+      // The connection itself failed: the first engine ended, or cannot be reached.
+      row.lostIds.add(head.id);
+      suspect(head.id, 'connection-failed');
+    }
+    const isHeadLost = head !== undefined && row.lostIds.has(head.id);
+    if (known.outcome === 'not-run' && row.cutReason === null) {
+      return { kind: 'not-run', problem, culprit: head?.address ?? null };
+    }
+    return { kind: 'broken', problem, isHeadLost };
+  }
+
+  async function attempt(
+    admitted: AdmittedRequest,
+    model: ModelDescription,
+    chain: ChosenChain,
+    progress: Progress,
+  ): Promise<StreamResult> {
+    const { request, organisation, answer, endsAtMs } = admitted;
+    const [head] = chain.stages;
+    if (!head) throw new SpoolplankError('internal', { detail: 'A chain has no engine.' });
+    const abort = new AbortController();
+    const row = createRow(admitted, model, chain, abort);
+    const remainingMs = endsAtMs - clock.nowMs();
+    const timer = setTimeout(() => row.cut('deadline'), remainingMs - TIMEOUT_MARGIN_MS);
+    answer.onClosed(() => row.cut('caller-left'));
+    streams.add(row);
+    progress.servedBy = chain.stages.map(
+      ({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`,
+    );
+    try {
+      const response = await operations.open({
+        target: { instanceId: head.id, address: head.address },
+        request,
+        organisation: organisation?.name ?? null,
+        remainingMs,
+        stages: chain.stages,
+        resumeAfter: progress.lastEventId,
+        signal: abort.signal,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      });
+      return await judge(row, response, progress);
+    } catch (error) {
+      return explain(row, error);
+    } finally {
+      clearTimeout(timer);
+      streams.remove(row);
+    }
+  }
+
+  function noteRejection(culprit: string | null): void {
+    const fact = culprit === null ? undefined : view.findByAddress(culprit);
+    if (fact?.body.kind === 'backend') avoid(fact.body.instanceId);
+  }
+
+  function chooseChain(
+    { service }: AdmittedRequest,
+    model: ModelDescription,
+    excluded: ReadonlySet<string>,
+  ): ChosenChain {
+    const chain = chains.choose(service, model, excluded);
+    if (!chain) throw new SpoolplankError('no-backend-server', { retryAfterMs: RETRY_AFTER_MS });
+    if (chain.inFlight >= chain.capacity) {
+      throw new SpoolplankError('overloaded', {
+        detail: `${chain.inFlight} streams of ${Math.floor(chain.capacity)}.`,
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+    }
+    return chain;
+  }
+
+  return {
+    async run(admitted, model) {
+      const { request, answer, route, service } = admitted;
+      const budget = context.budgetOf(service);
+      const progress: Progress = {
+        lastEventId: request.lastEventId,
+        hasBegun: false,
+        firstByteMs: null,
+        status: 0,
+        servedBy: [],
+      };
+      const excluded = new Set<string>();
+      let runs = 0;
+      let rejections = 0;
+      let attempts = 0;
+      let mayHaveRun = false;
+      let problem = '';
+
+      const end = (outcome: RequestEnd['outcome'], status: number): RequestEnd => ({
+        outcome,
+        status,
+        attempts,
+        servedBy: progress.servedBy,
+        firstByteMs: progress.firstByteMs,
+      });
+
+      /** Another attempt is possible: there is time, budget, and an attempt left. */
+      function mayTry(): boolean {
+        if (attempts === 0) return true;
+        const isAllowed = !mayHaveRun || (route.isResumable && runs < route.maxAttempts);
+        const hasTime = admitted.endsAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
+        const isFew = rejections < MAX_REJECTIONS && attempts < MAX_ATTEMPTS;
+        return isAllowed && hasTime && isFew && budget.spend();
+      }
+
+      budget.earn();
+      while (mayTry()) {
+        let chain: ChosenChain;
+        try {
+          chain = chooseChain(admitted, model, excluded);
+        } catch (error) {
+          if (progress.hasBegun || mayHaveRun) {
+            problem = toSpoolplankError(error).message;
+            break;
+          }
+          throw error;
+        }
+        attempts += 1;
+        const result = await attempt(admitted, model, chain, progress);
+        if (result.kind === 'caller-left') return end('caller-left', progress.status);
+        if (result.kind === 'whole') {
+          answer.end();
+          return end(
+            result.status > HIGHEST_GOOD_STATUS ? 'failed-there' : 'served',
+            result.status,
+          );
+        }
+        ({ problem } = result);
+        log.info('attempt-failed', {
+          requestId: request.id,
+          result: result.kind,
+          problem,
+          path: progress.servedBy,
+          lastEventId: progress.lastEventId,
+          factsAgeMs: Math.round(context.factsAgeMs()),
+        });
+        if (result.kind === 'not-run') {
+          rejections += 1;
+          noteRejection(result.culprit);
+        } else {
+          mayHaveRun = true;
+          // An engine that ended does not count against the route's attempts.
+          if (!result.isHeadLost) runs += 1;
+          const [head] = chain.stages;
+          if (head) excluded.add(head.id);
+        }
+      }
+
+      if (progress.hasBegun) {
+        answer.cut();
+        return end('broken-off', progress.status);
+      }
+      if (!mayHaveRun) {
+        throw new SpoolplankError('no-backend-server', {
+          detail: problem,
+          retryAfterMs: RETRY_AFTER_MS,
+        });
+      }
+      throw new SpoolplankError('backend-server-failed', { detail: problem });
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/streamRepair.ts
@@ -0,0 +1,181 @@
+/**
+ * Watches running streams for silence, finds out which engine is lost, and gives the streams
+ * that ran over it another path.
+ */
+import type { PathStage } from '@spoolplank/routing';
+import type { BackendTarget } from './backendOperations';
+import type { ChainChoice } from './chainChoice';
+import type { EntryContext } from './entryContext';
+import type { StreamRow, StreamTable } from './streamTable';
+
+export interface StreamRepairOptions {
+  readonly context: EntryContext;
+  readonly streams: StreamTable;
+  readonly chains: ChainChoice;
+  /** Makes a lost engine known to all entries. */
+  readonly suspect: (instanceId: string, evidence: string) => void;
+  /** Leaves an engine out here for a while. */
+  readonly avoid: (instanceId: string) => void;
+}
+
+export interface StreamRepair {
+  /** Lets time pass: looks for streams that have been silent too long. */
+  tick(): void;
+  /** Repairs every stream that runs over engines which are suspected now. */
+  repairSuspected(isSuspected: (instanceId: string) => boolean): void;
+}
+
+/** Shares of a route's own targets after which silence is looked into. */
+const GAP_SHARE = 0.75;
+const FIRST_EVENT_SHARE = 0.6;
+const RECHECK_MS = 250;
+/** A connection in a region takes 2 ms; ten lost packets in a hundred are sent again after 200. */
+const REACH_TIMEOUT_MS = 120;
+const REPORT_TIMEOUT_MS = 300;
+const REPAIR_TIMEOUT_MS = 400;
+/** Streams of one engine fall silent together: one look serves all of them. */
+const SHARED_FOR_MS = 150;
+const MAX_REPAIR_TRIES = 3;
+
+interface Shared<Result> {
+  readonly atMs: number;
+  readonly result: Promise<Result>;
+}
+
+export function createStreamRepair(options: StreamRepairOptions): StreamRepair {
+  const { context, streams, chains, suspect, avoid } = options;
+  const { clock, log, operations, view } = context;
+  const reachability = new Map<string, Shared<boolean>>();
+
+  function isReachable(address: string): Promise<boolean> {
+    const nowMs = clock.nowMs();
+    const known = reachability.get(address);
+    if (known && nowMs - known.atMs < SHARED_FOR_MS) return known.result;
+    const result = operations.isReachable(address, REACH_TIMEOUT_MS).catch(() => false);
+    reachability.set(address, { atMs: nowMs, result });
+    return result;
+  }
+
+  function instanceAt(address: string, stages: readonly PathStage[]): string | undefined {
+    return stages.find((stage) => stage.address === address)?.id;
+  }
+
+  function loseEngine(row: StreamRow, id: string, evidence: string): void {
+    row.lostIds.add(id);
+    suspect(id, evidence);
+  }
+
+  async function findLostEngines(row: StreamRow): Promise<void> {
+    const checks = await Promise.all(
+      row.stages.map(async (stage) => ({ stage, isThere: await isReachable(stage.address) })),
+    );
+    checks
+      .filter(({ isThere }) => !isThere)
+      .forEach(({ stage }) => loseEngine(row, stage.id, 'no-connection'));
+    if (row.lostIds.size > 0) return;
+    const [head] = row.stages;
+    if (!head) return;
+    const target: BackendTarget = { instanceId: head.id, address: head.address };
+    const { stalled } = await operations.report(target, REPORT_TIMEOUT_MS);
+    stalled
+      .filter(({ requestId }) => requestId === row.admitted.request.id)
+      .forEach(({ address }) => {
+        const id = instanceAt(address, row.stages);
+        if (id !== undefined) loseEngine(row, id, 'stalled');
+      });
+  }
+
+  async function repairRow(row: StreamRow): Promise<void> {
+    const { admitted, model } = row;
+    const { request, service } = admitted;
+    const [head] = row.stages;
+    if (!head || row.lostIds.has(head.id)) {
+      row.cut('head-lost');
+      return;
+    }
+    for (let tries = 0; tries < MAX_REPAIR_TRIES; tries += 1) {
+      const stages = chains.repair(service, model, row.stages, row.lostIds);
+      if (!stages) break;
+      const target: BackendTarget = { instanceId: head.id, address: head.address };
+      const outcome = await operations.repair(target, request.id, stages, REPAIR_TIMEOUT_MS);
+      log.info('stream-repair', {
+        requestId: request.id,
+        lost: [...row.lostIds],
+        path: stages.map(({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`),
+        outcome: outcome.kind,
+        problem: outcome.kind === 'failed' ? outcome.problem : undefined,
+        silentMs: Math.round(clock.nowMs() - row.lastProgressAtMs),
+        factsAgeMs: Math.round(context.factsAgeMs()),
+      });
+      if (outcome.kind === 'repaired') {
+        row.stages = stages;
+        row.lastCheckAtMs = clock.nowMs();
+        return;
+      }
+      const unfit =
+        outcome.kind === 'unfit' ? instanceAt(outcome.address ?? '', stages) : undefined;
+      if (unfit === undefined || unfit === head.id) break;
+      row.lostIds.add(unfit);
+      avoid(unfit);
+    }
+    row.cut('no-repair');
+  }
+
+  function startRepair(row: StreamRow): void {
+    if (row.isRepairing || row.cutReason !== null) return;
+    row.isRepairing = true;
+    repairRow(row)
+      .catch((error: unknown) => {
+        log.warn('stream-repair-failed', {
+          requestId: row.admitted.request.id,
+          problem: String(error),
+        });
+        row.cut('no-repair');
+      })
+      .finally(() => {
+        row.isRepairing = false;
+      });
+  }
+
+  async function check(row: StreamRow): Promise<void> {
+    row.isChecking = true;
+    try {
+      await findLostEngines(row);
+    } catch (error) {
+      // No report, though the connection was accepted: the next look decides.
+      log.info('stream-check-failed', {
+        requestId: row.admitted.request.id,
+        problem: String(error),
+      });
+    } finally {
+      row.isChecking = false;
+      row.lastCheckAtMs = clock.nowMs();
+    }
+    if (row.lostIds.size > 0) startRepair(row);
+  }
+
+  function isSilentTooLong(row: StreamRow, nowMs: number): boolean {
+    const { targetGapMs, targetLatencyMs } = row.admitted.route;
+    const limitMs = row.hasBegun ? targetGapMs * GAP_SHARE : targetLatencyMs * FIRST_EVENT_SHARE;
+    return nowMs - row.lastProgressAtMs > limitMs && nowMs - row.lastCheckAtMs > RECHECK_MS;
+  }
+
+  return {
+    tick() {
+      const nowMs = clock.nowMs();
+      for (const row of streams.list()) {
+        const isBusy = row.isChecking || row.isRepairing || row.isPaused || row.cutReason !== null;
+        if (!isBusy && isSilentTooLong(row, nowMs)) void check(row);
+      }
+    },
+    repairSuspected(isSuspected) {
+      for (const row of streams.list()) {
+        const lost = row.stages.filter(({ id }) => !row.lostIds.has(id) && isSuspected(id));
+        lost.forEach(({ id }) => row.lostIds.add(id));
+        if (lost.length > 0) startRepair(row);
+      }
+      // Read once, so that the next choice of a chain sees what is suspected.
+      void view.revision;
+    },
+  };
+}
--- a/packages/membership/src/factTable.ts
+++ b/packages/membership/src/factTable.ts
@@ -41,6 +41,7 @@
 
 /** Facts that converge on every VM by exchange of what is newer. */
 export interface FactTable<Body> {
+  readonly instance: string;
   readonly revision: number;
   readonly bodyRevision: number;
   /** States a fact; false when one with this sequence or a later one is known. */
@@ -87,6 +88,7 @@
   }
 
   return {
+    instance,
     get revision() {
       return revision;
     },
--- /dev/null
+++ b/packages/membership/src/feedClient.ts
@@ -0,0 +1,110 @@
+import type { Clock } from '@spoolplank/shared';
+import type { DocumentCache } from './documentCache';
+import type { FactTable, FactUpdate } from './factTable';
+import { NO_DOCUMENT_VERSION } from './feed';
+import type { FeedReply, FeedRequest } from './feed';
+
+interface Versioned {
+  readonly version: number;
+}
+
+export interface FeedClientOptions<Body, Document extends Versioned> {
+  readonly clock: Clock;
+  readonly table: FactTable<Body>;
+  readonly documents: DocumentCache<Document>;
+  /** What this process states of itself; asked anew for each exchange. */
+  readonly statements: () => readonly FactUpdate<Body>[];
+  /** Sends a request to the present source; fails when that does not answer. */
+  readonly exchange: (request: FeedRequest<Body>) => Promise<FeedReply<Body, Document>>;
+  readonly delay: (durationMs: number) => Promise<void>;
+  /** How long a source may hold back its answer. */
+  readonly waitMs: number;
+  readonly retryMs: number;
+  readonly onDocument?: (document: Document) => void;
+  /** Told when exchanges begin to fail, and when they succeed again. */
+  readonly onState?: (isConnected: boolean, problem: string) => void;
+  /** Told after each exchange that brought facts. */
+  readonly onFacts?: () => void;
+}
+
+export interface FeedClient {
+  /** Exchanges for ever, one after the other, until stopped. */
+  run(): Promise<void>;
+  /** States something at once, without waiting for news. */
+  push(): Promise<void>;
+  /** When a source last answered, on this VM's clock. */
+  readonly syncedAtMs: number;
+  stop(): void;
+}
+
+/** Keeps a fact table and a document as new as a source has them. */
+export function createFeedClient<Body, Document extends Versioned>(
+  options: FeedClientOptions<Body, Document>,
+): FeedClient {
+  const { clock, table, documents } = options;
+  let instance = '';
+  let revision = 0;
+  let syncedAtMs = Number.NEGATIVE_INFINITY;
+  let isStopped = false;
+  let isConnected: boolean | null = null;
+
+  function note(nowConnected: boolean, problem = ''): void {
+    if (isConnected === nowConnected) return;
+    isConnected = nowConnected;
+    options.onState?.(nowConnected, problem);
+  }
+
+  function takeIn(reply: FeedReply<Body, Document>, sentAtMs: number): void {
+    const nowMs = clock.nowMs();
+    syncedAtMs = nowMs;
+    if (reply.document && documents.offer(reply.document)) options.onDocument?.(reply.document);
+    if (reply.confirmedAgeMs !== null) {
+      documents.confirm(reply.documentVersion, sentAtMs + reply.waitedMs - reply.confirmedAgeMs);
+    }
+    table.merge(reply.delta.updates, nowMs);
+    if (reply.delta.updates.length) options.onFacts?.();
+  }
+
+  async function exchangeOnce(waitMs: number): Promise<FeedReply<Body, Document>> {
+    const sentAtMs = clock.nowMs();
+    const reply = await options.exchange({
+      updates: options.statements(),
+      instance,
+      revision,
+      documentVersion: documents.current?.version ?? NO_DOCUMENT_VERSION,
+      waitMs,
+    });
+    takeIn(reply, sentAtMs);
+    return reply;
+  }
+
+  return {
+    get syncedAtMs() {
+      return syncedAtMs;
+    },
+    async run() {
+      while (!isStopped) {
+        try {
+          // The first exchange with a source does not wait: its answer is what is missing here.
+          const { delta } = await exchangeOnce(instance === '' ? 0 : options.waitMs);
+          ({ instance, revision } = delta);
+          note(true);
+        } catch (error) {
+          note(false, error instanceof Error ? error.message : String(error));
+          instance = '';
+          await options.delay(options.retryMs);
+        }
+      }
+    },
+    async push() {
+      try {
+        await exchangeOnce(0);
+      } catch (error) {
+        note(false, error instanceof Error ? error.message : String(error));
+      }
+    },
+    stop() {
+      isStopped = true;
+    },
+  };
+}
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -116,9 +116,8 @@
   }
 
   engines
-    .filter(({ firstLayer, isOrderable, isReliable }) => {
-      return firstLayer === null && isOrderable && isReliable;
-    })
+    .filter(({ firstLayer }) => firstLayer === null)
+    .filter(({ isOrderable, isReliable }) => isOrderable && isReliable)
     .sort((a, b) => speedOf(a) - speedOf(b) || capacityOf(b) - capacityOf(a))
     .forEach(place);
 
@@ -152,5 +151,7 @@
   model: ModelDescription,
   options: PlacementOptions = {},
 ): readonly PlacementOrder[] {
-  return [...groupByDataCentre(engines).values()].flatMap((group) => planDataCentre(group, model, options));
+  return [...groupByDataCentre(engines).values()].flatMap((group) =>
+    planDataCentre(group, model, options),
+  );
 }
--- a/packages/routing/src/routingDocument.ts
+++ b/packages/routing/src/routingDocument.ts
@@ -19,7 +19,10 @@
   /** Whether a stream may be resumed elsewhere after its last whole event. */
   readonly isResumable: boolean;
   readonly timeoutMs: number;
+  /** Within this a plain answer, or the first event of a stream, is on time. */
   readonly targetLatencyMs: number;
+  /** The longest pause between events of a stream that is on time. */
+  readonly targetGapMs: number;
   /** 0 is the highest. */
   readonly priority: number;
   readonly targets: readonly RouteTarget[];
--- a/packages/routing/src/stagePath.ts
+++ b/packages/routing/src/stagePath.ts
@@ -25,11 +25,11 @@
 }
 
 export interface StagePathOptions {
-  readonly layers: number;
+  readonly fromLayer?: number;
+  /** Not part of the path. */
+  readonly toLayer: number;
   /** What one more engine on the way costs a token. */
   readonly hopCostMs?: number;
-  /** The path must begin with this engine, for a stream that runs already. */
-  readonly headId?: string;
 }
 
 interface Partial {
@@ -56,9 +56,9 @@
   );
 }
 
-function toStages(last: Partial, layers: number): readonly PathStage[] {
+function toStages(last: Partial, toLayer: number): readonly PathStage[] {
   const stages: PathStage[] = [];
-  let endLayer = layers;
+  let endLayer = toLayer;
   for (let part: Partial | null = last; part; part = part.previous) {
     const { id, address } = part.engine;
     stages.unshift({ id, address, firstLayer: part.enteredAt, endLayer });
@@ -75,20 +75,20 @@
  */
 export function findStagePath(
   engines: readonly StageEngine[],
-  { layers, hopCostMs = DEFAULT_HOP_COST_MS, headId }: StagePathOptions,
+  { fromLayer = 0, toLayer, hopCostMs = DEFAULT_HOP_COST_MS }: StagePathOptions,
 ): StagePath | undefined {
   const ordered = [...engines].sort((a, b) => a.endLayer - b.endLayer);
   const best = new Map<string, Partial>();
   const partials: Partial[][] = ordered.map((engine) =>
-    engine.firstLayer === 0 && (headId === undefined || headId === engine.id)
-      ? [{ engine, enteredAt: 0, costMs: 0, previous: null }]
+    engine.firstLayer <= fromLayer && engine.endLayer > fromLayer
+      ? [{ engine, enteredAt: fromLayer, costMs: 0, previous: null }]
       : [],
   );
   let finished: { readonly last: Partial; readonly costMs: number } | undefined;
   ordered.forEach((engine, index) => {
     partials[index]?.forEach((partial) => {
-      if (engine.endLayer >= layers) {
-        const costMs = partial.costMs + runCostMs(partial, layers);
+      if (engine.endLayer >= toLayer) {
+        const costMs = partial.costMs + runCostMs(partial, toLayer);
         if (!finished || costMs < finished.costMs) finished = { last: partial, costMs };
         return;
       }
@@ -108,5 +108,5 @@
     });
   });
   if (!finished) return undefined;
-  return { stages: toStages(finished.last, layers), costMs: finished.costMs };
+  return { stages: toStages(finished.last, toLayer), costMs: finished.costMs };
 }
