feat(routing): layers spread thinly; streams keep to the route's attempts

Cause: (1) a stream whose engine ended was sent to a third one: whether it ended or only the way to it is not known here. (2) 65 requests a chain were refused beyond; spare copies cost the memory of requests. (3) control ended at SIGHUP. Change: attempts count whatever ended them; layers are laid out with the most memory for each that still holds them all, a hole is filled from beside; Retry-After of a second and more; control follows its settings; elections after 0.6 s.

--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -38,8 +38,10 @@
   readonly host: string;
   readonly peerPort: number;
   readonly dataCentre: string;
-  /** Hosts of control VMs, as the settings name them. */
-  readonly seeds: readonly string[];
+  /** Hosts of the control VMs that found the group at the first start. */
+  readonly founders: readonly string[];
+  /** Hosts of control VMs, as the settings name them now. */
+  readonly seeds: () => readonly string[];
   readonly isFirstStart: boolean;
   /** Null on a VM without a disk: it relays, and is no replica. */
   readonly dataFolder: string | null;
@@ -148,7 +150,7 @@
       )
       .map(({ body }) => (body as MemberFact).host);
     const replicas = group?.status()?.configuration.voters ?? [];
-    const hosts = [...options.seeds, ...known, ...replicas.map((id) => id.split('#')[0] ?? '')];
+    const hosts = [...options.seeds(), ...known, ...replicas.map((id) => id.split('#')[0] ?? '')];
     return [...new Set(hosts)].filter((other) => other !== host && other !== '');
   }
 
@@ -281,7 +283,7 @@
       peers,
       vmId: host,
       dataFolder: options.dataFolder,
-      founders: options.seeds,
+      founders: options.founders,
       isFirstStart: options.isFirstStart,
       listOthers: listControlHosts,
       findTarget,
--- a/packages/controller/src/coreGroup.ts
+++ b/packages/controller/src/coreGroup.ts
@@ -56,6 +56,8 @@
 }
 
 const GROUP = 'documents';
+/** A leader that ended is replaced within 1.2 s; a pause of 300 ms on a busy VM is borne. */
+const TIMINGS = { electionTimeoutMs: 600, heartbeatIntervalMs: 150 };
 const STEP_MS = 250;
 const DESCRIBE_TIMEOUT_MS = 500;
 /** Place of the founding configuration, before the first elected term. */
@@ -92,6 +94,7 @@
     stateMachine,
     send: transport.send,
     schedule: scheduleTimer,
+    timings: TIMINGS,
     snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
     keepEntries: KEEP_ENTRIES,
     proposalTimeoutMs: PROPOSAL_TIMEOUT_MS,
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -48,7 +48,8 @@
 /** What the way to another data centre counts for, as a share of a chain's capacity. */
 const REMOTE_PENALTY = 0.25;
 const BYTES_PER_MB = 1_000_000;
-/** Share of the steps in a token's cost against the reading of its share of the prompt. */
+/** A running request holds half of its answer on average; the rest is for those longer than usual. */
+const MEAN_ANSWER_SHARE = 0.7;
 const MS_PER_S = 1000;
 
 /** Time that one layer costs one token of an answer, its share of the prompt's reading included. */
@@ -83,7 +84,7 @@
   const held = fact?.engine?.held;
   if (!kind || !held) return 0;
   const freeMb = kind.memoryMb - (held.endLayer - held.firstLayer) * model.layerMb;
-  const tokens = model.usualPromptTokens + model.usualAnswerTokens;
+  const tokens = model.usualPromptTokens + model.usualAnswerTokens * MEAN_ANSWER_SHARE;
   const share = (stage.endLayer - stage.firstLayer) / model.layers;
   return (freeMb * BYTES_PER_MB) / (tokens * model.tokenBytes * share);
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -94,7 +94,9 @@
 /** Share of the deployment's allowance that is handed out; one may not know of all entries. */
 const ALLOWANCE_SHARE = 0.5;
 const RATIO_SHARE = 0.75;
-const STALE_RETRY_AFTER_MS = 300;
+/** A process that starts has its document after the core has elected a leader. */
+const START_MS = 2500;
+const STALE_RETRY_AFTER_MS = 1000;
 const LEAVING_RETRY_AFTER_MS = 50;
 
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
@@ -107,6 +109,7 @@
   const suspicions = new Map<string, { readonly sequence: number; readonly atMs: number }>();
   const budgets = new Map<string, WindowBudget>();
   const openRequests = new Set<CallerRequest>();
+  const startedAtMs = clock.nowMs();
   let sequence = 0;
   let ticks = 0;
   let sourceIndex = 0;
@@ -295,21 +298,23 @@
   const plain = createPlainDispatch(context);
   const stream = createStreamDispatch({ context, streams, chains, suspect, avoid });
 
+  function staleError(): SpoolplankError {
+    const startsForMs = Math.max(0, START_MS - (clock.nowMs() - startedAtMs));
+    const retryAfterMs = Math.max(STALE_RETRY_AFTER_MS, startsForMs);
+    return new SpoolplankError('settings-stale', { retryAfterMs });
+  }
+
   /** Finds out where a request may go; throws what it is refused with. */
   function admit(request: CallerRequest, answer: CallerAnswer): AdmittedRequest {
     if (isRefusing) {
       throw new SpoolplankError('shutting-down', { retryAfterMs: LEAVING_RETRY_AFTER_MS });
     }
     const routes = view.routes();
-    if (!routes) {
-      throw new SpoolplankError('settings-stale', { retryAfterMs: STALE_RETRY_AFTER_MS });
-    }
+    if (!routes) throw staleError();
     const route = routes.findRoute(request.host, request.url);
     const needsKey = routes.document.isKeyRequired && !route?.isAnonymousAllowed;
     // Without a fresh confirmation nothing is known of routes and keys that came or went lately.
-    if ((needsKey || !route) && !isFresh()) {
-      throw new SpoolplankError('settings-stale', { retryAfterMs: STALE_RETRY_AFTER_MS });
-    }
+    if ((needsKey || !route) && !isFresh()) throw staleError();
     if (!route) throw new SpoolplankError('not-found');
     const organisation = request.key === null ? undefined : routes.findOrganisation(request.key);
     if (needsKey && !organisation) throw new SpoolplankError('unauthorized');
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -13,7 +13,7 @@
   /** It has not run. */
   | { readonly kind: 'not-run'; readonly problem: string; readonly culprit: string | null }
   /** It broke off, or was ended here; what the caller has of it stays. */
-  | { readonly kind: 'broken'; readonly problem: string; readonly isHeadLost: boolean }
+  | { readonly kind: 'broken'; readonly problem: string }
   | { readonly kind: 'caller-left' };
 
 export interface StreamDispatchOptions {
@@ -37,7 +37,10 @@
 const MAX_REJECTIONS = 4;
 /** Engines that end one after the other under one stream: beyond this something else is wrong. */
 const MAX_ATTEMPTS = 6;
-const RETRY_AFTER_MS = 250;
+/** A stream lasts a few seconds: so long it takes until places are free, or layers loaded. */
+const RETRY_AFTER_MS = 1000;
+/** Callers that were refused together do not come back together. */
+const RETRY_SPREAD_MS = 1000;
 const TIMEOUT_MARGIN_MS = 30;
 const HIGHEST_GOOD_STATUS = 299;
 
@@ -136,11 +139,11 @@
     }
     if (problem !== null) {
       response.body.destroy();
-      return { kind: 'broken', problem, isHeadLost: false };
+      return { kind: 'broken', problem };
     }
     if (status > HIGHEST_GOOD_STATUS && progress.hasBegun) {
       response.body.destroy();
-      return { kind: 'broken', problem: `status ${status}`, isHeadLost: false };
+      return { kind: 'broken', problem: `status ${status}` };
     }
     await relay(row, response, progress);
     return { kind: 'whole', status };
@@ -156,11 +159,10 @@
       row.lostIds.add(head.id);
       suspect(head.id, 'connection-failed');
     }
-    const isHeadLost = head !== undefined && row.lostIds.has(head.id);
     if (known.outcome === 'not-run' && row.cutReason === null) {
       return { kind: 'not-run', problem, culprit: head?.address ?? null };
     }
-    return { kind: 'broken', problem, isHeadLost };
+    return { kind: 'broken', problem };
   }
 
   async function attempt(
@@ -212,11 +214,12 @@
     excluded: ReadonlySet<string>,
   ): ChosenChain {
     const chain = chains.choose(service, model, excluded);
-    if (!chain) throw new SpoolplankError('no-backend-server', { retryAfterMs: RETRY_AFTER_MS });
+    const retryAfterMs = RETRY_AFTER_MS + context.random.nextInt(RETRY_SPREAD_MS);
+    if (!chain) throw new SpoolplankError('no-backend-server', { retryAfterMs });
     if (chain.inFlight >= chain.capacity) {
       throw new SpoolplankError('overloaded', {
         detail: `${chain.inFlight} streams of ${Math.floor(chain.capacity)}.`,
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs,
       });
     }
     return chain;
@@ -293,8 +296,8 @@
           noteRejection(result.culprit);
         } else {
           mayHaveRun = true;
-          // An engine that ended does not count against the route's attempts.
-          if (!result.isHeadLost) runs += 1;
+          // Whether the engine ended or only the way to it, nobody here can tell: it counts.
+          runs += 1;
           const [head] = chain.stages;
           if (head) excluded.add(head.id);
         }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -1,5 +1,12 @@
-/** Which engine is to hold which layers, inside each data centre. */
-import type { AcceleratorKind, ModelDescription } from './routingDocument';
+/**
+ * Which engine is to hold which layers, inside each data centre.
+ *
+ * Memory that holds no layers holds requests, and one chain is as wide as its narrowest engine.
+ * A second copy of a layer costs as much memory as two running requests, so layers are spread
+ * thinly over all engines rather than doubled; a lost engine's part is taken over by those that
+ * stand beside it. See docs/design/platform.md for what was measured.
+ */
+import type { ModelDescription } from './routingDocument';
 
 /** An engine as the planner sees it. */
 export interface PlacedEngine {
@@ -21,117 +28,227 @@
   readonly endLayer: number;
 }
 
-export interface PlacementOptions {
-  /**
-   * Memory set aside for each layer held, as a multiple of the layer itself; the rest of it
-   * holds requests. 2,400 MB for a layer of 1,750 MB kept 150 requests without preemption.
-   */
-  readonly memoryPerLayer?: number;
+/** An engine with its memory, and the range that it holds or is to hold. */
+interface Slot {
+  readonly id: string;
+  readonly memoryMb: number;
+  readonly stepFactor: number;
+  readonly isOrderable: boolean;
+  readonly held: Range | null;
+  planned: Range | null;
+}
+
+interface Range {
+  readonly first: number;
+  readonly end: number;
 }
 
-const DEFAULT_MEMORY_PER_LAYER = 2400 / 1750;
-/** What one more copy of a layer that has so many already counts for. */
-const COPY_PENALTIES: readonly number[] = [0, 1, 4, 16, 64];
+/** Least memory for each layer held, against the layer itself: the rest holds a few requests. */
+const LEAST_MEMORY_PER_LAYER = 1.15;
+/** Widest share that is looked for, and the step of the search; finer steps change no range. */
+const MOST_MEMORY_PER_LAYER = 8;
+const SEARCH_STEP = 0.01;
+
+const lengthOf = ({ first, end }: Range): number => end - first;
+
+function fits(slot: Slot, layers: number, model: ModelDescription): boolean {
+  return layers * model.layerMb * LEAST_MEMORY_PER_LAYER <= slot.memoryMb;
+}
+
+/** The most memory for each layer with which these engines together hold all layers. */
+function findMemoryPerLayer(slots: readonly Slot[], model: ModelDescription): number | undefined {
+  for (
+    let factor = MOST_MEMORY_PER_LAYER;
+    factor >= LEAST_MEMORY_PER_LAYER;
+    factor -= SEARCH_STEP
+  ) {
+    const memoryMb = model.layerMb * factor;
+    const layers = slots.reduce((sum, slot) => sum + Math.floor(slot.memoryMb / memoryMb), 0);
+    if (layers >= model.layers) return memoryMb;
+  }
+  return undefined;
+}
 
-/** Layers that an engine is to hold, leaving room for requests. */
-export function layerCapacity(
-  kind: AcceleratorKind,
-  { layers, layerMb }: ModelDescription,
-  memoryPerLayer = DEFAULT_MEMORY_PER_LAYER,
-): number {
-  return Math.min(layers, Math.floor(kind.memoryMb / (layerMb * memoryPerLayer)));
+/** Spreads all layers over the engines, in the order given. */
+function layOut(slots: readonly Slot[], model: ModelDescription): void {
+  const memoryMb = findMemoryPerLayer(slots, model);
+  if (memoryMb === undefined) return;
+  let first = 0;
+  slots.forEach((slot) => {
+    const end = Math.min(model.layers, first + Math.floor(slot.memoryMb / memoryMb));
+    slot.planned = end > first ? { first, end } : slot.held;
+    first = end;
+  });
 }
 
-function countCopies(engines: readonly PlacedEngine[], layers: number): number[] {
+function countCopies(slots: readonly Slot[], layers: number): number[] {
   const copies = new Array<number>(layers).fill(0);
-  engines.forEach(({ firstLayer, endLayer, isReliable }) => {
-    if (firstLayer === null || endLayer === null || !isReliable) return;
-    for (let layer = firstLayer; layer < Math.min(endLayer, layers); layer += 1) {
+  slots.forEach(({ planned }) => {
+    if (!planned) return;
+    for (let layer = planned.first; layer < Math.min(planned.end, layers); layer += 1) {
       copies[layer] = (copies[layer] ?? 0) + 1;
     }
   });
   return copies;
 }
 
-function penaltyOf(copies: readonly number[], first: number, length: number): number {
-  let penalty = 0;
-  for (let layer = first; layer < first + length; layer += 1) {
-    const count = Math.min(copies[layer] ?? 0, COPY_PENALTIES.length - 1);
-    penalty += COPY_PENALTIES[count] ?? 0;
+function findHole(copies: readonly number[]): Range | undefined {
+  const first = copies.indexOf(0);
+  if (first < 0) return undefined;
+  const next = copies.findIndex((count, layer) => layer > first && count > 0);
+  return { first, end: next < 0 ? copies.length : next };
+}
+
+/** Whether others hold every layer of this engine too. */
+function isSpare({ planned }: Slot, copies: readonly number[]): boolean {
+  return planned === null || copies.slice(planned.first, planned.end).every((count) => count > 1);
+}
+
+/** Puts an engine that is not needed where it is into a hole. */
+function fillWithSpare(slots: readonly Slot[], hole: Range, model: ModelDescription): boolean {
+  const copies = countCopies(slots, model.layers);
+  const spare = slots
+    .filter((slot) => slot.isOrderable && isSpare(slot, copies) && fits(slot, 1, model))
+    .sort((a, b) => Number(a.planned !== null) - Number(b.planned !== null))
+    .sort((a, b) => a.stepFactor - b.stepFactor)[0];
+  if (!spare) return false;
+  const most = Math.floor(spare.memoryMb / (model.layerMb * LEAST_MEMORY_PER_LAYER));
+  spare.planned = { first: hole.first, end: Math.min(hole.end, hole.first + most) };
+  return true;
+}
+
+/** Lets the engines on both sides of a hole take over its layers, as their memory allows. */
+function fillFromBeside(slots: readonly Slot[], hole: Range, model: ModelDescription): boolean {
+  const before = slots.find(
+    ({ isOrderable, planned }) => isOrderable && planned?.end === hole.first,
+  );
+  const after = slots.find(
+    ({ isOrderable, planned }) => isOrderable && planned?.first === hole.end,
+  );
+  let { first, end } = hole;
+  const roomOf = (slot: Slot | undefined, taken: number): number => {
+    if (!slot?.planned) return 0;
+    const layers = lengthOf(slot.planned) + taken + 1;
+    return fits(slot, layers, model) ? slot.memoryMb / layers : 0;
+  };
+  while (first < end) {
+    const roomBefore = roomOf(before, first - hole.first);
+    const roomAfter = roomOf(after, hole.end - end);
+    if (roomBefore === 0 && roomAfter === 0) return false;
+    if (roomBefore >= roomAfter) first += 1;
+    else end -= 1;
+  }
+  if (before?.planned) before.planned = { first: before.planned.first, end: first };
+  if (after?.planned) after.planned = { first: end, end: after.planned.end };
+  return true;
+}
+
+function fillHoles(slots: readonly Slot[], model: ModelDescription): void {
+  for (let tries = 0; tries < slots.length; tries += 1) {
+    const hole = findHole(countCopies(slots, model.layers));
+    if (!hole) return;
+    const isFilled = fillWithSpare(slots, hole, model) || fillFromBeside(slots, hole, model);
+    if (!isFilled) break;
   }
-  return penalty;
+  if (!findHole(countCopies(slots, model.layers))) return;
+  // Nothing smaller helps: all engines move on, each keeping what it can.
+  const free = slots.filter(({ isOrderable }) => isOrderable);
+  if (free.length < slots.length) return;
+  const order = (slot: Slot) => slot.held?.first ?? model.layers;
+  layOut(
+    [...free].sort((a, b) => order(a) - order(b)),
+    model,
+  );
 }
 
-/** The window of layers with the fewest copies; the first one of equals. */
-function scarcestWindow(copies: readonly number[], length: number): number {
-  const firstHole = copies.indexOf(0);
-  // A hole is filled from its beginning, so that the next engine goes on where this one ends.
-  if (firstHole >= 0) return Math.min(firstHole, copies.length - length);
+/** Memory for requests that the engines offer for each layer, in MB. */
+function roomByLayer(slots: readonly Slot[], model: ModelDescription): readonly number[] {
+  const room = new Array<number>(model.layers).fill(0);
+  slots.forEach(({ planned, memoryMb }) => {
+    if (!planned) return;
+    const perLayer = memoryMb / lengthOf(planned) - model.layerMb;
+    for (let layer = planned.first; layer < planned.end; layer += 1) {
+      room[layer] = (room[layer] ?? 0) + perLayer;
+    }
+  });
+  return room;
+}
+
+/** Gives an empty engine the part of the chain that has least room for requests. */
+function relieve(slots: readonly Slot[], empty: Slot, memoryMb: number, model: ModelDescription) {
+  const length = Math.min(model.layers, Math.floor(empty.memoryMb / memoryMb));
+  if (length === 0) return;
+  const room = roomByLayer(slots, model);
   let best = 0;
-  let bestPenalty = Number.POSITIVE_INFINITY;
-  for (let first = 0; first + length <= copies.length; first += 1) {
-    const penalty = penaltyOf(copies, first, length);
-    if (penalty < bestPenalty) {
+  let bestRoom = Number.POSITIVE_INFINITY;
+  for (let first = 0; first + length <= model.layers; first += 1) {
+    const sum = room.slice(first, first + length).reduce((total, value) => total + value, 0);
+    if (sum < bestRoom) {
+      bestRoom = sum;
       best = first;
-      bestPenalty = penalty;
     }
   }
-  return best;
+  empty.planned = { first: best, end: best + length };
 }
 
-function addCopies(copies: number[], { firstLayer, endLayer }: PlacementOrder, by: number): void {
-  for (let layer = firstLayer; layer < endLayer; layer += 1) {
-    copies[layer] = (copies[layer] ?? 0) + by;
-  }
+/** Takes layers that others hold too from engines that hold more than their share. */
+function trim(slots: readonly Slot[], memoryMb: number, model: ModelDescription): void {
+  const copies = countCopies(slots, model.layers);
+  slots.forEach((slot) => {
+    if (!slot.isOrderable || !slot.planned || slot.held === null) return;
+    const share = Math.max(1, Math.floor(slot.memoryMb / memoryMb));
+    let { first, end } = slot.planned;
+    while (end - first > share && (copies[end - 1] ?? 0) > 1) {
+      end -= 1;
+      copies[end] = (copies[end] ?? 0) - 1;
+    }
+    while (end - first > share && (copies[first] ?? 0) > 1) {
+      copies[first] = (copies[first] ?? 0) - 1;
+      first += 1;
+    }
+    slot.planned = { first, end };
+  });
+}
+
+function improve(slots: readonly Slot[], model: ModelDescription): void {
+  const memoryMb = findMemoryPerLayer(slots, model);
+  // One thing at a time: what is being loaded shows before the next step is decided.
+  if (memoryMb === undefined || slots.some(({ isOrderable }) => !isOrderable)) return;
+  const empties = slots.filter(({ planned }) => planned === null);
+  if (empties.length === 0) trim(slots, memoryMb, model);
+  empties.forEach((empty) => relieve(slots, empty, memoryMb, model));
 }
 
-function isSpare(engine: PlacedEngine, copies: readonly number[]): boolean {
-  const { firstLayer, endLayer } = engine;
-  if (firstLayer === null || endLayer === null) return false;
-  return copies.slice(firstLayer, endLayer).every((count) => count >= 2);
+function isSame(a: Range | null, b: Range | null): boolean {
+  return a?.first === b?.first && a?.end === b?.end;
 }
 
 function planDataCentre(
   engines: readonly PlacedEngine[],
   model: ModelDescription,
-  { memoryPerLayer }: PlacementOptions,
 ): readonly PlacementOrder[] {
   const kinds = new Map(model.kinds.map((kind) => [kind.name, kind]));
-  const copies = countCopies(engines, model.layers);
-  const capacityOf = ({ acceleratorKind }: PlacedEngine) => {
-    const kind = kinds.get(acceleratorKind);
-    return kind ? layerCapacity(kind, model, memoryPerLayer) : 0;
-  };
-  const speedOf = ({ acceleratorKind }: PlacedEngine) =>
-    kinds.get(acceleratorKind)?.stepFactor ?? Number.POSITIVE_INFINITY;
-  const orders: PlacementOrder[] = [];
-
-  function place(engine: PlacedEngine): void {
-    const length = capacityOf(engine);
-    if (length === 0) return;
-    const firstLayer = scarcestWindow(copies, length);
-    const order = { id: engine.id, firstLayer, endLayer: firstLayer + length };
-    addCopies(copies, order, 1);
-    orders.push(order);
-  }
-
-  engines
-    .filter(({ firstLayer }) => firstLayer === null)
-    .filter(({ isOrderable, isReliable }) => isOrderable && isReliable)
-    .sort((a, b) => speedOf(a) - speedOf(b) || capacityOf(b) - capacityOf(a))
-    .forEach(place);
-
-  // Holes that no empty engine can fill are filled by engines whose layers others hold too.
-  engines
-    .filter(({ isOrderable, isReliable }) => isOrderable && isReliable)
-    .forEach((engine) => {
-      if (!copies.includes(0) || !isSpare(engine, copies)) return;
-      const { id, firstLayer, endLayer } = engine;
-      if (firstLayer === null || endLayer === null) return;
-      addCopies(copies, { id, firstLayer, endLayer }, -1);
-      place(engine);
-    });
-  return orders;
+  const slots = engines.flatMap((engine): Slot[] => {
+    const kind = kinds.get(engine.acceleratorKind);
+    if (!kind || !engine.isReliable) return [];
+    const { id, firstLayer, endLayer, isOrderable } = engine;
+    const held =
+      firstLayer === null || endLayer === null ? null : { first: firstLayer, end: endLayer };
+    const { memoryMb, stepFactor } = kind;
+    return [{ id, memoryMb, stepFactor, isOrderable, held, planned: held }];
+  });
+  if (slots.every(({ held }) => held === null)) {
+    layOut(
+      [...slots].sort((a, b) => a.stepFactor - b.stepFactor),
+      model,
+    );
+  } else if (findHole(countCopies(slots, model.layers))) fillHoles(slots, model);
+  else improve(slots, model);
+  return slots.flatMap(({ id, held, planned }) =>
+    planned && !isSame(held, planned)
+      ? [{ id, firstLayer: planned.first, endLayer: planned.end }]
+      : [],
+  );
 }
 
 function groupByDataCentre(engines: readonly PlacedEngine[]): Map<string, PlacedEngine[]> {
@@ -142,16 +259,10 @@
   return groups;
 }
 
-/**
- * Plans the fewest orders that bring every layer to every data centre, then second copies.
- * What engines hold already stays where it is unless a layer is missing.
- */
+/** Plans the orders that bring every layer to every data centre, from what is held now. */
 export function planPlacement(
   engines: readonly PlacedEngine[],
   model: ModelDescription,
-  options: PlacementOptions = {},
 ): readonly PlacementOrder[] {
-  return [...groupByDataCentre(engines).values()].flatMap((group) =>
-    planDataCentre(group, model, options),
-  );
+  return [...groupByDataCentre(engines).values()].flatMap((group) => planDataCentre(group, model));
 }
