fix(entry,controller): suspicion needs two failed connections, an order needs the leader's own look

Ruled out: too little memory. Change: two connections must fail; only an entry of the same data centre tells others; the leader looks before it orders; ranges are published at the order and when loaded; borders shift beside a hole instead of a new layout.

--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -1,6 +1,7 @@
 /** Gives the orders that bring every layer of a model to the engines; see `planPlacement`. */
 import { FACT_KEYS } from '@spoolplank/membership';
 import type { BackendFact, Fact, FactTable, LayerRange, SystemFact } from '@spoolplank/membership';
+import { delay } from '@spoolplank/node';
 import type { EventLog } from '@spoolplank/node';
 import { planPlacement } from '@spoolplank/routing';
 import type {
@@ -10,7 +11,7 @@
   RoutingDocument,
 } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
-import type { EngineOrders } from './engineOperations';
+import type { EngineAddress, EngineOrders } from './engineOperations';
 
 export interface PlacementLoopOptions {
   readonly clock: Clock;
@@ -29,6 +30,12 @@
   tick(): void;
 }
 
+/** Whether an engine that others suspect was found unreachable from here too. */
+interface Witness {
+  readonly sequence: number;
+  isLost: boolean;
+}
+
 interface PendingOrder {
   readonly range: LayerRange;
   readonly untilMs: number;
@@ -42,6 +49,24 @@
 const LOST_INTERVALS = 3.5;
 /** What an order may take beyond the time of its load before it counts as not carried out. */
 const ORDER_MARGIN_MS = 4000;
+/** Two tries in a row: one lost packet is sent again only after a second. */
+const REACH_TIMEOUTS_MS: readonly number[] = [150, 300];
+/** How often an engine is asked whether it has loaded what it was ordered to. */
+const LOAD_POLL_MS = 250;
+/** Steps of a sequence between two announcements, for what is known before the next one. */
+const ORDERED_STEP = 0.25;
+const LOADED_STEP = 0.5;
+
+function intersect(a: LayerRange | null, b: LayerRange): LayerRange | null {
+  if (!a) return null;
+  const firstLayer = Math.max(a.firstLayer, b.firstLayer);
+  const endLayer = Math.min(a.endLayer, b.endLayer);
+  return endLayer > firstLayer ? { firstLayer, endLayer } : null;
+}
+
+function isSameRange(a: LayerRange | null | undefined, b: LayerRange): boolean {
+  return a?.firstLayer === b.firstLayer && a.endLayer === b.endLayer;
+}
 
 function isEngineOf(service: string) {
   return (fact: Fact<SystemFact>): fact is EngineRow =>
@@ -51,14 +76,53 @@
 export function createPlacementLoop(options: PlacementLoopOptions): PlacementLoop {
   const { clock, log, table, orders, announcementMs } = options;
   const pending = new Map<string, PendingOrder>();
+  const witnesses = new Map<string, Witness>();
   let orderableSinceMs: number | null = null;
 
-  function toPlaced({ body, heardAtMs, sequence }: EngineRow, newestMs: number): PlacedEngine {
+  /** Looks for itself before it believes that an engine is lost: loads are dear. */
+  function isConfirmedLost({ body, sequence }: EngineRow): boolean {
+    const { instanceId, address } = body;
+    const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
+    if (!suspicion || suspicion.sequence < Math.floor(sequence)) return false;
+    const known = witnesses.get(instanceId);
+    if (known && known.sequence >= suspicion.sequence) return known.isLost;
+    const witness: Witness = { sequence: suspicion.sequence, isLost: false };
+    witnesses.set(instanceId, witness);
+    void (async () => {
+      for (const timeoutMs of REACH_TIMEOUTS_MS) {
+        if (await orders.isReachable(address, timeoutMs)) return;
+      }
+      witness.isLost = true;
+      log.warn('engine-lost', { instanceId, address, sequence });
+    })();
+    return false;
+  }
+
+  /** Makes known what an engine holds before it announces it. */
+  function publish(instanceId: string, held: LayerRange | null, step: number): void {
+    const known = table.find(FACT_KEYS.backend(instanceId));
+    if (known?.body.kind !== 'backend' || !known.body.engine) return;
+    const body: BackendFact = { ...known.body, engine: { ...known.body.engine, held } };
+    table.put(known.key, Math.floor(known.sequence) + step, body);
+  }
+
+  async function followLoad(engine: EngineAddress, range: LayerRange): Promise<void> {
+    while (pending.get(engine.instanceId)?.range === range) {
+      await delay(LOAD_POLL_MS);
+      const held = await orders.readLayers(engine).catch(() => null);
+      if (isSameRange(held, range)) {
+        publish(engine.instanceId, held, LOADED_STEP);
+        return;
+      }
+    }
+  }
+
+  function toPlaced(row: EngineRow, newestMs: number): PlacedEngine {
+    const { body, heardAtMs } = row;
     const { instanceId, dataCentre, state, engine } = body;
     const order = pending.get(instanceId);
     const range = order?.range ?? engine?.held ?? null;
-    const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
-    const isSuspect = suspicion !== undefined && suspicion.sequence >= sequence;
+    const isSuspect = isConfirmedLost(row);
     const isHeard = newestMs - heardAtMs < LOST_INTERVALS * announcementMs;
     const isReliable = isHeard && !isSuspect && state === 'ready';
     return {
@@ -76,7 +140,7 @@
     const nowMs = clock.nowMs();
     pending.forEach(({ range, untilMs }, id) => {
       const held = engines.find(({ body }) => body.instanceId === id)?.body.engine?.held;
-      const isDone = held?.firstLayer === range.firstLayer && held.endLayer === range.endLayer;
+      const isDone = isSameRange(held, range);
       if (!isDone && nowMs < untilMs) return;
       pending.delete(id);
       if (!isDone) log.warn('order-overdue', { engine: id, ...range });
@@ -95,7 +159,12 @@
       outcome,
       announcedAgeMs: Math.round(clock.nowMs() - engine.heardAtMs),
     });
-    if (outcome === 'refused') pending.delete(instanceId);
+    if (outcome === 'refused') {
+      pending.delete(instanceId);
+      return;
+    }
+    publish(instanceId, intersect(engine.body.engine?.held ?? null, range), ORDERED_STEP);
+    await followLoad({ instanceId, address }, range);
   }
 
   function orderFor(model: ModelDescription, engines: readonly EngineRow[]): void {
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -48,7 +48,7 @@
 /** What the way to another data centre counts for, as a share of a chain's capacity. */
 const REMOTE_PENALTY = 0.25;
 const BYTES_PER_MB = 1_000_000;
-/** A running request holds half of its answer on average; the rest is for those longer than usual. */
+/** A running request holds half of its answer on average; the rest is for long ones. */
 const MEAN_ANSWER_SHARE = 0.7;
 const MS_PER_S = 1000;
 
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -89,6 +89,8 @@
 const SUSPICION_REPEAT_MS = 5000;
 /** So long an engine is left out here that could not take its part: it is full, or leaving. */
 const AVOID_MS = 500;
+/** An engine of another data centre that did not answer: until its announcement would be missed. */
+const REMOTE_AVOID_MS = 1200;
 /** Share of the revocation bound at which a confirmation is too old; the rest is for the way. */
 const FRESH_SHARE = 0.85;
 /** Share of the deployment's allowance that is handed out; one may not know of all entries. */
@@ -138,7 +140,7 @@
   function isSuspected(instanceId: string): boolean {
     const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
     const announced = table.find(FACT_KEYS.backend(instanceId));
-    return suspicion !== undefined && suspicion.sequence >= (announced?.sequence ?? 0);
+    return suspicion !== undefined && suspicion.sequence >= Math.floor(announced?.sequence ?? 0);
   }
 
   function toUpdate(key: string, factSequence: number, body: SystemFact): FactUpdate<SystemFact> {
@@ -235,11 +237,21 @@
 
   syncedAtMs = () => feed.syncedAtMs;
 
+  function avoid(instanceId: string, durationMs = AVOID_MS): void {
+    avoidedUntilMs.set(instanceId, clock.nowMs() + durationMs);
+  }
+
   function suspect(instanceId: string, evidence: string): void {
     const announced = table.find(FACT_KEYS.backend(instanceId));
-    const factSequence = announced?.sequence ?? 0;
+    const factSequence = Math.floor(announced?.sequence ?? 0);
     const known = suspicions.get(instanceId);
     if (known && known.sequence >= factSequence) return;
+    // From another data centre, the way there may be at fault: that is no matter for others.
+    if ((announced?.body as BackendFact | undefined)?.dataCentre !== dataCentre) {
+      avoid(instanceId, REMOTE_AVOID_MS);
+      log.info('engine-avoided', { instanceId, evidence });
+      return;
+    }
     suspicions.set(instanceId, { sequence: factSequence, atMs: clock.nowMs() });
     log.warn('engine-suspected', {
       instanceId,
@@ -252,10 +264,6 @@
     void feed.push();
   }
 
-  function avoid(instanceId: string): void {
-    avoidedUntilMs.set(instanceId, clock.nowMs() + AVOID_MS);
-  }
-
   function isAvoided(instanceId: string): boolean {
     return (avoidedUntilMs.get(instanceId) ?? 0) > clock.nowMs();
   }
@@ -296,7 +304,13 @@
   const repair = createStreamRepair({ context, streams, chains, suspect, avoid });
   onSuspicion = () => repair.repairSuspected(isSuspected);
   const plain = createPlainDispatch(context);
-  const stream = createStreamDispatch({ context, streams, chains, suspect, avoid });
+  const stream = createStreamDispatch({
+    context,
+    streams,
+    chains,
+    examine: (instanceId, address) => repair.examine(instanceId, address),
+    avoid,
+  });
 
   function staleError(): SpoolplankError {
     const startsForMs = Math.max(0, START_MS - (clock.nowMs() - startedAtMs));
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -61,7 +61,8 @@
 
   function isSuspect(instanceId: string, sequence: number): boolean {
     const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
-    return suspicion !== undefined && suspicion.sequence >= sequence;
+    // Steps between two announcements come from the control plane, not from the engine itself.
+    return suspicion !== undefined && suspicion.sequence >= Math.floor(sequence);
   }
 
   function takeBackend(fact: Fact<SystemFact>, body: BackendFact, nowMs: number): void {
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -20,7 +20,8 @@
   readonly context: EntryContext;
   readonly streams: StreamTable;
   readonly chains: ChainChoice;
-  readonly suspect: (instanceId: string, evidence: string) => void;
+  /** Looks whether an engine whose connection failed is still there. */
+  readonly examine: (instanceId: string, address: string) => void;
   readonly avoid: (instanceId: string) => void;
 }
 
@@ -54,7 +55,7 @@
 }
 
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
-  const { context, streams, chains, suspect, avoid } = options;
+  const { context, streams, chains, examine, avoid } = options;
   const { clock, log, operations, view } = context;
 
   function createRow(
@@ -155,9 +156,8 @@
     const known = toSpoolplankError(error);
     const problem = row.cutReason ?? known.message;
     if (row.cutReason === null && head) {
-      // The connection itself failed: the first engine ended, or cannot be reached.
-      row.lostIds.add(head.id);
-      suspect(head.id, 'connection-failed');
+      // The engine ended, or only this answer was lost: that is looked into beside.
+      examine(head.id, head.address);
     }
     if (known.outcome === 'not-run' && row.cutReason === null) {
       return { kind: 'not-run', problem, culprit: head?.address ?? null };
--- a/packages/entry/src/streamRepair.ts
+++ b/packages/entry/src/streamRepair.ts
@@ -19,6 +19,8 @@
 }
 
 export interface StreamRepair {
+  /** Looks whether an engine whose connection failed is still there. */
+  examine(instanceId: string, address: string): void;
   /** Lets time pass: looks for streams that have been silent too long. */
   tick(): void;
   /** Repairs every stream that runs over engines which are suspected now. */
@@ -30,11 +32,11 @@
 const FIRST_EVENT_SHARE = 0.6;
 const RECHECK_MS = 250;
 /** A connection in a region takes 2 ms; ten lost packets in a hundred are sent again after 200. */
-const REACH_TIMEOUT_MS = 120;
+const REACH_TIMEOUTS_MS: readonly number[] = [120, 250];
 const REPORT_TIMEOUT_MS = 300;
 const REPAIR_TIMEOUT_MS = 400;
 /** Streams of one engine fall silent together: one look serves all of them. */
-const SHARED_FOR_MS = 150;
+const SHARED_FOR_MS = 400;
 const MAX_REPAIR_TRIES = 3;
 
 interface Shared<Result> {
@@ -47,11 +49,19 @@
   const { clock, log, operations, view } = context;
   const reachability = new Map<string, Shared<boolean>>();
 
+  /** One lost packet must not make an engine suspect: the second try is a new connection. */
+  async function tryToReach(address: string): Promise<boolean> {
+    for (const timeoutMs of REACH_TIMEOUTS_MS) {
+      if (await operations.isReachable(address, timeoutMs).catch(() => false)) return true;
+    }
+    return false;
+  }
+
   function isReachable(address: string): Promise<boolean> {
     const nowMs = clock.nowMs();
     const known = reachability.get(address);
     if (known && nowMs - known.atMs < SHARED_FOR_MS) return known.result;
-    const result = operations.isReachable(address, REACH_TIMEOUT_MS).catch(() => false);
+    const result = tryToReach(address);
     reachability.set(address, { atMs: nowMs, result });
     return result;
   }
@@ -161,6 +171,11 @@
   }
 
   return {
+    examine(instanceId, address) {
+      void isReachable(address).then((isThere) => {
+        if (!isThere) suspect(instanceId, 'connection-failed');
+      });
+    },
     tick() {
       const nowMs = clock.nowMs();
       for (const row of streams.list()) {
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -45,6 +45,8 @@
 
 /** Least memory for each layer held, against the layer itself: the rest holds a few requests. */
 const LEAST_MEMORY_PER_LAYER = 1.15;
+/** With so much for each layer an engine holds half as many requests as others, and serves well. */
+const GOOD_MEMORY_PER_LAYER = 1.4;
 /** Widest share that is looked for, and the step of the search; finer steps change no range. */
 const MOST_MEMORY_PER_LAYER = 8;
 const SEARCH_STEP = 0.01;
@@ -112,35 +114,90 @@
     .sort((a, b) => Number(a.planned !== null) - Number(b.planned !== null))
     .sort((a, b) => a.stepFactor - b.stepFactor)[0];
   if (!spare) return false;
-  const most = Math.floor(spare.memoryMb / (model.layerMb * LEAST_MEMORY_PER_LAYER));
+  const most = Math.max(1, Math.floor(spare.memoryMb / (model.layerMb * GOOD_MEMORY_PER_LAYER)));
   spare.planned = { first: hole.first, end: Math.min(hole.end, hole.first + most) };
   return true;
 }
 
-/** Lets the engines on both sides of a hole take over its layers, as their memory allows. */
+/** Engines that follow each other on one side of a hole, the nearest first. */
+function listBeside(slots: readonly Slot[], place: number, isBefore: boolean): readonly Slot[] {
+  const found: Slot[] = [];
+  let at = place;
+  for (;;) {
+    const from = at;
+    const next = slots.find(({ planned, isOrderable }) => {
+      const edge = isBefore ? planned?.end : planned?.first;
+      return isOrderable && edge === from;
+    });
+    if (!next?.planned || found.includes(next)) return found;
+    found.push(next);
+    at = isBefore ? next.planned.first : next.planned.end;
+  }
+}
+
+/** Layers that an engine can take on top of its own, at so much memory for each. */
+function spareLayers({ planned, memoryMb }: Slot, memoryPerLayerMb: number): number {
+  return Math.max(0, Math.floor(memoryMb / memoryPerLayerMb) - (planned ? lengthOf(planned) : 0));
+}
+
+/** How much memory for each layer is left when these engines take over so many layers. */
+function findSharedMemory(
+  slots: readonly Slot[],
+  layers: number,
+  model: ModelDescription,
+): number | undefined {
+  const leastMb = model.layerMb * GOOD_MEMORY_PER_LAYER;
+  for (let mb = model.layerMb * MOST_MEMORY_PER_LAYER; mb >= leastMb; mb -= leastMb * SEARCH_STEP) {
+    if (slots.reduce((sum, slot) => sum + spareLayers(slot, mb), 0) >= layers) return mb;
+  }
+  return undefined;
+}
+
+/** Moves the borders on one side of a hole towards it, by what each engine takes over. */
+function shiftBorders(
+  beside: readonly Slot[],
+  hole: Range,
+  taken: number,
+  isBefore: boolean,
+  mb: number,
+) {
+  let left = taken;
+  let border = isBefore ? hole.first + taken : hole.end - taken;
+  for (const slot of beside) {
+    if (left === 0 || !slot.planned) return;
+    const extra = Math.min(left, spareLayers(slot, mb));
+    const length = lengthOf(slot.planned) + extra;
+    left -= extra;
+    slot.planned = isBefore
+      ? { first: border - length, end: border }
+      : { first: border, end: border + length };
+    border = isBefore ? border - length : border + length;
+  }
+}
+
+/**
+ * Lets engines on both sides of a hole take over its layers, the nearest ones first and only as
+ * many as are needed: each moves its borders a little, and loads only what it did not hold.
+ */
 function fillFromBeside(slots: readonly Slot[], hole: Range, model: ModelDescription): boolean {
-  const before = slots.find(
-    ({ isOrderable, planned }) => isOrderable && planned?.end === hole.first,
-  );
-  const after = slots.find(
-    ({ isOrderable, planned }) => isOrderable && planned?.first === hole.end,
-  );
-  let { first, end } = hole;
-  const roomOf = (slot: Slot | undefined, taken: number): number => {
-    if (!slot?.planned) return 0;
-    const layers = lengthOf(slot.planned) + taken + 1;
-    return fits(slot, layers, model) ? slot.memoryMb / layers : 0;
-  };
-  while (first < end) {
-    const roomBefore = roomOf(before, first - hole.first);
-    const roomAfter = roomOf(after, hole.end - end);
-    if (roomBefore === 0 && roomAfter === 0) return false;
-    if (roomBefore >= roomAfter) first += 1;
-    else end -= 1;
+  const before = listBeside(slots, hole.first, true);
+  const after = listBeside(slots, hole.end, false);
+  const layers = lengthOf(hole);
+  for (let reach = 1; reach <= Math.max(before.length, after.length); reach += 1) {
+    const nearBefore = before.slice(0, reach);
+    const nearAfter = after.slice(0, reach);
+    const mb = findSharedMemory([...nearBefore, ...nearAfter], layers, model);
+    if (mb !== undefined) {
+      const mostAfter = nearAfter.reduce((sum, slot) => sum + spareLayers(slot, mb), 0);
+      const mostBefore = nearBefore.reduce((sum, slot) => sum + spareLayers(slot, mb), 0);
+      const share = Math.round((layers * mostBefore) / (mostBefore + mostAfter));
+      const takenBefore = Math.min(mostBefore, Math.max(share, layers - mostAfter));
+      shiftBorders(nearBefore, hole, takenBefore, true, mb);
+      shiftBorders(nearAfter, hole, layers - takenBefore, false, mb);
+      return true;
+    }
   }
-  if (before?.planned) before.planned = { first: before.planned.first, end: first };
-  if (after?.planned) after.planned = { first: end, end: after.planned.end };
-  return true;
+  return false;
 }
 
 function fillHoles(slots: readonly Slot[], model: ModelDescription): void {
