test(routing): placement, paths, documents and budgets without a bench

Cause: the new pure parts had no tests; a path could not pass between two engines that end at the same layer. Change: unit and property tests; such a hand-over is found now (the test failed first).

--- /dev/null
+++ b/packages/routing/__tests__/placement.spec.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { planPlacement } from '../src/placement';
+import type { PlacedEngine, PlacementOrder } from '../src/placement';
+import type { ModelDescription } from '../src/routingDocument';
+
+const MODEL: ModelDescription = {
+  layers: 80,
+  layerMb: 1750,
+  stepMs: 0.85,
+  stepPerRequestMs: 0.005,
+  readTokensPerS: 196_000,
+  tokenBytes: 845_373,
+  usualPromptTokens: 772,
+  usualAnswerTokens: 172,
+  maxConcurrentLoads: 6,
+  loadMs: 14_000,
+  kinds: [
+    { name: 'large', memoryMb: 72_000, stepFactor: 1.4, readFactor: 1 },
+    { name: 'medium', memoryMb: 36_000, stepFactor: 3.1, readFactor: 3.2 },
+    { name: 'small', memoryMb: 21_600, stepFactor: 16, readFactor: 8.2 },
+    { name: 'tiny', memoryMb: 14_400, stepFactor: 15, readFactor: 15 },
+  ],
+};
+
+function createEngines(kinds: readonly string[], dataCentre = 'lafrenz'): PlacedEngine[] {
+  return kinds.map((acceleratorKind, index) => ({
+    id: `${dataCentre}-${index}`,
+    dataCentre,
+    acceleratorKind,
+    firstLayer: null,
+    endLayer: null,
+    isOrderable: true,
+    isReliable: true,
+  }));
+}
+
+const repeat = (kind: string, count: number): string[] => new Array<string>(count).fill(kind);
+
+const MIXED = ['large', 'medium', ...repeat('small', 5), ...repeat('tiny', 7)];
+const SMALL = ['medium', ...repeat('small', 8), ...repeat('tiny', 3)];
+
+function carryOut(engines: readonly PlacedEngine[], orders: readonly PlacementOrder[]) {
+  return engines.map((engine) => {
+    const order = orders.find(({ id }) => id === engine.id);
+    return order ? { ...engine, firstLayer: order.firstLayer, endLayer: order.endLayer } : engine;
+  });
+}
+
+/** Layers that no reliable engine holds. */
+function findMissing(engines: readonly PlacedEngine[]): readonly number[] {
+  return Array.from({ length: MODEL.layers }, (_, layer) => layer).filter(
+    (layer) =>
+      !engines.some(
+        ({ firstLayer, endLayer, isReliable }) =>
+          isReliable &&
+          firstLayer !== null &&
+          endLayer !== null &&
+          firstLayer <= layer &&
+          layer < endLayer,
+      ),
+  );
+}
+
+function assertFits(engines: readonly PlacedEngine[]): void {
+  engines.forEach(({ firstLayer, endLayer, acceleratorKind }) => {
+    const kind = MODEL.kinds.find(({ name }) => name === acceleratorKind);
+    const layers = (endLayer ?? 0) - (firstLayer ?? 0);
+    assert.ok(layers * MODEL.layerMb < (kind?.memoryMb ?? 0), `${layers} on ${acceleratorKind}`);
+  });
+}
+
+function layOut(kinds: readonly string[]): PlacedEngine[] {
+  const engines = createEngines(kinds);
+  return carryOut(engines, planPlacement(engines, MODEL));
+}
+
+describe('placement', () => {
+  [MIXED, SMALL].forEach((kinds) => {
+    it(`holds every layer on ${kinds.length} unlike engines, with room for requests`, () => {
+      const placed = layOut(kinds);
+      assert.deepEqual(findMissing(placed), []);
+      assertFits(placed);
+    });
+
+    it(`brings every layer back after the loss of any of ${kinds.length} engines`, () => {
+      const placed = layOut(kinds);
+      placed.forEach((lost) => {
+        const left = placed.filter(({ id }) => id !== lost.id);
+        const repaired = carryOut(left, planPlacement(left, MODEL));
+        assert.deepEqual(findMissing(repaired), [], `without ${lost.id}`);
+        assertFits(repaired);
+      });
+    });
+  });
+
+  it('gives no order when nothing is missing and no engine is empty', () => {
+    const placed = layOut(SMALL);
+    assert.deepEqual(planPlacement(placed, MODEL), []);
+  });
+
+  it('moves only engines beside a small hole', () => {
+    const placed = layOut(SMALL);
+    const lost = placed.find(({ acceleratorKind }) => acceleratorKind === 'tiny');
+    const left = placed.filter(({ id }) => id !== lost?.id);
+    assert.ok(planPlacement(left, MODEL).length <= left.length / 2);
+  });
+
+  it('never orders an engine whose order is under way', () => {
+    const placed = layOut(SMALL).map((engine, index) => ({ ...engine, isOrderable: index > 2 }));
+    const left = placed.filter((_, index) => index !== 5);
+    const busy = new Set(placed.slice(0, 3).map(({ id }) => id));
+    assert.ok(planPlacement(left, MODEL).every(({ id }) => !busy.has(id)));
+  });
+
+  it('gives an empty engine the part of the chain that has least room', () => {
+    const placed = layOut(SMALL);
+    const left = placed.filter((_, index) => index !== 3);
+    const repaired = carryOut(left, planPlacement(left, MODEL));
+    const [newcomer] = createEngines(['small']);
+    assert.ok(newcomer);
+    const orders = planPlacement([...repaired, { ...newcomer, id: 'new' }], MODEL);
+    assert.deepEqual(
+      orders.map(({ id }) => id),
+      ['new'],
+    );
+  });
+
+  it('orders nothing where the memory cannot hold the model', () => {
+    assert.deepEqual(planPlacement(createEngines(['large', 'tiny']), MODEL), []);
+  });
+
+  it('keeps data centres apart', () => {
+    const engines = [...createEngines(SMALL, 'a'), ...createEngines(SMALL, 'b')];
+    const placed = carryOut(engines, planPlacement(engines, MODEL));
+    ['a', 'b'].forEach((dataCentre) => {
+      assert.deepEqual(
+        findMissing(placed.filter((engine) => engine.dataCentre === dataCentre)),
+        [],
+      );
+    });
+  });
+});
--- /dev/null
+++ b/packages/routing/__tests__/routingDocument.spec.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import { collectDocumentFindings } from '../src/routingDocument';
+import type { Route, RoutingDocument } from '../src/routingDocument';
+import { createRouteTable, drawTarget } from '../src/routeTable';
+import { createWindowBudget } from '../src/windowBudget';
+
+function createRoute(overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'r1',
+    host: 'a.example',
+    pathPrefix: '/quotes/',
+    kind: 'safe',
+    isResumable: false,
+    timeoutMs: 1000,
+    targetLatencyMs: 300,
+    targetGapMs: 200,
+    priority: 1,
+    targets: [{ service: 'drafts', weight: 1 }],
+    maxAttempts: 2,
+    isAnonymousAllowed: false,
+    ...overrides,
+  };
+}
+
+function createDocument(overrides: Partial<RoutingDocument> = {}): RoutingDocument {
+  return {
+    version: 1,
+    routes: [createRoute()],
+    services: [{ name: 'drafts', maxConnections: 10 }],
+    organisations: [{ name: 'acme', keys: ['k1'], priority: 1 }],
+    isKeyRequired: true,
+    limits: { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+    ...overrides,
+  };
+}
+
+describe('a routing document', () => {
+  it('is fit when everything it names exists', () => {
+    assert.deepEqual(collectDocumentFindings(createDocument()), []);
+  });
+
+  const unfit: Readonly<Record<string, Partial<RoutingDocument>>> = {
+    'a route to an unknown service': {
+      routes: [createRoute({ targets: [{ service: 'lost', weight: 1 }] })],
+    },
+    'two routes at one place': { routes: [createRoute(), createRoute({ name: 'r2' })] },
+    'weights that add up to 0': {
+      routes: [createRoute({ targets: [{ service: 'drafts', weight: 0 }] })],
+    },
+    'a time-out of 0': { routes: [createRoute({ timeoutMs: 0 })] },
+    'a key of two organisations': {
+      organisations: [
+        { name: 'acme', keys: ['k1'], priority: 1 },
+        { name: 'other', keys: ['k1'], priority: 1 },
+      ],
+    },
+  };
+  Object.entries(unfit).forEach(([name, overrides]) => {
+    it(`is refused for ${name}`, () => {
+      assert.equal(collectDocumentFindings(createDocument(overrides)).length, 1);
+    });
+  });
+});
+
+describe('a route table', () => {
+  const routes = [
+    createRoute(),
+    createRoute({ name: 'longer', pathPrefix: '/quotes/old/' }),
+    createRoute({ name: 'elsewhere', host: 'b.example' }),
+  ];
+  const table = createRouteTable(createDocument({ routes }));
+
+  it('finds the route with the longest prefix of the host', () => {
+    assert.equal(table.findRoute('a.example', '/quotes/old/1')?.name, 'longer');
+    assert.equal(table.findRoute('a.example', '/quotes/new')?.name, 'r1');
+    assert.equal(table.findRoute('b.example', '/quotes/old/1')?.name, 'elsewhere');
+    assert.equal(table.findRoute('c.example', '/quotes/1'), undefined);
+    assert.equal(table.findRoute('a.example', '/quotesx/'), undefined);
+  });
+
+  it('never draws a target of weight 0', () => {
+    const random = createSeededRandom(1);
+    const targets = [
+      { service: 'none', weight: 0 },
+      { service: 'some', weight: 3 },
+      { service: 'last', weight: 0 },
+    ];
+    for (let draw = 0; draw < 100; draw += 1) {
+      assert.equal(drawTarget(targets, random).service, 'some');
+    }
+  });
+});
+
+describe('a retry budget over a window', () => {
+  it('allows the ratio and the allowance, and no more until the window has passed', () => {
+    const clock = createManualClock();
+    const budget = createWindowBudget({
+      clock,
+      windowMs: 10_000,
+      ratio: 0.2,
+      allowance: () => 2,
+    });
+    for (let count = 0; count < 10; count += 1) budget.earn();
+    assert.deepEqual(
+      Array.from({ length: 5 }, () => budget.spend()),
+      [true, true, true, true, false],
+    );
+    clock.advance(10_001);
+    assert.deepEqual(
+      Array.from({ length: 3 }, () => budget.spend()),
+      [true, true, false],
+    );
+  });
+});
--- a/packages/routing/src/stagePath.ts
+++ b/packages/routing/src/stagePath.ts
@@ -56,6 +56,12 @@
   );
 }
 
+/** Whether a path may go on there: no engine on it can then come up again. */
+function isFurther({ engine, enteredAt }: Partial, next: StageEngine): boolean {
+  if (next.endLayer === engine.endLayer) return next.firstLayer > enteredAt;
+  return next.endLayer > engine.endLayer;
+}
+
 function toStages(last: Partial, toLayer: number): readonly PathStage[] {
   const stages: PathStage[] = [];
   let endLayer = toLayer;
@@ -69,7 +75,8 @@
 
 /**
  * Finds the cheapest path that runs every layer once, in order. Each engine on it ends further
- * on than the one before, so none stands on it twice. Undefined when layers are missing.
+ * on than the one before, or begins further on, so none stands on it twice. Undefined when
+ * layers are missing.
  *
  * Source: shortest path by dynamic programming over engines in the order of their last layer.
  */
@@ -77,7 +84,9 @@
   engines: readonly StageEngine[],
   { fromLayer = 0, toLayer, hopCostMs = DEFAULT_HOP_COST_MS }: StagePathOptions,
 ): StagePath | undefined {
-  const ordered = [...engines].sort((a, b) => a.endLayer - b.endLayer);
+  const ordered = engines
+    .map((engine) => ({ ...engine, endLayer: Math.min(engine.endLayer, toLayer) }))
+    .sort((a, b) => a.endLayer - b.endLayer || a.firstLayer - b.firstLayer);
   const best = new Map<string, Partial>();
   const partials: Partial[][] = ordered.map((engine) =>
     engine.firstLayer <= fromLayer && engine.endLayer > fromLayer
@@ -90,10 +99,9 @@
       if (engine.endLayer >= toLayer) {
         const costMs = partial.costMs + runCostMs(partial, toLayer);
         if (!finished || costMs < finished.costMs) finished = { last: partial, costMs };
-        return;
       }
       ordered.forEach((next, nextIndex) => {
-        if (next.endLayer <= engine.endLayer || next.id === engine.id) return;
+        if (nextIndex <= index || !isFurther(partial, next)) return;
         handOverPlaces(partial, next).forEach((place) => {
           const costMs = partial.costMs + runCostMs(partial, place) + hopCostMs;
           const name = `${next.id} ${place}`;
