feat(entry): wait for the document at the start; resume streams in turn; choose by observed first events

Change: a process that has just started holds requests up to 1.8 s; resumed streams are spaced by 8 ms an entry; the choice of a data centre counts recent time to a first event; connections are tried before reports, with growing pauses.

--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -9,6 +9,8 @@
   readonly dataCentre: string;
   /** Requests of this entry in flight on the engines of a data centre. */
   readonly ownInFlight: (dataCentre: string) => number;
+  /** Recent time to a first event on the engines of a data centre, in milliseconds. */
+  readonly firstEventMs: (dataCentre: string) => number;
   /** Engines to leave out for now, by instance. */
   readonly isAvoided: (instanceId: string) => boolean;
 }
@@ -47,6 +49,8 @@
 
 /** What the way to another data centre counts for, as a share of a chain's capacity. */
 const REMOTE_PENALTY = 0.25;
+/** A first event that takes so long counts as much as a chain that is full. */
+const SLOW_FIRST_EVENT_MS = 500;
 const BYTES_PER_MB = 1_000_000;
 /** A running request holds half of its answer on average; the rest is for long ones. */
 const MEAN_ANSWER_SHARE = 0.7;
@@ -136,7 +140,8 @@
         if (!path || !head || excludedHeads.has(head.id)) return;
         const inFlight = ownInFlight(dataCentre) + view.othersInFlight(dataCentre);
         const remote = dataCentre === options.dataCentre ? 0 : REMOTE_PENALTY;
-        const cost = inFlight / Math.max(1, capacity) + remote;
+        const slowness = options.firstEventMs(dataCentre) / SLOW_FIRST_EVENT_MS;
+        const cost = inFlight / Math.max(1, capacity) + remote + slowness;
         if (best && best.cost <= cost) return;
         best = { cost, chain: { dataCentre, stages: path.stages, capacity, inFlight } };
       });
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -97,7 +97,8 @@
 const ALLOWANCE_SHARE = 0.5;
 const RATIO_SHARE = 0.75;
 /** A process that starts has its document after the core has elected a leader. */
-const START_MS = 2500;
+const START_MS = 1800;
+const START_POLL_MS = 20;
 const STALE_RETRY_AFTER_MS = 1000;
 const LEAVING_RETRY_AFTER_MS = 50;
 
@@ -106,7 +107,7 @@
   const documents = createDocumentCache<StoredDocument>(clock);
   const memberKey = FACT_KEYS.member(host, run);
   const loadKey = FACT_KEYS.load(host, run);
-  const streams = createStreamTable();
+  const streams = createStreamTable(clock);
   const avoidedUntilMs = new Map<string, number>();
   const suspicions = new Map<string, { readonly sequence: number; readonly atMs: number }>();
   const budgets = new Map<string, WindowBudget>();
@@ -151,8 +152,12 @@
     return documents.confirmedAgeMs() < options.revocationMs * FRESH_SHARE;
   }
 
+  function isReadyToRoute(): boolean {
+    return documents.current !== null && isFresh();
+  }
+
   function isReady(): boolean {
-    return !isLeaving && documents.current !== null && isFresh();
+    return !isLeaving && isReadyToRoute();
   }
 
   function memberState(): MemberFact['state'] {
@@ -299,6 +304,7 @@
     view,
     dataCentre,
     ownInFlight: (name) => streams.countIn(name),
+    firstEventMs: (name) => streams.firstEventMs(name),
     isAvoided,
   });
   const repair = createStreamRepair({ context, streams, chains, suspect, avoid });
@@ -318,6 +324,15 @@
     return new SpoolplankError('settings-stale', { retryAfterMs });
   }
 
+  /**
+   * A process that has just started has its document within a second or two: until then requests
+   * wait, for a bounded time, rather than being refused by every entry after a loss of power.
+   */
+  async function waitForStart(): Promise<void> {
+    const endsAtMs = startedAtMs + START_MS;
+    while (!isReadyToRoute() && clock.nowMs() < endsAtMs) await delay(START_POLL_MS);
+  }
+
   /** Finds out where a request may go; throws what it is refused with. */
   function admit(request: CallerRequest, answer: CallerAnswer): AdmittedRequest {
     if (isRefusing) {
@@ -393,6 +408,7 @@
       let service = '';
       openRequests.add(request);
       try {
+        if (!isReadyToRoute()) await waitForStart();
         const admitted = admit(request, answer);
         route = admitted.route.name;
         service = admitted.service;
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -1,4 +1,5 @@
 /** Streams of a model that runs on a chain of engines. */
+import { delay } from '@spoolplank/node';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { ModelDescription } from '@spoolplank/routing';
 import type { BackendResponse } from './backendOperations';
@@ -43,6 +44,10 @@
 /** Callers that were refused together do not come back together. */
 const RETRY_SPREAD_MS = 1000;
 const TIMEOUT_MARGIN_MS = 30;
+/** Reading a prompt of 800 tokens keeps the slowest engine of a chain busy for 4 ms. */
+const RESUME_SPACING_MS = 8;
+/** Callers give a stream up after a pause of two seconds; finding the fault took half a second. */
+const MAX_TURN_WAIT_MS = 900;
 const HIGHEST_GOOD_STATUS = 299;
 
 /** What one request carries from attempt to attempt. */
@@ -57,6 +62,7 @@
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
   const { context, streams, chains, examine, avoid } = options;
   const { clock, log, operations, view } = context;
+  let nextTurnAtMs = 0;
 
   function createRow(
     admitted: AdmittedRequest,
@@ -71,9 +77,11 @@
       dataCentre: chain.dataCentre,
       stages: chain.stages,
       lostIds: new Set(),
+      startedAtMs: nowMs,
       hasBegun: false,
       lastProgressAtMs: nowMs,
       lastCheckAtMs: 0,
+      checks: 0,
       isChecking: false,
       isRepairing: false,
       isPaused: false,
@@ -113,7 +121,11 @@
       }
       body.on('data', (bytes: Buffer) => {
         row.lastProgressAtMs = clock.nowMs();
-        row.hasBegun = true;
+        row.checks = 0;
+        if (!row.hasBegun) {
+          row.hasBegun = true;
+          streams.noteFirstEvent(row.dataCentre, clock.nowMs() - row.startedAtMs);
+        }
         const whole = splitter.push(bytes);
         if (whole.length > 0 && !answer.isClosed) passOn(whole);
       });
@@ -225,6 +237,18 @@
     return chain;
   }
 
+  /**
+   * Streams that lost an engine come back one after the other: their prompts are read again, and
+   * all at once that would hold up every other stream of the chain they go to.
+   */
+  async function waitForTurn(): Promise<void> {
+    const nowMs = clock.nowMs();
+    const readMs = RESUME_SPACING_MS * Math.max(1, view.listMembers('entry').length);
+    nextTurnAtMs = Math.max(nextTurnAtMs + readMs, nowMs);
+    const waitMs = Math.min(nextTurnAtMs - nowMs, MAX_TURN_WAIT_MS);
+    if (waitMs > 0) await delay(waitMs);
+  }
+
   return {
     async run(admitted, model) {
       const { request, answer, route, service } = admitted;
@@ -291,6 +315,7 @@
           lastEventId: progress.lastEventId,
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
+        if (result.kind === 'broken' && progress.hasBegun) await waitForTurn();
         if (result.kind === 'not-run') {
           rejections += 1;
           noteRejection(result.culprit);
--- a/packages/entry/src/streamRepair.ts
+++ b/packages/entry/src/streamRepair.ts
@@ -30,7 +30,9 @@
 /** Shares of a route's own targets after which silence is looked into. */
 const GAP_SHARE = 0.75;
 const FIRST_EVENT_SHARE = 0.6;
-const RECHECK_MS = 250;
+/** Pause before the next look; it doubles with each one that found nothing. */
+const RECHECK_MS = 300;
+const MAX_RECHECK_MS = 1200;
 /** A connection in a region takes 2 ms; ten lost packets in a hundred are sent again after 200. */
 const REACH_TIMEOUTS_MS: readonly number[] = [120, 250];
 const REPORT_TIMEOUT_MS = 300;
@@ -82,9 +84,10 @@
     checks
       .filter(({ isThere }) => !isThere)
       .forEach(({ stage }) => loseEngine(row, stage.id, 'no-connection'));
-    if (row.lostIds.size > 0) return;
+    row.checks += 1;
     const [head] = row.stages;
-    if (!head) return;
+    // A report costs as much as a request and lags: it is for what connections do not show.
+    if (row.lostIds.size > 0 || row.checks === 1 || !head) return;
     const target: BackendTarget = { instanceId: head.id, address: head.address };
     const { stalled } = await operations.report(target, REPORT_TIMEOUT_MS);
     stalled
@@ -167,7 +170,8 @@
   function isSilentTooLong(row: StreamRow, nowMs: number): boolean {
     const { targetGapMs, targetLatencyMs } = row.admitted.route;
     const limitMs = row.hasBegun ? targetGapMs * GAP_SHARE : targetLatencyMs * FIRST_EVENT_SHARE;
-    return nowMs - row.lastProgressAtMs > limitMs && nowMs - row.lastCheckAtMs > RECHECK_MS;
+    const recheckMs = Math.min(MAX_RECHECK_MS, RECHECK_MS * 2 ** Math.max(0, row.checks - 1));
+    return nowMs - row.lastProgressAtMs > limitMs && nowMs - row.lastCheckAtMs > recheckMs;
   }
 
   return {
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -1,5 +1,6 @@
 /** The streams that run through this entry. */
 import type { ModelDescription, PathStage } from '@spoolplank/routing';
+import type { Clock } from '@spoolplank/shared';
 import type { AdmittedRequest } from './entryContext';
 
 /** Why an attempt was ended here. */
@@ -12,9 +13,12 @@
   stages: readonly PathStage[];
   /** Engines that were found lost while this attempt ran. */
   readonly lostIds: Set<string>;
+  readonly startedAtMs: number;
   hasBegun: boolean;
   lastProgressAtMs: number;
   lastCheckAtMs: number;
+  /** Looks since the last event, none of which found anything. */
+  checks: number;
   isChecking: boolean;
   isRepairing: boolean;
   /** The caller reads too slowly; silence is then no sign of a fault. */
@@ -28,13 +32,32 @@
   remove(row: StreamRow): void;
   list(): Iterable<StreamRow>;
   countIn(dataCentre: string): number;
+  /** Notes how long a first event took. */
+  noteFirstEvent(dataCentre: string, durationMs: number): void;
+  /**
+   * Recent time to a first event: what was measured, fading as it grows old, or the wait of the
+   * streams that have none yet, when that is longer.
+   */
+  firstEventMs(dataCentre: string): number;
   /** Streams in flight by data centre. */
   counts(): Readonly<Record<string, number>>;
 }
 
-export function createStreamTable(): StreamTable {
+const NEW_WEIGHT = 0.2;
+/** After so long without a measurement half of the last one is left, and a trial is due. */
+const HALF_LIFE_MS = 1500;
+/** Waits of this many streams and more say something of the chain, not of one stream. */
+const MIN_WAITING = 3;
+
+interface FirstEvents {
+  meanMs: number;
+  atMs: number;
+}
+
+export function createStreamTable(clock: Clock): StreamTable {
   const rows = new Set<StreamRow>();
   const countByDataCentre = new Map<string, number>();
+  const firstEvents = new Map<string, FirstEvents>();
 
   function addTo(dataCentre: string, by: number): void {
     countByDataCentre.set(dataCentre, (countByDataCentre.get(dataCentre) ?? 0) + by);
@@ -50,6 +73,25 @@
     },
     list: () => rows,
     countIn: (dataCentre) => countByDataCentre.get(dataCentre) ?? 0,
+    noteFirstEvent(dataCentre, durationMs) {
+      const atMs = clock.nowMs();
+      const known = firstEvents.get(dataCentre) ?? { meanMs: durationMs, atMs };
+      const meanMs = known.meanMs + NEW_WEIGHT * (durationMs - known.meanMs);
+      firstEvents.set(dataCentre, { meanMs, atMs });
+    },
+    firstEventMs(dataCentre) {
+      const nowMs = clock.nowMs();
+      const { meanMs, atMs } = firstEvents.get(dataCentre) ?? { meanMs: 0, atMs: nowMs };
+      const fadedMs = meanMs * 0.5 ** ((nowMs - atMs) / HALF_LIFE_MS);
+      let waitingMs = 0;
+      let waiting = 0;
+      rows.forEach((row) => {
+        if (row.dataCentre !== dataCentre || row.hasBegun) return;
+        waiting += 1;
+        waitingMs += nowMs - row.startedAtMs;
+      });
+      return waiting >= MIN_WAITING ? Math.max(fadedMs, waitingMs / waiting) : fadedMs;
+    },
     counts: () => Object.fromEntries(countByDataCentre),
   };
 }
