--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -5,3 +5,4 @@
 export * from './src/membershipRepair';
 export * from './src/placementLoop';
 export * from './src/raftTransport';
+export * from './src/slownessWatch';
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -27,6 +27,7 @@
 import type { CoreGroup } from './coreGroup';
 import type { EngineOrders } from './engineOperations';
 import { createPlacementLoop } from './placementLoop';
+import { createSlownessWatch } from './slownessWatch';
 
 export interface ControlNodeOptions {
   readonly clock: Clock;
@@ -130,6 +131,13 @@
     return decoded;
   }
 
+  const slowness = createSlownessWatch({
+    clock,
+    log,
+    table,
+    orders: options.engineOrders,
+    isLeader: () => group?.canRead() ?? false,
+  });
   const placement = createPlacementLoop({
     clock,
     log,
@@ -137,6 +145,7 @@
     orders: options.engineOrders,
     mayOrder: () => group?.canRead() ?? false,
     currentDocument,
+    slownessOf: slowness.slownessOf,
     announcementMs: options.announcementMs,
   });
 
@@ -213,6 +222,7 @@
       followOthers();
       table.sweep(RETENTION_MS);
     }
+    slowness.tick();
     placement.tick();
     scheduleTimer(tick, TICK_MS);
   }
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -23,6 +23,8 @@
   readonly currentDocument: () => RoutingDocument | null;
   /** Interval at which engines announce themselves. */
   readonly announcementMs: number;
+  /** How much slower than its kind an engine is known to be. */
+  readonly slownessOf: (instanceId: string) => number;
 }
 
 export interface PlacementLoop {
@@ -109,7 +111,10 @@
   async function followLoad(engine: EngineAddress, range: LayerRange): Promise<void> {
     while (pending.get(engine.instanceId)?.range === range) {
       await delay(LOAD_POLL_MS);
-      const held = await orders.readLayers(engine).catch(() => null);
+      const held = await orders.inspect(engine).then(
+        (state) => state.held,
+        () => null,
+      );
       if (isSameRange(held, range)) {
         publish(engine.instanceId, held, LOADED_STEP);
         return;
@@ -131,6 +136,7 @@
       acceleratorKind: engine?.acceleratorKind ?? '',
       firstLayer: range?.firstLayer ?? null,
       endLayer: range?.endLayer ?? null,
+      slowness: options.slownessOf(instanceId),
       isOrderable: isReliable && order === undefined,
       isReliable,
     };
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -16,6 +16,8 @@
   /** Layers held, or being loaded; null when there are none. */
   readonly firstLayer: number | null;
   readonly endLayer: number | null;
+  /** How many times slower than its kind it is; 1 when nothing is known. */
+  readonly slowness: number;
   /** Whether it can be given an order now: it is heard of and no order is under way. */
   readonly isOrderable: boolean;
   /** Whether its layers count: it is heard of, stays, and nobody suspects it. */
@@ -51,6 +53,12 @@
 const MOST_MEMORY_PER_LAYER = 8;
 const SEARCH_STEP = 0.01;
 
+/**
+ * An engine that is slower than this is planned around: with twice the time for a step a chain
+ * still gives its tokens in time, with five times it does not.
+ */
+const MOST_SLOWNESS = 2.5;
+
 const lengthOf = ({ first, end }: Range): number => end - first;
 
 function fits(slot: Slot, layers: number, model: ModelDescription): boolean {
@@ -280,10 +288,26 @@
   return a?.first === b?.first && a?.end === b?.end;
 }
 
-function planDataCentre(
+/** Leaves slow engines out as long as the others hold the model with room for requests. */
+function withoutSlow(
   engines: readonly PlacedEngine[],
   model: ModelDescription,
+): readonly PlacedEngine[] {
+  const memoryOf = ({ acceleratorKind }: PlacedEngine) =>
+    model.kinds.find(({ name }) => name === acceleratorKind)?.memoryMb ?? 0;
+  const fast = engines.filter(
+    ({ slowness, isReliable }) => isReliable && slowness <= MOST_SLOWNESS,
+  );
+  const memoryMb = fast.reduce((sum, engine) => sum + memoryOf(engine), 0);
+  const isEnough = memoryMb >= model.layers * model.layerMb * GOOD_MEMORY_PER_LAYER;
+  return isEnough ? fast : engines;
+}
+
+function planDataCentre(
+  all: readonly PlacedEngine[],
+  model: ModelDescription,
 ): readonly PlacementOrder[] {
+  const engines = withoutSlow(all, model);
   const kinds = new Map(model.kinds.map((kind) => [kind.name, kind]));
   const slots = engines.flatMap((engine): Slot[] => {
     const kind = kinds.get(engine.acceleratorKind);
