--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -5,4 +5,3 @@
 export * from './src/membershipRepair';
 export * from './src/placementLoop';
 export * from './src/raftTransport';
-export * from './src/slownessWatch';
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -27,7 +27,6 @@
 import type { CoreGroup } from './coreGroup';
 import type { EngineOrders } from './engineOperations';
 import { createPlacementLoop } from './placementLoop';
-import { createSlownessWatch } from './slownessWatch';
 
 export interface ControlNodeOptions {
   readonly clock: Clock;
@@ -131,13 +130,6 @@
     return decoded;
   }
 
-  const slowness = createSlownessWatch({
-    clock,
-    log,
-    table,
-    orders: options.engineOrders,
-    isLeader: () => group?.canRead() ?? false,
-  });
   const placement = createPlacementLoop({
     clock,
     log,
@@ -145,7 +137,6 @@
     orders: options.engineOrders,
     mayOrder: () => group?.canRead() ?? false,
     currentDocument,
-    slownessOf: slowness.slownessOf,
     announcementMs: options.announcementMs,
   });
 
@@ -222,7 +213,6 @@
       followOthers();
       table.sweep(RETENTION_MS);
     }
-    slowness.tick();
     placement.tick();
     scheduleTimer(tick, TICK_MS);
   }
--- a/packages/controller/src/engineOperations.ts
+++ b/packages/controller/src/engineOperations.ts
@@ -10,22 +10,15 @@
 /** `refused`: the engine answered that the order does not fit, and nothing has begun. */
 export type OrderOutcome = 'begun' | 'already-so' | 'refused' | 'unknown';
 
-export interface EngineState {
-  /** Null while it holds no layers. */
-  readonly held: LayerRange | null;
-  /** Above 1: so many times slower than its kind. */
-  readonly slowness: number;
-}
-
 export interface EngineOrders {
   /** Orders an engine to hold just this range; resolves with what it answered. */
   place(engine: EngineAddress, range: LayerRange): Promise<OrderOutcome>;
   /**
-   * What an engine says of itself now.
+   * The layers that an engine holds now; null when it holds none.
    *
    * @throws SpoolplankError `unreachable`.
    */
-  inspect(engine: EngineAddress): Promise<EngineState>;
+  readLayers(engine: EngineAddress): Promise<LayerRange | null>;
   /** Whether a new connection to the address is accepted in time. */
   isReachable(address: string, timeoutMs: number): Promise<boolean>;
 }
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -23,8 +23,6 @@
   readonly currentDocument: () => RoutingDocument | null;
   /** Interval at which engines announce themselves. */
   readonly announcementMs: number;
-  /** How much slower than its kind an engine is known to be. */
-  readonly slownessOf: (instanceId: string) => number;
 }
 
 export interface PlacementLoop {
@@ -51,6 +49,8 @@
 const LOST_INTERVALS = 3.5;
 /** What an order may take beyond the time of its load before it counts as not carried out. */
 const ORDER_MARGIN_MS = 4000;
+/** Longer than a load and the announcement after it: the outcome of the last order is seen. */
+const IMPROVE_PAUSE_MS = 4000;
 /** Two tries in a row: one lost packet is sent again only after a second. */
 const REACH_TIMEOUTS_MS: readonly number[] = [150, 300];
 /** How often an engine is asked whether it has loaded what it was ordered to. */
@@ -79,6 +79,7 @@
   const { clock, log, table, orders, announcementMs } = options;
   const pending = new Map<string, PendingOrder>();
   const witnesses = new Map<string, Witness>();
+  const orderedAtMs = new Map<string, number>();
   let orderableSinceMs: number | null = null;
 
   /** Looks for itself before it believes that an engine is lost: loads are dear. */
@@ -111,10 +112,7 @@
   async function followLoad(engine: EngineAddress, range: LayerRange): Promise<void> {
     while (pending.get(engine.instanceId)?.range === range) {
       await delay(LOAD_POLL_MS);
-      const held = await orders.inspect(engine).then(
-        (state) => state.held,
-        () => null,
-      );
+      const held = await orders.readLayers(engine).catch(() => null);
       if (isSameRange(held, range)) {
         publish(engine.instanceId, held, LOADED_STEP);
         return;
@@ -136,7 +134,6 @@
       acceleratorKind: engine?.acceleratorKind ?? '',
       firstLayer: range?.firstLayer ?? null,
       endLayer: range?.endLayer ?? null,
-      slowness: options.slownessOf(instanceId),
       isOrderable: isReliable && order === undefined,
       isReliable,
     };
@@ -157,6 +154,7 @@
     const { instanceId, address } = engine.body;
     const { firstLayer, endLayer } = order;
     const range = { firstLayer, endLayer };
+    orderedAtMs.set(engine.body.dataCentre, clock.nowMs());
     pending.set(instanceId, { range, untilMs: clock.nowMs() + loadMs + ORDER_MARGIN_MS });
     const outcome = await orders.place({ instanceId, address }, range);
     log.info('order-given', {
@@ -173,13 +171,18 @@
     await followLoad({ instanceId, address }, range);
   }
 
+  function mayImprove(dataCentre: string): boolean {
+    const lastMs = orderedAtMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY;
+    return clock.nowMs() - lastMs > IMPROVE_PAUSE_MS;
+  }
+
   function orderFor(model: ModelDescription, engines: readonly EngineRow[]): void {
     dropSettled(engines);
     const newestMs = Math.max(...engines.map(({ heardAtMs }) => heardAtMs));
     const placed = engines.map((engine) => toPlaced(engine, newestMs));
     const room = Math.max(1, model.maxConcurrentLoads) * 2 - pending.size;
     const isFirst = placed.every(({ firstLayer }) => firstLayer === null);
-    const plan = planPlacement(placed, model);
+    const plan = planPlacement(placed, model, { mayImprove });
     // The first loads are cheap, and all of them are needed before requests come.
     plan.slice(0, isFirst ? plan.length : Math.max(0, room)).forEach((order) => {
       const engine = engines.find(({ body }) => body.instanceId === order.id);
--- a/packages/entry/src/backendOperations.ts
+++ b/packages/entry/src/backendOperations.ts
@@ -54,8 +54,6 @@
 
 export interface EngineReport {
   readonly stalled: readonly StalledRequest[];
-  /** Above 1: slower than its kind. */
-  readonly slowness: number;
 }
 
 /** `unfit`: a stage could not take its part; its address is named. */
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -65,11 +65,7 @@
   return perTokenMs / model.layers;
 }
 
-function toStageEngine(
-  fact: BackendFact,
-  model: ModelDescription,
-  slowness: number,
-): StageEngine | null {
+function toStageEngine(fact: BackendFact, model: ModelDescription): StageEngine | null {
   const { instanceId, address, engine } = fact;
   if (!engine?.held) return null;
   const { firstLayer, endLayer } = engine.held;
@@ -78,7 +74,7 @@
     address,
     firstLayer,
     endLayer,
-    layerCostMs: layerCostMs(engine.acceleratorKind, model) * slowness,
+    layerCostMs: layerCostMs(engine.acceleratorKind, model),
   };
 }
 
@@ -114,7 +110,7 @@
     if (known?.revision === view.revision && known.avoided === avoided) return known;
     const engines = facts
       .filter(({ instanceId }) => !isAvoided(instanceId))
-      .flatMap((fact) => toStageEngine(fact, model, view.slownessOf(fact.instanceId)) ?? []);
+      .flatMap((fact) => toStageEngine(fact, model) ?? []);
     const path = findStagePath(engines, { toLayer: model.layers });
     const byId = new Map(facts.map((fact) => [fact.instanceId, fact]));
     const capacity = path
@@ -159,7 +155,7 @@
       const kept = new Set(stages.map(({ id }) => id).filter((id) => !lostIds.has(id)));
       const engines = facts
         .filter(({ instanceId }) => !lostIds.has(instanceId) && !isAvoided(instanceId))
-        .flatMap((fact) => toStageEngine(fact, model, view.slownessOf(fact.instanceId)) ?? []);
+        .flatMap((fact) => toStageEngine(fact, model) ?? []);
       const replaceable = engines.filter(({ id }) => !kept.has(id));
       const patched: PathStage[] = [];
       for (const stage of stages) {
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -100,8 +100,6 @@
 const START_MS = 1800;
 const START_POLL_MS = 20;
 const STALE_RETRY_AFTER_MS = 1000;
-/** Three times the usual first event on both sites: the leader then asks the engines. */
-const SLOW_FIRST_EVENT_MS = 150;
 const LEAVING_RETRY_AFTER_MS = 50;
 
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
@@ -182,11 +180,7 @@
   function listStatements(): readonly FactUpdate<SystemFact>[] {
     sequence += 1;
     const nowMs = clock.nowMs();
-    const inFlight = streams.counts();
-    const slowDataCentres = Object.keys(inFlight).filter(
-      (name) => streams.firstEventMs(name) > SLOW_FIRST_EVENT_MS,
-    );
-    const load: SystemFact = { kind: 'load', inFlight, slowDataCentres };
+    const load: SystemFact = { kind: 'load', inFlight: streams.counts() };
     const member = memberFact();
     table.put(memberKey, sequence, member);
     const recent = [...suspicions].filter(([, { atMs }]) => nowMs - atMs < SUSPICION_REPEAT_MS);
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -33,8 +33,6 @@
   listMembers(role: MemberFact['role']): readonly MemberFact[];
   /** Requests that other entries have in flight on the engines of a data centre. */
   othersInFlight(dataCentre: string): number;
-  /** How many times slower than its kind an engine is known to be. */
-  slownessOf(instanceId: string): number;
   findByAddress(address: string): Fact<SystemFact> | undefined;
   /** Changes whenever anything changed that bears on where requests go. */
   readonly revision: number;
@@ -140,10 +138,6 @@
       refresh();
       return inFlight.get(dataCentre) ?? 0;
     },
-    slownessOf(instanceId) {
-      const fact = table.find(FACT_KEYS.slowness(instanceId));
-      return fact?.body.kind === 'slowness' ? fact.body.factor : 1;
-    },
     findByAddress(address) {
       refresh();
       return byAddress.get(address);
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -20,8 +20,6 @@
 export interface LoadFact {
   readonly kind: 'load';
   readonly inFlight: Readonly<Record<string, number>>;
-  /** Data centres whose engines have been slow to give first events. */
-  readonly slowDataCentres: readonly string[];
 }
 
 /** A range of layers; `endLayer` is not part of it. */
@@ -60,14 +58,7 @@
   readonly instanceId: string;
 }
 
-/** How many times slower than its kind an engine was found; its sequence is as above. */
-export interface SlownessFact {
-  readonly kind: 'slowness';
-  readonly instanceId: string;
-  readonly factor: number;
-}
-
-export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact | SlownessFact;
+export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact;
 
 export type SystemFactKind = SystemFact['kind'];
 
@@ -77,7 +68,6 @@
   load: (host: string, run: string) => `load/${host}/${run}`,
   backend: (instanceId: string) => `backend/${instanceId}`,
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
-  slowness: (instanceId: string) => `slowness/${instanceId}`,
 } as const;
 
 /** A sequence that no announcement goes beyond: what ended stays ended. */
--- a/packages/node/src/resetDetection.ts
+++ b/packages/node/src/resetDetection.ts
@@ -9,7 +9,6 @@
  * the reset.
  */
 import type { IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
 
 /** The part of a socket's handle that is used; Node.js gives no public way to halt at once. */
 interface ReadingHandle {
@@ -17,6 +16,8 @@
   readStart(): void;
 }
 
+const HANDLE_FIELD = '_handle';
+
 /** Whether only the end of the connection marks the end of an answer. */
 function endsWithConnection({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -27,7 +28,7 @@
   if (!endsWithConnection(response)) return;
   const { socket } = response;
   const handleOf = () =>
-    (socket as Socket & { readonly _handle?: ReadingHandle | null })._handle ?? null;
+    (socket as unknown as Readonly<Record<string, ReadingHandle | null>>)[HANDLE_FIELD] ?? null;
   const halt = () => {
     const handle = handleOf();
     if (!handle) return;
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -16,8 +16,6 @@
   /** Layers held, or being loaded; null when there are none. */
   readonly firstLayer: number | null;
   readonly endLayer: number | null;
-  /** How many times slower than its kind it is; 1 when nothing is known. */
-  readonly slowness: number;
   /** Whether it can be given an order now: it is heard of and no order is under way. */
   readonly isOrderable: boolean;
   /** Whether its layers count: it is heard of, stays, and nobody suspects it. */
@@ -53,12 +51,6 @@
 const MOST_MEMORY_PER_LAYER = 8;
 const SEARCH_STEP = 0.01;
 
-/**
- * An engine that is slower than this is planned around: with twice the time for a step a chain
- * still gives its tokens in time, with five times it does not.
- */
-const MOST_SLOWNESS = 2.5;
-
 const lengthOf = ({ first, end }: Range): number => end - first;
 
 function fits(slot: Slot, layers: number, model: ModelDescription): boolean {
@@ -288,26 +280,11 @@
   return a?.first === b?.first && a?.end === b?.end;
 }
 
-/** Leaves slow engines out as long as the others hold the model with room for requests. */
-function withoutSlow(
-  engines: readonly PlacedEngine[],
-  model: ModelDescription,
-): readonly PlacedEngine[] {
-  const memoryOf = ({ acceleratorKind }: PlacedEngine) =>
-    model.kinds.find(({ name }) => name === acceleratorKind)?.memoryMb ?? 0;
-  const fast = engines.filter(
-    ({ slowness, isReliable }) => isReliable && slowness <= MOST_SLOWNESS,
-  );
-  const memoryMb = fast.reduce((sum, engine) => sum + memoryOf(engine), 0);
-  const isEnough = memoryMb >= model.layers * model.layerMb * GOOD_MEMORY_PER_LAYER;
-  return isEnough ? fast : engines;
-}
-
 function planDataCentre(
-  all: readonly PlacedEngine[],
+  engines: readonly PlacedEngine[],
   model: ModelDescription,
+  mayImprove: boolean,
 ): readonly PlacementOrder[] {
-  const engines = withoutSlow(all, model);
   const kinds = new Map(model.kinds.map((kind) => [kind.name, kind]));
   const slots = engines.flatMap((engine): Slot[] => {
     const kind = kinds.get(engine.acceleratorKind);
@@ -324,7 +301,7 @@
       model,
     );
   } else if (findHole(countCopies(slots, model.layers))) fillHoles(slots, model);
-  else improve(slots, model);
+  else if (mayImprove) improve(slots, model);
   return slots.flatMap(({ id, held, planned }) =>
     planned && !isSame(held, planned)
       ? [{ id, firstLayer: planned.first, endLayer: planned.end }]
@@ -340,10 +317,21 @@
   return groups;
 }
 
+export interface PlacementOptions {
+  /**
+   * Whether a data centre that has all layers may be ordered to spread them better: every order
+   * sends some requests away for a moment, so that is not done right after the last one.
+   */
+  readonly mayImprove?: (dataCentre: string) => boolean;
+}
+
 /** Plans the orders that bring every layer to every data centre, from what is held now. */
 export function planPlacement(
   engines: readonly PlacedEngine[],
   model: ModelDescription,
+  { mayImprove = () => true }: PlacementOptions = {},
 ): readonly PlacementOrder[] {
-  return [...groupByDataCentre(engines).values()].flatMap((group) => planDataCentre(group, model));
+  return [...groupByDataCentre(engines)].flatMap(([dataCentre, group]) =>
+    planDataCentre(group, model, mayImprove(dataCentre)),
+  );
 }
