--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -246,6 +246,10 @@
     avoidedUntilMs.set(instanceId, clock.nowMs() + durationMs);
   }
 
+  function isAvoided(instanceId: string): boolean {
+    return (avoidedUntilMs.get(instanceId) ?? 0) > clock.nowMs();
+  }
+
   function suspect(instanceId: string, evidence: string): void {
     const announced = table.find(FACT_KEYS.backend(instanceId));
     const factSequence = Math.floor(announced?.sequence ?? 0);
@@ -253,6 +257,7 @@
     if (known && known.sequence >= factSequence) return;
     // From another data centre, the way there may be at fault: that is no matter for others.
     if ((announced?.body as BackendFact | undefined)?.dataCentre !== dataCentre) {
+      if (isAvoided(instanceId)) return;
       avoid(instanceId, REMOTE_AVOID_MS);
       log.info('engine-avoided', { instanceId, evidence });
       return;
@@ -269,10 +274,6 @@
     void feed.push();
   }
 
-  function isAvoided(instanceId: string): boolean {
-    return (avoidedUntilMs.get(instanceId) ?? 0) > clock.nowMs();
-  }
-
   function budgetOf(service: string): WindowBudget {
     const known = budgets.get(service);
     if (known) return known;
