--- /dev/null
+++ b/packages/entry/__tests__/fixtures.ts
@@ -0,0 +1,66 @@
+/** An entry's tables, filled by hand. */
+import { createDocumentCache, createFactTable, FACT_KEYS } from '@spoolplank/membership';
+import type { BackendFact, SystemFact } from '@spoolplank/membership';
+import type { ModelDescription, RoutingDocument } from '@spoolplank/routing';
+import { createManualClock } from '@spoolplank/shared';
+import { createRoutingView } from '../src/routingView';
+
+export const MODEL: ModelDescription = {
+  layers: 8,
+  layerMb: 1000,
+  stepMs: 1,
+  stepPerRequestMs: 0.01,
+  readTokensPerS: 100_000,
+  tokenBytes: 1_000_000,
+  usualPromptTokens: 700,
+  usualAnswerTokens: 200,
+  maxConcurrentLoads: 6,
+  loadMs: 1000,
+  kinds: [{ name: 'big', memoryMb: 6000, stepFactor: 1, readFactor: 1 }],
+};
+
+export function createEngine(
+  instanceId: string,
+  firstLayer: number,
+  endLayer: number,
+  overrides: Partial<BackendFact> = {},
+): BackendFact {
+  return {
+    kind: 'backend',
+    instanceId,
+    service: 'engines',
+    address: `${instanceId}:80`,
+    dataCentre: 'a',
+    state: 'ready',
+    slots: 10,
+    engine: { acceleratorKind: 'big', held: { firstLayer, endLayer }, version: 1 },
+    ...overrides,
+  };
+}
+
+export function createTables() {
+  const clock = createManualClock(100_000);
+  const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
+  let syncedAtMs = clock.nowMs();
+  const view = createRoutingView<RoutingDocument>({
+    clock,
+    table,
+    documents: createDocumentCache<RoutingDocument>(clock),
+    readDocument: (document) => document,
+    syncedAtMs: () => syncedAtMs,
+    announcementMs: 1000,
+    ownLoadKey: 'own',
+  });
+  return {
+    clock,
+    table,
+    view,
+    announce(fact: BackendFact, sequence = 1): void {
+      table.put(FACT_KEYS.backend(fact.instanceId), sequence, fact);
+    },
+    /** Notes that a source answered just now. */
+    sync(): void {
+      syncedAtMs = clock.nowMs();
+    },
+  };
+}
--- /dev/null
+++ b/packages/membership/__tests__/facts.spec.ts
@@ -0,0 +1,192 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock } from '@spoolplank/shared';
+import type { ManualClock } from '@spoolplank/shared';
+import { createDocumentCache } from '../src/documentCache';
+import { createFactTable } from '../src/factTable';
+import type { FactTable } from '../src/factTable';
+import { createFeedClient } from '../src/feedClient';
+import { createFeedServer } from '../src/feedServer';
+
+interface Body {
+  readonly text: string;
+}
+
+interface Document {
+  readonly version: number;
+}
+
+function createTable(clock: ManualClock, instance: string): FactTable<Body> {
+  return createFactTable<Body>({ clock, instance, isUrgent: () => true });
+}
+
+function exchange(from: FactTable<Body>, to: FactTable<Body>, sinceRevision = 0, nowMs = 0): void {
+  to.merge(from.deltaSince(from.instance, sinceRevision).updates, nowMs);
+}
+
+describe('a table of facts', () => {
+  it('keeps the latest statement, whatever the order in which statements come', () => {
+    const clock = createManualClock();
+    const table = createTable(clock, 'a');
+    assert.equal(table.put('k', 2, { text: 'second' }), true);
+    assert.equal(table.put('k', 1, { text: 'first' }), false);
+    assert.equal(table.find('k')?.body.text, 'second');
+  });
+
+  it('converges by exchange in any order, and passes nothing on for ever', () => {
+    const clock = createManualClock();
+    const [a, b, c] = ['a', 'b', 'c'].map((name) => createTable(clock, name));
+    assert.ok(a && b && c);
+    a.put('k', 1, { text: 'old' });
+    c.put('k', 2, { text: 'new' });
+    exchange(a, b);
+    exchange(c, b);
+    exchange(a, b);
+    exchange(b, a);
+    [a, b, c].forEach((table) => assert.equal(table.find('k')?.body.text, 'new'));
+    const { revision } = a;
+    exchange(b, a);
+    assert.equal(a.revision, revision);
+  });
+
+  it('passes bodies on only to those that lack them, and ages always', () => {
+    const clock = createManualClock();
+    const table = createTable(clock, 'a');
+    table.put('k', 1, { text: 'same' });
+    const { revision } = table;
+    clock.advance(400);
+    table.put('k', 2, { text: 'same' });
+    clock.advance(100);
+    const [update] = table.deltaSince('a', revision).updates;
+    assert.deepEqual(update, { key: 'k', sequence: 2, ageMs: 100 });
+    const [whole] = table.deltaSince('another run', revision).updates;
+    assert.deepEqual(whole?.body, { text: 'same' });
+  });
+
+  it('does not follow a fact that it knows only by name', () => {
+    const table = createTable(createManualClock(), 'a');
+    table.merge([{ key: 'k', sequence: 1, ageMs: 0 }], 0);
+    assert.equal(table.find('k'), undefined);
+  });
+
+  it('forgets what nobody has stated for long', () => {
+    const clock = createManualClock();
+    const table = createTable(clock, 'a');
+    table.put('old', 1, { text: '' });
+    clock.advance(1000);
+    table.put('new', 1, { text: '' });
+    table.sweep(500);
+    assert.deepEqual(
+      table.list().map(({ key }) => key),
+      ['new'],
+    );
+  });
+});
+
+describe('a document cache', () => {
+  it('never goes back to a lower version', () => {
+    const cache = createDocumentCache<Document>(createManualClock());
+    assert.equal(cache.offer({ version: 5 }), true);
+    assert.equal(cache.offer({ version: 4 }), false);
+    assert.equal(cache.current?.version, 5);
+  });
+
+  it('is not confirmed by a source that knows a higher version', () => {
+    const clock = createManualClock(1000);
+    const cache = createDocumentCache<Document>(clock);
+    cache.offer({ version: 5 });
+    cache.confirm(6, 1000);
+    assert.equal(cache.confirmedAgeMs(), Number.POSITIVE_INFINITY);
+    cache.confirm(5, 900);
+    assert.equal(cache.confirmedAgeMs(), 100);
+  });
+});
+
+describe('a feed', () => {
+  function createSource(clock: ManualClock, isConfirmed: () => boolean) {
+    const table = createTable(clock, 'source');
+    const documents = createDocumentCache<Document>(clock);
+    const timers: (() => void)[] = [];
+    const server = createFeedServer<Body, Document>({
+      clock,
+      table,
+      documents,
+      maxWaitMs: 1000,
+      schedule(run) {
+        timers.push(run);
+        return () => {};
+      },
+      refreshConfirmation() {
+        if (isConfirmed()) documents.confirm(documents.current?.version ?? 0, clock.nowMs());
+      },
+    });
+    return { table, documents, server, timers };
+  }
+
+  it('counts a confirmation from when the question was sent, not from when the answer came', async () => {
+    const clock = createManualClock(10_000);
+    const source = createSource(clock, () => true);
+    source.documents.offer({ version: 3 });
+    const table = createTable(clock, 'client');
+    const documents = createDocumentCache<Document>(clock);
+    const client = createFeedClient<Body, Document>({
+      clock,
+      table,
+      documents,
+      statements: () => [{ key: 'client', sequence: 1, ageMs: 0, body: { text: 'here' } }],
+      async exchange(request) {
+        const reply = await source.server.answer(request);
+        // The answer is a second on its way.
+        clock.advance(1000);
+        return reply;
+      },
+      delay: () => Promise.resolve(),
+      waitMs: 0,
+      retryMs: 0,
+    });
+    await client.push();
+    assert.equal(documents.current?.version, 3);
+    assert.equal(documents.confirmedAgeMs(), 1000);
+    assert.equal(source.table.find('client')?.body.text, 'here');
+  });
+
+  it('passes no confirmation on that its source has lost', async () => {
+    const clock = createManualClock(10_000);
+    let isConfirmed = true;
+    const source = createSource(clock, () => isConfirmed);
+    source.documents.offer({ version: 3 });
+    const question = {
+      updates: [],
+      instance: '',
+      revision: 0,
+      documentVersion: -1,
+      waitMs: 0,
+    };
+    assert.equal((await source.server.answer(question)).confirmedAgeMs, 0);
+    isConfirmed = false;
+    clock.advance(3000);
+    assert.equal((await source.server.answer(question)).confirmedAgeMs, 3000);
+  });
+
+  it('answers at once when something urgent is new, and holds back otherwise', async () => {
+    const clock = createManualClock(10_000);
+    const source = createSource(clock, () => false);
+    const question = {
+      updates: [],
+      instance: 'source',
+      revision: source.table.revision,
+      documentVersion: -1,
+      waitMs: 1000,
+    };
+    const waiting = source.server.answer(question);
+    assert.equal(source.timers.length, 1);
+    source.table.put('k', 1, { text: 'urgent' });
+    source.server.wake();
+    assert.equal((await waiting).delta.updates.length, 1);
+    const known = { ...question, revision: source.table.revision };
+    const held = source.server.answer(known);
+    assert.equal(source.timers.length, 2);
+    source.timers[1]?.();
+    assert.equal((await held).delta.updates.length, 0);
+  });
+});
