--- /dev/null
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -0,0 +1,186 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { createEventLog, createMetrics } from '@spoolplank/node';
+import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
+import type { Route } from '@spoolplank/routing';
+import { createSeededRandom } from '@spoolplank/shared';
+import type { BackendOperations, RepairOutcome } from '../src/backendOperations';
+import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
+import { createChainChoice } from '../src/chainChoice';
+import type { EntryContext } from '../src/entryContext';
+import { createStreamRepair } from '../src/streamRepair';
+import { createStreamTable } from '../src/streamTable';
+import type { StreamRow } from '../src/streamTable';
+import { createEngine, createTables, MODEL } from './fixtures';
+
+interface Setting {
+  /** Addresses that accept no connection. */
+  readonly unreachable?: readonly string[];
+  readonly stalledAt?: string;
+  readonly outcome?: RepairOutcome;
+}
+
+const ROUTE = { targetGapMs: 200, targetLatencyMs: 500 } as Route;
+
+function createSetting({ unreachable = [], stalledAt, outcome }: Setting = {}) {
+  const tables = createTables();
+  const { clock, view, announce } = tables;
+  announce(createEngine('a1', 0, 4));
+  announce(createEngine('a2', 4, 8));
+  announce(createEngine('a3', 4, 8));
+  const repairs: string[][] = [];
+  const cuts: string[] = [];
+  const suspects: string[] = [];
+  let connections = 0;
+  let reports = 0;
+  const operations: BackendOperations = {
+    open: () => Promise.reject(new Error('not used here')),
+    report() {
+      reports += 1;
+      const stalled = stalledAt === undefined ? [] : [{ requestId: 'r1', address: stalledAt }];
+      return Promise.resolve({ stalled });
+    },
+    isReachable(address) {
+      connections += 1;
+      return Promise.resolve(!unreachable.includes(address));
+    },
+    repair(_target, _id, stages) {
+      repairs.push(stages.map(({ id }) => id));
+      return Promise.resolve(outcome ?? { kind: 'repaired' });
+    },
+  };
+  const context: EntryContext = {
+    clock,
+    random: createSeededRandom(1),
+    log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
+    metrics: createMetrics(),
+    dataCentre: 'a',
+    view,
+    operations,
+    loads: createBackendLoadTable(),
+    budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
+    factsAgeMs: () => 0,
+  };
+  const streams = createStreamTable(clock);
+  const chains = createChainChoice({
+    view,
+    dataCentre: 'a',
+    ownInFlight: () => 0,
+    firstEventMs: () => 0,
+    isAvoided: () => false,
+  });
+  const repair = createStreamRepair({
+    context,
+    streams,
+    chains,
+    suspect: (instanceId) => suspects.push(instanceId),
+    avoid: () => {},
+  });
+  const row: StreamRow = {
+    admitted: {
+      request: { id: 'r1' } as CallerRequest,
+      answer: {} as CallerAnswer,
+      route: ROUTE,
+      service: 'engines',
+      organisation: null,
+      endsAtMs: clock.nowMs() + 20_000,
+    },
+    model: MODEL,
+    dataCentre: 'a',
+    stages: [
+      { id: 'a1', address: 'a1:80', firstLayer: 0, endLayer: 4 },
+      { id: 'a2', address: 'a2:80', firstLayer: 4, endLayer: 8 },
+    ],
+    lostIds: new Set(),
+    startedAtMs: clock.nowMs(),
+    hasBegun: true,
+    lastProgressAtMs: clock.nowMs(),
+    lastCheckAtMs: 0,
+    checks: 0,
+    isChecking: false,
+    isRepairing: false,
+    isPaused: false,
+    cutReason: null,
+    cut: (reason) => cuts.push(reason),
+  };
+  streams.add(row);
+  return {
+    row,
+    repairs,
+    cuts,
+    suspects,
+    repair,
+    counts: () => ({ connections, reports }),
+    async pass(durationMs: number) {
+      clock.advance(durationMs);
+      repair.tick();
+      for (let turn = 0; turn < 10; turn += 1) await nextTurn();
+    },
+  };
+}
+
+describe('a stream that fell silent', () => {
+  it('is left alone while its pause is on time', async () => {
+    const setting = createSetting();
+    await setting.pass(140);
+    assert.deepEqual(setting.counts(), { connections: 0, reports: 0 });
+  });
+
+  it('gets another engine for the part of one that accepts no connection', async () => {
+    const setting = createSetting({ unreachable: ['a2:80'] });
+    await setting.pass(160);
+    assert.deepEqual(setting.suspects, ['a2']);
+    assert.deepEqual(setting.repairs, [['a1', 'a3']]);
+    assert.deepEqual(
+      setting.row.stages.map(({ id }) => id),
+      ['a1', 'a3'],
+    );
+    assert.deepEqual(setting.cuts, []);
+  });
+
+  it('is ended, to be resumed elsewhere, when its first engine is lost', async () => {
+    const setting = createSetting({ unreachable: ['a1:80'] });
+    await setting.pass(160);
+    assert.deepEqual(setting.cuts, ['head-lost']);
+    assert.deepEqual(setting.repairs, []);
+  });
+
+  it('asks the first engine whom it waits for only when all accept connections', async () => {
+    const setting = createSetting({ stalledAt: 'a2:80' });
+    await setting.pass(160);
+    assert.equal(setting.counts().reports, 0);
+    await setting.pass(400);
+    assert.equal(setting.counts().reports, 1);
+    assert.deepEqual(setting.repairs, [['a1', 'a3']]);
+  });
+
+  it('is ended when the engine says that the request is not there', async () => {
+    const setting = createSetting({
+      unreachable: ['a2:80'],
+      outcome: { kind: 'unknown-request' },
+    });
+    await setting.pass(160);
+    assert.deepEqual(setting.cuts, ['no-repair']);
+  });
+
+  it('looks less and less often when nothing is wrong', async () => {
+    const setting = createSetting();
+    for (let passed = 0; passed < 5000; passed += 100) await setting.pass(100);
+    assert.ok(setting.counts().reports <= 6, `${setting.counts().reports} reports`);
+  });
+
+  it('is no reason to look while the caller does not read', async () => {
+    const setting = createSetting();
+    setting.row.isPaused = true;
+    await setting.pass(5000);
+    assert.deepEqual(setting.counts(), { connections: 0, reports: 0 });
+  });
+
+  it('is repaired at once when another entry has found the engine lost', async () => {
+    const setting = createSetting();
+    setting.repair.repairSuspected((instanceId) => instanceId === 'a2');
+    await setting.pass(0);
+    assert.deepEqual(setting.repairs, [['a1', 'a3']]);
+  });
+});
