fix(entry): a stream that has begun is resumed on a full chain too

Cause: after a loss, the rest of a stream was refused by the capacity that is meant for new ones, or given up because its data centre was just being mended, and the answer was cut (log: attempts 1, no-repair, then broken-off). Change: resumption passes over the capacity, waits up to 0.7 s for a chain, and may use the same first engine again where another one was at fault.

--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -14,7 +14,12 @@
   /** It has not run. */
   | { readonly kind: 'not-run'; readonly problem: string; readonly culprit: string | null }
   /** It broke off, or was ended here; what the caller has of it stays. */
-  | { readonly kind: 'broken'; readonly problem: string }
+  | {
+      readonly kind: 'broken';
+      readonly problem: string;
+      /** Another engine of the path was at fault. */
+      readonly isHeadFine: boolean;
+    }
   | { readonly kind: 'caller-left' };
 
 export interface StreamDispatchOptions {
@@ -48,6 +53,9 @@
 const RESUME_SPACING_MS = 8;
 /** Callers give a stream up after a pause of two seconds; finding the fault took half a second. */
 const MAX_TURN_WAIT_MS = 900;
+/** What is left of those two seconds; layers of a small hole are loaded in about as long. */
+const MAX_CHAIN_WAIT_MS = 700;
+const CHAIN_POLL_MS = 50;
 const HIGHEST_GOOD_STATUS = 299;
 
 /** What one request carries from attempt to attempt. */
@@ -152,11 +160,11 @@
     }
     if (problem !== null) {
       response.body.destroy();
-      return { kind: 'broken', problem };
+      return { kind: 'broken', problem, isHeadFine: false };
     }
     if (status > HIGHEST_GOOD_STATUS && progress.hasBegun) {
       response.body.destroy();
-      return { kind: 'broken', problem: `status ${status}` };
+      return { kind: 'broken', problem: `status ${status}`, isHeadFine: false };
     }
     await relay(row, response, progress);
     return { kind: 'whole', status };
@@ -174,7 +182,7 @@
     if (known.outcome === 'not-run' && row.cutReason === null) {
       return { kind: 'not-run', problem, culprit: head?.address ?? null };
     }
-    return { kind: 'broken', problem };
+    return { kind: 'broken', problem, isHeadFine: row.cutReason === 'no-repair' };
   }
 
   async function attempt(
@@ -237,6 +245,24 @@
     return chain;
   }
 
+  /**
+   * The chain for the rest of a stream that the caller has a part of. It was admitted once, so a
+   * full chain is no reason to break it off; a chain that is just being mended is waited for.
+   */
+  async function findChainToResume(
+    { service, answer }: AdmittedRequest,
+    model: ModelDescription,
+    excluded: ReadonlySet<string>,
+  ): Promise<ChosenChain | undefined> {
+    const endsAtMs = clock.nowMs() + MAX_CHAIN_WAIT_MS;
+    let chain = chains.choose(service, model, excluded);
+    while (!chain && clock.nowMs() < endsAtMs && !answer.isClosed) {
+      await delay(CHAIN_POLL_MS);
+      chain = chains.choose(service, model, excluded);
+    }
+    return chain;
+  }
+
   /**
    * Streams that lost an engine come back one after the other: their prompts are read again, and
    * all at once that would hold up every other stream of the chain they go to.
@@ -286,16 +312,10 @@
 
       budget.earn();
       while (mayTry()) {
-        let chain: ChosenChain;
-        try {
-          chain = chooseChain(admitted, model, excluded);
-        } catch (error) {
-          if (progress.hasBegun || mayHaveRun) {
-            problem = toSpoolplankError(error).message;
-            break;
-          }
-          throw error;
-        }
+        const chain = mayHaveRun
+          ? await findChainToResume(admitted, model, excluded)
+          : chooseChain(admitted, model, excluded);
+        if (!chain) break;
         attempts += 1;
         const result = await attempt(admitted, model, chain, progress);
         if (result.kind === 'caller-left') return end('caller-left', progress.status);
@@ -324,7 +344,7 @@
           // Whether the engine ended or only the way to it, nobody here can tell: it counts.
           runs += 1;
           const [head] = chain.stages;
-          if (head) excluded.add(head.id);
+          if (head && !result.isHeadFine) excluded.add(head.id);
         }
       }
 
