refactor: the request path and the control role leave cli

Cause: half of a package named after the command line was the request path, and both roles' parts stood there. Change: packages/entry/src/sessions and packages/controller/src/settings hold them, packages/vm what every part is given; cli keeps commands and wiring.

--- a/packages/bench/__tests__/proofs.spec.ts
+++ b/packages/bench/__tests__/proofs.spec.ts
@@ -6,8 +6,9 @@
 const NAMED_TEST = /`([\w]+\.spec\.ts)(?:: "([^"]+)")?`/g;
 
 function readSpecs(): ReadonlyMap<string, string> {
-  const files = readdirSync('packages').flatMap((name) => {
-    const folder = join('packages', name, '__tests__');
+  const roots = [...readdirSync('packages').map((name) => join('packages', name)), 'platform'];
+  const files = roots.flatMap((root) => {
+    const folder = join(root, '__tests__');
     if (!existsSync(folder)) return [];
     const specs = readdirSync(folder).filter((file) => file.endsWith('.spec.ts'));
     return specs.map((file) => join(folder, file));
--- a/packages/bench/src/benches/detection.ts
+++ b/packages/bench/src/benches/detection.ts
@@ -2,8 +2,8 @@
  * Telling a busy chain from a dead one: a fixed timeout, a learnt one, and a learnt one that
  * asks the stages before it decides, on one seeded trace of intervals between tokens.
  */
-import { createStagePatience } from '@spoolplank/cli';
-import type { StagePatience } from '@spoolplank/cli';
+import { createStagePatience } from '@spoolplank/entry';
+import type { StagePatience } from '@spoolplank/entry';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock, Random } from '@spoolplank/shared';
 import type { Figure } from '../figures';
--- a/packages/bench/src/benches/state.ts
+++ b/packages/bench/src/benches/state.ts
@@ -1,7 +1,7 @@
 /** Memory and time of the state at the size that decides the design. */
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
-import { createSessionStore } from '@spoolplank/cli';
+import { createSessionStore } from '@spoolplank/entry';
 import { createControlState, createLogClock } from '@spoolplank/control';
 import { createDirectory } from '@spoolplank/membership';
 import type { Announcement } from '@spoolplank/membership';
--- a/packages/cli/src/vm/vm.ts
+++ b/packages/cli/src/vm/vm.ts
@@ -5,10 +5,10 @@
 import type { VmSettings } from '@spoolplank/settings';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
-import { createControlRole } from '../control/controlRole';
-import type { ControlRole } from '../control/controlRole';
-import { createEntryRole } from '../entry/entryRole';
-import { createVmContext } from './vmContext';
+import { createControlRole } from '@spoolplank/controller';
+import type { ControlRole } from '@spoolplank/controller';
+import { createEntryRole } from '@spoolplank/entry';
+import { createVmContext } from '@spoolplank/vm';
 
 export interface Vm {
   /** Version of the settings in force here. */
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -5,3 +5,5 @@
 export * from './src/membershipRepair';
 export * from './src/placementLoop';
 export * from './src/raftTransport';
+export * from './src/settings/controlRole';
+export * from './src/settings/settingsService';
--- a/packages/cli/src/control/controlRole.ts
+++ b/packages/controller/src/settings/controlRole.ts
@@ -3,8 +3,6 @@
 import { createGroupRunner } from '@spoolplank/consensus';
 import type { Message, ReplicaStatus } from '@spoolplank/consensus';
 import { createControlState, createLogClock } from '@spoolplank/control';
-import { createRaftTransport, decideRepair, vmOfReplica } from '@spoolplank/controller';
-import type { GroupDescription } from '@spoolplank/controller';
 import type {
   AcceptedChange,
   ChangeResult,
@@ -17,8 +15,11 @@
 import type { Edit } from '@spoolplank/settings';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
-import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
-import type { VmContext } from '../vm/vmContext';
+import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
+import type { VmContext } from '@spoolplank/vm';
+import type { GroupDescription } from '../bootstrap';
+import { decideRepair } from '../membershipRepair';
+import { createRaftTransport, vmOfReplica } from '../raftTransport';
 import { findGroup } from './findGroup';
 import { collectChangeFindings, createReachTracker } from './settingsService';
 import type { ReachReport, SettingsPull, SettingsPullReply } from './settingsService';
--- a/packages/cli/src/control/findGroup.ts
+++ b/packages/controller/src/settings/findGroup.ts
@@ -1,10 +1,10 @@
 /** Carries out what `decideBootstrap` decides, until a blank replica has its group. */
 import type { ReplicaId, ReplicaStorage } from '@spoolplank/consensus';
-import { decideBootstrap } from '@spoolplank/controller';
-import type { GroupDescription } from '@spoolplank/controller';
 import { delay } from '@spoolplank/node';
-import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
-import type { VmContext } from '../vm/vmContext';
+import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
+import type { VmContext } from '@spoolplank/vm';
+import type { GroupDescription } from '../bootstrap';
+import { decideBootstrap } from '../bootstrap';
 
 export interface FindGroupOptions {
   readonly context: VmContext;
--- a/packages/cli/__tests__/decisions.spec.ts
+++ b/packages/entry/__tests__/decisions.spec.ts
@@ -2,12 +2,11 @@
 import { describe, it } from 'node:test';
 import type { Configuration, ReplicaStatus } from '@spoolplank/consensus';
 import { createManualClock } from '@spoolplank/shared';
-import { decideBootstrap, decideRepair } from '@spoolplank/controller';
-import { createReachTracker } from '../src/control/settingsService';
-import { readKeyTime } from '../src/entry/callerRequest';
-import { copyRequestHeaders } from '../src/entry/forwardedHeaders';
-import { createSessionStore, toSessionUpdate } from '../src/entry/sessionStore';
-import { createStagePatience } from '../src/entry/stagePatience';
+import { decideBootstrap, decideRepair, createReachTracker } from '@spoolplank/controller';
+import { readKeyTime } from '../src/sessions/callerRequest';
+import { copyRequestHeaders } from '../src/sessions/forwardedHeaders';
+import { createSessionStore, toSessionUpdate } from '../src/sessions/sessionStore';
+import { createStagePatience } from '../src/sessions/stagePatience';
 
 const GROUP: Configuration = { voters: ['vm1#a', 'vm2#b', 'vm3#c'], learners: [] };
 
--- a/packages/cli/__tests__/gate.spec.ts
+++ b/packages/entry/__tests__/gate.spec.ts
@@ -3,9 +3,9 @@
 import { DEFAULT_POLICY } from '@spoolplank/settings';
 import type { Policy } from '@spoolplank/settings';
 import { createManualClock } from '@spoolplank/shared';
-import type { CallerRequest } from '../src/entry/callerRequest';
-import { createGate } from '../src/entry/gate';
-import type { SettingsMirror } from '../src/entry/settingsMirror';
+import type { CallerRequest } from '../src/sessions/callerRequest';
+import { createGate } from '../src/sessions/gate';
+import type { SettingsMirror } from '../src/sessions/settingsMirror';
 
 function createFixture(overrides: Partial<Policy>) {
   const policy: Policy = { ...DEFAULT_POLICY, ...overrides };
--- a/packages/cli/__tests__/settingsMirror.spec.ts
+++ b/packages/entry/__tests__/settingsMirror.spec.ts
@@ -6,11 +6,11 @@
 import { createMetrics, delay } from '@spoolplank/node';
 import { DEFAULT_TIMINGS } from '@spoolplank/settings';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
-import type { SettingsPullReply } from '../src/control/settingsService';
-import type { ControlClient } from '../src/entry/controlClient';
-import { createSettingsMirror } from '../src/entry/settingsMirror';
-import type { SettingsMirror } from '../src/entry/settingsMirror';
-import type { VmContext } from '../src/vm/vmContext';
+import type { SettingsPullReply } from '@spoolplank/controller';
+import type { VmContext } from '@spoolplank/vm';
+import type { ControlClient } from '../src/sessions/controlClient';
+import { createSettingsMirror } from '../src/sessions/settingsMirror';
+import type { SettingsMirror } from '../src/sessions/settingsMirror';
 
 const LOGGER = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 
--- a/packages/entry/index.ts
+++ b/packages/entry/index.ts
@@ -2,3 +2,8 @@
 export * from './src/backendOperations';
 export * from './src/callerRequest';
 export * from './src/entryNode';
+export { createEntryRole } from './src/sessions/entryRole';
+export type { EntryRole } from './src/sessions/entryRole';
+export { createSessionStore } from './src/sessions/sessionStore';
+export { createStagePatience } from './src/sessions/stagePatience';
+export type { StagePatience } from './src/sessions/stagePatience';
--- a/packages/cli/src/entry/addresses.ts
+++ b/packages/entry/src/sessions/addresses.ts
@@ -1,7 +1,7 @@
 /** `GET /v1/addresses`: which entry VMs a caller or backend server should use, and for how long. */
 import type { Announcement } from '@spoolplank/membership';
 import type { VmAddress } from '@spoolplank/settings';
-import { toCallerAddress } from '../vm/vmContext';
+import { toCallerAddress } from '@spoolplank/vm';
 import { ENTRY_SERVICE } from './directorySync';
 import type { EntryContext } from './entryContext';
 
--- a/packages/cli/src/entry/controlClient.ts
+++ b/packages/entry/src/sessions/controlClient.ts
@@ -5,8 +5,8 @@
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
 import { vmOfReplica } from '@spoolplank/controller';
-import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
-import type { VmContext } from '../vm/vmContext';
+import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
+import type { VmContext } from '@spoolplank/vm';
 
 export interface ControlClient {
   /**
--- a/packages/cli/src/entry/directorySync.ts
+++ b/packages/entry/src/sessions/directorySync.ts
@@ -4,8 +4,8 @@
 import { delay } from '@spoolplank/node';
 import type { VmAddress } from '@spoolplank/settings';
 import { rankByRendezvous } from '@spoolplank/shared';
-import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
-import type { VmContext } from '../vm/vmContext';
+import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
+import type { VmContext } from '@spoolplank/vm';
 
 /** Service under which entry VMs stand in the directory; no backend server may take the name. */
 export const ENTRY_SERVICE = '@entry';
--- a/packages/cli/src/entry/entryContext.ts
+++ b/packages/entry/src/sessions/entryContext.ts
@@ -1,6 +1,6 @@
 /** What the handlers of an entry VM share. */
 import type { BackendLoadTable, RetryBudget } from '@spoolplank/routing';
-import type { VmContext } from '../vm/vmContext';
+import type { VmContext } from '@spoolplank/vm';
 import type { ClaimsClient } from './claimsClient';
 import type { ControlClient } from './controlClient';
 import type { DirectorySync } from './directorySync';
--- a/packages/cli/src/entry/operatorRoutes.ts
+++ b/packages/entry/src/sessions/operatorRoutes.ts
@@ -11,8 +11,7 @@
 import type { BranchPath, Edit } from '@spoolplank/settings';
 import { isJsonObject, parsePointer, SpoolplankError } from '@spoolplank/shared';
 import type { JsonObject, JsonValue } from '@spoolplank/shared';
-import type { ChangeReply } from '../control/controlRole';
-import type { ReachReport } from '../control/settingsService';
+import type { ChangeReply, ReachReport } from '@spoolplank/controller';
 import { ENTRY_SERVICE } from './directorySync';
 import type { EntryContext } from './entryContext';
 
--- a/packages/cli/src/entry/sessionReplication.ts
+++ b/packages/entry/src/sessions/sessionReplication.ts
@@ -1,8 +1,8 @@
 /** Copies sessions to other entry VMs, in batches, and fetches them from there. */
 import { rankByRendezvous } from '@spoolplank/shared';
 import type { VmAddress } from '@spoolplank/settings';
-import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
-import type { VmContext } from '../vm/vmContext';
+import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
+import type { VmContext } from '@spoolplank/vm';
 import { toSessionUpdate } from './sessionStore';
 import type { SessionRecord, SessionStore, SessionUpdate } from './sessionStore';
 
--- a/packages/cli/src/entry/settingsMirror.ts
+++ b/packages/entry/src/sessions/settingsMirror.ts
@@ -10,9 +10,9 @@
 import { applyEdits, EMPTY_TREE, resolvePolicy } from '@spoolplank/settings';
 import type { BranchPath, Policy, SettingsTree } from '@spoolplank/settings';
 import { rankByRendezvous, SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
-import type { SettingsPull, SettingsPullReply, VersionReport } from '../control/settingsService';
-import { listVmsWithRole, toPeerTarget } from '../vm/vmContext';
-import type { VmContext } from '../vm/vmContext';
+import type { SettingsPull, SettingsPullReply, VersionReport } from '@spoolplank/controller';
+import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
+import type { VmContext } from '@spoolplank/vm';
 import type { ControlClient } from './controlClient';
 
 export interface SettingsMirror {
--- /dev/null
+++ b/packages/vm/index.ts
@@ -0,0 +1,2 @@
+export * from './src/logger';
+export * from './src/vmContext';
