feat(routing,entry): several chains a data centre, chosen by two random candidates

Cause: on a grown deployment (98 engines) each data centre had one chain of all its engines: 33 hops and one first engine with 134 places for 42 streams a second. Engines rejected 3,189 of 6,313 sends, streams fell silent in queues, and every entry connected to every engine to look for a dead one (100,640 connections). Ruled out: processor time of the entries (0.016 cores of 0.324 used). Change: planChainCount and splitIntoChains lay out as many chains as hold most requests; findStageChains finds them again from what engines announce, lending an engine where one is lost; load is known by the chain's first engine, whose places bound it; two candidates drawn at random are compared, as what entries know of each other is a second old. Silence that is shorter than the exchange of facts is no loss (a finding of the soak with announcements every 300 ms).

--- a/packages/controller/src/bootstrap.ts
+++ b/packages/controller/src/bootstrap.ts
@@ -8,11 +8,17 @@
 
 /** What a control VM says of itself. */
 export interface GroupDescription {
-  readonly replicaId: ReplicaId;
+  /** Null on a VM without a disk: it relays, and never takes part. */
+  readonly replicaId: ReplicaId | null;
   /** Null while its folder is blank. */
   readonly configuration: Configuration | null;
 }
 
+/** What a replica with a new identity asks the leader for. */
+export interface JoinRequest {
+  readonly replicaId: ReplicaId;
+}
+
 export type BootstrapStep =
   /** The group knows this replica: take part. */
   | { readonly kind: 'take-part' }
@@ -41,7 +47,7 @@
       reason: 'not every control VM answers, and one that does not may hold the state',
     };
   }
-  const voters = [self, ...answers.map(({ replicaId }) => replicaId)].sort();
+  const voters = [self, ...answers.flatMap(({ replicaId }) => replicaId ?? [])].sort();
   // One VM founds the group, so that two cannot found different ones.
   if (voters[0] !== self) return { kind: 'wait', reason: `${voters[0]} founds the group` };
   return { kind: 'found', configuration: { voters, learners: [] } };
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -23,6 +23,7 @@
 import type { RoutingDocument } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import type { GroupDescription } from './bootstrap';
 import { createCoreGroup } from './coreGroup';
 import type { CoreGroup } from './coreGroup';
 import type { EngineOrders } from './engineOperations';
@@ -75,6 +76,9 @@
   describe(): JsonValue;
 }
 
+/** What a VM without a replica answers to one that looks for its group. */
+const DISKLESS: GroupDescription = { replicaId: null, configuration: null };
+
 /** An exchange held back this long costs 1.25 exchanges a second and process. */
 const FEED_WAIT_MS = 800;
 const FEED_TIMEOUT_MS = 1400;
@@ -273,6 +277,7 @@
     'document.replace': async (params) =>
       (await proposeHere(params as unknown as StoredDocument)) as unknown as JsonValue,
     'document.read': () => readHere() as unknown as JsonValue,
+    'group.describe': () => DISKLESS as unknown as JsonValue,
   };
 
   if (options.dataFolder !== null) {
--- a/packages/controller/src/coreGroup.ts
+++ b/packages/controller/src/coreGroup.ts
@@ -17,7 +17,7 @@
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { decideBootstrap } from './bootstrap';
-import type { GroupDescription } from './bootstrap';
+import type { GroupDescription, JoinRequest } from './bootstrap';
 import { decideRepair, decideRetirement } from './membershipRepair';
 import { createRaftTransport, vmOfReplica } from './raftTransport';
 
@@ -227,7 +227,7 @@
     },
     'group.describe': () => describeGroup() as unknown as JsonValue,
     'group.join': (params, sender) => {
-      const { replicaId: candidate } = params as unknown as GroupDescription;
+      const { replicaId: candidate } = params as unknown as JoinRequest;
       if (!isTakingPart || !runner.canRead()) throw new SpoolplankError('not-leader');
       if (vmOfReplica(candidate) !== sender) throw new SpoolplankError('forbidden');
       joining.add(candidate);
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -1,5 +1,5 @@
 /** Gives the orders that bring every layer of a model to the engines; see `planPlacement`. */
-import { FACT_KEYS } from '@spoolplank/membership';
+import { FACT_KEYS, lostAfterMs } from '@spoolplank/membership';
 import type { BackendFact, Fact, FactTable, LayerRange, SystemFact } from '@spoolplank/membership';
 import { delay } from '@spoolplank/node';
 import type { EventLog } from '@spoolplank/node';
@@ -45,8 +45,6 @@
 
 /** Engines announce themselves within two intervals; before that, some may not be known yet. */
 const SETTLE_INTERVALS = 1.5;
-/** An announcement may come seconds late; beyond this the engine is taken for lost. */
-const LOST_INTERVALS = 3.5;
 /** What an order may take beyond the time of its load before it counts as not carried out. */
 const ORDER_MARGIN_MS = 4000;
 /** Longer than a load and the announcement after it: the outcome of the last order is seen. */
@@ -122,16 +120,17 @@
 
   function toPlaced(row: EngineRow, newestMs: number): PlacedEngine {
     const { body, heardAtMs } = row;
-    const { instanceId, dataCentre, state, engine } = body;
+    const { instanceId, dataCentre, state, engine, slots } = body;
     const order = pending.get(instanceId);
     const range = order?.range ?? engine?.held ?? null;
     const isSuspect = isConfirmedLost(row);
-    const isHeard = newestMs - heardAtMs < LOST_INTERVALS * announcementMs;
+    const isHeard = newestMs - heardAtMs < lostAfterMs(announcementMs);
     const isReliable = isHeard && !isSuspect && state === 'ready';
     return {
       id: instanceId,
       dataCentre,
       acceleratorKind: engine?.acceleratorKind ?? '',
+      slots,
       firstLayer: range?.firstLayer ?? null,
       endLayer: range?.endLayer ?? null,
       isOrderable: isReliable && order === undefined,
--- a/packages/controller/src/settings/controlRole.ts
+++ b/packages/controller/src/settings/controlRole.ts
@@ -17,7 +17,7 @@
 import type { JsonValue } from '@spoolplank/shared';
 import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
 import type { VmContext } from '@spoolplank/vm';
-import type { GroupDescription } from '../bootstrap';
+import type { GroupDescription, JoinRequest } from '../bootstrap';
 import { decideRepair } from '../membershipRepair';
 import { createRaftTransport, vmOfReplica } from '../raftTransport';
 import { findGroup } from './findGroup';
@@ -187,7 +187,7 @@
     },
     'group.describe': () => describeGroup() as unknown as JsonValue,
     'group.join': (params, senderVmId) => {
-      const { replicaId: candidate } = params as unknown as GroupDescription;
+      const { replicaId: candidate } = params as unknown as JoinRequest;
       assertCanRead();
       if (vmOfReplica(candidate) !== senderVmId) throw new SpoolplankError('forbidden');
       joining.add(candidate);
--- a/packages/entry/__tests__/decisions.spec.ts
+++ b/packages/entry/__tests__/decisions.spec.ts
@@ -29,6 +29,15 @@
     );
   });
 
+  it('founds it without a VM that has no disk, and will never vote', () => {
+    const step = decideBootstrap({
+      self: 'vm1#x',
+      others: [blank('vm2#y'), { replicaId: null, configuration: null }],
+    });
+    assert.equal(step.kind, 'found');
+    assert.deepEqual(step.kind === 'found' && step.configuration.voters, ['vm1#x', 'vm2#y']);
+  });
+
   it('leaves it to one of them to found the group', () => {
     assert.equal(
       decideBootstrap({ self: 'vm2#y', others: [blank('vm1#x'), blank('vm3#z')] }).kind,
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -38,7 +38,7 @@
   };
 }
 
-export function createTables() {
+export function createTables(announcementMs = 1000) {
   const clock = createManualClock(100_000);
   const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
   let syncedAtMs = clock.nowMs();
@@ -48,7 +48,7 @@
     documents: createDocumentCache<RoutingDocument>(clock),
     readDocument: (document) => document,
     syncedAtMs: () => syncedAtMs,
-    announcementMs: 1000,
+    announcementMs,
     ownLoadKey: 'own',
   });
   return {
--- /dev/null
+++ b/packages/entry/__tests__/plainDispatch.spec.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it, mock } from 'node:test';
+import { createEventLog, createMetrics } from '@spoolplank/node';
+import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
+import type { Route } from '@spoolplank/routing';
+import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
+import type { BackendCall, BackendOperations } from '../src/backendOperations';
+import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
+import { createPlainDispatch } from '../src/plainDispatch';
+import { createEngine, createTables } from './fixtures';
+
+const ROUTE: Route = {
+  name: 'book',
+  host: 'users',
+  pathPrefix: '/book/',
+  kind: 'once',
+  isResumable: false,
+  timeoutMs: 3000,
+  targetLatencyMs: 300,
+  targetGapMs: 0,
+  priority: 1,
+  targets: [{ service: 'engines', weight: 1 }],
+  maxAttempts: 1,
+  isAnonymousAllowed: false,
+};
+
+/** A backend server that takes requests and never answers. */
+function createSilentBackend() {
+  const calls: BackendCall[] = [];
+  const operations = {
+    open(call: BackendCall) {
+      calls.push(call);
+      return new Promise((_resolve, reject) => {
+        call.signal.addEventListener('abort', () =>
+          reject(new SpoolplankError('unreachable', { outcome: 'unknown' })),
+        );
+      });
+    },
+  } as unknown as BackendOperations;
+  return { calls, operations };
+}
+
+function createDispatch() {
+  const { clock, view, announce } = createTables();
+  announce(createEngine('e1', 0, 8));
+  const { calls, operations } = createSilentBackend();
+  const dispatch = createPlainDispatch({
+    clock,
+    random: createSeededRandom(1),
+    log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
+    metrics: createMetrics(),
+    dataCentre: 'a',
+    view,
+    operations,
+    loads: createBackendLoadTable(),
+    budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
+    factsAgeMs: () => 0,
+  });
+  const answer = { isClosed: false, onClosed: () => {} } as unknown as CallerAnswer;
+  const request = { id: 'r1', arrivedAtMs: clock.nowMs() } as CallerRequest;
+  const admitted = {
+    request,
+    answer,
+    route: ROUTE,
+    service: 'engines',
+    organisation: null,
+    endsAtMs: clock.nowMs() + 600,
+  };
+  return { calls, clock, run: () => dispatch.run(admitted) };
+}
+
+describe('a request whose backend server is silent', () => {
+  beforeEach(() => mock.timers.enable({ apis: ['setTimeout'] }));
+  afterEach(() => mock.timers.reset());
+
+  it('is given up 30 ms before the caller stops waiting, and not sooner', async () => {
+    const { calls, clock, run } = createDispatch();
+    const outcome = run().catch((error: unknown) => error);
+    assert.equal(calls[0]?.remainingMs, 600);
+    mock.timers.tick(569);
+    clock.advance(569);
+    assert.equal(calls[0]?.signal.aborted, false);
+    mock.timers.tick(1);
+    clock.advance(1);
+    assert.equal(calls[0]?.signal.aborted, true);
+    const error = await outcome;
+    assert.ok(error instanceof SpoolplankError);
+    assert.equal(error.httpStatus, 504);
+    assert.equal(calls.length, 1, 'it may have run, so it is sent to nobody else');
+  });
+});
--- a/packages/entry/__tests__/routingView.spec.ts
+++ b/packages/entry/__tests__/routingView.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { FACT_KEYS, FINAL_SEQUENCE } from '@spoolplank/membership';
+import { createSeededRandom } from '@spoolplank/shared';
 import { createChainChoice } from '../src/chainChoice';
 import { createEventSplitter } from '../src/eventSplitter';
 import { createEngine, createTables, MODEL } from './fixtures';
@@ -38,6 +39,18 @@
     assert.deepEqual(namesOf(view), []);
   });
 
+  it('does not take those for lost whose announcements are on their way', () => {
+    const { view, announce, clock, sync } = createTables(300);
+    announce(createEngine('e1', 0, 8));
+    // Two exchanges of 800 ms after an announcement of just now.
+    clock.advance(1700);
+    sync();
+    assert.deepEqual(namesOf(view), ['e1']);
+    clock.advance(1000);
+    sync();
+    assert.deepEqual(namesOf(view), []);
+  });
+
   it('leaves a suspected one out until it announces itself again', () => {
     const { view, announce, table } = createTables();
     announce(createEngine('e1', 0, 8), 3);
@@ -56,9 +69,10 @@
     const tables = createTables();
     const chains = createChainChoice({
       view: tables.view,
+      random: createSeededRandom(1),
       dataCentre: 'a',
-      ownInFlight: (dataCentre) => own[dataCentre] ?? 0,
-      firstEventMs: (dataCentre) => (dataCentre === slow ? 2000 : 50),
+      ownInFlight: (headId) => own[headId] ?? 0,
+      firstEventMs: (headId) => (headId === slow ? 2000 : 50),
       isAvoided: () => false,
     });
     tables.announce(createEngine('a1', 0, 4));
@@ -85,8 +99,8 @@
   });
 
   it('goes to another data centre when its own is full, slow, or lacks a layer', () => {
-    assert.equal(createChoice({ a: 4 }).chains.choose('engines', MODEL, none)?.dataCentre, 'b');
-    assert.equal(createChoice({}, 'a').chains.choose('engines', MODEL, none)?.dataCentre, 'b');
+    assert.equal(createChoice({ a1: 4 }).chains.choose('engines', MODEL, none)?.dataCentre, 'b');
+    assert.equal(createChoice({}, 'a1').chains.choose('engines', MODEL, none)?.dataCentre, 'b');
     const { chains, announce } = createChoice();
     announce(createEngine('a2', 4, 8, { state: 'draining' }), 2);
     assert.equal(chains.choose('engines', MODEL, none)?.dataCentre, 'b');
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -65,6 +65,7 @@
   const streams = createStreamTable(clock);
   const chains = createChainChoice({
     view,
+    random: createSeededRandom(1),
     dataCentre: 'a',
     ownInFlight: () => 0,
     firstEventMs: () => 0,
@@ -87,7 +88,7 @@
       endsAtMs: clock.nowMs() + 20_000,
     },
     model: MODEL,
-    dataCentre: 'a',
+    headId: 'a1',
     stages: [
       { id: 'a1', address: 'a1:80', firstLayer: 0, endLayer: 4 },
       { id: 'a2', address: 'a2:80', firstLayer: 4, endLayer: 8 },
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -1,24 +1,33 @@
-/** Choice of a chain for a stream: one path a data centre, and the data centre by its load. */
+/** Choice of a chain for a stream among those of all data centres, by their load. */
 import type { BackendFact } from '@spoolplank/membership';
-import { findStagePath } from '@spoolplank/routing';
-import type { ModelDescription, PathStage, StageEngine, StagePath } from '@spoolplank/routing';
+import {
+  countChainsByEngine,
+  findStageChains,
+  findStagePath,
+  requestMemoryMb,
+} from '@spoolplank/routing';
+import type { ModelDescription, PathStage, StageChain, StageEngine } from '@spoolplank/routing';
+import type { Random } from '@spoolplank/shared';
 import type { RoutingView } from './routingView';
 
 export interface ChainChoiceOptions {
   readonly view: RoutingView;
+  readonly random: Random;
   readonly dataCentre: string;
-  /** Requests of this entry in flight on the engines of a data centre. */
-  readonly ownInFlight: (dataCentre: string) => number;
-  /** Recent time to a first event on the engines of a data centre, in milliseconds. */
-  readonly firstEventMs: (dataCentre: string) => number;
+  /** Requests of this entry in flight on the chain that begins with an engine. */
+  readonly ownInFlight: (headId: string) => number;
+  /** Recent time to a first event on the chain that begins with an engine, in milliseconds. */
+  readonly firstEventMs: (headId: string) => number;
   /** Engines to leave out for now, by instance. */
   readonly isAvoided: (instanceId: string) => boolean;
 }
 
 export interface ChosenChain {
   readonly dataCentre: string;
+  /** The engine that the chain begins with; it names the chain. */
+  readonly headId: string;
   readonly stages: readonly PathStage[];
-  /** Requests that its memory holds. */
+  /** Requests that its memory and its first engine hold. */
   readonly capacity: number;
   /** Requests in flight there, as far as known. */
   readonly inFlight: number;
@@ -40,20 +49,29 @@
   ): readonly PathStage[] | undefined;
 }
 
-interface CachedChain {
+interface RatedChain {
+  readonly headId: string;
+  readonly stages: readonly PathStage[];
+  readonly capacity: number;
+}
+
+interface CachedChains {
   readonly revision: number;
   readonly avoided: string;
-  readonly path: StagePath | undefined;
-  readonly capacity: number;
+  readonly chains: readonly RatedChain[];
+}
+
+interface Candidate {
+  readonly chain: ChosenChain;
+  /** Its load and distance; a full chain of this data centre costs 1. */
+  readonly cost: number;
+  readonly isLocal: boolean;
 }
 
 /** What the way to another data centre counts for, as a share of a chain's capacity. */
 const REMOTE_PENALTY = 0.25;
 /** A first event that takes so long counts as much as a chain that is full. */
 const SLOW_FIRST_EVENT_MS = 500;
-const BYTES_PER_MB = 1_000_000;
-/** A running request holds half of its answer on average; the rest is for long ones. */
-const MEAN_ANSWER_SHARE = 0.7;
 const MS_PER_S = 1000;
 
 /** Time that one layer costs one token of an answer, its share of the prompt's reading included. */
@@ -88,37 +106,93 @@
   const held = fact?.engine?.held;
   if (!kind || !held) return 0;
   const freeMb = kind.memoryMb - (held.endLayer - held.firstLayer) * model.layerMb;
-  const tokens = model.usualPromptTokens + model.usualAnswerTokens * MEAN_ANSWER_SHARE;
   const share = (stage.endLayer - stage.firstLayer) / model.layers;
-  return (freeMb * BYTES_PER_MB) / (tokens * model.tokenBytes * share);
+  return freeMb / (requestMemoryMb(model) * share);
+}
+
+/**
+ * Two candidates drawn at random are compared rather than all: what entries know of each other's
+ * load is up to a second old, and all of them together would fill the one that looked empty.
+ *
+ * Source: Mitzenmacher, "The power of two choices in randomized load balancing", 2001.
+ */
+function pickTwo<Item>(items: readonly Item[], random: Random): readonly Item[] {
+  if (items.length <= 2) return items;
+  const first = random.nextInt(items.length);
+  const second = (first + 1 + random.nextInt(items.length - 1)) % items.length;
+  return [items[first], items[second]].flatMap((item) => item ?? []);
+}
+
+function findCheapest(candidates: readonly Candidate[]): Candidate | undefined {
+  return candidates.reduce<Candidate | undefined>(
+    (best, candidate) => (best && best.cost <= candidate.cost ? best : candidate),
+    undefined,
+  );
+}
+
+const isFull = ({ chain }: Candidate): boolean => chain.inFlight >= chain.capacity;
+
+/** Requests that a chain holds: by the memory of each stage, and by the places of the first. */
+function chainCapacity(
+  { stages }: StageChain,
+  facts: ReadonlyMap<string, BackendFact>,
+  chainsByEngine: ReadonlyMap<string, number>,
+  model: ModelDescription,
+): number {
+  const [head] = stages;
+  if (!head) return 0;
+  const shareOf = (id: string) => chainsByEngine.get(id) ?? 1;
+  const byMemory = stages.map(
+    (stage) => stageCapacity(facts.get(stage.id), stage, model) / shareOf(stage.id),
+  );
+  const places = (facts.get(head.id)?.slots ?? 0) / shareOf(head.id);
+  return Math.min(places, ...byMemory);
 }
 
 export function createChainChoice(options: ChainChoiceOptions): ChainChoice {
-  const { view, isAvoided, ownInFlight } = options;
-  const cache = new Map<string, CachedChain>();
+  const { view, random, isAvoided, ownInFlight } = options;
+  const cache = new Map<string, CachedChains>();
 
-  function chainOf(
+  function rateChains(
+    facts: readonly BackendFact[],
+    model: ModelDescription,
+  ): readonly RatedChain[] {
+    const engines = facts
+      .filter(({ instanceId }) => !isAvoided(instanceId))
+      .flatMap((fact) => toStageEngine(fact, model) ?? []);
+    const chains = findStageChains(engines, { layers: model.layers });
+    const byId = new Map(facts.map((fact) => [fact.instanceId, fact]));
+    const chainsByEngine = countChainsByEngine(chains);
+    return chains.map((chain) => ({
+      headId: chain.stages[0]?.id ?? '',
+      stages: chain.stages,
+      capacity: chainCapacity(chain, byId, chainsByEngine, model),
+    }));
+  }
+
+  function chainsOf(
     dataCentre: string,
     facts: readonly BackendFact[],
     model: ModelDescription,
-  ): CachedChain {
+  ): readonly RatedChain[] {
     const avoided = facts
       .filter(({ instanceId }) => isAvoided(instanceId))
       .map(({ instanceId }) => instanceId)
       .join(' ');
     const known = cache.get(dataCentre);
-    if (known?.revision === view.revision && known.avoided === avoided) return known;
-    const engines = facts
-      .filter(({ instanceId }) => !isAvoided(instanceId))
-      .flatMap((fact) => toStageEngine(fact, model) ?? []);
-    const path = findStagePath(engines, { toLayer: model.layers });
-    const byId = new Map(facts.map((fact) => [fact.instanceId, fact]));
-    const capacity = path
-      ? Math.min(...path.stages.map((stage) => stageCapacity(byId.get(stage.id), stage, model)))
-      : 0;
-    const made = { revision: view.revision, avoided, path, capacity };
-    cache.set(dataCentre, made);
-    return made;
+    if (known?.revision === view.revision && known.avoided === avoided) return known.chains;
+    const chains = rateChains(facts, model);
+    cache.set(dataCentre, { revision: view.revision, avoided, chains });
+    return chains;
+  }
+
+  function toCandidate(chain: RatedChain, dataCentre: string): Candidate {
+    const { headId, stages, capacity } = chain;
+    const inFlight = ownInFlight(headId) + view.othersInFlight(headId);
+    const isLocal = dataCentre === options.dataCentre;
+    const slowness = options.firstEventMs(headId) / SLOW_FIRST_EVENT_MS;
+    const cost = inFlight / Math.max(1, capacity) + (isLocal ? 0 : REMOTE_PENALTY) + slowness;
+    return { chain: { dataCentre, headId, stages, capacity, inFlight }, cost, isLocal };
   }
 
   function groupByDataCentre(service: string): Map<string, BackendFact[]> {
@@ -131,20 +205,26 @@
     return groups;
   }
 
+  function listCandidates(
+    service: string,
+    model: ModelDescription,
+    excludedHeads: ReadonlySet<string>,
+  ): readonly Candidate[] {
+    return [...groupByDataCentre(service)].flatMap(([dataCentre, facts]) =>
+      chainsOf(dataCentre, facts, model)
+        .filter(({ headId }) => !excludedHeads.has(headId))
+        .map((chain) => toCandidate(chain, dataCentre)),
+    );
+  }
+
   return {
     choose(service, model, excludedHeads) {
-      let best: { readonly chain: ChosenChain; readonly cost: number } | undefined;
-      groupByDataCentre(service).forEach((facts, dataCentre) => {
-        const { path, capacity } = chainOf(dataCentre, facts, model);
-        const head = path?.stages[0];
-        if (!path || !head || excludedHeads.has(head.id)) return;
-        const inFlight = ownInFlight(dataCentre) + view.othersInFlight(dataCentre);
-        const remote = dataCentre === options.dataCentre ? 0 : REMOTE_PENALTY;
-        const slowness = options.firstEventMs(dataCentre) / SLOW_FIRST_EVENT_MS;
-        const cost = inFlight / Math.max(1, capacity) + remote + slowness;
-        if (best && best.cost <= cost) return;
-        best = { cost, chain: { dataCentre, stages: path.stages, capacity, inFlight } };
-      });
+      const candidates = listCandidates(service, model, excludedHeads);
+      const local = candidates.filter(({ isLocal }) => isLocal);
+      const remote = candidates.filter(({ isLocal }) => !isLocal);
+      const drawn = findCheapest([...pickTwo(local, random), ...pickTwo(remote, random)]);
+      // Nobody is refused while any chain has room.
+      const best = drawn && !isFull(drawn) ? drawn : findCheapest(candidates);
       return best?.chain;
     },
     repair(service, model, stages, lostIds) {
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -17,7 +17,7 @@
 import type { EventLog, Metrics, PeerClient } from '@spoolplank/node';
 import { createBackendLoadTable, createWindowBudget, drawTarget } from '@spoolplank/routing';
 import type { RoutingDocument, WindowBudget } from '@spoolplank/routing';
-import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import { rankByRendezvous, SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { createAddressBook } from './addressBook';
 import type { AddressBook } from './addressBook';
@@ -196,12 +196,19 @@
     ];
   }
 
-  /** Control VMs in the order of preference: of this data centre first. */
+  /**
+   * Control VMs in the order of preference: of this data centre first, and among those in an
+   * order of this entry's own, so that entries spread over them.
+   */
   function listSources(): readonly string[] {
     const members = view.listMembers('control');
     const local = members.filter((member) => member.dataCentre === dataCentre);
-    const known = [...local, ...members].map((member) => member.host);
-    return [...new Set([...known, ...options.seeds()])];
+    const rank = (list: readonly MemberFact[]) =>
+      rankByRendezvous(
+        host,
+        list.map((member) => member.host),
+      );
+    return [...new Set([...rank(local), ...rank(members), ...options.seeds()])];
   }
 
   const feed = createFeedClient<SystemFact, StoredDocument>({
@@ -303,9 +310,10 @@
   };
   const chains = createChainChoice({
     view,
+    random,
     dataCentre,
-    ownInFlight: (name) => streams.countIn(name),
-    firstEventMs: (name) => streams.firstEventMs(name),
+    ownInFlight: (headId) => streams.countOn(headId),
+    firstEventMs: (headId) => streams.firstEventMs(headId),
     isAvoided,
   });
   const repair = createStreamRepair({ context, streams, chains, suspect, avoid });
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -1,5 +1,5 @@
 /** What an entry routes by: the document and the facts, made ready for look-ups. */
-import { FACT_KEYS } from '@spoolplank/membership';
+import { FACT_KEYS, lostAfterMs } from '@spoolplank/membership';
 import type {
   BackendFact,
   DocumentCache,
@@ -31,15 +31,13 @@
   /** Backend servers of a service that take requests. */
   listBackends(service: string): readonly BackendFact[];
   listMembers(role: MemberFact['role']): readonly MemberFact[];
-  /** Requests that other entries have in flight on the engines of a data centre. */
-  othersInFlight(dataCentre: string): number;
+  /** Requests that other entries have in flight on the chain that begins with an engine. */
+  othersInFlight(headId: string): number;
   findByAddress(address: string): Fact<SystemFact> | undefined;
   /** Changes whenever anything changed that bears on where requests go. */
   readonly revision: number;
 }
 
-/** An announcement may come seconds late; beyond this a backend server is left out. */
-const LOST_INTERVALS = 3.5;
 /** Two exchanges held back to the full, and one that was lost. */
 const MEMBER_LOST_MS = 2600;
 /** How often ages are looked at when nothing else changes. */
@@ -67,14 +65,14 @@
 
   function takeBackend(fact: Fact<SystemFact>, body: BackendFact, nowMs: number): void {
     if (body.state !== 'ready') return;
-    const isLost = nowMs - fact.heardAtMs > LOST_INTERVALS * announcementMs;
+    const isLost = nowMs - fact.heardAtMs > lostAfterMs(announcementMs);
     if (isLost || isSuspect(body.instanceId, fact.sequence)) return;
     backends.set(body.service, [...(backends.get(body.service) ?? []), body]);
   }
 
   function takeLoad({ inFlight: loads }: LoadFact): void {
-    Object.entries(loads).forEach(([dataCentre, count]) => {
-      inFlight.set(dataCentre, (inFlight.get(dataCentre) ?? 0) + count);
+    Object.entries(loads).forEach(([headId, count]) => {
+      inFlight.set(headId, (inFlight.get(headId) ?? 0) + count);
     });
   }
 
@@ -134,9 +132,9 @@
       refresh();
       return members.filter((member) => member.role === role);
     },
-    othersInFlight(dataCentre) {
+    othersInFlight(headId) {
       refresh();
-      return inFlight.get(dataCentre) ?? 0;
+      return inFlight.get(headId) ?? 0;
     },
     findByAddress(address) {
       refresh();
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -82,7 +82,7 @@
     const row: StreamRow = {
       admitted,
       model,
-      dataCentre: chain.dataCentre,
+      headId: chain.headId,
       stages: chain.stages,
       lostIds: new Set(),
       startedAtMs: nowMs,
@@ -132,7 +132,7 @@
         row.checks = 0;
         if (!row.hasBegun) {
           row.hasBegun = true;
-          streams.noteFirstEvent(row.dataCentre, clock.nowMs() - row.startedAtMs);
+          streams.noteFirstEvent(row.headId, clock.nowMs() - row.startedAtMs);
         }
         const whole = splitter.push(bytes);
         if (whole.length > 0 && !answer.isClosed) passOn(whole);
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -9,7 +9,8 @@
 export interface StreamRow {
   readonly admitted: AdmittedRequest;
   readonly model: ModelDescription;
-  readonly dataCentre: string;
+  /** The engine that the chain begins with; it names the chain. */
+  readonly headId: string;
   stages: readonly PathStage[];
   /** Engines that were found lost while this attempt ran. */
   readonly lostIds: Set<string>;
@@ -31,15 +32,16 @@
   add(row: StreamRow): void;
   remove(row: StreamRow): void;
   list(): Iterable<StreamRow>;
-  countIn(dataCentre: string): number;
-  /** Notes how long a first event took. */
-  noteFirstEvent(dataCentre: string, durationMs: number): void;
+  /** Streams in flight on the chain that begins with an engine. */
+  countOn(headId: string): number;
+  /** Notes how long a first event took on a chain. */
+  noteFirstEvent(headId: string, durationMs: number): void;
   /**
    * Recent time to a first event: what was measured, fading as it grows old, or the wait of the
    * streams that have none yet, when that is longer.
    */
-  firstEventMs(dataCentre: string): number;
-  /** Streams in flight by data centre. */
+  firstEventMs(headId: string): number;
+  /** Streams in flight by the first engine of their chain; chains without any are left out. */
   counts(): Readonly<Record<string, number>>;
 }
 
@@ -56,42 +58,44 @@
 
 export function createStreamTable(clock: Clock): StreamTable {
   const rows = new Set<StreamRow>();
-  const countByDataCentre = new Map<string, number>();
+  const countByHead = new Map<string, number>();
   const firstEvents = new Map<string, FirstEvents>();
 
-  function addTo(dataCentre: string, by: number): void {
-    countByDataCentre.set(dataCentre, (countByDataCentre.get(dataCentre) ?? 0) + by);
+  function addTo(headId: string, by: number): void {
+    const count = (countByHead.get(headId) ?? 0) + by;
+    if (count > 0) countByHead.set(headId, count);
+    else countByHead.delete(headId);
   }
 
   return {
     add(row) {
       rows.add(row);
-      addTo(row.dataCentre, 1);
+      addTo(row.headId, 1);
     },
     remove(row) {
-      if (rows.delete(row)) addTo(row.dataCentre, -1);
+      if (rows.delete(row)) addTo(row.headId, -1);
     },
     list: () => rows,
-    countIn: (dataCentre) => countByDataCentre.get(dataCentre) ?? 0,
-    noteFirstEvent(dataCentre, durationMs) {
+    countOn: (headId) => countByHead.get(headId) ?? 0,
+    noteFirstEvent(headId, durationMs) {
       const atMs = clock.nowMs();
-      const known = firstEvents.get(dataCentre) ?? { meanMs: durationMs, atMs };
+      const known = firstEvents.get(headId) ?? { meanMs: durationMs, atMs };
       const meanMs = known.meanMs + NEW_WEIGHT * (durationMs - known.meanMs);
-      firstEvents.set(dataCentre, { meanMs, atMs });
+      firstEvents.set(headId, { meanMs, atMs });
     },
-    firstEventMs(dataCentre) {
+    firstEventMs(headId) {
       const nowMs = clock.nowMs();
-      const { meanMs, atMs } = firstEvents.get(dataCentre) ?? { meanMs: 0, atMs: nowMs };
+      const { meanMs, atMs } = firstEvents.get(headId) ?? { meanMs: 0, atMs: nowMs };
       const fadedMs = meanMs * 0.5 ** ((nowMs - atMs) / HALF_LIFE_MS);
       let waitingMs = 0;
       let waiting = 0;
       rows.forEach((row) => {
-        if (row.dataCentre !== dataCentre || row.hasBegun) return;
+        if (row.headId !== headId || row.hasBegun) return;
         waiting += 1;
         waitingMs += nowMs - row.startedAtMs;
       });
       return waiting >= MIN_WAITING ? Math.max(fadedMs, waitingMs / waiting) : fadedMs;
     },
-    counts: () => Object.fromEntries(countByDataCentre),
+    counts: () => Object.fromEntries(countByHead),
   };
 }
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -16,7 +16,7 @@
   readonly state: 'starting' | 'ready' | 'leaving';
 }
 
-/** Requests that an entry VM has in flight on the engines of each data centre. */
+/** Requests that an entry VM has in flight, by the engine that their chain begins with. */
 export interface LoadFact {
   readonly kind: 'load';
   readonly inFlight: Readonly<Record<string, number>>;
--- /dev/null
+++ b/packages/routing/__tests__/stageChains.spec.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import * as fc from 'fast-check';
+import { planChainCount, splitIntoChains } from '../src/chainCount';
+import type { ChainMember } from '../src/chainCount';
+import { countChainsByEngine, findStageChains } from '../src/stageChains';
+import type { StageEngine } from '../src/stagePath';
+import { createModel, repeat } from './fixtures';
+
+function createEngine(
+  id: string,
+  firstLayer: number,
+  endLayer: number,
+  layerCostMs = 1,
+): StageEngine {
+  return { id, address: `10.0.0.${id}:80`, firstLayer, endLayer, layerCostMs };
+}
+
+const namesOf = (engines: readonly StageEngine[]) =>
+  findStageChains(engines, { layers: 10 }).map(({ stages }) => stages.map(({ id }) => id));
+
+describe('chains of a data centre', () => {
+  it('are those in which engines follow each other exactly, though a mixed one were faster', () => {
+    const engines = [
+      createEngine('a1', 0, 4, 0.2),
+      createEngine('a2', 4, 10, 0.02),
+      createEngine('b1', 0, 5, 0.02),
+      createEngine('b2', 5, 10, 0.2),
+    ];
+    assert.deepEqual(
+      namesOf(engines)
+        .map((ids) => ids.join(' '))
+        .sort(),
+      ['a1 a2', 'b1 b2'],
+    );
+  });
+
+  it('lend each other an engine where one was lost', () => {
+    const engines = [createEngine('a1', 0, 5), createEngine('a2', 5, 10), createEngine('b1', 0, 5)];
+    const chains = findStageChains(engines, { layers: 10 });
+    assert.equal(chains.length, 2);
+    assert.equal(countChainsByEngine(chains).get('a2'), 2);
+  });
+
+  it('do not come about of an engine that holds a small part of the layers once more', () => {
+    assert.deepEqual(namesOf([createEngine('a1', 0, 10), createEngine('b1', 0, 2)]).length, 1);
+  });
+
+  it('run every layer once, whatever engines there are, and do not depend on their order', () => {
+    const engine = fc.record({
+      first: fc.integer({ min: 0, max: 9 }),
+      length: fc.integer({ min: 1, max: 10 }),
+    });
+    fc.assert(
+      fc.property(fc.array(engine, { maxLength: 14 }), (drawn) => {
+        const engines = drawn.map(({ first, length }, index) =>
+          createEngine(String(index), first, Math.min(10, first + length)),
+        );
+        const chains = findStageChains(engines, { layers: 10 });
+        chains.forEach(({ stages }) => {
+          const ends = stages.map(({ endLayer }) => endLayer);
+          assert.deepEqual(
+            stages.map(({ firstLayer }) => firstLayer),
+            [0, ...ends.slice(0, -1)],
+          );
+          assert.equal(ends.at(-1), 10);
+          assert.equal(new Set(stages.map(({ id }) => id)).size, stages.length);
+        });
+        assert.deepEqual(findStageChains([...engines].reverse(), { layers: 10 }), chains);
+      }),
+    );
+  });
+});
+
+describe('the number of chains', () => {
+  const MEMORY_MB: Readonly<Record<string, number>> = {
+    large: 72_000,
+    medium: 36_000,
+    small: 21_600,
+    tiny: 14_400,
+  };
+
+  function createMembers(kinds: readonly string[]): ChainMember[] {
+    return kinds.map((kind, index) => ({
+      id: String(index),
+      memoryMb: MEMORY_MB[kind] ?? 0,
+      stepFactor: 1,
+      slots: 134,
+    }));
+  }
+
+  const SMALL_SITE = createMembers([
+    'large',
+    'medium',
+    ...repeat('small', 5),
+    ...repeat('tiny', 7),
+  ]);
+  const GROWN_SITE = createMembers([
+    ...repeat('medium', 4),
+    ...repeat('small', 11),
+    ...repeat('tiny', 18),
+  ]);
+
+  it('is one where the memory holds one, and two where two hold more requests', () => {
+    assert.equal(planChainCount(SMALL_SITE, createModel()), 1);
+    assert.equal(planChainCount(GROWN_SITE, createModel()), 2);
+  });
+
+  it('is one where not even that fits', () => {
+    assert.equal(planChainCount(createMembers(repeat('tiny', 3)), createModel()), 1);
+  });
+
+  it('gives each chain its share of the memory', () => {
+    const sums = splitIntoChains(GROWN_SITE, 2).map((group) =>
+      group.reduce((sum, { memoryMb }) => sum + memoryMb, 0),
+    );
+    assert.ok(Math.abs((sums[0] ?? 0) - (sums[1] ?? 0)) <= 14_400, sums.join(' '));
+  });
+});
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -1,6 +1,7 @@
 export * from './src/admission';
 export * from './src/backendLoad';
 export * from './src/chain';
+export * from './src/chainCount';
 export * from './src/fairQueue';
 export * from './src/lineage';
 export * from './src/retryBudget';
@@ -8,5 +9,6 @@
 export * from './src/placement';
 export * from './src/routeTable';
 export * from './src/routingDocument';
+export * from './src/stageChains';
 export * from './src/stagePath';
 export * from './src/windowBudget';
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -3,9 +3,11 @@
  *
  * Memory that holds no layers holds requests, and one chain is as wide as its narrowest engine.
  * A second copy of a layer costs as much memory as two running requests, so layers are spread
- * thinly over all engines rather than doubled; a lost engine's part is taken over by those that
- * stand beside it. See docs/design/platform.md for what was measured.
+ * thinly over all engines of a chain rather than doubled; a lost engine's part is taken over by
+ * those that stand beside it. A data centre with the memory for it gets several chains of like
+ * size (`planChainCount`). See docs/design/platform.md for what was measured.
  */
+import { planChainCount, splitIntoChains } from './chainCount';
 import type { ModelDescription } from './routingDocument';
 
 /** An engine as the planner sees it. */
@@ -13,6 +15,8 @@
   readonly id: string;
   readonly dataCentre: string;
   readonly acceleratorKind: string;
+  /** Requests that it takes as the first engine of a chain. */
+  readonly slots: number;
   /** Layers held, or being loaded; null when there are none. */
   readonly firstLayer: number | null;
   readonly endLayer: number | null;
@@ -33,6 +37,7 @@
   readonly id: string;
   readonly memoryMb: number;
   readonly stepFactor: number;
+  readonly slots: number;
   readonly isOrderable: boolean;
   readonly held: Range | null;
   planned: Range | null;
@@ -57,8 +62,12 @@
   return layers * model.layerMb * LEAST_MEMORY_PER_LAYER <= slot.memoryMb;
 }
 
-/** The most memory for each layer with which these engines together hold all layers. */
-function findMemoryPerLayer(slots: readonly Slot[], model: ModelDescription): number | undefined {
+/** The most memory for each layer with which these engines together hold all layers, so often. */
+function findMemoryPerLayer(
+  slots: readonly Slot[],
+  model: ModelDescription,
+  copies = 1,
+): number | undefined {
   for (
     let factor = MOST_MEMORY_PER_LAYER;
     factor >= LEAST_MEMORY_PER_LAYER;
@@ -66,7 +75,7 @@
   ) {
     const memoryMb = model.layerMb * factor;
     const layers = slots.reduce((sum, slot) => sum + Math.floor(slot.memoryMb / memoryMb), 0);
-    if (layers >= model.layers) return memoryMb;
+    if (layers >= model.layers * copies) return memoryMb;
   }
   return undefined;
 }
@@ -106,13 +115,14 @@
   return planned === null || copies.slice(planned.first, planned.end).every((count) => count > 1);
 }
 
+const heldLayers = ({ planned }: Slot): number => (planned ? lengthOf(planned) : 0);
+
 /** Puts an engine that is not needed where it is into a hole. */
 function fillWithSpare(slots: readonly Slot[], hole: Range, model: ModelDescription): boolean {
   const copies = countCopies(slots, model.layers);
   const spare = slots
     .filter((slot) => slot.isOrderable && isSpare(slot, copies) && fits(slot, 1, model))
-    .sort((a, b) => Number(a.planned !== null) - Number(b.planned !== null))
-    .sort((a, b) => a.stepFactor - b.stepFactor)[0];
+    .sort((a, b) => heldLayers(a) - heldLayers(b) || a.stepFactor - b.stepFactor)[0];
   if (!spare) return false;
   const most = Math.max(1, Math.floor(spare.memoryMb / (model.layerMb * GOOD_MEMORY_PER_LAYER)));
   spare.planned = { first: hole.first, end: Math.min(hole.end, hole.first + most) };
@@ -267,12 +277,13 @@
   });
 }
 
-function improve(slots: readonly Slot[], model: ModelDescription): void {
-  const memoryMb = findMemoryPerLayer(slots, model);
+function improve(slots: readonly Slot[], model: ModelDescription, chains: number): void {
+  const memoryMb = findMemoryPerLayer(slots, model, chains);
   // One thing at a time: what is being loaded shows before the next step is decided.
   if (memoryMb === undefined || slots.some(({ isOrderable }) => !isOrderable)) return;
   const empties = slots.filter(({ planned }) => planned === null);
-  if (empties.length === 0) trim(slots, memoryMb, model);
+  // With several chains every layer is held more than once on purpose.
+  if (empties.length === 0 && chains === 1) trim(slots, memoryMb, model);
   empties.forEach((empty) => relieve(slots, empty, memoryMb, model));
 }
 
@@ -293,15 +304,13 @@
     const held =
       firstLayer === null || endLayer === null ? null : { first: firstLayer, end: endLayer };
     const { memoryMb, stepFactor } = kind;
-    return [{ id, memoryMb, stepFactor, isOrderable, held, planned: held }];
+    return [{ id, memoryMb, stepFactor, slots: engine.slots, isOrderable, held, planned: held }];
   });
+  const chains = planChainCount(slots, model);
   if (slots.every(({ held }) => held === null)) {
-    layOut(
-      [...slots].sort((a, b) => a.stepFactor - b.stepFactor),
-      model,
-    );
+    splitIntoChains(slots, chains).forEach((chain) => layOut(chain, model));
   } else if (findHole(countCopies(slots, model.layers))) fillHoles(slots, model);
-  else if (mayImprove) improve(slots, model);
+  else if (mayImprove) improve(slots, model, chains);
   return slots.flatMap(({ id, held, planned }) =>
     planned && !isSame(held, planned)
       ? [{ id, firstLayer: planned.first, endLayer: planned.end }]
--- a/packages/routing/src/stagePath.ts
+++ b/packages/routing/src/stagePath.ts
@@ -30,6 +30,8 @@
   readonly toLayer: number;
   /** What one more engine on the way costs a token. */
   readonly hopCostMs?: number;
+  /** What a layer costs that an engine of the path holds and the path does not run there. */
+  readonly unusedLayerCostMs?: number;
 }
 
 interface Partial {
@@ -82,15 +84,24 @@
  */
 export function findStagePath(
   engines: readonly StageEngine[],
-  { fromLayer = 0, toLayer, hopCostMs = DEFAULT_HOP_COST_MS }: StagePathOptions,
+  {
+    fromLayer = 0,
+    toLayer,
+    hopCostMs = DEFAULT_HOP_COST_MS,
+    unusedLayerCostMs = 0,
+  }: StagePathOptions,
 ): StagePath | undefined {
+  const skipCostMs = (engine: StageEngine, enteredAt: number) =>
+    (enteredAt - engine.firstLayer) * unusedLayerCostMs;
+  const leaveCostMs = (engine: StageEngine, leftAt: number) =>
+    (engine.endLayer - leftAt) * unusedLayerCostMs;
   const ordered = engines
     .map((engine) => ({ ...engine, endLayer: Math.min(engine.endLayer, toLayer) }))
     .sort((a, b) => a.endLayer - b.endLayer || a.firstLayer - b.firstLayer);
   const best = new Map<string, Partial>();
   const partials: Partial[][] = ordered.map((engine) =>
     engine.firstLayer <= fromLayer && engine.endLayer > fromLayer
-      ? [{ engine, enteredAt: fromLayer, costMs: 0, previous: null }]
+      ? [{ engine, enteredAt: fromLayer, costMs: skipCostMs(engine, fromLayer), previous: null }]
       : [],
   );
   let finished: { readonly last: Partial; readonly costMs: number } | undefined;
@@ -103,7 +114,8 @@
       ordered.forEach((next, nextIndex) => {
         if (nextIndex <= index || !isFurther(partial, next)) return;
         handOverPlaces(partial, next).forEach((place) => {
-          const costMs = partial.costMs + runCostMs(partial, place) + hopCostMs;
+          const unusedCostMs = leaveCostMs(engine, place) + skipCostMs(next, place);
+          const costMs = partial.costMs + runCostMs(partial, place) + hopCostMs + unusedCostMs;
           const name = `${next.id} ${place}`;
           const known = best.get(name);
           if (known && known.costMs <= costMs) return;
