--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -27,6 +27,7 @@
 import { createCoreGroup } from './coreGroup';
 import type { CoreGroup } from './coreGroup';
 import type { EngineOrders } from './engineOperations';
+import { createLoadSums } from './loadSums';
 import { createPlacementLoop } from './placementLoop';
 
 export interface ControlNodeOptions {
@@ -86,6 +87,10 @@
 const TICK_MS = 200;
 /** Ticks between two statements of this process about itself. */
 const STATEMENT_TICKS = 3;
+/** Ticks between two sums of the entries' loads: half of the time between their statements. */
+const LOAD_TICKS = 2;
+/** An entry states its load every 800 ms; this is the silence after which it counts as lost. */
+const LOAD_RETENTION_MS = 2600;
 /** Operators move on after a second: what is not decided by then is answered as unavailable. */
 const DECIDE_MS = 850;
 const FORWARD_TIMEOUT_MS = 800;
@@ -125,6 +130,7 @@
   });
 
   wakeFeed = () => feed.wake();
+  const loads = createLoadSums({ clock, retentionMs: LOAD_RETENTION_MS });
 
   let decoded: RoutingDocument | null = null;
   function currentDocument(): RoutingDocument | null {
@@ -158,6 +164,20 @@
     return [...new Set(hosts)].filter((other) => other !== host && other !== '');
   }
 
+  /** Control VMs that are heard directly, but for one; their facts need no way round. */
+  function listHeardExcept(source: string): readonly string[] {
+    const heard = [...clients].filter(
+      ([other, { isConnected }]) => isConnected && other !== source,
+    );
+    return [host, ...heard.map(([other]) => other)];
+  }
+
+  /** What others left out for a VM that is no longer heard directly is asked for again. */
+  function noteState(other: string, isConnected: boolean, problem: string): void {
+    log.info(isConnected ? 'peer-regained' : 'peer-lost', { peer: other, problem });
+    if (!isConnected) clients.forEach((client) => client.restart());
+  }
+
   const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
 
   function stateSelf(): void {
@@ -174,6 +194,10 @@
     });
   }
 
+  function stateLoads(): void {
+    table.put(FACT_KEYS.load(host, run), clock.nowMs(), loads.sum());
+  }
+
   /** Control VMs learn from each other in the same way as entries learn from them. */
   function followOthers(): void {
     const hosts = listControlHosts();
@@ -196,8 +220,9 @@
           waitMs: FEED_WAIT_MS,
           retryMs: RETRY_MS * 2,
           onDocument: () => feed.wake(),
-          onState: (isConnected, problem) =>
-            log.info(isConnected ? 'peer-regained' : 'peer-lost', { peer: other, problem }),
+          source: other,
+          exceptOrigins: () => listHeardExcept(other),
+          onState: (isConnected, problem) => noteState(other, isConnected, problem),
         });
         clients.set(other, client);
         void client.run();
@@ -206,6 +231,7 @@
       if (hosts.includes(other)) return;
       client.stop();
       clients.delete(other);
+      clients.forEach((remaining) => remaining.restart());
     });
   }
 
@@ -217,6 +243,7 @@
       followOthers();
       table.sweep(RETENTION_MS);
     }
+    if (ticks % LOAD_TICKS === 0) stateLoads();
     placement.tick();
     scheduleTimer(tick, TICK_MS);
   }
@@ -272,8 +299,11 @@
   }
 
   const methods: Readonly<Record<string, PeerMethod>> = {
-    'feed.exchange': (params) =>
-      feed.answer(params as unknown as FeedRequest<SystemFact>) as unknown as Promise<JsonValue>,
+    'feed.exchange': (params) => {
+      const request = params as unknown as FeedRequest<SystemFact>;
+      const updates = loads.take(request.updates);
+      return feed.answer({ ...request, updates }) as unknown as Promise<JsonValue>;
+    },
     'document.replace': async (params) =>
       (await proposeHere(params as unknown as StoredDocument)) as unknown as JsonValue,
     'document.read': () => readHere() as unknown as JsonValue,
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -49,7 +49,7 @@
     readDocument: (document) => document,
     syncedAtMs: () => syncedAtMs,
     announcementMs,
-    ownLoadKey: 'own',
+    ownStatedLoad: () => ({}),
   });
   return {
     clock,
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -10,6 +10,7 @@
   BackendFact,
   FactUpdate,
   FeedReply,
+  LoadFact,
   MemberFact,
   SystemFact,
 } from '@spoolplank/membership';
@@ -114,6 +115,7 @@
   const openRequests = new Set<CallerRequest>();
   const startedAtMs = clock.nowMs();
   let sequence = 0;
+  let statedLoad: LoadFact['inFlight'] = {};
   let ticks = 0;
   let sourceIndex = 0;
   let isLeaving = false;
@@ -135,7 +137,7 @@
     readDocument,
     syncedAtMs: () => syncedAtMs(),
     announcementMs: options.announcementMs,
-    ownLoadKey: loadKey,
+    ownStatedLoad: () => statedLoad,
   });
 
   function isSuspected(instanceId: string): boolean {
@@ -180,7 +182,8 @@
   function listStatements(): readonly FactUpdate<SystemFact>[] {
     sequence += 1;
     const nowMs = clock.nowMs();
-    const load: SystemFact = { kind: 'load', inFlight: streams.counts() };
+    statedLoad = streams.counts();
+    const load: SystemFact = { kind: 'load', inFlight: statedLoad };
     const member = memberFact();
     table.put(memberKey, sequence, member);
     const recent = [...suspicions].filter(([, { atMs }]) => nowMs - atMs < SUSPICION_REPEAT_MS);
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -21,8 +21,8 @@
   /** When a source last answered; ages count up to then, so that a lost source ages nobody. */
   readonly syncedAtMs: () => number;
   readonly announcementMs: number;
-  /** Key of this entry's own load fact. */
-  readonly ownLoadKey: string;
+  /** What this entry stated last of its own requests in flight; it is part of the sums. */
+  readonly ownStatedLoad: () => LoadFact['inFlight'];
 }
 
 export interface RoutingView {
@@ -94,14 +94,12 @@
       if (!known || known.heardAtMs < fact.heardAtMs) byAddress.set(fact.body.address, fact);
     });
     facts.forEach((fact) => {
-      const { body, heardAtMs, key } = fact;
+      const { body, heardAtMs } = fact;
       const ageMs = referenceMs - heardAtMs;
       if (body.kind === 'backend') {
         if (byAddress.get(body.address) === fact) takeBackend(fact, body, referenceMs);
       } else if (body.kind === 'member' && ageMs < MEMBER_LOST_MS) members.push(body);
-      else if (body.kind === 'load' && ageMs < MEMBER_LOST_MS && key !== options.ownLoadKey) {
-        takeLoad(body);
-      }
+      else if (body.kind === 'load' && ageMs < MEMBER_LOST_MS) takeLoad(body);
     });
     const names = [...backends.values()]
       .flat()
@@ -134,7 +132,8 @@
     },
     othersInFlight(headId) {
       refresh();
-      return inFlight.get(headId) ?? 0;
+      const own = options.ownStatedLoad()[headId] ?? 0;
+      return Math.max(0, (inFlight.get(headId) ?? 0) - own);
     },
     findByAddress(address) {
       refresh();
--- a/packages/membership/__tests__/facts.spec.ts
+++ b/packages/membership/__tests__/facts.spec.ts
@@ -63,6 +63,38 @@
     assert.deepEqual(whole?.body, { text: 'same' });
   });
 
+  it('leaves out the facts of those whom the asking VM hears itself', () => {
+    const clock = createManualClock();
+    const [a, b, c] = ['a', 'b', 'c'].map((name) => createTable(clock, name));
+    assert.ok(a && b && c);
+    a.put('of a', 1, { text: '' });
+    b.merge(a.deltaSince('', 0).updates, 0, 'a');
+    b.put('of b', 1, { text: '' });
+    const keysOf = (except: readonly string[]) =>
+      b.deltaSince('', 0, except).updates.map(({ key, origin }) => [key, origin]);
+    assert.deepEqual(keysOf(['a']), [['of b', undefined]]);
+    assert.deepEqual(keysOf([]), [
+      ['of a', 'a'],
+      ['of b', undefined],
+    ]);
+    c.merge(b.deltaSince('', 0).updates, 0, 'b');
+    assert.equal(c.find('of a')?.origin, 'a');
+    assert.equal(c.find('of b')?.origin, 'b');
+  });
+
+  it('passes a body on again when its origin changes, as it was left out until then', () => {
+    const clock = createManualClock();
+    const [b, c] = ['b', 'c'].map((name) => createTable(clock, name));
+    assert.ok(b && c);
+    c.put('worker', 1, { text: 'draining' });
+    b.merge(c.deltaSince('', 0).updates, 0, 'c');
+    // A third VM that hears c itself has the state of b up to here, without this body.
+    const { revision } = b;
+    b.put('worker', 2, { text: 'draining' });
+    const [update] = b.deltaSince('b', revision, ['c']).updates;
+    assert.deepEqual(update?.body, { text: 'draining' });
+  });
+
   it('does not follow a fact that it knows only by name', () => {
     const table = createTable(createManualClock(), 'a');
     table.merge([{ key: 'k', sequence: 1, ageMs: 0 }], 0);
@@ -150,6 +182,29 @@
     assert.equal(source.table.find('client')?.body.text, 'here');
   });
 
+  it('asks for everything again once it is restarted, also while an exchange is under way', async () => {
+    const clock = createManualClock(10_000);
+    const instances: string[] = [];
+    const client = createFeedClient<Body, Document>({
+      clock,
+      table: createTable(clock, 'client'),
+      documents: createDocumentCache<Document>(clock),
+      statements: () => [],
+      exchange({ instance }) {
+        instances.push(instance);
+        if (instances.length === 2) client.restart();
+        if (instances.length === 4) client.stop();
+        const delta = { instance: 'source', revision: 1, updates: [] };
+        return Promise.resolve({ delta, documentVersion: -1, confirmedAgeMs: null, waitedMs: 0 });
+      },
+      delay: () => Promise.resolve(),
+      waitMs: 0,
+      retryMs: 0,
+    });
+    await client.run();
+    assert.deepEqual(instances, ['', 'source', '', 'source']);
+  });
+
   it('passes no confirmation on that its source has lost', async () => {
     const clock = createManualClock(10_000);
     let isConfirmed = true;
--- a/packages/membership/src/factTable.ts
+++ b/packages/membership/src/factTable.ts
@@ -10,8 +10,10 @@
   readonly heardAtMs: number;
   /** Of this table: rises with every change of any row. */
   readonly revision: number;
-  /** Revision of the last change of the body. */
+  /** Revision of the last change of the body, or of its origin. */
   readonly bodyRevision: number;
+  /** The VM that heard it first-hand; empty for this one. */
+  readonly origin: string;
 }
 
 /** A fact on its way to another VM; without a body when that VM has it already. */
@@ -20,6 +22,8 @@
   readonly sequence: number;
   readonly ageMs: number;
   readonly body?: Body;
+  /** The VM that heard it first-hand; left out by that VM itself. */
+  readonly origin?: string;
 }
 
 export interface FactDelta<Body> {
@@ -48,10 +52,17 @@
   put(key: string, sequence: number, body: Body): boolean;
   find(key: string): Fact<Body> | undefined;
   list(): readonly Fact<Body>[];
-  /** What another VM lacks that has this table's state of `sinceRevision`. */
-  deltaSince(instance: string, sinceRevision: number): FactDelta<Body>;
-  /** Takes in what another VM knew at `saidAtMs` on this VM's clock. */
-  merge(updates: readonly FactUpdate<Body>[], saidAtMs: number): void;
+  /**
+   * What another VM lacks that has this table's state of `sinceRevision`, without the facts of
+   * origins that it hears from themselves.
+   */
+  deltaSince(
+    instance: string,
+    sinceRevision: number,
+    exceptOrigins?: readonly string[],
+  ): FactDelta<Body>;
+  /** Takes in what another VM knew at `saidAtMs` on this VM's clock; `from` unless first-hand. */
+  merge(updates: readonly FactUpdate<Body>[], saidAtMs: number, from?: string): void;
   /** Forgets facts that nobody has stated for `retentionMs`. */
   sweep(retentionMs: number): void;
 }
@@ -62,9 +73,16 @@
   let revision = 0;
   let bodyRevision = 0;
 
-  function store(key: string, sequence: number, body: Body, heardAtMs: number): void {
+  function store(
+    key: string,
+    sequence: number,
+    body: Body,
+    { heardAtMs, origin }: { readonly heardAtMs: number; readonly origin: string },
+  ): void {
     const known = rows.get(key);
     const isChanged = !known || JSON.stringify(known.body) !== JSON.stringify(body);
+    // Who leaves out an origin has not seen the bodies that came from it.
+    const isBodyDue = isChanged || known.origin !== origin;
     revision += 1;
     if (isChanged) bodyRevision = revision;
     rows.set(key, {
@@ -73,18 +91,20 @@
       body,
       heardAtMs,
       revision,
-      bodyRevision: isChanged ? revision : known.bodyRevision,
+      bodyRevision: isBodyDue ? revision : known.bodyRevision,
+      origin,
     });
     if (isChanged && isUrgent(body)) onUrgent();
   }
 
-  function mergeUpdate(update: FactUpdate<Body>, saidAtMs: number): void {
-    const { key, sequence, ageMs } = update;
+  function mergeUpdate(update: FactUpdate<Body>, saidAtMs: number, from: string): void {
+    const { key, sequence, ageMs, origin = from } = update;
     const known = rows.get(key);
     const heardAtMs = saidAtMs - ageMs;
     const body = update.body ?? known?.body;
     if (body === undefined) return;
-    if (!known || sequence > known.sequence) store(key, sequence, body, heardAtMs);
+    if (known && known.sequence >= sequence) return;
+    store(key, sequence, body, { heardAtMs, origin });
   }
 
   return {
@@ -98,26 +118,27 @@
     put(key, sequence, body) {
       const known = rows.get(key);
       if (known && known.sequence >= sequence) return false;
-      store(key, sequence, body, clock.nowMs());
+      store(key, sequence, body, { heardAtMs: clock.nowMs(), origin: '' });
       return true;
     },
     find: (key) => rows.get(key),
     list: () => [...rows.values()],
-    deltaSince(askedInstance, sinceRevision) {
+    deltaSince(askedInstance, sinceRevision, exceptOrigins = []) {
       const since = askedInstance === instance ? sinceRevision : 0;
       const nowMs = clock.nowMs();
       const updates = [...rows.values()]
-        .filter((row) => row.revision > since)
-        .map(({ key, sequence, heardAtMs, body, bodyRevision: changedAt }) => ({
+        .filter((row) => row.revision > since && !exceptOrigins.includes(row.origin))
+        .map(({ key, sequence, heardAtMs, body, origin, bodyRevision: changedAt }) => ({
           key,
           sequence,
           ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
           ...(changedAt > since ? { body } : {}),
+          ...(origin === '' ? {} : { origin }),
         }));
       return { instance, revision, updates };
     },
-    merge(updates, saidAtMs) {
-      updates.forEach((update) => mergeUpdate(update, saidAtMs));
+    merge(updates, saidAtMs, from = '') {
+      updates.forEach((update) => mergeUpdate(update, saidAtMs, from));
     },
     sweep(retentionMs) {
       const oldestMs = clock.nowMs() - retentionMs;
--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -17,6 +17,10 @@
   /** Sends a request to the present source; fails when that does not answer. */
   readonly exchange: (request: FeedRequest<Body>) => Promise<FeedReply<Body, Document>>;
   readonly delay: (durationMs: number) => Promise<void>;
+  /** Name of the source, where facts are passed on and have to say whose they are. */
+  readonly source?: string;
+  /** VMs whose facts are heard from themselves; asked anew for each exchange. */
+  readonly exceptOrigins?: () => readonly string[];
   /** How long a source may hold back its answer. */
   readonly waitMs: number;
   readonly retryMs: number;
@@ -34,6 +38,13 @@
   push(): Promise<void>;
   /** When a source last answered, on this VM's clock. */
   readonly syncedAtMs: number;
+  /** Whether the last exchange succeeded. */
+  readonly isConnected: boolean;
+  /**
+   * Asks for everything with the next exchange: to be called when fewer origins are heard from
+   * themselves, as what the source left out for them is not known here.
+   */
+  restart(): void;
   stop(): void;
 }
 
@@ -47,6 +58,7 @@
   let syncedAtMs = Number.NEGATIVE_INFINITY;
   let isStopped = false;
   let isConnected: boolean | null = null;
+  let restarts = 0;
 
   function note(nowConnected: boolean, problem = ''): void {
     if (isConnected === nowConnected) return;
@@ -61,7 +73,7 @@
     if (reply.confirmedAgeMs !== null) {
       documents.confirm(reply.documentVersion, sentAtMs + reply.waitedMs - reply.confirmedAgeMs);
     }
-    table.merge(reply.delta.updates, nowMs);
+    table.merge(reply.delta.updates, nowMs, options.source);
     if (reply.delta.updates.length) options.onFacts?.();
   }
 
@@ -72,6 +84,7 @@
       instance,
       revision,
       documentVersion: documents.current?.version ?? NO_DOCUMENT_VERSION,
+      exceptOrigins: options.exceptOrigins?.() ?? [],
       waitMs,
     });
     takeIn(reply, sentAtMs);
@@ -82,12 +95,20 @@
     get syncedAtMs() {
       return syncedAtMs;
     },
+    get isConnected() {
+      return isConnected === true;
+    },
+    restart() {
+      restarts += 1;
+      instance = '';
+    },
     async run() {
       while (!isStopped) {
         try {
+          const restartsBefore = restarts;
           // The first exchange with a source does not wait: its answer is what is missing here.
           const { delta } = await exchangeOnce(instance === '' ? 0 : options.waitMs);
-          ({ instance, revision } = delta);
+          if (restarts === restartsBefore) ({ instance, revision } = delta);
           note(true);
         } catch (error) {
           note(false, error instanceof Error ? error.message : String(error));
--- a/packages/membership/src/feedServer.ts
+++ b/packages/membership/src/feedServer.ts
@@ -59,7 +59,7 @@
       const documentVersion = document?.version ?? NO_DOCUMENT_VERSION;
       const ageMs = documents.confirmedAgeMs();
       return {
-        delta: table.deltaSince(request.instance, request.revision),
+        delta: table.deltaSince(request.instance, request.revision, request.exceptOrigins),
         ...(document && documentVersion > request.documentVersion ? { document } : {}),
         documentVersion,
         confirmedAgeMs: Number.isFinite(ageMs) ? Math.ceil(ageMs) : null,
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -16,7 +16,10 @@
   readonly state: 'starting' | 'ready' | 'leaving';
 }
 
-/** Requests that an entry VM has in flight, by the engine that their chain begins with. */
+/**
+ * Requests in flight, by the engine that their chain begins with: what an entry states of itself,
+ * and what a control VM passes on as the sum over its entries.
+ */
 export interface LoadFact {
   readonly kind: 'load';
   readonly inFlight: Readonly<Record<string, number>>;
