fix(entry): return to the near control VM, leave one that knows nothing new; streams wait for a place

Cause 3: new streams were refused at once while a chain was full or had a hole for a second. Change: createSourceChoice moves on from a source whose confirmation is over 1.5 s old, and goes back to the preferred one after 8 s; createWaitingLine keeps new streams up to 1.2 s, by priority and arrival; the first layout waits until no further engine has become known for 1.25 intervals.

--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -45,6 +45,10 @@
 
 /** Engines announce themselves within two intervals; before that, some may not be known yet. */
 const SETTLE_INTERVALS = 1.5;
+/** So long no further engine may have become known before the first layout. */
+const GATHER_INTERVALS = 1.25;
+/** Traffic starts 12 s and more after the machines, and the first loads take a second. */
+const MOST_GATHERING_MS = 5000;
 /** What an order may take beyond the time of its load before it counts as not carried out. */
 const ORDER_MARGIN_MS = 4000;
 /** Longer than a load and the announcement after it: the outcome of the last order is seen. */
@@ -79,6 +83,7 @@
   const witnesses = new Map<string, Witness>();
   const orderedAtMs = new Map<string, number>();
   let orderableSinceMs: number | null = null;
+  let gathered = { count: 0, atMs: Number.NEGATIVE_INFINITY };
 
   /** Looks for itself before it believes that an engine is lost: loads are dear. */
   function isConfirmedLost({ body, sequence }: EngineRow): boolean {
@@ -175,12 +180,24 @@
     return clock.nowMs() - lastMs > IMPROVE_PAUSE_MS;
   }
 
+  /**
+   * Whether engines are still becoming known: a first layout without some of them has them where
+   * they fit in, rather than in chains that follow each other exactly.
+   */
+  function isGathering(engines: readonly EngineRow[]): boolean {
+    const nowMs = clock.nowMs();
+    if (engines.length > gathered.count) gathered = { count: engines.length, atMs: nowMs };
+    const isTimeOver = nowMs - (orderableSinceMs ?? nowMs) > MOST_GATHERING_MS;
+    return !isTimeOver && nowMs - gathered.atMs < GATHER_INTERVALS * announcementMs;
+  }
+
   function orderFor(model: ModelDescription, engines: readonly EngineRow[]): void {
     dropSettled(engines);
     const newestMs = Math.max(...engines.map(({ heardAtMs }) => heardAtMs));
     const placed = engines.map((engine) => toPlaced(engine, newestMs));
     const room = Math.max(1, model.maxConcurrentLoads) * 2 - pending.size;
     const isFirst = placed.every(({ firstLayer }) => firstLayer === null);
+    if (isFirst && isGathering(engines)) return;
     const plan = planPlacement(placed, model, { mayImprove });
     // The first loads are cheap, and all of them are needed before requests come.
     plan.slice(0, isFirst ? plan.length : Math.max(0, room)).forEach((order) => {
--- /dev/null
+++ b/packages/entry/__tests__/waitingLine.spec.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock } from '@spoolplank/shared';
+import { createWaitingLine } from '../src/waitingLine';
+import type { Wait } from '../src/waitingLine';
+
+function createLine(maxWaiting = 10) {
+  const clock = createManualClock();
+  const sleepers: (() => void)[] = [];
+  const line = createWaitingLine({
+    clock,
+    delay: () =>
+      new Promise((resolve) => {
+        sleepers.push(resolve);
+      }),
+    maxWaiting,
+    pollMs: 10,
+  });
+  let places = 0;
+  const taken: string[] = [];
+
+  async function settle(): Promise<void> {
+    for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
+  }
+
+  return {
+    line,
+    taken,
+    free: (count: number) => {
+      places += count;
+    },
+    enter(name: string, overrides: Partial<Wait<string>> = {}) {
+      return line.enter({
+        priority: 1,
+        endsAtMs: clock.nowMs() + 100,
+        find() {
+          if (places === 0) return undefined;
+          places -= 1;
+          taken.push(name);
+          return name;
+        },
+        isGone: () => false,
+        ...overrides,
+      });
+    },
+    async pass(durationMs: number): Promise<void> {
+      for (let passedMs = 0; passedMs < durationMs; passedMs += 10) {
+        clock.advance(10);
+        sleepers.splice(0).forEach((wake) => wake());
+        await settle();
+      }
+    },
+  };
+}
+
+describe('the line of requests that wait for a place', () => {
+  it('keeps nobody waiting where there is one', async () => {
+    const { enter, free, line } = createLine();
+    free(1);
+    assert.equal(await enter('a'), 'a');
+    assert.equal(line.length, 0);
+  });
+
+  it('gives places by priority, then by arrival, and to nobody who comes later', async () => {
+    const { enter, free, pass, taken } = createLine();
+    const waits = [enter('a'), enter('b'), enter('urgent', { priority: 0 })];
+    free(2);
+    const late = enter('late');
+    await pass(50);
+    free(2);
+    await pass(50);
+    await Promise.all([...waits, late]);
+    assert.deepEqual(taken, ['urgent', 'a', 'b', 'late']);
+  });
+
+  it('lets go of those whose time is over, who have left, or who are too many', async () => {
+    const { enter, pass, line } = createLine(2);
+    let hasLeft = false;
+    const waits = [enter('a'), enter('b', { isGone: () => hasLeft })];
+    assert.equal(await enter('c'), undefined);
+    hasLeft = true;
+    await pass(10);
+    assert.equal(line.length, 1);
+    await pass(100);
+    assert.deepEqual(await Promise.all(waits), [undefined, undefined]);
+    assert.equal(line.length, 0);
+  });
+});
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -28,6 +28,7 @@
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import { createPlainDispatch } from './plainDispatch';
 import { createRoutingView } from './routingView';
+import { createSourceChoice } from './sourceChoice';
 import { createStreamDispatch } from './streamDispatch';
 import { createStreamRepair } from './streamRepair';
 import { createStreamTable } from './streamTable';
@@ -117,7 +118,6 @@
   let sequence = 0;
   let statedLoad: LoadFact['inFlight'] = {};
   let ticks = 0;
-  let sourceIndex = 0;
   let isLeaving = false;
   let isRefusing = false;
   let isStopped = false;
@@ -214,24 +214,26 @@
     return [...new Set([...rank(local), ...rank(members), ...options.seeds()])];
   }
 
+  const sources = createSourceChoice({ clock, list: listSources });
   const feed = createFeedClient<SystemFact, StoredDocument>({
     clock,
     table,
     documents,
     statements: listStatements,
     async exchange(request) {
-      const sources = listSources();
-      const source = sources[sourceIndex % sources.length] ?? '';
+      const source = sources.current();
       const target = { vmId: source, host: source, port: options.controlPeerPort };
       try {
-        return await peers.call<FeedReply<SystemFact, StoredDocument>>(
+        const reply = await peers.call<FeedReply<SystemFact, StoredDocument>>(
           target,
           'feed.exchange',
           request,
           FEED_TIMEOUT_MS,
         );
+        sources.noteAnswer(reply.confirmedAgeMs);
+        return reply;
       } catch (error) {
-        sourceIndex += 1;
+        sources.fail();
         throw error;
       }
     },
--- /dev/null
+++ b/packages/entry/src/sourceChoice.ts
@@ -0,0 +1,53 @@
+/** Which control VM an entry asks: the first of its order, or the next one while that fails. */
+import type { Clock } from '@spoolplank/shared';
+
+export interface SourceChoiceOptions {
+  readonly clock: Clock;
+  /** Control VMs, the preferred ones first; asked anew each time. */
+  readonly list: () => readonly string[];
+}
+
+export interface SourceChoice {
+  /** The control VM to ask now; empty when none is known. */
+  current(): string;
+  /** Notes that the present one did not answer. */
+  fail(): void;
+  /**
+   * Notes an answer, and how old its confirmation of the settings was; null without one. A
+   * control VM that is cut off from the others still answers, and knows nothing new.
+   */
+  noteAnswer(confirmedAgeMs: number | null): void;
+}
+
+/**
+ * So long after a failure the preferred one is tried again. A try that fails costs up to 1.4 s
+ * without news; staying with one of another data centre costs its bytes for good.
+ */
+const RETURN_MS = 8000;
+/** A follower that hears the leader is at most one exchange of 800 ms behind, and one repeated. */
+const STALE_MS = 1500;
+/** While nobody confirms anything, entries do not ask all control VMs in a rush. */
+const MIN_STAY_MS = 1000;
+
+export function createSourceChoice({ clock, list }: SourceChoiceOptions): SourceChoice {
+  let index = 0;
+  let failedAtMs = Number.NEGATIVE_INFINITY;
+
+  function fail(): void {
+    index += 1;
+    failedAtMs = clock.nowMs();
+  }
+
+  return {
+    current() {
+      if (clock.nowMs() - failedAtMs > RETURN_MS) index = 0;
+      const sources = list();
+      return sources[index % sources.length] ?? '';
+    },
+    fail,
+    noteAnswer(confirmedAgeMs) {
+      const isStale = confirmedAgeMs === null || confirmedAgeMs > STALE_MS;
+      if (isStale && clock.nowMs() - failedAtMs > MIN_STAY_MS) fail();
+    },
+  };
+}
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -7,6 +7,7 @@
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import { createEventSplitter } from './eventSplitter';
 import type { StreamCut, StreamRow, StreamTable } from './streamTable';
+import { createWaitingLine } from './waitingLine';
 
 /** What came of one attempt. */
 type StreamResult =
@@ -56,6 +57,11 @@
 /** What is left of those two seconds; layers of a small hole are loaded in about as long. */
 const MAX_CHAIN_WAIT_MS = 700;
 const CHAIN_POLL_MS = 50;
+/** Of the two seconds for which callers wait for a first event, without a failed first attempt. */
+const MAX_ADMISSION_WAIT_MS = 1200;
+const ADMISSION_POLL_MS = 25;
+/** Two seconds of an entry's busiest traffic on the sites seen. */
+const MAX_WAITING = 30;
 const HIGHEST_GOOD_STATUS = 299;
 
 /** What one request carries from attempt to attempt. */
@@ -70,6 +76,12 @@
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
   const { context, streams, chains, examine, avoid } = options;
   const { clock, log, operations, view } = context;
+  const line = createWaitingLine({
+    clock,
+    delay,
+    maxWaiting: MAX_WAITING,
+    pollMs: ADMISSION_POLL_MS,
+  });
   let nextTurnAtMs = 0;
 
   function createRow(
@@ -228,21 +240,44 @@
     if (fact?.body.kind === 'backend') avoid(fact.body.instanceId);
   }
 
-  function chooseChain(
+  function chooseWithRoom(
     { service }: AdmittedRequest,
     model: ModelDescription,
     excluded: ReadonlySet<string>,
-  ): ChosenChain {
+  ): ChosenChain | undefined {
     const chain = chains.choose(service, model, excluded);
+    return chain && chain.inFlight < chain.capacity ? chain : undefined;
+  }
+
+  /** What a stream is refused with for which no chain had room in time. */
+  function refusalOf(
+    { service }: AdmittedRequest,
+    model: ModelDescription,
+    excluded: ReadonlySet<string>,
+  ): SpoolplankError {
     const retryAfterMs = RETRY_AFTER_MS + context.random.nextInt(RETRY_SPREAD_MS);
-    if (!chain) throw new SpoolplankError('no-backend-server', { retryAfterMs });
-    if (chain.inFlight >= chain.capacity) {
-      throw new SpoolplankError('overloaded', {
-        detail: `${chain.inFlight} streams of ${Math.floor(chain.capacity)}.`,
-        retryAfterMs,
-      });
-    }
-    return chain;
+    const chain = chains.choose(service, model, excluded);
+    if (!chain) return new SpoolplankError('no-backend-server', { retryAfterMs });
+    const detail = `${chain.inFlight} streams of ${Math.floor(chain.capacity)}.`;
+    return new SpoolplankError('overloaded', { detail, retryAfterMs });
+  }
+
+  /**
+   * The chain for a new stream. Places come free many times a second, and a hole in a chain is
+   * filled in about a second: a short wait serves most of those that would else be refused.
+   */
+  function findChainToBegin(
+    admitted: AdmittedRequest,
+    model: ModelDescription,
+    excluded: ReadonlySet<string>,
+  ): Promise<ChosenChain | undefined> {
+    const { answer, request, route, organisation } = admitted;
+    return line.enter({
+      priority: organisation?.priority ?? route.priority,
+      endsAtMs: Math.min(request.arrivedAtMs + MAX_ADMISSION_WAIT_MS, admitted.endsAtMs),
+      find: () => chooseWithRoom(admitted, model, excluded),
+      isGone: () => answer.isClosed,
+    });
   }
 
   /**
@@ -314,7 +349,9 @@
       while (mayTry()) {
         const chain = mayHaveRun
           ? await findChainToResume(admitted, model, excluded)
-          : chooseChain(admitted, model, excluded);
+          : await findChainToBegin(admitted, model, excluded);
+        if (!chain && answer.isClosed) return end('caller-left', progress.status);
+        if (!chain && !mayHaveRun) throw refusalOf(admitted, model, excluded);
         if (!chain) break;
         attempts += 1;
         const result = await attempt(admitted, model, chain, progress);
@@ -331,6 +368,7 @@
           requestId: request.id,
           result: result.kind,
           problem,
+          culprit: result.kind === 'not-run' ? result.culprit : undefined,
           path: progress.servedBy,
           lastEventId: progress.lastEventId,
           factsAgeMs: Math.round(context.factsAgeMs()),
