--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -1,10 +1,9 @@
 /** The role `control` with everything it needs injected: log, directory, feed, placement. */
-import type { ReplaceDocument, ReplaceResult, StoredDocument } from '@spoolplank/control';
+import type { ReplaceResult, StoredDocument } from '@spoolplank/control';
 import { createDocumentState } from '@spoolplank/control';
 import {
   createDocumentCache,
   createFactTable,
-  createFeedClient,
   createFeedServer,
   FACT_KEYS,
   FINAL_SEQUENCE,
@@ -12,20 +11,19 @@
 import type {
   BackendFact,
   FactTable,
-  FeedClient,
-  FeedReply,
   FeedRequest,
   MemberFact,
   SystemFact,
 } from '@spoolplank/membership';
-import { delay, scheduleTimer } from '@spoolplank/node';
+import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import type { RoutingDocument } from '@spoolplank/routing';
-import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
-import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import type { Clock, JsonValue, Random, SpoolplankError } from '@spoolplank/shared';
 import type { GroupDescription } from './bootstrap';
+import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
 import { createCoreGroup } from './coreGroup';
 import type { CoreGroup } from './coreGroup';
+import { createDocumentCalls } from './documentCalls';
 import type { EngineOrders } from './engineOperations';
 import { createLoadSums } from './loadSums';
 import { createPlacementLoop } from './placementLoop';
@@ -80,10 +78,6 @@
 /** What a VM without a replica answers to one that looks for its group. */
 const DISKLESS: GroupDescription = { replicaId: null, configuration: null };
 
-/** An exchange held back this long costs 1.25 exchanges a second and process. */
-const FEED_WAIT_MS = 800;
-const FEED_TIMEOUT_MS = 1400;
-const RETRY_MS = 150;
 const TICK_MS = 200;
 /** Ticks between two statements of this process about itself. */
 const STATEMENT_TICKS = 3;
@@ -91,10 +85,6 @@
 const LOAD_TICKS = 2;
 /** An entry states its load every 800 ms; this is the silence after which it counts as lost. */
 const LOAD_RETENTION_MS = 2600;
-/** Operators move on after a second: what is not decided by then is answered as unavailable. */
-const DECIDE_MS = 850;
-const FORWARD_TIMEOUT_MS = 800;
-const MIN_FORWARD_MS = 50;
 /** Facts are kept ten times longer than any announcement may be late. */
 const RETENTION_MS = 60_000;
 const MEMBER_LOST_MS = 5000;
@@ -107,7 +97,6 @@
   let isStopped = false;
   let sequence = 0;
   let ticks = 0;
-  const clients = new Map<string, FeedClient>();
 
   let wakeFeed = () => {};
   const table: FactTable<SystemFact> = createFactTable<SystemFact>({
@@ -164,22 +153,28 @@
     return [...new Set(hosts)].filter((other) => other !== host && other !== '');
   }
 
-  /** Control VMs that are heard directly, but for one; their facts need no way round. */
-  function listHeardExcept(source: string): readonly string[] {
-    const heard = [...clients].filter(
-      ([other, { isConnected }]) => isConnected && other !== source,
-    );
-    return [host, ...heard.map(([other]) => other)];
-  }
-
-  /** What others left out for a VM that is no longer heard directly is asked for again. */
-  function noteState(other: string, isConnected: boolean, problem: string): void {
-    log.info(isConnected ? 'peer-regained' : 'peer-lost', { peer: other, problem });
-    if (!isConnected) clients.forEach((client) => client.restart());
-  }
-
   const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
 
+  const feeds = createControlFeeds({
+    clock,
+    log,
+    peers,
+    host,
+    table,
+    documents,
+    findTarget,
+    onDocument: () => feed.wake(),
+  });
+  const documentCalls = createDocumentCalls({
+    clock,
+    peers,
+    host,
+    state,
+    group: () => group,
+    findTarget,
+    listOthers: listControlHosts,
+  });
+
   function stateSelf(): void {
     sequence += 1;
     table.put(FACT_KEYS.member(host, run), sequence, {
@@ -198,49 +193,12 @@
     table.put(FACT_KEYS.load(host, run), clock.nowMs(), loads.sum());
   }
 
-  /** Control VMs learn from each other in the same way as entries learn from them. */
-  function followOthers(): void {
-    const hosts = listControlHosts();
-    hosts
-      .filter((other) => !clients.has(other))
-      .forEach((other) => {
-        const client = createFeedClient<SystemFact, StoredDocument>({
-          clock,
-          table,
-          documents,
-          statements: () => [],
-          exchange: (request) =>
-            peers.call<FeedReply<SystemFact, StoredDocument>>(
-              findTarget(other),
-              'feed.exchange',
-              request,
-              FEED_TIMEOUT_MS,
-            ),
-          delay,
-          waitMs: FEED_WAIT_MS,
-          retryMs: RETRY_MS * 2,
-          onDocument: () => feed.wake(),
-          source: other,
-          exceptOrigins: () => listHeardExcept(other),
-          onState: (isConnected, problem) => noteState(other, isConnected, problem),
-        });
-        clients.set(other, client);
-        void client.run();
-      });
-    clients.forEach((client, other) => {
-      if (hosts.includes(other)) return;
-      client.stop();
-      clients.delete(other);
-      clients.forEach((remaining) => remaining.restart());
-    });
-  }
-
   function tick(): void {
     if (isStopped) return;
     ticks += 1;
     if (ticks % STATEMENT_TICKS === 1) {
       stateSelf();
-      followOthers();
+      feeds.follow(listControlHosts());
       table.sweep(RETENTION_MS);
     }
     if (ticks % LOAD_TICKS === 0) stateLoads();
@@ -248,65 +206,13 @@
     scheduleTimer(tick, TICK_MS);
   }
 
-  async function proposeHere(document: StoredDocument): Promise<ReplaceResult> {
-    if (!group?.canRead()) {
-      throw new SpoolplankError('not-leader', { leaderId: group?.leaderVm() });
-    }
-    const command: ReplaceDocument = { kind: 'document.replace', ...document };
-    const known = state.current;
-    // What is in force already needs no place in the log, only a quorum that confirms it.
-    if (known && known.version >= document.version) {
-      return { status: 'held', versionInForce: known.version };
-    }
-    return (await group.propose(command as unknown as JsonValue)) as unknown as ReplaceResult;
-  }
-
-  function readHere(): StoredDocument | null {
-    if (group?.canRead()) return state.current;
-    throw new SpoolplankError('not-leader', { leaderId: group?.leaderVm() });
-  }
-
-  /** Another VM to ask: the leader, or any control VM where this one holds no replica. */
-  function findLeader(): string | undefined {
-    if (!group) return listControlHosts()[0];
-    const leader = group.leaderVm();
-    return leader === host ? undefined : leader;
-  }
-
-  async function atLeader<Result>(
-    here: () => Promise<Result> | Result,
-    method: string,
-    params: unknown,
-  ): Promise<Result> {
-    const deadlineMs = clock.nowMs() + DECIDE_MS;
-    let last: SpoolplankError = new SpoolplankError('not-leader');
-    while (clock.nowMs() < deadlineMs) {
-      try {
-        if (group?.canRead()) return await here();
-        const leader = findLeader();
-        if (leader !== undefined) {
-          const leftMs = Math.max(MIN_FORWARD_MS, deadlineMs - clock.nowMs());
-          const timeoutMs = Math.min(leftMs, FORWARD_TIMEOUT_MS);
-          return await peers.call<Result>(findTarget(leader), method, params, timeoutMs);
-        }
-      } catch (error) {
-        last = toSpoolplankError(error);
-        if (last.outcome === 'unknown' && last.code !== 'unreachable') throw last;
-      }
-      await delay(RETRY_MS / 2);
-    }
-    throw last;
-  }
-
   const methods: Readonly<Record<string, PeerMethod>> = {
     'feed.exchange': (params) => {
       const request = params as unknown as FeedRequest<SystemFact>;
       const updates = loads.take(request.updates);
       return feed.answer({ ...request, updates }) as unknown as Promise<JsonValue>;
     },
-    'document.replace': async (params) =>
-      (await proposeHere(params as unknown as StoredDocument)) as unknown as JsonValue,
-    'document.read': () => readHere() as unknown as JsonValue,
+    ...documentCalls.methods,
     'group.describe': () => DISKLESS as unknown as JsonValue,
   };
 
@@ -341,7 +247,7 @@
     async stop() {
       isStopped = true;
       stateSelf();
-      clients.forEach((client) => client.stop());
+      feeds.stop();
       await group?.stop();
     },
     announce(fact, factSequence) {
@@ -376,9 +282,8 @@
       table.put(FACT_KEYS.backend(instanceId), FINAL_SEQUENCE, fact);
       log.info('backend-left', { instanceId, address: fact.address });
     },
-    replaceDocument: (document) =>
-      atLeader(() => proposeHere(document), 'document.replace', document),
-    readDocument: () => atLeader(readHere, 'document.read', {}),
+    replaceDocument: documentCalls.replace,
+    readDocument: documentCalls.read,
     describe: () =>
       ({
         replica: group?.status() ?? null,
--- a/packages/entry/__tests__/routingView.spec.ts
+++ b/packages/entry/__tests__/routingView.spec.ts
@@ -98,6 +98,15 @@
     assert.equal(Math.floor(chains.choose('engines', MODEL, none)?.capacity ?? 0), 4);
   });
 
+  it('has no room for a new stream shortly before it is full, as loads are known late', () => {
+    const { chains } = createChoice({ a1: 3, b1: 3 });
+    assert.equal(chains.choose('engines', MODEL, none)?.hasRoom, true);
+    const full = createChoice({ a1: 4.5, b1: 4.5 });
+    const chain = full.chains.choose('engines', MODEL, none);
+    assert.equal(chain?.hasRoom, false);
+    assert.ok(chain && chain.inFlight < chain.capacity);
+  });
+
   it('goes to another data centre when its own is full, slow, or lacks a layer', () => {
     assert.equal(createChoice({ a1: 4 }).chains.choose('engines', MODEL, none)?.dataCentre, 'b');
     assert.equal(createChoice({}, 'a1').chains.choose('engines', MODEL, none)?.dataCentre, 'b');
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -31,6 +31,8 @@
   readonly capacity: number;
   /** Requests in flight there, as far as known. */
   readonly inFlight: number;
+  /** Whether a new stream may go there. */
+  readonly hasRoom: boolean;
 }
 
 export interface ChainChoice {
@@ -70,6 +72,8 @@
 
 /** What the way to another data centre counts for, as a share of a chain's capacity. */
 const REMOTE_PENALTY = 0.25;
+/** What is known of a chain's load is up to two seconds old; a full engine costs a retry. */
+const ADMITTED_SHARE = 0.92;
 /** A first event that takes so long counts as much as a chain that is full. */
 const SLOW_FIRST_EVENT_MS = 500;
 const MS_PER_S = 1000;
@@ -130,8 +134,6 @@
   );
 }
 
-const isFull = ({ chain }: Candidate): boolean => chain.inFlight >= chain.capacity;
-
 /** Requests that a chain holds: by the memory of each stage, and by the places of the first. */
 function chainCapacity(
   { stages }: StageChain,
@@ -192,7 +194,8 @@
     const isLocal = dataCentre === options.dataCentre;
     const slowness = options.firstEventMs(headId) / SLOW_FIRST_EVENT_MS;
     const cost = inFlight / Math.max(1, capacity) + (isLocal ? 0 : REMOTE_PENALTY) + slowness;
-    return { chain: { dataCentre, headId, stages, capacity, inFlight }, cost, isLocal };
+    const hasRoom = inFlight < capacity * ADMITTED_SHARE;
+    return { chain: { dataCentre, headId, stages, capacity, inFlight, hasRoom }, cost, isLocal };
   }
 
   function groupByDataCentre(service: string): Map<string, BackendFact[]> {
@@ -224,7 +227,7 @@
       const remote = candidates.filter(({ isLocal }) => !isLocal);
       const drawn = findCheapest([...pickTwo(local, random), ...pickTwo(remote, random)]);
       // Nobody is refused while any chain has room.
-      const best = drawn && !isFull(drawn) ? drawn : findCheapest(candidates);
+      const best = drawn?.chain.hasRoom ? drawn : findCheapest(candidates);
       return best?.chain;
     },
     repair(service, model, stages, lostIds) {
--- /dev/null
+++ b/packages/entry/src/entryStatements.ts
@@ -0,0 +1,68 @@
+/** What an entry states of itself with each exchange of facts. */
+import { FACT_KEYS } from '@spoolplank/membership';
+import type {
+  FactTable,
+  FactUpdate,
+  LoadFact,
+  MemberFact,
+  SystemFact,
+} from '@spoolplank/membership';
+
+export interface EntryStatementsOptions {
+  readonly table: FactTable<SystemFact>;
+  /** Unique to this run of the process. */
+  readonly run: string;
+  readonly vmId: string;
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly callerAddress: string;
+  readonly state: () => MemberFact['state'];
+  readonly inFlight: () => LoadFact['inFlight'];
+  /** Suspicions that are to be repeated. */
+  readonly listSuspicions: () => readonly FactUpdate<SystemFact>[];
+}
+
+export interface EntryStatements {
+  /** The statements of now. */
+  list(): readonly FactUpdate<SystemFact>[];
+  /** The load that was stated last. */
+  readonly statedLoad: LoadFact['inFlight'];
+}
+
+export function createEntryStatements(options: EntryStatementsOptions): EntryStatements {
+  const { table, run, vmId, host, dataCentre, callerAddress } = options;
+  const memberKey = FACT_KEYS.member(host, run);
+  const loadKey = FACT_KEYS.load(host, run);
+  let sequence = 0;
+  let statedLoad: LoadFact['inFlight'] = {};
+
+  function toUpdate(key: string, body: SystemFact): FactUpdate<SystemFact> {
+    return { key, sequence, ageMs: 0, body };
+  }
+
+  return {
+    get statedLoad() {
+      return statedLoad;
+    },
+    list() {
+      sequence += 1;
+      statedLoad = options.inFlight();
+      const state = options.state();
+      const member: MemberFact = {
+        kind: 'member',
+        vmId,
+        dataCentre,
+        host,
+        role: 'entry',
+        callerAddress,
+        state,
+      };
+      table.put(memberKey, sequence, member);
+      return [
+        toUpdate(memberKey, member),
+        toUpdate(loadKey, { kind: 'load', inFlight: statedLoad }),
+        ...options.listSuspicions(),
+      ];
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/requestReport.ts
@@ -0,0 +1,52 @@
+/** How each request ended: one line of the log, a counter and a histogram. */
+import type { EventLog, Metrics } from '@spoolplank/node';
+import type { Clock } from '@spoolplank/shared';
+import type { CallerRequest } from './callerRequest';
+import type { RequestEnd } from './entryContext';
+
+export interface RequestReportOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  /** Version of the document in force here. */
+  readonly documentVersion: () => number | null;
+  /** Age of the last confirmation that nothing newer is in force. */
+  readonly confirmedAgeMs: () => number;
+  /** Age of the facts that requests are routed by. */
+  readonly factsAgeMs: () => number;
+}
+
+/** Reports the end of a request, with what else is known of it. */
+export type RequestReport = (
+  request: CallerRequest,
+  end: RequestEnd,
+  fields: Readonly<Record<string, string>>,
+) => void;
+
+/** Ages beyond this, or infinite ones, are logged as this. */
+const MAX_AGE_MS = 60_000;
+
+export function createRequestReport(options: RequestReportOptions): RequestReport {
+  const { clock, log, metrics } = options;
+  const cap = (ageMs: number) => Math.round(Math.min(ageMs, MAX_AGE_MS));
+
+  return (request, end, fields) => {
+    const durationMs = clock.nowMs() - request.arrivedAtMs;
+    metrics.count('spoolplank_requests_total', { outcome: end.outcome, route: fields.route ?? '' });
+    metrics.observe('spoolplank_request_duration_ms', durationMs, { outcome: end.outcome });
+    const isGood = end.outcome === 'served' || end.outcome === 'caller-left';
+    log[isGood ? 'info' : 'warn']('request-ended', {
+      requestId: request.id,
+      ...fields,
+      outcome: end.outcome,
+      status: end.status,
+      attempts: end.attempts,
+      servedBy: end.servedBy,
+      firstByteMs: end.firstByteMs === null ? null : Math.round(end.firstByteMs),
+      durationMs: Math.round(durationMs),
+      documentVersion: options.documentVersion(),
+      confirmedAgeMs: cap(options.confirmedAgeMs()),
+      factsAgeMs: cap(options.factsAgeMs()),
+    });
+  };
+}
--- /dev/null
+++ b/packages/entry/src/streamAttempt.ts
@@ -0,0 +1,216 @@
+/** One attempt at a stream: one chain, from the first byte sent to the end of its answer. */
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { ModelDescription } from '@spoolplank/routing';
+import type { BackendResponse } from './backendOperations';
+import type { ChosenChain } from './chainChoice';
+import type { AdmittedRequest, EntryContext } from './entryContext';
+import { createEventSplitter } from './eventSplitter';
+import type { StreamCut, StreamRow, StreamTable } from './streamTable';
+
+/** What came of one attempt. */
+export type StreamResult =
+  | { readonly kind: 'whole'; readonly status: number }
+  /** It has not run. */
+  | { readonly kind: 'not-run'; readonly problem: string; readonly culprit: string | null }
+  /** It broke off, or was ended here; what the caller has of it stays. */
+  | {
+      readonly kind: 'broken';
+      readonly problem: string;
+      /** Another engine of the path was at fault. */
+      readonly isHeadFine: boolean;
+    }
+  | { readonly kind: 'caller-left' };
+
+/** What one request carries from attempt to attempt. */
+export interface StreamProgress {
+  lastEventId: string | null;
+  hasBegun: boolean;
+  firstByteMs: number | null;
+  status: number;
+  servedBy: readonly string[];
+}
+
+export interface StreamAttemptOptions {
+  readonly context: EntryContext;
+  readonly streams: StreamTable;
+  /** Looks whether an engine whose connection failed is still there. */
+  readonly examine: (instanceId: string, address: string) => void;
+}
+
+export interface StreamAttempts {
+  /** Sends a stream, or the rest of one, over a chain; `progress` takes what came of it. */
+  attempt(
+    admitted: AdmittedRequest,
+    model: ModelDescription,
+    chain: ChosenChain,
+    progress: StreamProgress,
+  ): Promise<StreamResult>;
+}
+
+/** A connection inside a region takes 2 ms; one packet may be lost and sent again. */
+const CONNECT_TIMEOUT_MS = 150;
+/** An answer is ended so long before the time-out, so that its end arrives before it. */
+export const TIMEOUT_MARGIN_MS = 30;
+export const HIGHEST_GOOD_STATUS = 299;
+
+export function createStreamAttempts(options: StreamAttemptOptions): StreamAttempts {
+  const { context, streams, examine } = options;
+  const { clock, operations } = context;
+
+  function createRow(
+    admitted: AdmittedRequest,
+    model: ModelDescription,
+    chain: ChosenChain,
+    abort: AbortController,
+  ): StreamRow {
+    const nowMs = clock.nowMs();
+    const row: StreamRow = {
+      admitted,
+      model,
+      headId: chain.headId,
+      stages: chain.stages,
+      lostIds: new Set(),
+      startedAtMs: nowMs,
+      hasBegun: false,
+      lastProgressAtMs: nowMs,
+      lastCheckAtMs: 0,
+      checks: 0,
+      isChecking: false,
+      isRepairing: false,
+      isPaused: false,
+      cutReason: null,
+      cut(reason: StreamCut) {
+        row.cutReason ??= reason;
+        abort.abort();
+      },
+    };
+    return row;
+  }
+
+  /** Passes whole events on until the stream ends; rejects when it breaks off. */
+  function relay(
+    row: StreamRow,
+    response: BackendResponse,
+    progress: StreamProgress,
+  ): Promise<void> {
+    const { answer, request } = row.admitted;
+    const splitter = createEventSplitter();
+    const { body } = response;
+    return new Promise((resolve, reject) => {
+      function passOn(piece: Buffer): void {
+        if (!progress.hasBegun) {
+          answer.begin(response.status, response.headers);
+          Object.assign(progress, {
+            hasBegun: true,
+            status: response.status,
+            firstByteMs: clock.nowMs() - request.arrivedAtMs,
+          });
+        }
+        progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
+        if (answer.write(piece)) return;
+        row.isPaused = true;
+        body.pause();
+        answer.onWritable(() => {
+          row.isPaused = false;
+          row.lastProgressAtMs = clock.nowMs();
+          body.resume();
+        });
+      }
+      body.on('data', (bytes: Buffer) => {
+        row.lastProgressAtMs = clock.nowMs();
+        row.checks = 0;
+        if (!row.hasBegun) {
+          row.hasBegun = true;
+          streams.noteFirstEvent(row.headId, clock.nowMs() - row.startedAtMs);
+        }
+        const whole = splitter.push(bytes);
+        if (whole.length > 0 && !answer.isClosed) passOn(whole);
+      });
+      body.once('end', () => {
+        if (splitter.hasRest) passOn(splitter.takeRest());
+        else if (!progress.hasBegun) passOn(Buffer.alloc(0));
+        resolve();
+      });
+      body.once('error', reject);
+      body.once('close', () => reject(new Error('the connection closed')));
+    });
+  }
+
+  async function judge(
+    row: StreamRow,
+    response: BackendResponse,
+    progress: StreamProgress,
+  ): Promise<StreamResult> {
+    const { status, isNotRun, problem } = response;
+    if (isNotRun || response.isMisdirected) {
+      response.body.resume();
+      const culprit = response.culpritAddress;
+      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit };
+    }
+    if (problem !== null) {
+      response.body.destroy();
+      return { kind: 'broken', problem, isHeadFine: false };
+    }
+    if (status > HIGHEST_GOOD_STATUS && progress.hasBegun) {
+      response.body.destroy();
+      return { kind: 'broken', problem: `status ${status}`, isHeadFine: false };
+    }
+    await relay(row, response, progress);
+    return { kind: 'whole', status };
+  }
+
+  function explain(row: StreamRow, error: unknown): StreamResult {
+    if (row.cutReason === 'caller-left') return { kind: 'caller-left' };
+    const [head] = row.stages;
+    const known = toSpoolplankError(error);
+    const problem = row.cutReason ?? known.message;
+    if (row.cutReason === null && head) {
+      // The engine ended, or only this answer was lost: that is looked into beside.
+      examine(head.id, head.address);
+    }
+    if (known.outcome === 'not-run' && row.cutReason === null) {
+      return { kind: 'not-run', problem, culprit: head?.address ?? null };
+    }
+    return { kind: 'broken', problem, isHeadFine: row.cutReason === 'no-repair' };
+  }
+
+  async function attempt(
+    admitted: AdmittedRequest,
+    model: ModelDescription,
+    chain: ChosenChain,
+    progress: StreamProgress,
+  ): Promise<StreamResult> {
+    const { request, organisation, answer, endsAtMs } = admitted;
+    const [head] = chain.stages;
+    if (!head) throw new SpoolplankError('internal', { detail: 'A chain has no engine.' });
+    const abort = new AbortController();
+    const row = createRow(admitted, model, chain, abort);
+    const remainingMs = endsAtMs - clock.nowMs();
+    const timer = setTimeout(() => row.cut('deadline'), remainingMs - TIMEOUT_MARGIN_MS);
+    answer.onClosed(() => row.cut('caller-left'));
+    streams.add(row);
+    progress.servedBy = chain.stages.map(
+      ({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`,
+    );
+    try {
+      const response = await operations.open({
+        target: { instanceId: head.id, address: head.address },
+        request,
+        organisation: organisation?.name ?? null,
+        remainingMs,
+        stages: chain.stages,
+        resumeAfter: progress.lastEventId,
+        signal: abort.signal,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      });
+      return await judge(row, response, progress);
+    } catch (error) {
+      return explain(row, error);
+    } finally {
+      clearTimeout(timer);
+      streams.remove(row);
+    }
+  }
+
+  return { attempt };
+}
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -1,28 +1,14 @@
 /** Streams of a model that runs on a chain of engines. */
 import { delay } from '@spoolplank/node';
-import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import { SpoolplankError } from '@spoolplank/shared';
 import type { ModelDescription } from '@spoolplank/routing';
-import type { BackendResponse } from './backendOperations';
 import type { ChainChoice, ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
-import { createEventSplitter } from './eventSplitter';
-import type { StreamCut, StreamRow, StreamTable } from './streamTable';
+import { createStreamAttempts, HIGHEST_GOOD_STATUS, TIMEOUT_MARGIN_MS } from './streamAttempt';
+import type { StreamProgress } from './streamAttempt';
+import type { StreamTable } from './streamTable';
 import { createWaitingLine } from './waitingLine';
 
-/** What came of one attempt. */
-type StreamResult =
-  | { readonly kind: 'whole'; readonly status: number }
-  /** It has not run. */
-  | { readonly kind: 'not-run'; readonly problem: string; readonly culprit: string | null }
-  /** It broke off, or was ended here; what the caller has of it stays. */
-  | {
-      readonly kind: 'broken';
-      readonly problem: string;
-      /** Another engine of the path was at fault. */
-      readonly isHeadFine: boolean;
-    }
-  | { readonly kind: 'caller-left' };
-
 export interface StreamDispatchOptions {
   readonly context: EntryContext;
   readonly streams: StreamTable;
@@ -41,7 +27,6 @@
   run(admitted: AdmittedRequest, model: ModelDescription): Promise<RequestEnd>;
 }
 
-const CONNECT_TIMEOUT_MS = 150;
 const MAX_REJECTIONS = 4;
 /** Engines that end one after the other under one stream: beyond this something else is wrong. */
 const MAX_ATTEMPTS = 6;
@@ -49,7 +34,6 @@
 const RETRY_AFTER_MS = 1000;
 /** Callers that were refused together do not come back together. */
 const RETRY_SPREAD_MS = 1000;
-const TIMEOUT_MARGIN_MS = 30;
 /** Reading a prompt of 800 tokens keeps the slowest engine of a chain busy for 4 ms. */
 const RESUME_SPACING_MS = 8;
 /** Callers give a stream up after a pause of two seconds; finding the fault took half a second. */
@@ -60,22 +44,18 @@
 /** Of the two seconds for which callers wait for a first event, without a failed first attempt. */
 const MAX_ADMISSION_WAIT_MS = 1200;
 const ADMISSION_POLL_MS = 25;
+/**
+ * Share of the retry budget that is kept for streams that have begun: those that have not can be
+ * refused and come back, the others are lost to their callers.
+ */
+const RESERVED_FOR_BEGUN = 0.4;
 /** Two seconds of an entry's busiest traffic on the sites seen. */
 const MAX_WAITING = 30;
-const HIGHEST_GOOD_STATUS = 299;
-
-/** What one request carries from attempt to attempt. */
-interface Progress {
-  lastEventId: string | null;
-  hasBegun: boolean;
-  firstByteMs: number | null;
-  status: number;
-  servedBy: readonly string[];
-}
 
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
   const { context, streams, chains, examine, avoid } = options;
-  const { clock, log, operations, view } = context;
+  const { clock, log, view } = context;
+  const attempter = createStreamAttempts({ context, streams, examine });
   const line = createWaitingLine({
     clock,
     delay,
@@ -84,157 +64,6 @@
   });
   let nextTurnAtMs = 0;
 
-  function createRow(
-    admitted: AdmittedRequest,
-    model: ModelDescription,
-    chain: ChosenChain,
-    abort: AbortController,
-  ): StreamRow {
-    const nowMs = clock.nowMs();
-    const row: StreamRow = {
-      admitted,
-      model,
-      headId: chain.headId,
-      stages: chain.stages,
-      lostIds: new Set(),
-      startedAtMs: nowMs,
-      hasBegun: false,
-      lastProgressAtMs: nowMs,
-      lastCheckAtMs: 0,
-      checks: 0,
-      isChecking: false,
-      isRepairing: false,
-      isPaused: false,
-      cutReason: null,
-      cut(reason: StreamCut) {
-        row.cutReason ??= reason;
-        abort.abort();
-      },
-    };
-    return row;
-  }
-
-  /** Passes whole events on until the stream ends; rejects when it breaks off. */
-  function relay(row: StreamRow, response: BackendResponse, progress: Progress): Promise<void> {
-    const { answer, request } = row.admitted;
-    const splitter = createEventSplitter();
-    const { body } = response;
-    return new Promise((resolve, reject) => {
-      function passOn(piece: Buffer): void {
-        if (!progress.hasBegun) {
-          answer.begin(response.status, response.headers);
-          Object.assign(progress, {
-            hasBegun: true,
-            status: response.status,
-            firstByteMs: clock.nowMs() - request.arrivedAtMs,
-          });
-        }
-        progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
-        if (answer.write(piece)) return;
-        row.isPaused = true;
-        body.pause();
-        answer.onWritable(() => {
-          row.isPaused = false;
-          row.lastProgressAtMs = clock.nowMs();
-          body.resume();
-        });
-      }
-      body.on('data', (bytes: Buffer) => {
-        row.lastProgressAtMs = clock.nowMs();
-        row.checks = 0;
-        if (!row.hasBegun) {
-          row.hasBegun = true;
-          streams.noteFirstEvent(row.headId, clock.nowMs() - row.startedAtMs);
-        }
-        const whole = splitter.push(bytes);
-        if (whole.length > 0 && !answer.isClosed) passOn(whole);
-      });
-      body.once('end', () => {
-        if (splitter.hasRest) passOn(splitter.takeRest());
-        else if (!progress.hasBegun) passOn(Buffer.alloc(0));
-        resolve();
-      });
-      body.once('error', reject);
-      body.once('close', () => reject(new Error('the connection closed')));
-    });
-  }
-
-  async function judge(
-    row: StreamRow,
-    response: BackendResponse,
-    progress: Progress,
-  ): Promise<StreamResult> {
-    const { status, isNotRun, problem } = response;
-    if (isNotRun || response.isMisdirected) {
-      response.body.resume();
-      const culprit = response.culpritAddress;
-      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit };
-    }
-    if (problem !== null) {
-      response.body.destroy();
-      return { kind: 'broken', problem, isHeadFine: false };
-    }
-    if (status > HIGHEST_GOOD_STATUS && progress.hasBegun) {
-      response.body.destroy();
-      return { kind: 'broken', problem: `status ${status}`, isHeadFine: false };
-    }
-    await relay(row, response, progress);
-    return { kind: 'whole', status };
-  }
-
-  function explain(row: StreamRow, error: unknown): StreamResult {
-    if (row.cutReason === 'caller-left') return { kind: 'caller-left' };
-    const [head] = row.stages;
-    const known = toSpoolplankError(error);
-    const problem = row.cutReason ?? known.message;
-    if (row.cutReason === null && head) {
-      // The engine ended, or only this answer was lost: that is looked into beside.
-      examine(head.id, head.address);
-    }
-    if (known.outcome === 'not-run' && row.cutReason === null) {
-      return { kind: 'not-run', problem, culprit: head?.address ?? null };
-    }
-    return { kind: 'broken', problem, isHeadFine: row.cutReason === 'no-repair' };
-  }
-
-  async function attempt(
-    admitted: AdmittedRequest,
-    model: ModelDescription,
-    chain: ChosenChain,
-    progress: Progress,
-  ): Promise<StreamResult> {
-    const { request, organisation, answer, endsAtMs } = admitted;
-    const [head] = chain.stages;
-    if (!head) throw new SpoolplankError('internal', { detail: 'A chain has no engine.' });
-    const abort = new AbortController();
-    const row = createRow(admitted, model, chain, abort);
-    const remainingMs = endsAtMs - clock.nowMs();
-    const timer = setTimeout(() => row.cut('deadline'), remainingMs - TIMEOUT_MARGIN_MS);
-    answer.onClosed(() => row.cut('caller-left'));
-    streams.add(row);
-    progress.servedBy = chain.stages.map(
-      ({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`,
-    );
-    try {
-      const response = await operations.open({
-        target: { instanceId: head.id, address: head.address },
-        request,
-        organisation: organisation?.name ?? null,
-        remainingMs,
-        stages: chain.stages,
-        resumeAfter: progress.lastEventId,
-        signal: abort.signal,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      });
-      return await judge(row, response, progress);
-    } catch (error) {
-      return explain(row, error);
-    } finally {
-      clearTimeout(timer);
-      streams.remove(row);
-    }
-  }
-
   function noteRejection(culprit: string | null): void {
     const fact = culprit === null ? undefined : view.findByAddress(culprit);
     if (fact?.body.kind === 'backend') avoid(fact.body.instanceId);
@@ -246,7 +75,7 @@
     excluded: ReadonlySet<string>,
   ): ChosenChain | undefined {
     const chain = chains.choose(service, model, excluded);
-    return chain && chain.inFlight < chain.capacity ? chain : undefined;
+    return chain?.hasRoom ? chain : undefined;
   }
 
   /** What a stream is refused with for which no chain had room in time. */
@@ -314,7 +143,7 @@
     async run(admitted, model) {
       const { request, answer, route, service } = admitted;
       const budget = context.budgetOf(service);
-      const progress: Progress = {
+      const progress: StreamProgress = {
         lastEventId: request.lastEventId,
         hasBegun: false,
         firstByteMs: null,
@@ -342,7 +171,8 @@
         const isAllowed = !mayHaveRun || (route.isResumable && runs < route.maxAttempts);
         const hasTime = admitted.endsAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
         const isFew = rejections < MAX_REJECTIONS && attempts < MAX_ATTEMPTS;
-        return isAllowed && hasTime && isFew && budget.spend();
+        const reservedShare = progress.hasBegun ? 0 : RESERVED_FOR_BEGUN;
+        return isAllowed && hasTime && isFew && budget.spend(reservedShare);
       }
 
       budget.earn();
@@ -354,7 +184,7 @@
         if (!chain && !mayHaveRun) throw refusalOf(admitted, model, excluded);
         if (!chain) break;
         attempts += 1;
-        const result = await attempt(admitted, model, chain, progress);
+        const result = await attempter.attempt(admitted, model, chain, progress);
         if (result.kind === 'caller-left') return end('caller-left', progress.status);
         if (result.kind === 'whole') {
           answer.end();
--- a/packages/routing/__tests__/routingDocument.spec.ts
+++ b/packages/routing/__tests__/routingDocument.spec.ts
@@ -113,4 +113,13 @@
       [true, true, false],
     );
   });
+
+  it('keeps a share for what matters more', () => {
+    const clock = createManualClock();
+    const budget = createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 });
+    const spendAll = (reservedShare: number) =>
+      Array.from({ length: 20 }, () => budget.spend(reservedShare)).filter(Boolean).length;
+    assert.equal(spendAll(0.4), 6);
+    assert.equal(spendAll(0), 4);
+  });
 });
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -8,6 +8,9 @@
  * size (`planChainCount`). See docs/design/platform.md for what was measured.
  */
 import { planChainCount, splitIntoChains } from './chainCount';
+import { fillFromBeside, fillWithSpare, findHole } from './holeFilling';
+import { countCopies, findMemoryPerLayer, lengthOf } from './layerSlots';
+import type { Range, Slot } from './layerSlots';
 import type { ModelDescription } from './routingDocument';
 
 /** An engine as the planner sees it. */
@@ -32,54 +35,6 @@
   readonly endLayer: number;
 }
 
-/** An engine with its memory, and the range that it holds or is to hold. */
-interface Slot {
-  readonly id: string;
-  readonly memoryMb: number;
-  readonly stepFactor: number;
-  readonly slots: number;
-  readonly isOrderable: boolean;
-  readonly held: Range | null;
-  planned: Range | null;
-}
-
-interface Range {
-  readonly first: number;
-  readonly end: number;
-}
-
-/** Least memory for each layer held, against the layer itself: the rest holds a few requests. */
-const LEAST_MEMORY_PER_LAYER = 1.15;
-/** With so much for each layer an engine holds half as many requests as others, and serves well. */
-const GOOD_MEMORY_PER_LAYER = 1.4;
-/** Widest share that is looked for, and the step of the search; finer steps change no range. */
-const MOST_MEMORY_PER_LAYER = 8;
-const SEARCH_STEP = 0.01;
-
-const lengthOf = ({ first, end }: Range): number => end - first;
-
-function fits(slot: Slot, layers: number, model: ModelDescription): boolean {
-  return layers * model.layerMb * LEAST_MEMORY_PER_LAYER <= slot.memoryMb;
-}
-
-/** The most memory for each layer with which these engines together hold all layers, so often. */
-function findMemoryPerLayer(
-  slots: readonly Slot[],
-  model: ModelDescription,
-  copies = 1,
-): number | undefined {
-  for (
-    let factor = MOST_MEMORY_PER_LAYER;
-    factor >= LEAST_MEMORY_PER_LAYER;
-    factor -= SEARCH_STEP
-  ) {
-    const memoryMb = model.layerMb * factor;
-    const layers = slots.reduce((sum, slot) => sum + Math.floor(slot.memoryMb / memoryMb), 0);
-    if (layers >= model.layers * copies) return memoryMb;
-  }
-  return undefined;
-}
-
 /** Spreads all layers over the engines, in the order given. */
 function layOut(slots: readonly Slot[], model: ModelDescription): void {
   const memoryMb = findMemoryPerLayer(slots, model);
@@ -92,124 +47,6 @@
   });
 }
 
-function countCopies(slots: readonly Slot[], layers: number): number[] {
-  const copies = new Array<number>(layers).fill(0);
-  slots.forEach(({ planned }) => {
-    if (!planned) return;
-    for (let layer = planned.first; layer < Math.min(planned.end, layers); layer += 1) {
-      copies[layer] = (copies[layer] ?? 0) + 1;
-    }
-  });
-  return copies;
-}
-
-function findHole(copies: readonly number[]): Range | undefined {
-  const first = copies.indexOf(0);
-  if (first < 0) return undefined;
-  const next = copies.findIndex((count, layer) => layer > first && count > 0);
-  return { first, end: next < 0 ? copies.length : next };
-}
-
-/** Whether others hold every layer of this engine too. */
-function isSpare({ planned }: Slot, copies: readonly number[]): boolean {
-  return planned === null || copies.slice(planned.first, planned.end).every((count) => count > 1);
-}
-
-const heldLayers = ({ planned }: Slot): number => (planned ? lengthOf(planned) : 0);
-
-/** Puts an engine that is not needed where it is into a hole. */
-function fillWithSpare(slots: readonly Slot[], hole: Range, model: ModelDescription): boolean {
-  const copies = countCopies(slots, model.layers);
-  const spare = slots
-    .filter((slot) => slot.isOrderable && isSpare(slot, copies) && fits(slot, 1, model))
-    .sort((a, b) => heldLayers(a) - heldLayers(b) || a.stepFactor - b.stepFactor)[0];
-  if (!spare) return false;
-  const most = Math.max(1, Math.floor(spare.memoryMb / (model.layerMb * GOOD_MEMORY_PER_LAYER)));
-  spare.planned = { first: hole.first, end: Math.min(hole.end, hole.first + most) };
-  return true;
-}
-
-/** Engines that follow each other on one side of a hole, the nearest first. */
-function listBeside(slots: readonly Slot[], place: number, isBefore: boolean): readonly Slot[] {
-  const found: Slot[] = [];
-  let at = place;
-  for (;;) {
-    const from = at;
-    const next = slots.find(({ planned, isOrderable }) => {
-      const edge = isBefore ? planned?.end : planned?.first;
-      return isOrderable && edge === from;
-    });
-    if (!next?.planned || found.includes(next)) return found;
-    found.push(next);
-    at = isBefore ? next.planned.first : next.planned.end;
-  }
-}
-
-/** Layers that an engine can take on top of its own, at so much memory for each. */
-function spareLayers({ planned, memoryMb }: Slot, memoryPerLayerMb: number): number {
-  return Math.max(0, Math.floor(memoryMb / memoryPerLayerMb) - (planned ? lengthOf(planned) : 0));
-}
-
-/** How much memory for each layer is left when these engines take over so many layers. */
-function findSharedMemory(
-  slots: readonly Slot[],
-  layers: number,
-  model: ModelDescription,
-): number | undefined {
-  const leastMb = model.layerMb * GOOD_MEMORY_PER_LAYER;
-  for (let mb = model.layerMb * MOST_MEMORY_PER_LAYER; mb >= leastMb; mb -= leastMb * SEARCH_STEP) {
-    if (slots.reduce((sum, slot) => sum + spareLayers(slot, mb), 0) >= layers) return mb;
-  }
-  return undefined;
-}
-
-/** Moves the borders on one side of a hole towards it, by what each engine takes over. */
-function shiftBorders(
-  beside: readonly Slot[],
-  hole: Range,
-  taken: number,
-  isBefore: boolean,
-  mb: number,
-) {
-  let left = taken;
-  let border = isBefore ? hole.first + taken : hole.end - taken;
-  for (const slot of beside) {
-    if (left === 0 || !slot.planned) return;
-    const extra = Math.min(left, spareLayers(slot, mb));
-    const length = lengthOf(slot.planned) + extra;
-    left -= extra;
-    slot.planned = isBefore
-      ? { first: border - length, end: border }
-      : { first: border, end: border + length };
-    border = isBefore ? border - length : border + length;
-  }
-}
-
-/**
- * Lets engines on both sides of a hole take over its layers, the nearest ones first and only as
- * many as are needed: each moves its borders a little, and loads only what it did not hold.
- */
-function fillFromBeside(slots: readonly Slot[], hole: Range, model: ModelDescription): boolean {
-  const before = listBeside(slots, hole.first, true);
-  const after = listBeside(slots, hole.end, false);
-  const layers = lengthOf(hole);
-  for (let reach = 1; reach <= Math.max(before.length, after.length); reach += 1) {
-    const nearBefore = before.slice(0, reach);
-    const nearAfter = after.slice(0, reach);
-    const mb = findSharedMemory([...nearBefore, ...nearAfter], layers, model);
-    if (mb !== undefined) {
-      const mostAfter = nearAfter.reduce((sum, slot) => sum + spareLayers(slot, mb), 0);
-      const mostBefore = nearBefore.reduce((sum, slot) => sum + spareLayers(slot, mb), 0);
-      const share = Math.round((layers * mostBefore) / (mostBefore + mostAfter));
-      const takenBefore = Math.min(mostBefore, Math.max(share, layers - mostAfter));
-      shiftBorders(nearBefore, hole, takenBefore, true, mb);
-      shiftBorders(nearAfter, hole, layers - takenBefore, false, mb);
-      return true;
-    }
-  }
-  return false;
-}
-
 function fillHoles(slots: readonly Slot[], model: ModelDescription): void {
   for (let tries = 0; tries < slots.length; tries += 1) {
     const hole = findHole(countCopies(slots, model.layers));
--- a/packages/routing/src/windowBudget.ts
+++ b/packages/routing/src/windowBudget.ts
@@ -16,8 +16,11 @@
 export interface WindowBudget {
   /** Counts a first attempt. */
   earn(): void;
-  /** Takes one retry out of the budget; false when there is none left. */
-  spend(): boolean;
+  /**
+   * Takes one retry out of the budget; false when there is none left, or when less than
+   * `reservedShare` of the budget would be left for retries that matter more.
+   */
+  spend(reservedShare?: number): boolean;
 }
 
 export function createWindowBudget({
@@ -41,10 +44,11 @@
       dropOld(firstsAtMs);
       firstsAtMs.push(clock.nowMs());
     },
-    spend() {
+    spend(reservedShare = 0) {
       dropOld(firstsAtMs);
       dropOld(retriesAtMs);
-      if (retriesAtMs.length + 1 > firstsAtMs.length * ratio + allowance()) return false;
+      const budget = (firstsAtMs.length * ratio + allowance()) * (1 - reservedShare);
+      if (retriesAtMs.length + 1 > budget) return false;
       retriesAtMs.push(clock.nowMs());
       return true;
     },
