--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -58,7 +58,11 @@
   }
 }
 
-const chosen = faults.filter(({ name }) => asked.every((word) => name.includes(word)));
+const chosen = faults.filter(
+  ({ name }) => asked.length === 0 || asked.some((words) => name.includes(words)),
+);
+// A misspelt name must not look like a run in which everything was caught.
+if (chosen.length === 0) throw new Error(`no planted fault is named like ${asked.join(', ')}`);
 chosen.forEach((fault) => {
   const { isCaught, line } = plant(fault);
   if (!isCaught) missed += 1;
