--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -186,7 +186,10 @@
           request,
           FEED_TIMEOUT_MS,
         );
-        sources.noteAnswer(reply.confirmedAgeMs);
+        const { confirmedAgeMs } = reply;
+        if (sources.noteAnswer(confirmedAgeMs)) {
+          log.info('control-left', { source, confirmedAgeMs, next: sources.current() });
+        }
         return reply;
       } catch (error) {
         sources.fail();
@@ -203,6 +206,7 @@
     },
     onState: (isConnected, problem) =>
       log.info(isConnected ? 'control-regained' : 'control-lost', {
+        source: sources.current(),
         problem,
         confirmedAgeMs: Math.round(Math.min(documents.confirmedAgeMs(), RETENTION_MS)),
       }),
--- a/packages/entry/src/sourceChoice.ts
+++ b/packages/entry/src/sourceChoice.ts
@@ -14,9 +14,10 @@
   fail(): void;
   /**
    * Notes an answer, and how old its confirmation of the settings was; null without one. A
-   * control VM that is cut off from the others still answers, and knows nothing new.
+   * control VM that is cut off from the others still answers, and knows nothing new. Returns
+   * whether it is left for that.
    */
-  noteAnswer(confirmedAgeMs: number | null): void;
+  noteAnswer(confirmedAgeMs: number | null): boolean;
 }
 
 /**
@@ -47,7 +48,9 @@
     fail,
     noteAnswer(confirmedAgeMs) {
       const isStale = confirmedAgeMs === null || confirmedAgeMs > STALE_MS;
-      if (isStale && clock.nowMs() - failedAtMs > MIN_STAY_MS) fail();
+      const isLeft = isStale && clock.nowMs() - failedAtMs > MIN_STAY_MS;
+      if (isLeft) fail();
+      return isLeft;
     },
   };
 }
