--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
 import { configBench } from './benches/config';
 import { costBench } from './benches/cost';
 import { detectionBench } from './benches/detection';
+import { feedBench } from './benches/feed';
 import { overloadBench } from './benches/overload';
 import { recoveryBench } from './benches/recovery';
 import { recoveryControlBench } from './benches/recoveryControl';
@@ -23,6 +24,7 @@
   claims: claimsBench,
   cost: costBench,
   detection: detectionBench,
+  feed: feedBench,
   overload: overloadBench,
   throughput: throughputBench,
   recovery: recoveryBench,
