--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -1,9 +1,15 @@
 /** An entry's tables, filled by hand. */
+import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createDocumentCache, createFactTable, FACT_KEYS } from '@spoolplank/membership';
 import type { BackendFact, SystemFact } from '@spoolplank/membership';
+import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
 import type { ModelDescription, RoutingDocument } from '@spoolplank/routing';
-import { createManualClock } from '@spoolplank/shared';
+import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import type { ManualClock } from '@spoolplank/shared';
+import type { BackendOperations } from '../src/backendOperations';
+import type { EntryContext } from '../src/entryContext';
 import { createRoutingView } from '../src/routingView';
+import type { RoutingView } from '../src/routingView';
 
 export const MODEL: ModelDescription = {
   layers: 8,
@@ -64,3 +70,23 @@
     },
   };
 }
+
+/** What the parts of an entry are given, with room for ten retries. */
+export function createContext(
+  clock: ManualClock,
+  view: RoutingView,
+  operations: BackendOperations,
+): EntryContext {
+  return {
+    clock,
+    random: createSeededRandom(1),
+    log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
+    metrics: createMetrics(),
+    dataCentre: 'a',
+    view,
+    operations,
+    loads: createBackendLoadTable(),
+    budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
+    factsAgeMs: () => 0,
+  };
+}
--- a/packages/entry/__tests__/plainDispatch.spec.ts
+++ b/packages/entry/__tests__/plainDispatch.spec.ts
@@ -1,13 +1,11 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it, mock } from 'node:test';
-import { createEventLog, createMetrics } from '@spoolplank/node';
-import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
 import type { Route } from '@spoolplank/routing';
-import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
+import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendCall, BackendOperations } from '../src/backendOperations';
 import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
 import { createPlainDispatch } from '../src/plainDispatch';
-import { createEngine, createTables } from './fixtures';
+import { createContext, createEngine, createTables } from './fixtures';
 
 const ROUTE: Route = {
   name: 'book',
@@ -44,18 +42,7 @@
   const { clock, view, announce } = createTables();
   announce(createEngine('e1', 0, 8));
   const { calls, operations } = createSilentBackend();
-  const dispatch = createPlainDispatch({
-    clock,
-    random: createSeededRandom(1),
-    log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
-    metrics: createMetrics(),
-    dataCentre: 'a',
-    view,
-    operations,
-    loads: createBackendLoadTable(),
-    budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
-    factsAgeMs: () => 0,
-  });
+  const dispatch = createPlainDispatch(createContext(clock, view, operations));
   const answer = { isClosed: false, onClosed: () => {} } as unknown as CallerAnswer;
   const request = { id: 'r1', arrivedAtMs: clock.nowMs() } as CallerRequest;
   const admitted = {
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -1,18 +1,15 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { createEventLog, createMetrics } from '@spoolplank/node';
-import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
 import type { Route } from '@spoolplank/routing';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { BackendOperations, RepairOutcome } from '../src/backendOperations';
 import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
 import { createChainChoice } from '../src/chainChoice';
-import type { EntryContext } from '../src/entryContext';
 import { createStreamRepair } from '../src/streamRepair';
 import { createStreamTable } from '../src/streamTable';
 import type { StreamRow } from '../src/streamTable';
-import { createEngine, createTables, MODEL } from './fixtures';
+import { createContext, createEngine, createTables, MODEL } from './fixtures';
 
 interface Setting {
   /** Addresses that accept no connection. */
@@ -50,18 +47,7 @@
       return Promise.resolve(outcome ?? { kind: 'repaired' });
     },
   };
-  const context: EntryContext = {
-    clock,
-    random: createSeededRandom(1),
-    log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
-    metrics: createMetrics(),
-    dataCentre: 'a',
-    view,
-    operations,
-    loads: createBackendLoadTable(),
-    budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
-    factsAgeMs: () => 0,
-  };
+  const context = createContext(clock, view, operations);
   const streams = createStreamTable(clock);
   const chains = createChainChoice({
     view,
--- a/packages/routing/__tests__/fixtures.ts
+++ b/packages/routing/__tests__/fixtures.ts
@@ -1,6 +1,7 @@
 /** A model of the size that the sites run, and engines for it. */
 import type { PlacedEngine } from '../src/placement';
 import type { ModelDescription } from '../src/routingDocument';
+import type { StageEngine } from '../src/stagePath';
 
 export function createModel(overrides: Partial<ModelDescription> = {}): ModelDescription {
   return {
@@ -39,3 +40,12 @@
 
 export const repeat = (kind: string, count: number): string[] =>
   new Array<string>(count).fill(kind);
+
+export function createStageEngine(
+  id: string,
+  firstLayer: number,
+  endLayer: number,
+  layerCostMs = 1,
+): StageEngine {
+  return { id, address: `10.0.0.${id}:80`, firstLayer, endLayer, layerCostMs };
+}
--- a/packages/routing/__tests__/stageChains.spec.ts
+++ b/packages/routing/__tests__/stageChains.spec.ts
@@ -5,16 +5,7 @@
 import type { ChainMember } from '../src/chainCount';
 import { countChainsByEngine, findStageChains } from '../src/stageChains';
 import type { StageEngine } from '../src/stagePath';
-import { createModel, repeat } from './fixtures';
-
-function createEngine(
-  id: string,
-  firstLayer: number,
-  endLayer: number,
-  layerCostMs = 1,
-): StageEngine {
-  return { id, address: `10.0.0.${id}:80`, firstLayer, endLayer, layerCostMs };
-}
+import { createModel, createStageEngine, repeat } from './fixtures';
 
 const namesOf = (engines: readonly StageEngine[]) =>
   findStageChains(engines, { layers: 10 }).map(({ stages }) => stages.map(({ id }) => id));
@@ -22,10 +13,10 @@
 describe('chains of a data centre', () => {
   it('are those in which engines follow each other exactly, though a mixed one were faster', () => {
     const engines = [
-      createEngine('a1', 0, 4, 0.2),
-      createEngine('a2', 4, 10, 0.02),
-      createEngine('b1', 0, 5, 0.02),
-      createEngine('b2', 5, 10, 0.2),
+      createStageEngine('a1', 0, 4, 0.2),
+      createStageEngine('a2', 4, 10, 0.02),
+      createStageEngine('b1', 0, 5, 0.02),
+      createStageEngine('b2', 5, 10, 0.2),
     ];
     assert.deepEqual(
       namesOf(engines)
@@ -36,14 +27,21 @@
   });
 
   it('lend each other an engine where one was lost', () => {
-    const engines = [createEngine('a1', 0, 5), createEngine('a2', 5, 10), createEngine('b1', 0, 5)];
+    const engines = [
+      createStageEngine('a1', 0, 5),
+      createStageEngine('a2', 5, 10),
+      createStageEngine('b1', 0, 5),
+    ];
     const chains = findStageChains(engines, { layers: 10 });
     assert.equal(chains.length, 2);
     assert.equal(countChainsByEngine(chains).get('a2'), 2);
   });
 
   it('do not come about of an engine that holds a small part of the layers once more', () => {
-    assert.deepEqual(namesOf([createEngine('a1', 0, 10), createEngine('b1', 0, 2)]).length, 1);
+    assert.deepEqual(
+      namesOf([createStageEngine('a1', 0, 10), createStageEngine('b1', 0, 2)]).length,
+      1,
+    );
   });
 
   it('run every layer once, whatever engines there are, and do not depend on their order', () => {
@@ -54,7 +52,7 @@
     fc.assert(
       fc.property(fc.array(engine, { maxLength: 14 }), (drawn) => {
         const engines = drawn.map(({ first, length }, index) =>
-          createEngine(String(index), first, Math.min(10, first + length)),
+          createStageEngine(String(index), first, Math.min(10, first + length)),
         );
         const chains = findStageChains(engines, { layers: 10 });
         chains.forEach(({ stages }) => {
--- a/packages/routing/__tests__/stagePath.spec.ts
+++ b/packages/routing/__tests__/stagePath.spec.ts
@@ -3,15 +3,7 @@
 import * as fc from 'fast-check';
 import { findStagePath } from '../src/stagePath';
 import type { StageEngine, StagePath } from '../src/stagePath';
-
-function createEngine(
-  id: string,
-  firstLayer: number,
-  endLayer: number,
-  layerCostMs = 1,
-): StageEngine {
-  return { id, address: `10.0.0.${id}:80`, firstLayer, endLayer, layerCostMs };
-}
+import { createStageEngine } from './fixtures';
 
 function assertWhole(path: StagePath, engines: readonly StageEngine[], layers: number): void {
   let next = 0;
@@ -36,7 +28,7 @@
     fc.assert(
       fc.property(fc.array(engine, { maxLength: 12 }), (drawn) => {
         const engines = drawn.map(({ first, length, cost }, index) =>
-          createEngine(String(index), first, Math.min(20, first + length), cost),
+          createStageEngine(String(index), first, Math.min(20, first + length), cost),
         );
         const path = findStagePath(engines, { toLayer: 20 });
         const isCovered = Array.from({ length: 20 }, (_, layer) => layer).every((layer) =>
@@ -49,7 +41,7 @@
   });
 
   it('takes the cheaper of two engines for the layers that both hold', () => {
-    const engines = [createEngine('1', 0, 10, 5), createEngine('2', 4, 10, 1)];
+    const engines = [createStageEngine('1', 0, 10, 5), createStageEngine('2', 4, 10, 1)];
     const path = findStagePath(engines, { toLayer: 10 });
     assert.deepEqual(
       path?.stages.map(({ id, firstLayer, endLayer }) => [id, firstLayer, endLayer]),
@@ -61,7 +53,7 @@
   });
 
   it('covers a part of the layers for a repair', () => {
-    const engines = [createEngine('1', 0, 6), createEngine('2', 5, 12)];
+    const engines = [createStageEngine('1', 0, 6), createStageEngine('2', 5, 12)];
     const path = findStagePath(engines, { fromLayer: 4, toLayer: 8 });
     assert.equal(path?.stages[0]?.firstLayer, 4);
     assert.equal(path?.stages.at(-1)?.endLayer, 8);
