feat(entry): log how long a request waited, its longest pause, and what time its caller had left

Change: request-ended carries waitedMs, longestPauseMs and remainingMs. Conclusion: callers state what time they have left, so a late arrival (failed look-up, second attempt) can be told.

--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -40,4 +40,8 @@
   /** Backend server, or the engines of the path, that served last. */
   readonly servedBy: readonly string[];
   readonly firstByteMs: number | null;
+  /** Time that it waited here for a place at a backend server, over all attempts. */
+  readonly waitedMs?: number;
+  /** The longest pause between two events of a stream, as passed on. */
+  readonly longestPauseMs?: number;
 }
--- a/packages/entry/src/requestReport.ts
+++ b/packages/entry/src/requestReport.ts
@@ -26,6 +26,10 @@
 /** Ages beyond this, or infinite ones, are logged as this. */
 const MAX_AGE_MS = 60_000;
 
+function roundIfKnown(durationMs: number | undefined): number | undefined {
+  return durationMs === undefined ? undefined : Math.round(durationMs);
+}
+
 export function createRequestReport(options: RequestReportOptions): RequestReport {
   const { clock, log, metrics } = options;
   const cap = (ageMs: number) => Math.round(Math.min(ageMs, MAX_AGE_MS));
@@ -43,7 +47,10 @@
       attempts: end.attempts,
       servedBy: end.servedBy,
       firstByteMs: end.firstByteMs === null ? null : Math.round(end.firstByteMs),
+      waitedMs: roundIfKnown(end.waitedMs),
+      longestPauseMs: roundIfKnown(end.longestPauseMs),
       durationMs: Math.round(durationMs),
+      remainingMs: request.deadlineMs,
       documentVersion: options.documentVersion(),
       confirmedAgeMs: cap(options.confirmedAgeMs()),
       factsAgeMs: cap(options.factsAgeMs()),
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -28,6 +28,11 @@
   firstByteMs: number | null;
   status: number;
   servedBy: readonly string[];
+  /** Time spent waiting for a chain with room, over all attempts. */
+  waitedMs: number;
+  /** When the last event was passed on; null before the first one. */
+  lastEventAtMs: number | null;
+  longestPauseMs: number;
 }
 
 export interface StreamAttemptOptions {
@@ -87,6 +92,13 @@
     return row;
   }
 
+  function notePause(progress: StreamProgress): void {
+    const nowMs = clock.nowMs();
+    const pauseMs = nowMs - (progress.lastEventAtMs ?? nowMs);
+    progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
+    progress.lastEventAtMs = nowMs;
+  }
+
   /** Passes whole events on until the stream ends; rejects when it breaks off. */
   function relay(
     row: StreamRow,
@@ -107,6 +119,7 @@
           });
         }
         progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
+        notePause(progress);
         if (answer.write(piece)) return;
         row.isPaused = true;
         body.pause();
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -149,6 +149,9 @@
         firstByteMs: null,
         status: 0,
         servedBy: [],
+        waitedMs: 0,
+        lastEventAtMs: null,
+        longestPauseMs: 0,
       };
       const excluded = new Set<string>();
       let runs = 0;
@@ -163,6 +166,8 @@
         attempts,
         servedBy: progress.servedBy,
         firstByteMs: progress.firstByteMs,
+        waitedMs: progress.waitedMs,
+        longestPauseMs: progress.longestPauseMs,
       });
 
       /** Another attempt is possible: there is time, budget, and an attempt left. */
@@ -177,9 +182,11 @@
 
       budget.earn();
       while (mayTry()) {
+        const waitsSinceMs = clock.nowMs();
         const chain = mayHaveRun
           ? await findChainToResume(admitted, model, excluded)
           : await findChainToBegin(admitted, model, excluded);
+        progress.waitedMs += clock.nowMs() - waitsSinceMs;
         if (!chain && answer.isClosed) return end('caller-left', progress.status);
         if (!chain && !mayHaveRun) throw refusalOf(admitted, model, excluded);
         if (!chain) break;
