feat(routing): chains laid out for short answers; the rest of the engines hold second copies

Cause: layers were spread for the most requests in flight, so half of them ran on the slowest kind; an answer took 3.4 s calm and over 4 s with trouble, and every kill took 200 to 400 of them along. Change: chainSpeed estimates a chain from the model's description; chainLayout takes the least memory for each layer that still reaches nine tenths of the best throughput, fastest engines first; engines left over get the second copies that make up for most single losses; an engine that comes back gets the layers that it runs faster.

--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -16,6 +16,8 @@
   layerMb: 1000,
   stepMs: 1,
   stepPerRequestMs: 0.01,
+  contextMsPerToken: 0.000007,
+  stepsPerPass: 2,
   readTokensPerS: 100_000,
   tokenBytes: 1_000_000,
   usualPromptTokens: 700,
--- /dev/null
+++ b/packages/routing/__tests__/chainLayout.spec.ts
@@ -0,0 +1,105 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { estimateChainSpeed } from '../src/chainSpeed';
+import type { ChainPart } from '../src/chainSpeed';
+import { planPlacement } from '../src/placement';
+import type { PlacedEngine, PlacementOrder } from '../src/placement';
+import { createEngines, createModel, repeat } from './fixtures';
+
+const MODEL = createModel();
+const KINDS = ['large', 'medium', ...repeat('small', 5), ...repeat('tiny', 7)];
+/** Requests in flight at which layouts are compared: about half of what a chain holds. */
+const IN_FLIGHT = 50;
+
+function toParts(
+  engines: readonly PlacedEngine[],
+  orders: readonly PlacementOrder[],
+): readonly ChainPart[] {
+  let done = 0;
+  return [...orders]
+    .sort((a, b) => a.firstLayer - b.firstLayer)
+    .flatMap((order) => {
+      const engine = engines.find(({ id }) => id === order.id);
+      const kind = MODEL.kinds.find(({ name }) => name === engine?.acceleratorKind);
+      if (!kind || order.firstLayer !== done) return [];
+      done = order.endLayer;
+      return [{ layers: order.endLayer - order.firstLayer, ...kind }];
+    });
+}
+
+function countCopies(orders: readonly PlacementOrder[], layer: number): number {
+  return orders.filter(({ firstLayer, endLayer }) => firstLayer <= layer && layer < endLayer)
+    .length;
+}
+
+describe('the layout of a chain', () => {
+  const engines = createEngines(KINDS);
+  const orders = planPlacement(engines, MODEL);
+
+  it('writes an answer sooner than layers spread over all engines by their memory', () => {
+    const memoryMb = engines.map(
+      ({ acceleratorKind }) =>
+        MODEL.kinds.find(({ name }) => name === acceleratorKind)?.memoryMb ?? 0,
+    );
+    const totalMb = memoryMb.reduce((sum, mb) => sum + mb, 0);
+    const evenly = engines.flatMap(({ acceleratorKind }, index) => {
+      const kind = MODEL.kinds.find(({ name }) => name === acceleratorKind);
+      const layers = (MODEL.layers * (memoryMb[index] ?? 0)) / totalMb;
+      return kind ? [{ ...kind, layers }] : [];
+    });
+    const planned = estimateChainSpeed(toParts(engines, orders), IN_FLIGHT, MODEL);
+    const spread = estimateChainSpeed(evenly, IN_FLIGHT, MODEL);
+    assert.ok(planned.answerMs < spread.answerMs, `${planned.answerMs} and ${spread.answerMs} ms`);
+  });
+
+  it('gives the fastest engines the first layers, and every layer to somebody', () => {
+    const first = orders.find(({ firstLayer }) => firstLayer === 0);
+    assert.equal(first?.id, engines[0]?.id);
+    for (let layer = 0; layer < MODEL.layers; layer += 1) {
+      assert.ok(countCopies(orders, layer) >= 1, `layer ${layer}`);
+    }
+  });
+
+  it('puts second copies on the engines that are left over', () => {
+    const copied = Array.from({ length: MODEL.layers }, (_, layer) => countCopies(orders, layer));
+    assert.ok(copied.some((count) => count > 1));
+    assert.equal(new Set(orders.map(({ id }) => id)).size, engines.length);
+  });
+
+  it('gives an engine that comes back the layers that it runs faster than those that hold them', () => {
+    const held = engines.map((engine): PlacedEngine => {
+      const order = orders.find(({ id }) => id === engine.id);
+      return { ...engine, firstLayer: order?.firstLayer ?? 0, endLayer: order?.endLayer ?? 0 };
+    });
+    const without = held.slice(1);
+    const repairs = planPlacement(without, MODEL);
+    const repaired = without.map((engine): PlacedEngine => {
+      const order = repairs.find(({ id }) => id === engine.id);
+      return order ? { ...engine, ...order } : engine;
+    });
+    const back = { ...held[0], id: 'back', firstLayer: null, endLayer: null } as PlacedEngine;
+    const [order] = planPlacement([...repaired, back], MODEL);
+    assert.equal(order?.id, 'back');
+    assert.ok((order?.endLayer ?? 0) - (order?.firstLayer ?? 0) > 10);
+  });
+});
+
+describe('the speed of a chain', () => {
+  const PARTS: readonly ChainPart[] = [
+    { layers: 40, stepFactor: 1.4, readFactor: 1 },
+    { layers: 40, stepFactor: 16, readFactor: 8.2 },
+  ];
+
+  it('falls with the requests in flight, while the throughput rises', () => {
+    const few = estimateChainSpeed(PARTS, 10, MODEL);
+    const many = estimateChainSpeed(PARTS, 100, MODEL);
+    assert.ok(many.answerMs > few.answerMs);
+    assert.ok(many.requestsPerS > few.requestsPerS);
+  });
+
+  it('of a single request is the sum of its passes', () => {
+    const passMs = 2 * 0.5 * (MODEL.stepMs + 0.005 + 0.000007 * 858) * (1.4 + 16);
+    const { cycleMs } = estimateChainSpeed(PARTS, 0.001, MODEL);
+    assert.ok(Math.abs(cycleMs - passMs - 2 * 0.3) < passMs * 0.02, `${cycleMs} and ${passMs}`);
+  });
+});
--- a/packages/routing/__tests__/fixtures.ts
+++ b/packages/routing/__tests__/fixtures.ts
@@ -9,6 +9,8 @@
     layerMb: 1750,
     stepMs: 0.85,
     stepPerRequestMs: 0.005,
+    contextMsPerToken: 0.000007,
+    stepsPerPass: 2,
     readTokensPerS: 196_000,
     tokenBytes: 845_373,
     usualPromptTokens: 772,
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -1,7 +1,10 @@
 export * from './src/admission';
 export * from './src/backendLoad';
 export * from './src/chain';
+export * from './src/chainCapacity';
 export * from './src/chainCount';
+export * from './src/chainLayout';
+export * from './src/chainSpeed';
 export * from './src/fairQueue';
 export * from './src/lineage';
 export * from './src/retryBudget';
@@ -12,3 +15,4 @@
 export * from './src/stageChains';
 export * from './src/stagePath';
 export * from './src/windowBudget';
+export * from './src/unseenLoad';
--- a/packages/routing/src/layerSlots.ts
+++ b/packages/routing/src/layerSlots.ts
@@ -6,6 +6,7 @@
   readonly id: string;
   readonly memoryMb: number;
   readonly stepFactor: number;
+  readonly readFactor: number;
   readonly slots: number;
   readonly isOrderable: boolean;
   readonly held: Range | null;
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -1,15 +1,20 @@
 /**
  * Which engine is to hold which layers, inside each data centre.
  *
- * Memory that holds no layers holds requests, and one chain is as wide as its narrowest engine.
- * A second copy of a layer costs as much memory as two running requests, so layers are spread
- * thinly over all engines of a chain rather than doubled; a lost engine's part is taken over by
- * those that stand beside it. A data centre with the memory for it gets several chains of like
- * size (`planChainCount`). See docs/design/platform.md for what was measured.
+ * Each chain is laid out for short answers (`layOutChain`); what it does not need holds second
+ * copies. A lost engine's part is taken over by these, or by those that stand beside it. A data
+ * centre with the memory for it gets several chains of like size (`planChainCount`).
  */
 import { planChainCount, splitIntoChains } from './chainCount';
+import {
+  addSecondCopy,
+  chooseMemoryPerLayer,
+  findBestRange,
+  layOutChain,
+  layOutInOrder,
+} from './chainLayout';
 import { fillFromBeside, fillWithSpare, findHole } from './holeFilling';
-import { countCopies, findMemoryPerLayer, lengthOf } from './layerSlots';
+import { countCopies, findMemoryPerLayer } from './layerSlots';
 import type { Range, Slot } from './layerSlots';
 import type { ModelDescription } from './routingDocument';
 
@@ -35,16 +40,13 @@
   readonly endLayer: number;
 }
 
-/** Spreads all layers over the engines, in the order given. */
-function layOut(slots: readonly Slot[], model: ModelDescription): void {
+/** One layer too many costs a few requests; an order for it costs more. */
+const TRIM_SLACK = 1;
+
+/** Spreads all layers over the engines, in the order given, with like memory for each layer. */
+function spread(slots: readonly Slot[], model: ModelDescription): void {
   const memoryMb = findMemoryPerLayer(slots, model);
-  if (memoryMb === undefined) return;
-  let first = 0;
-  slots.forEach((slot) => {
-    const end = Math.min(model.layers, first + Math.floor(slot.memoryMb / memoryMb));
-    slot.planned = end > first ? { first, end } : slot.held;
-    first = end;
-  });
+  if (memoryMb !== undefined) layOutInOrder(slots, memoryMb, model);
 }
 
 function fillHoles(slots: readonly Slot[], model: ModelDescription): void {
@@ -59,40 +61,41 @@
   const free = slots.filter(({ isOrderable }) => isOrderable);
   if (free.length < slots.length) return;
   const order = (slot: Slot) => slot.held?.first ?? model.layers;
-  layOut(
+  spread(
     [...free].sort((a, b) => order(a) - order(b)),
     model,
   );
 }
 
-/** Memory for requests that the engines offer for each layer, in MB. */
-function roomByLayer(slots: readonly Slot[], model: ModelDescription): readonly number[] {
-  const room = new Array<number>(model.layers).fill(0);
-  slots.forEach(({ planned, memoryMb }) => {
+/** Time of a step at the fastest engine that holds each layer. */
+function stepFactorByLayer(slots: readonly Slot[], model: ModelDescription): readonly number[] {
+  const factors = new Array<number>(model.layers).fill(Number.POSITIVE_INFINITY);
+  slots.forEach(({ planned, stepFactor }) => {
     if (!planned) return;
-    const perLayer = memoryMb / lengthOf(planned) - model.layerMb;
     for (let layer = planned.first; layer < planned.end; layer += 1) {
-      room[layer] = (room[layer] ?? 0) + perLayer;
+      factors[layer] = Math.min(factors[layer] ?? stepFactor, stepFactor);
     }
   });
-  return room;
+  return factors;
 }
 
-/** Gives an empty engine the part of the chain that has least room for requests. */
-function relieve(slots: readonly Slot[], empty: Slot, memoryMb: number, model: ModelDescription) {
-  const length = Math.min(model.layers, Math.floor(empty.memoryMb / memoryMb));
+/**
+ * Gives an empty engine the layers that it runs so much faster than those that hold them now, or,
+ * where it is no faster, second copies.
+ */
+function employ(
+  slots: readonly Slot[],
+  empty: Slot,
+  perLayerMb: number,
+  model: ModelDescription,
+): void {
+  const length = Math.min(model.layers, Math.floor(empty.memoryMb / perLayerMb));
   if (length === 0) return;
-  const room = roomByLayer(slots, model);
-  let best = 0;
-  let bestRoom = Number.POSITIVE_INFINITY;
-  for (let first = 0; first + length <= model.layers; first += 1) {
-    const sum = room.slice(first, first + length).reduce((total, value) => total + value, 0);
-    if (sum < bestRoom) {
-      bestRoom = sum;
-      best = first;
-    }
-  }
-  empty.planned = { first: best, end: best + length };
+  const gains = stepFactorByLayer(slots, model).map((factor) =>
+    Math.max(0, factor - empty.stepFactor),
+  );
+  if (gains.some((gain) => gain > 0)) empty.planned = findBestRange(gains, length);
+  else addSecondCopy(slots, empty, perLayerMb, model);
 }
 
 /** Takes layers that others hold too from engines that hold more than their share. */
@@ -100,7 +103,7 @@
   const copies = countCopies(slots, model.layers);
   slots.forEach((slot) => {
     if (!slot.isOrderable || !slot.planned || slot.held === null) return;
-    const share = Math.max(1, Math.floor(slot.memoryMb / memoryMb));
+    const share = Math.floor(slot.memoryMb / memoryMb) + TRIM_SLACK;
     let { first, end } = slot.planned;
     while (end - first > share && (copies[end - 1] ?? 0) > 1) {
       end -= 1;
@@ -115,13 +118,16 @@
 }
 
 function improve(slots: readonly Slot[], model: ModelDescription, chains: number): void {
-  const memoryMb = findMemoryPerLayer(slots, model, chains);
   // One thing at a time: what is being loaded shows before the next step is decided.
-  if (memoryMb === undefined || slots.some(({ isOrderable }) => !isOrderable)) return;
+  if (slots.some(({ isOrderable }) => !isOrderable)) return;
   const empties = slots.filter(({ planned }) => planned === null);
+  if (empties.length === 0 && chains > 1) return;
+  const memoryMb =
+    chains > 1 ? findMemoryPerLayer(slots, model, chains) : chooseMemoryPerLayer(slots, model);
+  if (memoryMb === undefined) return;
   // With several chains every layer is held more than once on purpose.
-  if (empties.length === 0 && chains === 1) trim(slots, memoryMb, model);
-  empties.forEach((empty) => relieve(slots, empty, memoryMb, model));
+  if (empties.length === 0) trim(slots, memoryMb, model);
+  empties.forEach((empty) => employ(slots, empty, memoryMb, model));
 }
 
 function isSame(a: Range | null, b: Range | null): boolean {
@@ -140,12 +146,23 @@
     const { id, firstLayer, endLayer, isOrderable } = engine;
     const held =
       firstLayer === null || endLayer === null ? null : { first: firstLayer, end: endLayer };
-    const { memoryMb, stepFactor } = kind;
-    return [{ id, memoryMb, stepFactor, slots: engine.slots, isOrderable, held, planned: held }];
+    const { memoryMb, stepFactor, readFactor } = kind;
+    return [
+      {
+        id,
+        memoryMb,
+        stepFactor,
+        readFactor,
+        slots: engine.slots,
+        isOrderable,
+        held,
+        planned: held,
+      },
+    ];
   });
   const chains = planChainCount(slots, model);
   if (slots.every(({ held }) => held === null)) {
-    splitIntoChains(slots, chains).forEach((chain) => layOut(chain, model));
+    splitIntoChains(slots, chains).forEach((chain) => layOutChain(chain, model));
   } else if (findHole(countCopies(slots, model.layers))) fillHoles(slots, model);
   else if (mayImprove) improve(slots, model, chains);
   return slots.flatMap(({ id, held, planned }) =>
--- a/packages/routing/src/routingDocument.ts
+++ b/packages/routing/src/routingDocument.ts
@@ -48,6 +48,10 @@
   readonly stepMs: number;
   /** What each running request adds to that. */
   readonly stepPerRequestMs: number;
+  /** What each token that such a request has so far adds to that. */
+  readonly contextMsPerToken: number;
+  /** Tokens that an engine writes for each request before it looks for others. */
+  readonly stepsPerPass: number;
   readonly readTokensPerS: number;
   /** Memory of one token over all layers. */
   readonly tokenBytes: number;
--- a/packages/routing/src/stageChains.ts
+++ b/packages/routing/src/stageChains.ts
@@ -17,6 +17,8 @@
  * exactly belong together, whatever the speed of those beside them.
  */
 const UNUSED_LAYER_COST_MS = 10;
+/** Where the layers are for one chain only, the fastest path over them is the best. */
+const UNUSED_LAYER_COST_ALONE_MS = 0;
 /** An engine that another chain uses already costs so many times more. */
 const SHARED_COST_FACTOR = 3;
 /** A chain that shares more of its layers than this with others adds little that they lack. */
@@ -40,7 +42,9 @@
   const ordered = [...engines].sort((a, b) => (a.id < b.id ? -1 : 1));
   const used = new Set<string>();
   const chains: StageChain[] = [];
-  const options = { toLayer: layers, unusedLayerCostMs: UNUSED_LAYER_COST_MS };
+  const held = ordered.reduce((sum, { firstLayer, endLayer }) => sum + endLayer - firstLayer, 0);
+  const unusedLayerCostMs = held < 2 * layers ? UNUSED_LAYER_COST_ALONE_MS : UNUSED_LAYER_COST_MS;
+  const options = { toLayer: layers, unusedLayerCostMs };
 
   function take(stages: readonly PathStage[]): void {
     chains.push({ stages });
