feat(entry,controller): loads of others counted once, extrapolated, and never in the way of an entry's own part

Cause: entries held chains for full that were empty, and emptied their lines into a chain that came back: 205 streams within two seconds on one for 134; 33 in flight on a chain that was told to have 154. Three faults: an entry that went over to another control VM was counted at both for 2.6 s, as was a restarted one; loads are up to two seconds old; and the cheapest chain was taken without room though a dearer one had room. Ruled out: exchange every 250 ms alone. Change: load sums drop an entry that states itself elsewhere, and its earlier runs; unseenLoad extrapolates this entry's own rise to the others; each entry may always use its own part of a chain; a chain with room goes before one without. Lines of waiting requests still stand for seconds; that is next.

--- a/packages/controller/__tests__/loadSums.spec.ts
+++ b/packages/controller/__tests__/loadSums.spec.ts
@@ -3,6 +3,7 @@
 import type { FactUpdate, SystemFact } from '@spoolplank/membership';
 import { createManualClock } from '@spoolplank/shared';
 import { createLoadSums } from '../src/loadSums';
+import type { LoadSumsOptions } from '../src/loadSums';
 
 function createStatement(
   entry: string,
@@ -12,24 +13,51 @@
   return { key: `load/${entry}`, sequence, ageMs: 0, body: { kind: 'load', inFlight } };
 }
 
+function createSums(options: Partial<LoadSumsOptions> = {}) {
+  return createLoadSums({
+    clock: createManualClock(),
+    retentionMs: 1000,
+    isStatedElsewhere: () => false,
+    ...options,
+  });
+}
+
 describe('the sum of the loads of entries', () => {
   it('counts each entry once, by its latest statement', () => {
-    const sums = createLoadSums({ clock: createManualClock(), retentionMs: 1000 });
-    sums.take([createStatement('e1', 2, { head: 5 }), createStatement('e2', 1, { head: 1 })]);
-    sums.take([createStatement('e1', 1, { head: 9 })]);
+    const sums = createSums();
+    sums.take([createStatement('h1/e', 2, { head: 5 }), createStatement('h2/e', 1, { head: 1 })]);
+    sums.take([createStatement('h1/e', 1, { head: 9 })]);
     assert.deepEqual(sums.sum().inFlight, { head: 6 });
   });
 
   it('forgets an entry that is silent', () => {
     const clock = createManualClock();
-    const sums = createLoadSums({ clock, retentionMs: 1000 });
+    const sums = createSums({ clock });
     sums.take([createStatement('e1', 1, { head: 5 })]);
     clock.advance(1001);
     assert.deepEqual(sums.sum().inFlight, {});
   });
 
+  it('does not count an entry twice that has gone over to another control VM', () => {
+    const moved = new Set<string>();
+    const sums = createSums({ isStatedElsewhere: (key) => moved.has(key) });
+    sums.take([createStatement('h1/run', 1, { head: 5 }), createStatement('h2/run', 1, {})]);
+    moved.add('load/h1/run');
+    assert.deepEqual(sums.sum().inFlight, {});
+  });
+
+  it('forgets what an earlier run on the same VM had in flight', () => {
+    const sums = createSums();
+    sums.take([createStatement('h1/before', 7, { head: 5 })]);
+    sums.take([
+      createStatement('h1/after', 1, { head: 2 }),
+      createStatement('h2/x', 1, { head: 1 }),
+    ]);
+    assert.deepEqual(sums.sum().inFlight, { head: 3 });
+  });
+
   it('returns the other statements', () => {
-    const sums = createLoadSums({ clock: createManualClock(), retentionMs: 1000 });
+    const sums = createSums();
     const suspicion: FactUpdate<SystemFact> = {
       key: 'suspicion/e',
       sequence: 1,
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -119,7 +119,14 @@
   });
 
   wakeFeed = () => feed.wake();
-  const loads = createLoadSums({ clock, retentionMs: LOAD_RETENTION_MS });
+  const loads = createLoadSums({
+    clock,
+    retentionMs: LOAD_RETENTION_MS,
+    isStatedElsewhere: (key) => {
+      const member = table.find(FACT_KEYS.memberOfLoad(key));
+      return member !== undefined && member.origin !== '';
+    },
+  });
 
   let decoded: RoutingDocument | null = null;
   function currentDocument(): RoutingDocument | null {
--- a/packages/controller/src/loadSums.ts
+++ b/packages/controller/src/loadSums.ts
@@ -6,6 +6,8 @@
   readonly clock: Clock;
   /** An entry that has stated nothing for so long is gone, or states its load elsewhere. */
   readonly retentionMs: number;
+  /** Whether an entry, by the key of its load, states that to another control VM by now. */
+  readonly isStatedElsewhere: (key: string) => boolean;
 }
 
 export interface LoadSums {
@@ -21,14 +23,28 @@
   readonly inFlight: LoadFact['inFlight'];
 }
 
-export function createLoadSums({ clock, retentionMs }: LoadSumsOptions): LoadSums {
+/** A VM runs one entry: the load of an earlier run of it ended with that. */
+function isOfSameVm(a: string, b: string): boolean {
+  const vmOf = (key: string) => key.slice(0, key.lastIndexOf('/'));
+  return vmOf(a) === vmOf(b);
+}
+
+export function createLoadSums(options: LoadSumsOptions): LoadSums {
+  const { clock, retentionMs, isStatedElsewhere } = options;
   const loads = new Map<string, StatedLoad>();
 
+  function dropEarlierRuns(key: string): void {
+    loads.forEach((_, other) => {
+      if (other !== key && isOfSameVm(other, key)) loads.delete(other);
+    });
+  }
+
   return {
     take(updates) {
       return updates.filter(({ key, sequence, body }) => {
         if (body?.kind !== 'load') return true;
         const known = loads.get(key);
+        if (!known) dropEarlierRuns(key);
         if (!known || known.sequence < sequence) {
           loads.set(key, { sequence, heardAtMs: clock.nowMs(), inFlight: body.inFlight });
         }
@@ -39,7 +55,7 @@
       const oldestMs = clock.nowMs() - retentionMs;
       const inFlight: Record<string, number> = {};
       loads.forEach((load, key) => {
-        if (load.heardAtMs < oldestMs) {
+        if (load.heardAtMs < oldestMs || isStatedElsewhere(key)) {
           loads.delete(key);
           return;
         }
--- a/packages/entry/__tests__/routingView.spec.ts
+++ b/packages/entry/__tests__/routingView.spec.ts
@@ -3,6 +3,7 @@
 import { FACT_KEYS, FINAL_SEQUENCE } from '@spoolplank/membership';
 import { createSeededRandom } from '@spoolplank/shared';
 import { createChainChoice } from '../src/chainChoice';
+import type { ChainChoiceOptions } from '../src/chainChoice';
 import { createEventSplitter } from '../src/eventSplitter';
 import { createEngine, createTables, MODEL } from './fixtures';
 
@@ -65,15 +66,22 @@
 });
 
 describe('the choice of a chain', () => {
-  function createChoice(own: Readonly<Record<string, number>> = {}, slow = '') {
+  function createChoice(
+    own: Readonly<Record<string, number>> = {},
+    slow = '',
+    overrides: Partial<ChainChoiceOptions> = {},
+  ) {
     const tables = createTables();
     const chains = createChainChoice({
       view: tables.view,
       random: createSeededRandom(1),
       dataCentre: 'a',
       ownInFlight: (headId) => own[headId] ?? 0,
+      entries: () => 1,
+      unseenInFlight: () => 0,
       firstEventMs: (headId) => (headId === slow ? 2000 : 50),
       isAvoided: () => false,
+      ...overrides,
     });
     tables.announce(createEngine('a1', 0, 4));
     tables.announce(createEngine('a2', 4, 8));
@@ -107,6 +115,21 @@
     assert.ok(chain && chain.inFlight < chain.capacity);
   });
 
+  it('takes a dear chain with room rather than a cheap one without', () => {
+    const { chains } = createChoice({ a1: 4.5, b1: 3 }, 'b1');
+    const chain = chains.choose('engines', MODEL, none);
+    assert.equal(chain?.dataCentre, 'b');
+    assert.equal(chain.hasRoom, true);
+  });
+
+  it('leaves each of two entries its own half, whatever the other one seems to have taken', () => {
+    const seemsFull = { entries: () => 2, unseenInFlight: () => 100 };
+    const free = createChoice({ a1: 1, b1: 1 }, '', seemsFull);
+    assert.equal(free.chains.choose('engines', MODEL, none)?.hasRoom, true);
+    const taken = createChoice({ a1: 2.5, b1: 2.5 }, '', seemsFull);
+    assert.equal(taken.chains.choose('engines', MODEL, none)?.hasRoom, false);
+  });
+
   it('goes to another data centre when its own is full, slow, or lacks a layer', () => {
     assert.equal(createChoice({ a1: 4 }).chains.choose('engines', MODEL, none)?.dataCentre, 'b');
     assert.equal(createChoice({}, 'a1').chains.choose('engines', MODEL, none)?.dataCentre, 'b');
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -54,6 +54,8 @@
     random: createSeededRandom(1),
     dataCentre: 'a',
     ownInFlight: () => 0,
+    entries: () => 1,
+    unseenInFlight: () => 0,
     firstEventMs: () => 0,
     isAvoided: () => false,
   });
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -1,12 +1,7 @@
 /** Choice of a chain for a stream among those of all data centres, by their load. */
 import type { BackendFact } from '@spoolplank/membership';
-import {
-  countChainsByEngine,
-  findStageChains,
-  findStagePath,
-  requestMemoryMb,
-} from '@spoolplank/routing';
-import type { ModelDescription, PathStage, StageChain, StageEngine } from '@spoolplank/routing';
+import { findStageChains, findStagePath, rateCapacities } from '@spoolplank/routing';
+import type { CapacityEngine, ModelDescription, PathStage, StageEngine } from '@spoolplank/routing';
 import type { Random } from '@spoolplank/shared';
 import type { RoutingView } from './routingView';
 
@@ -16,6 +11,10 @@
   readonly dataCentre: string;
   /** Requests of this entry in flight on the chain that begins with an engine. */
   readonly ownInFlight: (headId: string) => number;
+  /** Entries that share the chains, this one included. */
+  readonly entries: () => number;
+  /** Requests that other entries have probably begun there and not told of yet. */
+  readonly unseenInFlight: (headId: string) => number;
   /** Recent time to a first event on the chain that begins with an engine, in milliseconds. */
   readonly firstEventMs: (headId: string) => number;
   /** Engines to leave out for now, by instance. */
@@ -100,18 +99,19 @@
   };
 }
 
-/** Requests of usual size that a stage's memory holds beside its weights. */
-function stageCapacity(
-  fact: BackendFact | undefined,
-  stage: PathStage,
-  model: ModelDescription,
-): number {
-  const kind = model.kinds.find(({ name }) => name === fact?.engine?.acceleratorKind);
-  const held = fact?.engine?.held;
-  if (!kind || !held) return 0;
-  const freeMb = kind.memoryMb - (held.endLayer - held.firstLayer) * model.layerMb;
-  const share = (stage.endLayer - stage.firstLayer) / model.layers;
-  return freeMb / (requestMemoryMb(model) * share);
+function toCapacityEngines(facts: readonly BackendFact[]): readonly CapacityEngine[] {
+  return facts.flatMap(({ instanceId, slots, engine }) =>
+    engine?.held
+      ? [
+          {
+            id: instanceId,
+            acceleratorKind: engine.acceleratorKind,
+            heldLayers: engine.held.endLayer - engine.held.firstLayer,
+            slots,
+          },
+        ]
+      : [],
+  );
 }
 
 /**
@@ -134,23 +134,6 @@
   );
 }
 
-/** Requests that a chain holds: by the memory of each stage, and by the places of the first. */
-function chainCapacity(
-  { stages }: StageChain,
-  facts: ReadonlyMap<string, BackendFact>,
-  chainsByEngine: ReadonlyMap<string, number>,
-  model: ModelDescription,
-): number {
-  const [head] = stages;
-  if (!head) return 0;
-  const shareOf = (id: string) => chainsByEngine.get(id) ?? 1;
-  const byMemory = stages.map(
-    (stage) => stageCapacity(facts.get(stage.id), stage, model) / shareOf(stage.id),
-  );
-  const places = (facts.get(head.id)?.slots ?? 0) / shareOf(head.id);
-  return Math.min(places, ...byMemory);
-}
-
 export function createChainChoice(options: ChainChoiceOptions): ChainChoice {
   const { view, random, isAvoided, ownInFlight } = options;
   const cache = new Map<string, CachedChains>();
@@ -163,12 +146,11 @@
       .filter(({ instanceId }) => !isAvoided(instanceId))
       .flatMap((fact) => toStageEngine(fact, model) ?? []);
     const chains = findStageChains(engines, { layers: model.layers });
-    const byId = new Map(facts.map((fact) => [fact.instanceId, fact]));
-    const chainsByEngine = countChainsByEngine(chains);
-    return chains.map((chain) => ({
-      headId: chain.stages[0]?.id ?? '',
-      stages: chain.stages,
-      capacity: chainCapacity(chain, byId, chainsByEngine, model),
+    const capacities = rateCapacities(chains, toCapacityEngines(facts), model);
+    return chains.map(({ stages }, index) => ({
+      headId: stages[0]?.id ?? '',
+      stages,
+      capacity: capacities[index] ?? 0,
     }));
   }
 
@@ -190,11 +172,17 @@
 
   function toCandidate(chain: RatedChain, dataCentre: string): Candidate {
     const { headId, stages, capacity } = chain;
-    const inFlight = ownInFlight(headId) + view.othersInFlight(headId);
+    const own = ownInFlight(headId);
+    const told = own + view.othersInFlight(headId);
+    const inFlight = told + options.unseenInFlight(headId);
     const isLocal = dataCentre === options.dataCentre;
     const slowness = options.firstEventMs(headId) / SLOW_FIRST_EVENT_MS;
     const cost = inFlight / Math.max(1, capacity) + (isLocal ? 0 : REMOTE_PENALTY) + slowness;
-    const hasRoom = inFlight < capacity * ADMITTED_SHARE;
+    const admitted = capacity * ADMITTED_SHARE;
+    // An entry's own part of a chain is free whatever it has heard of the others: all the parts
+    // together are no more than the chain holds. Beyond it, it takes what others seem to leave.
+    const ownPart = admitted / Math.max(1, options.entries());
+    const hasRoom = own < ownPart || inFlight < admitted;
     return { chain: { dataCentre, headId, stages, capacity, inFlight, hasRoom }, cost, isLocal };
   }
 
@@ -227,8 +215,9 @@
       const remote = candidates.filter(({ isLocal }) => !isLocal);
       const drawn = findCheapest([...pickTwo(local, random), ...pickTwo(remote, random)]);
       // Nobody is refused while any chain has room.
-      const best = drawn?.chain.hasRoom ? drawn : findCheapest(candidates);
-      return best?.chain;
+      if (drawn?.chain.hasRoom) return drawn.chain;
+      const withRoom = candidates.filter(({ chain }) => chain.hasRoom);
+      return (findCheapest(withRoom) ?? findCheapest(candidates))?.chain;
     },
     repair(service, model, stages, lostIds) {
       const [head] = stages;
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -249,6 +249,9 @@
     random,
     dataCentre,
     ownInFlight: (headId) => streams.countOn(headId),
+    entries: () => view.listMembers('entry').length,
+    unseenInFlight: (headId) =>
+      streams.estimateUnseen(headId, Math.max(0, view.listMembers('entry').length - 1)),
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAvoided: health.isAvoided,
   });
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -1,4 +1,5 @@
 /** The streams that run through this entry. */
+import { createUnseenLoad } from '@spoolplank/routing';
 import type { ModelDescription, PathStage } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import type { AdmittedRequest } from './entryContext';
@@ -34,6 +35,8 @@
   list(): Iterable<StreamRow>;
   /** Streams in flight on the chain that begins with an engine. */
   countOn(headId: string): number;
+  /** Streams that so many other entries have probably begun on a chain and not told of yet. */
+  estimateUnseen(headId: string, peers: number): number;
   /** Notes how long a first event took on a chain. */
   noteFirstEvent(headId: string, durationMs: number): void;
   /**
@@ -45,6 +48,8 @@
   counts(): Readonly<Record<string, number>>;
 }
 
+/** Loads pass two control VMs at most, each of which holds them back for up to 0.8 s. */
+const UNSEEN_WINDOW_MS = 1600;
 const NEW_WEIGHT = 0.2;
 /** After so long without a measurement half of the last one is left, and a trial is due. */
 const HALF_LIFE_MS = 1500;
@@ -60,8 +65,10 @@
   const rows = new Set<StreamRow>();
   const countByHead = new Map<string, number>();
   const firstEvents = new Map<string, FirstEvents>();
+  const unseen = createUnseenLoad({ clock, windowMs: UNSEEN_WINDOW_MS });
 
-  function addTo(headId: string, by: number): void {
+  function addTo(headId: string, by: 1 | -1): void {
+    unseen.note(headId, by);
     const count = (countByHead.get(headId) ?? 0) + by;
     if (count > 0) countByHead.set(headId, count);
     else countByHead.delete(headId);
@@ -77,6 +84,7 @@
     },
     list: () => rows,
     countOn: (headId) => countByHead.get(headId) ?? 0,
+    estimateUnseen: (headId, peers) => unseen.estimate(headId, countByHead.get(headId) ?? 0, peers),
     noteFirstEvent(headId, durationMs) {
       const atMs = clock.nowMs();
       const known = firstEvents.get(headId) ?? { meanMs: durationMs, atMs };
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -69,6 +69,8 @@
 export const FACT_KEYS = {
   member: (host: string, run: string) => `member/${host}/${run}`,
   load: (host: string, run: string) => `load/${host}/${run}`,
+  /** The key of the entry that states a load. */
+  memberOfLoad: (loadKey: string) => loadKey.replace(/^load/, 'member'),
   backend: (instanceId: string) => `backend/${instanceId}`,
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
 } as const;
