feat(controller,entry,routing): slow engines are found and replaced, layouts change in steps, begun streams wait for room

Change: each control VM asks the engines of its data centre every 2 s how fast they are (PaceFact); paths go round slow ones, the planner replaces them. Holes that are still served are filled without taking a layer from anybody; where a layer is missing altogether engines give up the old ones at once. Streams count by tokens. Begun streams wait for room up to 1.4 s of silence. More than its own part an entry takes only up to 0.8 of a chain. Engines are connected to only when everything on a path is silent.

--- a/packages/bench/src/benches/feed.ts
+++ b/packages/bench/src/benches/feed.ts
@@ -125,6 +125,7 @@
     endLayer: null,
     isOrderable: true,
     isReliable: true,
+    isServing: true,
   }));
 }
 
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -26,6 +26,7 @@
 import { createDocumentCalls } from './documentCalls';
 import type { EngineOrders } from './engineOperations';
 import { createLoadSums } from './loadSums';
+import { createPaceWatch } from './paceWatch';
 import { createPlacementLoop } from './placementLoop';
 
 export interface ControlNodeOptions {
@@ -146,6 +147,31 @@
     announcementMs: options.announcementMs,
   });
 
+  /** The control VM with the first name asks for its data centre, so that only one does. */
+  function isAppointed(): boolean {
+    const nowMs = clock.nowMs();
+    const here = table
+      .list()
+      .flatMap(({ body, heardAtMs }) =>
+        body.kind === 'member' &&
+        body.role === 'control' &&
+        body.dataCentre === dataCentre &&
+        nowMs - heardAtMs < MEMBER_LOST_MS
+          ? [body.host]
+          : [],
+      );
+    return [host, ...here].sort()[0] === host;
+  }
+
+  const paceWatch = createPaceWatch({
+    clock,
+    log,
+    table,
+    orders: options.engineOrders,
+    dataCentre,
+    isAppointed,
+  });
+
   function listControlHosts(): readonly string[] {
     const nowMs = clock.nowMs();
     const known = table
@@ -210,6 +236,7 @@
     }
     if (ticks % LOAD_TICKS === 0) stateLoads();
     placement.tick();
+    paceWatch.tick();
     scheduleTimer(tick, TICK_MS);
   }
 
--- a/packages/controller/src/engineOperations.ts
+++ b/packages/controller/src/engineOperations.ts
@@ -10,15 +10,27 @@
 /** `refused`: the engine answered that the order does not fit, and nothing has begun. */
 export type OrderOutcome = 'begun' | 'already-so' | 'refused' | 'unknown';
 
+export interface EngineState {
+  /** The layers that it holds; null when there are none. */
+  readonly held: LayerRange | null;
+  /** How much longer it takes for everything than its kind does. */
+  readonly slowdown: number;
+}
+
+export interface PlaceOrder extends LayerRange {
+  /** Whether requests that run over layers given up are ended rather than waited for. */
+  readonly isPreempting: boolean;
+}
+
 export interface EngineOrders {
   /** Orders an engine to hold just this range; resolves with what it answered. */
-  place(engine: EngineAddress, range: LayerRange): Promise<OrderOutcome>;
+  place(engine: EngineAddress, order: PlaceOrder): Promise<OrderOutcome>;
   /**
-   * The layers that an engine holds now; null when it holds none.
+   * What an engine says of itself now.
    *
    * @throws SpoolplankError `unreachable`.
    */
-  readLayers(engine: EngineAddress): Promise<LayerRange | null>;
+  inspect(engine: EngineAddress): Promise<EngineState>;
   /** Whether a new connection to the address is accepted in time. */
   isReachable(address: string, timeoutMs: number): Promise<boolean>;
 }
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -1,5 +1,5 @@
 /** Gives the orders that bring every layer of a model to the engines; see `planPlacement`. */
-import { FACT_KEYS, lostAfterMs } from '@spoolplank/membership';
+import { FACT_KEYS, lostAfterMs, readSlowdown } from '@spoolplank/membership';
 import type { BackendFact, Fact, FactTable, LayerRange, SystemFact } from '@spoolplank/membership';
 import { delay } from '@spoolplank/node';
 import type { EventLog } from '@spoolplank/node';
@@ -57,6 +57,10 @@
 const REACH_TIMEOUTS_MS: readonly number[] = [150, 300];
 /** How often an engine is asked whether it has loaded what it was ordered to. */
 const LOAD_POLL_MS = 250;
+/** An engine that refuses is busy with an earlier order, for as long as streams run over it. */
+const REFUSED_PAUSE_MS = 2000;
+/** An engine that takes so many times longer holds up every stream of its chain: it is replaced. */
+const TOO_SLOW = 2.5;
 /** Steps of a sequence between two announcements, for what is known before the next one. */
 const ORDERED_STEP = 0.25;
 const LOADED_STEP = 0.5;
@@ -81,10 +85,17 @@
   const { clock, log, table, orders, announcementMs } = options;
   const pending = new Map<string, PendingOrder>();
   const witnesses = new Map<string, Witness>();
+  const doubtfulUntilMs = new Map<string, number>();
+  const refusedAtMs = new Map<string, number>();
   const orderedAtMs = new Map<string, number>();
   let orderableSinceMs: number | null = null;
   let gathered = { count: 0, atMs: Number.NEGATIVE_INFINITY };
 
+  function wasRefusedLately(instanceId: string): boolean {
+    const atMs = refusedAtMs.get(instanceId) ?? Number.NEGATIVE_INFINITY;
+    return clock.nowMs() - atMs < REFUSED_PAUSE_MS;
+  }
+
   /** Looks for itself before it believes that an engine is lost: loads are dear. */
   function isConfirmedLost({ body, sequence }: EngineRow): boolean {
     const { instanceId, address } = body;
@@ -112,10 +123,20 @@
     table.put(known.key, Math.floor(known.sequence) + step, body);
   }
 
+  async function readHeld(engine: EngineAddress): Promise<LayerRange | null> {
+    try {
+      return (await orders.inspect(engine)).held;
+    } catch (error) {
+      // It may be busy or gone: its announcements, or their end, will tell.
+      log.info('engine-unread', { engine: engine.instanceId, problem: String(error) });
+      return null;
+    }
+  }
+
   async function followLoad(engine: EngineAddress, range: LayerRange): Promise<void> {
     while (pending.get(engine.instanceId)?.range === range) {
       await delay(LOAD_POLL_MS);
-      const held = await orders.readLayers(engine).catch(() => null);
+      const held = await readHeld(engine);
       if (isSameRange(held, range)) {
         publish(engine.instanceId, held, LOADED_STEP);
         return;
@@ -130,7 +151,11 @@
     const range = order?.range ?? engine?.held ?? null;
     const isSuspect = isConfirmedLost(row);
     const isHeard = newestMs - heardAtMs < lostAfterMs(announcementMs);
-    const isReliable = isHeard && !isSuspect && state === 'ready';
+    const isServing = isHeard && !isSuspect && state !== 'gone';
+    const slowdown = readSlowdown(table, instanceId, clock.nowMs());
+    const isDoubtful = (doubtfulUntilMs.get(instanceId) ?? 0) > clock.nowMs();
+    const isStaying = state === 'ready' && slowdown < TOO_SLOW && !isDoubtful;
+    const isReliable = isServing && isStaying;
     return {
       id: instanceId,
       dataCentre,
@@ -138,8 +163,9 @@
       slots,
       firstLayer: range?.firstLayer ?? null,
       endLayer: range?.endLayer ?? null,
-      isOrderable: isReliable && order === undefined,
+      isOrderable: isReliable && order === undefined && !wasRefusedLately(instanceId),
       isReliable,
+      isServing,
     };
   }
 
@@ -156,19 +182,26 @@
 
   async function give(engine: EngineRow, order: PlacementOrder, loadMs: number): Promise<void> {
     const { instanceId, address } = engine.body;
-    const { firstLayer, endLayer } = order;
+    const { firstLayer, endLayer, isPreempting } = order;
     const range = { firstLayer, endLayer };
     orderedAtMs.set(engine.body.dataCentre, clock.nowMs());
     pending.set(instanceId, { range, untilMs: clock.nowMs() + loadMs + ORDER_MARGIN_MS });
-    const outcome = await orders.place({ instanceId, address }, range);
+    const outcome = await orders.place({ instanceId, address }, { ...range, isPreempting });
     log.info('order-given', {
       engine: instanceId,
       ...range,
+      isPreempting,
       outcome,
       announcedAgeMs: Math.round(clock.nowMs() - engine.heardAtMs),
     });
+    if (outcome === 'unknown') {
+      // It may be carried out at any moment, or never: meanwhile others get what is missing.
+      doubtfulUntilMs.set(instanceId, clock.nowMs() + loadMs + ORDER_MARGIN_MS);
+      return;
+    }
     if (outcome === 'refused') {
       pending.delete(instanceId);
+      refusedAtMs.set(instanceId, clock.nowMs());
       return;
     }
     publish(instanceId, intersect(engine.body.engine?.held ?? null, range), ORDERED_STEP);
--- a/packages/entry/__tests__/routingView.spec.ts
+++ b/packages/entry/__tests__/routingView.spec.ts
@@ -130,6 +130,23 @@
     assert.equal(taken.chains.choose('engines', MODEL, none)?.hasRoom, false);
   });
 
+  it('lends what others leave only up to a part of the chain', () => {
+    const { chains } = createChoice({ a1: 4, b1: 4 }, '', { entries: () => 9 });
+    const chain = chains.choose('engines', MODEL, none);
+    assert.equal(chain?.hasRoom, false);
+    assert.equal(chain.hasRoomForBegun, true);
+  });
+
+  it('goes round a slow engine where another one holds its layers too', () => {
+    const { chains, announce, table, clock } = createChoice();
+    announce(createEngine('a3', 4, 8));
+    const pathOf = () => chains.choose('engines', MODEL, none)?.stages.map(({ id }) => id);
+    const [, usual = ''] = pathOf() ?? [];
+    clock.advance(200);
+    table.put(FACT_KEYS.pace(usual), 1, { kind: 'pace', instanceId: usual, slowdown: 12 });
+    assert.notEqual(pathOf()?.[1], usual);
+  });
+
   it('goes to another data centre when its own is full, slow, or lacks a layer', () => {
     assert.equal(createChoice({ a1: 4 }).chains.choose('engines', MODEL, none)?.dataCentre, 'b');
     assert.equal(createChoice({}, 'a1').chains.choose('engines', MODEL, none)?.dataCentre, 'b');
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -78,6 +78,7 @@
     },
     model: MODEL,
     headId: 'a1',
+    size: 1,
     stages: [
       { id: 'a1', address: 'a1:80', firstLayer: 0, endLayer: 4 },
       { id: 'a2', address: 'a2:80', firstLayer: 4, endLayer: 8 },
@@ -97,6 +98,8 @@
   streams.add(row);
   return {
     row,
+    streams,
+    clock,
     repairs,
     cuts,
     suspects,
@@ -111,6 +114,16 @@
 }
 
 describe('a stream that fell silent', () => {
+  it('is no reason to connect to engines while others go on over the same path', async () => {
+    const { row, streams, clock, counts, pass } = createSetting();
+    clock.advance(120);
+    streams.add({ ...row, lastProgressAtMs: clock.nowMs() });
+    await pass(60);
+    assert.equal(counts().connections, 0);
+    await pass(200);
+    assert.ok(counts().connections > 0);
+  });
+
   it('is left alone while its pause is on time', async () => {
     const setting = createSetting();
     await setting.pass(140);
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -32,6 +32,8 @@
   readonly inFlight: number;
   /** Whether a new stream may go there. */
   readonly hasRoom: boolean;
+  /** Whether the rest of a begun stream may go there: what new ones leave free is for these. */
+  readonly hasRoomForBegun: boolean;
 }
 
 export interface ChainChoice {
@@ -71,8 +73,13 @@
 
 /** What the way to another data centre counts for, as a share of a chain's capacity. */
 const REMOTE_PENALTY = 0.25;
-/** What is known of a chain's load is up to two seconds old; a full engine costs a retry. */
+/** Share of a chain that new streams may take altogether; the rest is for those that have begun. */
 const ADMITTED_SHARE = 0.92;
+/**
+ * Share up to which an entry takes more than its own part: what it knows of the others is up to
+ * two seconds old, and a chain that is overfilled puts requests back and reads them again.
+ */
+const LENT_SHARE = 0.8;
 /** A first event that takes so long counts as much as a chain that is full. */
 const SLOW_FIRST_EVENT_MS = 500;
 const MS_PER_S = 1000;
@@ -86,7 +93,11 @@
   return perTokenMs / model.layers;
 }
 
-function toStageEngine(fact: BackendFact, model: ModelDescription): StageEngine | null {
+function toStageEngine(
+  fact: BackendFact,
+  model: ModelDescription,
+  slowdown: number,
+): StageEngine | null {
   const { instanceId, address, engine } = fact;
   if (!engine?.held) return null;
   const { firstLayer, endLayer } = engine.held;
@@ -95,7 +106,7 @@
     address,
     firstLayer,
     endLayer,
-    layerCostMs: layerCostMs(engine.acceleratorKind, model),
+    layerCostMs: layerCostMs(engine.acceleratorKind, model) * slowdown,
   };
 }
 
@@ -144,7 +155,7 @@
   ): readonly RatedChain[] {
     const engines = facts
       .filter(({ instanceId }) => !isAvoided(instanceId))
-      .flatMap((fact) => toStageEngine(fact, model) ?? []);
+      .flatMap((fact) => toStageEngine(fact, model, view.slowdownOf(fact.instanceId)) ?? []);
     const chains = findStageChains(engines, { layers: model.layers });
     const capacities = rateCapacities(chains, toCapacityEngines(facts), model);
     return chains.map(({ stages }, index) => ({
@@ -182,8 +193,10 @@
     // An entry's own part of a chain is free whatever it has heard of the others: all the parts
     // together are no more than the chain holds. Beyond it, it takes what others seem to leave.
     const ownPart = admitted / Math.max(1, options.entries());
-    const hasRoom = own < ownPart || inFlight < admitted;
-    return { chain: { dataCentre, headId, stages, capacity, inFlight, hasRoom }, cost, isLocal };
+    const hasRoom = own < ownPart || inFlight < capacity * LENT_SHARE;
+    const hasRoomForBegun = hasRoom || inFlight < capacity;
+    const rated = { dataCentre, headId, stages, capacity, inFlight, hasRoom, hasRoomForBegun };
+    return { chain: rated, cost, isLocal };
   }
 
   function groupByDataCentre(service: string): Map<string, BackendFact[]> {
@@ -227,7 +240,7 @@
       const kept = new Set(stages.map(({ id }) => id).filter((id) => !lostIds.has(id)));
       const engines = facts
         .filter(({ instanceId }) => !lostIds.has(instanceId) && !isAvoided(instanceId))
-        .flatMap((fact) => toStageEngine(fact, model) ?? []);
+        .flatMap((fact) => toStageEngine(fact, model, view.slowdownOf(fact.instanceId)) ?? []);
       const replaceable = engines.filter(({ id }) => !kept.has(id));
       const patched: PathStage[] = [];
       for (const stage of stages) {
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -1,5 +1,5 @@
 /** What an entry routes by: the document and the facts, made ready for look-ups. */
-import { FACT_KEYS, lostAfterMs } from '@spoolplank/membership';
+import { FACT_KEYS, lostAfterMs, readSlowdown } from '@spoolplank/membership';
 import type {
   BackendFact,
   DocumentCache,
@@ -33,6 +33,8 @@
   listMembers(role: MemberFact['role']): readonly MemberFact[];
   /** Requests that other entries have in flight on the chain that begins with an engine. */
   othersInFlight(headId: string): number;
+  /** How much longer an engine takes for everything than its kind does. */
+  slowdownOf(instanceId: string): number;
   findByAddress(address: string): Fact<SystemFact> | undefined;
   /** Changes whenever anything changed that bears on where requests go. */
   readonly revision: number;
@@ -105,7 +107,8 @@
       .flat()
       .map(
         ({ instanceId, engine }) =>
-          `${instanceId}:${engine?.held?.firstLayer}-${engine?.held?.endLayer}`,
+          `${instanceId}:${engine?.held?.firstLayer}-${engine?.held?.endLayer}` +
+          `x${readSlowdown(table, instanceId, nowMs).toFixed(0)}`,
       );
     const newSignature = names.sort().join(' ');
     if (newSignature !== signature) {
@@ -135,6 +138,7 @@
       const own = options.ownStatedLoad()[headId] ?? 0;
       return Math.max(0, (inFlight.get(headId) ?? 0) - own);
     },
+    slowdownOf: (instanceId) => readSlowdown(table, instanceId, clock.nowMs()),
     findByAddress(address) {
       refresh();
       return byAddress.get(address);
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -1,5 +1,6 @@
 /** One attempt at a stream: one chain, from the first byte sent to the end of its answer. */
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import { sizeOfRequest } from '@spoolplank/routing';
 import type { ModelDescription } from '@spoolplank/routing';
 import type { BackendResponse } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
@@ -73,6 +74,7 @@
       admitted,
       model,
       headId: chain.headId,
+      size: sizeOfRequest(admitted.request, model),
       stages: chain.stages,
       lostIds: new Set(),
       startedAtMs: nowMs,
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -35,8 +35,11 @@
 const RESUME_SPACING_MS = 8;
 /** Callers give a stream up after a pause of two seconds; finding the fault took half a second. */
 const MAX_TURN_WAIT_MS = 900;
-/** What is left of those two seconds; layers of a small hole are loaded in about as long. */
-const MAX_CHAIN_WAIT_MS = 700;
+/**
+ * A begun stream waits for room until it has been silent for so long: callers give it up after two
+ * seconds, and reading its prompt again may take half a second on a full chain.
+ */
+const MAX_SILENCE_MS = 1400;
 const CHAIN_POLL_MS = 50;
 /** Of the two seconds for which callers wait for a first event, without a failed first attempt. */
 const MAX_ADMISSION_WAIT_MS = 1200;
@@ -117,17 +120,20 @@
   }
 
   /**
-   * The chain for the rest of a stream that the caller has a part of. It was admitted once, so a
-   * full chain is no reason to break it off; a chain that is just being mended is waited for.
+   * The chain for the rest of a stream that the caller has a part of. It waits for one with room,
+   * or for one that is just being mended, as its pause is too long already and all that lost an
+   * engine together would hold up the others. It was admitted once, though: in the end a full
+   * chain is no reason to break it off.
    */
   async function findChainToResume(
     { service, answer }: AdmittedRequest,
     model: ModelDescription,
     excluded: ReadonlySet<string>,
+    silentSinceMs: number,
   ): Promise<ChosenChain | undefined> {
-    const endsAtMs = clock.nowMs() + MAX_CHAIN_WAIT_MS;
+    const endsAtMs = silentSinceMs + MAX_SILENCE_MS;
     let chain = chains.choose(service, model, excluded);
-    while (!chain && clock.nowMs() < endsAtMs && !answer.isClosed) {
+    while (!chain?.hasRoomForBegun && clock.nowMs() < endsAtMs && !answer.isClosed) {
       await delay(CHAIN_POLL_MS);
       chain = chains.choose(service, model, excluded);
     }
@@ -191,7 +197,12 @@
       while (mayTry()) {
         const waitsSinceMs = clock.nowMs();
         const chain = mayHaveRun
-          ? await findChainToResume(admitted, model, excluded)
+          ? await findChainToResume(
+              admitted,
+              model,
+              excluded,
+              progress.lastEventAtMs ?? waitsSinceMs,
+            )
           : await findChainToBegin(admitted, model, excluded);
         progress.waitedMs += clock.nowMs() - waitsSinceMs;
         if (!chain && answer.isClosed) return end('caller-left', progress.status);
--- a/packages/entry/src/streamRepair.ts
+++ b/packages/entry/src/streamRepair.ts
@@ -30,6 +30,8 @@
 /** Shares of a route's own targets after which silence is looked into. */
 const GAP_SHARE = 0.75;
 const FIRST_EVENT_SHARE = 0.6;
+/** Streams of one path fall silent within a pass of each other: a fraction of the limit. */
+const OTHERS_GO_ON_SHARE = 0.5;
 /** Pause before the next look; it doubles with each one that found nothing. */
 const RECHECK_MS = 300;
 const MAX_RECHECK_MS = 1200;
@@ -167,9 +169,23 @@
     if (row.lostIds.size > 0) startRepair(row);
   }
 
-  function isSilentTooLong(row: StreamRow, nowMs: number): boolean {
+  /**
+   * When something last came over each path. A lost engine stops all streams of its path at once:
+   * one that is silent while others go on is slow, and no reason to connect to every engine.
+   */
+  function newestByPath(): ReadonlyMap<StreamRow['stages'], number> {
+    const newest = new Map<StreamRow['stages'], number>();
+    for (const { stages, lastProgressAtMs, hasBegun } of streams.list()) {
+      const known = newest.get(stages) ?? Number.NEGATIVE_INFINITY;
+      if (hasBegun) newest.set(stages, Math.max(known, lastProgressAtMs));
+    }
+    return newest;
+  }
+
+  function isSilentTooLong(row: StreamRow, nowMs: number, newestOnPathMs: number): boolean {
     const { targetGapMs, targetLatencyMs } = row.admitted.route;
     const limitMs = row.hasBegun ? targetGapMs * GAP_SHARE : targetLatencyMs * FIRST_EVENT_SHARE;
+    if (newestOnPathMs - row.lastProgressAtMs > limitMs * OTHERS_GO_ON_SHARE) return false;
     const recheckMs = Math.min(MAX_RECHECK_MS, RECHECK_MS * 2 ** Math.max(0, row.checks - 1));
     return nowMs - row.lastProgressAtMs > limitMs && nowMs - row.lastCheckAtMs > recheckMs;
   }
@@ -182,9 +198,11 @@
     },
     tick() {
       const nowMs = clock.nowMs();
+      const newest = newestByPath();
       for (const row of streams.list()) {
+        const newestOnPathMs = newest.get(row.stages) ?? Number.NEGATIVE_INFINITY;
         const isBusy = row.isChecking || row.isRepairing || row.isPaused || row.cutReason !== null;
-        if (!isBusy && isSilentTooLong(row, nowMs)) void check(row);
+        if (!isBusy && isSilentTooLong(row, nowMs, newestOnPathMs)) void check(row);
       }
     },
     repairSuspected(isSuspected) {
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -12,6 +12,8 @@
   readonly model: ModelDescription;
   /** The engine that the chain begins with; it names the chain. */
   readonly headId: string;
+  /** Memory that it takes, against a request of usual size. */
+  readonly size: number;
   stages: readonly PathStage[];
   /** Engines that were found lost while this attempt ran. */
   readonly lostIds: Set<string>;
@@ -33,9 +35,9 @@
   add(row: StreamRow): void;
   remove(row: StreamRow): void;
   list(): Iterable<StreamRow>;
-  /** Streams in flight on the chain that begins with an engine. */
+  /** Streams in flight on the chain that begins with an engine, by their sizes. */
   countOn(headId: string): number;
-  /** Streams that so many other entries have probably begun on a chain and not told of yet. */
+  /** What so many other entries have probably begun on a chain and not told of yet. */
   estimateUnseen(headId: string, peers: number): number;
   /** Notes how long a first event took on a chain. */
   noteFirstEvent(headId: string, durationMs: number): void;
@@ -46,7 +48,7 @@
   firstEventMs(headId: string): number;
   /** Usual time to a first event over all chains, in milliseconds. */
   readonly usualFirstEventMs: number;
-  /** Streams in flight by the first engine of their chain; chains without any are left out. */
+  /** Sizes of the streams in flight by the first engine of their chain, where there are any. */
   counts(): Readonly<Record<string, number>>;
 }
 
@@ -60,6 +62,13 @@
 /** Waits of this many streams and more say something of the chain, not of one stream. */
 const MIN_WAITING = 3;
 
+/** Sums of sizes end a little off zero. */
+const LEAST_SIZE = 1e-6;
+/** Sizes are told with two digits. */
+const SIZE_STEPS = 100;
+
+const roundSize = (size: number): number => Math.round(size * SIZE_STEPS) / SIZE_STEPS;
+
 interface FirstEvents {
   meanMs: number;
   atMs: number;
@@ -72,20 +81,20 @@
   let usualFirstEventMs = FIRST_GUESS_MS;
   const unseen = createUnseenLoad({ clock, windowMs: UNSEEN_WINDOW_MS });
 
-  function addTo(headId: string, by: 1 | -1): void {
+  function addTo(headId: string, by: number): void {
     unseen.note(headId, by);
     const count = (countByHead.get(headId) ?? 0) + by;
-    if (count > 0) countByHead.set(headId, count);
+    if (count > LEAST_SIZE) countByHead.set(headId, count);
     else countByHead.delete(headId);
   }
 
   return {
     add(row) {
       rows.add(row);
-      addTo(row.headId, 1);
+      addTo(row.headId, row.size);
     },
     remove(row) {
-      if (rows.delete(row)) addTo(row.headId, -1);
+      if (rows.delete(row)) addTo(row.headId, -row.size);
     },
     list: () => rows,
     countOn: (headId) => countByHead.get(headId) ?? 0,
@@ -113,6 +122,7 @@
     get usualFirstEventMs() {
       return usualFirstEventMs;
     },
-    counts: () => Object.fromEntries(countByHead),
+    counts: () =>
+      Object.fromEntries([...countByHead].map(([headId, size]) => [headId, roundSize(size)])),
   };
 }
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -7,3 +7,4 @@
 export * from './src/feed';
 export * from './src/feedClient';
 export * from './src/feedServer';
+export * from './src/pace';
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -61,7 +61,15 @@
   readonly instanceId: string;
 }
 
-export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact;
+/** How much longer an engine takes for everything than its kind does; stated again and again. */
+export interface PaceFact {
+  readonly kind: 'pace';
+  readonly instanceId: string;
+  /** 1 for an engine that is as fast as its kind. */
+  readonly slowdown: number;
+}
+
+export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact | PaceFact;
 
 export type SystemFactKind = SystemFact['kind'];
 
@@ -72,6 +80,7 @@
   /** The key of the entry that states a load. */
   memberOfLoad: (loadKey: string) => loadKey.replace(/^load/, 'member'),
   backend: (instanceId: string) => `backend/${instanceId}`,
+  pace: (instanceId: string) => `pace/${instanceId}`,
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
 } as const;
 
--- a/packages/routing/__tests__/fixtures.ts
+++ b/packages/routing/__tests__/fixtures.ts
@@ -37,6 +37,7 @@
     endLayer: null,
     isOrderable: true,
     isReliable: true,
+    isServing: true,
   }));
 }
 
--- a/packages/routing/__tests__/placement.spec.ts
+++ b/packages/routing/__tests__/placement.spec.ts
@@ -95,6 +95,39 @@
     );
   });
 
+  it('takes no layer away from anybody while a slow engine still serves what is missing', () => {
+    const placed = layOut(MIXED);
+    placed.forEach((slow) => {
+      const engines = placed.map((engine) =>
+        engine.id === slow.id ? { ...engine, isReliable: false, isOrderable: false } : engine,
+      );
+      const served = carryOut(engines, planPlacement(engines, MODEL));
+      const isServed = served.map((engine) => ({ ...engine, isReliable: true }));
+      // What is given up before the new layers are loaded is what was held and is not any more.
+      const meanwhile = isServed.map((engine, index) => {
+        const before = engines[index];
+        return {
+          ...engine,
+          firstLayer: Math.max(engine.firstLayer ?? 0, before?.firstLayer ?? 0),
+          endLayer: Math.min(engine.endLayer ?? 0, before?.endLayer ?? 0),
+        };
+      });
+      assert.deepEqual(findMissing(meanwhile), [], `while ${slow.id} is slow`);
+    });
+  });
+
+  it('has engines give up layers at once only where one is missing altogether', () => {
+    const placed = layOut(SMALL);
+    const lost = placed.find(({ acceleratorKind }) => acceleratorKind === 'medium');
+    const leaving = placed.map((engine) =>
+      engine.id === lost?.id ? { ...engine, isReliable: false, isOrderable: false } : engine,
+    );
+    const gone = placed.filter(({ id }) => id !== lost?.id);
+    const ordersGone = planPlacement(gone, MODEL);
+    assert.ok(ordersGone.length > 0 && ordersGone.every(({ isPreempting }) => isPreempting));
+    assert.ok(planPlacement(leaving, MODEL).every(({ isPreempting }) => !isPreempting));
+  });
+
   it('orders nothing where the memory cannot hold the model', () => {
     assert.deepEqual(planPlacement(createEngines(['large', 'tiny']), MODEL), []);
   });
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -7,6 +7,7 @@
 export * from './src/chainSpeed';
 export * from './src/fairQueue';
 export * from './src/lineage';
+export * from './src/requestSize';
 export * from './src/retryBudget';
 export * from './src/returnTime';
 export * from './src/selection';
--- a/packages/routing/src/chainCount.ts
+++ b/packages/routing/src/chainCount.ts
@@ -1,4 +1,5 @@
 /** How many chains a data centre is to have, and which engines go into which. */
+import { usualHeldTokens } from './requestSize';
 import type { ModelDescription } from './routingDocument';
 
 /** An engine as a member of a chain. */
@@ -14,14 +15,11 @@
 const MAX_CHAINS = 16;
 /** A chain loses so much of its memory to engines that whole layers do not fill. */
 const USABLE_MEMORY_SHARE = 0.92;
-/** A running request holds its prompt and, on average, so much of its answer. */
-const MEAN_ANSWER_SHARE = 0.7;
 const BYTES_PER_MB = 1_000_000;
 
 /** Memory of a running request of usual size, over all layers, in MB. */
 export function requestMemoryMb(model: ModelDescription): number {
-  const tokens = model.usualPromptTokens + model.usualAnswerTokens * MEAN_ANSWER_SHARE;
-  return (tokens * model.tokenBytes) / BYTES_PER_MB;
+  return (usualHeldTokens(model) * model.tokenBytes) / BYTES_PER_MB;
 }
 
 function mean(values: readonly number[]): number {
--- a/packages/routing/src/holeFilling.ts
+++ b/packages/routing/src/holeFilling.ts
@@ -98,17 +98,20 @@
 
 /**
  * Lets engines on both sides of a hole take over its layers, the nearest ones first and only as
- * many as are needed: each moves its borders a little, and loads only what it did not hold.
+ * many as are needed: each moves its borders a little, and loads only what it did not hold. With
+ * a reach of 1 no layer leaves an engine that holds it.
  */
 export function fillFromBeside(
   slots: readonly Slot[],
   hole: Range,
   model: ModelDescription,
+  mostReach: number,
 ): boolean {
   const before = listBeside(slots, hole.first, true);
   const after = listBeside(slots, hole.end, false);
   const layers = lengthOf(hole);
-  for (let reach = 1; reach <= Math.max(before.length, after.length); reach += 1) {
+  const farthest = Math.min(mostReach, Math.max(before.length, after.length));
+  for (let reach = 1; reach <= farthest; reach += 1) {
     const nearBefore = before.slice(0, reach);
     const nearAfter = after.slice(0, reach);
     const mb = findSharedMemory([...nearBefore, ...nearAfter], layers, model);
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -30,14 +30,21 @@
   readonly endLayer: number | null;
   /** Whether it can be given an order now: it is heard of and no order is under way. */
   readonly isOrderable: boolean;
-  /** Whether its layers count: it is heard of, stays, and nobody suspects it. */
+  /** Whether its layers count: it is heard of, stays, is not slow, and nobody suspects it. */
   readonly isReliable: boolean;
+  /** Whether it still serves what it holds, be it slowly or for a short time. */
+  readonly isServing: boolean;
 }
 
 export interface PlacementOrder {
   readonly id: string;
   readonly firstLayer: number;
   readonly endLayer: number;
+  /**
+   * Whether the engine is to give up at once what it no longer holds, with the requests that run
+   * there: where layers are missing altogether, these cannot go on anyway.
+   */
+  readonly isPreempting: boolean;
 }
 
 /** One layer too many costs a few requests; an order for it costs more. */
@@ -49,14 +56,27 @@
   if (memoryMb !== undefined) layOutInOrder(slots, memoryMb, model);
 }
 
-function fillHoles(slots: readonly Slot[], model: ModelDescription): void {
+interface HoleOptions {
+  /**
+   * Whether engines that are about to go, or are slow, still serve the layers that are missing:
+   * then nothing is ordered that would take away layers which others hold.
+   */
+  readonly isStillServed: boolean;
+}
+
+function fillHoles(
+  slots: readonly Slot[],
+  model: ModelDescription,
+  { isStillServed }: HoleOptions,
+): void {
+  const reach = isStillServed ? 1 : slots.length;
   for (let tries = 0; tries < slots.length; tries += 1) {
     const hole = findHole(countCopies(slots, model.layers));
     if (!hole) return;
-    const isFilled = fillWithSpare(slots, hole, model) || fillFromBeside(slots, hole, model);
+    const isFilled = fillWithSpare(slots, hole, model) || fillFromBeside(slots, hole, model, reach);
     if (!isFilled) break;
   }
-  if (!findHole(countCopies(slots, model.layers))) return;
+  if (isStillServed || !findHole(countCopies(slots, model.layers))) return;
   // Nothing smaller helps: all engines move on, each keeping what it can.
   const free = slots.filter(({ isOrderable }) => isOrderable);
   if (free.length < slots.length) return;
@@ -98,6 +118,10 @@
   else addSecondCopy(slots, empty, perLayerMb, model);
 }
 
+function isSame(a: Range | null, b: Range | null): boolean {
+  return a?.first === b?.first && a?.end === b?.end;
+}
+
 /** Takes layers that others hold too from engines that hold more than their share. */
 function trim(slots: readonly Slot[], memoryMb: number, model: ModelDescription): void {
   const copies = countCopies(slots, model.layers);
@@ -130,8 +154,14 @@
   empties.forEach((empty) => employ(slots, empty, memoryMb, model));
 }
 
-function isSame(a: Range | null, b: Range | null): boolean {
-  return a?.first === b?.first && a?.end === b?.end;
+/** Whether engines that serve, if only for now, hold every layer between them. */
+function isServed(engines: readonly PlacedEngine[], model: ModelDescription): boolean {
+  const layers = new Set<number>();
+  engines.forEach(({ isServing, firstLayer, endLayer }) => {
+    if (!isServing || firstLayer === null || endLayer === null) return;
+    for (let layer = firstLayer; layer < endLayer; layer += 1) layers.add(layer);
+  });
+  return layers.size >= model.layers;
 }
 
 function planDataCentre(
@@ -161,13 +191,22 @@
     ];
   });
   const chains = planChainCount(slots, model);
+  const isIncomplete = findHole(countCopies(slots, model.layers)) !== undefined;
+  const isStillServed = isServed(engines, model);
   if (slots.every(({ held }) => held === null)) {
     splitIntoChains(slots, chains).forEach((chain) => layOutChain(chain, model));
-  } else if (findHole(countCopies(slots, model.layers))) fillHoles(slots, model);
+  } else if (isIncomplete) fillHoles(slots, model, { isStillServed });
   else if (mayImprove) improve(slots, model, chains);
   return slots.flatMap(({ id, held, planned }) =>
     planned && !isSame(held, planned)
-      ? [{ id, firstLayer: planned.first, endLayer: planned.end }]
+      ? [
+          {
+            id,
+            firstLayer: planned.first,
+            endLayer: planned.end,
+            isPreempting: isIncomplete && !isStillServed,
+          },
+        ]
       : [],
   );
 }
--- a/packages/routing/src/unseenLoad.ts
+++ b/packages/routing/src/unseenLoad.ts
@@ -16,8 +16,8 @@
 }
 
 export interface UnseenLoad {
-  /** Notes that a request began (`+1`) or ended (`-1`) here on the chain with this name. */
-  note(name: string, change: 1 | -1): void;
+  /** Notes that a request of a size began here on the chain with this name, or ended (negative). */
+  note(name: string, change: number): void;
   /**
    * Requests that `peers` other VMs have probably begun on a chain beyond those that ended, and
    * that they have not told of yet; never negative, as ended ones are better believed when told.
