--- a/packages/cli/src/commands/commandLine.ts
+++ b/packages/cli/src/commands/commandLine.ts
@@ -12,6 +12,7 @@
 } from './configCommands';
 import { ControlCommand, EntryCommand } from './daemonCommand';
 import { PROGRAM_VERSION } from './programVersion';
+import { ReportCommand } from './reportCommand';
 import { DumpCommand, StatusCommand, VersionCommand } from './statusCommands';
 
 type CommandClass = Command.Class;
@@ -25,6 +26,7 @@
   'config history': ConfigHistoryCommand,
   status: StatusCommand,
   dump: DumpCommand,
+  report: ReportCommand,
   version: VersionCommand,
 };
 
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -8,13 +8,7 @@
   FACT_KEYS,
   FINAL_SEQUENCE,
 } from '@spoolplank/membership';
-import type {
-  BackendFact,
-  FactTable,
-  FeedRequest,
-  MemberFact,
-  SystemFact,
-} from '@spoolplank/membership';
+import type { BackendFact, FactTable, FeedRequest, SystemFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import type { RoutingDocument } from '@spoolplank/routing';
@@ -26,6 +20,7 @@
 import { createDocumentCalls } from './documentCalls';
 import type { EngineOrders } from './engineOperations';
 import { createLoadSums } from './loadSums';
+import { createControlVms } from './controlVms';
 import { createPaceWatch } from './paceWatch';
 import { createPlacementLoop } from './placementLoop';
 
@@ -88,7 +83,6 @@
 const LOAD_RETENTION_MS = 2600;
 /** Facts are kept ten times longer than any announcement may be late. */
 const RETENTION_MS = 60_000;
-const MEMBER_LOST_MS = 5000;
 
 export async function createControlNode(options: ControlNodeOptions): Promise<ControlNode> {
   const { clock, log, peers, host, peerPort, dataCentre, run } = options;
@@ -147,45 +141,23 @@
     announcementMs: options.announcementMs,
   });
 
-  /** The control VM with the first name asks for its data centre, so that only one does. */
-  function isAppointed(): boolean {
-    const nowMs = clock.nowMs();
-    const here = table
-      .list()
-      .flatMap(({ body, heardAtMs }) =>
-        body.kind === 'member' &&
-        body.role === 'control' &&
-        body.dataCentre === dataCentre &&
-        nowMs - heardAtMs < MEMBER_LOST_MS
-          ? [body.host]
-          : [],
-      );
-    return [host, ...here].sort()[0] === host;
-  }
-
+  const controlVms = createControlVms({
+    clock,
+    table,
+    host,
+    dataCentre,
+    seeds: options.seeds,
+    replicas: () => group?.status()?.configuration.voters ?? [],
+  });
   const paceWatch = createPaceWatch({
     clock,
     log,
     table,
     orders: options.engineOrders,
     dataCentre,
-    isAppointed,
+    isAppointed: controlVms.isAppointed,
   });
 
-  function listControlHosts(): readonly string[] {
-    const nowMs = clock.nowMs();
-    const known = table
-      .list()
-      .filter(
-        ({ body, heardAtMs }) =>
-          body.kind === 'member' && body.role === 'control' && nowMs - heardAtMs < MEMBER_LOST_MS,
-      )
-      .map(({ body }) => (body as MemberFact).host);
-    const replicas = group?.status()?.configuration.voters ?? [];
-    const hosts = [...options.seeds(), ...known, ...replicas.map((id) => id.split('#')[0] ?? '')];
-    return [...new Set(hosts)].filter((other) => other !== host && other !== '');
-  }
-
   const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
 
   const feeds = createControlFeeds({
@@ -205,7 +177,7 @@
     state,
     group: () => group,
     findTarget,
-    listOthers: listControlHosts,
+    listOthers: controlVms.listOthers,
   });
 
   function stateSelf(): void {
@@ -231,7 +203,7 @@
     ticks += 1;
     if (ticks % STATEMENT_TICKS === 1) {
       stateSelf();
-      feeds.follow(listControlHosts());
+      feeds.follow(controlVms.listOthers());
       table.sweep(RETENTION_MS);
     }
     if (ticks % LOAD_TICKS === 0) stateLoads();
@@ -260,7 +232,7 @@
       dataFolder: options.dataFolder,
       founders: options.founders,
       isFirstStart: options.isFirstStart,
-      listOthers: listControlHosts,
+      listOthers: controlVms.listOthers,
       findTarget,
       stateMachine: state,
       onApplied() {
--- /dev/null
+++ b/packages/controller/src/controlVms.ts
@@ -0,0 +1,51 @@
+/** The control VMs that this one knows of. */
+import type { FactTable, MemberFact, SystemFact } from '@spoolplank/membership';
+import type { Clock } from '@spoolplank/shared';
+
+export interface ControlVmsOptions {
+  readonly clock: Clock;
+  readonly table: FactTable<SystemFact>;
+  /** This VM among them. */
+  readonly host: string;
+  readonly dataCentre: string;
+  /** Hosts that the settings name. */
+  readonly seeds: () => readonly string[];
+  /** Names of the voters of the log's group, each beginning with a host. */
+  readonly replicas: () => readonly string[];
+}
+
+export interface ControlVms {
+  /** Hosts of the others: heard of lately, named by the settings, or voters. */
+  listOthers(): readonly string[];
+  /** Whether this VM does for its data centre what only one is to do. */
+  isAppointed(): boolean;
+}
+
+/** Control VMs state themselves every 600 ms; they pass on what they hear every 800 ms at least. */
+const MEMBER_LOST_MS = 5000;
+
+export function createControlVms(options: ControlVmsOptions): ControlVms {
+  const { clock, table, host, dataCentre, seeds, replicas } = options;
+
+  function listHeard(): readonly MemberFact[] {
+    const nowMs = clock.nowMs();
+    return table.list().flatMap(({ body, heardAtMs }) => {
+      const isHeard = nowMs - heardAtMs < MEMBER_LOST_MS;
+      return body.kind === 'member' && body.role === 'control' && isHeard ? [body] : [];
+    });
+  }
+
+  return {
+    listOthers() {
+      const heard = listHeard().map((member) => member.host);
+      const voters = replicas().map((replica) => replica.split('#')[0] ?? '');
+      const hosts = [...new Set([...seeds(), ...heard, ...voters])];
+      return hosts.filter((other) => other !== host && other !== '');
+    },
+    isAppointed() {
+      const here = listHeard().filter((member) => member.dataCentre === dataCentre);
+      // The first name: whoever hears the same members appoints the same one.
+      return [host, ...here.map((member) => member.host)].sort()[0] === host;
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/entryFeed.ts
@@ -0,0 +1,98 @@
+/** The exchange of facts between an entry and the control VM that it asks. */
+import type { StoredDocument } from '@spoolplank/control';
+import { createFeedClient } from '@spoolplank/membership';
+import type {
+  DocumentCache,
+  FactTable,
+  FactUpdate,
+  FeedClient,
+  FeedReply,
+  MemberFact,
+  SystemFact,
+} from '@spoolplank/membership';
+import { delay } from '@spoolplank/node';
+import type { EventLog, PeerClient } from '@spoolplank/node';
+import { rankByRendezvous } from '@spoolplank/shared';
+import type { Clock } from '@spoolplank/shared';
+import { createSourceChoice } from './sourceChoice';
+
+export interface EntryFeedOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly peers: PeerClient;
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly table: FactTable<SystemFact>;
+  readonly documents: DocumentCache<StoredDocument>;
+  readonly statements: () => readonly FactUpdate<SystemFact>[];
+  readonly listControlMembers: () => readonly MemberFact[];
+  /** Hosts of control VMs, as the settings name them. */
+  readonly seeds: () => readonly string[];
+  readonly controlPeerPort: number;
+  readonly onDocument: (document: StoredDocument) => void;
+}
+
+/** An exchange held back this long costs 1.25 exchanges a second and process. */
+const FEED_WAIT_MS = 800;
+const FEED_TIMEOUT_MS = 1400;
+const FEED_RETRY_MS = 100;
+/** Ages beyond this, or infinite ones, are logged as this. */
+const MAX_AGE_MS = 60_000;
+
+export function createEntryFeed(options: EntryFeedOptions): FeedClient {
+  const { clock, log, peers, host, dataCentre, table, documents } = options;
+
+  /**
+   * Control VMs in the order of preference: of this data centre first, and among those in an
+   * order of this entry's own, so that entries spread over them.
+   */
+  function listSources(): readonly string[] {
+    const members = options.listControlMembers();
+    const local = members.filter((member) => member.dataCentre === dataCentre);
+    const rank = (list: readonly MemberFact[]) =>
+      rankByRendezvous(
+        host,
+        list.map((member) => member.host),
+      );
+    return [...new Set([...rank(local), ...rank(members), ...options.seeds()])];
+  }
+
+  const sources = createSourceChoice({ clock, list: listSources });
+
+  return createFeedClient<SystemFact, StoredDocument>({
+    clock,
+    table,
+    documents,
+    statements: options.statements,
+    async exchange(request) {
+      const source = sources.current();
+      const target = { vmId: source, host: source, port: options.controlPeerPort };
+      try {
+        const reply = await peers.call<FeedReply<SystemFact, StoredDocument>>(
+          target,
+          'feed.exchange',
+          request,
+          FEED_TIMEOUT_MS,
+        );
+        const { confirmedAgeMs } = reply;
+        if (sources.noteAnswer(confirmedAgeMs)) {
+          log.info('control-left', { source, confirmedAgeMs, next: sources.current() });
+        }
+        return reply;
+      } catch (error) {
+        sources.fail();
+        throw error;
+      }
+    },
+    delay,
+    waitMs: FEED_WAIT_MS,
+    retryMs: FEED_RETRY_MS,
+    onDocument: options.onDocument,
+    onState: (isConnected, problem) =>
+      log.info(isConnected ? 'control-regained' : 'control-lost', {
+        source: sources.current(),
+        problem,
+        confirmedAgeMs: Math.round(Math.min(documents.confirmedAgeMs(), MAX_AGE_MS)),
+      }),
+  });
+}
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,12 +1,12 @@
 /** The role `entry` with everything it needs injected. */
 import type { StoredDocument } from '@spoolplank/control';
-import { createDocumentCache, createFactTable, createFeedClient } from '@spoolplank/membership';
-import type { FeedReply, LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
-import { delay, scheduleTimer } from '@spoolplank/node';
+import { createDocumentCache, createFactTable } from '@spoolplank/membership';
+import type { LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
+import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient } from '@spoolplank/node';
-import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
-import type { RoutingDocument, WindowBudget } from '@spoolplank/routing';
-import { rankByRendezvous, toSpoolplankError } from '@spoolplank/shared';
+import { createBackendLoadTable } from '@spoolplank/routing';
+import type { RoutingDocument } from '@spoolplank/routing';
+import { toSpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { createAddressBook } from './addressBook';
 import type { AddressBook } from './addressBook';
@@ -15,24 +15,18 @@
 import { createChainChoice } from './chainChoice';
 import { createEngineHealth } from './engineHealth';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
-import { createPlainDispatch } from './plainDispatch';
+import { createEntryFeed } from './entryFeed';
 import { createEntryStatements } from './entryStatements';
+import { createPlainDispatch } from './plainDispatch';
 import { createRequestAdmission } from './requestAdmission';
 import { createRequestReport } from './requestReport';
+import { createRetryBudgets } from './retryBudgets';
+import type { RetryLimits } from './retryBudgets';
 import { createRoutingView } from './routingView';
-import { createSourceChoice } from './sourceChoice';
 import { createStreamDispatch } from './streamDispatch';
 import { createStreamRepair } from './streamRepair';
 import { createStreamTable } from './streamTable';
 
-/** A budget of retries that all entries share. */
-export interface RetryLimits {
-  readonly windowMs: number;
-  readonly ratio: number;
-  /** Retries in a window beyond that, for the whole deployment. */
-  readonly allowance: number;
-}
-
 export interface EntryNodeOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -72,25 +66,16 @@
   describe(): JsonValue;
 }
 
-/** An exchange held back this long costs 1.25 exchanges a second and process. */
-const FEED_WAIT_MS = 800;
-const FEED_TIMEOUT_MS = 1400;
-const FEED_RETRY_MS = 100;
 const TICK_MS = 40;
 const RETENTION_MS = 60_000;
 const SWEEP_TICKS = 250;
 /** Share of the revocation bound at which a confirmation is too old; the rest is for the way. */
 const FRESH_SHARE = 0.85;
-/** Share of the deployment's allowance that is handed out; one may not know of all entries. */
-const ALLOWANCE_SHARE = 0.7;
-/** Share of the ratio; requests are counted by this entry's own window, later than the callers'. */
-const RATIO_SHARE = 0.85;
 
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   const { clock, random, log, metrics, peers, run, host, dataCentre, readDocument } = options;
   const documents = createDocumentCache<StoredDocument>(clock);
   const streams = createStreamTable(clock);
-  const budgets = new Map<string, WindowBudget>();
   const openRequests = new Set<CallerRequest>();
   let statedLoad = (): LoadFact['inFlight'] => ({});
   let ticks = 0;
@@ -155,61 +140,23 @@
   });
   statedLoad = () => statements.statedLoad;
 
-  /**
-   * Control VMs in the order of preference: of this data centre first, and among those in an
-   * order of this entry's own, so that entries spread over them.
-   */
-  function listSources(): readonly string[] {
-    const members = view.listMembers('control');
-    const local = members.filter((member) => member.dataCentre === dataCentre);
-    const rank = (list: readonly MemberFact[]) =>
-      rankByRendezvous(
-        host,
-        list.map((member) => member.host),
-      );
-    return [...new Set([...rank(local), ...rank(members), ...options.seeds()])];
-  }
-
-  const sources = createSourceChoice({ clock, list: listSources });
-  const feed = createFeedClient<SystemFact, StoredDocument>({
+  const feed = createEntryFeed({
     clock,
+    log,
+    peers,
+    host,
+    dataCentre,
     table,
     documents,
     statements: () => statements.list(),
-    async exchange(request) {
-      const source = sources.current();
-      const target = { vmId: source, host: source, port: options.controlPeerPort };
-      try {
-        const reply = await peers.call<FeedReply<SystemFact, StoredDocument>>(
-          target,
-          'feed.exchange',
-          request,
-          FEED_TIMEOUT_MS,
-        );
-        const { confirmedAgeMs } = reply;
-        if (sources.noteAnswer(confirmedAgeMs)) {
-          log.info('control-left', { source, confirmedAgeMs, next: sources.current() });
-        }
-        return reply;
-      } catch (error) {
-        sources.fail();
-        throw error;
-      }
-    },
-    delay,
-    waitMs: FEED_WAIT_MS,
-    retryMs: FEED_RETRY_MS,
+    listControlMembers: () => view.listMembers('control'),
+    seeds: options.seeds,
+    controlPeerPort: options.controlPeerPort,
     onDocument({ version }) {
       const routes = view.routes();
       log.info('document-in-force', { version, routes: routes?.document.routes.length });
       if (routes) options.onDocument(routes.document);
     },
-    onState: (isConnected, problem) =>
-      log.info(isConnected ? 'control-regained' : 'control-lost', {
-        source: sources.current(),
-        problem,
-        confirmedAgeMs: Math.round(Math.min(documents.confirmedAgeMs(), RETENTION_MS)),
-      }),
   });
 
   syncedAtMs = () => feed.syncedAtMs;
@@ -217,21 +164,7 @@
     void feed.push();
   };
 
-  function budgetOf(service: string): WindowBudget {
-    const known = budgets.get(service);
-    if (known) return known;
-    const { windowMs, ratio, allowance } = options.retryLimits;
-    const budget = createWindowBudget({
-      clock,
-      windowMs,
-      ratio: ratio * RATIO_SHARE,
-      allowance: () =>
-        (allowance * ALLOWANCE_SHARE) / Math.max(1, view.listMembers('entry').length),
-    });
-    budgets.set(service, budget);
-    return budget;
-  }
-
+  const countEntries = () => view.listMembers('entry').length;
   const context: EntryContext = {
     clock,
     random,
@@ -241,7 +174,11 @@
     view,
     operations: options.operations,
     loads: createBackendLoadTable(),
-    budgetOf,
+    budgetOf: createRetryBudgets({
+      clock,
+      limits: options.retryLimits,
+      entries: countEntries,
+    }),
     factsAgeMs: () => clock.nowMs() - feed.syncedAtMs,
   };
   const chains = createChainChoice({
@@ -249,9 +186,8 @@
     random,
     dataCentre,
     ownInFlight: (headId) => streams.countOn(headId),
-    entries: () => view.listMembers('entry').length,
-    unseenInFlight: (headId) =>
-      streams.estimateUnseen(headId, Math.max(0, view.listMembers('entry').length - 1)),
+    entries: countEntries,
+    unseenInFlight: (headId) => streams.estimateUnseen(headId, Math.max(0, countEntries() - 1)),
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAvoided: health.isAvoided,
   });
--- /dev/null
+++ b/packages/entry/src/retryBudgets.ts
@@ -0,0 +1,44 @@
+/** This entry's part of the retry budgets of all services. */
+import { createWindowBudget } from '@spoolplank/routing';
+import type { WindowBudget } from '@spoolplank/routing';
+import type { Clock } from '@spoolplank/shared';
+
+/** A budget of retries that all entries share. */
+export interface RetryLimits {
+  readonly windowMs: number;
+  readonly ratio: number;
+  /** Retries in a window beyond that, for the whole deployment. */
+  readonly allowance: number;
+}
+
+export interface RetryBudgetsOptions {
+  readonly clock: Clock;
+  readonly limits: RetryLimits;
+  /** Entries that share the allowance, this one included. */
+  readonly entries: () => number;
+}
+
+/** The budget of a service; made when it is first asked for. */
+export type RetryBudgets = (service: string) => WindowBudget;
+
+/** Share of the deployment's allowance that is handed out; one may not know of all entries. */
+const ALLOWANCE_SHARE = 0.7;
+/** Share of the ratio; requests are counted by this entry's own window, later than the callers'. */
+const RATIO_SHARE = 0.85;
+
+export function createRetryBudgets({ clock, limits, entries }: RetryBudgetsOptions): RetryBudgets {
+  const budgets = new Map<string, WindowBudget>();
+
+  return (service) => {
+    const known = budgets.get(service);
+    if (known) return known;
+    const budget = createWindowBudget({
+      clock,
+      windowMs: limits.windowMs,
+      ratio: limits.ratio * RATIO_SHARE,
+      allowance: () => (limits.allowance * ALLOWANCE_SHARE) / Math.max(1, entries()),
+    });
+    budgets.set(service, budget);
+    return budget;
+  };
+}
