--- a/packages/controller/src/engineOperations.ts
+++ b/packages/controller/src/engineOperations.ts
@@ -20,6 +20,8 @@
 export interface PlaceOrder extends LayerRange {
   /** Whether requests that run over layers given up are ended rather than waited for. */
   readonly isPreempting: boolean;
+  /** How long an answer is waited for, in milliseconds. */
+  readonly timeoutMs: number;
 }
 
 export interface EngineOrders {
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -41,6 +41,13 @@
   readonly untilMs: number;
 }
 
+interface OrderTiming {
+  /** Time that the load takes at most. */
+  readonly loadMs: number;
+  /** How long the engine's answer is waited for. */
+  readonly timeoutMs: number;
+}
+
 type EngineRow = Fact<SystemFact> & { readonly body: BackendFact };
 
 /** Engines announce themselves within two intervals; before that, some may not be known yet. */
@@ -57,6 +64,10 @@
 const REACH_TIMEOUTS_MS: readonly number[] = [150, 300];
 /** How often an engine is asked whether it has loaded what it was ordered to. */
 const LOAD_POLL_MS = 250;
+/** Engines answer an order before they carry it out, in milliseconds; a packet may be lost. */
+const ORDER_TIMEOUT_MS = 400;
+/** The first orders go to all engines at once, from a small VM over as many new connections. */
+const FIRST_ORDER_TIMEOUT_MS = 1500;
 /** An engine that refuses is busy with an earlier order, for as long as streams run over it. */
 const REFUSED_PAUSE_MS = 2000;
 /** An engine that takes so many times longer holds up every stream of its chain: it is replaced. */
@@ -180,13 +191,19 @@
     });
   }
 
-  async function give(engine: EngineRow, order: PlacementOrder, loadMs: number): Promise<void> {
+  async function give(
+    engine: EngineRow,
+    order: PlacementOrder,
+    timing: OrderTiming,
+  ): Promise<void> {
     const { instanceId, address } = engine.body;
+    const { loadMs, timeoutMs } = timing;
     const { firstLayer, endLayer, isPreempting } = order;
     const range = { firstLayer, endLayer };
     orderedAtMs.set(engine.body.dataCentre, clock.nowMs());
     pending.set(instanceId, { range, untilMs: clock.nowMs() + loadMs + ORDER_MARGIN_MS });
-    const outcome = await orders.place({ instanceId, address }, { ...range, isPreempting });
+    const placement = { ...range, isPreempting, timeoutMs };
+    const outcome = await orders.place({ instanceId, address }, placement);
     log.info('order-given', {
       engine: instanceId,
       ...range,
@@ -237,7 +254,8 @@
       const engine = engines.find(({ body }) => body.instanceId === order.id);
       if (!engine) return;
       const loadMs = (model.loadMs * (order.endLayer - order.firstLayer)) / model.layers;
-      void give(engine, order, loadMs * 2);
+      const timeoutMs = isFirst ? FIRST_ORDER_TIMEOUT_MS : ORDER_TIMEOUT_MS;
+      void give(engine, order, { loadMs: loadMs * 2, timeoutMs });
     });
   }
 
