fix(entry): an error in looking for a place ends one wait, not the line

Cause: read in the diff: an exception of one request's look would have ended the loop that serves all that wait on that VM. Change: the error goes to that request alone.

--- a/packages/entry/__tests__/waitingLine.spec.ts
+++ b/packages/entry/__tests__/waitingLine.spec.ts
@@ -100,6 +100,26 @@
     await Promise.all(waits);
   });
 
+  it('goes on for the others when looking for a place fails for one', async () => {
+    const { enter, free, pass, line } = createLine();
+    let looks = 0;
+    const failing = enter('failing', {
+      priority: 0,
+      find() {
+        looks += 1;
+        if (looks > 1) throw new Error('no view');
+        return undefined;
+      },
+    });
+    const isFailed = assert.rejects(failing, /no view/);
+    const other = enter('other');
+    free(1);
+    await pass(30);
+    await isFailed;
+    assert.equal(await other, 'other');
+    assert.equal(line.length, 0);
+  });
+
   it('tells at once whom the rate of the places leaves no hope', async () => {
     const { enter, free, pass } = createLine(100);
     free(6);
--- a/packages/entry/src/waitingLine.ts
+++ b/packages/entry/src/waitingLine.ts
@@ -30,6 +30,8 @@
   readonly wait: Wait<unknown>;
   /** Ends the wait, with a place or without one. */
   readonly settle: (place: unknown) => void;
+  /** Ends the wait with the error that looking for a place met. */
+  readonly fail: (error: unknown) => void;
 }
 
 /** So many that find no place stand for all behind them: they differ in what they exclude only. */
@@ -73,18 +75,25 @@
       .forEach((ticket) => release(ticket, undefined));
   }
 
+  /** Looks for a place for one request; an error ends its wait and nobody else's. */
+  function lookFor(ticket: Ticket): boolean {
+    try {
+      const place = ticket.wait.find();
+      if (place === undefined) return false;
+      notePlace();
+      release(ticket, place);
+      return true;
+    } catch (error) {
+      line.splice(line.indexOf(ticket), 1);
+      ticket.fail(error);
+      return false;
+    }
+  }
+
   /** Gives a place to the first who finds one; whether there was one. */
   function givePlace(): boolean {
     sortLine();
-    for (const ticket of line.slice(0, MAX_VAIN_LOOKS)) {
-      const place = ticket.wait.find();
-      if (place !== undefined) {
-        notePlace();
-        release(ticket, place);
-        return true;
-      }
-    }
-    return false;
+    return line.slice(0, MAX_VAIN_LOOKS).some(lookFor);
   }
 
   async function poll(): Promise<void> {
@@ -106,8 +115,8 @@
   }
 
   function join<Place>(wait: Wait<Place>): Promise<Place | undefined> {
-    return new Promise((resolve) => {
-      line.push({ wait, settle: (place) => resolve(place as Place | undefined) });
+    return new Promise((resolve, reject) => {
+      line.push({ wait, settle: (place) => resolve(place as Place | undefined), fail: reject });
       sortLine();
       const last = line.length > maxWaiting ? line.at(-1) : undefined;
       if (last) release(last, undefined);
