fix(controller): control VMs that the settings do not name are followed too; changes go to the VM that is said to lead

Cause: control VMs learned of each other from the settings (three seeds) and the voters only. With 15 of them ten were followed by nobody, and what engines announced there stayed there: the leader knew 63 of 216 engines and laid out these. Ruled out before: the planner, which lays out all 216 when it is called alone. A change sent to one of the ten went to the first seed again and again until its time was over, also where that named another leader. Change: each exchange between control VMs carries the statement of the one that asks; who does not lead is believed about who does, and each other VM is asked in turn.

--- a/packages/controller/src/controlFeeds.ts
+++ b/packages/controller/src/controlFeeds.ts
@@ -4,6 +4,7 @@
 import type {
   DocumentCache,
   FactTable,
+  FactUpdate,
   FeedClient,
   FeedReply,
   SystemFact,
@@ -21,6 +22,12 @@
   readonly table: FactTable<SystemFact>;
   readonly documents: DocumentCache<StoredDocument>;
   readonly findTarget: (vmId: string) => PeerTarget;
+  /**
+   * What this VM states of itself with each exchange. Control VMs learn of each other from it: one
+   * that the settings do not name, and that is no voter, would else be followed by nobody, and
+   * what backend servers announce to it would stay there.
+   */
+  readonly statements: () => readonly FactUpdate<SystemFact>[];
   /** Told of a new document. */
   readonly onDocument: () => void;
 }
@@ -58,7 +65,7 @@
       clock,
       table,
       documents,
-      statements: () => [],
+      statements: options.statements,
       exchange: (request) =>
         peers.call<FeedReply<SystemFact, StoredDocument>>(
           findTarget(other),
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -8,7 +8,14 @@
   FACT_KEYS,
   FINAL_SEQUENCE,
 } from '@spoolplank/membership';
-import type { BackendFact, FactTable, FeedRequest, SystemFact } from '@spoolplank/membership';
+import type {
+  BackendFact,
+  FactTable,
+  FactUpdate,
+  FeedRequest,
+  MemberFact,
+  SystemFact,
+} from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import type { RoutingDocument } from '@spoolplank/routing';
@@ -160,6 +167,20 @@
 
   const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
 
+  function describeSelf(): FactUpdate<SystemFact> {
+    const body: MemberFact = {
+      kind: 'member',
+      vmId: host,
+      dataCentre,
+      host,
+      role: 'control',
+      peerPort,
+      ...(group ? { replicaId: group.replicaId } : {}),
+      state: isStopped ? 'leaving' : 'ready',
+    };
+    return { key: FACT_KEYS.member(host, run), sequence, ageMs: 0, body };
+  }
+
   const feeds = createControlFeeds({
     clock,
     log,
@@ -168,6 +189,7 @@
     table,
     documents,
     findTarget,
+    statements: () => [describeSelf()],
     onDocument: () => feed.wake(),
   });
   const documentCalls = createDocumentCalls({
@@ -182,16 +204,8 @@
 
   function stateSelf(): void {
     sequence += 1;
-    table.put(FACT_KEYS.member(host, run), sequence, {
-      kind: 'member',
-      vmId: host,
-      dataCentre,
-      host,
-      role: 'control',
-      peerPort,
-      ...(group ? { replicaId: group.replicaId } : {}),
-      state: isStopped ? 'leaving' : 'ready',
-    });
+    const { key, body } = describeSelf();
+    if (body) table.put(key, sequence, body);
   }
 
   function stateLoads(): void {
--- a/packages/controller/src/documentCalls.ts
+++ b/packages/controller/src/documentCalls.ts
@@ -62,10 +62,13 @@
     throw notLeader();
   }
 
-  /** Another VM to ask: the leader, or any control VM where this one holds no replica. */
-  function findLeader(): string | undefined {
+  /** Another VM to ask: the leader, or, where this one holds no replica, each of them in turn. */
+  function findLeader(turn: number): string | undefined {
     const group = options.group();
-    if (!group) return listOthers()[0];
+    if (!group) {
+      const others = listOthers();
+      return others[turn % others.length];
+    }
     const leader = group.leaderVm();
     return leader === host ? undefined : leader;
   }
@@ -77,10 +80,14 @@
   ): Promise<Result> {
     const deadlineMs = clock.nowMs() + DECIDE_MS;
     let last: SpoolplankError = new SpoolplankError('not-leader');
+    let turn = 0;
     while (clock.nowMs() < deadlineMs) {
       try {
         if (options.group()?.canRead()) return await here();
-        const leader = findLeader();
+        // Who does not lead says who does: most control VMs hold no replica, and know no better.
+        const told = last.leaderId === host ? undefined : last.leaderId;
+        const leader = told ?? findLeader(turn);
+        if (told === undefined) turn += 1;
         if (leader !== undefined) {
           const leftMs = Math.max(MIN_FORWARD_MS, deadlineMs - clock.nowMs());
           const timeoutMs = Math.min(leftMs, FORWARD_TIMEOUT_MS);
