--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -49,7 +49,7 @@
     },
   };
   const context = createContext(clock, view, operations);
-  const streams = createStreamTable(clock);
+  const streams = createStreamTable({ clock });
   const chains = createChainChoice({
     view,
     random: createSeededRandom(1),
@@ -78,6 +78,8 @@
       endsAtMs: clock.nowMs() + 20_000,
     },
     model: MODEL,
+    ticket: 'r/0',
+    dataCentre: 'a',
     headId: 'a1',
     size: 1,
     stages: [
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -43,6 +43,14 @@
     model: ModelDescription,
     excludedHeads: ReadonlySet<string>,
   ): ChosenChain | undefined;
+  /** The chains of a data centre, whatever their load. */
+  listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
+  /** Data centres that have chains, the one with the cheapest chain first. */
+  rankDataCentres(
+    service: string,
+    model: ModelDescription,
+    excludedHeads: ReadonlySet<string>,
+  ): readonly RatedDataCentre[];
   /** Another path for a running stream that keeps its first stage; undefined without one. */
   repair(
     service: string,
@@ -52,12 +60,19 @@
   ): readonly PathStage[] | undefined;
 }
 
-interface RatedChain {
+/** A chain and how many requests of usual size it holds. */
+export interface RatedChain {
   readonly headId: string;
   readonly stages: readonly PathStage[];
   readonly capacity: number;
 }
 
+/** A data centre that has chains, as far as the loads are told. */
+export interface RatedDataCentre {
+  readonly dataCentre: string;
+  readonly hasRoom: boolean;
+}
+
 interface CachedChains {
   readonly revision: number;
   readonly avoided: string;
@@ -222,6 +237,25 @@
   }
 
   return {
+    listOf(service, model, dataCentre) {
+      const facts = groupByDataCentre(service).get(dataCentre) ?? [];
+      return facts.length > 0 ? chainsOf(dataCentre, facts, model) : [];
+    },
+    rankDataCentres(service, model, excludedHeads) {
+      const best = new Map<string, Candidate>();
+      listCandidates(service, model, excludedHeads).forEach((candidate) => {
+        const { dataCentre, capacity } = candidate.chain;
+        const known = best.get(dataCentre);
+        if (capacity >= 1 && (!known || candidate.cost < known.cost))
+          best.set(dataCentre, candidate);
+      });
+      return [...best.values()]
+        .sort((a, b) => a.cost - b.cost)
+        .map(({ chain: { dataCentre, inFlight, capacity } }) => ({
+          dataCentre,
+          hasRoom: inFlight < capacity * LENT_SHARE,
+        }));
+    },
     choose(service, model, excludedHeads) {
       const candidates = listCandidates(service, model, excludedHeads);
       const local = candidates.filter(({ isLocal }) => isLocal);
--- a/packages/entry/src/engineHealth.ts
+++ b/packages/entry/src/engineHealth.ts
@@ -18,6 +18,8 @@
   /** Leaves an engine out here for a while. */
   avoid(instanceId: string, durationMs?: number): void;
   isAvoided(instanceId: string): boolean;
+  /** Engines that are left out here now. */
+  listAvoided(): readonly string[];
   /** Makes a lost engine known to all entries, unless it may be the way to it that is at fault. */
   suspect(instanceId: string, evidence: string): void;
   /** Whether it is suspected, and has not announced itself since. */
@@ -66,6 +68,7 @@
   return {
     avoid,
     isAvoided,
+    listAvoided: () => [...avoidedUntilMs.keys()].filter(isAvoided),
     suspect(instanceId, evidence) {
       const announced = table.find(FACT_KEYS.backend(instanceId));
       const sequence = Math.floor(announced?.sequence ?? 0);
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -3,7 +3,7 @@
 import { createDocumentCache, createFactTable } from '@spoolplank/membership';
 import type { LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
-import type { EventLog, Metrics, PeerClient } from '@spoolplank/node';
+import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
 import type { RoutingDocument } from '@spoolplank/routing';
 import { toSpoolplankError } from '@spoolplank/shared';
@@ -18,6 +18,7 @@
 import { createEntryFeed } from './entryFeed';
 import { createEntryStatements } from './entryStatements';
 import { createPlainDispatch } from './plainDispatch';
+import { createPlaceService } from './places/placeService';
 import { createRequestAdmission } from './requestAdmission';
 import { createRequestReport } from './requestReport';
 import { createRetryBudgets } from './retryBudgets';
@@ -42,6 +43,8 @@
   /** Hosts of control VMs, as the settings name them. */
   readonly seeds: () => readonly string[];
   readonly controlPeerPort: number;
+  /** Where other entries call this one. */
+  readonly peerPort: number;
   readonly operations: BackendOperations;
   readonly readDocument: (document: StoredDocument) => RoutingDocument;
   readonly announcementMs: number;
@@ -53,6 +56,8 @@
 
 export interface EntryNode {
   readonly addresses: AddressBook;
+  /** What other VMs call here. */
+  readonly methods: Readonly<Record<string, PeerMethod>>;
   start(): void;
   /** Serves one request to its end. */
   handle(request: CallerRequest, answer: CallerAnswer): Promise<void>;
@@ -75,7 +80,8 @@
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   const { clock, random, log, metrics, peers, run, host, dataCentre, readDocument } = options;
   const documents = createDocumentCache<StoredDocument>(clock);
-  const streams = createStreamTable(clock);
+  let onStreamEnd = (_dataCentre: string): void => {};
+  const streams = createStreamTable({ clock, onEnd: ({ dataCentre: of }) => onStreamEnd(of) });
   const openRequests = new Set<CallerRequest>();
   let statedLoad = (): LoadFact['inFlight'] => ({});
   let ticks = 0;
@@ -134,6 +140,7 @@
     host,
     dataCentre,
     callerAddress: options.callerAddress,
+    peerPort: options.peerPort,
     state: memberState,
     inFlight: () => streams.counts(),
     listSuspicions: () => health.listStatements(),
@@ -195,10 +202,24 @@
   const repair = createStreamRepair({ context, streams, chains, suspect, avoid });
   onSuspicion = () => repair.repairSuspected(health.isSuspected);
   const plain = createPlainDispatch(context);
+  const places = createPlaceService({
+    clock,
+    random,
+    log,
+    peers,
+    run,
+    host,
+    dataCentre,
+    view,
+    streams,
+    chains,
+    listAvoided: health.listAvoided,
+  });
+  onStreamEnd = (of) => places.noteReturn(of);
   const stream = createStreamDispatch({
     context,
     streams,
-    chains,
+    places: places.finder,
     examine: (instanceId, address) => repair.examine(instanceId, address),
     avoid,
   });
@@ -224,6 +245,7 @@
     if (isStopped) return;
     ticks += 1;
     repair.tick();
+    places.tick();
     if (ticks % SWEEP_TICKS === 0) table.sweep(RETENTION_MS);
     scheduleTimer(tick, TICK_MS);
   }
@@ -235,6 +257,7 @@
       selfAddress: options.callerAddress,
       ownAddress: () => (isReady() ? options.callerAddress : null),
     }),
+    methods: places.methods,
     start() {
       tick();
       void feed.run();
@@ -282,6 +305,7 @@
         documentVersion: documents.current?.version ?? null,
         confirmedAgeMs: documents.confirmedAgeMs(),
         inFlight: streams.counts(),
+        places: places.describe(),
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/entry/src/entryStatements.ts
+++ b/packages/entry/src/entryStatements.ts
@@ -16,6 +16,7 @@
   readonly host: string;
   readonly dataCentre: string;
   readonly callerAddress: string;
+  readonly peerPort: number;
   readonly state: () => MemberFact['state'];
   readonly inFlight: () => LoadFact['inFlight'];
   /** Suspicions that are to be repeated. */
@@ -30,7 +31,7 @@
 }
 
 export function createEntryStatements(options: EntryStatementsOptions): EntryStatements {
-  const { table, run, vmId, host, dataCentre, callerAddress } = options;
+  const { table, run, vmId, host, dataCentre, callerAddress, peerPort } = options;
   const memberKey = FACT_KEYS.member(host, run);
   const loadKey = FACT_KEYS.load(host, run);
   let sequence = 0;
@@ -55,6 +56,7 @@
         host,
         role: 'entry',
         callerAddress,
+        peerPort,
         state,
       };
       table.put(memberKey, sequence, member);
--- /dev/null
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -0,0 +1,204 @@
+/**
+ * Gives out the places of a data centre's chains to all VMs, from one account and in one line.
+ *
+ * The load pattern it answers: see `placeLedger`. With one line over all VMs, who gets the next
+ * place is decided over everybody who waits, not by which VM looks first.
+ */
+import { createPlaceLedger } from '@spoolplank/routing';
+import type { ModelDescription } from '@spoolplank/routing';
+import type { Clock } from '@spoolplank/shared';
+import type { ChainChoice, RatedChain } from '../chainChoice';
+import { createWaitingLine } from '../waitingLine';
+import type { GrantedPlace, PlaceAsk, PlaceCall, PlaceRefusal, PlaceReply } from './placeMessages';
+
+export interface PlaceAllocatorOptions {
+  readonly clock: Clock;
+  readonly delay: (durationMs: number) => Promise<void>;
+  readonly dataCentre: string;
+  readonly chains: Pick<ChainChoice, 'listOf'>;
+  readonly modelOf: (service: string) => ModelDescription | undefined;
+  /** What all entries have told to be in flight on a chain. */
+  readonly toldInFlight: (headId: string) => number;
+  /** Recent time to a first event on a chain, in milliseconds. */
+  readonly firstEventMs: (headId: string) => number;
+  /** Whether this VM is the one whom all ask, by what it has heard. */
+  readonly isFirst: () => boolean;
+}
+
+export interface PlaceAllocator {
+  /** Takes in what a VM holds, and looks for a place where it asks for one. */
+  answer(call: PlaceCall): Promise<PlaceReply>;
+  /** Requests that stand in the line. */
+  readonly waiting: number;
+  /** VMs that hold places here. */
+  readonly holders: number;
+}
+
+interface Ticket {
+  readonly leavesAtMs: number;
+  lastAskedAtMs: number;
+  /** Null while it waits; then the place, or undefined for none. */
+  outcome: { readonly place: GrantedPlace | undefined } | null;
+  settled: Promise<void>;
+}
+
+const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
+
+/** Share of a chain that new streams may take; the rest is for those that have begun. */
+const ADMITTED_SHARE = 0.94;
+/** An ask that is not repeated for so long has been given up. */
+const ASK_LOST_MS = 400;
+/** How often the line looks for places; an end is told within some 30 ms. */
+const POLL_MS = 10;
+/** Far more than come within the time that a request waits on the largest data centre seen. */
+const MAX_WAITING = 600;
+/** So long after the first call the account may lack what other VMs hold. */
+const GATHERING_MS = 1300;
+/** An account that nobody used for so long is gathered anew. */
+const IDLE_MS = 2600;
+/** A first event that takes so long counts as much as a chain that is full. */
+const SLOW_FIRST_EVENT_MS = 500;
+
+export function createPlaceAllocator(options: PlaceAllocatorOptions): PlaceAllocator {
+  const { clock, delay, dataCentre, chains } = options;
+  const ledger = createPlaceLedger({ clock });
+  const line = createWaitingLine({ clock, delay, maxWaiting: MAX_WAITING, pollMs: POLL_MS });
+  const tickets = new Map<string, Ticket>();
+  let usedAtMs = Number.NEGATIVE_INFINITY;
+  let gatheredAtMs = Number.NEGATIVE_INFINITY;
+
+  function noteUse(): void {
+    const nowMs = clock.nowMs();
+    if (nowMs - usedAtMs > IDLE_MS) gatheredAtMs = nowMs + GATHERING_MS;
+    usedAtMs = nowMs;
+  }
+
+  /** Whether everybody's places are in the account: those who ask another VM are not. */
+  function isComplete(): boolean {
+    return clock.nowMs() >= gatheredAtMs && options.isFirst();
+  }
+
+  /** What a chain has in flight; while the account may lack some, also what is told of it. */
+  function inFlightOn(headId: string): number {
+    const held = ledger.heldOn(headId);
+    return isComplete() ? held : Math.max(held, options.toldInFlight(headId));
+  }
+
+  function isUsable({ headId, stages }: RatedChain, ask: PlaceAsk): boolean {
+    if (ask.excludedHeads.includes(headId)) return false;
+    return !stages.some(({ id }) => ask.avoidedIds.includes(id));
+  }
+
+  function hasRoom({ headId, capacity }: RatedChain, { size, hasBegun }: PlaceAsk): boolean {
+    const inFlight = inFlightOn(headId);
+    // A request larger than a chain is one that nothing else can serve either.
+    if (inFlight === 0) return true;
+    return inFlight + size <= capacity * (hasBegun ? 1 : ADMITTED_SHARE);
+  }
+
+  function costOf({ headId, capacity }: RatedChain): number {
+    const slowness = options.firstEventMs(headId) / SLOW_FIRST_EVENT_MS;
+    return inFlightOn(headId) / Math.max(1, capacity) + slowness;
+  }
+
+  function listUsable(ask: PlaceAsk): readonly RatedChain[] {
+    const model = options.modelOf(ask.service);
+    if (!model) return [];
+    return chains
+      .listOf(ask.service, model, dataCentre)
+      .filter((chain) => chain.capacity >= 1 && isUsable(chain, ask));
+  }
+
+  function findPlace(holder: string, ask: PlaceAsk): GrantedPlace | undefined {
+    const free = listUsable(ask).filter((chain) => hasRoom(chain, ask));
+    const [first, ...rest] = free;
+    if (!first) return undefined;
+    const chosen = rest.reduce(
+      (best, chain) => (costOf(chain) < costOf(best) ? chain : best),
+      first,
+    );
+    const { headId, stages, capacity } = chosen;
+    ledger.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
+    return { headId, stages, capacity, inFlight: inFlightOn(headId) };
+  }
+
+  function enter(holder: string, ask: PlaceAsk): Ticket {
+    const nowMs = clock.nowMs();
+    const ticket: Ticket = {
+      leavesAtMs: nowMs + ask.leavesInMs,
+      lastAskedAtMs: nowMs,
+      outcome: null,
+      settled: Promise.resolve(),
+    };
+    const wait = {
+      priority: ask.priority,
+      hasBegun: ask.hasBegun,
+      arrivedAtMs: nowMs - ask.waitedMs,
+      inTimeUntilMs: nowMs + ask.inTimeForMs,
+      leavesAtMs: ticket.leavesAtMs,
+      hasReturned: ask.hasReturned,
+      find: () => findPlace(holder, ask),
+      isGone: () => clock.nowMs() - ticket.lastAskedAtMs > ASK_LOST_MS,
+    };
+    ticket.settled = line.enter(wait).then((place) => {
+      ticket.outcome = { place };
+    });
+    return ticket;
+  }
+
+  function explain(ask: PlaceAsk, { leavesAtMs }: Ticket): PlaceRefusal {
+    if (listUsable(ask).length === 0) return 'no-chain';
+    return clock.nowMs() < leavesAtMs ? 'hopeless' : 'time-over';
+  }
+
+  /** Looks once: what is free goes to those who stand in the line. */
+  function visit(holder: string, ask: PlaceAsk): PlaceReply {
+    const place = line.length === 0 ? findPlace(holder, ask) : undefined;
+    return place ? { kind: 'granted', place } : { kind: 'waiting', ahead: line.length };
+  }
+
+  async function stand(holder: string, ask: PlaceAsk): Promise<PlaceReply> {
+    const key = keyOf(holder, ask.ticket);
+    const ticket = tickets.get(key) ?? enter(holder, ask);
+    tickets.set(key, ticket);
+    ticket.lastAskedAtMs = clock.nowMs();
+    await Promise.race([ticket.settled, delay(ask.holdMs)]);
+    const ahead = line.length;
+    if (!ticket.outcome) return { kind: 'waiting', ahead };
+    tickets.delete(key);
+    const { place } = ticket.outcome;
+    if (place) return { kind: 'granted', place };
+    return { kind: 'refused', reason: explain(ask, ticket), ahead, placesPerS: line.placesPerS() };
+  }
+
+  function giveUp(holder: string, name: string): void {
+    ledger.giveUp(holder, name);
+    const ticket = tickets.get(keyOf(holder, name));
+    if (ticket) ticket.lastAskedAtMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Asks that nobody repeats leave the line by themselves; what is left of them goes here. */
+  function forgetLost(): void {
+    const oldestMs = clock.nowMs() - ASK_LOST_MS;
+    tickets.forEach(({ outcome, lastAskedAtMs }, key) => {
+      if (outcome && lastAskedAtMs < oldestMs) tickets.delete(key);
+    });
+  }
+
+  return {
+    async answer({ holder, sequence, places, givenUp, ask }) {
+      noteUse();
+      forgetLost();
+      ledger.report(holder, { sequence, places });
+      givenUp.forEach((ticket) => giveUp(holder, ticket));
+      if (!ask) return { kind: 'noted' };
+      return ask.mayWait ? stand(holder, ask) : visit(holder, ask);
+    },
+    get waiting() {
+      return line.length;
+    },
+    get holders() {
+      return ledger.holders;
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/places/placeClient.ts
@@ -0,0 +1,248 @@
+/**
+ * Finds places for this VM's requests: from the account of each data centre, at the VM that keeps
+ * it. Where nobody answers, the caller of this module decides by itself.
+ */
+import type { MemberFact } from '@spoolplank/membership';
+import type { HeldPlace } from '@spoolplank/routing';
+import type { Clock } from '@spoolplank/shared';
+import type { ChosenChain, RatedDataCentre } from '../chainChoice';
+import type { AllocatorRank } from './allocatorRank';
+import type { GrantedPlace, PlaceAsk, PlaceCall, PlaceRefusal, PlaceReply } from './placeMessages';
+
+/** A request that looks for a place; times on this VM's clock. */
+export interface PlaceRequest {
+  readonly ticket: string;
+  readonly service: string;
+  readonly size: number;
+  readonly priority: number;
+  readonly hasBegun: boolean;
+  readonly hasReturned: boolean;
+  readonly arrivedAtMs: number;
+  readonly inTimeUntilMs: number;
+  readonly leavesAtMs: number;
+  readonly excludedHeads: ReadonlySet<string>;
+  /** Data centres that have chains for it, the best one first; asked anew for each round. */
+  readonly rankDataCentres: () => readonly RatedDataCentre[];
+  /** Whether nobody waits for the place any more. */
+  readonly isGone: () => boolean;
+}
+
+export interface RefusedPlace {
+  readonly kind: 'refused';
+  readonly reason: PlaceRefusal;
+  readonly ahead: number;
+  readonly placesPerS: number;
+}
+
+export type PlaceOutcome =
+  | { readonly kind: 'placed'; readonly chain: ChosenChain }
+  | RefusedPlace
+  /** Nobody who gives out places answered: this VM is on its own. */
+  | { readonly kind: 'unavailable' };
+
+export interface PlaceClientOptions {
+  readonly clock: Clock;
+  /** This VM and its run. */
+  readonly holder: string;
+  readonly rank: AllocatorRank;
+  readonly call: (target: MemberFact, params: PlaceCall, timeoutMs: number) => Promise<PlaceReply>;
+  /** What this VM holds in a data centre now. */
+  readonly listHeld: (dataCentre: string) => readonly HeldPlace[];
+  /** Engines that this VM leaves out for now. */
+  readonly listAvoided: () => readonly string[];
+  readonly schedule: (run: () => void, delayMs: number) => void;
+  /** Told of a VM that did not answer. */
+  readonly onFailure: (target: MemberFact, problem: string) => void;
+}
+
+export interface PlaceClient {
+  find(request: PlaceRequest): Promise<PlaceOutcome>;
+  /** Notes that a place of a data centre was given back: told shortly after. */
+  noteReturn(dataCentre: string): void;
+  /** Lets time pass: renews the leases that are due. */
+  tick(): void;
+}
+
+/** Places that are given back within so long are told together, in milliseconds. */
+const BATCH_MS = 30;
+/** A lease lasts two of these and some more. */
+const RENEW_MS = 1000;
+/** The way there and back takes 1 ms, a busy VM some more; a lost packet is not waited for. */
+const ANSWER_MS = 120;
+/** In the line, so long at a time: a VM that is gone is noticed after it. */
+const HOLD_MS = 100;
+/** The VM that is asked first, and the one that stands in for it. */
+const MAX_TRIES = 2;
+/** A first look, and one elsewhere, wait for nothing. */
+const LOOK_MS = 1;
+
+/** It stood in a line until its time was over here. */
+const TIME_OVER: RefusedPlace = {
+  kind: 'refused',
+  reason: 'time-over',
+  ahead: 0,
+  placesPerS: 0,
+};
+
+/** One data centre to be asked, and whether the request is to stand in its line. */
+interface Step {
+  readonly dataCentre: string;
+  readonly mayWait: boolean;
+  readonly holdMs: number;
+}
+
+/** What is known while one request looks for a place. */
+interface Search {
+  readonly request: PlaceRequest;
+  /** Data centres that refused it, or whose VM did not answer. */
+  readonly closed: Set<string>;
+  /** Where it stands in the line. */
+  home: string | undefined;
+  refusal: RefusedPlace | undefined;
+}
+
+export function createPlaceClient(options: PlaceClientOptions): PlaceClient {
+  const { clock, holder, rank } = options;
+  const changed = new Set<string>();
+  const givenUp = new Map<string, string[]>();
+  const toldAtMs = new Map<string, number>();
+  let sequence = 0;
+  let isFlushDue = false;
+
+  function reportOf(dataCentre: string): PlaceCall {
+    sequence += 1;
+    changed.delete(dataCentre);
+    toldAtMs.set(dataCentre, clock.nowMs());
+    const dropped = givenUp.get(dataCentre) ?? [];
+    givenUp.delete(dataCentre);
+    return { holder, sequence, places: options.listHeld(dataCentre), givenUp: dropped };
+  }
+
+  let tell = (_dataCentre: string): void => {};
+
+  function scheduleFlush(): void {
+    if (isFlushDue) return;
+    isFlushDue = true;
+    options.schedule(() => {
+      isFlushDue = false;
+      [...changed].forEach((dataCentre) => tell(dataCentre));
+    }, BATCH_MS);
+  }
+
+  /** Leaves the line of a data centre, or returns a place that came too late. */
+  function leave(dataCentre: string, ticket: string): void {
+    givenUp.set(dataCentre, [...(givenUp.get(dataCentre) ?? []), ticket]);
+    changed.add(dataCentre);
+    scheduleFlush();
+  }
+
+  /** Calls the VM that keeps the account, or the one that stands in for it when that is silent. */
+  async function callAllocator(
+    dataCentre: string,
+    ask: PlaceAsk | undefined,
+  ): Promise<PlaceReply | undefined> {
+    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+      const target = rank.find(dataCentre);
+      if (!target) return undefined;
+      const params: PlaceCall = { ...reportOf(dataCentre), ...(ask ? { ask } : {}) };
+      try {
+        return await options.call(target, params, (ask?.holdMs ?? 0) + ANSWER_MS);
+      } catch (error) {
+        rank.noteFailure(target.host);
+        options.onFailure(target, error instanceof Error ? error.message : String(error));
+        // Its answer may only have been late, with a place.
+        if (ask) leave(dataCentre, ask.ticket);
+      }
+    }
+    return undefined;
+  }
+
+  function toAsk(request: PlaceRequest, { mayWait, holdMs }: Step): PlaceAsk {
+    const nowMs = clock.nowMs();
+    const { ticket, service, size, priority, hasBegun, hasReturned } = request;
+    return {
+      ticket,
+      service,
+      size,
+      priority,
+      hasBegun,
+      hasReturned,
+      waitedMs: nowMs - request.arrivedAtMs,
+      inTimeForMs: request.inTimeUntilMs - nowMs,
+      leavesInMs: request.leavesAtMs - nowMs,
+      excludedHeads: [...request.excludedHeads],
+      avoidedIds: options.listAvoided(),
+      mayWait,
+      holdMs,
+    };
+  }
+
+  function toChain(dataCentre: string, place: GrantedPlace): ChosenChain {
+    return { ...place, dataCentre, hasRoom: true, hasRoomForBegun: true };
+  }
+
+  /** The next round: the line of one data centre, and a look at others that seem to have room. */
+  function planSteps(search: Search): readonly Step[] {
+    const { request, closed, home } = search;
+    const open = request.rankDataCentres().filter(({ dataCentre }) => !closed.has(dataCentre));
+    const stays = open.some(({ dataCentre }) => dataCentre === home);
+    const next = stays ? home : open[0]?.dataCentre;
+    if (next === undefined) return [];
+    const isFirstLook = next !== home;
+    search.home = next;
+    const others = open.filter(({ dataCentre, hasRoom }) => hasRoom && dataCentre !== next);
+    return [
+      { dataCentre: next, mayWait: true, holdMs: isFirstLook ? LOOK_MS : HOLD_MS },
+      ...others.map(({ dataCentre }) => ({ dataCentre, mayWait: false, holdMs: LOOK_MS })),
+    ];
+  }
+
+  async function take(search: Search, step: Step): Promise<ChosenChain | undefined> {
+    const { dataCentre } = step;
+    const reply = await callAllocator(dataCentre, toAsk(search.request, step));
+    if (reply?.kind === 'granted') return toChain(dataCentre, reply.place);
+    if (reply?.kind !== 'waiting') search.closed.add(dataCentre);
+    if (reply?.kind === 'refused') search.refusal = reply;
+    return undefined;
+  }
+
+  tell = (dataCentre) => {
+    void callAllocator(dataCentre, undefined);
+  };
+
+  return {
+    async find(request) {
+      const search: Search = { request, closed: new Set(), home: undefined, refusal: undefined };
+      while (!request.isGone()) {
+        const steps = planSteps(search);
+        if (steps.length === 0) break;
+        for (const step of steps) {
+          const chain = await take(search, step);
+          if (chain) {
+            const { home } = search;
+            if (home !== undefined && home !== chain.dataCentre) leave(home, request.ticket);
+            return { kind: 'placed', chain };
+          }
+        }
+      }
+      const { home } = search;
+      if (home === undefined || search.closed.has(home)) {
+        return search.refusal ?? { kind: 'unavailable' };
+      }
+      leave(home, request.ticket);
+      return search.refusal ?? TIME_OVER;
+    },
+    noteReturn(dataCentre) {
+      changed.add(dataCentre);
+      scheduleFlush();
+    },
+    tick() {
+      const nowMs = clock.nowMs();
+      toldAtMs.forEach((atMs, dataCentre) => {
+        if (nowMs - atMs < RENEW_MS) return;
+        if (options.listHeld(dataCentre).length > 0) tell(dataCentre);
+        else toldAtMs.delete(dataCentre);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/places/placeFinder.ts
@@ -0,0 +1,160 @@
+/**
+ * Finds a chain for a stream, or says when its caller is to come back. Places come from the account
+ * of a data centre; an entry that reaches nobody who keeps one decides by what it knows itself.
+ */
+import type { Clock, Random } from '@spoolplank/shared';
+import { SpoolplankError } from '@spoolplank/shared';
+import { createReturnTimes, sizeOfRequest } from '@spoolplank/routing';
+import type { ModelDescription } from '@spoolplank/routing';
+import type { ChainChoice, ChosenChain } from '../chainChoice';
+import type { AdmittedRequest } from '../entryContext';
+import type { StreamTable } from '../streamTable';
+import { createWaitingLine } from '../waitingLine';
+import type { PlaceClient, PlaceOutcome, PlaceRequest } from './placeClient';
+
+export interface PlaceFinderOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly delay: (durationMs: number) => Promise<void>;
+  readonly streams: StreamTable;
+  readonly chains: ChainChoice;
+  readonly places: PlaceClient;
+}
+
+/** A request that looks for a place, and what it has tried. */
+export interface PlaceSearch {
+  readonly admitted: AdmittedRequest;
+  readonly model: ModelDescription;
+  /** Unique to the attempt. */
+  readonly ticket: string;
+  /** First engines of chains that it was on already. */
+  readonly excludedHeads: ReadonlySet<string>;
+}
+
+export interface PlaceFinder {
+  /**
+   * The chain for a new stream. Places come free many times a second, and a hole in a chain is
+   * filled in about a second: a short wait serves most of those that would else be refused.
+   *
+   * @throws SpoolplankError that the caller is refused with, and when it is to come back.
+   */
+  toBegin(search: PlaceSearch): Promise<ChosenChain | undefined>;
+  /**
+   * The chain for the rest of a stream that the caller has a part of. It waits for one with room,
+   * or for one that is just being mended, as its pause is too long already and all that lost an
+   * engine together would hold up the others. It was admitted once, though: in the end a full
+   * chain is no reason to break it off.
+   */
+  toResume(search: PlaceSearch, silentSinceMs: number): Promise<ChosenChain | undefined>;
+  /** When a caller with so much time left is to come back. */
+  returnAfterMs(remainingMs: number): number;
+}
+
+/** Of the two seconds for which callers wait for a first event, without a failed first attempt. */
+const MAX_ADMISSION_WAIT_MS = 1200;
+const ADMISSION_POLL_MS = 15;
+/** Nine in ten first events come within one and a half times the mean. */
+const FIRST_EVENT_SPREAD = 1.5;
+/** Two seconds of an entry's busiest traffic on the sites seen. */
+const MAX_WAITING = 30;
+/**
+ * A begun stream waits for room until it has been silent for so long: callers give it up after two
+ * seconds, and reading its prompt again may take half a second on a full chain.
+ */
+const MAX_SILENCE_MS = 1400;
+const CHAIN_POLL_MS = 50;
+const MS_PER_S = 1000;
+
+export function createPlaceFinder(options: PlaceFinderOptions): PlaceFinder {
+  const { clock, delay, streams, chains, places } = options;
+  const line = createWaitingLine({
+    clock,
+    delay,
+    maxWaiting: MAX_WAITING,
+    pollMs: ADMISSION_POLL_MS,
+  });
+  const returns = createReturnTimes({ clock, random: options.random });
+
+  function toRequest(search: PlaceSearch, leavesAtMs: number, hasBegun: boolean): PlaceRequest {
+    const { admitted, model, excludedHeads, ticket } = search;
+    const { answer, request, route, organisation, callerAgeMs, service } = admitted;
+    const { arrivedAtMs } = request;
+    const firstEventMs = streams.usualFirstEventMs * FIRST_EVENT_SPREAD;
+    return {
+      ticket,
+      service,
+      size: sizeOfRequest(request, model),
+      priority: organisation?.priority ?? route.priority,
+      hasBegun,
+      hasReturned: callerAgeMs > route.targetLatencyMs,
+      arrivedAtMs,
+      inTimeUntilMs: arrivedAtMs - callerAgeMs + route.targetLatencyMs - firstEventMs,
+      leavesAtMs,
+      excludedHeads,
+      rankDataCentres: () => chains.rankDataCentres(service, model, excludedHeads),
+      isGone: () => answer.isClosed || clock.nowMs() >= leavesAtMs,
+    };
+  }
+
+  function chooseWithRoom({ admitted, model, excludedHeads }: PlaceSearch) {
+    const chain = chains.choose(admitted.service, model, excludedHeads);
+    return chain?.hasRoom ? chain : undefined;
+  }
+
+  /** Decides by what this entry knows itself. */
+  function findAlone(search: PlaceSearch, request: PlaceRequest): Promise<ChosenChain | undefined> {
+    const { isGone } = request;
+    return line.enter({ ...request, isGone, find: () => chooseWithRoom(search) });
+  }
+
+  /** Time until those who wait ahead have got places, at the rate of the last seconds. */
+  function forecastMs(outcome: PlaceOutcome): number {
+    if (outcome.kind !== 'refused' || outcome.placesPerS <= 0) return 0;
+    return (outcome.ahead / outcome.placesPerS) * MS_PER_S;
+  }
+
+  function refusalOf(search: PlaceSearch, outcome: PlaceOutcome): SpoolplankError {
+    const { admitted, model, excludedHeads } = search;
+    returns.noteFull();
+    const remainingMs = admitted.endsAtMs - clock.nowMs();
+    const retryAfterMs = returns.afterMs(remainingMs, forecastMs(outcome));
+    const chain = chains.choose(admitted.service, model, excludedHeads);
+    if (!chain) return new SpoolplankError('no-backend-server', { retryAfterMs });
+    const ahead = outcome.kind === 'refused' ? `, ${outcome.ahead} wait` : '';
+    const detail = `${chain.inFlight} streams of ${Math.floor(chain.capacity)}${ahead}.`;
+    return new SpoolplankError('overloaded', { detail, retryAfterMs });
+  }
+
+  return {
+    async toBegin(search) {
+      const { admitted } = search;
+      const sinceMs = clock.nowMs();
+      const latestMs = admitted.request.arrivedAtMs + MAX_ADMISSION_WAIT_MS;
+      const request = toRequest(search, Math.min(latestMs, admitted.endsAtMs), false);
+      const outcome = await places.find(request);
+      const chain =
+        outcome.kind === 'placed'
+          ? outcome.chain
+          : outcome.kind === 'unavailable' && (await findAlone(search, request));
+      if (chain) {
+        if (clock.nowMs() - sinceMs < CHAIN_POLL_MS) returns.noteRoom();
+        return chain;
+      }
+      if (admitted.answer.isClosed) return undefined;
+      throw refusalOf(search, outcome);
+    },
+    async toResume(search, silentSinceMs) {
+      const { admitted, model, excludedHeads } = search;
+      const endsAtMs = silentSinceMs + MAX_SILENCE_MS;
+      const outcome = await places.find(toRequest(search, endsAtMs, true));
+      if (outcome.kind === 'placed') return outcome.chain;
+      let chain = chains.choose(admitted.service, model, excludedHeads);
+      while (!chain?.hasRoomForBegun && clock.nowMs() < endsAtMs && !admitted.answer.isClosed) {
+        await delay(CHAIN_POLL_MS);
+        chain = chains.choose(admitted.service, model, excludedHeads);
+      }
+      return chain;
+    },
+    returnAfterMs: (remainingMs) => returns.afterMs(remainingMs),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/places/placeMessages.ts
@@ -0,0 +1,71 @@
+/** What VMs say to the one that gives out the places of a data centre's chains, and its answers. */
+import type { HoldingsReport, PathStage } from '@spoolplank/routing';
+
+/** One request that looks for a place. Times are durations from now, in milliseconds. */
+export interface PlaceAsk {
+  /** Unique among the asks of a VM; the same while it asks again. */
+  readonly ticket: string;
+  readonly service: string;
+  /** Memory that it takes, against a request of usual size. */
+  readonly size: number;
+  /** 0 is the highest. */
+  readonly priority: number;
+  /** The rest of a stream that its caller has a part of. */
+  readonly hasBegun: boolean;
+  /** Whether its caller has tried before. */
+  readonly hasReturned: boolean;
+  readonly waitedMs: number;
+  /** How long a place still leads to a first event within the target; negative when it is late. */
+  readonly inTimeForMs: number;
+  readonly leavesInMs: number;
+  /** First engines of chains that it was on already. */
+  readonly excludedHeads: readonly string[];
+  /** Engines that the asking VM leaves out for now. */
+  readonly avoidedIds: readonly string[];
+  /** Whether it stands in the line when there is no place now. */
+  readonly mayWait: boolean;
+  /** How long the answer may be held back for a place. */
+  readonly holdMs: number;
+}
+
+/** A list of all places that a VM holds in a data centre, with or without an ask. */
+export interface PlaceCall extends HoldingsReport {
+  /** The asking VM and its run. */
+  readonly holder: string;
+  /** Tickets that are no longer wanted, with a place or without one. */
+  readonly givenUp: readonly string[];
+  readonly ask?: PlaceAsk;
+}
+
+/** A place that was given out. */
+export interface GrantedPlace {
+  readonly headId: string;
+  readonly stages: readonly PathStage[];
+  readonly capacity: number;
+  /** Sizes in flight there, this one included. */
+  readonly inFlight: number;
+}
+
+/** Why a request gets no place. */
+export type PlaceRefusal =
+  /** It would wait in vain, by the rate at which places come free. */
+  | 'hopeless'
+  /** No chain of the data centre has all layers. */
+  | 'no-chain'
+  /** Its time to wait is over. */
+  | 'time-over';
+
+export type PlaceReply =
+  | { readonly kind: 'noted' }
+  | { readonly kind: 'granted'; readonly place: GrantedPlace }
+  /** There is no place now; it stands in the line if it may, and is to be asked again. */
+  | { readonly kind: 'waiting'; readonly ahead: number }
+  | {
+      readonly kind: 'refused';
+      readonly reason: PlaceRefusal;
+      readonly ahead: number;
+      /** Places that come free a second, lately. */
+      readonly placesPerS: number;
+    };
+
+export const PLACES_METHOD = 'places.ask';
--- /dev/null
+++ b/packages/entry/src/places/placeService.ts
@@ -0,0 +1,108 @@
+/** The places of chains on one entry: what it gives out to others, and what it looks for itself. */
+import type { MemberFact } from '@spoolplank/membership';
+import { delay, scheduleTimer } from '@spoolplank/node';
+import type { EventLog, PeerClient, PeerMethod } from '@spoolplank/node';
+import type { ModelDescription } from '@spoolplank/routing';
+import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import type { ChainChoice } from '../chainChoice';
+import type { RoutingView } from '../routingView';
+import type { StreamTable } from '../streamTable';
+import { createAllocatorRank } from './allocatorRank';
+import { createPlaceAllocator } from './placeAllocator';
+import { createPlaceClient } from './placeClient';
+import { createPlaceFinder } from './placeFinder';
+import type { PlaceFinder } from './placeFinder';
+import { PLACES_METHOD } from './placeMessages';
+import type { PlaceCall, PlaceReply } from './placeMessages';
+
+export interface PlaceServiceOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly peers: PeerClient;
+  /** Unique to this run of the process. */
+  readonly run: string;
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly view: RoutingView;
+  readonly streams: StreamTable;
+  readonly chains: ChainChoice;
+  /** Engines that this entry leaves out for now. */
+  readonly listAvoided: () => readonly string[];
+}
+
+export interface PlaceService {
+  readonly finder: PlaceFinder;
+  /** What other entries call here. */
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  /** Notes that a stream over a chain of a data centre ended. */
+  noteReturn(dataCentre: string): void;
+  /** Lets time pass: renews the leases that are due. */
+  tick(): void;
+  describe(): JsonValue;
+}
+
+export function createPlaceService(options: PlaceServiceOptions): PlaceService {
+  const { clock, log, peers, host, run, dataCentre, view, streams, chains } = options;
+
+  const rank = createAllocatorRank({ clock, listEntries: () => view.listMembers('entry') });
+
+  function modelOf(service: string): ModelDescription | undefined {
+    return view.routes()?.document.services.find(({ name }) => name === service)?.model;
+  }
+
+  const allocator = createPlaceAllocator({
+    clock,
+    delay,
+    dataCentre,
+    chains,
+    modelOf,
+    toldInFlight: (headId) => view.othersInFlight(headId) + streams.countOn(headId),
+    firstEventMs: (headId) => streams.firstEventMs(headId),
+    isFirst: () => rank.find(dataCentre)?.host === host,
+  });
+
+  async function call(
+    target: MemberFact,
+    params: PlaceCall,
+    timeoutMs: number,
+  ): Promise<PlaceReply> {
+    if (target.host === host) return allocator.answer(params);
+    const peer = { vmId: target.host, host: target.host, port: target.peerPort ?? 0 };
+    return peers.call<PlaceReply>(peer, PLACES_METHOD, params, timeoutMs);
+  }
+
+  const client = createPlaceClient({
+    clock,
+    holder: `${host}/${run}`,
+    rank,
+    call,
+    listHeld: (name) => streams.listHeld(name),
+    listAvoided: options.listAvoided,
+    schedule: scheduleTimer,
+    onFailure: (target, problem) =>
+      log.info('allocator-silent', {
+        allocator: target.host,
+        dataCentre: target.dataCentre,
+        problem,
+      }),
+  });
+
+  return {
+    finder: createPlaceFinder({
+      clock,
+      random: options.random,
+      delay,
+      streams,
+      chains,
+      places: client,
+    }),
+    methods: {
+      [PLACES_METHOD]: async (params) =>
+        (await allocator.answer(params as unknown as PlaceCall)) as unknown as JsonValue,
+    },
+    noteReturn: (name) => client.noteReturn(name),
+    tick: () => client.tick(),
+    describe: () => ({ waiting: allocator.waiting, holders: allocator.holders }),
+  };
+}
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -1,11 +1,11 @@
 /** One attempt at a stream: one chain, from the first byte sent to the end of its answer. */
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import { sizeOfRequest } from '@spoolplank/routing';
-import type { ModelDescription } from '@spoolplank/routing';
 import type { BackendResponse } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
-import type { AdmittedRequest, EntryContext } from './entryContext';
+import type { EntryContext } from './entryContext';
 import { createEventSplitter } from './eventSplitter';
+import type { PlaceSearch } from './places/placeFinder';
 import type { StreamCut, StreamRow, StreamTable } from './streamTable';
 
 /** What came of one attempt. */
@@ -45,12 +45,7 @@
 
 export interface StreamAttempts {
   /** Sends a stream, or the rest of one, over a chain; `progress` takes what came of it. */
-  attempt(
-    admitted: AdmittedRequest,
-    model: ModelDescription,
-    chain: ChosenChain,
-    progress: StreamProgress,
-  ): Promise<StreamResult>;
+  attempt(search: PlaceSearch, chain: ChosenChain, progress: StreamProgress): Promise<StreamResult>;
 }
 
 /** A connection inside a region takes 2 ms; one packet may be lost and sent again. */
@@ -64,8 +59,7 @@
   const { clock, operations } = context;
 
   function createRow(
-    admitted: AdmittedRequest,
-    model: ModelDescription,
+    { admitted, model, ticket }: PlaceSearch,
     chain: ChosenChain,
     abort: AbortController,
   ): StreamRow {
@@ -73,6 +67,8 @@
     const row: StreamRow = {
       admitted,
       model,
+      ticket,
+      dataCentre: chain.dataCentre,
       headId: chain.headId,
       size: sizeOfRequest(admitted.request, model),
       stages: chain.stages,
@@ -190,16 +186,15 @@
   }
 
   async function attempt(
-    admitted: AdmittedRequest,
-    model: ModelDescription,
+    search: PlaceSearch,
     chain: ChosenChain,
     progress: StreamProgress,
   ): Promise<StreamResult> {
-    const { request, organisation, answer, endsAtMs } = admitted;
+    const { request, organisation, answer, endsAtMs } = search.admitted;
     const [head] = chain.stages;
     if (!head) throw new SpoolplankError('internal', { detail: 'A chain has no engine.' });
     const abort = new AbortController();
-    const row = createRow(admitted, model, chain, abort);
+    const row = createRow(search, chain, abort);
     const remainingMs = endsAtMs - clock.nowMs();
     const timer = setTimeout(() => row.cut('deadline'), remainingMs - TIMEOUT_MARGIN_MS);
     answer.onClosed(() => row.cut('caller-left'));
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -1,6 +1,6 @@
 /** The streams that run through this entry. */
 import { createUnseenLoad } from '@spoolplank/routing';
-import type { ModelDescription, PathStage } from '@spoolplank/routing';
+import type { HeldPlace, ModelDescription, PathStage } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import type { AdmittedRequest } from './entryContext';
 
@@ -10,6 +10,10 @@
 export interface StreamRow {
   readonly admitted: AdmittedRequest;
   readonly model: ModelDescription;
+  /** Names the place that it holds; unique to the attempt. */
+  readonly ticket: string;
+  /** Where its chain is. */
+  readonly dataCentre: string;
   /** The engine that the chain begins with; it names the chain. */
   readonly headId: string;
   /** Memory that it takes, against a request of usual size. */
@@ -35,6 +39,8 @@
   add(row: StreamRow): void;
   remove(row: StreamRow): void;
   list(): Iterable<StreamRow>;
+  /** The places that the streams on chains of a data centre hold. */
+  listHeld(dataCentre: string): readonly HeldPlace[];
   /** Streams in flight on the chain that begins with an engine, by their sizes. */
   countOn(headId: string): number;
   /** What so many other entries have probably begun on a chain and not told of yet. */
@@ -55,9 +61,9 @@
 /** Loads pass two control VMs at most, each of which holds them back for up to 0.8 s. */
 const UNSEEN_WINDOW_MS = 1600;
 const NEW_WEIGHT = 0.2;
-/** After so long without a measurement half of the last one is left, and a trial is due. */
 /** Before the first one was measured: a tenth of a second is usual on the sites seen. */
 const FIRST_GUESS_MS = 100;
+/** After so long without a measurement half of the last one is left, and a trial is due. */
 const HALF_LIFE_MS = 1500;
 /** Waits of this many streams and more say something of the chain, not of one stream. */
 const MIN_WAITING = 3;
@@ -74,7 +80,13 @@
   atMs: number;
 }
 
-export function createStreamTable(clock: Clock): StreamTable {
+export interface StreamTableOptions {
+  readonly clock: Clock;
+  /** Told of each stream that ended, or was moved to another chain. */
+  readonly onEnd?: (row: StreamRow) => void;
+}
+
+export function createStreamTable({ clock, onEnd }: StreamTableOptions): StreamTable {
   const rows = new Set<StreamRow>();
   const countByHead = new Map<string, number>();
   const firstEvents = new Map<string, FirstEvents>();
@@ -94,9 +106,15 @@
       addTo(row.headId, row.size);
     },
     remove(row) {
-      if (rows.delete(row)) addTo(row.headId, -row.size);
+      if (!rows.delete(row)) return;
+      addTo(row.headId, -row.size);
+      onEnd?.(row);
     },
     list: () => rows,
+    listHeld: (dataCentre) =>
+      [...rows]
+        .filter((row) => row.dataCentre === dataCentre)
+        .map(({ ticket, headId, size }) => ({ ticket, headId, size: roundSize(size) })),
     countOn: (headId) => countByHead.get(headId) ?? 0,
     estimateUnseen: (headId, peers) => unseen.estimate(headId, countByHead.get(headId) ?? 0, peers),
     noteFirstEvent(headId, durationMs) {
--- a/packages/entry/src/waitingLine.ts
+++ b/packages/entry/src/waitingLine.ts
@@ -22,6 +22,8 @@
 export interface WaitingLine {
   /** Number of requests that wait. */
   readonly length: number;
+  /** Places that were given lately, a second. */
+  placesPerS(): number;
   /** A place, at once where one is free and nobody waits for it; undefined when none came. */
   enter<Place>(wait: Wait<Place>): Promise<Place | undefined>;
 }
@@ -128,6 +130,7 @@
     get length() {
       return line.length;
     },
+    placesPerS,
     async enter(wait) {
       const ahead = countAhead(wait);
       const place = ahead === 0 ? wait.find() : undefined;
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -9,7 +9,7 @@
   readonly role: 'entry' | 'control';
   /** Where callers connect; entries only. */
   readonly callerAddress?: string;
-  /** Where other VMs call; control only. */
+  /** Where other VMs call. */
   readonly peerPort?: number;
   /** Identity in the replicated log; control with a disk only. */
   readonly replicaId?: string;
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -11,6 +11,7 @@
 export * from './src/retryBudget';
 export * from './src/returnTime';
 export * from './src/selection';
+export * from './src/placeLedger';
 export * from './src/placement';
 export * from './src/routeTable';
 export * from './src/routingDocument';
--- /dev/null
+++ b/packages/routing/src/placeLedger.ts
@@ -0,0 +1,155 @@
+/**
+ * Who holds which places on the chains of a data centre: the account of the VM that gives them out.
+ *
+ * The load pattern it answers: many VMs stand before few chains. Each of them begins one or two
+ * streams a second, what it hears of the others is up to two seconds old, and half of the streams
+ * of a chain turn over in that time: chains are overfilled while others stand empty. One account
+ * that is told of every begin and end knows each chain's load to within some milliseconds.
+ *
+ * A place is held by lease. It ends when its holder no longer lists it, or has been silent for
+ * longer than a lease lasts: what a VM held that is gone is free again after that.
+ *
+ * Source: Gray and Cheriton, "Leases", SOSP 1989.
+ */
+import type { Clock } from '@spoolplank/shared';
+
+/** A place on a chain, held for one request. */
+export interface HeldPlace {
+  /** Unique among the places of its holder. */
+  readonly ticket: string;
+  /** The engine that the chain begins with; it names the chain. */
+  readonly headId: string;
+  /** Memory that the request takes, against one of usual size. */
+  readonly size: number;
+}
+
+/** All places that a holder has, as it knows them. */
+export interface HoldingsReport {
+  /** Rises with every report of a holder, so that a late one changes nothing. */
+  readonly sequence: number;
+  readonly places: readonly HeldPlace[];
+}
+
+export interface PlaceLedgerOptions {
+  readonly clock: Clock;
+  /** A holder that has reported nothing for so long holds nothing any more, in milliseconds. */
+  readonly leaseMs?: number;
+  /** A place that its holder has not listed so long after it was given out was not taken. */
+  readonly untakenMs?: number;
+}
+
+export interface PlaceLedger {
+  /** Notes that a place was given out. */
+  grant(holder: string, place: HeldPlace): void;
+  /** Takes in what a holder has, in place of what it reported before. */
+  report(holder: string, report: HoldingsReport): void;
+  /** Frees a place that was given out and will not be taken. */
+  giveUp(holder: string, ticket: string): void;
+  /** Sizes of all places that are held on a chain. */
+  heldOn(headId: string): number;
+  /** Number of holders that have places here. */
+  readonly holders: number;
+}
+
+/** Two reports of one second each that were lost, and what one may be late. */
+const DEFAULT_LEASE_MS = 2600;
+/** Holders report every second: a place that is missing from such a report was lost on its way. */
+const DEFAULT_UNTAKEN_MS = 1300;
+/** Leases need not end to the millisecond. */
+const SWEEP_MS = 100;
+
+interface Entry {
+  readonly place: HeldPlace;
+  readonly grantedAtMs: number;
+  isListed: boolean;
+}
+
+interface Holder {
+  heardAtMs: number;
+  sequence: number;
+  readonly entries: Map<string, Entry>;
+}
+
+export function createPlaceLedger(options: PlaceLedgerOptions): PlaceLedger {
+  const { clock, leaseMs = DEFAULT_LEASE_MS, untakenMs = DEFAULT_UNTAKEN_MS } = options;
+  const holders = new Map<string, Holder>();
+  const sums = new Map<string, number>();
+  let sweptAtMs = Number.NEGATIVE_INFINITY;
+
+  function add({ headId }: HeldPlace, size: number): void {
+    sums.set(headId, (sums.get(headId) ?? 0) + size);
+  }
+
+  function find(name: string): Holder {
+    const known = holders.get(name);
+    if (known) return known;
+    const created: Holder = {
+      heardAtMs: clock.nowMs(),
+      sequence: Number.NEGATIVE_INFINITY,
+      entries: new Map(),
+    };
+    holders.set(name, created);
+    return created;
+  }
+
+  function put({ entries }: Holder, place: HeldPlace, isListed: boolean): void {
+    const known = entries.get(place.ticket);
+    if (known) add(known.place, -known.place.size);
+    const grantedAtMs = known?.grantedAtMs ?? clock.nowMs();
+    entries.set(place.ticket, { place, grantedAtMs, isListed });
+    add(place, place.size);
+  }
+
+  function remove({ entries }: Holder, ticket: string): void {
+    const known = entries.get(ticket);
+    if (!known) return;
+    entries.delete(ticket);
+    add(known.place, -known.place.size);
+  }
+
+  function isUntaken({ isListed, grantedAtMs }: Entry): boolean {
+    return !isListed && clock.nowMs() - grantedAtMs > untakenMs;
+  }
+
+  function sweep(): void {
+    const nowMs = clock.nowMs();
+    if (nowMs - sweptAtMs < SWEEP_MS) return;
+    sweptAtMs = nowMs;
+    holders.forEach((holder, name) => {
+      const isSilent = nowMs - holder.heardAtMs > leaseMs;
+      holder.entries.forEach((entry, ticket) => {
+        if (isSilent || isUntaken(entry)) remove(holder, ticket);
+      });
+      if (isSilent) holders.delete(name);
+    });
+  }
+
+  return {
+    grant(name, place) {
+      put(find(name), place, false);
+    },
+    report(name, { sequence, places }) {
+      const holder = find(name);
+      if (sequence <= holder.sequence) return;
+      holder.sequence = sequence;
+      holder.heardAtMs = clock.nowMs();
+      const listed = new Set(places.map(({ ticket }) => ticket));
+      holder.entries.forEach((entry, ticket) => {
+        if (entry.isListed && !listed.has(ticket)) remove(holder, ticket);
+      });
+      places.forEach((place) => put(holder, place, true));
+    },
+    giveUp(name, ticket) {
+      const holder = holders.get(name);
+      if (holder) remove(holder, ticket);
+    },
+    heldOn(headId) {
+      sweep();
+      return Math.max(0, sums.get(headId) ?? 0);
+    },
+    get holders() {
+      sweep();
+      return [...holders.values()].filter(({ entries }) => entries.size > 0).length;
+    },
+  };
+}
--- a/packages/routing/src/returnTime.ts
+++ b/packages/routing/src/returnTime.ts
@@ -22,8 +22,11 @@
   noteFull(): void;
   /** Notes that a request found room at once, and nobody waited. */
   noteRoom(): void;
-  /** Time after which a caller with so much time left is to come back. */
-  afterMs(remainingMs: number): number;
+  /**
+   * Time after which a caller with so much time left is to come back; no sooner than a forecast of
+   * when there is room, where there is one.
+   */
+  afterMs(remainingMs: number, forecastMs?: number): number;
 }
 
 /** A stream lasts a few seconds: places come free within about a second. */
@@ -54,9 +57,9 @@
       roomSinceMs ??= clock.nowMs();
       if (clock.nowMs() - roomSinceMs > CALM_MS) fullSinceMs = null;
     },
-    afterMs(remainingMs) {
+    afterMs(remainingMs, forecastMs = 0) {
       const lastedMs = fullSinceMs === null ? 0 : clock.nowMs() - fullSinceMs;
-      const meantMs = Math.min(mostMs, Math.max(leastMs, lastedMs));
+      const meantMs = Math.min(mostMs, Math.max(leastMs, lastedMs, forecastMs));
       const spread = LEAST_SHARE + random.nextInt(SPREAD_STEPS) / SPREAD_STEPS;
       return Math.round(Math.max(0, Math.min(meantMs * spread, remainingMs * REMAINING_SHARE)));
     },
--- a/packages/routing/src/waitingOrder.ts
+++ b/packages/routing/src/waitingOrder.ts
@@ -19,19 +19,22 @@
   readonly leavesAtMs: number;
   /** Whether its caller has tried before: few do so twice. */
   readonly hasReturned: boolean;
+  /** Whether it is the rest of a stream that its caller has a part of: lost if it gets no place. */
+  readonly hasBegun?: boolean;
 }
 
 /** A returned request goes first when so little of its wait is left. */
 const LAST_CALL_MS = 300;
 
 /** The classes in the order in which they get places. */
-type WaitingClass = 'last-call' | 'in-time' | 'returned' | 'late';
+type WaitingClass = 'begun' | 'last-call' | 'in-time' | 'returned' | 'late';
 
 const CLASS_ORDER: Readonly<Record<WaitingClass, number>> = {
-  'last-call': 0,
-  'in-time': 1,
-  returned: 2,
-  late: 3,
+  begun: 0,
+  'last-call': 1,
+  'in-time': 2,
+  returned: 3,
+  late: 4,
 };
 
 type Compare = (a: WaitingRequest, b: WaitingRequest) => number;
@@ -44,6 +47,7 @@
  * served at the end of its time, and what then takes a little longer would be late all the same.
  */
 const COMPARE_INSIDE: Readonly<Record<WaitingClass, Compare>> = {
+  begun: byEnd,
   'last-call': byEnd,
   'in-time': (a, b) => a.inTimeUntilMs - b.inTimeUntilMs,
   returned: byEnd,
@@ -51,6 +55,7 @@
 };
 
 function classify(request: WaitingRequest, nowMs: number): WaitingClass {
+  if (request.hasBegun) return 'begun';
   const isLastCall = request.hasReturned && request.leavesAtMs - nowMs < LAST_CALL_MS;
   if (isLastCall) return 'last-call';
   if (request.inTimeUntilMs > nowMs) return 'in-time';
