--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -15,6 +15,7 @@
   FeedRequest,
   MemberFact,
   SystemFact,
+  SystemFactKind,
 } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
@@ -81,6 +82,8 @@
 /** What a VM without a replica answers to one that looks for its group. */
 const DISKLESS: GroupDescription = { replicaId: null, configuration: null };
 
+/** Facts that change with every statement: they go with the next exchange. */
+const ROUTINE_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>(['load', 'room']);
 const TICK_MS = 200;
 /** Ticks between two statements of this process about itself. */
 const STATEMENT_TICKS = 3;
@@ -104,7 +107,7 @@
   const table: FactTable<SystemFact> = createFactTable<SystemFact>({
     clock,
     instance: run,
-    isUrgent: ({ kind }) => kind !== 'load',
+    isUrgent: ({ kind }) => !ROUTINE_FACTS.has(kind),
     onUrgent: () => wakeFeed(),
   });
   const feed = createFeedServer<SystemFact, StoredDocument>({
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -45,12 +45,6 @@
   ): ChosenChain | undefined;
   /** The chains of a data centre, whatever their load. */
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
-  /** Data centres that have chains, the one with the cheapest chain first. */
-  rankDataCentres(
-    service: string,
-    model: ModelDescription,
-    excludedHeads: ReadonlySet<string>,
-  ): readonly RatedDataCentre[];
   /** Another path for a running stream that keeps its first stage; undefined without one. */
   repair(
     service: string,
@@ -67,16 +61,17 @@
   readonly capacity: number;
 }
 
-/** A data centre that has chains, as far as the loads are told. */
-export interface RatedDataCentre {
-  readonly dataCentre: string;
-  readonly hasRoom: boolean;
+/** What the chains of a data centre were found from. */
+interface CachedChains {
+  readonly facts: readonly BackendFact[];
+  /** How slow each of them is, and which are left out. */
+  readonly conditions: string;
+  readonly chains: readonly RatedChain[];
 }
 
-interface CachedChains {
+interface CachedGroups {
   readonly revision: number;
-  readonly avoided: string;
-  readonly chains: readonly RatedChain[];
+  readonly groups: ReadonlyMap<string, readonly BackendFact[]>;
 }
 
 interface Candidate {
@@ -163,6 +158,7 @@
 export function createChainChoice(options: ChainChoiceOptions): ChainChoice {
   const { view, random, isAvoided, ownInFlight } = options;
   const cache = new Map<string, CachedChains>();
+  const groupsByService = new Map<string, CachedGroups>();
 
   function rateChains(
     facts: readonly BackendFact[],
@@ -185,14 +181,20 @@
     facts: readonly BackendFact[],
     model: ModelDescription,
   ): readonly RatedChain[] {
-    const avoided = facts
-      .filter(({ instanceId }) => isAvoided(instanceId))
-      .map(({ instanceId }) => instanceId)
+    const conditions = facts
+      .map(({ instanceId }) =>
+        isAvoided(instanceId) ? '-' : view.slowdownOf(instanceId).toFixed(0),
+      )
       .join(' ');
     const known = cache.get(dataCentre);
-    if (known?.revision === view.revision && known.avoided === avoided) return known.chains;
+    // A search takes some 5 ms for 45 engines: what changes elsewhere is no reason for one.
+    const isSame =
+      known?.conditions === conditions &&
+      known.facts.length === facts.length &&
+      known.facts.every((fact, index) => fact === facts[index]);
+    if (isSame) return known.chains;
     const chains = rateChains(facts, model);
-    cache.set(dataCentre, { revision: view.revision, avoided, chains });
+    cache.set(dataCentre, { facts, conditions, chains });
     return chains;
   }
 
@@ -214,13 +216,17 @@
     return { chain: rated, cost, isLocal };
   }
 
-  function groupByDataCentre(service: string): Map<string, BackendFact[]> {
+  function groupByDataCentre(service: string): ReadonlyMap<string, readonly BackendFact[]> {
+    const { revision } = view;
+    const known = groupsByService.get(service);
+    if (known?.revision === revision) return known.groups;
     const groups = new Map<string, BackendFact[]>();
     view.listBackends(service).forEach((fact) => {
       const group = groups.get(fact.dataCentre);
       if (group) group.push(fact);
       else groups.set(fact.dataCentre, [fact]);
     });
+    groupsByService.set(service, { revision, groups });
     return groups;
   }
 
@@ -241,21 +247,6 @@
       const facts = groupByDataCentre(service).get(dataCentre) ?? [];
       return facts.length > 0 ? chainsOf(dataCentre, facts, model) : [];
     },
-    rankDataCentres(service, model, excludedHeads) {
-      const best = new Map<string, Candidate>();
-      listCandidates(service, model, excludedHeads).forEach((candidate) => {
-        const { dataCentre, capacity } = candidate.chain;
-        const known = best.get(dataCentre);
-        if (capacity >= 1 && (!known || candidate.cost < known.cost))
-          best.set(dataCentre, candidate);
-      });
-      return [...best.values()]
-        .sort((a, b) => a.cost - b.cost)
-        .map(({ chain: { dataCentre, inFlight, capacity } }) => ({
-          dataCentre,
-          hasRoom: inFlight < capacity * LENT_SHARE,
-        }));
-    },
     choose(service, model, excludedHeads) {
       const candidates = listCandidates(service, model, excludedHeads);
       const local = candidates.filter(({ isLocal }) => isLocal);
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,7 +1,7 @@
 /** The role `entry` with everything it needs injected. */
 import type { StoredDocument } from '@spoolplank/control';
 import { createDocumentCache, createFactTable } from '@spoolplank/membership';
-import type { LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
+import type { FactUpdate, LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
@@ -80,6 +80,7 @@
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   const { clock, random, log, metrics, peers, run, host, dataCentre, readDocument } = options;
   const documents = createDocumentCache<StoredDocument>(clock);
+  let placeStatements = (): readonly FactUpdate<SystemFact>[] => [];
   let onStreamEnd = (_dataCentre: string): void => {};
   const streams = createStreamTable({ clock, onEnd: ({ dataCentre: of }) => onStreamEnd(of) });
   const openRequests = new Set<CallerRequest>();
@@ -155,7 +156,7 @@
     dataCentre,
     table,
     documents,
-    statements: () => statements.list(),
+    statements: () => [...statements.list(), ...placeStatements()],
     listControlMembers: () => view.listMembers('control'),
     seeds: options.seeds,
     controlPeerPort: options.controlPeerPort,
@@ -216,6 +217,7 @@
     listAvoided: health.listAvoided,
   });
   onStreamEnd = (of) => places.noteReturn(of);
+  placeStatements = () => places.listStatements();
   const stream = createStreamDispatch({
     context,
     streams,
--- a/packages/entry/src/places/allocatorRank.ts
+++ b/packages/entry/src/places/allocatorRank.ts
@@ -16,11 +16,27 @@
   noteFailure(host: string): void;
 }
 
+interface Ranking {
+  readonly names: string;
+  readonly order: readonly string[];
+}
+
 /** A VM that ended is unheard of after 2.6 s; one that was only slow is asked again after this. */
 const FAILED_FOR_MS = 2000;
 
 export function createAllocatorRank({ clock, listEntries }: AllocatorRankOptions): AllocatorRank {
   const failedAtMs = new Map<string, number>();
+  const ranked = new Map<string, Ranking>();
+
+  /** Hashing sixty names for each request is dear: the order holds while the names are the same. */
+  function rankHosts(dataCentre: string, hosts: readonly string[]): readonly string[] {
+    const names = hosts.join(' ');
+    const known = ranked.get(dataCentre);
+    if (known?.names === names) return known.order;
+    const order = rankByRendezvous(dataCentre, hosts);
+    ranked.set(dataCentre, { names, order });
+    return order;
+  }
 
   function hasFailed(host: string): boolean {
     return clock.nowMs() - (failedAtMs.get(host) ?? Number.NEGATIVE_INFINITY) < FAILED_FOR_MS;
@@ -32,13 +48,13 @@
         (entry) =>
           entry.dataCentre === dataCentre &&
           entry.state === 'ready' &&
-          entry.peerPort !== undefined &&
-          !hasFailed(entry.host),
+          entry.peerPort !== undefined,
       );
-      const [first] = rankByRendezvous(
+      const order = rankHosts(
         dataCentre,
         candidates.map(({ host }) => host),
       );
+      const first = order.find((host) => !hasFailed(host));
       return candidates.find(({ host }) => host === first);
     },
     noteFailure(host) {
--- /dev/null
+++ b/packages/entry/src/places/dataCentreRank.ts
@@ -0,0 +1,54 @@
+/** Which data centre is asked first for a place, by the room that each one tells of. */
+import type { Fact, RoomFact, ServiceRoom } from '@spoolplank/membership';
+
+/** A data centre that may have a place. */
+export interface RatedDataCentre {
+  readonly dataCentre: string;
+  /** Whether it seems to have places for more than the next request. */
+  readonly hasRoom: boolean;
+}
+
+export interface DataCentreRankOptions {
+  /** The data centre of this VM: it stands in the list whatever is told of it. */
+  readonly own: string;
+  /** What is told of each data centre, with its age counted as ages of others are. */
+  readonly rooms: readonly Fact<RoomFact>[];
+  readonly service: string;
+  /** Facts heard before this are too old to go by, on this VM's clock. */
+  readonly oldestMs: number;
+}
+
+/** What the way to another data centre counts for, as a share of its capacity. */
+const REMOTE_PENALTY = 0.25;
+/** What is told is up to two seconds old: beyond this share it is as good as full. */
+const ROOM_SHARE = 0.8;
+/** A data centre without chains is asked last: one may just have come back. */
+const NO_CHAIN_COST = 10;
+
+function costOf(room: ServiceRoom | undefined): number {
+  if (!room || room.capacity === 0) return NO_CHAIN_COST;
+  return (room.inFlight + room.waiting) / room.capacity;
+}
+
+/** Data centres in the order in which a request asks them. */
+export function rankDataCentres(options: DataCentreRankOptions): readonly RatedDataCentre[] {
+  const { own, rooms, service, oldestMs } = options;
+  const newest = new Map<string, Fact<RoomFact>>();
+  rooms.forEach((fact) => {
+    const known = newest.get(fact.body.dataCentre);
+    const isNewer = !known || known.heardAtMs < fact.heardAtMs;
+    if (fact.heardAtMs >= oldestMs && isNewer) newest.set(fact.body.dataCentre, fact);
+  });
+  const names = new Set([own, ...newest.keys()]);
+  return [...names]
+    .map((dataCentre) => {
+      const room = newest.get(dataCentre)?.body.services[service];
+      const isOwn = dataCentre === own;
+      // Nothing is told of the own one yet: it is asked all the same.
+      const cost = isOwn && !room ? 0 : costOf(room) + (isOwn ? 0 : REMOTE_PENALTY);
+      return { dataCentre, cost, hasRoom: costOf(room) < ROOM_SHARE };
+    })
+    .filter(({ dataCentre, cost }) => dataCentre === own || cost < NO_CHAIN_COST)
+    .sort((a, b) => a.cost - b.cost)
+    .map(({ dataCentre, hasRoom }) => ({ dataCentre, hasRoom }));
+}
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -4,6 +4,7 @@
  * The load pattern it answers: see `placeLedger`. With one line over all VMs, who gets the next
  * place is decided over everybody who waits, not by which VM looks first.
  */
+import type { ServiceRoom } from '@spoolplank/membership';
 import { createPlaceLedger } from '@spoolplank/routing';
 import type { ModelDescription } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
@@ -28,6 +29,8 @@
 export interface PlaceAllocator {
   /** Takes in what a VM holds, and looks for a place where it asks for one. */
   answer(call: PlaceCall): Promise<PlaceReply>;
+  /** What the chains here hold for a service, and have now. */
+  roomOf(service: string): ServiceRoom;
   /** Requests that stand in the line. */
   readonly waiting: number;
   /** VMs that hold places here. */
@@ -46,10 +49,10 @@
 
 /** Share of a chain that new streams may take; the rest is for those that have begun. */
 const ADMITTED_SHARE = 0.94;
-/** An ask that is not repeated for so long has been given up. */
-const ASK_LOST_MS = 400;
+/** Asks are held for half a second; one that is not repeated for so long has been given up. */
+const ASK_LOST_MS = 900;
 /** How often the line looks for places; an end is told within some 30 ms. */
-const POLL_MS = 10;
+const POLL_MS = 20;
 /** Far more than come within the time that a request waits on the largest data centre seen. */
 const MAX_WAITING = 600;
 /** So long after the first call the account may lack what other VMs hold. */
@@ -194,6 +197,17 @@
       if (!ask) return { kind: 'noted' };
       return ask.mayWait ? stand(holder, ask) : visit(holder, ask);
     },
+    roomOf(service) {
+      const model = options.modelOf(service);
+      const own = model ? chains.listOf(service, model, dataCentre) : [];
+      const capacity = own.reduce((sum, chain) => sum + chain.capacity, 0);
+      const inFlight = own.reduce((sum, { headId }) => sum + inFlightOn(headId), 0);
+      return {
+        capacity: Math.floor(capacity),
+        inFlight: Math.ceil(inFlight),
+        waiting: line.length,
+      };
+    },
     get waiting() {
       return line.length;
     },
--- a/packages/entry/src/places/placeClient.ts
+++ b/packages/entry/src/places/placeClient.ts
@@ -5,8 +5,9 @@
 import type { MemberFact } from '@spoolplank/membership';
 import type { HeldPlace } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
-import type { ChosenChain, RatedDataCentre } from '../chainChoice';
+import type { ChosenChain } from '../chainChoice';
 import type { AllocatorRank } from './allocatorRank';
+import type { RatedDataCentre } from './dataCentreRank';
 import type { GrantedPlace, PlaceAsk, PlaceCall, PlaceRefusal, PlaceReply } from './placeMessages';
 
 /** A request that looks for a place; times on this VM's clock. */
@@ -69,8 +70,11 @@
 const RENEW_MS = 1000;
 /** The way there and back takes 1 ms, a busy VM some more; a lost packet is not waited for. */
 const ANSWER_MS = 120;
-/** In the line, so long at a time: a VM that is gone is noticed after it. */
-const HOLD_MS = 100;
+/**
+ * In the line, so long at a time: a VM that is gone is noticed after it. With a tenth of a second
+ * two hundred waiting requests asked two thousand times a second: a small VM answers half of that.
+ */
+const HOLD_MS = 500;
 /** The VM that is asked first, and the one that stands in for it. */
 const MAX_TRIES = 2;
 /** A first look, and one elsewhere, wait for nothing. */
--- a/packages/entry/src/places/placeFinder.ts
+++ b/packages/entry/src/places/placeFinder.ts
@@ -2,7 +2,7 @@
  * Finds a chain for a stream, or says when its caller is to come back. Places come from the account
  * of a data centre; an entry that reaches nobody who keeps one decides by what it knows itself.
  */
-import type { Clock, Random } from '@spoolplank/shared';
+import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { SpoolplankError } from '@spoolplank/shared';
 import { createReturnTimes, sizeOfRequest } from '@spoolplank/routing';
 import type { ModelDescription } from '@spoolplank/routing';
@@ -10,7 +10,9 @@
 import type { AdmittedRequest } from '../entryContext';
 import type { StreamTable } from '../streamTable';
 import { createWaitingLine } from '../waitingLine';
+import type { RatedDataCentre } from './dataCentreRank';
 import type { PlaceClient, PlaceOutcome, PlaceRequest } from './placeClient';
+import type { PlaceRefusal } from './placeMessages';
 
 export interface PlaceFinderOptions {
   readonly clock: Clock;
@@ -19,6 +21,8 @@
   readonly streams: StreamTable;
   readonly chains: ChainChoice;
   readonly places: PlaceClient;
+  /** Data centres that may have a place for a service, the best one first. */
+  readonly rankDataCentres: (service: string) => readonly RatedDataCentre[];
 }
 
 /** A request that looks for a place, and what it has tried. */
@@ -65,6 +69,12 @@
 const CHAIN_POLL_MS = 50;
 const MS_PER_S = 1000;
 
+const REFUSAL_CODES: Readonly<Record<PlaceRefusal, ErrorCode>> = {
+  'no-chain': 'no-backend-server',
+  hopeless: 'overloaded',
+  'time-over': 'overloaded',
+};
+
 export function createPlaceFinder(options: PlaceFinderOptions): PlaceFinder {
   const { clock, delay, streams, chains, places } = options;
   const line = createWaitingLine({
@@ -91,7 +101,7 @@
       inTimeUntilMs: arrivedAtMs - callerAgeMs + route.targetLatencyMs - firstEventMs,
       leavesAtMs,
       excludedHeads,
-      rankDataCentres: () => chains.rankDataCentres(service, model, excludedHeads),
+      rankDataCentres: () => options.rankDataCentres(service),
       isGone: () => answer.isClosed || clock.nowMs() >= leavesAtMs,
     };
   }
@@ -113,16 +123,15 @@
     return (outcome.ahead / outcome.placesPerS) * MS_PER_S;
   }
 
-  function refusalOf(search: PlaceSearch, outcome: PlaceOutcome): SpoolplankError {
-    const { admitted, model, excludedHeads } = search;
+  function refusalOf({ admitted }: PlaceSearch, outcome: PlaceOutcome): SpoolplankError {
     returns.noteFull();
     const remainingMs = admitted.endsAtMs - clock.nowMs();
     const retryAfterMs = returns.afterMs(remainingMs, forecastMs(outcome));
-    const chain = chains.choose(admitted.service, model, excludedHeads);
-    if (!chain) return new SpoolplankError('no-backend-server', { retryAfterMs });
-    const ahead = outcome.kind === 'refused' ? `, ${outcome.ahead} wait` : '';
-    const detail = `${chain.inFlight} streams of ${Math.floor(chain.capacity)}${ahead}.`;
-    return new SpoolplankError('overloaded', { detail, retryAfterMs });
+    if (outcome.kind !== 'refused')
+      return new SpoolplankError('no-backend-server', { retryAfterMs });
+    const { reason, ahead, placesPerS } = outcome;
+    const detail = `${reason}: ${ahead} wait for ${placesPerS.toFixed(0)} places a second.`;
+    return new SpoolplankError(REFUSAL_CODES[reason], { detail, retryAfterMs });
   }
 
   return {
--- a/packages/entry/src/places/placeService.ts
+++ b/packages/entry/src/places/placeService.ts
@@ -1,5 +1,6 @@
 /** The places of chains on one entry: what it gives out to others, and what it looks for itself. */
-import type { MemberFact } from '@spoolplank/membership';
+import { FACT_KEYS } from '@spoolplank/membership';
+import type { FactUpdate, MemberFact, RoomFact, SystemFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod } from '@spoolplank/node';
 import type { ModelDescription } from '@spoolplank/routing';
@@ -8,6 +9,7 @@
 import type { RoutingView } from '../routingView';
 import type { StreamTable } from '../streamTable';
 import { createAllocatorRank } from './allocatorRank';
+import { rankDataCentres } from './dataCentreRank';
 import { createPlaceAllocator } from './placeAllocator';
 import { createPlaceClient } from './placeClient';
 import { createPlaceFinder } from './placeFinder';
@@ -39,12 +41,20 @@
   noteReturn(dataCentre: string): void;
   /** Lets time pass: renews the leases that are due. */
   tick(): void;
+  /** What this VM tells of the room in its data centre, where it gives out the places. */
+  listStatements(): readonly FactUpdate<SystemFact>[];
   describe(): JsonValue;
 }
 
+/** Statements come every 800 ms over two control VMs; one may be lost. */
+const ROOM_LIFETIME_MS = 3500;
+
 export function createPlaceService(options: PlaceServiceOptions): PlaceService {
   const { clock, log, peers, host, run, dataCentre, view, streams, chains } = options;
 
+  // Rises from run to run, so that the statements of an earlier run are never the newer ones.
+  let statements = Math.floor(clock.wallMs());
+
   const rank = createAllocatorRank({ clock, listEntries: () => view.listMembers('entry') });
 
   function modelOf(service: string): ModelDescription | undefined {
@@ -72,6 +82,11 @@
     return peers.call<PlaceReply>(peer, PLACES_METHOD, params, timeoutMs);
   }
 
+  function listServices(): readonly string[] {
+    const services = view.routes()?.document.services ?? [];
+    return services.filter(({ model }) => model).map(({ name }) => name);
+  }
+
   const client = createPlaceClient({
     clock,
     holder: `${host}/${run}`,
@@ -96,6 +111,13 @@
       streams,
       chains,
       places: client,
+      rankDataCentres: (service) =>
+        rankDataCentres({
+          own: dataCentre,
+          rooms: view.listRooms(),
+          service,
+          oldestMs: view.referenceMs() - ROOM_LIFETIME_MS,
+        }),
     }),
     methods: {
       [PLACES_METHOD]: async (params) =>
@@ -103,6 +125,13 @@
     },
     noteReturn: (name) => client.noteReturn(name),
     tick: () => client.tick(),
+    listStatements() {
+      if (rank.find(dataCentre)?.host !== host) return [];
+      statements += 1;
+      const services = listServices().map((name) => [name, allocator.roomOf(name)] as const);
+      const body: RoomFact = { kind: 'room', dataCentre, services: Object.fromEntries(services) };
+      return [{ key: FACT_KEYS.room(dataCentre, host), sequence: statements, ageMs: 0, body }];
+    },
     describe: () => ({ waiting: allocator.waiting, holders: allocator.holders }),
   };
 }
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -7,6 +7,7 @@
   FactTable,
   LoadFact,
   MemberFact,
+  RoomFact,
   SystemFact,
 } from '@spoolplank/membership';
 import { createRouteTable } from '@spoolplank/routing';
@@ -33,6 +34,10 @@
   listMembers(role: MemberFact['role']): readonly MemberFact[];
   /** Requests that other entries have in flight on the chain that begins with an engine. */
   othersInFlight(headId: string): number;
+  /** What is told of the room in each data centre; some of it may be old. */
+  listRooms(): readonly Fact<RoomFact>[];
+  /** The time up to which ages count, on this VM's clock: when a source last answered. */
+  referenceMs(): number;
   /** How much longer an engine takes for everything than its kind does. */
   slowdownOf(instanceId: string): number;
   findByAddress(address: string): Fact<SystemFact> | undefined;
@@ -43,7 +48,7 @@
 /** Two exchanges held back to the full, and one that was lost. */
 const MEMBER_LOST_MS = 2600;
 /** How often ages are looked at when nothing else changes. */
-const REFRESH_MS = 100;
+const REFRESH_MS = 200;
 
 export function createRoutingView<Document extends { readonly version: number }>(
   options: RoutingViewOptions<Document>,
@@ -53,11 +58,13 @@
   let refreshedAtMs = Number.NEGATIVE_INFINITY;
   let seenRevision = -1;
   let revision = 0;
-  let signature = '';
+  /** Everything that bears on where requests go, in an order that lasts. */
+  let signature: (BackendFact | number)[] = [];
   let backends = new Map<string, BackendFact[]>();
   let members: MemberFact[] = [];
   let byAddress = new Map<string, Fact<SystemFact>>();
   let inFlight = new Map<string, number>();
+  let rooms: Fact<RoomFact>[] = [];
 
   function isSuspect(instanceId: string, sequence: number): boolean {
     const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
@@ -69,7 +76,10 @@
     if (body.state !== 'ready') return;
     const isLost = nowMs - fact.heardAtMs > lostAfterMs(announcementMs);
     if (isLost || isSuspect(body.instanceId, fact.sequence)) return;
-    backends.set(body.service, [...(backends.get(body.service) ?? []), body]);
+    const known = backends.get(body.service);
+    if (known) known.push(body);
+    else backends.set(body.service, [body]);
+    signature.push(body, Math.round(readSlowdown(table, body.instanceId, clock.nowMs())));
   }
 
   function takeLoad({ inFlight: loads }: LoadFact): void {
@@ -78,6 +88,10 @@
     });
   }
 
+  function findReferenceMs(): number {
+    return Math.min(clock.nowMs(), syncedAtMs());
+  }
+
   function refresh(): void {
     const nowMs = clock.nowMs();
     if (table.revision === seenRevision && nowMs - refreshedAtMs < REFRESH_MS) return;
@@ -87,8 +101,11 @@
     members = [];
     byAddress = new Map();
     inFlight = new Map();
+    rooms = [];
+    const lastSignature = signature;
+    signature = [];
     const facts = table.list();
-    const referenceMs = Math.min(nowMs, syncedAtMs());
+    const referenceMs = findReferenceMs();
     // An address may have a new owner: the one heard of last has it.
     facts.forEach((fact) => {
       if (fact.body.kind !== 'backend') return;
@@ -102,19 +119,12 @@
         if (byAddress.get(body.address) === fact) takeBackend(fact, body, referenceMs);
       } else if (body.kind === 'member' && ageMs < MEMBER_LOST_MS) members.push(body);
       else if (body.kind === 'load' && ageMs < MEMBER_LOST_MS) takeLoad(body);
+      else if (body.kind === 'room') rooms.push({ ...fact, body });
     });
-    const names = [...backends.values()]
-      .flat()
-      .map(
-        ({ instanceId, engine }) =>
-          `${instanceId}:${engine?.held?.firstLayer}-${engine?.held?.endLayer}` +
-          `x${readSlowdown(table, instanceId, nowMs).toFixed(0)}`,
-      );
-    const newSignature = names.sort().join(' ');
-    if (newSignature !== signature) {
-      signature = newSignature;
-      revision += 1;
-    }
+    const isSame =
+      signature.length === lastSignature.length &&
+      signature.every((part, index) => part === lastSignature[index]);
+    if (!isSame) revision += 1;
   }
 
   return {
@@ -138,6 +148,11 @@
       const own = options.ownStatedLoad()[headId] ?? 0;
       return Math.max(0, (inFlight.get(headId) ?? 0) - own);
     },
+    listRooms() {
+      refresh();
+      return rooms;
+    },
+    referenceMs: findReferenceMs,
     slowdownOf: (instanceId) => readSlowdown(table, instanceId, clock.nowMs()),
     findByAddress(address) {
       refresh();
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -69,7 +69,22 @@
   readonly slowdown: number;
 }
 
-export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact | PaceFact;
+/** Requests of usual size that the chains of a data centre hold for a service, and have now. */
+export interface ServiceRoom {
+  readonly capacity: number;
+  readonly inFlight: number;
+  /** Requests that wait for a place there. */
+  readonly waiting: number;
+}
+
+/** What the VM knows that gives out the places of a data centre's chains. */
+export interface RoomFact {
+  readonly kind: 'room';
+  readonly dataCentre: string;
+  readonly services: Readonly<Record<string, ServiceRoom>>;
+}
+
+export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact | PaceFact | RoomFact;
 
 export type SystemFactKind = SystemFact['kind'];
 
@@ -80,6 +95,8 @@
   /** The key of the entry that states a load. */
   memberOfLoad: (loadKey: string) => loadKey.replace(/^load/, 'member'),
   backend: (instanceId: string) => `backend/${instanceId}`,
+  /** Two VMs may both believe for a moment that they give out the places of a data centre. */
+  room: (dataCentre: string, host: string) => `room/${dataCentre}/${host}`,
   pace: (instanceId: string) => `pace/${instanceId}`,
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
 } as const;
