feat(entry): an allocator that is slow is left alone for a moment instead of the next one being asked

Change: a refused connection turns to the stand-in at once, a silence pauses asking for 0.3 s (entries decide alone), three in a row turn to the stand-in.

--- a/packages/entry/src/addressBook.ts
+++ b/packages/entry/src/addressBook.ts
@@ -29,8 +29,8 @@
 }
 
 /**
- * Addresses that one caller gets. With a quarter of all VMs dead one caller in 4,000 knows only dead
- * ones; with fewer it would be one in 256 at four.
+ * Addresses that one caller gets. With a quarter of all VMs dead one caller in 4,000 knows only
+ * dead ones; with four addresses it would be one in 256.
  */
 const ADDRESSES_PER_CALLER = 6;
 /** With fewer in the caller's data centre, the loss of one would leave it none to turn to. */
--- a/packages/entry/src/places/allocatorRank.ts
+++ b/packages/entry/src/places/allocatorRank.ts
@@ -12,8 +12,15 @@
 export interface AllocatorRank {
   /** The VM to ask for places of a data centre; undefined when there is none. */
   find(dataCentre: string): MemberFact | undefined;
-  /** Notes that a VM did not answer: the next one of its data centre stands in for a while. */
-  noteFailure(host: string): void;
+  /** Notes that a VM answered. */
+  noteAnswer(host: string): void;
+  /** Notes that a VM refuses connections: the next one of its data centre stands in for a while. */
+  noteGone(host: string): void;
+  /**
+   * Notes that a VM did not answer in time. It may have more to do than it can: then the next one
+   * would soon have too, so nobody is asked for a moment, and the next one only when it stays so.
+   */
+  noteSilence(host: string): void;
 }
 
 interface Ranking {
@@ -22,10 +29,23 @@
 }
 
 /** A VM that ended is unheard of after 2.6 s; one that was only slow is asked again after this. */
-const FAILED_FOR_MS = 2000;
+const GONE_FOR_MS = 2000;
+/** After a loss of all VMs the first second's asks took three times as long as later ones. */
+const PAUSE_MS = 300;
+/** So many silences in a row are no passing load. */
+const MOST_SILENCES = 3;
+
+/** What this VM saw of one that it asked. */
+interface Health {
+  readonly goneUntilMs: number;
+  readonly pausedUntilMs: number;
+  readonly silences: number;
+}
+
+const HEALTHY: Health = { goneUntilMs: 0, pausedUntilMs: 0, silences: 0 };
 
 export function createAllocatorRank({ clock, listEntries }: AllocatorRankOptions): AllocatorRank {
-  const failedAtMs = new Map<string, number>();
+  const healths = new Map<string, Health>();
   const ranked = new Map<string, Ranking>();
 
   /** Hashing sixty names for each request is dear: the order holds while the names are the same. */
@@ -38,9 +58,7 @@
     return order;
   }
 
-  function hasFailed(host: string): boolean {
-    return clock.nowMs() - (failedAtMs.get(host) ?? Number.NEGATIVE_INFINITY) < FAILED_FOR_MS;
-  }
+  const healthOf = (host: string): Health => healths.get(host) ?? HEALTHY;
 
   return {
     find(dataCentre) {
@@ -54,11 +72,28 @@
         dataCentre,
         candidates.map(({ host }) => host),
       );
-      const first = order.find((host) => !hasFailed(host));
+      const nowMs = clock.nowMs();
+      const first = order.find((host) => healthOf(host).goneUntilMs <= nowMs);
+      if (first === undefined || healthOf(first).pausedUntilMs > nowMs) return undefined;
       return candidates.find(({ host }) => host === first);
     },
-    noteFailure(host) {
-      failedAtMs.set(host, clock.nowMs());
+    noteAnswer(host) {
+      healths.delete(host);
+    },
+    noteGone(host) {
+      healths.set(host, { ...HEALTHY, goneUntilMs: clock.nowMs() + GONE_FOR_MS });
+    },
+    noteSilence(host) {
+      const nowMs = clock.nowMs();
+      const { pausedUntilMs, silences, goneUntilMs } = healthOf(host);
+      // Asks that were under way together are one sign of silence.
+      if (pausedUntilMs > nowMs) return;
+      const isGone = silences + 1 >= MOST_SILENCES;
+      healths.set(host, {
+        goneUntilMs: isGone ? nowMs + GONE_FOR_MS : goneUntilMs,
+        pausedUntilMs: nowMs + PAUSE_MS,
+        silences: isGone ? 0 : silences + 1,
+      });
     },
   };
 }
--- a/packages/entry/src/places/placeClient.ts
+++ b/packages/entry/src/places/placeClient.ts
@@ -75,6 +75,8 @@
  * two hundred waiting requests asked two thousand times a second: a small VM answers half of that.
  */
 const HOLD_MS = 500;
+/** A refused connection fails within milliseconds; timers are off by one of them at most. */
+const SILENCE_SHARE = 0.9;
 /** The VM that is asked first, and the one that stands in for it. */
 const MAX_TRIES = 2;
 /** A first look, and one elsewhere, wait for nothing. */
@@ -149,10 +151,16 @@
       const target = rank.find(dataCentre);
       if (!target) return undefined;
       const params: PlaceCall = { ...reportOf(dataCentre), ...(ask ? { ask } : {}) };
+      const timeoutMs = (ask?.holdMs ?? 0) + ANSWER_MS;
+      const sentAtMs = clock.nowMs();
       try {
-        return await options.call(target, params, (ask?.holdMs ?? 0) + ANSWER_MS);
+        const reply = await options.call(target, params, timeoutMs);
+        rank.noteAnswer(target.host);
+        return reply;
       } catch (error) {
-        rank.noteFailure(target.host);
+        const isSilent = clock.nowMs() - sentAtMs >= timeoutMs * SILENCE_SHARE;
+        if (isSilent) rank.noteSilence(target.host);
+        else rank.noteGone(target.host);
         options.onFailure(target, error instanceof Error ? error.message : String(error));
         // Its answer may only have been late, with a place.
         if (ask) leave(dataCentre, ask.ticket);
