--- a/packages/entry/src/places/allocatorRank.ts
+++ b/packages/entry/src/places/allocatorRank.ts
@@ -91,8 +91,9 @@
       const isGone = silences + 1 >= MOST_SILENCES;
       healths.set(host, {
         goneUntilMs: isGone ? nowMs + GONE_FOR_MS : goneUntilMs,
-        pausedUntilMs: nowMs + PAUSE_MS,
-        silences: isGone ? 0 : silences + 1,
+        pausedUntilMs: isGone ? nowMs : nowMs + PAUSE_MS,
+        // One that was silent for long is tried by one ask, and left at once if that is lost too.
+        silences: silences + 1,
       });
     },
   };
