--- a/packages/entry/__tests__/places.spec.ts
+++ b/packages/entry/__tests__/places.spec.ts
@@ -261,6 +261,21 @@
     assert.ok((most.get('c1') ?? 0) <= CAPACITY, String(most.get('c1')));
   });
 
+  it('goes by what is told while a new account lacks what others hold', async () => {
+    const site = createDataCentre(30, ['c1']);
+    await site.pass(1500);
+    await play(site, 120, 750, 20_000, 1100);
+    const before = site.inFlight('c1');
+    assert.ok(before >= 80);
+    const keeper = site.allocator();
+    const ended = keeper.held.size;
+    keeper.isUp = false;
+    const one = site.vms.find((vm) => vm !== keeper) as Vm;
+    for (let index = 0; index < 60; index += 1) site.send(one, `burst${index}`, {}, 20_000);
+    await site.pass(300);
+    assert.ok(site.inFlight('c1') <= ADMITTED + ended, String(site.inFlight('c1')));
+  });
+
   it('goes on when the answers of the first VM are lost, and overfills nothing', async () => {
     const site = createDataCentre(30, ['c1']);
     await site.pass(1500);
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -67,12 +67,18 @@
   const ledger = createPlaceLedger({ clock });
   const line = createWaitingLine({ clock, delay, maxWaiting: MAX_WAITING, pollMs: POLL_MS });
   const tickets = new Map<string, Ticket>();
+  const inherited = new Map<string, number>();
+  const given = new Map<string, number>();
   let usedAtMs = Number.NEGATIVE_INFINITY;
   let gatheredAtMs = Number.NEGATIVE_INFINITY;
 
   function noteUse(): void {
     const nowMs = clock.nowMs();
-    if (nowMs - usedAtMs > IDLE_MS) gatheredAtMs = nowMs + GATHERING_MS;
+    if (nowMs - usedAtMs > IDLE_MS) {
+      gatheredAtMs = nowMs + GATHERING_MS;
+      inherited.clear();
+      given.clear();
+    }
     usedAtMs = nowMs;
   }
 
@@ -81,10 +87,23 @@
     return clock.nowMs() >= gatheredAtMs && options.isFirst();
   }
 
+  /** What was told of a chain when the account began; the lists of its holders take its place. */
+  function inheritedOn(headId: string): number {
+    const known = inherited.get(headId) ?? options.toldInFlight(headId);
+    inherited.set(headId, known);
+    return (known * Math.max(0, gatheredAtMs - clock.nowMs())) / GATHERING_MS;
+  }
+
+  /** What was given out on a chain while the account was not complete. */
+  function givenOn(headId: string): number {
+    return clock.nowMs() < gatheredAtMs ? (given.get(headId) ?? 0) : 0;
+  }
+
   /** What a chain has in flight; while the account may lack some, also what is told of it. */
   function inFlightOn(headId: string): number {
     const held = ledger.heldOn(headId);
-    return isComplete() ? held : Math.max(held, options.toldInFlight(headId));
+    if (isComplete()) return held;
+    return Math.max(held, options.toldInFlight(headId), inheritedOn(headId) + givenOn(headId));
   }
 
   function isUsable({ headId, stages }: RatedChain, ask: PlaceAsk): boolean {
@@ -122,6 +141,7 @@
     );
     const { headId, stages, capacity } = chosen;
     ledger.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
+    given.set(headId, (given.get(headId) ?? 0) + ask.size);
     return { headId, stages, capacity, inFlight: inFlightOn(headId) };
   }
 
