--- a/packages/entry/__tests__/places.spec.ts
+++ b/packages/entry/__tests__/places.spec.ts
@@ -25,6 +25,8 @@
   readonly client: PlaceClient;
   readonly allocator: PlaceAllocator;
   readonly held: Map<string, HeldPlace>;
+  /** Engines that turned a request of this VM away. */
+  readonly avoided: Set<string>;
   isUp: boolean;
   /** Its answers are lost, though it hears everything. */
   isMute: boolean;
@@ -83,6 +85,7 @@
 
   function createVm(host: string): Vm {
     const held = new Map<string, HeldPlace>();
+    const avoided = new Set<string>();
     const rank = createAllocatorRank({ clock, listEntries: () => heard });
     const allocator = createPlaceAllocator({
       clock,
@@ -97,15 +100,16 @@
     const client = createPlaceClient({
       clock,
       holder: host,
+      dataCentre: 'a',
       rank,
       call: (target, params, timeoutMs) =>
         call(target, (vm) => vm.allocator.answer(params), timeoutMs),
       listHeld: () => [...held.values()],
-      listAvoided: () => [],
+      listAvoided: () => [...avoided],
       schedule,
       onFailure: () => {},
     });
-    return { host, client, allocator, held, isUp: true, isMute: false };
+    return { host, client, allocator, held, avoided, isUp: true, isMute: false };
   }
 
   for (let index = 0; index < count; index += 1) vms.push(createVm(`vm${index}`));
@@ -323,6 +327,23 @@
     assert.equal(after[0]?.kind, 'placed');
   });
 
+  it('sends nobody else over an engine that turned a request of one VM away', async () => {
+    const site = createDataCentre(4, ['c1', 'c2']);
+    await site.pass(1500);
+    const [a, b] = site.vms as [Vm, Vm];
+    a.avoided.add('c1');
+    site.send(a, 'rejected');
+    await site.pass(5);
+    a.avoided.clear();
+    for (let index = 0; index < 10; index += 1) site.send(b, `b${index}`);
+    await site.pass(10);
+    assert.equal(site.inFlight('c1'), 0);
+    await site.pass(400);
+    for (let index = 10; index < 20; index += 1) site.send(b, `b${index}`);
+    await site.pass(10);
+    assert.ok(site.inFlight('c1') > 0);
+  });
+
   it('puts the rest of a begun stream before new ones', async () => {
     const site = createDataCentre(4, ['c1']);
     await site.pass(1500);
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -57,6 +57,11 @@
 const MAX_WAITING = 600;
 /** So long after the first call the account may lack what other VMs hold. */
 const GATHERING_MS = 1300;
+/**
+ * So long nobody is sent over an engine that turned a request of one VM away: until it is known
+ * to be lost, 247 sends of 200 VMs found it out one after the other.
+ */
+const AVOID_MS = 300;
 /** An account that nobody used for so long is gathered anew. */
 const IDLE_MS = 2600;
 /** A first event that takes so long counts as much as a chain that is full. */
@@ -67,6 +72,7 @@
   const ledger = createPlaceLedger({ clock });
   const line = createWaitingLine({ clock, delay, maxWaiting: MAX_WAITING, pollMs: POLL_MS });
   const tickets = new Map<string, Ticket>();
+  const avoidedUntilMs = new Map<string, number>();
   const inherited = new Map<string, number>();
   const given = new Map<string, number>();
   let usedAtMs = Number.NEGATIVE_INFINITY;
@@ -106,9 +112,20 @@
     return Math.max(held, options.toldInFlight(headId), inheritedOn(headId) + givenOn(headId));
   }
 
+  /** From another data centre the way to an engine may be at fault: no matter for others. */
+  function noteAvoided({ dataCentre: from, ask }: PlaceCall): void {
+    if (from !== dataCentre || !ask) return;
+    const untilMs = clock.nowMs() + AVOID_MS;
+    ask.avoidedIds.forEach((id) => avoidedUntilMs.set(id, untilMs));
+  }
+
+  function isAvoided(id: string, ask: PlaceAsk): boolean {
+    return ask.avoidedIds.includes(id) || (avoidedUntilMs.get(id) ?? 0) > clock.nowMs();
+  }
+
   function isUsable({ headId, stages }: RatedChain, ask: PlaceAsk): boolean {
     if (ask.excludedHeads.includes(headId)) return false;
-    return !stages.some(({ id }) => ask.avoidedIds.includes(id));
+    return !stages.some(({ id }) => isAvoided(id, ask));
   }
 
   function hasRoom({ headId, capacity }: RatedChain, { size, hasBegun }: PlaceAsk): boolean {
@@ -209,9 +226,11 @@
   }
 
   return {
-    async answer({ holder, sequence, places, givenUp, ask }) {
+    async answer(call) {
+      const { holder, sequence, places, givenUp, ask } = call;
       noteUse();
       forgetLost();
+      noteAvoided(call);
       ledger.report(holder, { sequence, places });
       givenUp.forEach((ticket) => giveUp(holder, ticket));
       if (!ask) return { kind: 'noted' };
--- a/packages/entry/src/places/placeClient.ts
+++ b/packages/entry/src/places/placeClient.ts
@@ -45,6 +45,7 @@
   readonly clock: Clock;
   /** This VM and its run. */
   readonly holder: string;
+  readonly dataCentre: string;
   readonly rank: AllocatorRank;
   readonly call: (target: MemberFact, params: PlaceCall, timeoutMs: number) => Promise<PlaceReply>;
   /** What this VM holds in a data centre now. */
@@ -115,13 +116,19 @@
   let sequence = 0;
   let isFlushDue = false;
 
-  function reportOf(dataCentre: string): PlaceCall {
+  function reportOf(asked: string): PlaceCall {
     sequence += 1;
-    changed.delete(dataCentre);
-    toldAtMs.set(dataCentre, clock.nowMs());
-    const dropped = givenUp.get(dataCentre) ?? [];
-    givenUp.delete(dataCentre);
-    return { holder, sequence, places: options.listHeld(dataCentre), givenUp: dropped };
+    changed.delete(asked);
+    toldAtMs.set(asked, clock.nowMs());
+    const dropped = givenUp.get(asked) ?? [];
+    givenUp.delete(asked);
+    return {
+      holder,
+      dataCentre: options.dataCentre,
+      sequence,
+      places: options.listHeld(asked),
+      givenUp: dropped,
+    };
   }
 
   let tell = (_dataCentre: string): void => {};
--- a/packages/entry/src/places/placeMessages.ts
+++ b/packages/entry/src/places/placeMessages.ts
@@ -32,6 +32,8 @@
 export interface PlaceCall extends HoldingsReport {
   /** The asking VM and its run. */
   readonly holder: string;
+  /** Where the asking VM is. */
+  readonly dataCentre: string;
   /** Tickets that are no longer wanted, with a place or without one. */
   readonly givenUp: readonly string[];
   readonly ask?: PlaceAsk;
--- a/packages/entry/src/places/placeService.ts
+++ b/packages/entry/src/places/placeService.ts
@@ -90,6 +90,7 @@
   const client = createPlaceClient({
     clock,
     holder: `${host}/${run}`,
+    dataCentre,
     rank,
     call,
     listHeld: (name) => streams.listHeld(name),
