feat(entry): the end of a request names who placed it and what was known of its chain

Change: request-ended carries placedBy, chainDataCentre, chainInFlight, chainCapacity. Measured: unit tests only; no decision changes.

--- a/packages/entry/__tests__/places.spec.ts
+++ b/packages/entry/__tests__/places.spec.ts
@@ -90,6 +90,7 @@
     const allocator = createPlaceAllocator({
       clock,
       delay,
+      host,
       dataCentre: 'a',
       chains: { listOf: () => chains },
       modelOf: () => MODEL,
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -30,6 +30,8 @@
   readonly capacity: number;
   /** Requests in flight there, as far as known. */
   readonly inFlight: number;
+  /** The VM that gave out the place; null where this one decided by itself. */
+  readonly placedBy: string | null;
   /** Whether a new stream may go there. */
   readonly hasRoom: boolean;
   /** Whether the rest of a begun stream may go there: what new ones leave free is for these. */
@@ -212,7 +214,16 @@
     const ownPart = admitted / Math.max(1, options.entries());
     const hasRoom = own < ownPart || inFlight < capacity * LENT_SHARE;
     const hasRoomForBegun = hasRoom || inFlight < capacity;
-    const rated = { dataCentre, headId, stages, capacity, inFlight, hasRoom, hasRoomForBegun };
+    const rated = {
+      dataCentre,
+      headId,
+      stages,
+      capacity,
+      inFlight,
+      placedBy: null,
+      hasRoom,
+      hasRoomForBegun,
+    };
     return { chain: rated, cost, isLocal };
   }
 
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -34,6 +34,16 @@
   readonly endsAtMs: number;
 }
 
+/** What decided where a stream ran, for the log. */
+export interface PlaceDecision {
+  /** The VM that gave out the place; null where the entry decided by itself. */
+  readonly placedBy: string | null;
+  readonly dataCentre: string;
+  /** Sizes in flight on the chain when it was chosen, and how much it holds. */
+  readonly inFlight: number;
+  readonly capacity: number;
+}
+
 /** How a request ended, for the log and the counters. */
 export interface RequestEnd {
   readonly outcome: 'served' | 'failed-there' | 'refused' | 'failed' | 'broken-off' | 'caller-left';
@@ -42,6 +52,8 @@
   /** Backend server, or the engines of the path, that served last. */
   readonly servedBy: readonly string[];
   readonly firstByteMs: number | null;
+  /** Where its last attempt ran, and why there. */
+  readonly place?: PlaceDecision | null;
   /** Time that it waited here for a place at a backend server, over all attempts. */
   readonly waitedMs?: number;
   /** The longest pause between two events of a stream, as passed on. */
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -15,6 +15,8 @@
 export interface PlaceAllocatorOptions {
   readonly clock: Clock;
   readonly delay: (durationMs: number) => Promise<void>;
+  /** This VM. */
+  readonly host: string;
   readonly dataCentre: string;
   readonly chains: Pick<ChainChoice, 'listOf'>;
   readonly modelOf: (service: string) => ModelDescription | undefined;
@@ -159,7 +161,7 @@
     const { headId, stages, capacity } = chosen;
     ledger.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
     given.set(headId, (given.get(headId) ?? 0) + ask.size);
-    return { headId, stages, capacity, inFlight: inFlightOn(headId) };
+    return { placedBy: options.host, headId, stages, capacity, inFlight: inFlightOn(headId) };
   }
 
   function enter(holder: string, ask: PlaceAsk): Ticket {
--- a/packages/entry/src/places/placeMessages.ts
+++ b/packages/entry/src/places/placeMessages.ts
@@ -41,6 +41,8 @@
 
 /** A place that was given out. */
 export interface GrantedPlace {
+  /** The VM that gave it out. */
+  readonly placedBy: string;
   readonly headId: string;
   readonly stages: readonly PathStage[];
   readonly capacity: number;
--- a/packages/entry/src/places/placeService.ts
+++ b/packages/entry/src/places/placeService.ts
@@ -64,6 +64,7 @@
   const allocator = createPlaceAllocator({
     clock,
     delay,
+    host,
     dataCentre,
     chains,
     modelOf,
--- a/packages/entry/src/requestReport.ts
+++ b/packages/entry/src/requestReport.ts
@@ -2,7 +2,7 @@
 import type { EventLog, Metrics } from '@spoolplank/node';
 import type { Clock } from '@spoolplank/shared';
 import type { CallerRequest } from './callerRequest';
-import type { RequestEnd } from './entryContext';
+import type { PlaceDecision, RequestEnd } from './entryContext';
 
 export interface RequestReportOptions {
   readonly clock: Clock;
@@ -30,6 +30,17 @@
   return durationMs === undefined ? undefined : Math.round(durationMs);
 }
 
+/** What is logged of the decision where a stream ran. */
+function describePlace(place: PlaceDecision | null | undefined) {
+  if (!place) return {};
+  return {
+    placedBy: place.placedBy,
+    chainDataCentre: place.dataCentre,
+    chainInFlight: Math.round(place.inFlight),
+    chainCapacity: Math.round(place.capacity),
+  };
+}
+
 export function createRequestReport(options: RequestReportOptions): RequestReport {
   const { clock, log, metrics } = options;
   const cap = (ageMs: number) => Math.round(Math.min(ageMs, MAX_AGE_MS));
@@ -46,6 +57,7 @@
       status: end.status,
       attempts: end.attempts,
       servedBy: end.servedBy,
+      ...describePlace(end.place),
       firstByteMs: end.firstByteMs === null ? null : Math.round(end.firstByteMs),
       waitedMs: roundIfKnown(end.waitedMs),
       longestPauseMs: roundIfKnown(end.longestPauseMs),
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -3,7 +3,7 @@
 import { sizeOfRequest } from '@spoolplank/routing';
 import type { BackendResponse } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
-import type { EntryContext } from './entryContext';
+import type { EntryContext, PlaceDecision } from './entryContext';
 import { createEventSplitter } from './eventSplitter';
 import type { PlaceSearch } from './places/placeFinder';
 import type { StreamCut, StreamRow, StreamTable } from './streamTable';
@@ -29,6 +29,8 @@
   firstByteMs: number | null;
   status: number;
   servedBy: readonly string[];
+  /** The place that it got last, and what was known of its chain then. */
+  place: PlaceDecision | null;
   /** Time spent waiting for a chain with room, over all attempts. */
   waitedMs: number;
   /** When the last event was passed on; null before the first one. */
@@ -199,6 +201,8 @@
     const timer = setTimeout(() => row.cut('deadline'), remainingMs - TIMEOUT_MARGIN_MS);
     answer.onClosed(() => row.cut('caller-left'));
     streams.add(row);
+    const { placedBy, dataCentre, inFlight, capacity } = chain;
+    progress.place = { placedBy, dataCentre, inFlight, capacity };
     progress.servedBy = chain.stages.map(
       ({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`,
     );
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -72,6 +72,7 @@
         firstByteMs: null,
         status: 0,
         servedBy: [],
+        place: null,
         waitedMs: 0,
         lastEventAtMs: null,
         longestPauseMs: 0,
@@ -89,6 +90,7 @@
         attempts,
         servedBy: progress.servedBy,
         firstByteMs: progress.firstByteMs,
+        place: progress.place,
         waitedMs: progress.waitedMs,
         longestPauseMs: progress.longestPauseMs,
       });
