--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -11,6 +11,7 @@
   RoutingDocument,
 } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
+import { createEngineCounts } from './engineCounts';
 import type { EngineAddress, EngineOrders } from './engineOperations';
 
 export interface PlacementLoopOptions {
@@ -100,6 +101,7 @@
   const refusedAtMs = new Map<string, number>();
   const orderedAtMs = new Map<string, number>();
   let orderableSinceMs: number | null = null;
+  const counts = createEngineCounts({ clock, log });
   let gathered = { count: 0, atMs: Number.NEGATIVE_INFINITY };
 
   function wasRefusedLately(instanceId: string): boolean {
@@ -241,10 +243,11 @@
     return !isTimeOver && nowMs - gathered.atMs < GATHER_INTERVALS * announcementMs;
   }
 
-  function orderFor(model: ModelDescription, engines: readonly EngineRow[]): void {
+  function orderFor(service: string, model: ModelDescription, engines: readonly EngineRow[]): void {
     dropSettled(engines);
     const newestMs = Math.max(...engines.map(({ heardAtMs }) => heardAtMs));
     const placed = engines.map((engine) => toPlaced(engine, newestMs));
+    counts.note(service, placed);
     const room = Math.max(1, model.maxConcurrentLoads) * 2 - pending.size;
     const isFirst = placed.every(({ firstLayer }) => firstLayer === null);
     if (isFirst && isGathering(engines)) return;
@@ -272,7 +275,7 @@
       if (!isSettled) return;
       document.services.forEach(({ name, model }) => {
         const engines = table.list().filter(isEngineOf(name));
-        if (model && engines.length > 0) orderFor(model, engines);
+        if (model && engines.length > 0) orderFor(name, model, engines);
       });
     },
   };
