feat(membership,controller,entry,platform): one run of a backend server is told from the next; statements are checked before they count

Cause: a backend server may start again under the id that it had. The id alone was the identity: the next run was not heard until it had counted past the earlier one, was believed to hold what that had held, and never came back once that had left. Ruled out: a key of its own for each run, as a late announcement of the earlier run would then share the address with the later.

Change: the instance id is that of one run, (server, incarnation); one row a server, ordered by incarnation, then sequence. Streams over a run that is over are mended or resumed when the next run is heard of. Orders name the count that the engine must have accepted, so that one carried out late or by the next run is refused.

--- /dev/null
+++ b/packages/controller/src/announcementCheck.ts
@@ -0,0 +1,38 @@
+/** Whether an announcement may take the place of what is known of a backend server. */
+import type { BackendFact } from '@spoolplank/membership';
+import { findMisfit } from '@spoolplank/routing';
+import type { RoutingDocument } from '@spoolplank/routing';
+
+/** What a backend server keeps for as long as one run of it lasts. */
+const LASTING = ['service', 'address', 'dataCentre'] as const;
+
+function findContradiction(known: BackendFact, stated: BackendFact): string | null {
+  const changed = LASTING.find((name) => known[name] !== stated[name]);
+  if (changed) return `its ${changed} is another one than before`;
+  const hasOtherKind = known.engine?.acceleratorKind !== stated.engine?.acceleratorKind;
+  return hasOtherKind ? 'its kind of accelerator is another one than before' : null;
+}
+
+export interface AnnouncementCheckOptions {
+  readonly stated: BackendFact;
+  /** What is known of just this run; undefined where it has not been heard of. */
+  readonly known: BackendFact | undefined;
+  /** Null before the first one: then nothing can be held against it. */
+  readonly document: RoutingDocument | null;
+}
+
+/**
+ * Why an announcement is not believed; null when it is. Other writers may speak under the name of
+ * a backend server: one that fits the document is not displaced by a statement that contradicts
+ * it, and one that does not fit is not routed to. An unknown service alone is no reason: a
+ * document that names it may be on its way.
+ */
+export function findAnnouncementProblem(options: AnnouncementCheckOptions): string | null {
+  const { stated, known, document } = options;
+  if (!document) return null;
+  const isServiceKnown = document.services.some(({ name }) => name === stated.service);
+  const misfit = isServiceKnown ? findMisfit(stated, document) : null;
+  if (misfit !== null) return misfit;
+  if (!known || known.state === 'gone' || findMisfit(known, document) !== null) return null;
+  return findContradiction(known, stated);
+}
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -7,6 +7,10 @@
   createFeedServer,
   FACT_KEYS,
   FINAL_SEQUENCE,
+  findBackend,
+  formatInstanceId,
+  isRestart,
+  parseInstanceId,
 } from '@spoolplank/membership';
 import type {
   BackendFact,
@@ -20,7 +24,9 @@
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import type { RoutingDocument } from '@spoolplank/routing';
-import type { Clock, JsonValue, Random, SpoolplankError } from '@spoolplank/shared';
+import { SpoolplankError } from '@spoolplank/shared';
+import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import { findAnnouncementProblem } from './announcementCheck';
 import type { GroupDescription } from './bootstrap';
 import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
 import { createCoreGroup } from './coreGroup';
@@ -56,14 +62,26 @@
   readonly onFatal: (error: SpoolplankError) => void;
 }
 
+/** That a backend server has left. */
+export interface Withdrawal {
+  readonly serverId: string;
+  /** The run that left; null where the call does not say. */
+  readonly incarnation: number | null;
+}
+
 export interface ControlNode {
   readonly methods: Readonly<Record<string, PeerMethod>>;
   start(): Promise<void>;
   stop(): Promise<void>;
-  /** Takes in what a backend server says of itself; a late call changes nothing. */
+  /**
+   * Takes in what a backend server says of itself; a late call, or one of an earlier run, changes
+   * nothing.
+   *
+   * @throws SpoolplankError `bad-request` when it cannot be true; it then changes nothing either.
+   */
   announce(fact: BackendFact, sequence: number): void;
   /** Takes in that a backend server has left. */
-  withdraw(instanceId: string): void;
+  withdraw(withdrawal: Withdrawal): void;
   /**
    * Puts a checked document into the log, here or at the leader.
    *
@@ -93,6 +111,11 @@
 const LOAD_RETENTION_MS = 2600;
 /** Facts are kept ten times longer than any announcement may be late. */
 const RETENTION_MS = 60_000;
+/**
+ * A call that does not say which run leaves may be a late one of an earlier run. Calls come up to
+ * three intervals late: a run that has announced itself no more often is not ended by it.
+ */
+const LATE_ANNOUNCEMENTS = 3;
 
 export async function createControlNode(options: ControlNodeOptions): Promise<ControlNode> {
   const { clock, log, peers, host, peerPort, dataCentre, run } = options;
@@ -274,13 +297,20 @@
       await group?.stop();
     },
     announce(fact, factSequence) {
-      const known = table.find(FACT_KEYS.backend(fact.instanceId));
-      const isNews = !known || (known.body as BackendFact).state !== fact.state;
-      const isTaken = table.put(FACT_KEYS.backend(fact.instanceId), factSequence, fact);
+      const { instanceId, service, address, state: newState } = fact;
+      const known = findBackend(table, instanceId)?.body;
+      const problem = findAnnouncementProblem({ stated: fact, known, document: currentDocument() });
+      if (problem !== null) throw new SpoolplankError('bad-request', { detail: problem });
+      const key = FACT_KEYS.backend(instanceId);
+      const before = table.find(key)?.body;
+      const isSameRun = before?.kind === 'backend' && before.instanceId === instanceId;
+      const isNews = !isSameRun || before.state !== newState;
+      const { incarnation } = parseInstanceId(instanceId);
+      const isTaken = table.put(key, { incarnation, sequence: factSequence }, fact);
       if (isTaken && isNews) {
-        const { instanceId, service, address, state: newState } = fact;
         log.info('backend-seen', {
           instanceId,
+          restartOf: isRestart(fact, before) ? (before as BackendFact).instanceId : undefined,
           service,
           address,
           state: newState,
@@ -288,10 +318,22 @@
         });
       }
     },
-    withdraw(instanceId) {
-      const known = table.find(FACT_KEYS.backend(instanceId))?.body;
+    withdraw({ serverId, incarnation }) {
+      const latest = table.find(FACT_KEYS.backend(serverId));
+      const isOfEarlierRun =
+        incarnation === null &&
+        latest !== undefined &&
+        latest.incarnation > 0 &&
+        latest.sequence <= LATE_ANNOUNCEMENTS;
+      if (isOfEarlierRun) {
+        log.info('withdrawal-late', { serverId, knownRun: latest.incarnation });
+        return;
+      }
+      const ended = incarnation ?? latest?.incarnation ?? 0;
+      const instanceId = formatInstanceId({ serverId, incarnation: ended });
+      const known = findBackend(table, instanceId)?.body;
       const fact: BackendFact =
-        known?.kind === 'backend'
+        known !== undefined
           ? { ...known, state: 'gone' }
           : {
               kind: 'backend',
@@ -302,8 +344,9 @@
               state: 'gone',
               slots: 0,
             };
-      table.put(FACT_KEYS.backend(instanceId), FINAL_SEQUENCE, fact);
-      log.info('backend-left', { instanceId, address: fact.address });
+      const version = { incarnation: ended, sequence: FINAL_SEQUENCE };
+      const isTaken = table.put(FACT_KEYS.backend(instanceId), version, fact);
+      log.info('backend-left', { instanceId, address: fact.address, isLate: !isTaken });
     },
     replaceDocument: documentCalls.replace,
     readDocument: documentCalls.read,
--- a/packages/controller/src/engineOperations.ts
+++ b/packages/controller/src/engineOperations.ts
@@ -15,6 +15,8 @@
   readonly held: LayerRange | null;
   /** How much longer it takes for everything than its kind does. */
   readonly slowdown: number;
+  /** Orders that this run has accepted; left out where the engine does not count them. */
+  readonly acceptedOrders?: number;
 }
 
 export interface PlaceOrder extends LayerRange {
@@ -22,6 +24,11 @@
   readonly isPreempting: boolean;
   /** How long an answer is waited for, in milliseconds. */
   readonly timeoutMs: number;
+  /**
+   * Orders that the engine must have accepted so far: with another count it refuses. An order that
+   * is carried out late, or reaches the next run under the same name, so changes nothing.
+   */
+  readonly expectedOrders?: number;
 }
 
 export interface EngineOrders {
--- /dev/null
+++ b/packages/controller/src/orderCounts.ts
@@ -0,0 +1,41 @@
+/**
+ * How many orders each engine has accepted, as far as known here. An order names the count that it
+ * was decided on: one that an engine carries out late, after newer ones, or that reaches the next
+ * run under the same name, does not fit any more and is refused there.
+ *
+ * Source: optimistic concurrency control by version number; Kung and Robinson, 1981.
+ */
+import type { OrderOutcome } from './engineOperations';
+
+export interface OrderCounts {
+  /** The count of a run of an engine; undefined when it is not known. */
+  find(instanceId: string): number | undefined;
+  isKnown(instanceId: string): boolean;
+  /** Takes an engine of which nothing is known for one that has accepted no order. */
+  assumeNone(instanceId: string): void;
+  /** Notes what an engine says of itself; that may be some hundred milliseconds old. */
+  noteReport(instanceId: string, acceptedOrders: number | undefined): void;
+  /** Notes what came of an order that was given. */
+  noteOutcome(instanceId: string, outcome: OrderOutcome): void;
+}
+
+export function createOrderCounts(): OrderCounts {
+  const counts = new Map<string, number>();
+
+  return {
+    find: (instanceId) => counts.get(instanceId),
+    isKnown: (instanceId) => counts.has(instanceId),
+    assumeNone(instanceId) {
+      if (!counts.has(instanceId)) counts.set(instanceId, 0);
+    },
+    noteReport(instanceId, acceptedOrders) {
+      if (acceptedOrders === undefined) return;
+      // Counts of one run only rise: a lower one is an old report.
+      counts.set(instanceId, Math.max(acceptedOrders, counts.get(instanceId) ?? 0));
+    },
+    noteOutcome(instanceId, outcome) {
+      const known = counts.get(instanceId);
+      if (outcome === 'begun' && known !== undefined) counts.set(instanceId, known + 1);
+    },
+  };
+}
--- /dev/null
+++ b/packages/controller/src/pendingOrders.ts
@@ -0,0 +1,66 @@
+/** Orders that engines have begun, or may have, until what they hold shows the outcome. */
+import { findBackend, hasRestarted } from '@spoolplank/membership';
+import type { FactTable, LayerRange, SystemFact } from '@spoolplank/membership';
+import type { EventLog } from '@spoolplank/node';
+import type { Clock } from '@spoolplank/shared';
+
+export interface PendingOrdersOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly table: Pick<FactTable<SystemFact>, 'find'>;
+}
+
+export interface PendingOrders {
+  readonly size: number;
+  /** The range that an engine was ordered to hold; undefined when no order is under way. */
+  find(instanceId: string): LayerRange | undefined;
+  /** Notes an order whose outcome must show until `untilMs` on this VM's clock. */
+  add(instanceId: string, range: LayerRange, untilMs: number): void;
+  remove(instanceId: string): void;
+  /**
+   * Forgets the orders whose engine holds the range, those whose time is over, and those whose
+   * engine has started again: its next run knows nothing of the order.
+   */
+  dropSettled(): void;
+  clear(): void;
+}
+
+interface PendingOrder {
+  readonly range: LayerRange;
+  readonly untilMs: number;
+}
+
+export function isSameRange(a: LayerRange | null | undefined, b: LayerRange): boolean {
+  return a?.firstLayer === b.firstLayer && a.endLayer === b.endLayer;
+}
+
+export function createPendingOrders({ clock, log, table }: PendingOrdersOptions): PendingOrders {
+  const orders = new Map<string, PendingOrder>();
+
+  /** Why an order is no longer waited for; null while it is. */
+  function findEnd(instanceId: string, { range, untilMs }: PendingOrder): string | null {
+    if (hasRestarted(table, instanceId)) return 'order-void';
+    if (isSameRange(findBackend(table, instanceId)?.body.engine?.held, range)) return 'order-done';
+    return clock.nowMs() < untilMs ? null : 'order-overdue';
+  }
+
+  return {
+    get size() {
+      return orders.size;
+    },
+    find: (instanceId) => orders.get(instanceId)?.range,
+    add(instanceId, range, untilMs) {
+      orders.set(instanceId, { range, untilMs });
+    },
+    remove: (instanceId) => orders.delete(instanceId),
+    dropSettled() {
+      orders.forEach((order, instanceId) => {
+        const end = findEnd(instanceId, order);
+        if (end === null) return;
+        orders.delete(instanceId);
+        if (end !== 'order-done') log.warn(end, { engine: instanceId, ...order.range });
+      });
+    },
+    clear: () => orders.clear(),
+  };
+}
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -1,9 +1,9 @@
 /** Gives the orders that bring every layer of a model to the engines; see `planPlacement`. */
-import { FACT_KEYS, lostAfterMs, readSlowdown } from '@spoolplank/membership';
+import { FACT_KEYS, findBackend, lostAfterMs, readSlowdown } from '@spoolplank/membership';
 import type { BackendFact, Fact, FactTable, LayerRange, SystemFact } from '@spoolplank/membership';
 import { delay } from '@spoolplank/node';
 import type { EventLog } from '@spoolplank/node';
-import { planPlacement } from '@spoolplank/routing';
+import { findMisfit, planPlacement } from '@spoolplank/routing';
 import type {
   ModelDescription,
   PlacedEngine,
@@ -13,6 +13,8 @@
 import type { Clock } from '@spoolplank/shared';
 import { createEngineCounts } from './engineCounts';
 import type { EngineAddress, EngineOrders } from './engineOperations';
+import { createOrderCounts } from './orderCounts';
+import { createPendingOrders, isSameRange } from './pendingOrders';
 
 export interface PlacementLoopOptions {
   readonly clock: Clock;
@@ -37,11 +39,6 @@
   isLost: boolean;
 }
 
-interface PendingOrder {
-  readonly range: LayerRange;
-  readonly untilMs: number;
-}
-
 interface OrderTiming {
   /** Time that the load takes at most. */
   readonly loadMs: number;
@@ -84,10 +81,6 @@
   return endLayer > firstLayer ? { firstLayer, endLayer } : null;
 }
 
-function isSameRange(a: LayerRange | null | undefined, b: LayerRange): boolean {
-  return a?.firstLayer === b.firstLayer && a.endLayer === b.endLayer;
-}
-
 function isEngineOf(service: string) {
   return (fact: Fact<SystemFact>): fact is EngineRow =>
     fact.body.kind === 'backend' && fact.body.service === service && fact.body.engine !== undefined;
@@ -95,13 +88,14 @@
 
 export function createPlacementLoop(options: PlacementLoopOptions): PlacementLoop {
   const { clock, log, table, orders, announcementMs } = options;
-  const pending = new Map<string, PendingOrder>();
+  const pending = createPendingOrders({ clock, log, table });
   const witnesses = new Map<string, Witness>();
   const doubtfulUntilMs = new Map<string, number>();
   const refusedAtMs = new Map<string, number>();
   const orderedAtMs = new Map<string, number>();
   let orderableSinceMs: number | null = null;
   const counts = createEngineCounts({ clock, log });
+  const orderCounts = createOrderCounts();
   let gathered = { count: 0, atMs: Number.NEGATIVE_INFINITY };
 
   function wasRefusedLately(instanceId: string): boolean {
@@ -130,15 +124,18 @@
 
   /** Makes known what an engine holds before it announces it. */
   function publish(instanceId: string, held: LayerRange | null, step: number): void {
-    const known = table.find(FACT_KEYS.backend(instanceId));
-    if (known?.body.kind !== 'backend' || !known.body.engine) return;
+    const known = findBackend(table, instanceId);
+    if (!known?.body.engine) return;
     const body: BackendFact = { ...known.body, engine: { ...known.body.engine, held } };
-    table.put(known.key, Math.floor(known.sequence) + step, body);
+    const { incarnation, sequence } = known;
+    table.put(known.key, { incarnation, sequence: Math.floor(sequence) + step }, body);
   }
 
   async function readHeld(engine: EngineAddress): Promise<LayerRange | null> {
     try {
-      return (await orders.inspect(engine)).held;
+      const { held, acceptedOrders } = await orders.inspect(engine);
+      orderCounts.noteReport(engine.instanceId, acceptedOrders);
+      return held;
     } catch (error) {
       // It may be busy or gone: its announcements, or their end, will tell.
       log.info('engine-unread', { engine: engine.instanceId, problem: String(error) });
@@ -147,7 +144,7 @@
   }
 
   async function followLoad(engine: EngineAddress, range: LayerRange): Promise<void> {
-    while (pending.get(engine.instanceId)?.range === range) {
+    while (pending.find(engine.instanceId) === range) {
       await delay(LOAD_POLL_MS);
       const held = await readHeld(engine);
       if (isSameRange(held, range)) {
@@ -160,8 +157,8 @@
   function toPlaced(row: EngineRow, newestMs: number): PlacedEngine {
     const { body, heardAtMs } = row;
     const { instanceId, dataCentre, state, engine, slots } = body;
-    const order = pending.get(instanceId);
-    const range = order?.range ?? engine?.held ?? null;
+    const ordered = pending.find(instanceId);
+    const range = ordered ?? engine?.held ?? null;
     const isSuspect = isConfirmedLost(row);
     const isHeard = newestMs - heardAtMs < lostAfterMs(announcementMs);
     const isServing = isHeard && !isSuspect && state !== 'gone';
@@ -176,21 +173,19 @@
       slots,
       firstLayer: range?.firstLayer ?? null,
       endLayer: range?.endLayer ?? null,
-      isOrderable: isReliable && order === undefined && !wasRefusedLately(instanceId),
+      isOrderable: isReliable && ordered === undefined && !wasRefusedLately(instanceId),
       isReliable,
       isServing,
     };
   }
 
-  function dropSettled(engines: readonly EngineRow[]): void {
-    const nowMs = clock.nowMs();
-    pending.forEach(({ range, untilMs }, id) => {
-      const held = engines.find(({ body }) => body.instanceId === id)?.body.engine?.held;
-      const isDone = isSameRange(held, range);
-      if (!isDone && nowMs < untilMs) return;
-      pending.delete(id);
-      if (!isDone) log.warn('order-overdue', { engine: id, ...range });
-    });
+  /** What an engine must have accepted so far for the next order to be carried out. */
+  async function findExpectedOrders({ body }: EngineRow): Promise<number | undefined> {
+    const { instanceId, address, engine } = body;
+    // One that holds nothing has most likely just started; all of them are ordered at once then.
+    if (!engine?.held) orderCounts.assumeNone(instanceId);
+    else if (!orderCounts.isKnown(instanceId)) await readHeld({ instanceId, address });
+    return orderCounts.find(instanceId);
   }
 
   async function give(
@@ -203,14 +198,17 @@
     const { firstLayer, endLayer, isPreempting } = order;
     const range = { firstLayer, endLayer };
     orderedAtMs.set(engine.body.dataCentre, clock.nowMs());
-    pending.set(instanceId, { range, untilMs: clock.nowMs() + loadMs + ORDER_MARGIN_MS });
-    const placement = { ...range, isPreempting, timeoutMs };
+    pending.add(instanceId, range, clock.nowMs() + loadMs + ORDER_MARGIN_MS);
+    const expectedOrders = await findExpectedOrders(engine);
+    const placement = { ...range, isPreempting, timeoutMs, expectedOrders };
     const outcome = await orders.place({ instanceId, address }, placement);
+    orderCounts.noteOutcome(instanceId, outcome);
     log.info('order-given', {
       engine: instanceId,
       ...range,
       isPreempting,
       outcome,
+      expectedOrders,
       announcedAgeMs: Math.round(clock.nowMs() - engine.heardAtMs),
     });
     if (outcome === 'unknown') {
@@ -219,8 +217,11 @@
       return;
     }
     if (outcome === 'refused') {
-      pending.delete(instanceId);
-      refusedAtMs.set(instanceId, clock.nowMs());
+      await readHeld({ instanceId, address });
+      // Only the count was wrong, as it accepted orders that are not known of here: try again.
+      const isMiscounted = orderCounts.find(instanceId) !== expectedOrders;
+      if (!isMiscounted) refusedAtMs.set(instanceId, clock.nowMs());
+      pending.remove(instanceId);
       return;
     }
     publish(instanceId, intersect(engine.body.engine?.held ?? null, range), ORDERED_STEP);
@@ -244,7 +245,7 @@
   }
 
   function orderFor(service: string, model: ModelDescription, engines: readonly EngineRow[]): void {
-    dropSettled(engines);
+    pending.dropSettled();
     const newestMs = Math.max(...engines.map(({ heardAtMs }) => heardAtMs));
     const placed = engines.map((engine) => toPlaced(engine, newestMs));
     counts.note(service, placed);
@@ -274,7 +275,10 @@
       const isSettled = clock.nowMs() - orderableSinceMs > SETTLE_INTERVALS * announcementMs;
       if (!isSettled) return;
       document.services.forEach(({ name, model }) => {
-        const engines = table.list().filter(isEngineOf(name));
+        const engines = table
+          .list()
+          .filter(isEngineOf(name))
+          .filter(({ body }) => findMisfit(body, document) === null);
         if (model && engines.length > 0) orderFor(name, model, engines);
       });
     },
--- a/packages/entry/__tests__/dataCentreRank.spec.ts
+++ b/packages/entry/__tests__/dataCentreRank.spec.ts
@@ -11,6 +11,7 @@
   const services = { engines: { capacity: 100, inFlight: 0, waiting: 0, ...room } };
   return {
     key: `room/${dataCentre}/${heardAtMs}`,
+    incarnation: 0,
     sequence: 1,
     body: { kind: 'room', dataCentre, services },
     heardAtMs,
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -210,7 +210,7 @@
 
   it('is repaired at once when another entry has found the engine lost', async () => {
     const setting = createSetting();
-    setting.repair.repairSuspected((instanceId) => instanceId === 'a2');
+    setting.repair.repairLost((instanceId) => instanceId === 'a2');
     await setting.pass(0);
     assert.deepEqual(setting.repairs, [['a1', 'a3']]);
   });
--- a/packages/entry/src/engineHealth.ts
+++ b/packages/entry/src/engineHealth.ts
@@ -1,6 +1,6 @@
 /** Which engines this entry leaves out: those suspected everywhere, and those it avoids itself. */
-import { FACT_KEYS } from '@spoolplank/membership';
-import type { BackendFact, FactTable, FactUpdate, SystemFact } from '@spoolplank/membership';
+import { FACT_KEYS, findBackend, hasRestarted } from '@spoolplank/membership';
+import type { FactTable, FactUpdate, SystemFact } from '@spoolplank/membership';
 import type { EventLog, Metrics } from '@spoolplank/node';
 import type { Clock } from '@spoolplank/shared';
 
@@ -22,8 +22,11 @@
   listAvoided(): readonly string[];
   /** Makes a lost engine known to all entries, unless it may be the way to it that is at fault. */
   suspect(instanceId: string, evidence: string): void;
-  /** Whether it is suspected, and has not announced itself since. */
-  isSuspected(instanceId: string): boolean;
+  /**
+   * Whether streams that run over it wait in vain: it is suspected and has not announced itself
+   * since, or it has started again and holds nothing of them.
+   */
+  isLost(instanceId: string): boolean;
   /** Suspicions of this entry that are still to be repeated. */
   listStatements(): readonly FactUpdate<SystemFact>[];
 }
@@ -45,11 +48,6 @@
   const avoidedUntilMs = new Map<string, number>();
   const suspicions = new Map<string, OwnSuspicion>();
 
-  function findEngine(instanceId: string): BackendFact | undefined {
-    const body = table.find(FACT_KEYS.backend(instanceId))?.body;
-    return body?.kind === 'backend' ? body : undefined;
-  }
-
   function avoid(instanceId: string, durationMs = AVOID_MS): void {
     avoidedUntilMs.set(instanceId, clock.nowMs() + durationMs);
   }
@@ -70,11 +68,11 @@
     isAvoided,
     listAvoided: () => [...avoidedUntilMs.keys()].filter(isAvoided),
     suspect(instanceId, evidence) {
-      const announced = table.find(FACT_KEYS.backend(instanceId));
+      const announced = findBackend(table, instanceId);
       const sequence = Math.floor(announced?.sequence ?? 0);
       const known = suspicions.get(instanceId);
       if (known && known.sequence >= sequence) return;
-      const engine = findEngine(instanceId);
+      const engine = announced?.body;
       if (engine?.dataCentre !== dataCentre) {
         avoidRemote(instanceId, evidence);
         return;
@@ -90,9 +88,10 @@
       table.put(FACT_KEYS.suspicion(instanceId), sequence, { kind: 'suspicion', instanceId });
       spread();
     },
-    isSuspected(instanceId) {
+    isLost(instanceId) {
+      if (hasRestarted(table, instanceId)) return true;
       const suspicion = table.find(FACT_KEYS.suspicion(instanceId));
-      const announced = table.find(FACT_KEYS.backend(instanceId));
+      const announced = findBackend(table, instanceId);
       return suspicion !== undefined && suspicion.sequence >= Math.floor(announced?.sequence ?? 0);
     },
     listStatements() {
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,6 +1,6 @@
 /** The role `entry` with everything it needs injected. */
 import type { StoredDocument } from '@spoolplank/control';
-import { createDocumentCache, createFactTable } from '@spoolplank/membership';
+import { createDocumentCache, createFactTable, isRestart } from '@spoolplank/membership';
 import type { FactUpdate, LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
@@ -89,13 +89,13 @@
   let isLeaving = false;
   let isStopped = false;
 
-  let onSuspicion = () => {};
+  let onEngineLoss = () => {};
   let syncedAtMs = () => Number.NEGATIVE_INFINITY;
   const table = createFactTable<SystemFact>({
     clock,
     instance: run,
-    isUrgent: ({ kind }) => kind === 'suspicion',
-    onUrgent: () => onSuspicion(),
+    isUrgent: (body, before) => body.kind === 'suspicion' || isRestart(body, before),
+    onUrgent: () => onEngineLoss(),
   });
   const view = createRoutingView({
     clock,
@@ -201,7 +201,7 @@
   });
   const { suspect, avoid } = health;
   const repair = createStreamRepair({ context, streams, chains, suspect, avoid });
-  onSuspicion = () => repair.repairSuspected(health.isSuspected);
+  onEngineLoss = () => repair.repairLost(health.isLost);
   const plain = createPlainDispatch(context);
   const places = createPlaceService({
     clock,
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -10,7 +10,7 @@
   RoomFact,
   SystemFact,
 } from '@spoolplank/membership';
-import { createRouteTable } from '@spoolplank/routing';
+import { createRouteTable, findMisfit } from '@spoolplank/routing';
 import type { RouteTable, RoutingDocument } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 
@@ -72,10 +72,20 @@
     return suspicion !== undefined && suspicion.sequence >= Math.floor(sequence);
   }
 
+  function currentRoutes(): RouteTable | null {
+    const { current } = documents;
+    if (current && routes?.document.version !== current.version) {
+      routes = createRouteTable(readDocument(current));
+    }
+    return routes;
+  }
+
   function takeBackend(fact: Fact<SystemFact>, body: BackendFact, nowMs: number): void {
     if (body.state !== 'ready') return;
     const isLost = nowMs - fact.heardAtMs > lostAfterMs(announcementMs);
     if (isLost || isSuspect(body.instanceId, fact.sequence)) return;
+    const document = currentRoutes()?.document;
+    if (document && findMisfit(body, document) !== null) return;
     const known = backends.get(body.service);
     if (known) known.push(body);
     else backends.set(body.service, [body]);
@@ -128,13 +138,7 @@
   }
 
   return {
-    routes() {
-      const { current } = documents;
-      if (current && routes?.document.version !== current.version) {
-        routes = createRouteTable(readDocument(current));
-      }
-      return routes;
-    },
+    routes: currentRoutes,
     listBackends(service) {
       refresh();
       return backends.get(service) ?? [];
--- a/packages/entry/src/streamRepair.ts
+++ b/packages/entry/src/streamRepair.ts
@@ -23,8 +23,8 @@
   examine(instanceId: string, address: string): void;
   /** Lets time pass: looks for streams that have been silent too long. */
   tick(): void;
-  /** Repairs every stream that runs over engines which are suspected now. */
-  repairSuspected(isSuspected: (instanceId: string) => boolean): void;
+  /** Repairs every stream that runs over engines which are lost now. */
+  repairLost(isLost: (instanceId: string) => boolean): void;
 }
 
 /** Shares of a route's own targets after which silence is looked into. */
@@ -224,13 +224,13 @@
         if (isDue && isLooking(nowMs)) void check(row);
       }
     },
-    repairSuspected(isSuspected) {
+    repairLost(isLost) {
       for (const row of streams.list()) {
-        const lost = row.stages.filter(({ id }) => !row.lostIds.has(id) && isSuspected(id));
+        const lost = row.stages.filter(({ id }) => !row.lostIds.has(id) && isLost(id));
         lost.forEach(({ id }) => row.lostIds.add(id));
         if (lost.length > 0) startRepair(row);
       }
-      // Read once, so that the next choice of a chain sees what is suspected.
+      // Read once, so that the next choice of a chain sees what is lost.
       void view.revision;
     },
   };
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -1,4 +1,5 @@
 export * from './src/announcement';
+export * from './src/backendIdentity';
 export * from './src/directory';
 export * from './src/documentCache';
 export * from './src/factTable';
--- /dev/null
+++ b/packages/membership/src/backendIdentity.ts
@@ -0,0 +1,34 @@
+/**
+ * Which run of a backend server is meant. A backend server may start again under the name that it
+ * had; it then holds and knows nothing of before. Whatever is kept about it (what it holds, its
+ * pace, its load, who runs over it) is kept about one run, under that run's instance id.
+ */
+
+/** One run of a backend server. */
+export interface BackendIdentity {
+  /** The name that it keeps over its restarts. */
+  readonly serverId: string;
+  /**
+   * Unix time of its start in milliseconds, which tells a later run from an earlier one; 0 where
+   * it does not say, and each run has a name of its own.
+   */
+  readonly incarnation: number;
+}
+
+/** Stands in no name, as names are segments of a path. */
+const SEPARATOR = '/';
+
+/** The instance id of a run: its key wherever something is kept about it. */
+export function formatInstanceId({ serverId, incarnation }: BackendIdentity): string {
+  return incarnation === 0 ? serverId : `${serverId}${SEPARATOR}${incarnation}`;
+}
+
+/** The run that an instance id stands for. */
+export function parseInstanceId(instanceId: string): BackendIdentity {
+  const at = instanceId.lastIndexOf(SEPARATOR);
+  if (at < 0) return { serverId: instanceId, incarnation: 0 };
+  return {
+    serverId: instanceId.slice(0, at),
+    incarnation: Number(instanceId.slice(at + SEPARATOR.length)),
+  };
+}
--- a/packages/membership/src/factTable.ts
+++ b/packages/membership/src/factTable.ts
@@ -1,10 +1,16 @@
 import type { Clock } from '@spoolplank/shared';
 
+/** Orders the statements about one key. */
+export interface FactVersion {
+  /** Rises with every run of whoever states the fact; 0 where it has one run a key. */
+  readonly incarnation: number;
+  /** Rises with every statement of one run. */
+  readonly sequence: number;
+}
+
 /** Something that one party states about itself, and everyone passes on. */
-export interface Fact<Body> {
+export interface Fact<Body> extends FactVersion {
   readonly key: string;
-  /** Rises with every statement of whoever states the fact. */
-  readonly sequence: number;
   readonly body: Body;
   /** When it was stated, on this VM's monotonic clock. */
   readonly heardAtMs: number;
@@ -19,6 +25,8 @@
 /** A fact on its way to another VM; without a body when that VM has it already. */
 export interface FactUpdate<Body> {
   readonly key: string;
+  /** Left out where it is 0. */
+  readonly incarnation?: number;
   readonly sequence: number;
   readonly ageMs: number;
   readonly body?: Body;
@@ -37,8 +45,11 @@
   readonly clock: Clock;
   /** Unique to this run of the process. */
   readonly instance: string;
-  /** Whether a changed body is worth passing on at once, rather than with the next exchange. */
-  readonly isUrgent: (body: Body) => boolean;
+  /**
+   * Whether a changed body is worth passing on at once, rather than with the next exchange; told
+   * what it takes the place of, where that is still known.
+   */
+  readonly isUrgent: (body: Body, before?: Body) => boolean;
   /** Told after an urgent change. */
   readonly onUrgent?: () => void;
 }
@@ -48,8 +59,8 @@
   readonly instance: string;
   readonly revision: number;
   readonly bodyRevision: number;
-  /** States a fact; false when one with this sequence or a later one is known. */
-  put(key: string, sequence: number, body: Body): boolean;
+  /** States a fact; false when one with this version or a later one is known. */
+  put(key: string, version: number | FactVersion, body: Body): boolean;
   find(key: string): Fact<Body> | undefined;
   list(): readonly Fact<Body>[];
   /**
@@ -69,6 +80,16 @@
   sweep(retentionMs: number): void;
 }
 
+/** Whether `a` was stated after `b`: a later run outranks any statement of an earlier one. */
+function isLater(a: FactVersion, b: FactVersion): boolean {
+  if (a.incarnation !== b.incarnation) return a.incarnation > b.incarnation;
+  return a.sequence > b.sequence;
+}
+
+function toVersion(version: number | FactVersion): FactVersion {
+  return typeof version === 'number' ? { incarnation: 0, sequence: version } : version;
+}
+
 export function createFactTable<Body>(options: FactTableOptions<Body>): FactTable<Body> {
   const { clock, instance, isUrgent, onUrgent = () => {} } = options;
   const rows = new Map<string, Fact<Body>>();
@@ -78,7 +99,7 @@
 
   function store(
     key: string,
-    sequence: number,
+    { incarnation, sequence }: FactVersion,
     body: Body,
     { heardAtMs, origin }: { readonly heardAtMs: number; readonly origin: string },
   ): void {
@@ -90,6 +111,7 @@
     if (isChanged) bodyRevision = revision;
     rows.set(key, {
       key,
+      incarnation,
       sequence,
       body,
       heardAtMs,
@@ -97,19 +119,21 @@
       bodyRevision: isBodyDue ? revision : known.bodyRevision,
       origin,
     });
-    if (!isChanged || !isUrgent(body)) return;
+    if (!isChanged || !isUrgent(body, known?.body)) return;
     urgentRevision = revision;
     onUrgent();
   }
 
   function mergeUpdate(update: FactUpdate<Body>, saidAtMs: number, from: string): void {
-    const { key, sequence, ageMs, origin = from } = update;
+    const { key, incarnation = 0, sequence, ageMs, origin = from } = update;
     const known = rows.get(key);
-    const heardAtMs = saidAtMs - ageMs;
-    const body = update.body ?? known?.body;
+    const version: FactVersion = { incarnation, sequence };
+    if (known && !isLater(version, known)) return;
+    // What an earlier run said of itself says nothing of a later one.
+    const isOfSameRun = known?.incarnation === incarnation;
+    const body = update.body ?? (isOfSameRun ? known?.body : undefined);
     if (body === undefined) return;
-    if (known && known.sequence >= sequence) return;
-    store(key, sequence, body, { heardAtMs, origin });
+    store(key, version, body, { heardAtMs: saidAtMs - ageMs, origin });
   }
 
   return {
@@ -120,10 +144,11 @@
     get bodyRevision() {
       return bodyRevision;
     },
-    put(key, sequence, body) {
+    put(key, stated, body) {
       const known = rows.get(key);
-      if (known && known.sequence >= sequence) return false;
-      store(key, sequence, body, { heardAtMs: clock.nowMs(), origin: '' });
+      const version = toVersion(stated);
+      if (known && !isLater(version, known)) return false;
+      store(key, version, body, { heardAtMs: clock.nowMs(), origin: '' });
       return true;
     },
     find: (key) => rows.get(key),
@@ -133,13 +158,16 @@
       const nowMs = clock.nowMs();
       const updates = [...rows.values()]
         .filter((row) => row.revision > since && !exceptOrigins.includes(row.origin))
-        .map(({ key, sequence, heardAtMs, body, origin, bodyRevision: changedAt }) => ({
-          key,
-          sequence,
-          ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
-          ...(changedAt > since ? { body } : {}),
-          ...(origin === '' ? {} : { origin }),
-        }));
+        .map(
+          ({ key, incarnation, sequence, heardAtMs, body, origin, bodyRevision: changedAt }) => ({
+            key,
+            ...(incarnation === 0 ? {} : { incarnation }),
+            sequence,
+            ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
+            ...(changedAt > since ? { body } : {}),
+            ...(origin === '' ? {} : { origin }),
+          }),
+        );
       return { instance, revision, updates };
     },
     hasUrgentSince(sinceRevision, exceptOrigins = []) {
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -1,4 +1,6 @@
 /** The facts that VMs of a deployment exchange. */
+import { parseInstanceId } from './backendIdentity';
+import type { Fact, FactTable } from './factTable';
 
 /** A process of the system. Its key holds the run, so that a restart is a new member. */
 export interface MemberFact {
@@ -42,7 +44,7 @@
 /** A backend server, as it announced itself. */
 export interface BackendFact {
   readonly kind: 'backend';
-  /** Unique to one run of the backend server. */
+  /** Unique to one run of the backend server; see `BackendIdentity`. */
   readonly instanceId: string;
   readonly service: string;
   readonly address: string;
@@ -94,7 +96,8 @@
   load: (host: string, run: string) => `load/${host}/${run}`,
   /** The key of the entry that states a load. */
   memberOfLoad: (loadKey: string) => loadKey.replace(/^load/, 'member'),
-  backend: (instanceId: string) => `backend/${instanceId}`,
+  /** One row for all runs of a backend server, so that the latest is the one that is known. */
+  backend: (instanceId: string) => `backend/${parseInstanceId(instanceId).serverId}`,
   /** Two VMs may both believe for a moment that they give out the places of a data centre. */
   room: (dataCentre: string, host: string) => `room/${dataCentre}/${host}`,
   pace: (instanceId: string) => `pace/${instanceId}`,
@@ -103,3 +106,31 @@
 
 /** A sequence that no announcement goes beyond: what ended stays ended. */
 export const FINAL_SEQUENCE = Number.MAX_SAFE_INTEGER;
+
+/** What is known of one run of a backend server. */
+export type BackendRow = Fact<SystemFact> & { readonly body: BackendFact };
+
+type FactLookup = Pick<FactTable<SystemFact>, 'find'>;
+
+function findServer(table: FactLookup, instanceId: string): BackendRow | undefined {
+  const fact = table.find(FACT_KEYS.backend(instanceId));
+  return fact?.body.kind === 'backend' ? { ...fact, body: fact.body } : undefined;
+}
+
+/** The row of just this run; undefined where it is not known, or a later run took its place. */
+export function findBackend(table: FactLookup, instanceId: string): BackendRow | undefined {
+  const row = findServer(table, instanceId);
+  return row?.body.instanceId === instanceId ? row : undefined;
+}
+
+/** Whether a run is over because its backend server has started again. */
+export function hasRestarted(table: FactLookup, instanceId: string): boolean {
+  const row = findServer(table, instanceId);
+  return row !== undefined && row.incarnation > parseInstanceId(instanceId).incarnation;
+}
+
+/** Whether a changed fact tells of a backend server that has started again. */
+export function isRestart(body: SystemFact, before: SystemFact | undefined): boolean {
+  if (body.kind !== 'backend' || before?.kind !== 'backend') return false;
+  return body.instanceId !== before.instanceId;
+}
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './src/admission';
+export * from './src/backendFit';
 export * from './src/backendLoad';
 export * from './src/chain';
 export * from './src/chainCapacity';
--- /dev/null
+++ b/packages/routing/src/backendFit.ts
@@ -0,0 +1,27 @@
+/** Whether what a backend server says of itself can be true by the document in force. */
+import type { RoutingDocument } from './routingDocument';
+
+/** What a backend server says that the document can be held against. */
+export interface StatedBackend {
+  readonly service: string;
+  readonly engine?: {
+    readonly acceleratorKind: string;
+    readonly held: { readonly firstLayer: number; readonly endLayer: number } | null;
+  };
+}
+
+/** Why a backend server cannot be what it says; null when nothing speaks against it. */
+export function findMisfit(stated: StatedBackend, document: RoutingDocument): string | null {
+  const service = document.services.find(({ name }) => name === stated.service);
+  if (!service) return 'its service is not in the document';
+  const { model } = service;
+  if (!model) return null;
+  if (!stated.engine) return 'it is no engine, as its service needs';
+  const { acceleratorKind, held } = stated.engine;
+  const kind = model.kinds.find(({ name }) => name === acceleratorKind);
+  if (!kind) return 'its kind of accelerator is not in the document';
+  if (!held) return null;
+  if (held.endLayer > model.layers) return 'it holds layers that the model does not have';
+  const heldMb = (held.endLayer - held.firstLayer) * model.layerMb;
+  return heldMb > kind.memoryMb ? 'it holds more layers than its memory' : null;
+}
