--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -72,7 +72,7 @@
     },
   },
   {
-    files: ['scripts/**', '*.mjs'],
+    files: ['scripts/**', 'platform/days/**', '*.mjs'],
     languageOptions: { globals: { process: 'readonly' } },
     rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
   },
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -52,6 +52,8 @@
   /** How long a key may still be served after it was taken away. */
   readonly revocationMs: number;
   readonly onDocument: (document: RoutingDocument) => void;
+  /** Whether new connections of callers can be accepted; a VM that cannot is not ready. */
+  readonly canAccept?: () => boolean;
 }
 
 export interface EntryNode {
@@ -126,7 +128,7 @@
   }
 
   function isReady(): boolean {
-    return !isLeaving && isReadyToRoute();
+    return !isLeaving && isReadyToRoute() && (options.canAccept?.() ?? true);
   }
 
   function memberState(): MemberFact['state'] {
