feat(entry): one look a path from one VM for all who miss something on it; stand-ins are drawn

Cause: a lost engine was looked for by twelve entries of 78 after 187 ms of silence, so every pause was late by construction. Since places come over the network each stream had stages of its own, and silence of a whole path was never told from that of one stream. Ruled out as the main cause by logs: detection. Known after 126 to 140 ms, streams still paused 280 to 550 ms, as all of a path were read again by the same stand-in.

Change: paths are alike by what they hold. An entry asks the VM that gives out places once a path is silent for 0.4 of the allowed pause; that one looks once three ask within 80 ms and answers all. Stand-ins are drawn by weights of one to two times their cost.

--- /dev/null
+++ b/packages/entry/__tests__/engineLooks.spec.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import type { MemberFact } from '@spoolplank/membership';
+import { createEventLog } from '@spoolplank/node';
+import type { PeerClient, PeerTarget } from '@spoolplank/node';
+import { createManualClock, SpoolplankError } from '@spoolplank/shared';
+import type { JsonValue } from '@spoolplank/shared';
+import { createEngineLooks } from '../src/engineLooks';
+import type { EngineLooks } from '../src/engineLooks';
+
+const ENTRIES = 78;
+const PATH = ['e1', 'e2', 'e3'].map((id) => ({ instanceId: id, address: `${id}:80` }));
+
+/** All entries of a data centre; the first one looks for all. */
+function createEntries(answer: (address: string, tries: number) => boolean) {
+  const clock = createManualClock(1000);
+  const tries = new Map<string, number>();
+  const looks = new Map<string, EngineLooks>();
+  const appointed = { host: 'h0', peerPort: 1 } as MemberFact;
+  let isAppointedThere = true;
+  const peersOf = (sender: string): PeerClient => ({
+    async call<Result>({ vmId }: PeerTarget, method: string, params: unknown): Promise<Result> {
+      const called = isAppointedThere ? looks.get(vmId)?.methods[method] : undefined;
+      if (!called) throw new SpoolplankError('unreachable');
+      return (await called(structuredClone(params) as JsonValue, sender)) as Result;
+    },
+    close() {},
+  });
+  for (let index = 0; index < ENTRIES; index += 1) {
+    const host = `h${index}`;
+    const created = createEngineLooks({
+      clock,
+      delay: async () => {
+        await nextTurn();
+      },
+      log: createEventLog({ vmId: host, clock, writeChunk: () => {} }),
+      peers: peersOf(host),
+      host,
+      operations: {
+        isReachable(address) {
+          const count = (tries.get(address) ?? 0) + 1;
+          tries.set(address, count);
+          return Promise.resolve(answer(address, count));
+        },
+      },
+      findAppointed: () => appointed,
+      countEntries: () => ENTRIES,
+    });
+    looks.set(host, created);
+  }
+  return {
+    clock,
+    tries,
+    askAll: () => Promise.all([...looks.values()].map((entry) => entry.ask('a', PATH))),
+    askOf: (host: string) => looks.get(host)?.ask('a', PATH),
+    endAppointed() {
+      isAppointedThere = false;
+    },
+  };
+}
+
+describe('a path that falls silent over all entries at once', () => {
+  it('is looked at once for all of them, and each is told what is lost', async () => {
+    const { askAll, tries } = createEntries((address) => address !== 'e2:80');
+    const answers = await askAll();
+    assert.equal(answers.length, ENTRIES);
+    answers.forEach((lost) => assert.deepEqual(lost, ['e2']));
+    // Three tries an engine and no more, whoever asks.
+    tries.forEach((count) => assert.ok(count <= 3, `${count} connections`));
+  });
+
+  it('is not looked at for one VM or two that alone miss something', async () => {
+    const { askOf, tries } = createEntries(() => false);
+    assert.deepEqual(await Promise.all([askOf('h1'), askOf('h2')]), [[], []]);
+    assert.equal(tries.size, 0);
+  });
+
+  it('is not called lost for a packet or two that were', async () => {
+    const { askAll } = createEntries((_address, count) => count >= 3);
+    (await askAll()).forEach((lost) => assert.deepEqual(lost, []));
+  });
+
+  it('is looked at anew when it is still silent a moment later', async () => {
+    const { askAll, tries, clock } = createEntries(() => true);
+    await askAll();
+    const before = tries.get('e1:80') ?? 0;
+    clock.advance(200);
+    await askAll();
+    assert.ok((tries.get('e1:80') ?? 0) > before);
+  });
+
+  it('is left to each entry itself when nobody answers', async () => {
+    const { askAll, endAppointed } = createEntries(() => true);
+    endAppointed();
+    const [own, ...others] = await askAll();
+    assert.deepEqual(own, []);
+    others.forEach((answer) => assert.equal(answer, null));
+  });
+});
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -17,11 +17,13 @@
   readonly unreachable?: readonly string[];
   readonly stalledAt?: string;
   readonly outcome?: RepairOutcome;
+  /** What the VM that looks for all others answers. */
+  readonly lostByLook?: readonly string[];
 }
 
 const ROUTE = { targetGapMs: 200, targetLatencyMs: 500 } as Route;
 
-function createSetting({ unreachable = [], stalledAt, outcome }: Setting = {}) {
+function createSetting({ unreachable = [], stalledAt, outcome, lostByLook }: Setting = {}) {
   const tables = createTables();
   const { clock, view, announce } = tables;
   announce(createEngine('a1', 0, 4));
@@ -31,6 +33,7 @@
   const cuts: string[] = [];
   const suspects: string[] = [];
   let connections = 0;
+  let asks = 0;
   let reports = 0;
   const operations: BackendOperations = {
     open: () => Promise.reject(new Error('not used here')),
@@ -66,6 +69,10 @@
     chains,
     suspect: (instanceId) => suspects.push(instanceId),
     avoid: () => {},
+    askAppointed() {
+      asks += 1;
+      return Promise.resolve(lostByLook ?? null);
+    },
   });
   const row: StreamRow = {
     admitted: {
@@ -109,6 +116,7 @@
     suspects,
     repair,
     counts: () => ({ connections, reports }),
+    asks: () => asks,
     async pass(durationMs: number) {
       clock.advance(durationMs);
       repair.tick();
@@ -208,6 +216,33 @@
     assert.deepEqual(setting.counts(), { connections: 0, reports: 0 });
   });
 
+  it('is repaired before its pause is late when the VM that looks for all finds an engine lost', async () => {
+    const setting = createSetting({ lostByLook: ['a2'] });
+    await setting.pass(110);
+    assert.deepEqual(setting.repairs, [['a1', 'a3']]);
+    assert.deepEqual(setting.suspects, ['a2']);
+    assert.equal(setting.counts().connections, 0);
+  });
+
+  it('is asked about once, until something came over its path again', async () => {
+    const setting = createSetting({ lostByLook: [] });
+    for (let passed = 0; passed < 180; passed += 40) await setting.pass(40);
+    assert.equal(setting.asks(), 1);
+    setting.row.lastProgressAtMs = setting.clock.nowMs();
+    await setting.pass(90);
+    assert.equal(setting.asks(), 2);
+  });
+
+  it('is not asked about while others go on over the same path, whose stages came by themselves', async () => {
+    const setting = createSetting();
+    const { row, streams, clock } = setting;
+    clock.advance(100);
+    const stages = row.stages.map((stage) => ({ ...stage }));
+    streams.add({ ...row, stages, lastProgressAtMs: clock.nowMs() });
+    await setting.pass(60);
+    assert.equal(setting.asks(), 0);
+  });
+
   it('is repaired at once when another entry has found the engine lost', async () => {
     const setting = createSetting();
     setting.repair.repairLost((instanceId) => instanceId === 'a2');
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -241,6 +241,15 @@
     return groups;
   }
 
+  /**
+   * Streams of a lost engine are read again by who takes its part, one after the other: 80 of them
+   * keep one engine busy for a third of a second. Weights drawn up to
+   * twice the cost spread them over all that could.
+   */
+  function drawWeight(): number {
+    return 1 + random.nextFloat();
+  }
+
   function listCandidates(
     service: string,
     model: ModelDescription,
@@ -277,7 +286,9 @@
       const engines = facts
         .filter(({ instanceId }) => !lostIds.has(instanceId) && !isAvoided(instanceId))
         .flatMap((fact) => toStageEngine(fact, model, view.slowdownOf(fact.instanceId)) ?? []);
-      const replaceable = engines.filter(({ id }) => !kept.has(id));
+      const replaceable = engines
+        .filter(({ id }) => !kept.has(id))
+        .map((engine) => ({ ...engine, layerCostMs: engine.layerCostMs * drawWeight() }));
       const patched: PathStage[] = [];
       for (const stage of stages) {
         if (kept.has(stage.id)) {
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -2,7 +2,7 @@
 import type { StoredDocument } from '@spoolplank/control';
 import { createDocumentCache, createFactTable, isRestart } from '@spoolplank/membership';
 import type { FactUpdate, LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
-import { scheduleTimer } from '@spoolplank/node';
+import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
 import type { RoutingDocument } from '@spoolplank/routing';
@@ -14,6 +14,7 @@
 import type { CallerAnswer, CallerRequest } from './callerRequest';
 import { createChainChoice } from './chainChoice';
 import { createEngineHealth } from './engineHealth';
+import { createEngineLooks } from './engineLooks';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import { createEntryFeed } from './entryFeed';
 import { createEntryStatements } from './entryStatements';
@@ -202,8 +203,6 @@
     isAvoided: health.isAvoided,
   });
   const { suspect, avoid } = health;
-  const repair = createStreamRepair({ context, streams, chains, suspect, avoid });
-  onEngineLoss = () => repair.repairLost(health.isLost);
   const plain = createPlainDispatch(context);
   const places = createPlaceService({
     clock,
@@ -220,6 +219,25 @@
   });
   onStreamEnd = (of) => places.noteReturn(of);
   placeStatements = () => places.listStatements();
+  const engineLooks = createEngineLooks({
+    clock,
+    delay,
+    log,
+    peers,
+    host,
+    operations: options.operations,
+    findAppointed: places.findAllocator,
+    countEntries,
+  });
+  const repair = createStreamRepair({
+    context,
+    streams,
+    chains,
+    suspect,
+    avoid,
+    askAppointed: engineLooks.ask,
+  });
+  onEngineLoss = () => repair.repairLost(health.isLost);
   const stream = createStreamDispatch({
     context,
     streams,
@@ -260,7 +278,7 @@
       selfAddress: options.callerAddress,
       ownAddress: () => (isReady() ? options.callerAddress : null),
     }),
-    methods: places.methods,
+    methods: { ...places.methods, ...engineLooks.methods },
     start() {
       tick();
       void feed.run();
--- a/packages/entry/src/places/placeService.ts
+++ b/packages/entry/src/places/placeService.ts
@@ -35,6 +35,8 @@
 
 export interface PlaceService {
   readonly finder: PlaceFinder;
+  /** The VM that gives out the places of a data centre; undefined when there is none. */
+  findAllocator(dataCentre: string): MemberFact | undefined;
   /** What other entries call here. */
   readonly methods: Readonly<Record<string, PeerMethod>>;
   /** Notes that a stream over a chain of a data centre ended. */
@@ -125,6 +127,7 @@
       [PLACES_METHOD]: async (params) =>
         (await allocator.answer(params as unknown as PlaceCall)) as unknown as JsonValue,
     },
+    findAllocator: (name) => rank.find(name),
     noteReturn: (name) => client.noteReturn(name),
     tick: () => client.tick(),
     listStatements() {
--- a/packages/entry/src/streamRepair.ts
+++ b/packages/entry/src/streamRepair.ts
@@ -5,7 +5,9 @@
 import type { PathStage } from '@spoolplank/routing';
 import type { BackendTarget } from './backendOperations';
 import type { ChainChoice } from './chainChoice';
+import type { EngineLooks } from './engineLooks';
 import type { EntryContext } from './entryContext';
+import { createPathSilence } from './pathSilence';
 import type { StreamRow, StreamTable } from './streamTable';
 
 export interface StreamRepairOptions {
@@ -16,6 +18,8 @@
   readonly suspect: (instanceId: string, evidence: string) => void;
   /** Leaves an engine out here for a while. */
   readonly avoid: (instanceId: string) => void;
+  /** Has one VM look for all others; null when nobody answered. */
+  readonly askAppointed: EngineLooks['ask'];
 }
 
 export interface StreamRepair {
@@ -29,6 +33,11 @@
 
 /** Shares of a route's own targets after which silence is looked into. */
 const GAP_SHARE = 0.75;
+/**
+ * The appointed VM is asked earlier: a look takes 80 ms at most, and the part of a lost engine is
+ * read again in some 50 ms, so that the caller's pause is still on time.
+ */
+const ASK_GAP_SHARE = 0.4;
 const FIRST_EVENT_SHARE = 0.6;
 /** Streams of one path fall silent within a pass of each other: a fraction of the limit. */
 const OTHERS_GO_ON_SHARE = 0.5;
@@ -57,6 +66,9 @@
   const { context, streams, chains, suspect, avoid } = options;
   const { clock, log, operations, random, view } = context;
   const reachability = new Map<string, Shared<boolean>>();
+  const paths = createPathSilence();
+  /** When the appointed VM was last asked about a path that is silent since. */
+  const askedAtMs = new Map<string, number>();
   let looks = { untilMs: Number.NEGATIVE_INFINITY, isLooking: true };
 
   /** One lost packet must not make an engine suspect: the second try is a new connection. */
@@ -188,18 +200,9 @@
   }
 
   /**
-   * When something last came over each path. A lost engine stops all streams of its path at once:
-   * one that is silent while others go on is slow, and no reason to connect to every engine.
+   * A lost engine stops all streams of its path at once: one that is silent while others go on is
+   * slow, and no reason to connect to every engine.
    */
-  function newestByPath(): ReadonlyMap<StreamRow['stages'], number> {
-    const newest = new Map<StreamRow['stages'], number>();
-    for (const { stages, lastProgressAtMs, hasBegun } of streams.list()) {
-      const known = newest.get(stages) ?? Number.NEGATIVE_INFINITY;
-      if (hasBegun) newest.set(stages, Math.max(known, lastProgressAtMs));
-    }
-    return newest;
-  }
-
   function isSilentTooLong(row: StreamRow, nowMs: number, newestOnPathMs: number): boolean {
     const { targetGapMs, targetLatencyMs } = row.admitted.route;
     const limitMs = row.hasBegun ? targetGapMs * GAP_SHARE : targetLatencyMs * FIRST_EVENT_SHARE;
@@ -208,6 +211,36 @@
     return nowMs - row.lastProgressAtMs > limitMs && nowMs - row.lastCheckAtMs > recheckMs;
   }
 
+  function repairLost(isLost: (instanceId: string) => boolean): void {
+    for (const row of streams.list()) {
+      const lost = row.stages.filter(({ id }) => !row.lostIds.has(id) && isLost(id));
+      lost.forEach(({ id }) => row.lostIds.add(id));
+      if (lost.length > 0) startRepair(row);
+    }
+  }
+
+  /** Has the engines of a silent path looked at, and repairs what runs over lost ones. */
+  async function askAbout({ stages, dataCentre }: StreamRow): Promise<void> {
+    const engines = stages.map(({ id, address }) => ({ instanceId: id, address }));
+    const lost = await options.askAppointed(dataCentre, engines);
+    if (!lost || lost.length === 0) return;
+    repairLost((id) => lost.includes(id));
+    lost.forEach((id) => suspect(id, 'no-connection'));
+  }
+
+  /** Whether nothing came over the path of a begun stream, and nobody was asked why. */
+  function isAskDue(row: StreamRow, nowMs: number, newestOnPathMs: number): boolean {
+    const lastMs = askedAtMs.get(paths.nameOf(row.stages)) ?? Number.NEGATIVE_INFINITY;
+    const limitMs = row.admitted.route.targetGapMs * ASK_GAP_SHARE;
+    return row.hasBegun && nowMs - newestOnPathMs > limitMs && lastMs < newestOnPathMs;
+  }
+
+  function forgetUnused(newest: ReadonlyMap<string, number>): void {
+    askedAtMs.forEach((_, name) => {
+      if (!newest.has(name)) askedAtMs.delete(name);
+    });
+  }
+
   return {
     examine(instanceId, address) {
       void isReachable(address).then((isThere) => {
@@ -216,20 +249,21 @@
     },
     tick() {
       const nowMs = clock.nowMs();
-      const newest = newestByPath();
+      const newest = paths.newestByPath(streams.list());
+      forgetUnused(newest);
       for (const row of streams.list()) {
-        const newestOnPathMs = newest.get(row.stages) ?? Number.NEGATIVE_INFINITY;
+        const newestOnPathMs = newest.get(paths.nameOf(row.stages)) ?? Number.NEGATIVE_INFINITY;
         const isBusy = row.isChecking || row.isRepairing || row.isPaused || row.cutReason !== null;
+        if (!isBusy && isAskDue(row, nowMs, newestOnPathMs)) {
+          askedAtMs.set(paths.nameOf(row.stages), nowMs);
+          void askAbout(row);
+        }
         const isDue = !isBusy && isSilentTooLong(row, nowMs, newestOnPathMs);
         if (isDue && isLooking(nowMs)) void check(row);
       }
     },
     repairLost(isLost) {
-      for (const row of streams.list()) {
-        const lost = row.stages.filter(({ id }) => !row.lostIds.has(id) && isLost(id));
-        lost.forEach(({ id }) => row.lostIds.add(id));
-        if (lost.length > 0) startRepair(row);
-      }
+      repairLost(isLost);
       // Read once, so that the next choice of a chain sees what is lost.
       void view.revision;
     },
