feat(controller,routing): a broken chain beside whole ones is not laid out anew while its engine may come back

Cause: 0.35 s after an engine crashed the leader moved the borders of all engines of its chain, six or seven orders, though another chain held every layer: the chain was out for longer than the engine, and two orders were overdue after 7 s. Ruled out: a data centre that lacks a layer; that is mended at once as before.

Change: for six seconds after a loss only empty engines are given the missing part (the one that comes back among them).

--- /dev/null
+++ b/packages/controller/__tests__/engineLosses.spec.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock } from '@spoolplank/shared';
+import type { PlacedEngine } from '@spoolplank/routing';
+import { createEngineLosses } from '../src/engineLosses';
+
+function createEngine(id: string, overrides: Partial<PlacedEngine> = {}): PlacedEngine {
+  return {
+    id,
+    dataCentre: 'a',
+    acceleratorKind: 'big',
+    slots: 10,
+    firstLayer: 0,
+    endLayer: 4,
+    isOrderable: true,
+    isReliable: true,
+    isServing: true,
+    ...overrides,
+  };
+}
+
+describe('an engine that was lost', () => {
+  it('may come back for some seconds, in its own data centre alone', () => {
+    const clock = createManualClock();
+    const losses = createEngineLosses({ clock });
+    const [a1, a2, b1] = [
+      createEngine('a1'),
+      createEngine('a2'),
+      createEngine('b1', { dataCentre: 'b' }),
+    ];
+    losses.note('engines', [a1, a2, b1]);
+    assert.equal(losses.isReturnLikely('a'), false);
+    losses.note('engines', [a1, { ...a2, isServing: false }, b1]);
+    assert.deepEqual([losses.isReturnLikely('a'), losses.isReturnLikely('b')], [true, false]);
+    clock.advance(6000);
+    losses.note('engines', [a1, b1]);
+    assert.equal(losses.isReturnLikely('a'), false);
+  });
+
+  it('is counted for its service, whatever other services there are', () => {
+    const losses = createEngineLosses({ clock: createManualClock() });
+    losses.note('engines', [createEngine('a1')]);
+    losses.note('others', [createEngine('x1')]);
+    assert.equal(losses.isReturnLikely('a'), false);
+  });
+});
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -12,6 +12,7 @@
 } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import { createEngineCounts } from './engineCounts';
+import { createEngineLosses } from './engineLosses';
 import type { EngineAddress, EngineOrders } from './engineOperations';
 import { createOrderCounts } from './orderCounts';
 import { createPendingOrders, isSameRange } from './pendingOrders';
@@ -95,6 +96,7 @@
   const orderedAtMs = new Map<string, number>();
   let orderableSinceMs: number | null = null;
   const counts = createEngineCounts({ clock, log });
+  const losses = createEngineLosses({ clock });
   const orderCounts = createOrderCounts();
   let gathered = { count: 0, atMs: Number.NEGATIVE_INFINITY };
 
@@ -249,10 +251,12 @@
     const newestMs = Math.max(...engines.map(({ heardAtMs }) => heardAtMs));
     const placed = engines.map((engine) => toPlaced(engine, newestMs));
     counts.note(service, placed);
+    losses.note(service, placed);
     const room = Math.max(1, model.maxConcurrentLoads) * 2 - pending.size;
     const isFirst = placed.every(({ firstLayer }) => firstLayer === null);
     if (isFirst && isGathering(engines)) return;
-    const plan = planPlacement(placed, model, { mayImprove });
+    const mayMove = (dataCentre: string) => !losses.isReturnLikely(dataCentre);
+    const plan = planPlacement(placed, model, { mayImprove, mayMove });
     // The first loads are cheap, and all of them are needed before requests come.
     plan.slice(0, isFirst ? plan.length : Math.max(0, room)).forEach((order) => {
       const engine = engines.find(({ body }) => body.instanceId === order.id);
--- a/packages/routing/__tests__/wholeChains.spec.ts
+++ b/packages/routing/__tests__/wholeChains.spec.ts
@@ -53,6 +53,30 @@
       assert.deepEqual(planPlacement(layOut(kinds), MODEL), []);
     });
 
+    it(`moves no engine while one that was lost may come back, and gives it its part then (${name})`, () => {
+      const engines = layOut(kinds);
+      const held = engines.filter(({ firstLayer }) => firstLayer !== null);
+      const lost = held.find(({ acceleratorKind }) => ['small', 'tiny'].includes(acceleratorKind));
+      assert.ok(lost);
+      // With a single chain the lost layers are missing altogether: that is mended at once.
+      if (countChains(engines) === 1) return;
+      const mayMove = () => false;
+      const left = engines.filter(({ id }) => id !== lost.id);
+      const holding = new Set(
+        left.filter(({ firstLayer }) => firstLayer !== null).map(({ id }) => id),
+      );
+      planPlacement(left, MODEL, { mayMove, mayImprove: () => false }).forEach(({ id }) =>
+        assert.ok(!holding.has(id), id),
+      );
+      const back = { ...lost, id: `${lost.id}-back`, firstLayer: null, endLayer: null };
+      const orders = planPlacement([...left, back], MODEL, { mayMove, mayImprove: () => false });
+      orders.forEach(({ id }) => assert.ok(!holding.has(id), id));
+      if (countChains(left) < countChains(engines)) {
+        const again = countChains(carryOut([...left, back], orders));
+        assert.equal(again, countChains(engines));
+      }
+    });
+
     it(`has as many chains again after the loss of any small engine (${name})`, () => {
       const engines = layOut(kinds);
       const before = countChains(engines);
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -165,17 +165,37 @@
   empties.forEach((empty) => employ(slots, empty, memoryMb, model));
 }
 
+/** Fills holes with engines that hold nothing, and with no others. */
+function fillWithEmpty(slots: readonly Slot[], model: ModelDescription): void {
+  const hasEmpty = () => slots.some(({ planned, isOrderable }) => !planned && isOrderable);
+  while (hasEmpty()) {
+    const hole = findHole(countCopies(slots, model.layers));
+    if (!hole || !fillWithSpare(slots, hole, model)) return;
+  }
+}
+
+interface MendOptions {
+  readonly chains: number;
+  /** Whether engines that hold layers may be ordered to hold others. */
+  readonly mayMove: boolean;
+}
+
 /**
  * Mends a broken chain beside whole ones with the engines that are left of it, and with those
  * that hold nothing. Whether there was one to mend.
  */
-function mendBrokenChain(slots: readonly Slot[], model: ModelDescription, chains: number): boolean {
+function mendBrokenChain(
+  slots: readonly Slot[],
+  model: ModelDescription,
+  { chains, mayMove }: MendOptions,
+): boolean {
   const { count, rest } = findWholeChains(slots, model);
   const held = countCopies(rest, model.layers).filter((copies) => copies > 0).length;
   const isWorthwhile = count < chains || held >= model.layers * BROKEN_CHAIN_SHARE;
   if (!isWorthwhile || !canHoldAll(rest, model)) return false;
   const before = rest.map(({ planned }) => planned);
-  fillHoles(rest, model, { isStillServed: false });
+  if (mayMove) fillHoles(rest, model, { isStillServed: false });
+  else fillWithEmpty(rest, model);
   if (findWholeChains(rest, model).count > 0) return true;
   rest.forEach((slot, index) => {
     slot.planned = before[index] ?? null;
@@ -196,7 +216,7 @@
 function planDataCentre(
   engines: readonly PlacedEngine[],
   model: ModelDescription,
-  mayImprove: boolean,
+  { mayImprove, mayMove }: { readonly mayImprove: boolean; readonly mayMove: boolean },
 ): readonly PlacementOrder[] {
   const kinds = new Map(model.kinds.map((kind) => [kind.name, kind]));
   const slots = engines.flatMap((engine): Slot[] => {
@@ -225,7 +245,8 @@
   if (slots.every(({ held }) => held === null)) {
     splitIntoChains(slots, chains).forEach((chain) => layOutChain(chain, model));
   } else if (isIncomplete) fillHoles(slots, model, { isStillServed });
-  else if (!mendBrokenChain(slots, model, chains) && mayImprove) improve(slots, model, chains);
+  else if (!mendBrokenChain(slots, model, { chains, mayMove }) && mayImprove)
+    improve(slots, model, chains);
   return slots.flatMap(({ id, held, planned }) =>
     planned && !isSame(held, planned)
       ? [
@@ -254,15 +275,24 @@
    * sends some requests away for a moment, so that is not done right after the last one.
    */
   readonly mayImprove?: (dataCentre: string) => boolean;
+  /**
+   * Whether a broken chain beside whole ones may be laid out anew: engines that are moved are out
+   * for longer than one that crashes and comes back, and meanwhile the chain runs over an engine of
+   * another one.
+   */
+  readonly mayMove?: (dataCentre: string) => boolean;
 }
 
 /** Plans the orders that bring every layer to every data centre, from what is held now. */
 export function planPlacement(
   engines: readonly PlacedEngine[],
   model: ModelDescription,
-  { mayImprove = () => true }: PlacementOptions = {},
+  { mayImprove = () => true, mayMove = () => true }: PlacementOptions = {},
 ): readonly PlacementOrder[] {
   return [...groupByDataCentre(engines)].flatMap(([dataCentre, group]) =>
-    planDataCentre(group, model, mayImprove(dataCentre)),
+    planDataCentre(group, model, {
+      mayImprove: mayImprove(dataCentre),
+      mayMove: mayMove(dataCentre),
+    }),
   );
 }
