--- a/packages/controller/src/engineLosses.ts
+++ b/packages/controller/src/engineLosses.ts
@@ -15,7 +15,7 @@
   isReturnLikely(dataCentre: string): boolean;
 }
 
-/** Crashes last two to five seconds, and an engine is heard of within an announcement after that. */
+/** Crashes last two to five seconds; an engine is heard of within an announcement after that. */
 const RETURN_MS = 6000;
 
 export function createEngineLosses({ clock }: { readonly clock: Clock }): EngineLosses {
