--- /dev/null
+++ b/packages/controller/src/backendDirectory.ts
@@ -0,0 +1,105 @@
+/** What backend servers say of themselves to this control VM, as far as it counts. */
+import {
+  FACT_KEYS,
+  FINAL_SEQUENCE,
+  findBackend,
+  formatInstanceId,
+  isRestart,
+  parseInstanceId,
+} from '@spoolplank/membership';
+import type { BackendFact, FactTable, SystemFact } from '@spoolplank/membership';
+import type { EventLog } from '@spoolplank/node';
+import type { RoutingDocument } from '@spoolplank/routing';
+import { SpoolplankError } from '@spoolplank/shared';
+import { findAnnouncementProblem } from './announcementCheck';
+
+/** That a backend server has left. */
+export interface Withdrawal {
+  readonly serverId: string;
+  /** The run that left; null where the call does not say. */
+  readonly incarnation: number | null;
+}
+
+export interface BackendDirectoryOptions {
+  readonly log: EventLog;
+  readonly table: FactTable<SystemFact>;
+  /** Null before the first one. */
+  readonly currentDocument: () => RoutingDocument | null;
+}
+
+export interface BackendDirectory {
+  /**
+   * Takes in what a backend server says of itself; a late call, or one of an earlier run, changes
+   * nothing.
+   *
+   * @throws SpoolplankError `bad-request` when it cannot be true; it then changes nothing either.
+   */
+  announce(fact: BackendFact, sequence: number): void;
+  /** Takes in that a backend server has left. */
+  withdraw(withdrawal: Withdrawal): void;
+}
+
+/**
+ * A call that does not say which run leaves may be a late one of an earlier run. Calls come up to
+ * three intervals late: a run that has announced itself no more often is not ended by it.
+ */
+const LATE_ANNOUNCEMENTS = 3;
+
+export function createBackendDirectory(options: BackendDirectoryOptions): BackendDirectory {
+  const { log, table, currentDocument } = options;
+
+  return {
+    announce(fact, sequence) {
+      const { instanceId, service, address, state: newState } = fact;
+      const known = findBackend(table, instanceId)?.body;
+      const problem = findAnnouncementProblem({ stated: fact, known, document: currentDocument() });
+      if (problem !== null) throw new SpoolplankError('bad-request', { detail: problem });
+      const key = FACT_KEYS.backend(instanceId);
+      const before = table.find(key)?.body;
+      const isSameRun = before?.kind === 'backend' && before.instanceId === instanceId;
+      const isNews = !isSameRun || before.state !== newState;
+      const { incarnation } = parseInstanceId(instanceId);
+      const isTaken = table.put(key, { incarnation, sequence }, fact);
+      if (isTaken && isNews) {
+        log.info('backend-seen', {
+          instanceId,
+          restartOf: isRestart(fact, before) ? (before as BackendFact).instanceId : undefined,
+          service,
+          address,
+          state: newState,
+          sequence,
+        });
+      }
+    },
+    withdraw({ serverId, incarnation }) {
+      const latest = table.find(FACT_KEYS.backend(serverId));
+      const isOfEarlierRun =
+        incarnation === null &&
+        latest !== undefined &&
+        latest.incarnation > 0 &&
+        latest.sequence <= LATE_ANNOUNCEMENTS;
+      if (isOfEarlierRun) {
+        log.info('withdrawal-late', { serverId, knownRun: latest.incarnation });
+        return;
+      }
+      const ended = incarnation ?? latest?.incarnation ?? 0;
+      const instanceId = formatInstanceId({ serverId, incarnation: ended });
+      const known = findBackend(table, instanceId)?.body;
+      const fact: BackendFact =
+        known !== undefined
+          ? { ...known, state: 'gone' }
+          : {
+              kind: 'backend',
+              instanceId,
+              service: '',
+              address: '',
+              dataCentre: '',
+              state: 'gone',
+              slots: 0,
+            };
+      const version = { incarnation: ended, sequence: FINAL_SEQUENCE };
+      const isTaken = table.put(FACT_KEYS.backend(instanceId), version, fact);
+      log.info('backend-left', { instanceId, address: fact.address, isLate: !isTaken });
+    },
+  };
+}
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -6,14 +6,8 @@
   createFactTable,
   createFeedServer,
   FACT_KEYS,
-  FINAL_SEQUENCE,
-  findBackend,
-  formatInstanceId,
-  isRestart,
-  parseInstanceId,
 } from '@spoolplank/membership';
 import type {
-  BackendFact,
   FactTable,
   FactUpdate,
   FeedRequest,
@@ -24,9 +18,9 @@
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import type { RoutingDocument } from '@spoolplank/routing';
-import { SpoolplankError } from '@spoolplank/shared';
-import type { Clock, JsonValue, Random } from '@spoolplank/shared';
-import { findAnnouncementProblem } from './announcementCheck';
+import type { Clock, JsonValue, Random, SpoolplankError } from '@spoolplank/shared';
+import { createBackendDirectory } from './backendDirectory';
+import type { BackendDirectory } from './backendDirectory';
 import type { GroupDescription } from './bootstrap';
 import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
 import { createCoreGroup } from './coreGroup';
@@ -62,26 +56,10 @@
   readonly onFatal: (error: SpoolplankError) => void;
 }
 
-/** That a backend server has left. */
-export interface Withdrawal {
-  readonly serverId: string;
-  /** The run that left; null where the call does not say. */
-  readonly incarnation: number | null;
-}
-
-export interface ControlNode {
+export interface ControlNode extends BackendDirectory {
   readonly methods: Readonly<Record<string, PeerMethod>>;
   start(): Promise<void>;
   stop(): Promise<void>;
-  /**
-   * Takes in what a backend server says of itself; a late call, or one of an earlier run, changes
-   * nothing.
-   *
-   * @throws SpoolplankError `bad-request` when it cannot be true; it then changes nothing either.
-   */
-  announce(fact: BackendFact, sequence: number): void;
-  /** Takes in that a backend server has left. */
-  withdraw(withdrawal: Withdrawal): void;
   /**
    * Puts a checked document into the log, here or at the leader.
    *
@@ -111,11 +89,6 @@
 const LOAD_RETENTION_MS = 2600;
 /** Facts are kept ten times longer than any announcement may be late. */
 const RETENTION_MS = 60_000;
-/**
- * A call that does not say which run leaves may be a late one of an earlier run. Calls come up to
- * three intervals late: a run that has announced itself no more often is not ended by it.
- */
-const LATE_ANNOUNCEMENTS = 3;
 
 export async function createControlNode(options: ControlNodeOptions): Promise<ControlNode> {
   const { clock, log, peers, host, peerPort, dataCentre, run } = options;
@@ -164,6 +137,7 @@
     return decoded;
   }
 
+  const backends = createBackendDirectory({ log, table, currentDocument });
   const placement = createPlacementLoop({
     clock,
     log,
@@ -296,58 +270,8 @@
       feeds.stop();
       await group?.stop();
     },
-    announce(fact, factSequence) {
-      const { instanceId, service, address, state: newState } = fact;
-      const known = findBackend(table, instanceId)?.body;
-      const problem = findAnnouncementProblem({ stated: fact, known, document: currentDocument() });
-      if (problem !== null) throw new SpoolplankError('bad-request', { detail: problem });
-      const key = FACT_KEYS.backend(instanceId);
-      const before = table.find(key)?.body;
-      const isSameRun = before?.kind === 'backend' && before.instanceId === instanceId;
-      const isNews = !isSameRun || before.state !== newState;
-      const { incarnation } = parseInstanceId(instanceId);
-      const isTaken = table.put(key, { incarnation, sequence: factSequence }, fact);
-      if (isTaken && isNews) {
-        log.info('backend-seen', {
-          instanceId,
-          restartOf: isRestart(fact, before) ? (before as BackendFact).instanceId : undefined,
-          service,
-          address,
-          state: newState,
-          sequence: factSequence,
-        });
-      }
-    },
-    withdraw({ serverId, incarnation }) {
-      const latest = table.find(FACT_KEYS.backend(serverId));
-      const isOfEarlierRun =
-        incarnation === null &&
-        latest !== undefined &&
-        latest.incarnation > 0 &&
-        latest.sequence <= LATE_ANNOUNCEMENTS;
-      if (isOfEarlierRun) {
-        log.info('withdrawal-late', { serverId, knownRun: latest.incarnation });
-        return;
-      }
-      const ended = incarnation ?? latest?.incarnation ?? 0;
-      const instanceId = formatInstanceId({ serverId, incarnation: ended });
-      const known = findBackend(table, instanceId)?.body;
-      const fact: BackendFact =
-        known !== undefined
-          ? { ...known, state: 'gone' }
-          : {
-              kind: 'backend',
-              instanceId,
-              service: '',
-              address: '',
-              dataCentre: '',
-              state: 'gone',
-              slots: 0,
-            };
-      const version = { incarnation: ended, sequence: FINAL_SEQUENCE };
-      const isTaken = table.put(FACT_KEYS.backend(instanceId), version, fact);
-      log.info('backend-left', { instanceId, address: fact.address, isLate: !isTaken });
-    },
+    announce: backends.announce,
+    withdraw: backends.withdraw,
     replaceDocument: documentCalls.replace,
     readDocument: documentCalls.read,
     describe: () =>
--- /dev/null
+++ b/packages/entry/__tests__/readiness.spec.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createReadiness } from '../src/readiness';
+
+const REVOCATION_MS = 5000;
+
+function createSetting({ isAccepting = true } = {}) {
+  let ageMs = 0;
+  const documents = {
+    current: { version: 1 } as unknown,
+    confirmedAgeMs: () => ageMs,
+  };
+  const readiness = createReadiness({
+    documents,
+    revocationMs: REVOCATION_MS,
+    canAccept: () => isAccepting,
+  });
+  return {
+    readiness,
+    documents,
+    age(durationMs: number) {
+      ageMs = durationMs;
+    },
+  };
+}
+
+describe('a VM', () => {
+  it('is ready with a document that was confirmed lately', () => {
+    const { readiness, age } = createSetting();
+    assert.deepEqual([readiness.isReady(), readiness.memberState()], [true, 'ready']);
+    age(REVOCATION_MS);
+    assert.deepEqual([readiness.isReady(), readiness.memberState()], [false, 'starting']);
+  });
+
+  it('is not ready before its first document', () => {
+    const { readiness, documents } = createSetting();
+    documents.current = null;
+    assert.equal(readiness.isReady(), false);
+  });
+
+  it('is not ready while it can accept no connection, but serves those that it has', () => {
+    const { readiness } = createSetting({ isAccepting: false });
+    assert.deepEqual([readiness.isReady(), readiness.isReadyToRoute()], [false, true]);
+  });
+
+  it('serves on while it leaves, and calls itself not ready', () => {
+    const { readiness } = createSetting();
+    readiness.beginLeaving();
+    assert.deepEqual(
+      [readiness.isReady(), readiness.memberState(), readiness.isReadyToRoute()],
+      [false, 'leaving', true],
+    );
+  });
+});
--- /dev/null
+++ b/packages/entry/__tests__/standIns.spec.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createSeededRandom } from '@spoolplank/shared';
+import { createChainChoice } from '../src/chainChoice';
+import { createEngine, createTables, MODEL } from './fixtures';
+
+/** As many streams as a chain has in flight when one of its engines is lost. */
+const STREAMS = 80;
+
+describe('the streams of a lost engine', () => {
+  it('are spread over all engines that can take its part', () => {
+    const { view, announce } = createTables();
+    const standIns = ['a3', 'a4', 'a5'];
+    announce(createEngine('a1', 0, 4));
+    announce(createEngine('a2', 4, 8));
+    standIns.forEach((id) => announce(createEngine(id, 4, 8)));
+    const chains = createChainChoice({
+      view,
+      random: createSeededRandom(7),
+      dataCentre: 'a',
+      ownInFlight: () => 0,
+      entries: () => 1,
+      unseenInFlight: () => 0,
+      firstEventMs: () => 0,
+      isAvoided: () => false,
+    });
+    const stages = [
+      { id: 'a1', address: 'a1:80', firstLayer: 0, endLayer: 4 },
+      { id: 'a2', address: 'a2:80', firstLayer: 4, endLayer: 8 },
+    ];
+    const counts = new Map<string, number>();
+    for (let stream = 0; stream < STREAMS; stream += 1) {
+      const path = chains.repair('engines', MODEL, stages, new Set(['a2'])) ?? [];
+      assert.equal(path[0]?.id, 'a1');
+      const id = path[1]?.id ?? '';
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    standIns.forEach((id) => assert.ok((counts.get(id) ?? 0) >= STREAMS / 6, id));
+  });
+});
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,7 +1,7 @@
 /** The role `entry` with everything it needs injected. */
 import type { StoredDocument } from '@spoolplank/control';
 import { createDocumentCache, createFactTable, isRestart } from '@spoolplank/membership';
-import type { FactUpdate, LoadFact, MemberFact, SystemFact } from '@spoolplank/membership';
+import type { FactUpdate, LoadFact, SystemFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
@@ -20,8 +20,9 @@
 import { createEntryStatements } from './entryStatements';
 import { createPlainDispatch } from './plainDispatch';
 import { createPlaceService } from './places/placeService';
+import { createReadiness } from './readiness';
 import { createRequestAdmission } from './requestAdmission';
-import { createRequestReport } from './requestReport';
+import { createRequestReport, toRequestEnd } from './requestReport';
 import { createRetryBudgets } from './retryBudgets';
 import type { RetryLimits } from './retryBudgets';
 import { createRoutingView } from './routingView';
@@ -77,8 +78,6 @@
 const TICK_MS = 40;
 const RETENTION_MS = 60_000;
 const SWEEP_TICKS = 250;
-/** Share of the revocation bound at which a confirmation is too old; the rest is for the way. */
-const FRESH_SHARE = 0.85;
 
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   const { clock, random, log, metrics, peers, run, host, dataCentre, readDocument } = options;
@@ -89,7 +88,6 @@
   const openRequests = new Set<CallerRequest>();
   let statedLoad = (): LoadFact['inFlight'] => ({});
   let ticks = 0;
-  let isLeaving = false;
   let isStopped = false;
 
   let onEngineLoss = () => {};
@@ -120,22 +118,11 @@
     spread: () => spread(),
   });
 
-  function isFresh(): boolean {
-    return documents.confirmedAgeMs() < options.revocationMs * FRESH_SHARE;
-  }
-
-  function isReadyToRoute(): boolean {
-    return documents.current !== null && isFresh();
-  }
-
-  function isReady(): boolean {
-    return !isLeaving && isReadyToRoute() && (options.canAccept?.() ?? true);
-  }
-
-  function memberState(): MemberFact['state'] {
-    if (isLeaving) return 'leaving';
-    return isReady() ? 'ready' : 'starting';
-  }
+  const readiness = createReadiness({
+    documents,
+    revocationMs: options.revocationMs,
+    canAccept: options.canAccept,
+  });
 
   const statements = createEntryStatements({
     table,
@@ -145,7 +132,7 @@
     dataCentre,
     callerAddress: options.callerAddress,
     peerPort: options.peerPort,
-    state: memberState,
+    state: readiness.memberState,
     inFlight: () => streams.counts(),
     listSuspicions: () => health.listStatements(),
   });
@@ -246,7 +233,7 @@
     avoid,
   });
 
-  const admission = createRequestAdmission({ clock, random, view, isReadyToRoute, isFresh });
+  const admission = createRequestAdmission({ clock, random, view, ...readiness });
 
   function dispatch(admitted: AdmittedRequest): Promise<RequestEnd> {
     const { service, route } = admitted;
@@ -276,7 +263,7 @@
     addresses: createAddressBook({
       view,
       selfAddress: options.callerAddress,
-      ownAddress: () => (isReady() ? options.callerAddress : null),
+      ownAddress: () => (readiness.isReady() ? options.callerAddress : null),
     }),
     methods: { ...places.methods, ...engineLooks.methods },
     start() {
@@ -295,21 +282,15 @@
       } catch (error) {
         const known = toSpoolplankError(error);
         answer.refuse(known);
-        const end: RequestEnd = {
-          outcome: known.outcome === 'not-run' ? 'refused' : 'failed',
-          status: known.httpStatus,
-          attempts: 0,
-          servedBy: [],
-          firstByteMs: null,
-        };
-        report(request, end, { route, service, code: known.code, problem: known.message });
+        const fields = { route, service, code: known.code, problem: known.message };
+        report(request, toRequestEnd(known), fields);
       } finally {
         openRequests.delete(request);
       }
     },
-    isReady,
+    isReady: readiness.isReady,
     beginLeaving() {
-      isLeaving = true;
+      readiness.beginLeaving();
       log.info('leaving');
       void feed.push();
     },
--- a/packages/entry/src/requestReport.ts
+++ b/packages/entry/src/requestReport.ts
@@ -1,6 +1,6 @@
 /** How each request ended: one line of the log, a counter and a histogram. */
 import type { EventLog, Metrics } from '@spoolplank/node';
-import type { Clock } from '@spoolplank/shared';
+import type { Clock, SpoolplankError } from '@spoolplank/shared';
 import type { CallerRequest } from './callerRequest';
 import type { PlaceDecision, RequestEnd } from './entryContext';
 
@@ -41,6 +41,17 @@
   };
 }
 
+/** How a request ended that its caller was refused with an error. */
+export function toRequestEnd({ outcome, httpStatus }: SpoolplankError): RequestEnd {
+  return {
+    outcome: outcome === 'not-run' ? 'refused' : 'failed',
+    status: httpStatus,
+    attempts: 0,
+    servedBy: [],
+    firstByteMs: null,
+  };
+}
+
 export function createRequestReport(options: RequestReportOptions): RequestReport {
   const { clock, log, metrics } = options;
   const cap = (ageMs: number) => Math.round(Math.min(ageMs, MAX_AGE_MS));
