--- a/packages/entry/__tests__/engineLooks.spec.ts
+++ b/packages/entry/__tests__/engineLooks.spec.ts
@@ -16,6 +16,7 @@
 function createEntries(answer: (address: string, tries: number) => boolean) {
   const clock = createManualClock(1000);
   const tries = new Map<string, number>();
+  const limitsMs: number[] = [];
   const looks = new Map<string, EngineLooks>();
   const appointed = { host: 'h0', peerPort: 1 } as MemberFact;
   let isAppointedThere = true;
@@ -38,7 +39,8 @@
       peers: peersOf(host),
       host,
       operations: {
-        isReachable(address) {
+        isReachable(address, limitMs) {
+          limitsMs.push(limitMs);
           const count = (tries.get(address) ?? 0) + 1;
           tries.set(address, count);
           return Promise.resolve(answer(address, count));
@@ -52,6 +54,7 @@
   return {
     clock,
     tries,
+    limitsMs,
     askAll: () => Promise.all([...looks.values()].map((entry) => entry.ask('a', PATH))),
     askOf: (host: string) => looks.get(host)?.ask('a', PATH),
     endAppointed() {
@@ -81,6 +84,15 @@
     (await askAll()).forEach((lost) => assert.deepEqual(lost, []));
   });
 
+  it('is given up in time, with a time limit for each try, by a VM that is too busy to look', async () => {
+    const { askAll, clock, limitsMs } = createEntries(() => {
+      clock.advance(50);
+      return false;
+    });
+    (await askAll()).forEach((lost) => assert.deepEqual(lost, ['e1', 'e2', 'e3']));
+    limitsMs.forEach((limitMs) => assert.ok(limitMs >= 1, `${limitMs} ms`));
+  });
+
   it('is looked at anew when it is still silent a moment later', async () => {
     const { askAll, tries, clock } = createEntries(() => true);
     await askAll();
--- a/packages/entry/src/engineLooks.ts
+++ b/packages/entry/src/engineLooks.ts
@@ -96,7 +96,8 @@
     const startedAtMs = clock.nowMs();
     const tries: Promise<boolean>[] = [];
     for (let count = 0; count < MAX_TRIES; count += 1) {
-      const leftMs = GIVEN_UP_AFTER_MS - (clock.nowMs() - startedAtMs);
+      // A busy process may come back here late; no time limit at all would wait for seconds.
+      const leftMs = Math.max(1, GIVEN_UP_AFTER_MS - (clock.nowMs() - startedAtMs));
       const tried = operations.isReachable(address, leftMs);
       tries.push(tried);
       const isThere = await Promise.race([tried, delay(NEXT_TRY_AFTER_MS)]);
