fix(entry,platform): a VM that was frozen, or is out of its share of a core, calls no engine lost

Ruled out: more tries, as all of them fall into the same stand-still.

Change: a look that took over 120 ms says nothing.

--- a/packages/entry/src/engineLooks.ts
+++ b/packages/entry/src/engineLooks.ts
@@ -54,6 +54,11 @@
 const MAX_TRIES = 3;
 const NEXT_TRY_AFTER_MS = 20;
 const GIVEN_UP_AFTER_MS = 80;
+/**
+ * A VM that was frozen, or has used up its share of a core, hears of no connection for that time:
+ * a look that took so long says nothing of the engine, and must not make a whole path suspect.
+ */
+const LATE_AFTER_MS = 120;
 /**
  * So many VMs must miss something on a path: with one or two streams on it, each of them alone
  * meets a pause some times a second (42 looks a second over nine paths of 78 VMs, calm).
@@ -103,7 +108,9 @@
       const isThere = await Promise.race([tried, delay(NEXT_TRY_AFTER_MS)]);
       if (isThere === true) return true;
     }
-    return (await Promise.all(tries)).includes(true);
+    const isThere = (await Promise.all(tries)).includes(true);
+    const isOwnFault = clock.nowMs() - startedAtMs > LATE_AFTER_MS;
+    return isThere || isOwnFault;
   }
 
   function lookShared(address: string): Promise<boolean> {
