--- a/packages/entry/src/engineLooks.ts
+++ b/packages/entry/src/engineLooks.ts
@@ -61,7 +61,8 @@
 const LATE_AFTER_MS = 120;
 /**
  * So many VMs must miss something on a path: with one or two streams on it, each of them alone
- * meets a pause some times a second (42 looks a second over nine paths of 78 VMs, calm).
+ * meets a pause some times a second. Looks for whoever asks made 18,178 connections in 42 s where
+ * those for three made 4,154 in 33 s (a day of 78 VMs on which six engines are lost).
  */
 const MIN_ASKERS = 3;
 /** All who miss something on a path that stands still ask within two of their ticks. */
