feat(entry): a failed attempt's line says what it carried and how far its run had come

Cause: 19 engines ended under one request's content, and nothing in the logs tells that two request ids carry the same. Ruled out: finding it by route alone; 2 of 15 ends had an attempt of another route in the same state. Change: attempt-failed has content (a digest of organisation, host, method, URL and body), ranMs, hasAnswered, hasBegun. No decision hangs on it.

--- a/packages/entry/__tests__/plainDispatch.spec.ts
+++ b/packages/entry/__tests__/plainDispatch.spec.ts
@@ -44,7 +44,8 @@
   const { calls, operations } = createSilentBackend();
   const dispatch = createPlainDispatch(createContext(clock, view, operations));
   const answer = { isClosed: false, onClosed: () => {} } as unknown as CallerAnswer;
-  const request = { id: 'r1', arrivedAtMs: clock.nowMs() } as CallerRequest;
+  const body = Buffer.alloc(0);
+  const request = { id: 'r1', body, arrivedAtMs: clock.nowMs() } as CallerRequest;
   const admitted = {
     request,
     answer,
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -95,6 +95,7 @@
     ],
     lostIds: new Set(),
     startedAtMs: clock.nowMs(),
+    hasAnswered: true,
     hasBegun: true,
     lastProgressAtMs: clock.nowMs(),
     lastCheckAtMs: 0,
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -6,6 +6,7 @@
 import type { BackendResponse } from './backendOperations';
 import type { RawHeaders } from './callerRequest';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
+import { digestContent } from './requestContent';
 
 /** What came of sending a request to one backend server. */
 type AttemptResult =
@@ -172,6 +173,7 @@
           address: backend.address,
           result: result.kind,
           problem: result.kind === 'answered' ? `status ${result.status}` : result.problem,
+          content: digestContent({ request, organisation: admitted.organisation?.name ?? null }),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
         if (result.kind === 'unknown' && route.kind !== 'safe') break;
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -19,9 +19,20 @@
       readonly problem: string;
       /** Another engine of the path was at fault. */
       readonly isHeadFine: boolean;
+      readonly run: BrokenRun;
     }
   | { readonly kind: 'caller-left' };
 
+/** How far an attempt had come when it broke off. */
+export interface BrokenRun {
+  /** Since it was sent. */
+  readonly ranMs: number;
+  /** Whether the engine had begun its answer. */
+  readonly hasAnswered: boolean;
+  /** Whether anything of the answer's body had come. */
+  readonly hasBegun: boolean;
+}
+
 /** What one request carries from attempt to attempt. */
 export interface StreamProgress {
   lastEventId: string | null;
@@ -76,6 +87,7 @@
       stages: chain.stages,
       lostIds: new Set(),
       startedAtMs: nowMs,
+      hasAnswered: false,
       hasBegun: false,
       lastProgressAtMs: nowMs,
       lastCheckAtMs: 0,
@@ -149,6 +161,10 @@
     });
   }
 
+  function describeRun({ startedAtMs, hasAnswered, hasBegun }: StreamRow): BrokenRun {
+    return { ranMs: clock.nowMs() - startedAtMs, hasAnswered, hasBegun };
+  }
+
   async function judge(
     row: StreamRow,
     response: BackendResponse,
@@ -162,11 +178,16 @@
     }
     if (problem !== null) {
       response.body.destroy();
-      return { kind: 'broken', problem, isHeadFine: false };
+      return { kind: 'broken', problem, isHeadFine: false, run: describeRun(row) };
     }
     if (status > HIGHEST_GOOD_STATUS && progress.hasBegun) {
       response.body.destroy();
-      return { kind: 'broken', problem: `status ${status}`, isHeadFine: false };
+      return {
+        kind: 'broken',
+        problem: `status ${status}`,
+        isHeadFine: false,
+        run: describeRun(row),
+      };
     }
     await relay(row, response, progress);
     return { kind: 'whole', status };
@@ -184,7 +205,8 @@
     if (known.outcome === 'not-run' && row.cutReason === null) {
       return { kind: 'not-run', problem, culprit: head?.address ?? null };
     }
-    return { kind: 'broken', problem, isHeadFine: row.cutReason === 'no-repair' };
+    const isHeadFine = row.cutReason === 'no-repair';
+    return { kind: 'broken', problem, isHeadFine, run: describeRun(row) };
   }
 
   async function attempt(
@@ -217,6 +239,7 @@
         signal: abort.signal,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
       });
+      row.hasAnswered = true;
       return await judge(row, response, progress);
     } catch (error) {
       return explain(row, error);
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -4,8 +4,9 @@
 import type { ModelDescription } from '@spoolplank/routing';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import type { PlaceFinder } from './places/placeFinder';
+import { digestContent } from './requestContent';
 import { createStreamAttempts, HIGHEST_GOOD_STATUS, TIMEOUT_MARGIN_MS } from './streamAttempt';
-import type { StreamProgress } from './streamAttempt';
+import type { BrokenRun, StreamProgress } from './streamAttempt';
 import type { StreamTable } from './streamTable';
 
 export interface StreamDispatchOptions {
@@ -39,6 +40,16 @@
  */
 const RESERVED_FOR_BEGUN = 0.4;
 
+/** What a broken run carried, and how far it came: lines of lost engines may have it in common. */
+function describeRun({ request, organisation }: AdmittedRequest, run: BrokenRun) {
+  return {
+    content: digestContent({ request, organisation: organisation?.name ?? null }),
+    ranMs: Math.round(run.ranMs),
+    hasAnswered: run.hasAnswered,
+    hasBegun: run.hasBegun,
+  };
+}
+
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
   const { context, streams, places, examine, avoid } = options;
   const { clock, log, view } = context;
@@ -138,6 +149,7 @@
           culprit: result.kind === 'not-run' ? result.culprit : undefined,
           path: progress.servedBy,
           lastEventId: progress.lastEventId,
+          ...(result.kind === 'broken' ? describeRun(admitted, result.run) : {}),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
         if (result.kind === 'broken' && progress.hasBegun) await waitForTurn();
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -22,6 +22,9 @@
   /** Engines that were found lost while this attempt ran. */
   readonly lostIds: Set<string>;
   readonly startedAtMs: number;
+  /** The first engine has begun its answer. */
+  hasAnswered: boolean;
+  /** Something of the answer's body has come. */
   hasBegun: boolean;
   lastProgressAtMs: number;
   lastCheckAtMs: number;
