fix(entry,routing,membership): a content under which three servers ended is run no more, by any VM

Cause: nothing knew that attempts under new request ids carry the same; each VM counted the attempts of one client attempt. Change: a VM that sees a server end under a request that had just begun there states it as a fact; the set of such facts is judged by each VM (judgeCrashes): three runs of servers, what a guilty content explains clears others, an answer anywhere acquits. Guilty contents are refused at once as not run, leave the lines they wait in, and are not repaired.

--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -6,6 +6,7 @@
   createFactTable,
   createFeedServer,
   FACT_KEYS,
+  retentionOf,
 } from '@spoolplank/membership';
 import type {
   FactTable,
@@ -87,8 +88,6 @@
 const LOAD_TICKS = 2;
 /** An entry states its load every 800 ms; this is the silence after which it counts as lost. */
 const LOAD_RETENTION_MS = 2600;
-/** Facts are kept ten times longer than any announcement may be late. */
-const RETENTION_MS = 60_000;
 
 export async function createControlNode(options: ControlNodeOptions): Promise<ControlNode> {
   const { clock, log, peers, host, peerPort, dataCentre, run } = options;
@@ -218,7 +217,7 @@
     if (ticks % STATEMENT_TICKS === 1) {
       stateSelf();
       feeds.follow(controlVms.listOthers());
-      table.sweep(RETENTION_MS);
+      table.sweep(retentionOf);
     }
     if (ticks % LOAD_TICKS === 0) stateLoads();
     placement.tick();
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -8,6 +8,7 @@
 import type { ManualClock } from '@spoolplank/shared';
 import type { BackendOperations } from '../src/backendOperations';
 import type { EntryContext } from '../src/entryContext';
+import { createQuarantine } from '../src/quarantine';
 import { createRoutingView } from '../src/routingView';
 import type { RoutingView } from '../src/routingView';
 
@@ -79,16 +80,27 @@
   view: RoutingView,
   operations: BackendOperations,
 ): EntryContext {
+  const log = createEventLog({ vmId: 'vm', clock, writeChunk: () => {} });
+  const quarantine = createQuarantine({
+    clock,
+    random: createSeededRandom(1),
+    log,
+    metrics: createMetrics(),
+    table: createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false }),
+    spread: () => {},
+  });
   return {
     clock,
     random: createSeededRandom(1),
-    log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
+    log,
     metrics: createMetrics(),
     dataCentre: 'a',
     view,
     operations,
     loads: createBackendLoadTable(),
     budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
+    quarantine,
+    crashes: { note: () => Promise.resolve(), tick: () => {} },
     factsAgeMs: () => 0,
   };
 }
--- /dev/null
+++ b/packages/entry/src/crashGuard.ts
@@ -0,0 +1,87 @@
+/** Keeps requests that end backend servers from the next ones: what is seen, judged and stopped. */
+import type { AcquittalFact, CrashFact, FactTable, SystemFact } from '@spoolplank/membership';
+import { scheduleTimer } from '@spoolplank/node';
+import type { EventLog, Metrics } from '@spoolplank/node';
+import type { Clock, Random } from '@spoolplank/shared';
+import { createCrashWitness } from './crashWitness';
+import type { CrashWitness } from './crashWitness';
+import type { EngineHealth } from './engineHealth';
+import { createQuarantine } from './quarantine';
+import type { Quarantine } from './quarantine';
+import { contentOf, digestContent } from './requestContent';
+import type { RoutingView } from './routingView';
+import type { StreamRow, StreamTable } from './streamTable';
+
+export interface CrashGuardOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  readonly table: FactTable<SystemFact>;
+  readonly view: RoutingView;
+  readonly streams: StreamTable;
+  readonly health: Pick<EngineHealth, 'isLost'>;
+  /** Whether a new connection to an address is accepted. */
+  readonly isThere: (address: string) => Promise<boolean>;
+  /** Makes what this VM states known to others at once. */
+  readonly spread: () => void;
+}
+
+export interface CrashGuard {
+  readonly quarantine: Quarantine;
+  readonly crashes: CrashWitness;
+  /** Holds the loss of any engine of its path against a stream that had just begun there. */
+  noteLost(row: StreamRow, instanceId: string): void;
+  /** To be called when a crash or an acquittal was stated, here or elsewhere. */
+  onFact(body: CrashFact | AcquittalFact): void;
+}
+
+export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
+  const { clock, view, streams, health } = options;
+  let isSpreadDue = false;
+
+  /** One end is stated by many streams at the same moment: one exchange takes all of it. */
+  function spreadSoon(): void {
+    if (isSpreadDue) return;
+    isSpreadDue = true;
+    scheduleTimer(() => {
+      isSpreadDue = false;
+      options.spread();
+    }, 0);
+  }
+
+  /** Whether a run of a server is over: suspected, or followed by another one at its address. */
+  function hasEnded(instanceId: string, address: string): boolean {
+    const owner = view.findByAddress(address)?.body;
+    const isTaken = owner?.kind === 'backend' && owner.instanceId !== instanceId;
+    return isTaken || health.isLost(instanceId);
+  }
+
+  const quarantine: Quarantine = createQuarantine({ ...options, spread: spreadSoon });
+  const crashes = createCrashWitness({
+    clock,
+    isThere: options.isThere,
+    hasEnded,
+    onEnd: (run) => quarantine.noteEnd(run),
+  });
+
+  /** Copies that are under way, and have not begun to answer, may still be kept from a server. */
+  function endQuarantined(): void {
+    [...streams.list()]
+      .filter(({ hasBegun, admitted }) => !hasBegun && quarantine.has(contentOf(admitted)))
+      .forEach((row) => row.cut('quarantined'));
+  }
+
+  return {
+    quarantine,
+    crashes,
+    noteLost(row, instanceId) {
+      if (!row.hasAnswered || row.hasBegun) return;
+      const content = digestContent(contentOf(row.admitted));
+      quarantine.noteEnd({ content, instanceId, ranMs: clock.nowMs() - row.startedAtMs });
+    },
+    onFact(body) {
+      if (quarantine.onFact(body)) endQuarantined();
+    },
+  };
+}
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -4,6 +4,8 @@
 import type { Clock, Random } from '@spoolplank/shared';
 import type { BackendOperations } from './backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
+import type { CrashWitness } from './crashWitness';
+import type { Quarantine } from './quarantine';
 import type { RoutingView } from './routingView';
 
 export interface EntryContext {
@@ -17,6 +19,10 @@
   readonly loads: BackendLoadTable;
   /** The retry budget of a service. */
   readonly budgetOf: (service: string) => WindowBudget;
+  /** Contents that are run no more. */
+  readonly quarantine: Quarantine;
+  /** Told of runs that broke off before anything came of them. */
+  readonly crashes: CrashWitness;
   /** Age of the facts that requests are routed by, in milliseconds. */
   readonly factsAgeMs: () => number;
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,7 +1,19 @@
 /** The role `entry` with everything it needs injected. */
 import type { StoredDocument } from '@spoolplank/control';
-import { createDocumentCache, createFactTable, isRestart } from '@spoolplank/membership';
-import type { FactUpdate, LoadFact, SystemFact } from '@spoolplank/membership';
+import {
+  createDocumentCache,
+  createFactTable,
+  isRestart,
+  retentionOf,
+} from '@spoolplank/membership';
+import type {
+  AcquittalFact,
+  CrashFact,
+  FactUpdate,
+  LoadFact,
+  SystemFact,
+  SystemFactKind,
+} from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
@@ -13,6 +25,7 @@
 import type { BackendOperations } from './backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
 import { createChainChoice } from './chainChoice';
+import { createCrashGuard } from './crashGuard';
 import { createEngineHealth } from './engineHealth';
 import { createEngineLooks } from './engineLooks';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
@@ -22,6 +35,7 @@
 import { createPlaceService } from './places/placeService';
 import { createReadiness } from './readiness';
 import { createRequestAdmission } from './requestAdmission';
+import { contentOf } from './requestContent';
 import { createRequestReport, toRequestEnd } from './requestReport';
 import { createRetryBudgets } from './retryBudgets';
 import type { RetryLimits } from './retryBudgets';
@@ -66,6 +80,8 @@
   /** Serves one request to its end. */
   handle(request: CallerRequest, answer: CallerAnswer): Promise<void>;
   isReady(): boolean;
+  /** Lets a content be run again that is in quarantine; false when nothing is held against it. */
+  releaseContent(digest: string): boolean;
   /** Leaves the addresses; requests that still come are served. */
   beginLeaving(): void;
   /** From now on new requests are refused as not run. */
@@ -76,8 +92,13 @@
 }
 
 const TICK_MS = 40;
-const RETENTION_MS = 60_000;
 const SWEEP_TICKS = 250;
+/** Facts that this VM acts on as soon as it hears of them. */
+const URGENT_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>([
+  'suspicion',
+  'crash',
+  'acquittal',
+]);
 
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   const { clock, random, log, metrics, peers, run, host, dataCentre, readDocument } = options;
@@ -91,12 +112,17 @@
   let isStopped = false;
 
   let onEngineLoss = () => {};
+  let onCrashFact = (_body: CrashFact | AcquittalFact): void => {};
+  let crashStatements = (): readonly FactUpdate<SystemFact>[] => [];
   let syncedAtMs = () => Number.NEGATIVE_INFINITY;
   const table = createFactTable<SystemFact>({
     clock,
     instance: run,
-    isUrgent: (body, before) => body.kind === 'suspicion' || isRestart(body, before),
-    onUrgent: () => onEngineLoss(),
+    isUrgent: (body, before) => URGENT_FACTS.has(body.kind) || isRestart(body, before),
+    onUrgent(body) {
+      if (body.kind === 'crash' || body.kind === 'acquittal') onCrashFact(body);
+      else onEngineLoss();
+    },
   });
   const view = createRoutingView({
     clock,
@@ -146,7 +172,7 @@
     dataCentre,
     table,
     documents,
-    statements: () => [...statements.list(), ...placeStatements()],
+    statements: () => [...statements.list(), ...placeStatements(), ...crashStatements()],
     listControlMembers: () => view.listMembers('control'),
     seeds: options.seeds,
     controlPeerPort: options.controlPeerPort,
@@ -162,6 +188,23 @@
     void feed.push();
   };
 
+  let isThere = (_address: string): Promise<boolean> => Promise.resolve(true);
+  const guard = createCrashGuard({
+    clock,
+    random,
+    log,
+    metrics,
+    table,
+    view,
+    streams,
+    health,
+    isThere: (address) => isThere(address),
+    spread: () => spread(),
+  });
+  const { quarantine, crashes } = guard;
+  onCrashFact = guard.onFact;
+  crashStatements = quarantine.listStatements;
+
   const countEntries = () => view.listMembers('entry').length;
   const context: EntryContext = {
     clock,
@@ -177,6 +220,8 @@
       limits: options.retryLimits,
       entries: countEntries,
     }),
+    quarantine,
+    crashes,
     factsAgeMs: () => clock.nowMs() - feed.syncedAtMs,
   };
   const chains = createChainChoice({
@@ -223,7 +268,9 @@
     suspect,
     avoid,
     askAppointed: engineLooks.ask,
+    onLost: guard.noteLost,
   });
+  ({ isThere } = repair);
   onEngineLoss = () => repair.repairLost(health.isLost);
   const stream = createStreamDispatch({
     context,
@@ -255,7 +302,11 @@
     ticks += 1;
     repair.tick();
     places.tick();
-    if (ticks % SWEEP_TICKS === 0) table.sweep(RETENTION_MS);
+    crashes.tick();
+    if (ticks % SWEEP_TICKS === 0) {
+      table.sweep(retentionOf);
+      quarantine.sweep();
+    }
     scheduleTimer(tick, TICK_MS);
   }
 
@@ -278,6 +329,7 @@
         const admitted = await admission.admit(request, answer);
         route = admitted.route.name;
         service = admitted.service;
+        quarantine.check(contentOf(admitted));
         report(request, await dispatch(admitted), { route, service });
       } catch (error) {
         const known = toSpoolplankError(error);
@@ -289,6 +341,7 @@
       }
     },
     isReady: readiness.isReady,
+    releaseContent: (digest) => quarantine.release(digest),
     beginLeaving() {
       readiness.beginLeaving();
       log.info('leaving');
@@ -308,6 +361,7 @@
         confirmedAgeMs: documents.confirmedAgeMs(),
         inFlight: streams.counts(),
         places: places.describe(),
+        quarantine: quarantine.describe(),
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/entry/src/places/placeFinder.ts
+++ b/packages/entry/src/places/placeFinder.ts
@@ -33,6 +33,8 @@
   readonly ticket: string;
   /** First engines of chains that it was on already. */
   readonly excludedHeads: ReadonlySet<string>;
+  /** Whether it is not to be run any more. */
+  readonly isUnwanted: () => boolean;
 }
 
 export interface PlaceFinder {
@@ -102,7 +104,7 @@
       leavesAtMs,
       excludedHeads,
       rankDataCentres: () => options.rankDataCentres(service),
-      isGone: () => answer.isClosed || clock.nowMs() >= leavesAtMs,
+      isGone: () => answer.isClosed || search.isUnwanted() || clock.nowMs() >= leavesAtMs,
     };
   }
 
@@ -149,7 +151,7 @@
         if (clock.nowMs() - sinceMs < CHAIN_POLL_MS) returns.noteRoom();
         return chain;
       }
-      if (admitted.answer.isClosed) return undefined;
+      if (admitted.answer.isClosed || search.isUnwanted()) return undefined;
       throw refusalOf(search, outcome);
     },
     async toResume(search, silentSinceMs) {
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -1,12 +1,14 @@
 /** Requests to plain services: one backend server, or another one where that is allowed. */
 import { finished } from 'node:stream/promises';
 import type { BackendFact } from '@spoolplank/membership';
+import { delay } from '@spoolplank/node';
 import { selectCandidate } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { BackendResponse } from './backendOperations';
 import type { RawHeaders } from './callerRequest';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
-import { digestContent } from './requestContent';
+import { contentOf, digestContent } from './requestContent';
+import type { RequestContent } from './requestContent';
 
 /** What came of sending a request to one backend server. */
 type AttemptResult =
@@ -19,7 +21,12 @@
   /** It has not run there. */
   | { readonly kind: 'not-run'; readonly problem: string }
   /** It may have run there, and there is no answer to pass on. */
-  | { readonly kind: 'unknown'; readonly problem: string };
+  | {
+      readonly kind: 'unknown';
+      readonly problem: string;
+      /** How long it ran until its connection broke; null when it was given up here. */
+      readonly brokeAfterMs: number | null;
+    };
 
 /** An answer is given so long before the time-out, so that it arrives before it. */
 const TIMEOUT_MARGIN_MS = 30;
@@ -33,6 +40,10 @@
 /** Greatest answer that is held back until it is whole. */
 const MAX_ANSWER_BYTES = 16_777_216;
 const HIGHEST_GOOD_STATUS = 499;
+/** From here on the backend server did not do what was asked. */
+const LEAST_UNDONE_STATUS = 300;
+/** A closed port is seen within 2 to 6 ms; a silent one is not waited for, see streamDispatch. */
+const MAX_EVIDENCE_WAIT_MS = 50;
 
 async function readWhole(response: BackendResponse): Promise<Buffer> {
   const pieces: Buffer[] = [];
@@ -46,6 +57,11 @@
   return Buffer.concat(pieces);
 }
 
+/** Whether the backend server ran it to its good end, and lives. */
+function isGood(result: AttemptResult): boolean {
+  return result.kind === 'answered' && result.status < LEAST_UNDONE_STATUS;
+}
+
 export interface PlainDispatch {
   /**
    * Serves a request.
@@ -56,7 +72,7 @@
 }
 
 export function createPlainDispatch(context: EntryContext): PlainDispatch {
-  const { clock, loads, log, operations, random, view } = context;
+  const { clock, loads, log, operations, random, view, quarantine, crashes } = context;
 
   function choose(service: string, excluded: ReadonlySet<string>): BackendFact | undefined {
     const candidates = view
@@ -79,7 +95,7 @@
     }
     if (problem !== null) {
       response.body.destroy();
-      return { kind: 'unknown', problem };
+      return { kind: 'unknown', problem, brokeAfterMs: null };
     }
     return { kind: 'answered', status, headers, body: await readWhole(response) };
   }
@@ -111,7 +127,11 @@
       result = await judge(response, backend);
     } catch (error) {
       const { outcome, message } = toSpoolplankError(error);
-      result = { kind: outcome === 'not-run' ? 'not-run' : 'unknown', problem: message };
+      const brokeAfterMs = abort.signal.aborted ? null : clock.nowMs() - startedAtMs;
+      result =
+        outcome === 'not-run'
+          ? { kind: 'not-run', problem: message }
+          : { kind: 'unknown', problem: message, brokeAfterMs };
     } finally {
       clearTimeout(timer);
     }
@@ -121,9 +141,20 @@
     return result;
   }
 
+  /** What a plain server ran when it ended is all in the same state: each of them is suspected. */
+  async function noteBroken(
+    content: RequestContent,
+    { instanceId, address }: BackendFact,
+    ranMs: number,
+  ): Promise<void> {
+    const run = { content: digestContent(content), instanceId, address, ranMs };
+    await Promise.race([crashes.note(run), delay(MAX_EVIDENCE_WAIT_MS)]);
+  }
+
   return {
     async run(admitted) {
       const { request, answer, route, service } = admitted;
+      const content = contentOf(admitted);
       const budget = context.budgetOf(service);
       const excluded = new Set<string>();
       const abort = new AbortController();
@@ -153,7 +184,7 @@
           remainingMs > TIMEOUT_MARGIN_MS &&
           mayRunAgain() &&
           rejections < MAX_REJECTIONS &&
-          (isFirst || budget.spend());
+          (isFirst || (quarantine.maySendOn(content) && budget.spend()));
         const backend = canSend ? choose(service, excluded) : undefined;
         if (!backend) break;
         if (isFirst) budget.earn();
@@ -166,14 +197,18 @@
         else runs += 1;
         // An answer that came is kept while another one is tried for.
         if (result.kind === 'answered' || last?.kind !== 'answered') last = result;
+        if (isGood(result)) quarantine.noteServed(content);
         if (!isWorthRepeating(result)) break;
+        if (result.kind === 'unknown' && result.brokeAfterMs !== null) {
+          await noteBroken(content, backend, result.brokeAfterMs);
+        }
         log.info('attempt-failed', {
           requestId: request.id,
           backend: backend.instanceId,
           address: backend.address,
           result: result.kind,
           problem: result.kind === 'answered' ? `status ${result.status}` : result.problem,
-          content: digestContent({ request, organisation: admitted.organisation?.name ?? null }),
+          content: digestContent(content),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
         if (result.kind === 'unknown' && route.kind !== 'safe') break;
--- /dev/null
+++ b/packages/entry/src/quarantine.ts
@@ -0,0 +1,249 @@
+/**
+ * Request contents that end the backend servers that run them, and are run no more.
+ *
+ * Every VM states which servers ended under which content, and judges by all that is stated: no VM
+ * keeps a count that could be lost, be late or be cut off. See docs/design/quarantine.md.
+ */
+import { CRASH_RETENTION_MS, FACT_KEYS } from '@spoolplank/membership';
+import type {
+  AcquittalFact,
+  CrashFact,
+  Fact,
+  FactTable,
+  FactUpdate,
+  SystemFact,
+} from '@spoolplank/membership';
+import type { EventLog, Metrics } from '@spoolplank/node';
+import { judgeCrashes, QUARANTINE_ENDS } from '@spoolplank/routing';
+import { SpoolplankError } from '@spoolplank/shared';
+import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import type { BrokenServerRun } from './crashWitness';
+import { digestContent } from './requestContent';
+import type { RequestContent } from './requestContent';
+
+export interface QuarantineOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  readonly table: FactTable<SystemFact>;
+  /** Makes what this VM states known to others at once. */
+  readonly spread: () => void;
+}
+
+export interface Quarantine {
+  /**
+   * Lets a content pass that may be run.
+   *
+   * @throws SpoolplankError `quarantined`; the request has not run.
+   */
+  check(content: RequestContent): void;
+  has(content: RequestContent): boolean;
+  /**
+   * Whether a request that broke off, or was rejected, may be sent on by this VM itself. One that
+   * two servers ended under is left to its caller: the third end would be the router's own doing.
+   */
+  maySendOn(content: RequestContent): boolean;
+  /** Holds the end of a server against a content. */
+  noteEnd(run: Omit<BrokenServerRun, 'address'>): void;
+  /** Clears a content: it was run, and its server lives. */
+  noteServed(content: RequestContent): void;
+  /** Clears a content by its digest, for an operator; false when nothing was held against it. */
+  release(digest: string): boolean;
+  /**
+   * To be called when a crash or an acquittal was stated, here or elsewhere; returns whether a
+   * content is in quarantine now that was not before.
+   */
+  onFact(body: CrashFact | AcquittalFact): boolean;
+  /** Forgets what the table has forgotten. */
+  sweep(): void;
+  /** What is to be stated with the next exchange. */
+  listStatements(): readonly FactUpdate<SystemFact>[];
+  describe(): JsonValue;
+}
+
+/** What this VM saw is repeated so long, for a control VM that was just exchanged for another. */
+const REPEAT_MS = 5000;
+/**
+ * Control VMs that all start again at once know nothing: every VM states a few of the facts that it
+ * knows again, drawn by lot, so that all of them are back within some ten seconds. Eight facts of
+ * 170 bytes in 10 s are 0.14 KB a second.
+ */
+const RESTATE_EVERY_MS = 10_000;
+const RESTATED = 8;
+/** Keys kept, the oldest are dropped first: 2,000 facts of 170 bytes. */
+const MAX_KEYS = 2000;
+const MS_PER_S = 1000;
+
+type CrashRow = Fact<SystemFact> & { readonly body: CrashFact };
+
+function keyOf(body: CrashFact | AcquittalFact): string {
+  return body.kind === 'crash'
+    ? FACT_KEYS.crash(body.content, body.instanceId)
+    : FACT_KEYS.acquittal(body.content);
+}
+
+export function createQuarantine(options: QuarantineOptions): Quarantine {
+  const { clock, random, log, metrics, table } = options;
+  /** Keys of all crashes and acquittals in the table, in the order in which they were heard of. */
+  const keys = new Set<string>();
+  const statedAtMs = new Map<string, number>();
+  let endsByContent: ReadonlyMap<string, readonly CrashRow[]> = new Map();
+  let guilty: ReadonlySet<string> = new Set();
+  let restateAtMs = clock.nowMs() + RESTATE_EVERY_MS;
+
+  function isAcquitted(row: CrashRow): boolean {
+    const acquittal = table.find(FACT_KEYS.acquittal(row.body.content));
+    return acquittal !== undefined && acquittal.heardAtMs >= row.heardAtMs;
+  }
+
+  function listCrashes(): readonly CrashRow[] {
+    return [...keys].flatMap((key) => {
+      const row = table.find(key);
+      return row?.body.kind === 'crash' ? [{ ...row, body: row.body }] : [];
+    });
+  }
+
+  function groupByContent(rows: readonly CrashRow[]): ReadonlyMap<string, readonly CrashRow[]> {
+    const groups = new Map<string, CrashRow[]>();
+    rows.forEach((row) => {
+      const known = groups.get(row.body.content);
+      if (known) known.push(row);
+      else groups.set(row.body.content, [row]);
+    });
+    return groups;
+  }
+
+  function describeEnds(digest: string) {
+    const nowMs = clock.nowMs();
+    return (endsByContent.get(digest) ?? []).map(({ body, heardAtMs, origin }) => ({
+      instanceId: body.instanceId,
+      ranMs: body.ranMs,
+      ageMs: Math.round(nowMs - heardAtMs),
+      origin,
+    }));
+  }
+
+  function judge(): boolean {
+    const before = guilty;
+    endsByContent = groupByContent(listCrashes().filter((row) => !isAcquitted(row)));
+    guilty = judgeCrashes([...endsByContent.values()].flat().map(({ body }) => body));
+    const added = [...guilty].filter((content) => !before.has(content));
+    const released = [...before].filter((content) => !guilty.has(content));
+    added.forEach((content) =>
+      log.warn('content-quarantined', { content, ends: JSON.stringify(describeEnds(content)) }),
+    );
+    released.forEach((content) => log.info('content-released', { content }));
+    return added.length > 0;
+  }
+
+  /** States something of this VM's own, which the table then passes to `onFact`. */
+  function state(body: CrashFact | AcquittalFact): void {
+    const key = keyOf(body);
+    table.put(key, Math.floor(clock.wallMs()), body);
+    statedAtMs.set(key, clock.nowMs());
+    options.spread();
+  }
+
+  /** A content that keeps coming is not forgotten while it does. */
+  function renew(digest: string): void {
+    const nowMs = clock.nowMs();
+    (endsByContent.get(digest) ?? [])
+      .filter(({ heardAtMs }) => nowMs - heardAtMs > CRASH_RETENTION_MS / 2)
+      .forEach(({ body }) => state(body));
+  }
+
+  function endsOf(content: RequestContent): readonly CrashRow[] {
+    // Nothing is held against anything most of the time, and no digest is computed then.
+    return endsByContent.size === 0 ? [] : (endsByContent.get(digestContent(content)) ?? []);
+  }
+
+  const has = (content: RequestContent) => guilty.size > 0 && guilty.has(digestContent(content));
+
+  function toUpdate(key: string): readonly FactUpdate<SystemFact>[] {
+    const row = table.find(key);
+    if (!row) return [];
+    const { sequence, body, heardAtMs } = row;
+    return [{ key, sequence, ageMs: Math.round(clock.nowMs() - heardAtMs), body }];
+  }
+
+  function drawKeys(): readonly string[] {
+    const all = [...keys];
+    if (all.length <= RESTATED) return all;
+    const drawn = Array.from({ length: RESTATED }, () => all[random.nextInt(all.length)] ?? '');
+    return [...new Set(drawn)];
+  }
+
+  return {
+    has,
+    check(content) {
+      if (!has(content)) return;
+      const digest = digestContent(content);
+      const rows = endsOf(content);
+      renew(digest);
+      metrics.count('spoolplank_requests_quarantined_total', {});
+      const lastMs = Math.max(...rows.map(({ heardAtMs }) => heardAtMs));
+      const ageS = Math.round((clock.nowMs() - lastMs) / MS_PER_S);
+      throw new SpoolplankError('quarantined', {
+        detail: `Content ${digest}: ${rows.length} ended, the last one ${ageS} s ago.`,
+        retryAfterMs: CRASH_RETENTION_MS,
+      });
+    },
+    maySendOn: (content) => endsOf(content).length < QUARANTINE_ENDS - 1,
+    noteEnd({ content, instanceId, ranMs }) {
+      const body: CrashFact = { kind: 'crash', content, instanceId, ranMs: Math.round(ranMs) };
+      // Another copy of it was on the same run, here or at another VM.
+      if (table.find(keyOf(body))) return;
+      state(body);
+      log.info('content-suspected', {
+        content,
+        instanceId,
+        ranMs: body.ranMs,
+        ends: endsByContent.get(content)?.length ?? 0,
+      });
+      metrics.count('spoolplank_content_ends_total', {});
+    },
+    noteServed(content) {
+      if (endsOf(content).length === 0) return;
+      const digest = digestContent(content);
+      log.info('content-acquitted', { content: digest, reason: 'served' });
+      state({ kind: 'acquittal', content: digest, reason: 'served' });
+    },
+    release(digest) {
+      if (!endsByContent.has(digest)) return false;
+      log.warn('content-acquitted', { content: digest, reason: 'operator' });
+      state({ kind: 'acquittal', content: digest, reason: 'operator' });
+      return true;
+    },
+    onFact(body) {
+      const key = keyOf(body);
+      keys.delete(key);
+      keys.add(key);
+      if (keys.size > MAX_KEYS) keys.delete([...keys][0] ?? '');
+      return judge();
+    },
+    sweep() {
+      keys.forEach((key) => {
+        if (!table.find(key)) keys.delete(key);
+      });
+      statedAtMs.forEach((atMs, key) => {
+        if (clock.nowMs() - atMs > REPEAT_MS) statedAtMs.delete(key);
+      });
+      judge();
+    },
+    listStatements() {
+      const nowMs = clock.nowMs();
+      const own = [...statedAtMs].filter(([, atMs]) => nowMs - atMs < REPEAT_MS);
+      const repeated = own.map(([key]) => key);
+      if (nowMs < restateAtMs) return repeated.flatMap(toUpdate);
+      restateAtMs = nowMs + RESTATE_EVERY_MS;
+      return [...new Set([...repeated, ...drawKeys()])].flatMap(toUpdate);
+    },
+    describe: () =>
+      [...endsByContent.keys()].map((content) => ({
+        content,
+        isQuarantined: guilty.has(content),
+        ends: describeEnds(content),
+      })),
+  };
+}
--- a/packages/entry/src/requestContent.ts
+++ b/packages/entry/src/requestContent.ts
@@ -1,6 +1,7 @@
 /** What a request asks for and for whom, told apart from its other attempts by a digest. */
 import { createHash } from 'node:crypto';
 import type { CallerRequest } from './callerRequest';
+import type { AdmittedRequest } from './entryContext';
 
 /** Whose request it is, and what it carries. */
 export interface RequestContent {
@@ -9,6 +10,11 @@
   readonly organisation: string | null;
 }
 
+/** The content of an admitted request. */
+export function contentOf({ request, organisation }: AdmittedRequest): RequestContent {
+  return { request, organisation: organisation?.name ?? null };
+}
+
 /** Digests with a collision among 2^32 of them are one in 2^64. */
 const DIGEST_BYTES = 16;
 
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -6,6 +6,7 @@
 import type { EntryContext, PlaceDecision } from './entryContext';
 import { createEventSplitter } from './eventSplitter';
 import type { PlaceSearch } from './places/placeFinder';
+import { contentOf } from './requestContent';
 import type { StreamCut, StreamRow, StreamTable } from './streamTable';
 
 /** What came of one attempt. */
@@ -31,6 +32,8 @@
   readonly hasAnswered: boolean;
   /** Whether anything of the answer's body had come. */
   readonly hasBegun: boolean;
+  /** Whether it was ended here while its first engine was there, as far as known. */
+  readonly wasCutHere: boolean;
 }
 
 /** What one request carries from attempt to attempt. */
@@ -147,6 +150,7 @@
         if (!row.hasBegun) {
           row.hasBegun = true;
           streams.noteFirstEvent(row.headId, clock.nowMs() - row.startedAtMs);
+          context.quarantine.noteServed(contentOf(row.admitted));
         }
         const whole = splitter.push(bytes);
         if (whole.length > 0 && !answer.isClosed) passOn(whole);
@@ -161,8 +165,10 @@
     });
   }
 
-  function describeRun({ startedAtMs, hasAnswered, hasBegun }: StreamRow): BrokenRun {
-    return { ranMs: clock.nowMs() - startedAtMs, hasAnswered, hasBegun };
+  function describeRun(row: StreamRow): BrokenRun {
+    const { startedAtMs, hasAnswered, hasBegun, cutReason } = row;
+    const wasCutHere = cutReason !== null && cutReason !== 'head-lost';
+    return { ranMs: clock.nowMs() - startedAtMs, hasAnswered, hasBegun, wasCutHere };
   }
 
   async function judge(
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -2,9 +2,10 @@
 import { delay } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { ModelDescription } from '@spoolplank/routing';
+import type { ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import type { PlaceFinder } from './places/placeFinder';
-import { digestContent } from './requestContent';
+import { contentOf, digestContent } from './requestContent';
 import { createStreamAttempts, HIGHEST_GOOD_STATUS, TIMEOUT_MARGIN_MS } from './streamAttempt';
 import type { BrokenRun, StreamProgress } from './streamAttempt';
 import type { StreamTable } from './streamTable';
@@ -28,6 +29,11 @@
 }
 
 const MAX_REJECTIONS = 4;
+/**
+ * A closed port is seen within 2 to 6 ms, so that a request knows what ended under it before it is
+ * sent on. One that is silent says nothing for 120 ms and more, which its caller would wait too.
+ */
+const MAX_EVIDENCE_WAIT_MS = 50;
 /** Engines that end one after the other under one stream: beyond this something else is wrong. */
 const MAX_ATTEMPTS = 6;
 /** Reading a prompt of 800 tokens keeps the slowest engine of a chain busy for 4 ms. */
@@ -41,9 +47,9 @@
 const RESERVED_FOR_BEGUN = 0.4;
 
 /** What a broken run carried, and how far it came: lines of lost engines may have it in common. */
-function describeRun({ request, organisation }: AdmittedRequest, run: BrokenRun) {
+function describeRun(admitted: AdmittedRequest, run: BrokenRun) {
   return {
-    content: digestContent({ request, organisation: organisation?.name ?? null }),
+    content: digestContent(contentOf(admitted)),
     ranMs: Math.round(run.ranMs),
     hasAnswered: run.hasAnswered,
     hasBegun: run.hasBegun,
@@ -52,7 +58,7 @@
 
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
   const { context, streams, places, examine, avoid } = options;
-  const { clock, log, view } = context;
+  const { clock, log, view, quarantine, crashes } = context;
   const attempter = createStreamAttempts({ context, streams, examine });
   let nextTurnAtMs = 0;
 
@@ -73,9 +79,26 @@
     if (waitMs > 0) await delay(waitMs);
   }
 
+  /**
+   * Holds the end of its first engine against a request that had just begun there. Attempts without
+   * the head of an answer had not begun, and whoever has passed on events had run well till then:
+   * both are there by chance.
+   */
+  async function noteBroken(
+    admitted: AdmittedRequest,
+    { stages: [head] }: ChosenChain,
+    { ranMs, hasAnswered, hasBegun, wasCutHere }: BrokenRun,
+  ): Promise<void> {
+    if (!head || !hasAnswered || hasBegun || wasCutHere) return;
+    const content = digestContent(contentOf(admitted));
+    const looked = crashes.note({ content, instanceId: head.id, address: head.address, ranMs });
+    await Promise.race([looked, delay(MAX_EVIDENCE_WAIT_MS)]);
+  }
+
   return {
     async run(admitted, model) {
       const { request, answer, route, service } = admitted;
+      const content = contentOf(admitted);
       const budget = context.budgetOf(service);
       const progress: StreamProgress = {
         lastEventId: request.lastEventId,
@@ -110,6 +133,7 @@
       function mayTry(): boolean {
         if (attempts === 0) return true;
         const isAllowed = !mayHaveRun || (route.isResumable && runs < route.maxAttempts);
+        if (!quarantine.maySendOn(content)) return false;
         const hasTime = admitted.endsAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
         const isFew = rejections < MAX_REJECTIONS && attempts < MAX_ATTEMPTS;
         const reservedShare = progress.hasBegun ? 0 : RESERVED_FOR_BEGUN;
@@ -124,13 +148,16 @@
           model,
           ticket: `${request.id}/${attempts}`,
           excludedHeads: excluded,
+          isUnwanted: () => quarantine.has(content),
         };
         const chain = mayHaveRun
           ? await places.toResume(search, progress.lastEventAtMs ?? waitsSinceMs)
           : await places.toBegin(search);
         progress.waitedMs += clock.nowMs() - waitsSinceMs;
         if (!chain && answer.isClosed) return end('caller-left', progress.status);
-        if (!chain) break;
+        // Servers may have ended under it elsewhere while it waited here.
+        if (!mayHaveRun) quarantine.check(content);
+        if (!chain || quarantine.has(content)) break;
         attempts += 1;
         const result = await attempter.attempt(search, chain, progress);
         if (result.kind === 'caller-left') return end('caller-left', progress.status);
@@ -162,6 +189,7 @@
           runs += 1;
           const [head] = chain.stages;
           if (head && !result.isHeadFine) excluded.add(head.id);
+          await noteBroken(admitted, chain, result.run);
         }
       }
 
--- a/packages/entry/src/streamRepair.ts
+++ b/packages/entry/src/streamRepair.ts
@@ -8,6 +8,7 @@
 import type { EngineLooks } from './engineLooks';
 import type { EntryContext } from './entryContext';
 import { createPathSilence } from './pathSilence';
+import { contentOf } from './requestContent';
 import type { StreamRow, StreamTable } from './streamTable';
 
 export interface StreamRepairOptions {
@@ -20,11 +21,15 @@
   readonly avoid: (instanceId: string) => void;
   /** Has one VM look for all others; null when nobody answered. */
   readonly askAppointed: EngineLooks['ask'];
+  /** Told of an engine that is lost under a stream which runs over it. */
+  readonly onLost?: (row: StreamRow, instanceId: string) => void;
 }
 
 export interface StreamRepair {
   /** Looks whether an engine whose connection failed is still there. */
   examine(instanceId: string, address: string): void;
+  /** Whether a new connection to an address is accepted; one look serves all who ask. */
+  isThere(address: string): Promise<boolean>;
   /** Lets time pass: looks for streams that have been silent too long. */
   tick(): void;
   /** Repairs every stream that runs over engines which are lost now. */
@@ -63,8 +68,8 @@
 }
 
 export function createStreamRepair(options: StreamRepairOptions): StreamRepair {
-  const { context, streams, chains, suspect, avoid } = options;
-  const { clock, log, operations, random, view } = context;
+  const { context, streams, chains, suspect, avoid, onLost = () => {} } = options;
+  const { clock, log, operations, random, view, quarantine } = context;
   const reachability = new Map<string, Shared<boolean>>();
   const paths = createPathSilence();
   /** When the appointed VM was last asked about a path that is silent since. */
@@ -94,6 +99,7 @@
 
   function loseEngine(row: StreamRow, id: string, evidence: string): void {
     row.lostIds.add(id);
+    onLost(row, id);
     suspect(id, evidence);
   }
 
@@ -156,6 +162,10 @@
 
   function startRepair(row: StreamRow): void {
     if (row.isRepairing || row.cutReason !== null) return;
+    if (quarantine.has(contentOf(row.admitted))) {
+      row.cut('quarantined');
+      return;
+    }
     row.isRepairing = true;
     repairRow(row)
       .catch((error: unknown) => {
@@ -214,7 +224,10 @@
   function repairLost(isLost: (instanceId: string) => boolean): void {
     for (const row of streams.list()) {
       const lost = row.stages.filter(({ id }) => !row.lostIds.has(id) && isLost(id));
-      lost.forEach(({ id }) => row.lostIds.add(id));
+      lost.forEach(({ id }) => {
+        row.lostIds.add(id);
+        onLost(row, id);
+      });
       if (lost.length > 0) startRepair(row);
     }
   }
@@ -247,6 +260,7 @@
         if (!isThere) suspect(instanceId, 'connection-failed');
       });
     },
+    isThere: isReachable,
     tick() {
       const nowMs = clock.nowMs();
       const newest = paths.newestByPath(streams.list());
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -5,7 +5,7 @@
 import type { AdmittedRequest } from './entryContext';
 
 /** Why an attempt was ended here. */
-export type StreamCut = 'caller-left' | 'head-lost' | 'no-repair' | 'deadline';
+export type StreamCut = 'caller-left' | 'head-lost' | 'no-repair' | 'deadline' | 'quarantined';
 
 export interface StreamRow {
   readonly admitted: AdmittedRequest;
--- a/packages/membership/src/factTable.ts
+++ b/packages/membership/src/factTable.ts
@@ -50,8 +50,8 @@
    * what it takes the place of, where that is still known.
    */
   readonly isUrgent: (body: Body, before?: Body) => boolean;
-  /** Told after an urgent change. */
-  readonly onUrgent?: () => void;
+  /** Told after an urgent change, with the body that is known now. */
+  readonly onUrgent?: (body: Body) => void;
 }
 
 /** Facts that converge on every VM by exchange of what is newer. */
@@ -76,8 +76,8 @@
   hasUrgentSince(sinceRevision: number, exceptOrigins?: readonly string[]): boolean;
   /** Takes in what another VM knew at `saidAtMs` on this VM's clock; `from` unless first-hand. */
   merge(updates: readonly FactUpdate<Body>[], saidAtMs: number, from?: string): void;
-  /** Forgets facts that nobody has stated for `retentionMs`. */
-  sweep(retentionMs: number): void;
+  /** Forgets facts that nobody has stated for so long, in milliseconds; it may differ by body. */
+  sweep(retentionMs: number | ((body: Body) => number)): void;
 }
 
 /** Whether `a` was stated after `b`: a later run outranks any statement of an earlier one. */
@@ -121,7 +121,7 @@
     });
     if (!isChanged || !isUrgent(body, known?.body)) return;
     urgentRevision = revision;
-    onUrgent();
+    onUrgent(body);
   }
 
   function mergeUpdate(update: FactUpdate<Body>, saidAtMs: number, from: string): void {
@@ -182,9 +182,10 @@
       updates.forEach((update) => mergeUpdate(update, saidAtMs, from));
     },
     sweep(retentionMs) {
-      const oldestMs = clock.nowMs() - retentionMs;
-      rows.forEach(({ heardAtMs }, key) => {
-        if (heardAtMs < oldestMs) rows.delete(key);
+      const nowMs = clock.nowMs();
+      rows.forEach(({ heardAtMs, body }, key) => {
+        const keptMs = typeof retentionMs === 'number' ? retentionMs : retentionMs(body);
+        if (nowMs - heardAtMs > keptMs) rows.delete(key);
       });
     },
   };
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -86,7 +86,35 @@
   readonly services: Readonly<Record<string, ServiceRoom>>;
 }
 
-export type SystemFact = MemberFact | LoadFact | BackendFact | SuspicionFact | PaceFact | RoomFact;
+/**
+ * A run of a backend server that ended, and a request content that it had just begun to run. Each
+ * VM states what it saw; the set of them is what counts, so no VM has to keep a count.
+ */
+export interface CrashFact {
+  readonly kind: 'crash';
+  /** Digest of the content. */
+  readonly content: string;
+  readonly instanceId: string;
+  /** How long the content had run there. */
+  readonly ranMs: number;
+}
+
+/** A content that is cleared of all ends stated before: it was run, or an operator says so. */
+export interface AcquittalFact {
+  readonly kind: 'acquittal';
+  readonly content: string;
+  readonly reason: 'served' | 'operator';
+}
+
+export type SystemFact =
+  | MemberFact
+  | LoadFact
+  | BackendFact
+  | SuspicionFact
+  | PaceFact
+  | RoomFact
+  | CrashFact
+  | AcquittalFact;
 
 export type SystemFactKind = SystemFact['kind'];
 
@@ -102,8 +130,23 @@
   room: (dataCentre: string, host: string) => `room/${dataCentre}/${host}`,
   pace: (instanceId: string) => `pace/${instanceId}`,
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
+  crash: (content: string, instanceId: string) => `crash/${content}/${instanceId}`,
+  acquittal: (content: string) => `acquittal/${content}`,
 } as const;
 
+/** Facts are kept ten times longer than any announcement may be late. */
+const RETENTION_MS = 60_000;
+/**
+ * What is known of contents that end servers: well beyond the minutes in which callers repeat a
+ * request. A content that keeps coming is stated anew before that, so it stays known.
+ */
+export const CRASH_RETENTION_MS = 1_800_000;
+
+/** How long a fact is kept that nobody states again, in milliseconds. */
+export function retentionOf({ kind }: SystemFact): number {
+  return kind === 'crash' || kind === 'acquittal' ? CRASH_RETENTION_MS : RETENTION_MS;
+}
+
 /** A sequence that no announcement goes beyond: what ended stays ended. */
 export const FINAL_SEQUENCE = Number.MAX_SAFE_INTEGER;
 
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -64,6 +64,11 @@
     outcome: 'not-run',
     message: 'No backend server can take the request now.',
   },
+  quarantined: {
+    httpStatus: 503,
+    outcome: 'not-run',
+    message: 'Backend servers ended while they ran a request like this one; it is run no more.',
+  },
   'settings-stale': {
     httpStatus: 503,
     outcome: 'not-run',
