--- /dev/null
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -0,0 +1,246 @@
+import assert from 'node:assert/strict';
+import { PassThrough } from 'node:stream';
+import { describe, it } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import type { Route, RouteKind } from '@spoolplank/routing';
+import { SpoolplankError } from '@spoolplank/shared';
+import type { BackendOperations, BackendResponse } from '../src/backendOperations';
+import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
+import type { ChosenChain } from '../src/chainChoice';
+import type { BrokenServerRun } from '../src/crashWitness';
+import type { AdmittedRequest, EntryContext } from '../src/entryContext';
+import { createPlainDispatch } from '../src/plainDispatch';
+import type { PlaceFinder } from '../src/places/placeFinder';
+import { contentOf, digestContent } from '../src/requestContent';
+import { createStreamDispatch } from '../src/streamDispatch';
+import { createStreamTable } from '../src/streamTable';
+import { createContext, createEngine, createTables, MODEL } from './fixtures';
+
+const EVENT = Buffer.from('id: 1\ndata: x\n\n');
+
+function createRoute(kind: RouteKind, maxAttempts: number): Route {
+  return {
+    name: 'draft',
+    host: 'users',
+    pathPrefix: '/draft/',
+    kind,
+    isResumable: true,
+    timeoutMs: 3000,
+    targetLatencyMs: 500,
+    targetGapMs: 200,
+    priority: 1,
+    targets: [{ service: 'engines', weight: 1 }],
+    maxAttempts,
+    isAnonymousAllowed: false,
+  };
+}
+
+/** What a backend server does with a request, and then its connection breaks. */
+type Break = 'before-head' | 'after-head' | 'after-event';
+
+function createResponse(pieces: readonly Buffer[]): BackendResponse {
+  const body = new PassThrough();
+  pieces.forEach((piece) => body.write(piece));
+  setImmediate(() => setImmediate(() => body.destroy(new Error('aborted'))));
+  return {
+    status: 200,
+    headers: [],
+    isNotRun: false,
+    isMisdirected: false,
+    problem: null,
+    culpritAddress: null,
+    load: null,
+    body,
+  };
+}
+
+/** Breaks the connection of a run in one of the three ways. */
+const BREAKS: Readonly<Record<Break, () => Promise<BackendResponse>>> = {
+  'before-head': () => Promise.reject(new SpoolplankError('unreachable', { outcome: 'unknown' })),
+  'after-head': () => Promise.resolve(createResponse([])),
+  'after-event': () => Promise.resolve(createResponse([EVENT])),
+};
+
+interface Setting {
+  readonly kind?: RouteKind;
+  readonly how?: Break;
+  /** Servers that ended under the same content elsewhere. */
+  readonly endsBefore?: number;
+  /** Ends the content's third server elsewhere while the request waits for a place. */
+  readonly endsInLine?: boolean;
+}
+
+function createSetting({
+  kind = 'stream',
+  how = 'after-head',
+  endsBefore = 0,
+  endsInLine = false,
+}: Setting = {}) {
+  const { clock, view, announce } = createTables();
+  ['e1', 'e2', 'e3', 'e4'].forEach((id) => announce(createEngine(id, 0, 8)));
+  const notes: BrokenServerRun[] = [];
+  let sends = 0;
+  const operations = {
+    open() {
+      sends += 1;
+      return BREAKS[how]();
+    },
+    isReachable: () => Promise.resolve(false),
+  } as unknown as BackendOperations;
+  const base = createContext(clock, view, operations);
+  const context: EntryContext = {
+    ...base,
+    crashes: {
+      note(run) {
+        notes.push(run);
+        base.quarantine.noteEnd(run);
+        base.quarantine.onFact({ kind: 'crash', ...run });
+        return Promise.resolve();
+      },
+      tick: () => {},
+    },
+  };
+  const answer = {
+    isClosed: false,
+    onClosed: () => {},
+    begin: () => {},
+    write: () => true,
+    cut: () => {},
+    end: () => {},
+  } as unknown as CallerAnswer;
+  const admitted: AdmittedRequest = {
+    request: {
+      id: 'r1',
+      host: 'users',
+      method: 'POST',
+      url: '/draft/1',
+      body: Buffer.from('a prompt'),
+      lastEventId: null,
+      arrivedAtMs: clock.nowMs(),
+    } as CallerRequest,
+    answer,
+    route: createRoute(kind, 4),
+    service: 'engines',
+    organisation: null,
+    callerAgeMs: 0,
+    endsAtMs: clock.nowMs() + 3000,
+  };
+  const content = digestContent(contentOf(admitted));
+  let ended = 0;
+  function endElsewhere(): void {
+    ended += 1;
+    const run = { content, instanceId: `other-${ended}`, ranMs: 80 };
+    context.quarantine.noteEnd(run);
+    context.quarantine.onFact({ kind: 'crash', ...run });
+  }
+  for (let count = 0; count < endsBefore; count += 1) endElsewhere();
+
+  const chainOn = (id: string): ChosenChain => ({
+    dataCentre: 'a',
+    headId: id,
+    stages: [{ id, address: `${id}:80`, firstLayer: 0, endLayer: 8 }],
+    capacity: 10,
+    inFlight: 0,
+    placedBy: null,
+    hasRoom: true,
+    hasRoomForBegun: true,
+  });
+  const findPlace = () => {
+    if (endsInLine) endElsewhere();
+    return Promise.resolve(chainOn(`e${sends + 1}`));
+  };
+  const places: PlaceFinder = {
+    toBegin: findPlace,
+    toResume: findPlace,
+    returnAfterMs: () => 100,
+  };
+  const streams = createStreamTable({ clock });
+  const stream = createStreamDispatch({
+    context,
+    streams,
+    places,
+    examine: () => {},
+    avoid: () => {},
+  });
+  const plain = createPlainDispatch(context);
+  return {
+    notes,
+    context,
+    admitted,
+    sends: () => sends,
+    async run(): Promise<string> {
+      const end = kind === 'stream' ? stream.run(admitted, MODEL) : plain.run(admitted);
+      const outcome = await end.then(
+        (known) => known.outcome,
+        (error: unknown) => (error instanceof SpoolplankError ? error.code : String(error)),
+      );
+      await nextTurn();
+      return outcome;
+    },
+  };
+}
+
+describe('a stream whose engine ended', () => {
+  it('is suspected when it had the head of its answer and no event', async () => {
+    const setting = createSetting();
+    await setting.run();
+    assert.equal(setting.notes[0]?.instanceId, 'e1');
+    assert.equal(setting.notes[0]?.content, digestContent(contentOf(setting.admitted)));
+  });
+
+  it('is not suspected when it had not begun, nor when it had passed on an event', async () => {
+    for (const how of ['before-head', 'after-event'] as const) {
+      const setting = createSetting({ how });
+      await setting.run();
+      assert.deepEqual(setting.notes, [], how);
+      assert.ok(setting.sends() >= 1);
+    }
+  });
+
+  it('is sent on once by the router, so that one try of a caller ends two engines at most', async () => {
+    const setting = createSetting();
+    assert.equal(await setting.run(), 'backend-server-failed');
+    assert.equal(setting.sends(), 2);
+  });
+
+  it('is not sent on by the router when an engine ended under it before', async () => {
+    const setting = createSetting({ endsBefore: 1 });
+    assert.equal(await setting.run(), 'backend-server-failed');
+    assert.equal(setting.sends(), 1);
+  });
+
+  it('leaves for no engine when the third one ended elsewhere while it waited', async () => {
+    const setting = createSetting({ endsBefore: 2, endsInLine: true });
+    assert.equal(await setting.run(), 'quarantined');
+    assert.equal(setting.sends(), 0);
+  });
+
+  it('clears its content when an event comes', async () => {
+    const setting = createSetting({ how: 'after-event', endsBefore: 2 });
+    let served = 0;
+    const { quarantine } = setting.context;
+    Object.assign(quarantine, {
+      noteServed: () => {
+        served += 1;
+      },
+    });
+    await setting.run();
+    assert.ok(served >= 1);
+  });
+});
+
+describe('a plain request whose server ended', () => {
+  it('is suspected whatever had come of it, and sent on once', async () => {
+    const setting = createSetting({ kind: 'safe', how: 'before-head' });
+    await setting.run();
+    assert.equal(setting.sends(), 2);
+    assert.equal(new Set(setting.notes.map(({ instanceId }) => instanceId)).size, 2);
+  });
+
+  it('is suspected too when it may run only once', async () => {
+    const setting = createSetting({ kind: 'once', how: 'before-head' });
+    await setting.run();
+    assert.equal(setting.sends(), 1);
+    assert.equal(setting.notes.length, 1);
+  });
+});
--- /dev/null
+++ b/packages/entry/__tests__/quarantine.spec.ts
@@ -0,0 +1,230 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createFactTable, CRASH_RETENTION_MS, retentionOf } from '@spoolplank/membership';
+import type { FactUpdate, SystemFact } from '@spoolplank/membership';
+import { createEventLog, createMetrics } from '@spoolplank/node';
+import { createManualClock, createSeededRandom, SpoolplankError } from '@spoolplank/shared';
+import type { ManualClock } from '@spoolplank/shared';
+import { createQuarantine } from '../src/quarantine';
+import type { Quarantine } from '../src/quarantine';
+import { digestContent } from '../src/requestContent';
+import type { RequestContent } from '../src/requestContent';
+
+function createContent(body: string, organisation: string | null = 'acme'): RequestContent {
+  const request = { host: 'users', method: 'POST', url: '/draft/1', body: Buffer.from(body) };
+  return { organisation, request };
+}
+
+interface Vm {
+  readonly quarantine: Quarantine;
+  /** Statements that were to be passed on at once. */
+  readonly spreads: () => number;
+  /** A server ends while it runs a content. */
+  end(content: RequestContent, instanceId: string, ranMs?: number): void;
+  /** What it states with an exchange. */
+  state(): readonly FactUpdate<SystemFact>[];
+  hear(updates: readonly FactUpdate<SystemFact>[]): void;
+  /** Everything it knows, as a VM that starts is told. */
+  tellAll(): readonly FactUpdate<SystemFact>[];
+  sweep(): void;
+}
+
+function createVm(clock: ManualClock, name = 'vm'): Vm {
+  let onFact = (_body: SystemFact): void => {};
+  let spreads = 0;
+  const table = createFactTable<SystemFact>({
+    clock,
+    instance: name,
+    isUrgent: () => true,
+    onUrgent: (body) => onFact(body),
+  });
+  const quarantine = createQuarantine({
+    clock,
+    random: createSeededRandom(3),
+    log: createEventLog({ vmId: name, clock, writeChunk: () => {} }),
+    metrics: createMetrics(),
+    table,
+    spread: () => {
+      spreads += 1;
+    },
+  });
+  onFact = (body) => {
+    if (body.kind === 'crash' || body.kind === 'acquittal') quarantine.onFact(body);
+  };
+  return {
+    quarantine,
+    spreads: () => spreads,
+    end(content, instanceId, ranMs = 80) {
+      quarantine.noteEnd({ content: digestContent(content), instanceId, ranMs });
+    },
+    state: () => quarantine.listStatements(),
+    hear: (updates) => table.merge(updates, clock.nowMs(), name),
+    tellAll: () => table.deltaSince('', 0).updates,
+    sweep() {
+      table.sweep(retentionOf);
+      quarantine.sweep();
+    },
+  };
+}
+
+function codeOf(run: () => void): string {
+  try {
+    run();
+  } catch (error) {
+    return error instanceof SpoolplankError ? error.code : String(error);
+  }
+  return 'none';
+}
+
+describe('a content that ends servers', () => {
+  it('is refused as not run, with when to come back, once three have ended', () => {
+    const vm = createVm(createManualClock());
+    const deadly = createContent('deadly');
+    ['s1', 's2'].forEach((id) => vm.end(deadly, id));
+    assert.equal(
+      codeOf(() => vm.quarantine.check(deadly)),
+      'none',
+    );
+    vm.end(deadly, 's3');
+    assert.throws(
+      () => vm.quarantine.check(createContent('deadly')),
+      (error: unknown) => {
+        assert.ok(error instanceof SpoolplankError);
+        assert.deepEqual([error.httpStatus, error.outcome], [503, 'not-run']);
+        assert.equal(error.retryAfterMs, CRASH_RETENTION_MS);
+        return true;
+      },
+    );
+  });
+
+  it('is not the same as that of another organisation, nor as another body', () => {
+    const vm = createVm(createManualClock());
+    ['s1', 's2', 's3'].forEach((id) => vm.end(createContent('deadly'), id));
+    assert.equal(vm.quarantine.has(createContent('deadly', 'other')), false);
+    assert.equal(vm.quarantine.has(createContent('deadly', null)), false);
+    assert.equal(vm.quarantine.has(createContent('deadly ')), false);
+  });
+
+  it('is counted over all VMs, whichever of them saw an end, and by both at once', () => {
+    const clock = createManualClock();
+    const [a, b] = [createVm(clock, 'a'), createVm(clock, 'b')];
+    const deadly = createContent('deadly');
+    a.end(deadly, 's1');
+    b.end(deadly, 's2');
+    // Two copies were on one run, sent by two VMs: that is one end.
+    a.end(deadly, 's3');
+    b.end(deadly, 's3');
+    b.hear(a.state());
+    a.hear(b.state());
+    assert.deepEqual([a.quarantine.has(deadly), b.quarantine.has(deadly)], [true, true]);
+    const ends = (a.quarantine.describe() as { ends: unknown[] }[])[0]?.ends.length;
+    assert.equal(ends, 3);
+  });
+
+  it('is not stated again for each copy that was on one run', () => {
+    const vm = createVm(createManualClock());
+    const deadly = createContent('deadly');
+    for (let copy = 0; copy < 5; copy += 1) vm.end(deadly, 's1', 80 + copy);
+    assert.equal(vm.spreads(), 1);
+  });
+
+  it('is known to a VM that has just started from its first exchange', () => {
+    const clock = createManualClock();
+    const vm = createVm(clock, 'a');
+    const deadly = createContent('deadly');
+    ['s1', 's2', 's3'].forEach((id) => vm.end(deadly, id));
+    clock.advance(60_000);
+    const fresh = createVm(clock, 'b');
+    fresh.hear(vm.tellAll());
+    assert.equal(fresh.quarantine.has(deadly), true);
+  });
+
+  it('is told again to control VMs that have all started anew, by VMs that saw nothing of it', () => {
+    const clock = createManualClock();
+    const witness = createVm(clock, 'a');
+    const deadly = createContent('deadly');
+    ['s1', 's2', 's3'].forEach((id) => witness.end(deadly, id));
+    const bystander = createVm(clock, 'b');
+    bystander.hear(witness.tellAll());
+    clock.advance(10_000);
+    const control = createVm(clock, 'c');
+    control.hear(bystander.state());
+    assert.equal(control.quarantine.has(deadly), true);
+    // Not with each exchange, though: they would be most of what is exchanged.
+    assert.deepEqual(bystander.state(), []);
+  });
+
+  it('is sent on by the router itself after one end, and not after two', () => {
+    const vm = createVm(createManualClock());
+    const deadly = createContent('deadly');
+    vm.end(deadly, 's1');
+    assert.equal(vm.quarantine.maySendOn(deadly), true);
+    vm.end(deadly, 's2');
+    assert.equal(vm.quarantine.maySendOn(deadly), false);
+    assert.equal(vm.quarantine.maySendOn(createContent('honest')), true);
+  });
+
+  it('is cleared of the ends so far when it is run somewhere, and only of those', () => {
+    const clock = createManualClock();
+    const vm = createVm(clock);
+    const honest = createContent('honest');
+    ['s1', 's2', 's3'].forEach((id) => vm.end(honest, id));
+    clock.advance(10);
+    vm.quarantine.noteServed(honest);
+    assert.equal(vm.quarantine.has(honest), false);
+    clock.advance(10);
+    ['s4', 's5'].forEach((id) => vm.end(honest, id));
+    assert.equal(vm.quarantine.has(honest), false);
+    vm.end(honest, 's6');
+    assert.equal(vm.quarantine.has(honest), true);
+  });
+
+  it('is cleared at other VMs too, by an exchange', () => {
+    const clock = createManualClock();
+    const [a, b] = [createVm(clock, 'a'), createVm(clock, 'b')];
+    const honest = createContent('honest');
+    ['s1', 's2', 's3'].forEach((id) => a.end(honest, id));
+    b.hear(a.state());
+    clock.advance(50);
+    a.quarantine.noteServed(honest);
+    b.hear(a.state());
+    assert.equal(b.quarantine.has(honest), false);
+  });
+
+  it('is let go by an operator, who names it by its digest', () => {
+    const clock = createManualClock();
+    const vm = createVm(clock);
+    const deadly = createContent('deadly');
+    ['s1', 's2', 's3'].forEach((id) => vm.end(deadly, id));
+    assert.equal(vm.quarantine.release('unknown'), false);
+    clock.advance(10);
+    assert.equal(vm.quarantine.release(digestContent(deadly)), true);
+    assert.equal(vm.quarantine.has(deadly), false);
+  });
+
+  it('is forgotten in time, unless it keeps coming', () => {
+    const clock = createManualClock();
+    const vm = createVm(clock);
+    const [gone, coming] = [createContent('gone'), createContent('coming')];
+    ['s1', 's2', 's3'].forEach((id) => vm.end(gone, id));
+    ['t1', 't2', 't3'].forEach((id) => vm.end(coming, id));
+    for (let part = 0; part < 3; part += 1) {
+      clock.advance(CRASH_RETENTION_MS * 0.6);
+      assert.equal(
+        codeOf(() => vm.quarantine.check(coming)),
+        'quarantined',
+      );
+      vm.sweep();
+    }
+    assert.equal(vm.quarantine.has(gone), false);
+    assert.equal(vm.quarantine.has(coming), true);
+  });
+
+  it('does not push out those in quarantine when very many contents are suspected', () => {
+    const vm = createVm(createManualClock());
+    const deadly = createContent('deadly');
+    for (let index = 0; index < 1500; index += 1) vm.end(createContent(`c${index}`), `s${index}`);
+    ['t1', 't2', 't3'].forEach((id) => vm.end(deadly, id));
+    assert.equal(vm.quarantine.has(deadly), true);
+  });
+});
