fix(shared,node,consensus,membership,routing): a suspension of the VM counts as time that has passed

Cause: all times come from the steady clock, which stands still while a VM is suspended: confirmations of keys, a leader's lease and deadlines seem fresh after it.

--- a/packages/consensus/__tests__/memoryCluster.ts
+++ b/packages/consensus/__tests__/memoryCluster.ts
@@ -14,6 +14,8 @@
   readonly snapshotEvery?: number;
 }
 
+/** Half of the election timeout: a promise that ends so early would let two leaders act. */
+const FALSE_SUSPENSION_MS = 500;
 const TIMINGS = {
   electionTimeoutMs: 1000,
   heartbeatIntervalMs: 150,
@@ -67,6 +69,10 @@
       replica: null,
       saving: null,
       isFrozen: false,
+      frozenAtMs: 0,
+      freezes: 0,
+      suspendedMs: 0,
+      aheadMs: 0,
       isCut: false,
       applied: new Map(),
       appliedIndex: 0,
@@ -86,8 +92,10 @@
   }
 
   start(node: Node): void {
+    this.thaw(node);
     const clock = {
-      nowMs: () => node.clockOffsetMs + this.#nowMs * node.clockRate,
+      nowMs: () => node.clockOffsetMs + this.#nowMs * node.clockRate + node.aheadMs,
+      steadyMs: () => node.clockOffsetMs + (this.#nowMs - node.suspendedMs) * node.clockRate,
       wallMs: () => 0,
     };
     const { disk } = node;
@@ -111,7 +119,24 @@
     node.appliedIndex = disk.snapshot?.index ?? 0;
     node.appliedTerm = disk.snapshot?.term ?? 0;
     node.saving = null;
+  }
+
+  freeze(node: Node): void {
+    node.isFrozen = true;
+    node.frozenAtMs = this.#nowMs;
+    node.freezes += 1;
+  }
+
+  /**
+   * Lets a replica go on. Every other time it was its VM that was suspended, so that its steady
+   * clock stood still; every fourth time its other clock runs ahead from then on, as one does that
+   * took a step of the time of day for a suspension.
+   */
+  thaw(node: Node): void {
+    if (!node.isFrozen) return;
     node.isFrozen = false;
+    if (node.freezes % 2 === 1) node.suspendedMs += this.#nowMs - node.frozenAtMs;
+    if (node.freezes % 4 === 0) node.aheadMs += FALSE_SUSPENSION_MS;
   }
 
   /** Loses everything that was not on disk; a write under way may have come part of the way. */
@@ -262,7 +287,7 @@
   settle(rounds = 60): void {
     this.nodes.forEach((node) => {
       if (!node.replica) this.start(node);
-      node.isFrozen = false;
+      this.thaw(node);
       node.isCut = false;
     });
     for (let round = 0; round < rounds; round += 1) {
--- a/packages/consensus/__tests__/memoryNode.ts
+++ b/packages/consensus/__tests__/memoryNode.ts
@@ -30,6 +30,12 @@
   /** Taken from the replica, not yet on disk. */
   saving: Ready | null;
   isFrozen: boolean;
+  frozenAtMs: number;
+  freezes: number;
+  /** Time that its steady clock has left out. */
+  suspendedMs: number;
+  /** How far its other clock runs ahead. */
+  aheadMs: number;
   /** Cut off: what it sends and what is sent to it stays on the way. */
   isCut: boolean;
   /** Commands applied, by index; what a state machine would be. */
--- a/packages/consensus/__tests__/replica.spec.ts
+++ b/packages/consensus/__tests__/replica.spec.ts
@@ -146,6 +146,18 @@
     assert.equal(findSent(save(), 'vote-reply')[0]?.isGranted, true);
   });
 
+  it('hears no candidate though its clock, which may run ahead, says that its leader is far', () => {
+    const { replica, clock, save } = createFixture();
+    clock.advance(1500);
+    replica.receive(append('c', 3, [1, 0], []));
+    clock.suspend(5000);
+    replica.receive(vote('b', 7));
+    assert.equal(replica.status().term, 3, "the leader's lease may last as long as this promise");
+    clock.advance(1100);
+    replica.receive(vote('b', 7));
+    assert.equal(findSent(save(), 'vote-reply')[0]?.isGranted, true);
+  });
+
   it('refuses its vote to a candidate whose log is behind', () => {
     const { replica, clock, save } = createFixture();
     replica.receive(append('b', 2, [1, 0], [entry(2, 2), entry(3, 2)]));
@@ -248,6 +260,21 @@
     assert.equal(fixture.replica.canRead(), false);
   });
 
+  it('does not read under a lease that ended while its VM was suspended', () => {
+    const fixture = createFixture();
+    const term = elect(fixture);
+    fixture.save();
+    acknowledge(fixture, 'b', term, 2);
+    const sentAtMs = fixture.clock.nowMs();
+    fixture.clock.suspend(1000);
+    assert.equal(fixture.replica.canRead(), false);
+    // An answer from before the stop, read after it, says nothing of now.
+    fixture.replica.receive(
+      from('b', { kind: 'append-reply', term, isAccepted: true, matchIndex: 2, sentAtMs }),
+    );
+    assert.equal(fixture.replica.canRead(), false);
+  });
+
   it('needs more than half of the voters, also of an even number', () => {
     const sizes = [1, 2, 3, 4, 5].map((count) =>
       quorumSize({ voters: VOTERS.concat('d', 'e').slice(0, count), learners: [] }),
--- a/packages/consensus/__tests__/schedules.ts
+++ b/packages/consensus/__tests__/schedules.ts
@@ -106,8 +106,9 @@
   { weights: [1, 4, 1, 6], run: restartAtOnce },
   {
     weights: [2, 1, 2, 1],
-    run(_cluster, node) {
-      node.isFrozen = !node.isFrozen;
+    run(cluster, node) {
+      if (node.isFrozen) cluster.thaw(node);
+      else cluster.freeze(node);
     },
   },
   {
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -26,7 +26,8 @@
  */
 function isBoundToLeader(state: ReplicaState): boolean {
   if (state.role === 'leader') return isLeaseValid(state);
-  return state.clock.nowMs() - state.lastLeaderContactMs < state.timings.electionTimeoutMs;
+  // By the time that never runs ahead: the leader's lease lasts no longer than this promise.
+  return state.clock.steadyMs() - state.lastLeaderContactMs < state.timings.electionTimeoutMs;
 }
 
 function countVotes(state: ReplicaState, isGranted: boolean): number {
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -134,7 +134,7 @@
     handedOutIndex: snapshot?.index ?? 0,
     termStartIndex: 0,
     becameLeaderMs: 0,
-    lastLeaderContactMs: clock.nowMs(),
+    lastLeaderContactMs: clock.steadyMs(),
     electionDeadlineMs: 0,
     isTransferElection: false,
     transferTarget: null,
@@ -164,7 +164,8 @@
     checkQuorumContact(state);
     // The request to take over may still be on its way, so the lease must not come back to
     // life in this term: a transfer that did not finish ends the lead all the same.
-    const isTransferOver = state.transferTarget !== null && nowMs >= state.transferDeadlineMs;
+    const isTransferOver =
+      state.transferTarget !== null && state.clock.steadyMs() >= state.transferDeadlineMs;
     if (isTransferOver) becomeFollower(state, state.term, null);
     return;
   }
@@ -215,7 +216,7 @@
   if (!best) return false;
   const [target, progress] = best;
   state.transferTarget = target;
-  state.transferDeadlineMs = state.clock.nowMs() + state.timings.electionTimeoutMs;
+  state.transferDeadlineMs = state.clock.steadyMs() + state.timings.electionTimeoutMs;
   if (progress.matchIndex >= state.log.lastIndex)
     queueMessage(state, target, { kind: 'timeout-now' });
   else progress.nextSendMs = state.clock.nowMs();
--- a/packages/consensus/src/replicaState.ts
+++ b/packages/consensus/src/replicaState.ts
@@ -58,10 +58,12 @@
   /** Index of the first entry of this leader's term; reads wait until it is committed. */
   termStartIndex: number;
   becameLeaderMs: number;
+  /** By the steady time, as this replica's promise not to vote hangs on it. */
   lastLeaderContactMs: number;
   electionDeadlineMs: number;
   isTransferElection: boolean;
   transferTarget: ReplicaId | null;
+  /** By the steady time. */
   transferDeadlineMs: number;
   readonly votes: Map<ReplicaId, boolean>;
   readonly progress: Map<ReplicaId, Progress>;
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -156,7 +156,7 @@
 function noteLeader(state: ReplicaState, leaderId: ReplicaId): void {
   if (state.role !== 'follower' || state.leaderId !== leaderId)
     becomeFollower(state, state.term, leaderId);
-  state.lastLeaderContactMs = state.clock.nowMs();
+  state.lastLeaderContactMs = state.clock.steadyMs();
   resetElectionDeadline(state);
 }
 
--- a/packages/consensus/src/snapshotTransfer.ts
+++ b/packages/consensus/src/snapshotTransfer.ts
@@ -31,7 +31,7 @@
   if (state.role !== 'follower' || state.leaderId !== message.from) {
     becomeFollower(state, state.term, message.from);
   }
-  state.lastLeaderContactMs = state.clock.nowMs();
+  state.lastLeaderContactMs = state.clock.steadyMs();
   resetElectionDeadline(state);
   const { meta } = message;
   if (meta.index <= state.commitIndex) {
--- a/packages/control/src/logClock.ts
+++ b/packages/control/src/logClock.ts
@@ -14,12 +14,12 @@
 
 export function createLogClock(clock: Clock): LogClock {
   let baseLogMs = 0;
-  let baseLocalMs = clock.nowMs();
+  let baseLocalMs = clock.steadyMs();
   return {
-    nowMs: () => Math.floor(baseLogMs + (clock.nowMs() - baseLocalMs)),
+    nowMs: () => Math.floor(baseLogMs + (clock.steadyMs() - baseLocalMs)),
     observe(logTimeMs) {
       baseLogMs = Math.max(baseLogMs, logTimeMs);
-      baseLocalMs = clock.nowMs();
+      baseLocalMs = clock.steadyMs();
     },
   };
 }
--- a/packages/controller/src/settings/controlRole.ts
+++ b/packages/controller/src/settings/controlRole.ts
@@ -153,7 +153,8 @@
     sinceVersion,
     waitMs,
   }: SettingsPull): Promise<SettingsPullReply> {
-    const arrivedAtMs = clock.nowMs();
+    // Who asked counts it as time that has passed there: it must not be too much.
+    const arrivedAtMs = clock.steadyMs();
     assertCanRead();
     reach.note(reports);
     await waitForVersion(sinceVersion, Math.min(waitMs, timings.settingsLeaseMs / 2));
@@ -163,7 +164,7 @@
       version: state.settings.version,
       delta: state.settings.deltaSince(sinceVersion),
       leaseMs: timings.settingsLeaseMs,
-      waitedMs: Math.floor(clock.nowMs() - arrivedAtMs),
+      waitedMs: Math.floor(clock.steadyMs() - arrivedAtMs),
     };
   }
 
--- /dev/null
+++ b/packages/entry/__tests__/suspension.spec.ts
@@ -0,0 +1,103 @@
+/**
+ * What a VM may still do after it was suspended: its steady clock left out the time, so that a
+ * permission of before seemed fresh. Stops of 1, 5 and 30 seconds.
+ */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createDocumentCache, createFactTable, createFeedServer } from '@spoolplank/membership';
+import { createWindowBudget } from '@spoolplank/routing';
+import { createManualClock } from '@spoolplank/shared';
+import type { ManualClock } from '@spoolplank/shared';
+import { createReadiness } from '../src/readiness';
+import { createTables, createEngine } from './fixtures';
+
+const REVOCATION_MS = 5000;
+const STOPS_MS = [1000, 5000, 30_000] as const;
+
+function createConfirmed(clock: ManualClock) {
+  const documents = createDocumentCache<{ readonly version: number }>(clock);
+  documents.offer({ version: 1 });
+  documents.confirm(1, clock.nowMs());
+  const readiness = createReadiness({ documents, revocationMs: REVOCATION_MS });
+  return { documents, readiness };
+}
+
+describe('an entry whose VM was suspended', () => {
+  it('serves keys only as long after its last confirmation as if it had run', () => {
+    const ready = STOPS_MS.map((stopMs) => {
+      const clock = createManualClock(100_000);
+      const { readiness } = createConfirmed(clock);
+      clock.suspend(stopMs);
+      return readiness.isReadyToRoute();
+    });
+    assert.deepEqual(ready, [true, false, false]);
+  });
+
+  it('serves again after one exchange, and counts the stop in the age of a late answer', () => {
+    STOPS_MS.forEach((stopMs) => {
+      const clock = createManualClock(100_000);
+      const { documents, readiness } = createConfirmed(clock);
+      const sentAtMs = clock.nowMs();
+      clock.suspend(stopMs);
+      // The answer to what was asked before the stop: it says how things stood then.
+      documents.confirm(1, sentAtMs);
+      assert.equal(readiness.isReadyToRoute(), stopMs < REVOCATION_MS * 0.85);
+      documents.confirm(1, clock.nowMs());
+      assert.equal(readiness.isReadyToRoute(), true);
+    });
+  });
+
+  it('renews no retry budget by it', () => {
+    const clock = createManualClock(100_000);
+    const budget = createWindowBudget({ clock, windowMs: 10_000, ratio: 0, allowance: () => 1 });
+    assert.equal(budget.spend(), true);
+    clock.suspend(30_000);
+    assert.equal(budget.spend(), false);
+    clock.advance(10_001);
+    assert.equal(budget.spend(), true);
+  });
+
+  it('loses no backend server that it heard of just before its last exchange', () => {
+    const { clock, view, announce, sync } = createTables();
+    announce(createEngine('e1', 0, 8));
+    sync();
+    clock.suspend(30_000);
+    assert.equal(view.listBackends('engines').length, 1);
+  });
+});
+
+describe('a control VM that was suspended while it held back an answer', () => {
+  it('does not tell the entry that it waited so long, as the entry counts by that', async () => {
+    const clock = createManualClock(100_000);
+    const documents = createDocumentCache<{ readonly version: number }>(clock);
+    documents.offer({ version: 1 });
+    documents.confirm(1, clock.nowMs());
+    const table = createFactTable<string>({ clock, instance: 'i', isUrgent: () => false });
+    let release = (): void => {};
+    const feed = createFeedServer({
+      clock,
+      table,
+      documents,
+      refreshConfirmation: () => {},
+      schedule(run) {
+        release = run;
+        return () => {};
+      },
+      maxWaitMs: 800,
+    });
+    const reply = feed.answer({
+      updates: [],
+      instance: 'i',
+      revision: 0,
+      documentVersion: 1,
+      exceptOrigins: [],
+      waitMs: 800,
+    });
+    clock.advance(100);
+    clock.suspend(5000);
+    release();
+    const { waitedMs, confirmedAgeMs } = await reply;
+    assert.equal(waitedMs, 100);
+    assert.equal(confirmedAgeMs, 5100);
+  });
+});
--- a/packages/membership/src/feedServer.ts
+++ b/packages/membership/src/feedServer.ts
@@ -77,8 +77,9 @@
 
   return {
     async answer(request) {
-      const arrivedAtMs = clock.nowMs();
-      table.merge(request.updates, arrivedAtMs);
+      // Who asked counts it as time that has passed there: it must not be too much.
+      const arrivedAtMs = clock.steadyMs();
+      table.merge(request.updates, clock.nowMs());
       if (request.waitMs > 0 && !hasNews(request)) {
         await waitForNews(request);
         waiting = waiting.filter((held) => held.request !== request);
@@ -92,7 +93,7 @@
         ...(document && documentVersion > request.documentVersion ? { document } : {}),
         documentVersion,
         confirmedAgeMs: Number.isFinite(ageMs) ? Math.ceil(ageMs) : null,
-        waitedMs: Math.floor(clock.nowMs() - arrivedAtMs),
+        waitedMs: Math.floor(clock.steadyMs() - arrivedAtMs),
       };
     },
     wake() {
--- a/packages/routing/src/windowBudget.ts
+++ b/packages/routing/src/windowBudget.ts
@@ -33,7 +33,7 @@
   const retriesAtMs: number[] = [];
 
   function dropOld(timesMs: number[]): void {
-    const oldestMs = clock.nowMs() - windowMs;
+    const oldestMs = clock.steadyMs() - windowMs;
     let old = 0;
     while (old < timesMs.length && (timesMs[old] ?? 0) < oldestMs) old += 1;
     if (old) timesMs.splice(0, old);
@@ -42,14 +42,14 @@
   return {
     earn() {
       dropOld(firstsAtMs);
-      firstsAtMs.push(clock.nowMs());
+      firstsAtMs.push(clock.steadyMs());
     },
     spend(reservedShare = 0) {
       dropOld(firstsAtMs);
       dropOld(retriesAtMs);
       const budget = (firstsAtMs.length * ratio + allowance()) * (1 - reservedShare);
       if (retriesAtMs.length + 1 > budget) return false;
-      retriesAtMs.push(clock.nowMs());
+      retriesAtMs.push(clock.steadyMs());
       return true;
     },
   };
