fix(entry): a content that was run well in the last minute is held responsible for no server's end

Cause: a content that all callers share is on several servers at any moment; three that lose power at once would put it into quarantine, and as nothing runs it then, nothing could clear it. Found by reading; ruled out: clearing by success alone. Change: an entry remembers digests of good runs for a minute (4,096 at most, bodies up to 64 KB); it states no end against them, and clears them for all when others did.

--- a/packages/entry/src/quarantine.ts
+++ b/packages/entry/src/quarantine.ts
@@ -20,6 +20,7 @@
 import type { BrokenServerRun } from './crashWitness';
 import { digestContent } from './requestContent';
 import type { RequestContent } from './requestContent';
+import { createServedContents } from './servedContents';
 
 export interface QuarantineOptions {
   readonly clock: Clock;
@@ -73,6 +74,8 @@
 const RESTATED = 8;
 /** Keys kept, the oldest are dropped first: 2,000 facts of 170 bytes. */
 const MAX_KEYS = 2000;
+/** Digests of greater bodies are computed only when something is held against a content. */
+const MAX_REMEMBERED_BYTES = 65_536;
 const MS_PER_S = 1000;
 
 type CrashRow = Fact<SystemFact> & { readonly body: CrashFact };
@@ -88,6 +91,7 @@
   /** Keys of all crashes and acquittals in the table, in the order in which they were heard of. */
   const keys = new Set<string>();
   const statedAtMs = new Map<string, number>();
+  const served = createServedContents({ clock });
   let endsByContent: ReadonlyMap<string, readonly CrashRow[]> = new Map();
   let guilty: ReadonlySet<string> = new Set();
   let restateAtMs = clock.nowMs() + RESTATE_EVERY_MS;
@@ -145,6 +149,11 @@
     options.spread();
   }
 
+  function acquit(content: string, reason: AcquittalFact['reason']): void {
+    log.info('content-acquitted', { content, reason });
+    state({ kind: 'acquittal', content, reason });
+  }
+
   /** A content that keeps coming is not forgotten while it does. */
   function renew(digest: string): void {
     const nowMs = clock.nowMs();
@@ -193,7 +202,7 @@
     noteEnd({ content, instanceId, ranMs }) {
       const body: CrashFact = { kind: 'crash', content, instanceId, ranMs: Math.round(ranMs) };
       // Another copy of it was on the same run, here or at another VM.
-      if (table.find(keyOf(body))) return;
+      if (table.find(keyOf(body)) || served.has(content)) return;
       state(body);
       log.info('content-suspected', {
         content,
@@ -204,15 +213,13 @@
       metrics.count('spoolplank_content_ends_total', {});
     },
     noteServed(content) {
-      if (endsOf(content).length === 0) return;
-      const digest = digestContent(content);
-      log.info('content-acquitted', { content: digest, reason: 'served' });
-      state({ kind: 'acquittal', content: digest, reason: 'served' });
+      const isRemembered = content.request.body.length <= MAX_REMEMBERED_BYTES;
+      if (isRemembered) served.note(digestContent(content));
+      if (endsOf(content).length > 0) acquit(digestContent(content), 'served');
     },
     release(digest) {
       if (!endsByContent.has(digest)) return false;
-      log.warn('content-acquitted', { content: digest, reason: 'operator' });
-      state({ kind: 'acquittal', content: digest, reason: 'operator' });
+      acquit(digest, 'operator');
       return true;
     },
     onFact(body) {
@@ -220,7 +227,10 @@
       keys.delete(key);
       keys.add(key);
       if (keys.size > MAX_KEYS) keys.delete([...keys][0] ?? '');
-      return judge();
+      const hasMore = judge();
+      // VMs that have not run it lately hold against it what they saw: this one knows better.
+      if (guilty.has(body.content) && served.has(body.content)) acquit(body.content, 'served');
+      return hasMore;
     },
     sweep() {
       keys.forEach((key) => {
--- /dev/null
+++ b/packages/entry/src/servedContents.ts
@@ -0,0 +1,34 @@
+/** Contents that were run to a good answer lately, so that they cannot be what ends servers. */
+import type { Clock } from '@spoolplank/shared';
+
+export interface ServedContents {
+  note(digest: string): void;
+  has(digest: string): boolean;
+}
+
+/**
+ * A content that all callers share, such as a look-up that is repeated, runs on several servers at
+ * any moment. It is known for so long after a good run: servers that are replaced by others which
+ * it ends are few by then.
+ */
+const KNOWN_MS = 60_000;
+/** Digests kept, the oldest are dropped first: some 0.4 MB. */
+const MAX_KEPT = 4096;
+
+export function createServedContents({ clock }: { readonly clock: Clock }): ServedContents {
+  const servedAtMs = new Map<string, number>();
+
+  return {
+    note(digest) {
+      servedAtMs.delete(digest);
+      servedAtMs.set(digest, clock.nowMs());
+      if (servedAtMs.size <= MAX_KEPT) return;
+      const [oldest = ''] = servedAtMs.keys();
+      servedAtMs.delete(oldest);
+    },
+    has(digest) {
+      const atMs = servedAtMs.get(digest) ?? Number.NEGATIVE_INFINITY;
+      return clock.nowMs() - atMs < KNOWN_MS;
+    },
+  };
+}
