fix(entry): contents are judged after all facts of an exchange were taken in; the path of streams is a module of its own

Cause: facts were judged one by one, so that in the middle of an exchange a request that was beside the guilty one seemed guilty, and its streams were ended. Found by reading; ruled out: a delay before streams are ended, which costs ends of servers.

--- /dev/null
+++ b/packages/entry/__tests__/crashGuard.spec.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createFactTable } from '@spoolplank/membership';
+import type { FactUpdate, SystemFact } from '@spoolplank/membership';
+import { createEventLog, createMetrics } from '@spoolplank/node';
+import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import { createCrashGuard } from '../src/crashGuard';
+import type { CrashGuard } from '../src/crashGuard';
+import { contentOf, digestContent } from '../src/requestContent';
+import type { StreamRow, StreamTable } from '../src/streamTable';
+import { createTables } from './fixtures';
+
+function createRow(body: string, row: Partial<StreamRow> = {}) {
+  const cuts: string[] = [];
+  const request = { host: 'users', method: 'POST', url: '/draft/1', body: Buffer.from(body) };
+  const admitted = { request, organisation: null } as unknown as StreamRow['admitted'];
+  const created = {
+    admitted,
+    startedAtMs: 99_900,
+    hasAnswered: true,
+    hasBegun: false,
+    cut: (reason: string) => cuts.push(reason),
+    ...row,
+  } as StreamRow;
+  return { row: created, cuts, digest: digestContent(contentOf(admitted)) };
+}
+
+function createSetting(rows: readonly StreamRow[] = []) {
+  const clock = createManualClock(100_000);
+  let guard: CrashGuard | null = null;
+  const table = createFactTable<SystemFact>({
+    clock,
+    instance: 'run',
+    isUrgent: () => true,
+    onUrgent(body) {
+      if (body.kind === 'crash' || body.kind === 'acquittal') guard?.onFact(body);
+    },
+  });
+  guard = createCrashGuard({
+    clock,
+    random: createSeededRandom(1),
+    log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
+    metrics: createMetrics(),
+    table,
+    view: createTables().view,
+    streams: { list: () => rows } as unknown as StreamTable,
+    health: { isLost: () => false },
+    isThere: () => Promise.resolve(false),
+    spread: () => {},
+  });
+  return {
+    guard,
+    hear: (updates: readonly FactUpdate<SystemFact>[]) => table.merge(updates, clock.nowMs(), 'c'),
+  };
+}
+
+function createCrashes(content: string, instanceIds: readonly string[], ranMs: number) {
+  return instanceIds.map((instanceId): FactUpdate<SystemFact> => ({
+    key: `crash/${content}/${instanceId}`,
+    sequence: 1,
+    ageMs: 0,
+    body: { kind: 'crash', content, instanceId, ranMs },
+  }));
+}
+
+describe('a stream whose content three servers have ended under', () => {
+  it('is ended while it waits for an answer, and left alone once it has events', async () => {
+    const waiting = createRow('deadly');
+    const begun = createRow('deadly', { hasBegun: true });
+    const other = createRow('other');
+    const { hear } = createSetting([waiting.row, begun.row, other.row]);
+    hear(createCrashes(waiting.digest, ['s1', 's2', 's3'], 80));
+    await Promise.resolve();
+    assert.deepEqual([waiting.cuts, begun.cuts, other.cuts], [['quarantined'], [], []]);
+  });
+
+  it('is not ended for ends that the rest of the same exchange explains', async () => {
+    const unlucky = createRow('unlucky');
+    const { hear } = createSetting([unlucky.row]);
+    hear([
+      ...createCrashes(unlucky.digest, ['s1', 's2', 's3'], 70),
+      ...createCrashes('deadly', ['s1', 's2', 's3', 's4'], 80),
+    ]);
+    await Promise.resolve();
+    assert.deepEqual(unlucky.cuts, []);
+  });
+
+  it('is suspected of the loss of any engine of its path, if it had just begun there', () => {
+    const { guard } = createSetting();
+    const begun = createRow('begun', { hasBegun: true });
+    const unanswered = createRow('unanswered', { hasAnswered: false });
+    const started = createRow('started');
+    [begun, unanswered, started].forEach(({ row }) => guard.noteLost(row, 'e2'));
+    const suspected = guard.quarantine.describe() as unknown as { readonly content: string }[];
+    assert.deepEqual(
+      suspected.map(({ content }) => content),
+      [started.digest],
+    );
+  });
+});
--- a/packages/entry/src/crashGuard.ts
+++ b/packages/entry/src/crashGuard.ts
@@ -72,6 +72,20 @@
       .forEach((row) => row.cut('quarantined'));
   }
 
+  /**
+   * After all facts of one exchange were taken in: in the middle of them, a request that was beside
+   * the guilty one may seem to be it, and its streams would be ended.
+   */
+  let isJudgementDue = false;
+  function judgeSoon(): void {
+    if (isJudgementDue) return;
+    isJudgementDue = true;
+    queueMicrotask(() => {
+      isJudgementDue = false;
+      if (quarantine.refresh()) endQuarantined();
+    });
+  }
+
   return {
     quarantine,
     crashes,
@@ -81,7 +95,8 @@
       quarantine.noteEnd({ content, instanceId, ranMs: clock.nowMs() - row.startedAtMs });
     },
     onFact(body) {
-      if (quarantine.onFact(body)) endQuarantined();
+      quarantine.onFact(body);
+      judgeSoon();
     },
   };
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -14,7 +14,7 @@
   SystemFact,
   SystemFactKind,
 } from '@spoolplank/membership';
-import { delay, scheduleTimer } from '@spoolplank/node';
+import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
 import type { RoutingDocument } from '@spoolplank/routing';
@@ -24,15 +24,12 @@
 import type { AddressBook } from './addressBook';
 import type { BackendOperations } from './backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
-import { createChainChoice } from './chainChoice';
 import { createCrashGuard } from './crashGuard';
 import { createEngineHealth } from './engineHealth';
-import { createEngineLooks } from './engineLooks';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import { createEntryFeed } from './entryFeed';
 import { createEntryStatements } from './entryStatements';
 import { createPlainDispatch } from './plainDispatch';
-import { createPlaceService } from './places/placeService';
 import { createReadiness } from './readiness';
 import { createRequestAdmission } from './requestAdmission';
 import { contentOf } from './requestContent';
@@ -40,8 +37,7 @@
 import { createRetryBudgets } from './retryBudgets';
 import type { RetryLimits } from './retryBudgets';
 import { createRoutingView } from './routingView';
-import { createStreamDispatch } from './streamDispatch';
-import { createStreamRepair } from './streamRepair';
+import { createStreamPath } from './streamPath';
 import { createStreamTable } from './streamTable';
 
 export interface EntryNodeOptions {
@@ -226,68 +222,31 @@
     crashes,
     factsAgeMs: () => clock.nowMs() - feed.syncedAtMs,
   };
-  const chains = createChainChoice({
-    view,
-    random,
-    dataCentre,
-    ownInFlight: (headId) => streams.countOn(headId),
-    entries: countEntries,
-    unseenInFlight: (headId) => streams.estimateUnseen(headId, Math.max(0, countEntries() - 1)),
-    firstEventMs: (headId) => streams.firstEventMs(headId),
-    isAvoided: health.isAvoided,
-  });
-  const { suspect, avoid } = health;
   const plain = createPlainDispatch(context);
-  const places = createPlaceService({
-    clock,
-    random,
-    log,
+  const stream = createStreamPath({
+    context,
+    streams,
+    health,
+    guard,
     peers,
     run,
     host,
-    dataCentre,
-    view,
-    streams,
-    chains,
-    listAvoided: health.listAvoided,
+    countEntries,
   });
+  const { places, repair } = stream;
   onStreamEnd = (of) => places.noteReturn(of);
   placeStatements = () => places.listStatements();
-  const engineLooks = createEngineLooks({
-    clock,
-    delay,
-    log,
-    peers,
-    host,
-    operations: options.operations,
-    findAppointed: places.findAllocator,
-    countEntries,
-  });
-  const repair = createStreamRepair({
-    context,
-    streams,
-    chains,
-    suspect,
-    avoid,
-    askAppointed: engineLooks.ask,
-    onLost: guard.noteLost,
-  });
   ({ isThere } = repair);
   onEngineLoss = () => repair.repairLost(health.isLost);
-  const stream = createStreamDispatch({
-    context,
-    streams,
-    places: places.finder,
-    examine: (instanceId, address) => repair.examine(instanceId, address),
-    avoid,
-  });
 
   const admission = createRequestAdmission({ clock, random, view, ...readiness });
 
   function dispatch(admitted: AdmittedRequest): Promise<RequestEnd> {
     const { service, route } = admitted;
     const model = view.routes()?.document.services.find(({ name }) => name === service)?.model;
-    return model && route.kind === 'stream' ? stream.run(admitted, model) : plain.run(admitted);
+    return model && route.kind === 'stream'
+      ? stream.dispatch.run(admitted, model)
+      : plain.run(admitted);
   }
 
   const report = createRequestReport({
@@ -320,7 +279,7 @@
       selfAddress: options.callerAddress,
       ownAddress: () => (readiness.isReady() ? options.callerAddress : null),
     }),
-    methods: { ...places.methods, ...engineLooks.methods },
+    methods: stream.methods,
     start() {
       tick();
       void feed.run();
--- a/packages/entry/src/quarantine.ts
+++ b/packages/entry/src/quarantine.ts
@@ -51,11 +51,13 @@
   noteServed(content: RequestContent): void;
   /** Clears a content by its digest, for an operator; false when nothing was held against it. */
   release(digest: string): boolean;
+  /** To be called when a crash or an acquittal was stated, here or elsewhere. */
+  onFact(body: CrashFact | AcquittalFact): void;
   /**
-   * To be called when a crash or an acquittal was stated, here or elsewhere; returns whether a
-   * content is in quarantine now that was not before.
+   * Judges by all that was stated so far; returns whether a content is in quarantine now that was
+   * not before.
    */
-  onFact(body: CrashFact | AcquittalFact): boolean;
+  refresh(): boolean;
   /** Forgets what the table has forgotten. */
   sweep(): void;
   /** What is to be stated with the next exchange. */
@@ -94,6 +96,8 @@
   const served = createServedContents({ clock });
   let endsByContent: ReadonlyMap<string, readonly CrashRow[]> = new Map();
   let guilty: ReadonlySet<string> = new Set();
+  /** Facts come in crowds: they are judged together, when somebody asks. */
+  let isJudgementDue = false;
   let restateAtMs = clock.nowMs() + RESTATE_EVERY_MS;
 
   function isAcquitted(row: CrashRow): boolean {
@@ -128,8 +132,9 @@
     }));
   }
 
-  function judge(): boolean {
+  function judge(): void {
     const before = guilty;
+    isJudgementDue = false;
     endsByContent = groupByContent(listCrashes().filter((row) => !isAcquitted(row)));
     guilty = judgeCrashes([...endsByContent.values()].flat().map(({ body }) => body));
     const added = [...guilty].filter((content) => !before.has(content));
@@ -138,7 +143,6 @@
       log.warn('content-quarantined', { content, ends: JSON.stringify(describeEnds(content)) }),
     );
     released.forEach((content) => log.info('content-released', { content }));
-    return added.length > 0;
   }
 
   /** States something of this VM's own, which the table then passes to `onFact`. */
@@ -162,12 +166,32 @@
       .forEach(({ body }) => state(body));
   }
 
+  function refresh(): boolean {
+    if (!isJudgementDue) return false;
+    const before = guilty;
+    judge();
+    // VMs that have not run it lately hold against it what they saw: this one knows better.
+    const known = [...guilty].filter(served.has);
+    known.forEach((content) => acquit(content, 'served'));
+    if (known.length > 0) judge();
+    return [...guilty].some((content) => !before.has(content));
+  }
+
+  function countEnds(digest: string): number {
+    refresh();
+    return endsByContent.get(digest)?.length ?? 0;
+  }
+
   function endsOf(content: RequestContent): readonly CrashRow[] {
+    refresh();
     // Nothing is held against anything most of the time, and no digest is computed then.
     return endsByContent.size === 0 ? [] : (endsByContent.get(digestContent(content)) ?? []);
   }
 
-  const has = (content: RequestContent) => guilty.size > 0 && guilty.has(digestContent(content));
+  function has(content: RequestContent): boolean {
+    refresh();
+    return guilty.size > 0 && guilty.has(digestContent(content));
+  }
 
   function toUpdate(key: string): readonly FactUpdate<SystemFact>[] {
     const row = table.find(key);
@@ -208,7 +232,7 @@
         content,
         instanceId,
         ranMs: body.ranMs,
-        ends: endsByContent.get(content)?.length ?? 0,
+        ends: countEnds(content),
       });
       metrics.count('spoolplank_content_ends_total', {});
     },
@@ -218,6 +242,7 @@
       if (endsOf(content).length > 0) acquit(digestContent(content), 'served');
     },
     release(digest) {
+      refresh();
       if (!endsByContent.has(digest)) return false;
       acquit(digest, 'operator');
       return true;
@@ -227,11 +252,9 @@
       keys.delete(key);
       keys.add(key);
       if (keys.size > MAX_KEYS) keys.delete([...keys][0] ?? '');
-      const hasMore = judge();
-      // VMs that have not run it lately hold against it what they saw: this one knows better.
-      if (guilty.has(body.content) && served.has(body.content)) acquit(body.content, 'served');
-      return hasMore;
+      isJudgementDue = true;
     },
+    refresh,
     sweep() {
       keys.forEach((key) => {
         if (!table.find(key)) keys.delete(key);
@@ -249,11 +272,13 @@
       restateAtMs = nowMs + RESTATE_EVERY_MS;
       return [...new Set([...repeated, ...drawKeys()])].flatMap(toUpdate);
     },
-    describe: () =>
-      [...endsByContent.keys()].map((content) => ({
+    describe() {
+      refresh();
+      return [...endsByContent.keys()].map((content) => ({
         content,
         isQuarantined: guilty.has(content),
         ends: describeEnds(content),
-      })),
+      }));
+    },
   };
 }
--- /dev/null
+++ b/packages/entry/src/streamPath.ts
@@ -0,0 +1,94 @@
+/** The parts that take a stream over a chain of engines: choice, place, dispatch, repair. */
+import { delay } from '@spoolplank/node';
+import type { PeerClient, PeerMethod } from '@spoolplank/node';
+import { createChainChoice } from './chainChoice';
+import type { CrashGuard } from './crashGuard';
+import type { EngineHealth } from './engineHealth';
+import { createEngineLooks } from './engineLooks';
+import type { EntryContext } from './entryContext';
+import { createPlaceService } from './places/placeService';
+import type { PlaceService } from './places/placeService';
+import { createStreamDispatch } from './streamDispatch';
+import type { StreamDispatch } from './streamDispatch';
+import { createStreamRepair } from './streamRepair';
+import type { StreamRepair } from './streamRepair';
+import type { StreamTable } from './streamTable';
+
+export interface StreamPathOptions {
+  readonly context: EntryContext;
+  readonly streams: StreamTable;
+  readonly health: EngineHealth;
+  readonly guard: Pick<CrashGuard, 'noteLost'>;
+  readonly peers: PeerClient;
+  /** Unique to this run of the process. */
+  readonly run: string;
+  readonly host: string;
+  /** Entries that are heard of, this one included. */
+  readonly countEntries: () => number;
+}
+
+export interface StreamPath {
+  readonly dispatch: StreamDispatch;
+  readonly repair: StreamRepair;
+  readonly places: PlaceService;
+  /** What other VMs call here. */
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+}
+
+export function createStreamPath(options: StreamPathOptions): StreamPath {
+  const { context, streams, health, guard, peers, run, host, countEntries } = options;
+  const { clock, random, log, dataCentre, view, operations } = context;
+  const { suspect, avoid } = health;
+
+  const chains = createChainChoice({
+    view,
+    random,
+    dataCentre,
+    ownInFlight: (headId) => streams.countOn(headId),
+    entries: countEntries,
+    unseenInFlight: (headId) => streams.estimateUnseen(headId, Math.max(0, countEntries() - 1)),
+    firstEventMs: (headId) => streams.firstEventMs(headId),
+    isAvoided: health.isAvoided,
+  });
+  const places = createPlaceService({
+    clock,
+    random,
+    log,
+    peers,
+    run,
+    host,
+    dataCentre,
+    view,
+    streams,
+    chains,
+    listAvoided: health.listAvoided,
+  });
+  const looks = createEngineLooks({
+    clock,
+    delay,
+    log,
+    peers,
+    host,
+    operations,
+    findAppointed: places.findAllocator,
+    countEntries,
+  });
+  const repair = createStreamRepair({
+    context,
+    streams,
+    chains,
+    suspect,
+    avoid,
+    askAppointed: looks.ask,
+    onLost: guard.noteLost,
+  });
+  const dispatch = createStreamDispatch({
+    context,
+    streams,
+    places: places.finder,
+    examine: (instanceId, address) => repair.examine(instanceId, address),
+    avoid,
+  });
+
+  return { dispatch, repair, places, methods: { ...places.methods, ...looks.methods } };
+}
