fix(entry,membership): a second acquittal of one content is news like the first

Found by reading. Ruled out: first acquittals and those of other reasons. Change: an acquittal carries the time of day of its statement.

--- a/packages/entry/__tests__/quarantine.spec.ts
+++ b/packages/entry/__tests__/quarantine.spec.ts
@@ -191,6 +191,22 @@
     assert.equal(b.quarantine.has(honest), false);
   });
 
+  it('is cleared at once each time, here and elsewhere', () => {
+    const clock = createManualClock();
+    const [a, b] = [createVm(clock, 'a'), createVm(clock, 'b')];
+    const honest = createContent('honest');
+    for (let round = 0; round < 3; round += 1) {
+      clock.advance(60_000);
+      ['s1', 's2', 's3'].forEach((id) => a.end(honest, `${id}/${round}`));
+      b.hear(a.state());
+      assert.deepEqual([a.quarantine.has(honest), b.quarantine.has(honest)], [true, true]);
+      clock.advance(50);
+      a.quarantine.noteServed(honest);
+      b.hear(a.state());
+      assert.deepEqual([a.quarantine.has(honest), b.quarantine.has(honest)], [false, false]);
+    }
+  });
+
   it('is not suspected where it was run well lately, as when all servers lose power at once', () => {
     const clock = createManualClock();
     const vm = createVm(clock);
--- a/packages/entry/src/quarantine.ts
+++ b/packages/entry/src/quarantine.ts
@@ -155,7 +155,7 @@
 
   function acquit(content: string, reason: AcquittalFact['reason']): void {
     log.info('content-acquitted', { content, reason });
-    state({ kind: 'acquittal', content, reason });
+    state({ kind: 'acquittal', content, reason, wallMs: Math.floor(clock.wallMs()) });
   }
 
   /** A content that keeps coming is not forgotten while it does. */
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -104,6 +104,8 @@
   readonly kind: 'acquittal';
   readonly content: string;
   readonly reason: 'served' | 'operator';
+  /** Time of day at which it was stated: it makes one acquittal another body than the last. */
+  readonly wallMs: number;
 }
 
 export type SystemFact =
