refactor(entry): what is to run once a little later is one function; why a content is checked at the door

Cause: two closures of one shape in the guard. Change: createOnce; a comment at the check. Measured: 142 tests of entry pass. Conclusion: no change of behaviour.

--- a/packages/entry/src/crashGuard.ts
+++ b/packages/entry/src/crashGuard.ts
@@ -36,19 +36,24 @@
   onFact(body: CrashFact | AcquittalFact): void;
 }
 
+/** Runs something a little later, once for all who have asked for it till then. */
+function createOnce(schedule: (run: () => void) => void, run: () => void): () => void {
+  let isDue = false;
+  return () => {
+    if (isDue) return;
+    isDue = true;
+    schedule(() => {
+      isDue = false;
+      run();
+    });
+  };
+}
+
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
   const { clock, view, streams, health } = options;
-  let isSpreadDue = false;
 
   /** One end is stated by many streams at the same moment: one exchange takes all of it. */
-  function spreadSoon(): void {
-    if (isSpreadDue) return;
-    isSpreadDue = true;
-    scheduleTimer(() => {
-      isSpreadDue = false;
-      options.spread();
-    }, 0);
-  }
+  const spreadSoon = createOnce((run) => scheduleTimer(run, 0), options.spread);
 
   /** Whether a run of a server is over: suspected, or followed by another one at its address. */
   function hasEnded(instanceId: string, address: string): boolean {
@@ -76,15 +81,9 @@
    * After all facts of one exchange were taken in: in the middle of them, a request that was beside
    * the guilty one may seem to be it, and its streams would be ended.
    */
-  let isJudgementDue = false;
-  function judgeSoon(): void {
-    if (isJudgementDue) return;
-    isJudgementDue = true;
-    queueMicrotask(() => {
-      isJudgementDue = false;
-      if (quarantine.refresh()) endQuarantined();
-    });
-  }
+  const judgeSoon = createOnce(queueMicrotask, () => {
+    if (quarantine.refresh()) endQuarantined();
+  });
 
   return {
     quarantine,
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -292,6 +292,7 @@
         const admitted = await admission.admit(request, answer);
         route = admitted.route.name;
         service = admitted.service;
+        // A repetition has a new id, and may come to any VM: what it carries is what counts.
         quarantine.check(contentOf(admitted));
         report(request, await dispatch(admitted), { route, service });
       } catch (error) {
