feat(platform,entry): a failed attempt's line says what rest the server asked for; its words are decoded

Cause: a 503 with Retry-After could not be told from one without, in no log or metric. Change: one decoder for what a worker says of itself (rest, leaving, engine at fault) on all answers, and listeners for it; restMs in the lines of failed attempts. Nothing is decided by it yet.

--- a/packages/entry/__tests__/crashDispatch.spec.ts
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -50,6 +50,7 @@
     problem: null,
     culpritAddress: null,
     load: null,
+    restMs: null,
     body,
   };
 }
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -36,6 +36,7 @@
   let asks = 0;
   let reports = 0;
   const operations: BackendOperations = {
+    onNotice: () => {},
     open: () => Promise.reject(new Error('not used here')),
     report() {
       reports += 1;
--- a/packages/entry/src/backendOperations.ts
+++ b/packages/entry/src/backendOperations.ts
@@ -1,5 +1,6 @@
 /** What an entry can do with backend servers; a protocol implements it. */
 import type { Readable } from 'node:stream';
+import type { NoticeListener } from '@spoolplank/membership';
 import type { PathStage } from '@spoolplank/routing';
 import type { CallerRequest, RawHeaders } from './callerRequest';
 
@@ -43,6 +44,8 @@
   /** The engine that could not do its part, by address. */
   readonly culpritAddress: string | null;
   readonly load: ReportedBackendLoad | null;
+  /** How long the backend server wants nothing from this VM; null where it does not say. */
+  readonly restMs: number | null;
   readonly body: Readable;
 }
 
@@ -64,6 +67,8 @@
   | { readonly kind: 'failed'; readonly problem: string };
 
 export interface BackendOperations {
+  /** Has a listener told of all that backend servers say of themselves, with any answer. */
+  onNotice(listener: NoticeListener): void;
   /**
    * Sends a request and resolves with the head of the answer.
    *
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -19,7 +19,12 @@
       readonly body: Buffer;
     }
   /** It has not run there. */
-  | { readonly kind: 'not-run'; readonly problem: string }
+  | {
+      readonly kind: 'not-run';
+      readonly problem: string;
+      /** How long it wants nothing from this VM, in milliseconds; null where it does not say. */
+      readonly restMs: number | null;
+    }
   /** It may have run there, and there is no answer to pass on. */
   | {
       readonly kind: 'unknown';
@@ -91,7 +96,8 @@
     }
     if (isNotRun) {
       response.body.resume();
-      return { kind: 'not-run', problem: problem ?? `rejected with status ${status}` };
+      const { restMs } = response;
+      return { kind: 'not-run', problem: problem ?? `rejected with status ${status}`, restMs };
     }
     if (problem !== null) {
       response.body.destroy();
@@ -130,7 +136,7 @@
       const brokeAfterMs = abort.signal.aborted ? null : clock.nowMs() - startedAtMs;
       result =
         outcome === 'not-run'
-          ? { kind: 'not-run', problem: message }
+          ? { kind: 'not-run', problem: message, restMs: null }
           : { kind: 'unknown', problem: message, brokeAfterMs };
     } finally {
       clearTimeout(timer);
@@ -208,6 +214,7 @@
           address: backend.address,
           result: result.kind,
           problem: result.kind === 'answered' ? `status ${result.status}` : result.problem,
+          restMs: result.kind === 'not-run' ? result.restMs : undefined,
           content: digestContent(content),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -13,7 +13,14 @@
 export type StreamResult =
   | { readonly kind: 'whole'; readonly status: number }
   /** It has not run. */
-  | { readonly kind: 'not-run'; readonly problem: string; readonly culprit: string | null }
+  | {
+      readonly kind: 'not-run';
+      readonly problem: string;
+      /** The engine that could not do its part, by address; null where none is named. */
+      readonly culprit: string | null;
+      /** How long it wants nothing from this VM, in milliseconds; null where it does not say. */
+      readonly restMs: number | null;
+    }
   /** It broke off, or was ended here; what the caller has of it stays. */
   | {
       readonly kind: 'broken';
@@ -179,8 +186,8 @@
     const { status, isNotRun, problem } = response;
     if (isNotRun || response.isMisdirected) {
       response.body.resume();
-      const culprit = response.culpritAddress;
-      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit };
+      const { culpritAddress: culprit, restMs } = response;
+      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit, restMs };
     }
     if (problem !== null) {
       response.body.destroy();
@@ -209,7 +216,7 @@
       examine(head.id, head.address);
     }
     if (known.outcome === 'not-run' && row.cutReason === null) {
-      return { kind: 'not-run', problem, culprit: head?.address ?? null };
+      return { kind: 'not-run', problem, culprit: head?.address ?? null, restMs: null };
     }
     const isHeadFine = row.cutReason === 'no-repair';
     return { kind: 'broken', problem, isHeadFine, run: describeRun(row) };
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -173,7 +173,7 @@
           requestId: request.id,
           result: result.kind,
           problem,
-          culprit: result.kind === 'not-run' ? result.culprit : undefined,
+          ...(result.kind === 'not-run' ? { culprit: result.culprit, restMs: result.restMs } : {}),
           path: progress.servedBy,
           lastEventId: progress.lastEventId,
           ...(result.kind === 'broken' ? describeRun(admitted, result.run) : {}),
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -9,3 +9,4 @@
 export * from './src/feedClient';
 export * from './src/feedServer';
 export * from './src/pace';
+export * from './src/serverNotice';
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -120,10 +120,15 @@
   };
 }
 
-/** Sends JSON and resolves with the JSON of the answer and its status. */
+/** An answer whose body is JSON; null where it has none. */
+export interface JsonAnswer extends Omit<HttpAnswer, 'body'> {
+  readonly json: JsonValue;
+}
+
+/** Sends JSON and resolves with the JSON of the answer, its status and its headers. */
 export async function callJson(
   options: Omit<HttpCallOptions, 'body'> & { readonly json?: unknown },
-): Promise<{ readonly status: number; readonly json: JsonValue }> {
+): Promise<JsonAnswer> {
   const { json, headers, ...rest } = options;
   const body = json === undefined ? undefined : JSON.stringify(json);
   const answer = await callHttp({
@@ -132,5 +137,6 @@
     headers: { 'content-type': 'application/json', ...headers },
   });
   const text = answer.body.toString('utf8');
-  return { status: answer.status, json: text ? (JSON.parse(text) as JsonValue) : null };
+  const parsed = text ? (JSON.parse(text) as JsonValue) : null;
+  return { status: answer.status, headers: answer.headers, json: parsed };
 }
