--- a/packages/controller/__tests__/backendDirectory.spec.ts
+++ b/packages/controller/__tests__/backendDirectory.spec.ts
@@ -42,6 +42,7 @@
       place: () => Promise.resolve('begun'),
       inspect: () => Promise.resolve({ held: null, slowdown: 1 }),
       isReachable: () => Promise.resolve(true),
+      onNotice: () => {},
     },
     readDocument: () => DOCUMENT,
     announcementMs: 1200,
--- a/packages/controller/__tests__/controlNode.spec.ts
+++ b/packages/controller/__tests__/controlNode.spec.ts
@@ -67,6 +67,7 @@
     inspect: ({ instanceId }) =>
       Promise.resolve({ held: held.get(instanceId) ?? null, slowdown: 1 }),
     isReachable: () => Promise.resolve(true),
+    onNotice: () => {},
   };
   for (const [index, host] of hosts.entries()) {
     const node = await createControlNode({
--- a/packages/controller/__tests__/placementFixtures.ts
+++ b/packages/controller/__tests__/placementFixtures.ts
@@ -106,9 +106,11 @@
         inspect ??
         (({ instanceId }) => Promise.resolve({ held: held.get(instanceId) ?? null, slowdown: 1 })),
       isReachable: () => Promise.resolve(true),
+      onNotice: () => {},
     },
     mayOrder: () => true,
     currentDocument: () => DOCUMENT,
+    isResting: () => false,
     announcementMs: ANNOUNCEMENT_MS,
   });
 
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -27,6 +27,7 @@
 import { createCoreGroup } from './coreGroup';
 import type { CoreGroup } from './coreGroup';
 import { createDocumentCalls } from './documentCalls';
+import { createEngineNotices } from './engineNotices';
 import type { EngineOrders } from './engineOperations';
 import { createLoadSums } from './loadSums';
 import { createControlVms } from './controlVms';
@@ -137,6 +138,8 @@
   }
 
   const backends = createBackendDirectory({ log, table, currentDocument });
+  const notices = createEngineNotices({ clock, log, table });
+  options.engineOrders.onNotice(notices.take);
   const placement = createPlacementLoop({
     clock,
     log,
@@ -144,6 +147,7 @@
     orders: options.engineOrders,
     mayOrder: () => group?.canRead() ?? false,
     currentDocument,
+    isResting: notices.isResting,
     announcementMs: options.announcementMs,
   });
 
@@ -218,6 +222,7 @@
       stateSelf();
       feeds.follow(controlVms.listOthers());
       table.sweep(retentionOf);
+      notices.sweep();
     }
     if (ticks % LOAD_TICKS === 0) stateLoads();
     placement.tick();
--- a/packages/controller/src/engineOperations.ts
+++ b/packages/controller/src/engineOperations.ts
@@ -1,5 +1,5 @@
 /** What the control plane can do with model engines; a platform or a protocol implements it. */
-import type { LayerRange } from '@spoolplank/membership';
+import type { LayerRange, NoticeListener } from '@spoolplank/membership';
 
 /** An engine to speak to. */
 export interface EngineAddress {
@@ -32,6 +32,8 @@
 }
 
 export interface EngineOrders {
+  /** Has a listener told of all that engines say of themselves, with any answer. */
+  onNotice(listener: NoticeListener): void;
   /** Orders an engine to hold just this range; resolves with what it answered. */
   place(engine: EngineAddress, order: PlaceOrder): Promise<OrderOutcome>;
   /**
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -1,5 +1,11 @@
 /** Gives the orders that bring every layer of a model to the engines; see `planPlacement`. */
-import { FACT_KEYS, findBackend, lostAfterMs, readSlowdown } from '@spoolplank/membership';
+import {
+  FACT_KEYS,
+  findBackend,
+  isLeaving,
+  lostAfterMs,
+  readSlowdown,
+} from '@spoolplank/membership';
 import type { BackendFact, Fact, FactTable, LayerRange, SystemFact } from '@spoolplank/membership';
 import { delay } from '@spoolplank/node';
 import type { EventLog } from '@spoolplank/node';
@@ -25,6 +31,8 @@
   /** Whether this process may give orders now: it leads and a quorum confirms that. */
   readonly mayOrder: () => boolean;
   readonly currentDocument: () => RoutingDocument | null;
+  /** Whether an engine wants nothing from this VM now. */
+  readonly isResting: (instanceId: string) => boolean;
   /** Interval at which engines announce themselves. */
   readonly announcementMs: number;
 }
@@ -166,7 +174,10 @@
     const isServing = isHeard && !isSuspect && state !== 'gone';
     const slowdown = readSlowdown(table, instanceId, clock.nowMs());
     const isDoubtful = (doubtfulUntilMs.get(instanceId) ?? 0) > clock.nowMs();
-    const isStaying = state === 'ready' && slowdown < TOO_SLOW && !isDoubtful;
+    const isReady = state === 'ready' && !isLeaving(table, instanceId);
+    const isStaying = isReady && slowdown < TOO_SLOW && !isDoubtful;
+    // A rest of seconds is no reason to move layers: it only takes no order meanwhile.
+    const mayBeOrdered = !wasRefusedLately(instanceId) && !options.isResting(instanceId);
     const isReliable = isServing && isStaying;
     return {
       id: instanceId,
@@ -175,7 +186,7 @@
       slots,
       firstLayer: range?.firstLayer ?? null,
       endLayer: range?.endLayer ?? null,
-      isOrderable: isReliable && ordered === undefined && !wasRefusedLately(instanceId),
+      isOrderable: isReliable && ordered === undefined && mayBeOrdered,
       isReliable,
       isServing,
     };
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -10,6 +10,7 @@
 import type { EntryContext } from '../src/entryContext';
 import { createQuarantine } from '../src/quarantine';
 import { createRoutingView } from '../src/routingView';
+import { createServerNotices } from '../src/serverNotices';
 import type { RoutingView } from '../src/routingView';
 
 export const MODEL: ModelDescription = {
@@ -81,12 +82,21 @@
   operations: BackendOperations,
 ): EntryContext {
   const log = createEventLog({ vmId: 'vm', clock, writeChunk: () => {} });
+  const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
   const quarantine = createQuarantine({
     clock,
     random: createSeededRandom(1),
     log,
     metrics: createMetrics(),
-    table: createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false }),
+    table,
+    spread: () => {},
+  });
+  const notices = createServerNotices({
+    clock,
+    log,
+    metrics: createMetrics(),
+    table,
+    findByAddress: view.findByAddress,
     spread: () => {},
   });
   return {
@@ -101,6 +111,7 @@
     budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
     quarantine,
     crashes: { note: () => Promise.resolve(), tick: () => {} },
+    notices,
     factsAgeMs: () => 0,
   };
 }
--- a/packages/entry/__tests__/places.spec.ts
+++ b/packages/entry/__tests__/places.spec.ts
@@ -27,6 +27,8 @@
   readonly held: Map<string, HeldPlace>;
   /** Engines that turned a request of this VM away. */
   readonly avoided: Set<string>;
+  /** Engines that asked this VM for rest. */
+  readonly resting: Set<string>;
   isUp: boolean;
   /** Its answers are lost, though it hears everything. */
   isMute: boolean;
@@ -86,6 +88,7 @@
   function createVm(host: string): Vm {
     const held = new Map<string, HeldPlace>();
     const avoided = new Set<string>();
+    const resting = new Set<string>();
     const rank = createAllocatorRank({ clock, listEntries: () => heard });
     const allocator = createPlaceAllocator({
       clock,
@@ -107,10 +110,11 @@
         call(target, (vm) => vm.allocator.answer(params), timeoutMs),
       listHeld: () => [...held.values()],
       listAvoided: () => [...avoided],
+      listResting: () => [...resting],
       schedule,
       onFailure: () => {},
     });
-    return { host, client, allocator, held, avoided, isUp: true, isMute: false };
+    return { host, client, allocator, held, avoided, resting, isUp: true, isMute: false };
   }
 
   for (let index = 0; index < count; index += 1) vms.push(createVm(`vm${index}`));
@@ -153,7 +157,7 @@
       vm.held.set(ticket, { ticket, headId: outcome.chain.headId, size: 1 });
       schedule(() => {
         vm.held.delete(ticket);
-        vm.client.noteReturn('a');
+        vm.client.noteReturn('a', ticket);
       }, lastsMs);
     });
     return outcomes;
--- a/packages/entry/__tests__/routingView.spec.ts
+++ b/packages/entry/__tests__/routingView.spec.ts
@@ -81,6 +81,7 @@
       unseenInFlight: () => 0,
       firstEventMs: (headId) => (headId === slow ? 2000 : 50),
       isAvoided: () => false,
+      restMsOf: () => 0,
       ...overrides,
     });
     tables.announce(createEngine('a1', 0, 4));
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -19,6 +19,8 @@
   readonly firstEventMs: (headId: string) => number;
   /** Engines to leave out for now, by instance. */
   readonly isAvoided: (instanceId: string) => boolean;
+  /** Time until this VM may send something to an engine, in milliseconds; 0 when it may now. */
+  readonly restMsOf: (instanceId: string) => number;
 }
 
 export interface ChosenChain {
@@ -45,7 +47,16 @@
     model: ModelDescription,
     excludedHeads: ReadonlySet<string>,
   ): ChosenChain | undefined;
-  /** The chains of a data centre, whatever their load. */
+  /**
+   * Time until this VM may use a chain of a service, in milliseconds; 0 when it may use one now, or
+   * there is none at all.
+   */
+  restEndsInMs(
+    service: string,
+    model: ModelDescription,
+    excludedHeads: ReadonlySet<string>,
+  ): number;
+  /** The chains of a data centre, whatever their load, and whether an engine of theirs rests. */
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
   /** Another path for a running stream that keeps its first stage; undefined without one. */
   repair(
@@ -63,6 +74,12 @@
   readonly capacity: number;
 }
 
+/** A chain and the data centre of its engines. */
+interface LocatedChain {
+  readonly dataCentre: string;
+  readonly chain: RatedChain;
+}
+
 /** What the chains of a data centre were found from. */
 interface CachedChains {
   readonly facts: readonly BackendFact[];
@@ -158,7 +175,7 @@
 }
 
 export function createChainChoice(options: ChainChoiceOptions): ChainChoice {
-  const { view, random, isAvoided, ownInFlight } = options;
+  const { view, random, isAvoided, ownInFlight, restMsOf } = options;
   const cache = new Map<string, CachedChains>();
   const groupsByService = new Map<string, CachedGroups>();
 
@@ -250,23 +267,45 @@
     return 1 + random.nextFloat();
   }
 
-  function listCandidates(
+  function listChains(
     service: string,
     model: ModelDescription,
     excludedHeads: ReadonlySet<string>,
-  ): readonly Candidate[] {
+  ): readonly LocatedChain[] {
     return [...groupByDataCentre(service)].flatMap(([dataCentre, facts]) =>
       chainsOf(dataCentre, facts, model)
         .filter(({ headId }) => !excludedHeads.has(headId))
-        .map((chain) => toCandidate(chain, dataCentre)),
+        .map((chain) => ({ dataCentre, chain })),
     );
   }
 
+  /** Time until the last engine of a chain has rested. */
+  function chainRestMs({ stages }: RatedChain): number {
+    return stages.reduce((longestMs, { id }) => Math.max(longestMs, restMsOf(id)), 0);
+  }
+
+  function listCandidates(
+    service: string,
+    model: ModelDescription,
+    excludedHeads: ReadonlySet<string>,
+  ): readonly Candidate[] {
+    // A rest concerns this VM only: the chains that are found are the same for all.
+    return listChains(service, model, excludedHeads)
+      .filter(({ chain }) => chainRestMs(chain) === 0)
+      .map(({ chain, dataCentre }) => toCandidate(chain, dataCentre));
+  }
+
   return {
     listOf(service, model, dataCentre) {
       const facts = groupByDataCentre(service).get(dataCentre) ?? [];
       return facts.length > 0 ? chainsOf(dataCentre, facts, model) : [];
     },
+    restEndsInMs(service, model, excludedHeads) {
+      const restsMs = listChains(service, model, excludedHeads).map(({ chain }) =>
+        chainRestMs(chain),
+      );
+      return restsMs.length === 0 ? 0 : Math.min(...restsMs);
+    },
     choose(service, model, excludedHeads) {
       const candidates = listCandidates(service, model, excludedHeads);
       const local = candidates.filter(({ isLocal }) => isLocal);
@@ -285,6 +324,7 @@
       const kept = new Set(stages.map(({ id }) => id).filter((id) => !lostIds.has(id)));
       const engines = facts
         .filter(({ instanceId }) => !lostIds.has(instanceId) && !isAvoided(instanceId))
+        .filter(({ instanceId }) => kept.has(instanceId) || restMsOf(instanceId) === 0)
         .flatMap((fact) => toStageEngine(fact, model, view.slowdownOf(fact.instanceId)) ?? []);
       const replaceable = engines
         .filter(({ id }) => !kept.has(id))
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -7,6 +7,7 @@
 import type { CrashWitness } from './crashWitness';
 import type { Quarantine } from './quarantine';
 import type { RoutingView } from './routingView';
+import type { ServerNotices } from './serverNotices';
 
 export interface EntryContext {
   readonly clock: Clock;
@@ -23,6 +24,8 @@
   readonly quarantine: Quarantine;
   /** Told of runs that broke off before anything came of them. */
   readonly crashes: CrashWitness;
+  /** What backend servers said of themselves to this VM. */
+  readonly notices: ServerNotices;
   /** Age of the facts that requests are routed by, in milliseconds. */
   readonly factsAgeMs: () => number;
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -37,8 +37,11 @@
 import { createRetryBudgets } from './retryBudgets';
 import type { RetryLimits } from './retryBudgets';
 import { createRoutingView } from './routingView';
+import { guardOperations } from './guardedOperations';
+import { createServerNotices } from './serverNotices';
 import { createStreamPath } from './streamPath';
 import { createStreamTable } from './streamTable';
+import type { StreamRow } from './streamTable';
 
 export interface EntryNodeOptions {
   readonly clock: Clock;
@@ -100,8 +103,8 @@
   const { clock, random, log, metrics, peers, run, host, dataCentre, readDocument } = options;
   const documents = createDocumentCache<StoredDocument>(clock);
   let placeStatements = (): readonly FactUpdate<SystemFact>[] => [];
-  let onStreamEnd = (_dataCentre: string): void => {};
-  const streams = createStreamTable({ clock, onEnd: ({ dataCentre: of }) => onStreamEnd(of) });
+  let onStreamEnd = (_row: StreamRow): void => {};
+  const streams = createStreamTable({ clock, onEnd: (row) => onStreamEnd(row) });
   const openRequests = new Set<CallerRequest>();
   let statedLoad = (): LoadFact['inFlight'] => ({});
   let ticks = 0;
@@ -141,6 +144,16 @@
     spread: () => spread(),
   });
 
+  const notices = createServerNotices({
+    clock,
+    log,
+    metrics,
+    table,
+    findByAddress: view.findByAddress,
+    spread: () => spread(),
+  });
+  options.operations.onNotice(notices.take);
+
   const readiness = createReadiness({
     documents,
     revocationMs: options.revocationMs,
@@ -169,7 +182,12 @@
     dataCentre,
     table,
     documents,
-    statements: () => [...statements.list(), ...placeStatements(), ...crashStatements()],
+    statements: () => [
+      ...statements.list(),
+      ...placeStatements(),
+      ...crashStatements(),
+      ...notices.listStatements(),
+    ],
     listControlMembers: () => view.listMembers('control'),
     seeds: options.seeds,
     controlPeerPort: options.controlPeerPort,
@@ -210,7 +228,7 @@
     metrics,
     dataCentre,
     view,
-    operations: options.operations,
+    operations: guardOperations(options.operations, notices),
     loads: createBackendLoadTable(),
     budgetOf: createRetryBudgets({
       clock,
@@ -220,6 +238,7 @@
     }),
     quarantine,
     crashes,
+    notices,
     factsAgeMs: () => clock.nowMs() - feed.syncedAtMs,
   };
   const plain = createPlainDispatch(context);
@@ -234,7 +253,7 @@
     countEntries,
   });
   const { places, repair } = stream;
-  onStreamEnd = (of) => places.noteReturn(of);
+  onStreamEnd = (row) => places.noteReturn(row.dataCentre, row.ticket);
   placeStatements = () => places.listStatements();
   ({ isThere } = repair);
   onEngineLoss = () => repair.repairLost(health.isLost);
@@ -269,6 +288,7 @@
     if (ticks % SWEEP_TICKS === 0) {
       table.sweep(retentionOf);
       quarantine.sweep();
+      notices.sweep();
     }
     scheduleTimer(tick, TICK_MS);
   }
@@ -326,6 +346,7 @@
         inFlight: streams.counts(),
         places: places.describe(),
         quarantine: quarantine.describe(),
+        rests: notices.describe(),
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -40,6 +40,8 @@
 }
 
 interface Ticket {
+  /** As it was asked last: what rests for the asking VM changes while it stands in the line. */
+  ask: PlaceAsk;
   readonly leavesAtMs: number;
   lastAskedAtMs: number;
   /** Null while it waits; then the place, or undefined for none. */
@@ -47,6 +49,11 @@
   settled: Promise<void>;
 }
 
+/** What an ask leaves out: asks that leave out the same find the same places. */
+function excludesOf({ excludedHeads, restingIds = [] }: PlaceAsk): string {
+  return [...excludedHeads, ...restingIds].sort().join(' ');
+}
+
 const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
 
 /** Share of a chain that new streams may take; the rest is for those that have begun. */
@@ -125,9 +132,14 @@
     return ask.avoidedIds.includes(id) || (avoidedUntilMs.get(id) ?? 0) > clock.nowMs();
   }
 
-  function isUsable({ headId, stages }: RatedChain, ask: PlaceAsk): boolean {
-    if (ask.excludedHeads.includes(headId)) return false;
-    return !stages.some(({ id }) => isAvoided(id, ask));
+  /** Whether an engine of a chain wants nothing from the asking VM: others may well use it. */
+  function isResting({ stages }: RatedChain, { restingIds = [] }: PlaceAsk): boolean {
+    return restingIds.length > 0 && stages.some(({ id }) => restingIds.includes(id));
+  }
+
+  function isUsable(chain: RatedChain, ask: PlaceAsk): boolean {
+    if (ask.excludedHeads.includes(chain.headId) || isResting(chain, ask)) return false;
+    return !chain.stages.some(({ id }) => isAvoided(id, ask));
   }
 
   function hasRoom({ headId, capacity }: RatedChain, { size, hasBegun }: PlaceAsk): boolean {
@@ -142,12 +154,25 @@
     return inFlightOn(headId) / Math.max(1, capacity) + slowness;
   }
 
+  function listChains({ service }: PlaceAsk): readonly RatedChain[] {
+    const model = options.modelOf(service);
+    const all = model ? chains.listOf(service, model, dataCentre) : [];
+    return all.filter(({ capacity }) => capacity >= 1);
+  }
+
   function listUsable(ask: PlaceAsk): readonly RatedChain[] {
-    const model = options.modelOf(ask.service);
-    if (!model) return [];
-    return chains
-      .listOf(ask.service, model, dataCentre)
-      .filter((chain) => chain.capacity >= 1 && isUsable(chain, ask));
+    return listChains(ask).filter((chain) => isUsable(chain, ask));
+  }
+
+  /**
+   * Whether a wait would be in vain while nothing changes but time. The rest of a begun stream
+   * waits for another chain than those that broke under it, which may be mended meanwhile.
+   */
+  function isTurnedAway(ask: PlaceAsk): boolean {
+    const own = listChains(ask);
+    const isClosed = (chain: RatedChain) =>
+      isResting(chain, ask) || (!ask.hasBegun && ask.excludedHeads.includes(chain.headId));
+    return own.length > 0 && own.every(isClosed);
   }
 
   function findPlace(holder: string, ask: PlaceAsk): GrantedPlace | undefined {
@@ -167,6 +192,7 @@
   function enter(holder: string, ask: PlaceAsk): Ticket {
     const nowMs = clock.nowMs();
     const ticket: Ticket = {
+      ask,
       leavesAtMs: nowMs + ask.leavesInMs,
       lastAskedAtMs: nowMs,
       outcome: null,
@@ -179,7 +205,8 @@
       inTimeUntilMs: nowMs + ask.inTimeForMs,
       leavesAtMs: ticket.leavesAtMs,
       hasReturned: ask.hasReturned,
-      find: () => findPlace(holder, ask),
+      find: () => findPlace(holder, ticket.ask),
+      excludes: () => excludesOf(ticket.ask),
       isGone: () => clock.nowMs() - ticket.lastAskedAtMs > ASK_LOST_MS,
     };
     ticket.settled = line.enter(wait).then((place) => {
@@ -189,6 +216,7 @@
   }
 
   function explain(ask: PlaceAsk, { leavesAtMs }: Ticket): PlaceRefusal {
+    if (isTurnedAway(ask)) return 'turned-away';
     if (listUsable(ask).length === 0) return 'no-chain';
     return clock.nowMs() < leavesAtMs ? 'hopeless' : 'time-over';
   }
@@ -203,6 +231,7 @@
     const key = keyOf(holder, ask.ticket);
     const ticket = tickets.get(key) ?? enter(holder, ask);
     tickets.set(key, ticket);
+    ticket.ask = ask;
     ticket.lastAskedAtMs = clock.nowMs();
     await Promise.race([ticket.settled, delay(ask.holdMs)]);
     const ahead = line.length;
@@ -236,6 +265,11 @@
       ledger.report(holder, { sequence, places });
       givenUp.forEach((ticket) => giveUp(holder, ticket));
       if (!ask) return { kind: 'noted' };
+      if (isTurnedAway(ask)) {
+        giveUp(holder, ask.ticket);
+        const placesPerS = line.placesPerS();
+        return { kind: 'refused', reason: 'turned-away', ahead: line.length, placesPerS };
+      }
       return ask.mayWait ? stand(holder, ask) : visit(holder, ask);
     },
     roomOf(service) {
--- a/packages/entry/src/places/placeClient.ts
+++ b/packages/entry/src/places/placeClient.ts
@@ -53,14 +53,16 @@
   /** Engines that this VM leaves out for now. */
   readonly listAvoided: () => readonly string[];
   readonly schedule: (run: () => void, delayMs: number) => void;
+  /** Engines that asked this VM for rest. */
+  readonly listResting: () => readonly string[];
   /** Told of a VM that did not answer. */
   readonly onFailure: (target: MemberFact, problem: string) => void;
 }
 
 export interface PlaceClient {
   find(request: PlaceRequest): Promise<PlaceOutcome>;
-  /** Notes that a place of a data centre was given back: told shortly after. */
-  noteReturn(dataCentre: string): void;
+  /** Notes that a place of a data centre is held no longer: told shortly after. */
+  noteReturn(dataCentre: string, ticket: string): void;
   /** Lets time pass: renews the leases that are due. */
   tick(): void;
 }
@@ -113,6 +115,8 @@
   const changed = new Set<string>();
   const givenUp = new Map<string, string[]>();
   const toldAtMs = new Map<string, number>();
+  /** Tickets that were listed to a data centre last. */
+  const listed = new Map<string, ReadonlySet<string>>();
   let sequence = 0;
   let isFlushDue = false;
 
@@ -122,11 +126,13 @@
     toldAtMs.set(asked, clock.nowMs());
     const dropped = givenUp.get(asked) ?? [];
     givenUp.delete(asked);
+    const places = options.listHeld(asked);
+    listed.set(asked, new Set(places.map(({ ticket }) => ticket)));
     return {
       holder,
       dataCentre: options.dataCentre,
       sequence,
-      places: options.listHeld(asked),
+      places,
       givenUp: dropped,
     };
   }
@@ -191,6 +197,7 @@
       leavesInMs: request.leavesAtMs - nowMs,
       excludedHeads: [...request.excludedHeads],
       avoidedIds: options.listAvoided(),
+      restingIds: options.listResting(),
       mayWait,
       holdMs,
     };
@@ -251,7 +258,10 @@
       leave(home, request.ticket);
       return search.refusal ?? TIME_OVER;
     },
-    noteReturn(dataCentre) {
+    noteReturn(dataCentre, ticket) {
+      // One that ended before it was ever listed counted as held for 1.3 s: a request that is
+      // turned away within 3 ms then cost its chain a place for that time.
+      if (!listed.get(dataCentre)?.has(ticket)) leave(dataCentre, ticket);
       changed.add(dataCentre);
       scheduleFlush();
     },
--- a/packages/entry/src/places/placeFinder.ts
+++ b/packages/entry/src/places/placeFinder.ts
@@ -4,8 +4,8 @@
  */
 import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { SpoolplankError } from '@spoolplank/shared';
-import { createReturnTimes, sizeOfRequest } from '@spoolplank/routing';
-import type { ModelDescription } from '@spoolplank/routing';
+import { createReturnTimes, isRestWorthWaiting, sizeOfRequest } from '@spoolplank/routing';
+import type { ModelDescription, RestTable } from '@spoolplank/routing';
 import type { ChainChoice, ChosenChain } from '../chainChoice';
 import type { AdmittedRequest } from '../entryContext';
 import type { StreamTable } from '../streamTable';
@@ -21,6 +21,7 @@
   readonly streams: StreamTable;
   readonly chains: ChainChoice;
   readonly places: PlaceClient;
+  readonly rests: Pick<RestTable, 'returnAfterMs'>;
   /** Data centres that may have a place for a service, the best one first. */
   readonly rankDataCentres: (service: string) => readonly RatedDataCentre[];
 }
@@ -52,8 +53,8 @@
    * chain is no reason to break it off.
    */
   toResume(search: PlaceSearch, silentSinceMs: number): Promise<ChosenChain | undefined>;
-  /** When a caller with so much time left is to come back. */
-  returnAfterMs(remainingMs: number): number;
+  /** When the caller of a request that no chain took is to come back, in milliseconds. */
+  returnAfterMs(search: Pick<PlaceSearch, 'admitted' | 'model'>): number;
 }
 
 /** Of the two seconds for which callers wait for a first event, without a failed first attempt. */
@@ -70,15 +71,17 @@
 const MAX_SILENCE_MS = 1400;
 const CHAIN_POLL_MS = 50;
 const MS_PER_S = 1000;
+const NONE_EXCLUDED: ReadonlySet<string> = new Set();
 
 const REFUSAL_CODES: Readonly<Record<PlaceRefusal, ErrorCode>> = {
   'no-chain': 'no-backend-server',
+  'turned-away': 'no-backend-server',
   hopeless: 'overloaded',
   'time-over': 'overloaded',
 };
 
 export function createPlaceFinder(options: PlaceFinderOptions): PlaceFinder {
-  const { clock, delay, streams, chains, places } = options;
+  const { clock, delay, streams, chains, places, rests } = options;
   const line = createWaitingLine({
     clock,
     delay,
@@ -136,10 +139,32 @@
     return new SpoolplankError(REFUSAL_CODES[reason], { detail, retryAfterMs });
   }
 
+  /**
+   * Waits out a short rest of all chains.
+   *
+   * @throws SpoolplankError that says when it is the caller's turn, where that is too long a wait.
+   */
+  async function waitForRest({ admitted, model, excludedHeads }: PlaceSearch): Promise<void> {
+    const { service, request, answer, endsAtMs } = admitted;
+    let restMs = chains.restEndsInMs(service, model, excludedHeads);
+    while (restMs > 0 && !answer.isClosed) {
+      const turnInMs = rests.returnAfterMs(service, restMs);
+      const nowMs = clock.nowMs();
+      const waitedMs = nowMs - request.arrivedAtMs;
+      if (!isRestWorthWaiting({ turnInMs, remainingMs: endsAtMs - nowMs, waitedMs })) {
+        const detail = `All chains rest, the first one for ${Math.ceil(restMs)} ms.`;
+        throw new SpoolplankError('no-backend-server', { detail, retryAfterMs: turnInMs });
+      }
+      await delay(turnInMs);
+      restMs = chains.restEndsInMs(service, model, excludedHeads);
+    }
+  }
+
   return {
     async toBegin(search) {
       const { admitted } = search;
       const sinceMs = clock.nowMs();
+      await waitForRest(search);
       const latestMs = admitted.request.arrivedAtMs + MAX_ADMISSION_WAIT_MS;
       const request = toRequest(search, Math.min(latestMs, admitted.endsAtMs), false);
       const outcome = await places.find(request);
@@ -166,6 +191,11 @@
       }
       return chain;
     },
-    returnAfterMs: (remainingMs) => returns.afterMs(remainingMs),
+    returnAfterMs({ admitted, model }) {
+      const { service, endsAtMs } = admitted;
+      const restMs = chains.restEndsInMs(service, model, NONE_EXCLUDED);
+      if (restMs > 0) return rests.returnAfterMs(service, restMs);
+      return returns.afterMs(endsAtMs - clock.nowMs());
+    },
   };
 }
--- a/packages/entry/src/places/placeMessages.ts
+++ b/packages/entry/src/places/placeMessages.ts
@@ -22,6 +22,8 @@
   readonly excludedHeads: readonly string[];
   /** Engines that the asking VM leaves out for now. */
   readonly avoidedIds: readonly string[];
+  /** Engines that asked the asking VM for rest; others may use them. */
+  readonly restingIds?: readonly string[];
   /** Whether it stands in the line when there is no place now. */
   readonly mayWait: boolean;
   /** How long the answer may be held back for a place. */
@@ -56,6 +58,8 @@
   | 'hopeless'
   /** No chain of the data centre has all layers. */
   | 'no-chain'
+  /** Each chain there has turned the request away, or wants nothing from the asking VM now. */
+  | 'turned-away'
   /** Its time to wait is over. */
   | 'time-over';
 
--- a/packages/entry/src/places/placeService.ts
+++ b/packages/entry/src/places/placeService.ts
@@ -3,7 +3,7 @@
 import type { FactUpdate, MemberFact, RoomFact, SystemFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod } from '@spoolplank/node';
-import type { ModelDescription } from '@spoolplank/routing';
+import type { ModelDescription, RestTable } from '@spoolplank/routing';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { ChainChoice } from '../chainChoice';
 import type { RoutingView } from '../routingView';
@@ -31,6 +31,7 @@
   readonly chains: ChainChoice;
   /** Engines that this entry leaves out for now. */
   readonly listAvoided: () => readonly string[];
+  readonly rests: RestTable;
 }
 
 export interface PlaceService {
@@ -40,7 +41,7 @@
   /** What other entries call here. */
   readonly methods: Readonly<Record<string, PeerMethod>>;
   /** Notes that a stream over a chain of a data centre ended. */
-  noteReturn(dataCentre: string): void;
+  noteReturn(dataCentre: string, ticket: string): void;
   /** Lets time pass: renews the leases that are due. */
   tick(): void;
   /** What this VM tells of the room in its data centre, where it gives out the places. */
@@ -98,6 +99,7 @@
     call,
     listHeld: (name) => streams.listHeld(name),
     listAvoided: options.listAvoided,
+    listResting: () => options.rests.list().map(({ name }) => name),
     schedule: scheduleTimer,
     onFailure: (target, problem) =>
       log.info('allocator-silent', {
@@ -115,6 +117,7 @@
       streams,
       chains,
       places: client,
+      rests: options.rests,
       rankDataCentres: (service) =>
         rankDataCentres({
           own: dataCentre,
@@ -128,7 +131,7 @@
         (await allocator.answer(params as unknown as PlaceCall)) as unknown as JsonValue,
     },
     findAllocator: (name) => rank.find(name),
-    noteReturn: (name) => client.noteReturn(name),
+    noteReturn: (name, ticket) => client.noteReturn(name, ticket),
     tick: () => client.tick(),
     listStatements() {
       if (rank.find(dataCentre)?.host !== host) return [];
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -2,7 +2,7 @@
 import { finished } from 'node:stream/promises';
 import type { BackendFact } from '@spoolplank/membership';
 import { delay } from '@spoolplank/node';
-import { selectCandidate } from '@spoolplank/routing';
+import { isRestWorthWaiting, selectCandidate } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { BackendResponse } from './backendOperations';
 import type { RawHeaders } from './callerRequest';
@@ -25,6 +25,8 @@
       /** How long it wants nothing from this VM, in milliseconds; null where it does not say. */
       readonly restMs: number | null;
     }
+  /** Nothing was sent: the server asked for rest, or said that it leaves, after the choice. */
+  | { readonly kind: 'held-back'; readonly problem: string }
   /** It may have run there, and there is no answer to pass on. */
   | {
       readonly kind: 'unknown';
@@ -33,6 +35,9 @@
       readonly brokeAfterMs: number | null;
     };
 
+/** An attempt for which something was sent. */
+type MadeAttempt = Exclude<AttemptResult, { readonly kind: 'held-back' }>;
+
 /** An answer is given so long before the time-out, so that it arrives before it. */
 const TIMEOUT_MARGIN_MS = 30;
 /** A connection inside a region takes a few milliseconds; a lost packet is sent again after 200. */
@@ -41,7 +46,10 @@
 const PATIENCE_FACTOR = 2.5;
 /** Rejections that one request may meet before it is refused. */
 const MAX_REJECTIONS = 3;
+/** Choices that came just before their server asked for rest; each is made with what was heard. */
+const MAX_HELD_BACK = 4;
 const RETRY_AFTER_MS = 150;
+const NONE_EXCLUDED: ReadonlySet<string> = new Set();
 /** Greatest answer that is held back until it is whole. */
 const MAX_ANSWER_BYTES = 16_777_216;
 const HIGHEST_GOOD_STATUS = 499;
@@ -50,6 +58,16 @@
 /** A closed port is seen within 2 to 6 ms; a silent one is not waited for, see streamDispatch. */
 const MAX_EVIDENCE_WAIT_MS = 50;
 
+/** What came of an attempt that had no answer. */
+function explain(
+  { code, outcome, message }: SpoolplankError,
+  brokeAfterMs: number | null,
+): AttemptResult {
+  if (code === 'server-closed') return { kind: 'held-back', problem: message };
+  if (outcome === 'not-run') return { kind: 'not-run', problem: message, restMs: null };
+  return { kind: 'unknown', problem: message, brokeAfterMs };
+}
+
 async function readWhole(response: BackendResponse): Promise<Buffer> {
   const pieces: Buffer[] = [];
   let bytes = 0;
@@ -77,11 +95,54 @@
 }
 
 export function createPlainDispatch(context: EntryContext): PlainDispatch {
-  const { clock, loads, log, operations, random, view, quarantine, crashes } = context;
+  const { clock, loads, log, operations, random, view, quarantine, crashes, notices } = context;
+  const { rests } = notices;
+
+  /** Servers that may be sent a request which was not there yet. */
+  function listLeft(service: string, excluded: ReadonlySet<string>): readonly BackendFact[] {
+    return view.listBackends(service).filter(({ instanceId }) => !excluded.has(instanceId));
+  }
+
+  /** Time until a server of a service may be sent something; 0 when one may be now, or none is. */
+  function restEndsInMs(service: string, excluded: ReadonlySet<string>): number {
+    const restsMs = listLeft(service, excluded).map(({ instanceId }) =>
+      rests.remainingMs(instanceId),
+    );
+    return restsMs.length === 0 ? 0 : Math.min(...restsMs);
+  }
+
+  /** When a request that nothing ran is to come back. */
+  function returnAfterMs(service: string): number {
+    const restMs = restEndsInMs(service, NONE_EXCLUDED);
+    return restMs === 0 ? RETRY_AFTER_MS : rests.returnAfterMs(service, restMs);
+  }
+
+  /**
+   * Waits out a short rest of all servers that are left.
+   *
+   * @throws SpoolplankError that says when it is the caller's turn, where that is too long a wait.
+   */
+  async function waitForRest(
+    { service, request, answer, endsAtMs }: AdmittedRequest,
+    excluded: ReadonlySet<string>,
+  ): Promise<void> {
+    let restMs = restEndsInMs(service, excluded);
+    while (restMs > 0 && !answer.isClosed) {
+      const turnInMs = rests.returnAfterMs(service, restMs);
+      const nowMs = clock.nowMs();
+      const waitedMs = nowMs - request.arrivedAtMs;
+      if (!isRestWorthWaiting({ turnInMs, remainingMs: endsAtMs - nowMs, waitedMs })) {
+        const detail = `All servers rest, the first one for ${Math.ceil(restMs)} ms.`;
+        throw new SpoolplankError('no-backend-server', { detail, retryAfterMs: turnInMs });
+      }
+      await delay(turnInMs);
+      restMs = restEndsInMs(service, excluded);
+    }
+  }
 
   function choose(service: string, excluded: ReadonlySet<string>): BackendFact | undefined {
-    const candidates = view
-      .listBackends(service)
+    const candidates = listLeft(service, excluded)
+      .filter(({ instanceId }) => !rests.isHeldBack(instanceId))
       .map((fact) => ({ name: fact.instanceId, dataCentre: fact.dataCentre, fact }));
     const { dataCentre } = context;
     const nowMs = clock.nowMs();
@@ -132,12 +193,8 @@
       });
       result = await judge(response, backend);
     } catch (error) {
-      const { outcome, message } = toSpoolplankError(error);
       const brokeAfterMs = abort.signal.aborted ? null : clock.nowMs() - startedAtMs;
-      result =
-        outcome === 'not-run'
-          ? { kind: 'not-run', problem: message, restMs: null }
-          : { kind: 'unknown', problem: message, brokeAfterMs };
+      result = explain(toSpoolplankError(error), brokeAfterMs);
     } finally {
       clearTimeout(timer);
     }
@@ -168,7 +225,10 @@
       answer.onClosed(() => current.abort());
       let runs = 0;
       let rejections = 0;
-      let last: AttemptResult | null = null;
+      let heldBack = 0;
+      /** The first attempt needs no leave; one that was given and not used holds for the next. */
+      let hasLeave = true;
+      let last: MadeAttempt | null = null as MadeAttempt | null;
       let servedBy: readonly string[] = [];
 
       const end = (outcome: RequestEnd['outcome'], status: number): RequestEnd => ({
@@ -182,29 +242,14 @@
       const isWorthRepeating = (result: AttemptResult) =>
         result.kind !== 'answered' || result.status > HIGHEST_GOOD_STATUS;
 
-      for (;;) {
-        if (answer.isClosed) return end('caller-left', 0);
-        const remainingMs = admitted.endsAtMs - clock.nowMs();
-        const isFirst = runs + rejections === 0;
-        const canSend =
-          remainingMs > TIMEOUT_MARGIN_MS &&
-          mayRunAgain() &&
-          rejections < MAX_REJECTIONS &&
-          (isFirst || (quarantine.maySendOn(content) && budget.spend()));
-        const backend = canSend ? choose(service, excluded) : undefined;
-        if (!backend) break;
-        if (isFirst) budget.earn();
-        excluded.add(backend.instanceId);
-        servedBy = [backend.instanceId];
-        current = new AbortController();
-        const canRepeat = route.kind === 'safe' && runs + 1 < route.maxAttempts;
-        const result = await attempt(admitted, backend, canRepeat, current);
+      /** Takes in what came of an attempt; whether another one is worth it. */
+      async function takeResult(result: MadeAttempt, backend: BackendFact): Promise<boolean> {
         if (result.kind === 'not-run') rejections += 1;
         else runs += 1;
         // An answer that came is kept while another one is tried for.
         if (result.kind === 'answered' || last?.kind !== 'answered') last = result;
         if (isGood(result)) quarantine.noteServed(content);
-        if (!isWorthRepeating(result)) break;
+        if (!isWorthRepeating(result)) return false;
         if (result.kind === 'unknown' && result.brokeAfterMs !== null) {
           await noteBroken(content, backend, result.brokeAfterMs);
         }
@@ -218,7 +263,38 @@
           content: digestContent(content),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
-        if (result.kind === 'unknown' && route.kind !== 'safe') break;
+        return result.kind !== 'unknown' || route.kind === 'safe';
+      }
+
+      for (;;) {
+        // Once it may have run, it cannot be refused as not run.
+        if (runs === 0 && restEndsInMs(service, excluded) > 0) {
+          await waitForRest(admitted, excluded);
+        }
+        if (answer.isClosed) return end('caller-left', 0);
+        const remainingMs = admitted.endsAtMs - clock.nowMs();
+        const isFirst = runs + rejections + heldBack === 0;
+        const canSend =
+          remainingMs > TIMEOUT_MARGIN_MS &&
+          mayRunAgain() &&
+          rejections < MAX_REJECTIONS &&
+          heldBack < MAX_HELD_BACK &&
+          (hasLeave || (quarantine.maySendOn(content) && budget.spend()));
+        const backend = canSend ? choose(service, excluded) : undefined;
+        if (!backend) break;
+        if (isFirst) budget.earn();
+        excluded.add(backend.instanceId);
+        servedBy = [backend.instanceId];
+        current = new AbortController();
+        const canRepeat = route.kind === 'safe' && runs + 1 < route.maxAttempts;
+        const result = await attempt(admitted, backend, canRepeat, current);
+        hasLeave = result.kind === 'held-back';
+        if (result.kind === 'held-back') {
+          excluded.delete(backend.instanceId);
+          heldBack += 1;
+        } else if (!(await takeResult(result, backend))) {
+          break;
+        }
       }
 
       if (answer.isClosed) return end('caller-left', 0);
@@ -227,7 +303,7 @@
         return end(last.status > HIGHEST_GOOD_STATUS ? 'failed-there' : 'served', last.status);
       }
       if (runs === 0) {
-        throw new SpoolplankError('no-backend-server', { retryAfterMs: RETRY_AFTER_MS });
+        throw new SpoolplankError('no-backend-server', { retryAfterMs: returnAfterMs(service) });
       }
       const isLate = clock.nowMs() >= admitted.endsAtMs - 2 * TIMEOUT_MARGIN_MS;
       throw new SpoolplankError(isLate ? 'deadline-exceeded' : 'backend-server-failed', {
--- a/packages/entry/src/routingView.ts
+++ b/packages/entry/src/routingView.ts
@@ -1,5 +1,5 @@
 /** What an entry routes by: the document and the facts, made ready for look-ups. */
-import { FACT_KEYS, lostAfterMs, readSlowdown } from '@spoolplank/membership';
+import { FACT_KEYS, isLeaving, lostAfterMs, readSlowdown } from '@spoolplank/membership';
 import type {
   BackendFact,
   DocumentCache,
@@ -81,7 +81,8 @@
   }
 
   function takeBackend(fact: Fact<SystemFact>, body: BackendFact, nowMs: number): void {
-    if (body.state !== 'ready') return;
+    // What a server said with an answer outlives announcements that were made before it.
+    if (body.state !== 'ready' || isLeaving(table, body.instanceId)) return;
     const isLost = nowMs - fact.heardAtMs > lostAfterMs(announcementMs);
     if (isLost || isSuspect(body.instanceId, fact.sequence)) return;
     const document = currentRoutes()?.document;
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -29,6 +29,8 @@
       readonly isHeadFine: boolean;
       readonly run: BrokenRun;
     }
+  /** Nothing was sent: its first engine asked for rest or said that it leaves, after the choice. */
+  | { readonly kind: 'held-back'; readonly problem: string }
   | { readonly kind: 'caller-left' };
 
 /** How far an attempt had come when it broke off. */
@@ -211,6 +213,7 @@
     const [head] = row.stages;
     const known = toSpoolplankError(error);
     const problem = row.cutReason ?? known.message;
+    if (known.code === 'server-closed') return { kind: 'held-back', problem };
     if (row.cutReason === null && head) {
       // The engine ended, or only this answer was lost: that is looked into beside.
       examine(head.id, head.address);
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -29,6 +29,8 @@
 }
 
 const MAX_REJECTIONS = 4;
+/** Choices that came just before their engine asked for rest; each is made with what was heard. */
+const MAX_HELD_BACK = 4;
 /**
  * A closed port is seen within 2 to 6 ms, so that a request knows what ended under it before it is
  * sent on. One that is silent says nothing for 120 ms and more, which its caller would wait too.
@@ -62,9 +64,19 @@
   const attempter = createStreamAttempts({ context, streams, examine });
   let nextTurnAtMs = 0;
 
-  function noteRejection(culprit: string | null): void {
+  /**
+   * Leaves out what turned a request away: an engine that is named, for all requests, or else the
+   * first one, for this request. It was given to the same request again, four times within 8 ms.
+   */
+  function noteRejection(
+    { stages: [head] }: ChosenChain,
+    culprit: string | null,
+    excluded: Set<string>,
+  ): void {
     const fact = culprit === null ? undefined : view.findByAddress(culprit);
     if (fact?.body.kind === 'backend') avoid(fact.body.instanceId);
+    const isHead = culprit === null || culprit === head?.address;
+    if (head && isHead) excluded.add(head.id);
   }
 
   /**
@@ -114,6 +126,9 @@
       const excluded = new Set<string>();
       let runs = 0;
       let rejections = 0;
+      let heldBack = 0;
+      /** The first attempt needs no leave; one that was given and not used holds for the next. */
+      let hasLeave = true;
       let attempts = 0;
       let mayHaveRun = false;
       let problem = '';
@@ -131,7 +146,8 @@
 
       /** Another attempt is possible: there is time, budget, and an attempt left. */
       function mayTry(): boolean {
-        if (attempts === 0) return true;
+        if (heldBack > MAX_HELD_BACK) return false;
+        if (hasLeave) return true;
         const isAllowed = !mayHaveRun || (route.isResumable && runs < route.maxAttempts);
         if (!quarantine.maySendOn(content)) return false;
         const hasTime = admitted.endsAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
@@ -146,7 +162,7 @@
         const search = {
           admitted,
           model,
-          ticket: `${request.id}/${attempts}`,
+          ticket: `${request.id}/${attempts + heldBack}`,
           excludedHeads: excluded,
           isUnwanted: () => quarantine.has(content),
         };
@@ -161,6 +177,11 @@
         attempts += 1;
         const result = await attempter.attempt(search, chain, progress);
         if (result.kind === 'caller-left') return end('caller-left', progress.status);
+        hasLeave = result.kind === 'held-back';
+        if (result.kind === 'held-back') {
+          heldBack += 1;
+          attempts -= 1;
+        }
         if (result.kind === 'whole') {
           answer.end();
           return end(
@@ -182,8 +203,8 @@
         if (result.kind === 'broken' && progress.hasBegun) await waitForTurn();
         if (result.kind === 'not-run') {
           rejections += 1;
-          noteRejection(result.culprit);
-        } else {
+          noteRejection(chain, result.culprit, excluded);
+        } else if (result.kind === 'broken') {
           mayHaveRun = true;
           // Whether the engine ended or only the way to it, nobody here can tell: it counts.
           runs += 1;
@@ -200,7 +221,7 @@
       if (!mayHaveRun) {
         throw new SpoolplankError('no-backend-server', {
           detail: problem,
-          retryAfterMs: places.returnAfterMs(admitted.endsAtMs - clock.nowMs()),
+          retryAfterMs: places.returnAfterMs({ admitted, model }),
         });
       }
       throw new SpoolplankError('backend-server-failed', { detail: problem });
--- a/packages/entry/src/streamPath.ts
+++ b/packages/entry/src/streamPath.ts
@@ -37,7 +37,7 @@
 
 export function createStreamPath(options: StreamPathOptions): StreamPath {
   const { context, streams, health, guard, peers, run, host, countEntries } = options;
-  const { clock, random, log, dataCentre, view, operations } = context;
+  const { clock, random, log, dataCentre, view, operations, notices } = context;
   const { suspect, avoid } = health;
 
   const chains = createChainChoice({
@@ -49,6 +49,7 @@
     unseenInFlight: (headId) => streams.estimateUnseen(headId, Math.max(0, countEntries() - 1)),
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAvoided: health.isAvoided,
+    restMsOf: notices.rests.remainingMs,
   });
   const places = createPlaceService({
     clock,
@@ -62,6 +63,7 @@
     streams,
     chains,
     listAvoided: health.listAvoided,
+    rests: notices.rests,
   });
   const looks = createEngineLooks({
     clock,
--- a/packages/entry/src/waitingLine.ts
+++ b/packages/entry/src/waitingLine.ts
@@ -15,6 +15,8 @@
 export interface Wait<Place> extends WaitingRequest {
   /** Looks for a place; undefined while there is none. */
   readonly find: () => Place | undefined;
+  /** What it leaves out; those that leave out the same find the same places. Nothing by default. */
+  readonly excludes?: () => string;
   /** Whether nobody waits for the place any more. */
   readonly isGone: () => boolean;
 }
@@ -36,8 +38,10 @@
   readonly fail: (error: unknown) => void;
 }
 
-/** So many that find no place stand for all behind them: they differ in what they exclude only. */
+/** So many that find no place stand for all behind them that leave out the same. */
 const MAX_VAIN_LOOKS = 3;
+/** With three VMs in four at rest with one chain each, the others' places stood empty otherwise. */
+const MAX_LOOKS = 24;
 /** Pause after a place was given. */
 const NEXT_PLACE_MS = 2;
 /** Time over which places that came free are counted, in milliseconds. */
@@ -95,7 +99,19 @@
   /** Gives a place to the first who finds one; whether there was one. */
   function givePlace(): boolean {
     sortLine();
-    return line.slice(0, MAX_VAIN_LOOKS).some(lookFor);
+    const vainLooks = new Map<string, number>();
+    let looks = 0;
+    for (const ticket of [...line]) {
+      const excluded = ticket.wait.excludes?.() ?? '';
+      const inVain = vainLooks.get(excluded) ?? 0;
+      if (inVain < MAX_VAIN_LOOKS) {
+        if (lookFor(ticket)) return true;
+        vainLooks.set(excluded, inVain + 1);
+        looks += 1;
+        if (looks >= MAX_LOOKS) return false;
+      }
+    }
+    return false;
   }
 
   async function poll(): Promise<void> {
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -108,6 +108,12 @@
   readonly wallMs: number;
 }
 
+/** A run of a backend server that takes no new work, as it said with an answer to some VM. */
+export interface LeavingFact {
+  readonly kind: 'leaving';
+  readonly instanceId: string;
+}
+
 export type SystemFact =
   | MemberFact
   | LoadFact
@@ -116,7 +122,8 @@
   | PaceFact
   | RoomFact
   | CrashFact
-  | AcquittalFact;
+  | AcquittalFact
+  | LeavingFact;
 
 export type SystemFactKind = SystemFact['kind'];
 
@@ -132,6 +139,7 @@
   room: (dataCentre: string, host: string) => `room/${dataCentre}/${host}`,
   pace: (instanceId: string) => `pace/${instanceId}`,
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
+  leaving: (instanceId: string) => `leaving/${instanceId}`,
   crash: (content: string, instanceId: string) => `crash/${content}/${instanceId}`,
   acquittal: (content: string) => `acquittal/${content}`,
 } as const;
@@ -144,9 +152,36 @@
  */
 export const CRASH_RETENTION_MS = 1_800_000;
 
+/** Runs that leave end within seconds; one that takes minutes must not seem to be back. */
+const LEAVING_RETENTION_MS = 600_000;
+
+const RETENTIONS_MS: Readonly<Partial<Record<SystemFactKind, number>>> = {
+  crash: CRASH_RETENTION_MS,
+  acquittal: CRASH_RETENTION_MS,
+  leaving: LEAVING_RETENTION_MS,
+};
+
 /** How long a fact is kept that nobody states again, in milliseconds. */
 export function retentionOf({ kind }: SystemFact): number {
-  return kind === 'crash' || kind === 'acquittal' ? CRASH_RETENTION_MS : RETENTION_MS;
+  return RETENTIONS_MS[kind] ?? RETENTION_MS;
+}
+
+type FactLookup = Pick<FactTable<SystemFact>, 'find'>;
+
+/** Whether a run said that it takes no new work; nothing that is said of it later undoes that. */
+export function isLeaving(table: FactLookup, instanceId: string): boolean {
+  return table.find(FACT_KEYS.leaving(instanceId)) !== undefined;
+}
+
+/** A run leaves once: that it does has one version. */
+const LEAVING_VERSION = 1;
+
+/** States that a run takes no new work; false where that is known. */
+export function stateLeaving(
+  table: Pick<FactTable<SystemFact>, 'put'>,
+  instanceId: string,
+): boolean {
+  return table.put(FACT_KEYS.leaving(instanceId), LEAVING_VERSION, { kind: 'leaving', instanceId });
 }
 
 /** A sequence that no announcement goes beyond: what ended stays ended. */
@@ -155,8 +190,6 @@
 /** What is known of one run of a backend server. */
 export type BackendRow = Fact<SystemFact> & { readonly body: BackendFact };
 
-type FactLookup = Pick<FactTable<SystemFact>, 'find'>;
-
 function findServer(table: FactLookup, instanceId: string): BackendRow | undefined {
   const fact = table.find(FACT_KEYS.backend(instanceId));
   return fact?.body.kind === 'backend' ? { ...fact, body: fact.body } : undefined;
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -10,6 +10,8 @@
 export * from './src/fairQueue';
 export * from './src/lineage';
 export * from './src/requestSize';
+export * from './src/restTable';
+export * from './src/restWait';
 export * from './src/retryBudget';
 export * from './src/returnTime';
 export * from './src/selection';
--- /dev/null
+++ b/packages/routing/src/restTable.ts
@@ -0,0 +1,110 @@
+/**
+ * Which backend servers want nothing from this VM for a while, because they said so.
+ *
+ * The load pattern it answers: a server is full, or sheds the share of one VM, and asks it for some
+ * seconds of rest. Everything that is sent to it meanwhile is turned away, and costs the server
+ * what it wanted to be spared: one VM sent 14 requests into a rest of three seconds, though two
+ * other chains had room. At the end of a rest all who waited for it would come at once; they come
+ * one after the other instead, so that a server which still sheds is asked by one of them.
+ */
+import type { Clock } from '@spoolplank/shared';
+
+export interface RestTableOptions {
+  /** A rest is waited out, so it is counted by the time that never runs ahead. */
+  readonly clock: Pick<Clock, 'steadyMs'>;
+}
+
+/** A server that is held back now. */
+export interface HeldBackServer {
+  readonly name: string;
+  readonly remainingMs: number;
+}
+
+export interface RestTable {
+  /**
+   * Takes in that a server wants nothing for so long, in milliseconds; a shorter rest than the one
+   * it has changes nothing. Returns whether it rested not yet.
+   */
+  note(name: string, restMs: number): boolean;
+  /** Time until something may be sent to a server, in milliseconds; 0 when it may be now. */
+  remainingMs(name: string): number;
+  isHeldBack(name: string): boolean;
+  /** Whether the rest that a server asked for is not over. */
+  isResting(name: string): boolean;
+  /** Notes that something is sent to a server: what comes next after a rest waits for its turn. */
+  noteSent(name: string): void;
+  /**
+   * When one more request for a group of servers is to come back, in milliseconds from now, where
+   * the first of them rests for so long: one after the other, in the order in which they ask.
+   */
+  returnAfterMs(group: string, restMs: number): number;
+  list(): readonly HeldBackServer[];
+  /** Forgets servers that are back. */
+  sweep(): void;
+}
+
+interface RestRow {
+  /** On the steady clock. */
+  readonly endsAtMs: number;
+  nextSendAtMs: number;
+}
+
+interface ReturnRow {
+  readonly endsAtMs: number;
+  readonly given: number;
+}
+
+/** After a rest, requests go to the server one after the other for so long. */
+const RETURN_MS = 1000;
+/** A server turns a request away within 2 to 5 ms: the next one is sent when that was heard. */
+const RETURN_SPACING_MS = 25;
+
+export function createRestTable({ clock }: RestTableOptions): RestTable {
+  const rows = new Map<string, RestRow>();
+  const returns = new Map<string, ReturnRow>();
+
+  function remainingMs(name: string): number {
+    const row = rows.get(name);
+    if (!row) return 0;
+    return Math.max(0, Math.max(row.endsAtMs, row.nextSendAtMs) - clock.steadyMs());
+  }
+
+  return {
+    note(name, restMs) {
+      const nowMs = clock.steadyMs();
+      const known = rows.get(name);
+      const wasResting = known !== undefined && nowMs < known.endsAtMs;
+      const endsAtMs = Math.max(nowMs + restMs, known?.endsAtMs ?? 0);
+      rows.set(name, { endsAtMs, nextSendAtMs: endsAtMs });
+      return !wasResting;
+    },
+    remainingMs,
+    isHeldBack: (name) => remainingMs(name) > 0,
+    isResting: (name) => clock.steadyMs() < (rows.get(name)?.endsAtMs ?? 0),
+    noteSent(name) {
+      const row = rows.get(name);
+      const nowMs = clock.steadyMs();
+      if (row && nowMs < row.endsAtMs + RETURN_MS) row.nextSendAtMs = nowMs + RETURN_SPACING_MS;
+    },
+    returnAfterMs(group, restMs) {
+      const nowMs = clock.steadyMs();
+      const known = returns.get(group);
+      const given = known && nowMs < known.endsAtMs ? known.given : 0;
+      returns.set(group, { endsAtMs: nowMs + restMs, given: given + 1 });
+      return Math.ceil(restMs + given * RETURN_SPACING_MS);
+    },
+    list: () =>
+      [...rows.keys()]
+        .map((name) => ({ name, remainingMs: Math.ceil(remainingMs(name)) }))
+        .filter((server) => server.remainingMs > 0),
+    sweep() {
+      const nowMs = clock.steadyMs();
+      rows.forEach(({ endsAtMs }, name) => {
+        if (nowMs > endsAtMs + RETURN_MS) rows.delete(name);
+      });
+      returns.forEach(({ endsAtMs }, group) => {
+        if (nowMs > endsAtMs) returns.delete(group);
+      });
+    },
+  };
+}
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -64,6 +64,11 @@
     outcome: 'not-run',
     message: 'No backend server can take the request now.',
   },
+  'server-closed': {
+    httpStatus: 503,
+    outcome: 'not-run',
+    message: 'The backend server takes nothing from this VM now.',
+  },
   quarantined: {
     httpStatus: 503,
     outcome: 'not-run',
