test(routing,entry,controller): rests, leaving and places of requests that were turned away

Cause: the process test shows the fault, not each decision. A server that said when to come back is not left out for failing besides: three words within a rest kept it idle for 5 s.

--- a/packages/controller/__tests__/placementFixtures.ts
+++ b/packages/controller/__tests__/placementFixtures.ts
@@ -52,10 +52,16 @@
   /** What an engine answers to an order. */
   readonly answer: (order: GivenOrder) => OrderOutcome;
   readonly inspect?: EngineOrders['inspect'];
+  /** Whether an engine asked this VM for rest. */
+  readonly isResting?: (instanceId: string) => boolean;
 }
 
 /** The first engine holds one half of the layers, the three others hold the other half. */
-export function createPlacementSetting({ answer, inspect }: PlacementSettingOptions) {
+export function createPlacementSetting({
+  answer,
+  inspect,
+  isResting = () => false,
+}: PlacementSettingOptions) {
   const clock = createManualClock(100_000);
   const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
   const held = new Map<string, LayerRange>([
@@ -110,7 +116,7 @@
     },
     mayOrder: () => true,
     currentDocument: () => DOCUMENT,
-    isResting: () => false,
+    isResting,
     announcementMs: ANNOUNCEMENT_MS,
   });
 
--- a/packages/controller/__tests__/placementLoop.spec.ts
+++ b/packages/controller/__tests__/placementLoop.spec.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { stateLeaving } from '@spoolplank/membership';
 import type { OrderOutcome } from '../src/engineOperations';
 import { createPlacementSetting } from './placementFixtures';
 
+const ALL: readonly string[] = ['e1', 'e2', 'e3', 'e4'];
+
 function createSetting(answer: () => OrderOutcome) {
   return createPlacementSetting({ answer });
 }
@@ -35,4 +38,27 @@
       lastMs.set(engine, atMs);
     });
   });
+
+  it('gives the layers of engines that said they leave to others', async () => {
+    const { given, table, pass } = createSetting(() => 'begun');
+    await pass(6000, ALL);
+    const before = given.length;
+    ['e1', 'e3'].forEach((instanceId) => stateLeaving(table, instanceId));
+    await pass(6000, ALL);
+    const after = given.slice(before);
+    assert.ok(after.some(({ firstLayer }) => firstLayer === 0));
+    after.forEach(({ instanceId }) => assert.ok(['e2', 'e4'].includes(instanceId), instanceId));
+  });
+
+  it('moves no layers for a rest, and orders nothing of an engine meanwhile', async () => {
+    const orderedWhile = async (resting: string) => {
+      const isResting = (instanceId: string) => instanceId === resting;
+      const { ordered, pass } = createPlacementSetting({ answer: () => 'begun', isResting });
+      await pass(6000, ALL);
+      return ordered;
+    };
+    assert.deepEqual(await orderedWhile('e1'), await orderedWhile('nobody'));
+    const ordered = await orderedWhile('e3');
+    assert.ok(!ordered.includes('e3'), ordered.join(' '));
+  });
 });
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -85,6 +85,14 @@
   return result.kind === 'answered' && result.status < LEAST_UNDONE_STATUS;
 }
 
+/**
+ * Whether the server said itself how long to leave it alone: one that fails again and again is left
+ * out for 5 s, which would keep it idle after a shorter rest.
+ */
+function hasSaidWhen(result: AttemptResult): boolean {
+  return result.kind === 'held-back' || (result.kind === 'not-run' && result.restMs !== null);
+}
+
 export interface PlainDispatch {
   /**
    * Serves a request.
@@ -199,6 +207,10 @@
       clearTimeout(timer);
     }
     const nowMs = clock.nowMs();
+    if (hasSaidWhen(result)) {
+      loads.cancel(backend.instanceId);
+      return result;
+    }
     const isFailure = result.kind !== 'answered';
     loads.finish(backend.instanceId, { isFailure, durationMs: nowMs - startedAtMs, nowMs });
     return result;
--- a/packages/routing/src/backendLoad.ts
+++ b/packages/routing/src/backendLoad.ts
@@ -35,6 +35,8 @@
     name: string,
     result: { readonly isFailure: boolean; readonly durationMs: number; readonly nowMs: number },
   ): void;
+  /** Notes the end of one that says nothing of how the server does: it was not taken. */
+  cancel(name: string): void;
   /** Estimated number of requests there, running or waiting. */
   estimate(name: string): number;
   own(name: string): number;
@@ -96,6 +98,10 @@
           ? durationMs
           : row.latencyMs + LATENCY_WEIGHT * (durationMs - row.latencyMs);
     },
+    cancel(name) {
+      const row = rowOf(name);
+      row.own = Math.max(0, row.own - 1);
+    },
     estimate(name) {
       const { reported, own, ownAtReport } = rowOf(name);
       return Math.max(own, reported + own - ownAtReport);
