test(scripts): planted faults of rests and leaving

Cause: a spec that passes says nothing until it has failed. Change: 33 planted faults; one was missed, as the last look before a send made up for it: the spec counts these looks now.

--- a/packages/entry/__tests__/serverRests.spec.ts
+++ b/packages/entry/__tests__/serverRests.spec.ts
@@ -298,6 +298,8 @@
       const rested = first.filter((id) => id !== 'e3');
       const after = setting.sends.slice(first.length);
       rested.forEach((id) => assert.ok(!after.includes(id), `${id} was sent something`));
+      const held = setting.metrics.valueOf('spoolplank_sends_held_back_total', { reason: 'rests' });
+      assert.equal(held, 0, 'none of them was chosen');
     });
 
     it(`does not go there again where it asked for no rest; the next request may (${kind})`, async () => {
