fix(entry): servers that ask for rest are left alone over the product's own interface too

Cause: the same word, the same class, on the other path: a plain service or an engine that answers 503 with Retry-After was left out for that request only. Change: the same table of rests, by name and run; one parser of the header for both protocols; when all rest, the caller is told when the first one is back. Measured: a server that asks for 60 s gets 1 of 12 requests, and callers are told a time between 30 and 60 s.

--- /dev/null
+++ b/packages/bench/__tests__/restingService.spec.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { callService, waitForBackendServers } from '..';
+import type { Deployment, RunningFake } from '..';
+import { KALAHARI_TOKEN, SERVICE, startReady } from './fixtures';
+
+const REST_S = 60;
+const CALLS = 12;
+/** The VM that is called. */
+const VM = 3;
+
+describe('a plain service whose servers ask for rest', () => {
+  let deployment: Deployment;
+  let services: readonly RunningFake[];
+
+  before(async () => {
+    deployment = await startReady(3, 1);
+    services = await Promise.all(
+      ['service-1', 'service-2'].map((name) =>
+        deployment.startService({ name, service: SERVICE, announceIntervalMs: 300 }),
+      ),
+    );
+    await waitForBackendServers(deployment, 2);
+  });
+
+  after(() => deployment.stop());
+
+  function call(key: string) {
+    return callService({
+      address: deployment.addresses[VM] ?? '',
+      token: KALAHARI_TOKEN,
+      service: SERVICE,
+      path: '/charge',
+      headers: { 'idempotency-key': key },
+    });
+  }
+
+  async function countRefusals(): Promise<readonly number[]> {
+    const totals = await Promise.all(services.map((service) => service.get('/-/totals')));
+    return totals.map((total) => (total as { readonly refusals: number }).refusals);
+  }
+
+  it('sends nothing to the one that asked, and serves callers by the other', async () => {
+    await services[0]?.post('/-/faults', { failure: 'before', retryAfterS: REST_S });
+    for (let count = 0; count < CALLS; count += 1) {
+      assert.equal((await call(`one-${count}`)).status, 200);
+    }
+    assert.deepEqual(await countRefusals(), [1, 0]);
+  });
+
+  it('says when the first rest ends where all of them rest', async () => {
+    await services[1]?.post('/-/faults', { failure: 'before', retryAfterS: REST_S });
+    await call('last');
+    const answer = await call('refused');
+    const retryAfterS = Number(answer.headers['retry-after']);
+    assert.equal(answer.status, 503);
+    assert.ok(retryAfterS > REST_S / 2 && retryAfterS <= REST_S, String(retryAfterS));
+    assert.deepEqual(await countRefusals(), [1, 1]);
+  });
+});
--- a/packages/entry/src/sessions/dispatchPlain.ts
+++ b/packages/entry/src/sessions/dispatchPlain.ts
@@ -7,7 +7,7 @@
 import { selectBackendServer } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Outcome } from '@spoolplank/shared';
-import { listBackendServers } from './backendServers';
+import { listBackendServers, noteSent, noteTurnedAway, returnAfterMs } from './backendServers';
 import { deadlineOf } from './callerRequest';
 import type { CallerRequest } from './callerRequest';
 import type { EntryContext } from './entryContext';
@@ -40,6 +40,7 @@
   const remainingMs = Math.floor(deadlineOf(caller) - context.clock.nowMs());
   const controller = new AbortController();
   const timer = setTimeout(() => controller.abort(), remainingMs);
+  noteSent(context, target.name);
   try {
     const answer = await callHttp({
       endpoint: target,
@@ -55,6 +56,8 @@
         'spoolplank-deadline-ms': String(remainingMs),
       }),
     });
+    const { status, headers } = answer;
+    noteTurnedAway(context, target.name, { status, retryAfter: headers['retry-after'] });
     if (answer.status === 503 && answer.headers[OUTCOME_HEADER] === 'not-run') {
       throw new SpoolplankError('backend-server-failed', {
         outcome: 'not-run',
@@ -152,7 +155,7 @@
     });
   }
   throw new SpoolplankError('no-backend-server', {
-    retryAfterMs: RETRY_AFTER_NONE_MS,
+    retryAfterMs: returnAfterMs(context, caller.service, RETRY_AFTER_NONE_MS),
     cause: lastError,
   });
 }
--- a/packages/entry/src/sessions/engineStream.ts
+++ b/packages/entry/src/sessions/engineStream.ts
@@ -3,6 +3,7 @@
 import { createAgent, openCall } from '@spoolplank/node';
 import type { Chain, TokenEvent } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
+import type { TurnedAway } from './backendServers';
 import type { SessionRecord } from './sessionStore';
 
 /** What engines are told; see docs/design/engine-protocol.md. */
@@ -71,7 +72,11 @@
  *
  * @throws SpoolplankError `unreachable` or `backend-server-failed`.
  */
-export async function openEngineStream(record: SessionRecord, chain: Chain): Promise<EngineStream> {
+export async function openEngineStream(
+  record: SessionRecord,
+  chain: Chain,
+  onTurnedAway: (answer: TurnedAway) => void,
+): Promise<EngineStream> {
   const [first] = chain.stages;
   if (!first) throw new SpoolplankError('no-backend-server');
   const order: StreamOrder = {
@@ -97,6 +102,8 @@
     timeoutMs: OPEN_TIMEOUT_MS,
   });
   if (response.statusCode !== 200) {
+    const { statusCode: status = 0, headers } = response;
+    onTurnedAway({ status, retryAfter: headers['retry-after'] });
     response.resume();
     throw new SpoolplankError('backend-server-failed', {
       detail: `${first.name} answered ${response.statusCode}.`,
--- a/packages/entry/src/sessions/entryRole.ts
+++ b/packages/entry/src/sessions/entryRole.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { closeServer, delay } from '@spoolplank/node';
 import type { PeerMethod } from '@spoolplank/node';
-import { createBackendLoadTable, createRetryBudget } from '@spoolplank/routing';
+import { createBackendLoadTable, createRestTable, createRetryBudget } from '@spoolplank/routing';
 import type { JsonValue } from '@spoolplank/shared';
 import type { SettingsPull } from '@spoolplank/controller';
 import type { VmContext } from '@spoolplank/vm';
@@ -67,6 +67,7 @@
     isTaking,
     claims: createClaimsClient(control),
     loads: createBackendLoadTable(),
+    rests: createRestTable({ clock }),
     retryBudget: createRetryBudget(),
     isShuttingDown: () => isShuttingDown,
   };
@@ -100,6 +101,7 @@
       directory: directorySync.directory.listAll() as unknown as JsonValue,
       admission: gate.counts() as unknown as JsonValue,
       retryBudget: entry.retryBudget.saved,
+      rests: entry.rests.list() as unknown as JsonValue,
       sessions: sessions.size,
       control: describeControl(),
       memory: {
--- a/packages/entry/src/sessions/sessionDriver.ts
+++ b/packages/entry/src/sessions/sessionDriver.ts
@@ -3,6 +3,7 @@
 import type { Chain } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
+import { noteSent, noteTurnedAway, returnAfterMs } from './backendServers';
 import { createChainFinder } from './chainFinder';
 import type { ChainFinder } from './chainFinder';
 import { openEngineStream } from './engineStream';
@@ -41,7 +42,7 @@
     const canWait = record.tokens.length > 0 && context.clock.nowMs() < untilMs && !signal.aborted;
     if (!canWait) {
       throw new SpoolplankError('no-backend-server', {
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: returnAfterMs(context, record.request.model, RETRY_AFTER_MS),
         outcome: record.attempt === 0 ? 'not-run' : 'unknown',
         detail: 'No chain of engines holds every layer.',
       });
@@ -70,8 +71,12 @@
 ): Promise<AttemptFailure | null> {
   const { context, record, replication, layers, sink, signal } = options;
   let stream: EngineStream;
+  const head = chain.stages[0]?.name ?? '';
+  noteSent(context, head);
   try {
-    stream = await openEngineStream(record, chain);
+    stream = await openEngineStream(record, chain, (answer) =>
+      noteTurnedAway(context, head, answer),
+    );
   } catch (thrown) {
     const blamed = chain.stages.slice(0, 1).map(({ name }) => name);
     return { reason: toSpoolplankError(thrown).message, blamed };
--- a/packages/fakes/src/plainService.ts
+++ b/packages/fakes/src/plainService.ts
@@ -53,6 +53,8 @@
   durationMs: number;
   /** `before`: refuse unrun; `during`: run, then break off; `after`: run, send half. */
   failure: 'none' | 'before' | 'during' | 'after';
+  /** With a refusal: the seconds of rest that it asks for; 0 for none. */
+  retryAfterS: number;
   /** Calls that still fail; then the service is well again. */
   remaining: number;
 }
@@ -65,12 +67,14 @@
   const faults: ServiceFaults = {
     durationMs: options.durationMs,
     failure: 'none',
+    retryAfterS: 0,
     remaining: Number.POSITIVE_INFINITY,
   };
   const waiting: (() => void)[] = [];
   let running = 0;
   let isLeaving = false;
   let lastRequestMs = 0;
+  let refusals = 0;
 
   async function takeSlot(): Promise<void> {
     if (running >= options.capacity) {
@@ -97,7 +101,10 @@
     const body = await readBody(request, MAX_BODY_BYTES);
     const failure = takeFailure();
     if (failure === 'before') {
-      sendJson(response, 503, { refused: true }, { 'spoolplank-outcome': 'not-run' });
+      refusals += 1;
+      const rest: Readonly<Record<string, string>> =
+        faults.retryAfterS > 0 ? { 'retry-after': String(faults.retryAfterS) } : {};
+      sendJson(response, 503, { refused: true }, { 'spoolplank-outcome': 'not-run', ...rest });
       return;
     }
     await takeSlot();
@@ -155,7 +162,7 @@
       await announcer.announceNow();
       sendJson(response, 200, { isLeaving });
     } else if (request.url === '/-/totals') {
-      sendJson(response, 200, { lastRequestAgoMs: performance.now() - lastRequestMs });
+      sendJson(response, 200, { lastRequestAgoMs: performance.now() - lastRequestMs, refusals });
     } else if (request.url?.startsWith('/-/')) {
       throw new SpoolplankError('not-found');
     } else {
