fix(membership,controller): the origin of a fact is a run of a VM, not its host

Cause: others left out what an earlier run of the asking VM had taken in, as its host counted as heard from itself. Ruled out: entries that forget (they were told nothing), the lot of repeated facts (up to 10 s late by design). Change: the instance of a control VM's table names host and run, goes as origin, and is what is left out; a source that started again has everything asked for from the others.

--- a/packages/controller/src/controlFeeds.ts
+++ b/packages/controller/src/controlFeeds.ts
@@ -17,8 +17,6 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly peers: PeerClient;
-  /** This VM among its peers. */
-  readonly host: string;
   readonly table: FactTable<SystemFact>;
   readonly documents: DocumentCache<StoredDocument>;
   readonly findTarget: (vmId: string) => PeerTarget;
@@ -44,15 +42,19 @@
 const RETRY_MS = 300;
 
 export function createControlFeeds(options: ControlFeedsOptions): ControlFeeds {
-  const { clock, log, peers, host, table, documents, findTarget, onDocument } = options;
+  const { clock, log, peers, table, documents, findTarget, onDocument } = options;
   const clients = new Map<string, FeedClient>();
 
-  /** Control VMs that are heard directly, but for one; their facts need no way round. */
+  /**
+   * Runs of control VMs that are heard directly, but for one; their facts need no way round. Of
+   * runs, not of hosts: what an earlier run had taken in, this VM's own too, only others know. An
+   * entry that followed a VM which had started again lacked such a fact for 9.5 s.
+   */
   function listHeardExcept(source: string): readonly string[] {
     const heard = [...clients].filter(
       ([other, { isConnected }]) => isConnected && other !== source,
     );
-    return [host, ...heard.map(([other]) => other)];
+    return [table.instance, ...heard.map(([, { sourceRun }]) => sourceRun)];
   }
 
   /** What others left out for a VM that is no longer heard directly is asked for again. */
@@ -77,7 +79,8 @@
       waitMs: FEED_WAIT_MS,
       retryMs: RETRY_MS,
       onDocument,
-      source: other,
+      isPassingOn: true,
+      onSourceRestart: restartAll,
       exceptOrigins: () => listHeardExcept(other),
       onState(isConnected, problem) {
         log.info(isConnected ? 'peer-regained' : 'peer-lost', { peer: other, problem });
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -82,6 +82,11 @@
 
 /** Facts that change with every statement: they go with the next exchange. */
 const ROUTINE_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>(['load', 'room']);
+/**
+ * So much of a random name tells a run of a VM from its last one: with 2,700 restarts a day two are
+ * alike once in 17 years. It goes with each fact that is passed on, 7 bytes of some 110.
+ */
+const RUN_NAME_CHARS = 6;
 const TICK_MS = 200;
 /** Ticks between two statements of this process about itself. */
 const STATEMENT_TICKS = 3;
@@ -102,7 +107,7 @@
   let wakeFeed = () => {};
   const table: FactTable<SystemFact> = createFactTable<SystemFact>({
     clock,
-    instance: run,
+    instance: `${host}/${run.slice(0, RUN_NAME_CHARS)}`,
     isUrgent: ({ kind }) => !ROUTINE_FACTS.has(kind),
     onUrgent: () => wakeFeed(),
   });
@@ -188,7 +193,6 @@
     clock,
     log,
     peers,
-    host,
     table,
     documents,
     findTarget,
--- a/packages/membership/src/factTable.ts
+++ b/packages/membership/src/factTable.ts
@@ -18,7 +18,7 @@
   readonly revision: number;
   /** Revision of the last change of the body, or of its origin. */
   readonly bodyRevision: number;
-  /** The VM that heard it first-hand; empty for this one. */
+  /** The run of the VM that heard it first-hand, by its table's instance; empty for this one. */
   readonly origin: string;
 }
 
@@ -30,7 +30,7 @@
   readonly sequence: number;
   readonly ageMs: number;
   readonly body?: Body;
-  /** The VM that heard it first-hand; left out by that VM itself. */
+  /** The run of the VM that heard it first-hand; left out by that run itself. */
   readonly origin?: string;
 }
 
--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -17,9 +17,9 @@
   /** Sends a request to the present source; fails when that does not answer. */
   readonly exchange: (request: FeedRequest<Body>) => Promise<FeedReply<Body, Document>>;
   readonly delay: (durationMs: number) => Promise<void>;
-  /** Name of the source, where facts are passed on and have to say whose they are. */
-  readonly source?: string;
-  /** VMs whose facts are heard from themselves; asked anew for each exchange. */
+  /** Whether facts are passed on, and have to say which run of a source heard them first-hand. */
+  readonly isPassingOn?: boolean;
+  /** Runs of VMs whose facts are heard from themselves; asked anew for each exchange. */
   readonly exceptOrigins?: () => readonly string[];
   /** How long a source may hold back its answer. */
   readonly waitMs: number;
@@ -27,6 +27,8 @@
   readonly onDocument?: (document: Document) => void;
   /** Told when exchanges begin to fail, and when they succeed again. */
   readonly onState?: (isConnected: boolean, problem: string) => void;
+  /** Told when the source has started again: what its earlier run had heard, others may have. */
+  readonly onSourceRestart?: () => void;
   /** Told after each exchange that brought facts. */
   readonly onFacts?: () => void;
 }
@@ -40,6 +42,8 @@
   readonly syncedAtMs: number;
   /** Whether the last exchange succeeded. */
   readonly isConnected: boolean;
+  /** The run of the source that answered last; empty before the first answer. */
+  readonly sourceRun: string;
   /**
    * Asks for everything with the next exchange: to be called when fewer origins are heard from
    * themselves, as what the source left out for them is not known here.
@@ -59,6 +63,7 @@
   let isStopped = false;
   let isConnected: boolean | null = null;
   let restarts = 0;
+  let sourceRun = '';
 
   function note(nowConnected: boolean, problem = ''): void {
     if (isConnected === nowConnected) return;
@@ -73,7 +78,11 @@
     if (reply.confirmedAgeMs !== null) {
       documents.confirm(reply.documentVersion, sentAtMs + reply.waitedMs - reply.confirmedAgeMs);
     }
-    table.merge(reply.delta.updates, nowMs, options.source);
+    const { instance: run, updates } = reply.delta;
+    const isRestarted = sourceRun !== '' && run !== sourceRun;
+    sourceRun = run;
+    table.merge(updates, nowMs, options.isPassingOn ? run : undefined);
+    if (isRestarted) options.onSourceRestart?.();
     if (reply.delta.updates.length) options.onFacts?.();
   }
 
@@ -98,6 +107,9 @@
     get isConnected() {
       return isConnected === true;
     },
+    get sourceRun() {
+      return sourceRun;
+    },
     restart() {
       restarts += 1;
       instance = '';
