refactor(entry): catalog of chains, repair of paths, plain servers and waits for a rest are modules of their own

Cause: chainChoice had 355 lines and three jobs; the wait for a rest stood twice; three files imported each other in a circle. And by reading: the look whether all chains rest went through the chains of every data centre for each request. Change: four modules; no look where nobody rested within the last seconds.

--- a/packages/entry/__tests__/places.spec.ts
+++ b/packages/entry/__tests__/places.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import type { MemberFact } from '@spoolplank/membership';
 import type { HeldPlace } from '@spoolplank/routing';
-import type { RatedChain } from '../src/chainChoice';
+import type { RatedChain } from '../src/chainCatalog';
 import { createAllocatorRank } from '../src/places/allocatorRank';
 import { createPlaceAllocator } from '../src/places/placeAllocator';
 import type { PlaceAllocator } from '../src/places/placeAllocator';
--- /dev/null
+++ b/packages/entry/src/chainCatalog.ts
@@ -0,0 +1,161 @@
+/** The chains of each data centre, found among its engines and kept while nothing changes there. */
+import type { BackendFact } from '@spoolplank/membership';
+import { findStageChains, rateCapacities } from '@spoolplank/routing';
+import type { CapacityEngine, ModelDescription, PathStage, StageEngine } from '@spoolplank/routing';
+import type { RoutingView } from './routingView';
+
+export interface ChainCatalogOptions {
+  readonly view: RoutingView;
+  /** Engines to leave out for now, by instance. */
+  readonly isAvoided: (instanceId: string) => boolean;
+}
+
+/** A chain and how many requests of usual size it holds. */
+export interface RatedChain {
+  readonly headId: string;
+  readonly stages: readonly PathStage[];
+  readonly capacity: number;
+}
+
+export interface ChainCatalog {
+  listDataCentres(service: string): readonly string[];
+  /** The chains of a data centre, whatever their load, and whether an engine of theirs rests. */
+  listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
+  /** Engines that may take a part of a path, in the data centre of one of them. */
+  listEnginesBeside(
+    service: string,
+    model: ModelDescription,
+    instanceId: string,
+  ): readonly StageEngine[];
+}
+
+/** What the chains of a data centre were found from. */
+interface CachedChains {
+  readonly facts: readonly BackendFact[];
+  /** How slow each of them is, and which are left out. */
+  readonly conditions: string;
+  readonly chains: readonly RatedChain[];
+}
+
+interface CachedGroups {
+  readonly revision: number;
+  readonly groups: ReadonlyMap<string, readonly BackendFact[]>;
+}
+
+const MS_PER_S = 1000;
+
+/** Time that one layer costs one token of an answer, its share of the prompt's reading included. */
+function layerCostMs(kindName: string, model: ModelDescription): number {
+  const kind = model.kinds.find(({ name }) => name === kindName);
+  if (!kind) return Number.POSITIVE_INFINITY;
+  const readMs = (model.usualPromptTokens / model.readTokensPerS) * MS_PER_S * kind.readFactor;
+  const perTokenMs = model.stepMs * kind.stepFactor + readMs / Math.max(1, model.usualAnswerTokens);
+  return perTokenMs / model.layers;
+}
+
+function toStageEngine(
+  fact: BackendFact,
+  model: ModelDescription,
+  slowdown: number,
+): StageEngine | null {
+  const { instanceId, address, engine } = fact;
+  if (!engine?.held) return null;
+  const { firstLayer, endLayer } = engine.held;
+  return {
+    id: instanceId,
+    address,
+    firstLayer,
+    endLayer,
+    layerCostMs: layerCostMs(engine.acceleratorKind, model) * slowdown,
+  };
+}
+
+function toCapacityEngines(facts: readonly BackendFact[]): readonly CapacityEngine[] {
+  return facts.flatMap(({ instanceId, slots, engine }) =>
+    engine?.held
+      ? [
+          {
+            id: instanceId,
+            acceleratorKind: engine.acceleratorKind,
+            heldLayers: engine.held.endLayer - engine.held.firstLayer,
+            slots,
+          },
+        ]
+      : [],
+  );
+}
+
+export function createChainCatalog({ view, isAvoided }: ChainCatalogOptions): ChainCatalog {
+  const cache = new Map<string, CachedChains>();
+  const groupsByService = new Map<string, CachedGroups>();
+
+  function toStageEngines(
+    facts: readonly BackendFact[],
+    model: ModelDescription,
+  ): readonly StageEngine[] {
+    return facts
+      .filter(({ instanceId }) => !isAvoided(instanceId))
+      .flatMap((fact) => toStageEngine(fact, model, view.slowdownOf(fact.instanceId)) ?? []);
+  }
+
+  function rateChains(
+    facts: readonly BackendFact[],
+    model: ModelDescription,
+  ): readonly RatedChain[] {
+    const chains = findStageChains(toStageEngines(facts, model), { layers: model.layers });
+    const capacities = rateCapacities(chains, toCapacityEngines(facts), model);
+    return chains.map(({ stages }, index) => ({
+      headId: stages[0]?.id ?? '',
+      stages,
+      capacity: capacities[index] ?? 0,
+    }));
+  }
+
+  function chainsOf(
+    dataCentre: string,
+    facts: readonly BackendFact[],
+    model: ModelDescription,
+  ): readonly RatedChain[] {
+    const conditions = facts
+      .map(({ instanceId }) =>
+        isAvoided(instanceId) ? '-' : view.slowdownOf(instanceId).toFixed(0),
+      )
+      .join(' ');
+    const known = cache.get(dataCentre);
+    // A search takes some 5 ms for 45 engines: what changes elsewhere is no reason for one.
+    const isSame =
+      known?.conditions === conditions &&
+      known.facts.length === facts.length &&
+      known.facts.every((fact, index) => fact === facts[index]);
+    if (isSame) return known.chains;
+    const chains = rateChains(facts, model);
+    cache.set(dataCentre, { facts, conditions, chains });
+    return chains;
+  }
+
+  function groupByDataCentre(service: string): ReadonlyMap<string, readonly BackendFact[]> {
+    const { revision } = view;
+    const known = groupsByService.get(service);
+    if (known?.revision === revision) return known.groups;
+    const groups = new Map<string, BackendFact[]>();
+    view.listBackends(service).forEach((fact) => {
+      const group = groups.get(fact.dataCentre);
+      if (group) group.push(fact);
+      else groups.set(fact.dataCentre, [fact]);
+    });
+    groupsByService.set(service, { revision, groups });
+    return groups;
+  }
+
+  return {
+    listDataCentres: (service) => [...groupByDataCentre(service).keys()],
+    listOf(service, model, dataCentre) {
+      const facts = groupByDataCentre(service).get(dataCentre) ?? [];
+      return facts.length > 0 ? chainsOf(dataCentre, facts, model) : [];
+    },
+    listEnginesBeside(service, model, instanceId) {
+      const home = view.listBackends(service).find((fact) => fact.instanceId === instanceId);
+      return toStageEngines(groupByDataCentre(service).get(home?.dataCentre ?? '') ?? [], model);
+    },
+  };
+}
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -1,8 +1,10 @@
 /** Choice of a chain for a stream among those of all data centres, by their load. */
-import type { BackendFact } from '@spoolplank/membership';
-import { findStageChains, findStagePath, rateCapacities } from '@spoolplank/routing';
-import type { CapacityEngine, ModelDescription, PathStage, StageEngine } from '@spoolplank/routing';
+import type { ModelDescription, PathStage } from '@spoolplank/routing';
 import type { Random } from '@spoolplank/shared';
+import { createChainCatalog } from './chainCatalog';
+import type { RatedChain } from './chainCatalog';
+import { createPathRepair } from './pathRepair';
+import type { PathRepair } from './pathRepair';
 import type { RoutingView } from './routingView';
 
 export interface ChainChoiceOptions {
@@ -59,19 +61,7 @@
   /** The chains of a data centre, whatever their load, and whether an engine of theirs rests. */
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
   /** Another path for a running stream that keeps its first stage; undefined without one. */
-  repair(
-    service: string,
-    model: ModelDescription,
-    stages: readonly PathStage[],
-    lostIds: ReadonlySet<string>,
-  ): readonly PathStage[] | undefined;
-}
-
-/** A chain and how many requests of usual size it holds. */
-export interface RatedChain {
-  readonly headId: string;
-  readonly stages: readonly PathStage[];
-  readonly capacity: number;
+  readonly repair: PathRepair;
 }
 
 /** A chain and the data centre of its engines. */
@@ -80,19 +70,6 @@
   readonly chain: RatedChain;
 }
 
-/** What the chains of a data centre were found from. */
-interface CachedChains {
-  readonly facts: readonly BackendFact[];
-  /** How slow each of them is, and which are left out. */
-  readonly conditions: string;
-  readonly chains: readonly RatedChain[];
-}
-
-interface CachedGroups {
-  readonly revision: number;
-  readonly groups: ReadonlyMap<string, readonly BackendFact[]>;
-}
-
 interface Candidate {
   readonly chain: ChosenChain;
   /** Its load and distance; a full chain of this data centre costs 1. */
@@ -111,48 +88,6 @@
 const LENT_SHARE = 0.8;
 /** A first event that takes so long counts as much as a chain that is full. */
 const SLOW_FIRST_EVENT_MS = 500;
-const MS_PER_S = 1000;
-
-/** Time that one layer costs one token of an answer, its share of the prompt's reading included. */
-function layerCostMs(kindName: string, model: ModelDescription): number {
-  const kind = model.kinds.find(({ name }) => name === kindName);
-  if (!kind) return Number.POSITIVE_INFINITY;
-  const readMs = (model.usualPromptTokens / model.readTokensPerS) * MS_PER_S * kind.readFactor;
-  const perTokenMs = model.stepMs * kind.stepFactor + readMs / Math.max(1, model.usualAnswerTokens);
-  return perTokenMs / model.layers;
-}
-
-function toStageEngine(
-  fact: BackendFact,
-  model: ModelDescription,
-  slowdown: number,
-): StageEngine | null {
-  const { instanceId, address, engine } = fact;
-  if (!engine?.held) return null;
-  const { firstLayer, endLayer } = engine.held;
-  return {
-    id: instanceId,
-    address,
-    firstLayer,
-    endLayer,
-    layerCostMs: layerCostMs(engine.acceleratorKind, model) * slowdown,
-  };
-}
-
-function toCapacityEngines(facts: readonly BackendFact[]): readonly CapacityEngine[] {
-  return facts.flatMap(({ instanceId, slots, engine }) =>
-    engine?.held
-      ? [
-          {
-            id: instanceId,
-            acceleratorKind: engine.acceleratorKind,
-            heldLayers: engine.held.endLayer - engine.held.firstLayer,
-            slots,
-          },
-        ]
-      : [],
-  );
-}
 
 /**
  * Two candidates drawn at random are compared rather than all: what entries know of each other's
@@ -176,46 +111,8 @@
 
 export function createChainChoice(options: ChainChoiceOptions): ChainChoice {
   const { view, random, isAvoided, ownInFlight, restMsOf } = options;
-  const cache = new Map<string, CachedChains>();
-  const groupsByService = new Map<string, CachedGroups>();
-
-  function rateChains(
-    facts: readonly BackendFact[],
-    model: ModelDescription,
-  ): readonly RatedChain[] {
-    const engines = facts
-      .filter(({ instanceId }) => !isAvoided(instanceId))
-      .flatMap((fact) => toStageEngine(fact, model, view.slowdownOf(fact.instanceId)) ?? []);
-    const chains = findStageChains(engines, { layers: model.layers });
-    const capacities = rateCapacities(chains, toCapacityEngines(facts), model);
-    return chains.map(({ stages }, index) => ({
-      headId: stages[0]?.id ?? '',
-      stages,
-      capacity: capacities[index] ?? 0,
-    }));
-  }
-
-  function chainsOf(
-    dataCentre: string,
-    facts: readonly BackendFact[],
-    model: ModelDescription,
-  ): readonly RatedChain[] {
-    const conditions = facts
-      .map(({ instanceId }) =>
-        isAvoided(instanceId) ? '-' : view.slowdownOf(instanceId).toFixed(0),
-      )
-      .join(' ');
-    const known = cache.get(dataCentre);
-    // A search takes some 5 ms for 45 engines: what changes elsewhere is no reason for one.
-    const isSame =
-      known?.conditions === conditions &&
-      known.facts.length === facts.length &&
-      known.facts.every((fact, index) => fact === facts[index]);
-    if (isSame) return known.chains;
-    const chains = rateChains(facts, model);
-    cache.set(dataCentre, { facts, conditions, chains });
-    return chains;
-  }
+  const catalog = createChainCatalog({ view, isAvoided });
+  const repair = createPathRepair({ random, catalog, restMsOf });
 
   function toCandidate(chain: RatedChain, dataCentre: string): Candidate {
     const { headId, stages, capacity } = chain;
@@ -244,36 +141,14 @@
     return { chain: rated, cost, isLocal };
   }
 
-  function groupByDataCentre(service: string): ReadonlyMap<string, readonly BackendFact[]> {
-    const { revision } = view;
-    const known = groupsByService.get(service);
-    if (known?.revision === revision) return known.groups;
-    const groups = new Map<string, BackendFact[]>();
-    view.listBackends(service).forEach((fact) => {
-      const group = groups.get(fact.dataCentre);
-      if (group) group.push(fact);
-      else groups.set(fact.dataCentre, [fact]);
-    });
-    groupsByService.set(service, { revision, groups });
-    return groups;
-  }
-
-  /**
-   * Streams of a lost engine are read again by who takes its part, one after the other: 80 of them
-   * keep one engine busy for a third of a second. Weights drawn up to
-   * twice the cost spread them over all that could.
-   */
-  function drawWeight(): number {
-    return 1 + random.nextFloat();
-  }
-
   function listChains(
     service: string,
     model: ModelDescription,
     excludedHeads: ReadonlySet<string>,
   ): readonly LocatedChain[] {
-    return [...groupByDataCentre(service)].flatMap(([dataCentre, facts]) =>
-      chainsOf(dataCentre, facts, model)
+    return catalog.listDataCentres(service).flatMap((dataCentre) =>
+      catalog
+        .listOf(service, model, dataCentre)
         .filter(({ headId }) => !excludedHeads.has(headId))
         .map((chain) => ({ dataCentre, chain })),
     );
@@ -296,10 +171,7 @@
   }
 
   return {
-    listOf(service, model, dataCentre) {
-      const facts = groupByDataCentre(service).get(dataCentre) ?? [];
-      return facts.length > 0 ? chainsOf(dataCentre, facts, model) : [];
-    },
+    listOf: catalog.listOf,
     restEndsInMs(service, model, excludedHeads) {
       const restsMs = listChains(service, model, excludedHeads).map(({ chain }) =>
         chainRestMs(chain),
@@ -316,40 +188,6 @@
       const withRoom = candidates.filter(({ chain }) => chain.hasRoom);
       return (findCheapest(withRoom) ?? findCheapest(candidates))?.chain;
     },
-    repair(service, model, stages, lostIds) {
-      const [head] = stages;
-      if (!head || lostIds.has(head.id)) return undefined;
-      const home = view.listBackends(service).find(({ instanceId }) => instanceId === head.id);
-      const facts = groupByDataCentre(service).get(home?.dataCentre ?? '') ?? [];
-      const kept = new Set(stages.map(({ id }) => id).filter((id) => !lostIds.has(id)));
-      const engines = facts
-        .filter(({ instanceId }) => !lostIds.has(instanceId) && !isAvoided(instanceId))
-        .filter(({ instanceId }) => kept.has(instanceId) || restMsOf(instanceId) === 0)
-        .flatMap((fact) => toStageEngine(fact, model, view.slowdownOf(fact.instanceId)) ?? []);
-      const replaceable = engines
-        .filter(({ id }) => !kept.has(id))
-        .map((engine) => ({ ...engine, layerCostMs: engine.layerCostMs * drawWeight() }));
-      const patched: PathStage[] = [];
-      for (const stage of stages) {
-        if (kept.has(stage.id)) {
-          patched.push(stage);
-        } else {
-          const unused = replaceable.filter(({ id }) => !patched.some((used) => used.id === id));
-          const patch = findStagePath(unused, {
-            fromLayer: stage.firstLayer,
-            toLayer: stage.endLayer,
-          });
-          if (!patch) {
-            const rest = findStagePath(
-              engines.filter(({ id }) => id !== head.id),
-              { fromLayer: head.endLayer, toLayer: model.layers },
-            );
-            return rest ? [head, ...rest.stages] : undefined;
-          }
-          patched.push(...patch.stages);
-        }
-      }
-      return patched;
-    },
+    repair,
   };
 }
--- /dev/null
+++ b/packages/entry/src/pathRepair.ts
@@ -0,0 +1,64 @@
+/** Another path for a running stream over which an engine is lost. */
+import { findStagePath } from '@spoolplank/routing';
+import type { ModelDescription, PathStage } from '@spoolplank/routing';
+import type { Random } from '@spoolplank/shared';
+import type { ChainCatalog } from './chainCatalog';
+
+export interface PathRepairOptions {
+  readonly random: Random;
+  readonly catalog: Pick<ChainCatalog, 'listEnginesBeside'>;
+  /** Time until this VM may send something to an engine, in milliseconds; 0 when it may now. */
+  readonly restMsOf: (instanceId: string) => number;
+}
+
+/** A path that keeps the first stage, and of the others what it can; undefined without one. */
+export type PathRepair = (
+  service: string,
+  model: ModelDescription,
+  stages: readonly PathStage[],
+  lostIds: ReadonlySet<string>,
+) => readonly PathStage[] | undefined;
+
+export function createPathRepair({ random, catalog, restMsOf }: PathRepairOptions): PathRepair {
+  /**
+   * Streams of a lost engine are read again by who takes its part, one after the other: 80 of them
+   * keep one engine busy for a third of a second. Weights drawn up to
+   * twice the cost spread them over all that could.
+   */
+  function drawWeight(): number {
+    return 1 + random.nextFloat();
+  }
+
+  return (service, model, stages, lostIds) => {
+    const [head] = stages;
+    if (!head || lostIds.has(head.id)) return undefined;
+    const kept = new Set(stages.map(({ id }) => id).filter((id) => !lostIds.has(id)));
+    const engines = catalog
+      .listEnginesBeside(service, model, head.id)
+      .filter(({ id }) => !lostIds.has(id) && (kept.has(id) || restMsOf(id) === 0));
+    const replaceable = engines
+      .filter(({ id }) => !kept.has(id))
+      .map((engine) => ({ ...engine, layerCostMs: engine.layerCostMs * drawWeight() }));
+    const patched: PathStage[] = [];
+    for (const stage of stages) {
+      if (kept.has(stage.id)) {
+        patched.push(stage);
+      } else {
+        const unused = replaceable.filter(({ id }) => !patched.some((used) => used.id === id));
+        const patch = findStagePath(unused, {
+          fromLayer: stage.firstLayer,
+          toLayer: stage.endLayer,
+        });
+        if (!patch) {
+          const rest = findStagePath(
+            engines.filter(({ id }) => id !== head.id),
+            { fromLayer: head.endLayer, toLayer: model.layers },
+          );
+          return rest ? [head, ...rest.stages] : undefined;
+        }
+        patched.push(...patch.stages);
+      }
+    }
+    return patched;
+  };
+}
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -8,7 +8,8 @@
 import { createPlaceLedger } from '@spoolplank/routing';
 import type { ModelDescription } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
-import type { ChainChoice, RatedChain } from '../chainChoice';
+import type { RatedChain } from '../chainCatalog';
+import type { ChainChoice } from '../chainChoice';
 import { createWaitingLine } from '../waitingLine';
 import type { GrantedPlace, PlaceAsk, PlaceCall, PlaceRefusal, PlaceReply } from './placeMessages';
 
--- a/packages/entry/src/places/placeFinder.ts
+++ b/packages/entry/src/places/placeFinder.ts
@@ -4,10 +4,11 @@
  */
 import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { SpoolplankError } from '@spoolplank/shared';
-import { createReturnTimes, isRestWorthWaiting, sizeOfRequest } from '@spoolplank/routing';
+import { createReturnTimes, sizeOfRequest } from '@spoolplank/routing';
 import type { ModelDescription, RestTable } from '@spoolplank/routing';
 import type { ChainChoice, ChosenChain } from '../chainChoice';
 import type { AdmittedRequest } from '../entryContext';
+import { createRestWaits } from '../restWaits';
 import type { StreamTable } from '../streamTable';
 import { createWaitingLine } from '../waitingLine';
 import type { RatedDataCentre } from './dataCentreRank';
@@ -21,7 +22,7 @@
   readonly streams: StreamTable;
   readonly chains: ChainChoice;
   readonly places: PlaceClient;
-  readonly rests: Pick<RestTable, 'returnAfterMs'>;
+  readonly rests: Pick<RestTable, 'returnAfterMs' | 'isEmpty'>;
   /** Data centres that may have a place for a service, the best one first. */
   readonly rankDataCentres: (service: string) => readonly RatedDataCentre[];
 }
@@ -88,6 +89,7 @@
     maxWaiting: MAX_WAITING,
     pollMs: ADMISSION_POLL_MS,
   });
+  const restWaits = createRestWaits({ clock, delay, rests });
   const returns = createReturnTimes({ clock, random: options.random });
 
   function toRequest(search: PlaceSearch, leavesAtMs: number, hasBegun: boolean): PlaceRequest {
@@ -139,32 +141,19 @@
     return new SpoolplankError(REFUSAL_CODES[reason], { detail, retryAfterMs });
   }
 
-  /**
-   * Waits out a short rest of all chains.
-   *
-   * @throws SpoolplankError that says when it is the caller's turn, where that is too long a wait.
-   */
-  async function waitForRest({ admitted, model, excludedHeads }: PlaceSearch): Promise<void> {
-    const { service, request, answer, endsAtMs } = admitted;
-    let restMs = chains.restEndsInMs(service, model, excludedHeads);
-    while (restMs > 0 && !answer.isClosed) {
-      const turnInMs = rests.returnAfterMs(service, restMs);
-      const nowMs = clock.nowMs();
-      const waitedMs = nowMs - request.arrivedAtMs;
-      if (!isRestWorthWaiting({ turnInMs, remainingMs: endsAtMs - nowMs, waitedMs })) {
-        const detail = `All chains rest, the first one for ${Math.ceil(restMs)} ms.`;
-        throw new SpoolplankError('no-backend-server', { detail, retryAfterMs: turnInMs });
-      }
-      await delay(turnInMs);
-      restMs = chains.restEndsInMs(service, model, excludedHeads);
-    }
+  /** Looking through the chains of all data centres takes up to 5 ms where engines have changed. */
+  function restEndsInMs(
+    { admitted, model }: Pick<PlaceSearch, 'admitted' | 'model'>,
+    excludedHeads: ReadonlySet<string>,
+  ): number {
+    return rests.isEmpty ? 0 : chains.restEndsInMs(admitted.service, model, excludedHeads);
   }
 
   return {
     async toBegin(search) {
       const { admitted } = search;
       const sinceMs = clock.nowMs();
-      await waitForRest(search);
+      await restWaits.wait(admitted, () => restEndsInMs(search, search.excludedHeads));
       const latestMs = admitted.request.arrivedAtMs + MAX_ADMISSION_WAIT_MS;
       const request = toRequest(search, Math.min(latestMs, admitted.endsAtMs), false);
       const outcome = await places.find(request);
@@ -191,9 +180,9 @@
       }
       return chain;
     },
-    returnAfterMs({ admitted, model }) {
-      const { service, endsAtMs } = admitted;
-      const restMs = chains.restEndsInMs(service, model, NONE_EXCLUDED);
+    returnAfterMs(search) {
+      const { service, endsAtMs } = search.admitted;
+      const restMs = restEndsInMs(search, NONE_EXCLUDED);
       if (restMs > 0) return rests.returnAfterMs(service, restMs);
       return returns.afterMs(endsAtMs - clock.nowMs());
     },
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -2,13 +2,14 @@
 import { finished } from 'node:stream/promises';
 import type { BackendFact } from '@spoolplank/membership';
 import { delay } from '@spoolplank/node';
-import { isRestWorthWaiting, selectCandidate } from '@spoolplank/routing';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { BackendResponse } from './backendOperations';
 import type { RawHeaders } from './callerRequest';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
+import { createPlainServers } from './plainServers';
 import { contentOf, digestContent } from './requestContent';
 import type { RequestContent } from './requestContent';
+import { createRestWaits } from './restWaits';
 
 /** What came of sending a request to one backend server. */
 type AttemptResult =
@@ -48,8 +49,6 @@
 const MAX_REJECTIONS = 3;
 /** Choices that came just before their server asked for rest; each is made with what was heard. */
 const MAX_HELD_BACK = 4;
-const RETRY_AFTER_MS = 150;
-const NONE_EXCLUDED: ReadonlySet<string> = new Set();
 /** Greatest answer that is held back until it is whole. */
 const MAX_ANSWER_BYTES = 16_777_216;
 const HIGHEST_GOOD_STATUS = 499;
@@ -103,59 +102,9 @@
 }
 
 export function createPlainDispatch(context: EntryContext): PlainDispatch {
-  const { clock, loads, log, operations, random, view, quarantine, crashes, notices } = context;
-  const { rests } = notices;
-
-  /** Servers that may be sent a request which was not there yet. */
-  function listLeft(service: string, excluded: ReadonlySet<string>): readonly BackendFact[] {
-    return view.listBackends(service).filter(({ instanceId }) => !excluded.has(instanceId));
-  }
-
-  /** Time until a server of a service may be sent something; 0 when one may be now, or none is. */
-  function restEndsInMs(service: string, excluded: ReadonlySet<string>): number {
-    const restsMs = listLeft(service, excluded).map(({ instanceId }) =>
-      rests.remainingMs(instanceId),
-    );
-    return restsMs.length === 0 ? 0 : Math.min(...restsMs);
-  }
-
-  /** When a request that nothing ran is to come back. */
-  function returnAfterMs(service: string): number {
-    const restMs = restEndsInMs(service, NONE_EXCLUDED);
-    return restMs === 0 ? RETRY_AFTER_MS : rests.returnAfterMs(service, restMs);
-  }
-
-  /**
-   * Waits out a short rest of all servers that are left.
-   *
-   * @throws SpoolplankError that says when it is the caller's turn, where that is too long a wait.
-   */
-  async function waitForRest(
-    { service, request, answer, endsAtMs }: AdmittedRequest,
-    excluded: ReadonlySet<string>,
-  ): Promise<void> {
-    let restMs = restEndsInMs(service, excluded);
-    while (restMs > 0 && !answer.isClosed) {
-      const turnInMs = rests.returnAfterMs(service, restMs);
-      const nowMs = clock.nowMs();
-      const waitedMs = nowMs - request.arrivedAtMs;
-      if (!isRestWorthWaiting({ turnInMs, remainingMs: endsAtMs - nowMs, waitedMs })) {
-        const detail = `All servers rest, the first one for ${Math.ceil(restMs)} ms.`;
-        throw new SpoolplankError('no-backend-server', { detail, retryAfterMs: turnInMs });
-      }
-      await delay(turnInMs);
-      restMs = restEndsInMs(service, excluded);
-    }
-  }
-
-  function choose(service: string, excluded: ReadonlySet<string>): BackendFact | undefined {
-    const candidates = listLeft(service, excluded)
-      .filter(({ instanceId }) => !rests.isHeldBack(instanceId))
-      .map((fact) => ({ name: fact.instanceId, dataCentre: fact.dataCentre, fact }));
-    const { dataCentre } = context;
-    const nowMs = clock.nowMs();
-    return selectCandidate(candidates, { dataCentre, excluded, nowMs }, loads, random)?.fact;
-  }
+  const { clock, loads, log, operations, quarantine, crashes, notices } = context;
+  const servers = createPlainServers(context);
+  const restWaits = createRestWaits({ clock, delay, rests: notices.rests });
 
   async function judge(response: BackendResponse, backend: BackendFact): Promise<AttemptResult> {
     const { status, headers, problem, isNotRun, load } = response;
@@ -280,8 +229,8 @@
 
       for (;;) {
         // Once it may have run, it cannot be refused as not run.
-        if (runs === 0 && restEndsInMs(service, excluded) > 0) {
-          await waitForRest(admitted, excluded);
+        if (runs === 0 && servers.restEndsInMs(service, excluded) > 0) {
+          await restWaits.wait(admitted, () => servers.restEndsInMs(service, excluded));
         }
         if (answer.isClosed) return end('caller-left', 0);
         const remainingMs = admitted.endsAtMs - clock.nowMs();
@@ -292,7 +241,7 @@
           rejections < MAX_REJECTIONS &&
           heldBack < MAX_HELD_BACK &&
           (hasLeave || (quarantine.maySendOn(content) && budget.spend()));
-        const backend = canSend ? choose(service, excluded) : undefined;
+        const backend = canSend ? servers.choose(service, excluded) : undefined;
         if (!backend) break;
         if (isFirst) budget.earn();
         excluded.add(backend.instanceId);
@@ -315,7 +264,9 @@
         return end(last.status > HIGHEST_GOOD_STATUS ? 'failed-there' : 'served', last.status);
       }
       if (runs === 0) {
-        throw new SpoolplankError('no-backend-server', { retryAfterMs: returnAfterMs(service) });
+        throw new SpoolplankError('no-backend-server', {
+          retryAfterMs: servers.returnAfterMs(service),
+        });
       }
       const isLate = clock.nowMs() >= admitted.endsAtMs - 2 * TIMEOUT_MARGIN_MS;
       throw new SpoolplankError(isLate ? 'deadline-exceeded' : 'backend-server-failed', {
--- a/packages/entry/src/requestContent.ts
+++ b/packages/entry/src/requestContent.ts
@@ -1,7 +1,6 @@
 /** What a request asks for and for whom, told apart from its other attempts by a digest. */
 import { createHash } from 'node:crypto';
 import type { CallerRequest } from './callerRequest';
-import type { AdmittedRequest } from './entryContext';
 
 /** Whose request it is, and what it carries. */
 export interface RequestContent {
@@ -10,8 +9,14 @@
   readonly organisation: string | null;
 }
 
+/** A request, and the organisation it was admitted for. */
+interface ContentSource {
+  readonly request: RequestContent['request'];
+  readonly organisation: { readonly name: string } | null;
+}
+
 /** The content of an admitted request. */
-export function contentOf({ request, organisation }: AdmittedRequest): RequestContent {
+export function contentOf({ request, organisation }: ContentSource): RequestContent {
   return { request, organisation: organisation?.name ?? null };
 }
 
--- a/packages/routing/src/restTable.ts
+++ b/packages/routing/src/restTable.ts
@@ -39,6 +39,8 @@
    */
   returnAfterMs(group: string, restMs: number): number;
   list(): readonly HeldBackServer[];
+  /** Whether any server rested within the last seconds; mostly none did. */
+  readonly isEmpty: boolean;
   /** Forgets servers that are back. */
   sweep(): void;
 }
@@ -97,6 +99,9 @@
       [...rows.keys()]
         .map((name) => ({ name, remainingMs: Math.ceil(remainingMs(name)) }))
         .filter((server) => server.remainingMs > 0),
+    get isEmpty() {
+      return rows.size === 0;
+    },
     sweep() {
       const nowMs = clock.steadyMs();
       rows.forEach(({ endsAtMs }, name) => {
