fix(entry): an account of places that has not heard yet that an engine leaves is told so with the ask

Cause: by reading: the last look holds back what is sent to an engine that leaves, and an account that hears of it a moment later gave the same chain again, five times, until the request was refused. Change: an ask lists what its VM sends nothing now, rests and leaving alike.

--- a/packages/entry/__tests__/places.spec.ts
+++ b/packages/entry/__tests__/places.spec.ts
@@ -110,7 +110,7 @@
         call(target, (vm) => vm.allocator.answer(params), timeoutMs),
       listHeld: () => [...held.values()],
       listAvoided: () => [...avoided],
-      listResting: () => [...resting],
+      listClosed: () => [...resting],
       schedule,
       onFailure: () => {},
     });
--- a/packages/entry/__tests__/serverRests.spec.ts
+++ b/packages/entry/__tests__/serverRests.spec.ts
@@ -247,6 +247,7 @@
     assert.equal(linesOf('server-leaves').length, 1);
     const [update] = notices.listStatements();
     assert.deepEqual(update?.body, { kind: 'leaving', instanceId: 'e1' });
+    assert.deepEqual(notices.listClosed(), ['e1'], 'to VMs that may not have heard of it');
     clock.advance(5001);
     assert.deepEqual(notices.listStatements(), []);
     notices.sweep();
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -51,8 +51,8 @@
 }
 
 /** What an ask leaves out: asks that leave out the same find the same places. */
-function excludesOf({ excludedHeads, restingIds = [] }: PlaceAsk): string {
-  return [...excludedHeads, ...restingIds].sort().join(' ');
+function excludesOf({ excludedHeads, closedIds = [] }: PlaceAsk): string {
+  return [...excludedHeads, ...closedIds].sort().join(' ');
 }
 
 const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
@@ -133,13 +133,13 @@
     return ask.avoidedIds.includes(id) || (avoidedUntilMs.get(id) ?? 0) > clock.nowMs();
   }
 
-  /** Whether an engine of a chain wants nothing from the asking VM: others may well use it. */
-  function isResting({ stages }: RatedChain, { restingIds = [] }: PlaceAsk): boolean {
-    return restingIds.length > 0 && stages.some(({ id }) => restingIds.includes(id));
+  /** Whether the asking VM sends an engine of a chain nothing: others may well use it. */
+  function isClosed({ stages }: RatedChain, { closedIds = [] }: PlaceAsk): boolean {
+    return closedIds.length > 0 && stages.some(({ id }) => closedIds.includes(id));
   }
 
   function isUsable(chain: RatedChain, ask: PlaceAsk): boolean {
-    if (ask.excludedHeads.includes(chain.headId) || isResting(chain, ask)) return false;
+    if (ask.excludedHeads.includes(chain.headId) || isClosed(chain, ask)) return false;
     return !chain.stages.some(({ id }) => isAvoided(id, ask));
   }
 
@@ -171,9 +171,9 @@
    */
   function isTurnedAway(ask: PlaceAsk): boolean {
     const own = listChains(ask);
-    const isClosed = (chain: RatedChain) =>
-      isResting(chain, ask) || (!ask.hasBegun && ask.excludedHeads.includes(chain.headId));
-    return own.length > 0 && own.every(isClosed);
+    const isVain = (chain: RatedChain) =>
+      isClosed(chain, ask) || (!ask.hasBegun && ask.excludedHeads.includes(chain.headId));
+    return own.length > 0 && own.every(isVain);
   }
 
   function findPlace(holder: string, ask: PlaceAsk): GrantedPlace | undefined {
--- a/packages/entry/src/places/placeClient.ts
+++ b/packages/entry/src/places/placeClient.ts
@@ -53,8 +53,8 @@
   /** Engines that this VM leaves out for now. */
   readonly listAvoided: () => readonly string[];
   readonly schedule: (run: () => void, delayMs: number) => void;
-  /** Engines that asked this VM for rest. */
-  readonly listResting: () => readonly string[];
+  /** Engines that this VM sends nothing now: they asked it for rest, or said that they leave. */
+  readonly listClosed: () => readonly string[];
   /** Told of a VM that did not answer. */
   readonly onFailure: (target: MemberFact, problem: string) => void;
 }
@@ -197,7 +197,7 @@
       leavesInMs: request.leavesAtMs - nowMs,
       excludedHeads: [...request.excludedHeads],
       avoidedIds: options.listAvoided(),
-      restingIds: options.listResting(),
+      closedIds: options.listClosed(),
       mayWait,
       holdMs,
     };
--- a/packages/entry/src/places/placeMessages.ts
+++ b/packages/entry/src/places/placeMessages.ts
@@ -22,8 +22,8 @@
   readonly excludedHeads: readonly string[];
   /** Engines that the asking VM leaves out for now. */
   readonly avoidedIds: readonly string[];
-  /** Engines that asked the asking VM for rest; others may use them. */
-  readonly restingIds?: readonly string[];
+  /** Engines that the asking VM sends nothing now, as they said so to it; others may use them. */
+  readonly closedIds?: readonly string[];
   /** Whether it stands in the line when there is no place now. */
   readonly mayWait: boolean;
   /** How long the answer may be held back for a place. */
--- a/packages/entry/src/places/placeService.ts
+++ b/packages/entry/src/places/placeService.ts
@@ -31,6 +31,8 @@
   readonly chains: ChainChoice;
   /** Engines that this entry leaves out for now. */
   readonly listAvoided: () => readonly string[];
+  /** Engines that this entry sends nothing now, as they said so. */
+  readonly listClosed: () => readonly string[];
   readonly rests: RestTable;
 }
 
@@ -99,7 +101,7 @@
     call,
     listHeld: (name) => streams.listHeld(name),
     listAvoided: options.listAvoided,
-    listResting: () => options.rests.list().map(({ name }) => name),
+    listClosed: options.listClosed,
     schedule: scheduleTimer,
     onFailure: (target, problem) =>
       log.info('allocator-silent', {
--- a/packages/entry/src/serverNotices.ts
+++ b/packages/entry/src/serverNotices.ts
@@ -29,6 +29,11 @@
   take(notice: ServerNotice): void;
   /** Why a request is not to be sent to a server; null when it may be. */
   closedReason(instanceId: string): ClosedReason | null;
+  /**
+   * Servers that are sent nothing now, for VMs that choose for this one: that a server leaves, they
+   * may hear a moment later.
+   */
+  listClosed(): readonly string[];
   /** Counts a send that was held back. */
   noteHeldBack(reason: ClosedReason): void;
   /** What is to be stated with the next exchange. */
@@ -86,6 +91,7 @@
       if (isLeaving(table, instanceId)) return 'leaves';
       return rests.isHeldBack(instanceId) ? 'rests' : null;
     },
+    listClosed: () => [...rests.list().map(({ name }) => name), ...leavingSinceMs.keys()],
     noteHeldBack(reason) {
       metrics.count('spoolplank_sends_held_back_total', { reason });
     },
--- a/packages/entry/src/streamPath.ts
+++ b/packages/entry/src/streamPath.ts
@@ -63,6 +63,7 @@
     streams,
     chains,
     listAvoided: health.listAvoided,
+    listClosed: notices.listClosed,
     rests: notices.rests,
   });
   const looks = createEngineLooks({
