--- a/packages/entry/__tests__/crashDispatch.spec.ts
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -2,39 +2,28 @@
 import { PassThrough } from 'node:stream';
 import { describe, it } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import type { Route, RouteKind } from '@spoolplank/routing';
+import type { RouteKind } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendOperations, BackendResponse } from '../src/backendOperations';
-import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
-import type { ChosenChain } from '../src/chainChoice';
 import type { BrokenServerRun } from '../src/crashWitness';
-import type { AdmittedRequest, EntryContext } from '../src/entryContext';
+import type { EntryContext } from '../src/entryContext';
 import { createPlainDispatch } from '../src/plainDispatch';
 import type { PlaceFinder } from '../src/places/placeFinder';
 import { contentOf, digestContent } from '../src/requestContent';
 import { createStreamDispatch } from '../src/streamDispatch';
 import { createStreamTable } from '../src/streamTable';
-import { createContext, createEngine, createTables, MODEL } from './fixtures';
+import {
+  createAdmitted,
+  createChain,
+  createContext,
+  createEngine,
+  createRoute,
+  createTables,
+  MODEL,
+} from './fixtures';
 
 const EVENT = Buffer.from('id: 1\ndata: x\n\n');
 
-function createRoute(kind: RouteKind, maxAttempts: number): Route {
-  return {
-    name: 'draft',
-    host: 'users',
-    pathPrefix: '/draft/',
-    kind,
-    isResumable: true,
-    timeoutMs: 3000,
-    targetLatencyMs: 500,
-    targetGapMs: 200,
-    priority: 1,
-    targets: [{ service: 'engines', weight: 1 }],
-    maxAttempts,
-    isAnonymousAllowed: false,
-  };
-}
-
 /** What a backend server does with a request, and then its connection breaks. */
 type Break = 'before-head' | 'after-head' | 'after-event';
 
@@ -101,31 +90,7 @@
       tick: () => {},
     },
   };
-  const answer = {
-    isClosed: false,
-    onClosed: () => {},
-    begin: () => {},
-    write: () => true,
-    cut: () => {},
-    end: () => {},
-  } as unknown as CallerAnswer;
-  const admitted: AdmittedRequest = {
-    request: {
-      id: 'r1',
-      host: 'users',
-      method: 'POST',
-      url: '/draft/1',
-      body: Buffer.from('a prompt'),
-      lastEventId: null,
-      arrivedAtMs: clock.nowMs(),
-    } as CallerRequest,
-    answer,
-    route: createRoute(kind, 4),
-    service: 'engines',
-    organisation: null,
-    callerAgeMs: 0,
-    endsAtMs: clock.nowMs() + 3000,
-  };
+  const admitted = createAdmitted(clock, createRoute(kind, { maxAttempts: 4 }));
   const content = digestContent(contentOf(admitted));
   let ended = 0;
   function endElsewhere(): void {
@@ -136,19 +101,9 @@
   }
   for (let count = 0; count < endsBefore; count += 1) endElsewhere();
 
-  const chainOn = (id: string): ChosenChain => ({
-    dataCentre: 'a',
-    headId: id,
-    stages: [{ id, address: `${id}:80`, firstLayer: 0, endLayer: 8 }],
-    capacity: 10,
-    inFlight: 0,
-    placedBy: null,
-    hasRoom: true,
-    hasRoomForBegun: true,
-  });
   const findPlace = () => {
     if (endsInLine) endElsewhere();
-    return Promise.resolve(chainOn(`e${sends + 1}`));
+    return Promise.resolve(createChain(`e${sends + 1}`));
   };
   const places: PlaceFinder = {
     toBegin: findPlace,
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -3,11 +3,13 @@
 import { createDocumentCache, createFactTable, FACT_KEYS } from '@spoolplank/membership';
 import type { BackendFact, SystemFact } from '@spoolplank/membership';
 import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
-import type { ModelDescription, RoutingDocument } from '@spoolplank/routing';
+import type { ModelDescription, Route, RouteKind, RoutingDocument } from '@spoolplank/routing';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
 import type { BackendOperations } from '../src/backendOperations';
-import type { EntryContext } from '../src/entryContext';
+import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
+import type { ChosenChain } from '../src/chainChoice';
+import type { AdmittedRequest, EntryContext } from '../src/entryContext';
 import { createQuarantine } from '../src/quarantine';
 import { createRoutingView } from '../src/routingView';
 import { createServerNotices } from '../src/serverNotices';
@@ -115,3 +117,73 @@
     factsAgeMs: () => 0,
   };
 }
+
+export function createRoute(kind: RouteKind, overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'draft',
+    host: 'users',
+    pathPrefix: '/draft/',
+    kind,
+    isResumable: true,
+    timeoutMs: 3000,
+    targetLatencyMs: 500,
+    targetGapMs: 200,
+    priority: 1,
+    targets: [{ service: 'engines', weight: 1 }],
+    maxAttempts: 2,
+    isAnonymousAllowed: false,
+    ...overrides,
+  };
+}
+
+/** A caller that stays; the statuses of the answers that were sent whole are kept. */
+export function createAnswer(sent: number[] = []): CallerAnswer {
+  return {
+    isClosed: false,
+    onClosed: () => {},
+    begin: () => {},
+    write: () => true,
+    cut: () => {},
+    end: () => {},
+    send: (status: number) => sent.push(status),
+  } as unknown as CallerAnswer;
+}
+
+/** A request that arrived just now and was admitted, with all the time of its route left. */
+export function createAdmitted(
+  clock: ManualClock,
+  route: Route,
+  answer: CallerAnswer = createAnswer(),
+): AdmittedRequest {
+  return {
+    request: {
+      id: 'r1',
+      host: 'users',
+      method: 'POST',
+      url: '/draft/1',
+      body: Buffer.from('a prompt'),
+      lastEventId: null,
+      arrivedAtMs: clock.nowMs(),
+    } as CallerRequest,
+    answer,
+    route,
+    service: 'engines',
+    organisation: null,
+    callerAgeMs: 0,
+    endsAtMs: clock.nowMs() + route.timeoutMs,
+  };
+}
+
+/** A chain of one engine that holds all layers. */
+export function createChain(id: string): ChosenChain {
+  return {
+    dataCentre: 'a',
+    headId: id,
+    stages: [{ id, address: `${id}:80`, firstLayer: 0, endLayer: 8 }],
+    capacity: 10,
+    inFlight: 0,
+    placedBy: null,
+    hasRoom: true,
+    hasRoomForBegun: true,
+  };
+}
--- a/packages/entry/__tests__/serverRests.spec.ts
+++ b/packages/entry/__tests__/serverRests.spec.ts
@@ -3,19 +3,27 @@
 import { describe, it } from 'node:test';
 import { FACT_KEYS } from '@spoolplank/membership';
 import type { NoticeListener, ServerNotice } from '@spoolplank/membership';
-import type { Route, RouteKind } from '@spoolplank/routing';
+import type { RouteKind } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendOperations, BackendResponse } from '../src/backendOperations';
-import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
 import type { ChosenChain } from '../src/chainChoice';
-import type { AdmittedRequest, RequestEnd } from '../src/entryContext';
+import type { RequestEnd } from '../src/entryContext';
 import { guardOperations } from '../src/guardedOperations';
 import { createPlainDispatch } from '../src/plainDispatch';
 import type { PlaceSearch } from '../src/places/placeFinder';
 import { createServerNotices } from '../src/serverNotices';
 import { createStreamDispatch } from '../src/streamDispatch';
 import { createStreamTable } from '../src/streamTable';
-import { createContext, createEngine, createTables, MODEL } from './fixtures';
+import {
+  createAdmitted,
+  createAnswer,
+  createChain,
+  createContext,
+  createEngine,
+  createRoute,
+  createTables,
+  MODEL,
+} from './fixtures';
 
 const REST_MS = 3000;
 const SERVERS = ['e1', 'e2', 'e3'];
@@ -54,23 +62,6 @@
   };
 }
 
-function createRoute(kind: RouteKind): Route {
-  return {
-    name: 'draft',
-    host: 'users',
-    pathPrefix: '/draft/',
-    kind,
-    isResumable: true,
-    timeoutMs: 20_000,
-    targetLatencyMs: 500,
-    targetGapMs: 200,
-    priority: 1,
-    targets: [{ service: 'engines', weight: 1 }],
-    maxAttempts: 2,
-    isAnonymousAllowed: false,
-  };
-}
-
 function createSetting(kind: RouteKind = 'safe') {
   const tables = createTables();
   const { clock, view, table, announce } = tables;
@@ -113,32 +104,8 @@
   const guarded = guardOperations(operations, notices);
   const context = { ...base, notices, operations: guarded };
   const answers: number[] = [];
-  const answer = {
-    isClosed: false,
-    onClosed: () => {},
-    begin: () => {},
-    write: () => true,
-    cut: () => {},
-    end: () => {},
-    send: (status: number) => answers.push(status),
-  } as unknown as CallerAnswer;
-  const createAdmitted = (): AdmittedRequest => ({
-    request: {
-      id: 'r1',
-      host: 'users',
-      method: 'POST',
-      url: '/draft/1',
-      body: Buffer.from('a prompt'),
-      lastEventId: null,
-      arrivedAtMs: clock.nowMs(),
-    } as CallerRequest,
-    answer,
-    route: createRoute(kind),
-    service: 'engines',
-    organisation: null,
-    callerAgeMs: 0,
-    endsAtMs: clock.nowMs() + 20_000,
-  });
+  const answer = createAnswer(answers);
+  const route = createRoute(kind, { timeoutMs: 20_000 });
   const searches: PlaceSearch[] = [];
   /** Gives out the chain of the first server that is not left out, as an account does. */
   function findChain(search: PlaceSearch): Promise<ChosenChain | undefined> {
@@ -147,16 +114,7 @@
       (server) => !search.excludedHeads.has(server) && !notices.rests.isHeldBack(server),
     );
     if (id === undefined) return Promise.reject(new SpoolplankError('no-backend-server'));
-    return Promise.resolve({
-      dataCentre: 'a',
-      headId: id,
-      stages: [{ id, address: `${id}:80`, firstLayer: 0, endLayer: 8 }],
-      capacity: 10,
-      inFlight: 0,
-      placedBy: null,
-      hasRoom: true,
-      hasRoomForBegun: true,
-    });
+    return Promise.resolve(createChain(id));
   }
   const stream = createStreamDispatch({
     context,
@@ -181,7 +139,7 @@
       onSend = next;
     },
     send(): Promise<RequestEnd> {
-      const admitted = createAdmitted();
+      const admitted = createAdmitted(clock, route, answer);
       return kind === 'stream' ? stream.run(admitted, MODEL) : plain.run(admitted);
     },
   };
