fix(membership): a source that was lost and came back has nothing asked for again

Cause: by reading: after a failed exchange nothing was left out for the source, so its new run misses nothing here; asking all others for everything a second time is for a restart that no exchange noticed. Change: the source's restart is told only where no exchange failed meanwhile.

--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -27,7 +27,10 @@
   readonly onDocument?: (document: Document) => void;
   /** Told when exchanges begin to fail, and when they succeed again. */
   readonly onState?: (isConnected: boolean, problem: string) => void;
-  /** Told when the source has started again: what its earlier run had heard, others may have. */
+  /**
+   * Told when the source has started again and no exchange failed meanwhile: what others left out
+   * for its earlier run may be missing here.
+   */
   readonly onSourceRestart?: () => void;
   /** Told after each exchange that brought facts. */
   readonly onFacts?: () => void;
@@ -79,7 +82,8 @@
       documents.confirm(reply.documentVersion, sentAtMs + reply.waitedMs - reply.confirmedAgeMs);
     }
     const { instance: run, updates } = reply.delta;
-    const isRestarted = sourceRun !== '' && run !== sourceRun;
+    // After a failure nothing is left out for the source, so nothing is missing either.
+    const isRestarted = isConnected === true && sourceRun !== '' && run !== sourceRun;
     sourceRun = run;
     table.merge(updates, nowMs, options.isPassingOn ? run : undefined);
     if (isRestarted) options.onSourceRestart?.();
