fix(entry): an engine that cannot be reached is not left out for the request

Cause: it counted like one that turned the request away itself. With the first engines of all chains lost for a moment, each chain was left out for the request, and the account refused it at once as turned away, where before it waited for a mended one. Change: only an answer that names no engine leaves the first one out.

--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -65,8 +65,9 @@
   let nextTurnAtMs = 0;
 
   /**
-   * Leaves out what turned a request away: an engine that is named, for all requests, or else the
-   * first one, for this request. It was given to the same request again, four times within 8 ms.
+   * Leaves out what turned a request away: an engine that is named, for all requests and a moment,
+   * or where none is, the first one, for this request. It was given to the same request again, four
+   * times within 8 ms. One that could not be reached is named: its chain may be mended in the line.
    */
   function noteRejection(
     { stages: [head] }: ChosenChain,
@@ -75,8 +76,7 @@
   ): void {
     const fact = culprit === null ? undefined : view.findByAddress(culprit);
     if (fact?.body.kind === 'backend') avoid(fact.body.instanceId);
-    const isHead = culprit === null || culprit === head?.address;
-    if (head && isHead) excluded.add(head.id);
+    if (head && culprit === null) excluded.add(head.id);
   }
 
   /**
