--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -1,7 +1,7 @@
 /** An entry's tables, filled by hand. */
 import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createDocumentCache, createFactTable, FACT_KEYS } from '@spoolplank/membership';
-import type { BackendFact, SystemFact } from '@spoolplank/membership';
+import type { BackendFact, FactTable, SystemFact } from '@spoolplank/membership';
 import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
 import type { ModelDescription, Route, RouteKind, RoutingDocument } from '@spoolplank/routing';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
@@ -50,9 +50,17 @@
   };
 }
 
-export function createTables(announcementMs = 1000) {
-  const clock = createManualClock(100_000);
-  const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
+interface TablesOptions {
+  readonly announcementMs?: number;
+  readonly clock?: ManualClock;
+  readonly table?: FactTable<SystemFact>;
+}
+
+export function createTables({
+  announcementMs = 1000,
+  clock = createManualClock(100_000),
+  table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false }),
+}: TablesOptions = {}) {
   let syncedAtMs = clock.nowMs();
   const view = createRoutingView<RoutingDocument>({
     clock,
--- a/packages/entry/__tests__/routingView.spec.ts
+++ b/packages/entry/__tests__/routingView.spec.ts
@@ -41,7 +41,7 @@
   });
 
   it('does not take those for lost whose announcements are on their way', () => {
-    const { view, announce, clock, sync } = createTables(300);
+    const { view, announce, clock, sync } = createTables({ announcementMs: 300 });
     announce(createEngine('e1', 0, 8));
     // Two exchanges of 800 ms after an announcement of just now.
     clock.advance(1700);
