fix(entry,membership,routing): what one VM alone saw of a server's end is stated before it is certain

Cause: an end counted only once somebody knew that the server had ended and not just a connection. Until then it stood in the memory of the VM that saw it, and a VM that was stopped took it along; where the head of the answer was lost on a cut link it stood nowhere.

Change: a run that broke off at a server that seems to be there is stated as open, and so is each attempt at a suspected content before it is sent. All entries follow open runs; who stated one speaks at once when the server's next run is heard of, the others in an order of their own, 150 ms apart. An attempt of which no more is known counts as the third end at the earliest. What is stated once and told again is a module of its own.

--- a/packages/controller/__tests__/controlRestart.spec.ts
+++ b/packages/controller/__tests__/controlRestart.spec.ts
@@ -24,8 +24,8 @@
 const POLL_MS = 50;
 
 function createFact(instanceId: string): FactUpdate<SystemFact> {
-  const body = { kind: 'crash', content: 'c', instanceId, ranMs: 80 } as const;
-  return { key: FACT_KEYS.crash('c', instanceId), sequence: 1, ageMs: 0, body };
+  const body = { kind: 'crash', content: 'c', instanceId, ranMs: 80, evidence: 'run' } as const;
+  return { key: FACT_KEYS.crash(body), sequence: 1, ageMs: 0, body };
 }
 
 /** Three control VMs without a disk, that can be ended and started again. */
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -80,8 +80,15 @@
 /** What a VM without a replica answers to one that looks for its group. */
 const DISKLESS: GroupDescription = { replicaId: null, configuration: null };
 
-/** Facts that change with every statement: they go with the next exchange. */
-const ROUTINE_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>(['load', 'room']);
+/**
+ * Facts that go with the next exchange: they change with every statement, or say nothing before
+ * another one is heard.
+ */
+const ROUTINE_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>([
+  'load',
+  'room',
+  'open-run',
+]);
 /**
  * So much of a random name tells a run of a VM from its last one: with 2,700 restarts a day two are
  * alike once in 17 years. It goes with each fact that is passed on, 7 bytes of some 110.
--- a/packages/entry/__tests__/crashDispatch.spec.ts
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -5,7 +5,7 @@
 import type { RouteKind } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendOperations, BackendResponse } from '../src/backendOperations';
-import type { BrokenServerRun } from '../src/crashWitness';
+import type { ServerRun } from '../src/crashWitness';
 import type { EntryContext } from '../src/entryContext';
 import { createPlainDispatch } from '../src/plainDispatch';
 import type { PlaceFinder } from '../src/places/placeFinder';
@@ -68,7 +68,7 @@
 }: Setting = {}) {
   const { clock, view, announce } = createTables();
   ['e1', 'e2', 'e3', 'e4'].forEach((id) => announce(createEngine(id, 0, 8)));
-  const notes: BrokenServerRun[] = [];
+  const notes: ServerRun[] = [];
   let sends = 0;
   const operations = {
     open() {
@@ -81,13 +81,13 @@
   const context: EntryContext = {
     ...base,
     crashes: {
+      ...base.crashes,
       note(run) {
         notes.push(run);
         base.quarantine.noteEnd(run);
-        base.quarantine.onFact({ kind: 'crash', ...run });
+        base.quarantine.onFact({ kind: 'crash', evidence: 'run', ...run });
         return Promise.resolve();
       },
-      tick: () => {},
     },
   };
   const admitted = createAdmitted(clock, createRoute(kind, { maxAttempts: 4 }));
@@ -97,7 +97,7 @@
     ended += 1;
     const run = { content, instanceId: `other-${ended}`, ranMs: 80 };
     context.quarantine.noteEnd(run);
-    context.quarantine.onFact({ kind: 'crash', ...run });
+    context.quarantine.onFact({ kind: 'crash', evidence: 'run', ...run });
   }
   for (let count = 0; count < endsBefore; count += 1) endElsewhere();
 
@@ -185,6 +185,22 @@
   });
 });
 
+describe('a request to a server', () => {
+  (['stream', 'safe', 'once'] as const).forEach((kind) => {
+    it(`is told to the witness before it is sent: ${kind}`, async () => {
+      const setting = createSetting({ kind });
+      const told: string[] = [];
+      Object.assign(setting.context.crashes, {
+        noteSend: (_content: unknown, target: { readonly instanceId: string }) =>
+          told.push(`${target.instanceId} after ${setting.sends()} sends`),
+      });
+      await setting.run();
+      assert.match(told[0] ?? '', /^e\d after 0 sends$/);
+      assert.equal(told.length, setting.sends());
+    });
+  });
+});
+
 describe('a plain request whose server ended', () => {
   it('is suspected whatever had come of it, and sent on once', async () => {
     const setting = createSetting({ kind: 'safe', how: 'before-head' });
--- a/packages/entry/__tests__/crashGuard.spec.ts
+++ b/packages/entry/__tests__/crashGuard.spec.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createFactTable } from '@spoolplank/membership';
+import { createFactTable, FACT_KEYS } from '@spoolplank/membership';
 import type { FactUpdate, SystemFact } from '@spoolplank/membership';
 import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
-import { createCrashGuard } from '../src/crashGuard';
+import { createCrashGuard, isGuardFact } from '../src/crashGuard';
 import type { CrashGuard } from '../src/crashGuard';
 import { contentOf, digestContent } from '../src/requestContent';
 import type { StreamRow, StreamTable } from '../src/streamTable';
@@ -33,7 +33,7 @@
     instance: 'run',
     isUrgent: () => true,
     onUrgent(body) {
-      if (body.kind === 'crash' || body.kind === 'acquittal') guard?.onFact(body);
+      if (isGuardFact(body)) guard?.onFact(body);
     },
   });
   guard = createCrashGuard({
@@ -41,6 +41,7 @@
     random: createSeededRandom(1),
     log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
     metrics: createMetrics(),
+    host: 'vm',
     table,
     view: createTables().view,
     streams: { list: () => rows } as unknown as StreamTable,
@@ -56,10 +57,10 @@
 
 function createCrashes(content: string, instanceIds: readonly string[], ranMs: number) {
   return instanceIds.map((instanceId): FactUpdate<SystemFact> => ({
-    key: `crash/${content}/${instanceId}`,
+    key: FACT_KEYS.crash({ content, instanceId, evidence: 'run' }),
     sequence: 1,
     ageMs: 0,
-    body: { kind: 'crash', content, instanceId, ranMs },
+    body: { kind: 'crash', content, instanceId, ranMs, evidence: 'run' },
   }));
 }
 
--- a/packages/entry/__tests__/crashWitness.spec.ts
+++ b/packages/entry/__tests__/crashWitness.spec.ts
@@ -1,21 +1,55 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createFactTable } from '@spoolplank/membership';
+import type { FactUpdate, SystemFact } from '@spoolplank/membership';
 import { createManualClock } from '@spoolplank/shared';
 import { createCrashWitness } from '../src/crashWitness';
+import { createOwnStatements } from '../src/ownStatements';
+import { contentOf, digestContent } from '../src/requestContent';
+import { createAdmitted, createRoute } from './fixtures';
 
 const RUN = { content: 'c', instanceId: 's1', address: 's1:80', ranMs: 50 };
 
-function createSetting({ isThere = true }: { readonly isThere?: boolean } = {}) {
+interface Setting {
+  readonly isThere?: boolean;
+  readonly isSuspected?: boolean;
+  /** How many VMs are to speak first of what another one stated. */
+  readonly rank?: number;
+}
+
+function createSetting({ isThere = true, isSuspected = false, rank = 0 }: Setting = {}) {
   const clock = createManualClock();
   const ended = new Set<string>();
   const seen: string[] = [];
+  let onFact = (_body: SystemFact): void => {};
+  const table = createFactTable<SystemFact>({
+    clock,
+    instance: 'vm',
+    isUrgent: () => true,
+    onUrgent: (body) => onFact(body),
+  });
+  const statements = createOwnStatements({ clock, table, spread: () => {} });
   const witness = createCrashWitness({
     clock,
+    table,
+    state: statements.state,
+    isSuspected: () => isSuspected,
     isThere: () => Promise.resolve(isThere),
     hasEnded: (instanceId) => ended.has(instanceId),
-    onEnd: ({ instanceId }) => seen.push(instanceId),
+    rankOf: () => rank,
+    onEnd: ({ instanceId }, evidence) => seen.push(evidence === 'run' ? instanceId : evidence),
   });
-  return { clock, ended, seen, witness };
+  onFact = (body) => {
+    if (body.kind === 'open-run') witness.onFact(body);
+  };
+  return {
+    clock,
+    ended,
+    seen,
+    witness,
+    tell: () => statements.list(),
+    hear: (updates: readonly FactUpdate<SystemFact>[]) => table.merge(updates, clock.nowMs(), 'c'),
+  };
 }
 
 describe('a run whose connection broke', () => {
@@ -63,3 +97,70 @@
     assert.deepEqual(seen, ['s1']);
   });
 });
+
+describe('a run that another VM has stated and left open', () => {
+  it('counts as an end once the server has ended, after those who are to speak first', async () => {
+    const [stater, other] = [createSetting(), createSetting({ rank: 2 })];
+    await stater.witness.note(RUN);
+    other.hear(stater.tell());
+    other.witness.tick();
+    other.ended.add('s1');
+    const seen = [0, 299, 1].map((passedMs) => {
+      other.clock.advance(passedMs);
+      other.witness.tick();
+      return other.seen.length;
+    });
+    assert.deepEqual(seen, [0, 0, 1]);
+  });
+
+  it('counts for nothing when the server ends long after', async () => {
+    const [stater, other] = [createSetting(), createSetting()];
+    await stater.witness.note(RUN);
+    other.hear(stater.tell());
+    other.clock.advance(8000);
+    other.ended.add('s1');
+    other.witness.tick();
+    assert.deepEqual(other.seen, []);
+  });
+
+  it('is bounded in number: the oldest are left out first', async () => {
+    const { witness, ended, seen } = createSetting();
+    for (let count = 0; count <= 512; count += 1) {
+      await witness.note({ ...RUN, instanceId: `s${count}` });
+      ended.add(`s${count}`);
+    }
+    witness.tick();
+    assert.deepEqual([seen.length, seen[0]], [512, 's1']);
+  });
+});
+
+describe('an attempt that is about to be sent', () => {
+  const createContent = () =>
+    contentOf(createAdmitted(createManualClock(100_000), createRoute('stream')));
+
+  it('is stated where servers have ended under its content, and only there', () => {
+    const told = [true, false].map((isSuspected) => {
+      const { witness, tell } = createSetting({ isSuspected });
+      witness.noteSend(createContent(), RUN);
+      return tell().map(({ body }) => body);
+    });
+    const [stated] = told[0] ?? [];
+    assert.ok(stated?.kind === 'open-run');
+    assert.deepEqual(
+      [stated.content, stated.evidence],
+      [digestContent(createContent()), 'attempt'],
+    );
+    assert.deepEqual(told[1], []);
+  });
+
+  it('counts as no more than that when its server ends, also the second one at a run', () => {
+    const { witness, clock, ended, seen } = createSetting({ isSuspected: true });
+    witness.noteSend(createContent(), RUN);
+    clock.advance(9000);
+    witness.tick();
+    witness.noteSend(createContent(), RUN);
+    ended.add('s1');
+    witness.tick();
+    assert.deepEqual(seen, ['attempt']);
+  });
+});
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -10,6 +10,7 @@
 import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
 import type { ChosenChain } from '../src/chainChoice';
 import type { AdmittedRequest, EntryContext } from '../src/entryContext';
+import { createOwnStatements } from '../src/ownStatements';
 import { createQuarantine } from '../src/quarantine';
 import { createRoutingView } from '../src/routingView';
 import { createServerNotices } from '../src/serverNotices';
@@ -99,7 +100,7 @@
     log,
     metrics: createMetrics(),
     table,
-    spread: () => {},
+    statements: createOwnStatements({ clock, table, spread: () => {} }),
   });
   const notices = createServerNotices({
     clock,
@@ -120,7 +121,12 @@
     loads: createBackendLoadTable(),
     budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
     quarantine,
-    crashes: { note: () => Promise.resolve(), tick: () => {} },
+    crashes: {
+      noteSend: () => {},
+      note: () => Promise.resolve(),
+      onFact: () => {},
+      tick: () => {},
+    },
     notices,
     factsAgeMs: () => 0,
   };
--- a/packages/entry/__tests__/lostWitness.spec.ts
+++ b/packages/entry/__tests__/lostWitness.spec.ts
@@ -16,7 +16,7 @@
 import { createManualClock, createSeededRandom, SpoolplankError } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
 import type { BackendOperations } from '../src/backendOperations';
-import { createCrashGuard } from '../src/crashGuard';
+import { createCrashGuard, isGuardFact } from '../src/crashGuard';
 import type { CrashGuard } from '../src/crashGuard';
 import type { PlaceFinder } from '../src/places/placeFinder';
 import { contentOf, digestContent } from '../src/requestContent';
@@ -45,7 +45,7 @@
     instance: host,
     isUrgent: () => true,
     onUrgent(body) {
-      if (body.kind === 'crash' || body.kind === 'acquittal') guard?.onFact(body);
+      if (isGuardFact(body)) guard?.onFact(body);
     },
   });
   const { view } = createTables({ clock, table });
@@ -54,6 +54,7 @@
     random: createSeededRandom(1),
     log: createEventLog({ vmId: host, clock, writeChunk: () => {} }),
     metrics: createMetrics(),
+    host,
     table,
     view,
     streams: { list: () => [] } as unknown as StreamTable,
--- a/packages/entry/__tests__/quarantine.spec.ts
+++ b/packages/entry/__tests__/quarantine.spec.ts
@@ -5,6 +5,7 @@
 import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createManualClock, createSeededRandom, SpoolplankError } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
+import { createOwnStatements } from '../src/ownStatements';
 import { createQuarantine } from '../src/quarantine';
 import type { Quarantine } from '../src/quarantine';
 import { digestContent } from '../src/requestContent';
@@ -38,15 +39,20 @@
     isUrgent: () => true,
     onUrgent: (body) => onFact(body),
   });
+  const statements = createOwnStatements({
+    clock,
+    table,
+    spread: () => {
+      spreads += 1;
+    },
+  });
   const quarantine = createQuarantine({
     clock,
     random: createSeededRandom(3),
     log: createEventLog({ vmId: name, clock, writeChunk: () => {} }),
     metrics: createMetrics(),
     table,
-    spread: () => {
-      spreads += 1;
-    },
+    statements,
   });
   onFact = (body) => {
     if (body.kind === 'crash' || body.kind === 'acquittal') quarantine.onFact(body);
@@ -62,6 +68,7 @@
     tellAll: () => table.deltaSince('', 0).updates,
     sweep() {
       table.sweep(retentionOf);
+      statements.sweep();
       quarantine.sweep();
     },
   };
@@ -164,6 +171,29 @@
     assert.equal(vm.quarantine.maySendOn(createContent('honest')), true);
   });
 
+  it('is counted once for a run that was stated as an attempt before', () => {
+    const vm = createVm(createManualClock());
+    const deadly = createContent('deadly');
+    const content = digestContent(deadly);
+    ['s1', 's2', 's3'].forEach((instanceId) =>
+      vm.quarantine.noteEnd({ content, instanceId, ranMs: 0 }, 'attempt'),
+    );
+    assert.equal(vm.quarantine.has(deadly), false, 'nothing shows that it was run');
+    vm.end(deadly, 's1');
+    assert.equal(vm.quarantine.has(deadly), false);
+    vm.end(deadly, 's2');
+    assert.equal(vm.quarantine.has(deadly), true);
+  });
+
+  it('is sent on by the router itself after one end that was stated twice', () => {
+    const vm = createVm(createManualClock());
+    const deadly = createContent('deadly');
+    vm.end(deadly, 's1');
+    const run = { content: digestContent(deadly), instanceId: 's1', ranMs: 0 };
+    vm.quarantine.noteEnd(run, 'attempt');
+    assert.equal(vm.quarantine.maySendOn(deadly), true);
+  });
+
   it('is cleared of the ends so far when it is run somewhere, and only of those', () => {
     const clock = createManualClock();
     const vm = createVm(clock);
--- a/packages/entry/src/crashGuard.ts
+++ b/packages/entry/src/crashGuard.ts
@@ -1,11 +1,19 @@
 /** Keeps requests that end backend servers from the next ones: what is seen, judged and stopped. */
-import type { AcquittalFact, CrashFact, FactTable, SystemFact } from '@spoolplank/membership';
+import type {
+  AcquittalFact,
+  CrashFact,
+  FactTable,
+  OpenRunFact,
+  SystemFact,
+} from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics } from '@spoolplank/node';
+import { rankByRendezvous } from '@spoolplank/shared';
 import type { Clock, Random } from '@spoolplank/shared';
 import { createCrashWitness } from './crashWitness';
 import type { CrashWitness } from './crashWitness';
 import type { EngineHealth } from './engineHealth';
+import { createOwnStatements } from './ownStatements';
 import { createQuarantine } from './quarantine';
 import type { Quarantine } from './quarantine';
 import { contentOf, digestContent } from './requestContent';
@@ -17,6 +25,8 @@
   readonly random: Random;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  /** This VM. */
+  readonly host: string;
   readonly table: FactTable<SystemFact>;
   readonly view: RoutingView;
   readonly streams: StreamTable;
@@ -32,8 +42,24 @@
   readonly crashes: CrashWitness;
   /** Holds the loss of any engine of its path against a stream that had just begun there. */
   noteLost(row: StreamRow, instanceId: string): void;
-  /** To be called when a crash or an acquittal was stated, here or elsewhere. */
-  onFact(body: CrashFact | AcquittalFact): void;
+  /** To be called when one of these was stated, here or elsewhere. */
+  onFact(body: GuardFact): void;
+  /** Forgets what is over. */
+  sweep(): void;
+}
+
+/** What VMs tell each other of contents that may end servers. */
+export type GuardFact = CrashFact | AcquittalFact | OpenRunFact;
+
+const GUARD_FACTS: ReadonlySet<SystemFact['kind']> = new Set<GuardFact['kind']>([
+  'crash',
+  'acquittal',
+  'open-run',
+]);
+
+/** Whether a fact is one of those. */
+export function isGuardFact(body: SystemFact): body is GuardFact {
+  return GUARD_FACTS.has(body.kind);
 }
 
 /** Runs something a little later, once for all who have asked for it till then. */
@@ -50,7 +76,7 @@
 }
 
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
-  const { clock, view, streams, health } = options;
+  const { clock, host, table, view, streams, health } = options;
 
   /** One end is stated by many streams at the same moment: one exchange takes all of it. */
   const spreadSoon = createOnce((run) => scheduleTimer(run, 0), options.spread);
@@ -62,12 +88,23 @@
     return isTaken || health.isLost(instanceId);
   }
 
-  const quarantine: Quarantine = createQuarantine({ ...options, spread: spreadSoon });
+  /** The order in which entries speak of a run that one of them has stated and left open. */
+  function rankOf(key: string): number {
+    const hosts = view.listMembers('entry').map((member) => member.host);
+    return Math.max(0, rankByRendezvous(key, hosts).indexOf(host));
+  }
+
+  const statements = createOwnStatements({ clock, table, spread: spreadSoon });
+  const quarantine: Quarantine = createQuarantine({ ...options, statements });
   const crashes = createCrashWitness({
     clock,
+    table,
+    state: statements.state,
+    isSuspected: quarantine.isSuspected,
     isThere: options.isThere,
     hasEnded,
-    onEnd: (run) => quarantine.noteEnd(run),
+    rankOf,
+    onEnd: (run, evidence) => quarantine.noteEnd(run, evidence),
   });
 
   /** Copies that are under way, and have not begun to answer, may still be kept from a server. */
@@ -94,8 +131,16 @@
       quarantine.noteEnd({ content, instanceId, ranMs: clock.nowMs() - row.startedAtMs });
     },
     onFact(body) {
+      if (body.kind === 'open-run') {
+        crashes.onFact(body);
+        return;
+      }
       quarantine.onFact(body);
       judgeSoon();
     },
+    sweep() {
+      statements.sweep();
+      quarantine.sweep();
+    },
   };
 }
--- a/packages/entry/src/crashWitness.ts
+++ b/packages/entry/src/crashWitness.ts
@@ -1,9 +1,20 @@
-/** Tells a backend server that ended from a connection that was lost. */
+/**
+ * Tells a backend server that ended from a connection that was lost.
+ *
+ * While nobody can tell, the run is stated to all VMs as open, so that what one VM alone has seen
+ * is not lost with it: a VM that had seen three ends, and was stopped 0.3 s before the last server
+ * announced itself again, took that end with it, and a fourth server ended.
+ */
+import { FACT_KEYS, OPEN_RUN_RETENTION_MS } from '@spoolplank/membership';
+import type { CrashEvidence, FactTable, OpenRunFact, SystemFact } from '@spoolplank/membership';
 import type { Clock } from '@spoolplank/shared';
+import type { BackendTarget } from './backendOperations';
+import { digestContent } from './requestContent';
+import type { RequestContent } from './requestContent';
 
-/** A run that broke off, at one backend server. */
-export interface BrokenServerRun {
-  /** Digest of the content that ran. */
+/** A content at one run of a backend server. */
+export interface ServerRun {
+  /** Digest of the content. */
   readonly content: string;
   readonly instanceId: string;
   readonly address: string;
@@ -13,57 +24,109 @@
 
 export interface CrashWitnessOptions {
   readonly clock: Clock;
+  readonly table: Pick<FactTable<SystemFact>, 'find'>;
+  /** States a fact to all VMs. */
+  readonly state: (key: string, body: OpenRunFact) => void;
+  /** Whether servers have ended under a content. */
+  readonly isSuspected: (content: RequestContent) => boolean;
   /** Whether a new connection to the server is accepted. */
   readonly isThere: (address: string) => Promise<boolean>;
   /** Whether this run of the server is known to be over. */
   readonly hasEnded: (instanceId: string, address: string) => boolean;
-  /** Told of each run that broke off because its server ended. */
-  readonly onEnd: (run: BrokenServerRun) => void;
+  /** How many VMs are to speak before this one about a run that another VM has stated. */
+  readonly rankOf: (key: string) => number;
+  /** Told of each run whose server ended. */
+  readonly onEnd: (run: ServerRun, evidence: CrashEvidence) => void;
 }
 
 export interface CrashWitness {
+  /**
+   * States an attempt that is about to be sent, if servers have ended under its content: the head
+   * of its answer may be lost on the way, and this VM too.
+   */
+  noteSend(content: RequestContent, target: BackendTarget): void;
   /** Looks after the server of a run that broke off; resolves when the look is over. */
-  note(run: BrokenServerRun): Promise<void>;
-  /** Lets time pass: judges those whose server could be reached again. */
+  note(run: ServerRun): Promise<void>;
+  /** To be called when an open run was stated, here or elsewhere. */
+  onFact(body: OpenRunFact): void;
+  /** Lets time pass: judges those whose server has ended since. */
   tick(): void;
 }
 
 /**
- * A server that is back before anybody looked is known by its next announcement, which comes within
- * a second or two, and may come some seconds late.
+ * Who has stated a run says at once how it ended; for one that is gone, the others speak one after
+ * the other, so long apart: an end is known everywhere within 100 ms.
  */
-const PENDING_MS = 8000;
+const SPEAKERS_APART_MS = 150;
 /** Connections that break while their servers live come in crowds, when a link is reset. */
-const MAX_PENDING = 512;
-
-interface PendingRun {
-  readonly run: BrokenServerRun;
-  readonly untilMs: number;
-}
+const MAX_OPEN = 512;
 
 export function createCrashWitness(options: CrashWitnessOptions): CrashWitness {
-  const { clock, isThere, hasEnded, onEnd } = options;
-  let pending: readonly PendingRun[] = [];
+  const { clock, table, state, isSuspected, isThere, hasEnded, rankOf, onEnd } = options;
+  /** Open runs by the key of their fact, and when this VM is to speak; null before an end. */
+  const speaksAtMs = new Map<string, number | null>();
+  const own = new Set<string>();
 
-  function isOver({ instanceId, address }: BrokenServerRun): boolean {
+  function isOver({ instanceId, address }: BackendTarget): boolean {
     return hasEnded(instanceId, address);
   }
 
+  function open(run: ServerRun, evidence: CrashEvidence): void {
+    const { content, instanceId, address, ranMs } = run;
+    const body: OpenRunFact = {
+      kind: 'open-run',
+      content,
+      instanceId,
+      address,
+      ranMs: Math.round(ranMs),
+      evidence,
+      wallMs: Math.floor(clock.wallMs()),
+    };
+    const key = FACT_KEYS.openRun(body);
+    own.add(key);
+    state(key, body);
+  }
+
+  function forget(key: string): void {
+    speaksAtMs.delete(key);
+    own.delete(key);
+  }
+
+  function follow(key: string, knownSpeaksAtMs: number | null): void {
+    const fact = table.find(key);
+    const nowMs = clock.nowMs();
+    if (fact?.body.kind !== 'open-run' || nowMs - fact.heardAtMs >= OPEN_RUN_RETENTION_MS) {
+      forget(key);
+      return;
+    }
+    const { body } = fact;
+    if (!isOver(body)) return;
+    const waitMs = own.has(key) ? 0 : rankOf(key) * SPEAKERS_APART_MS;
+    const atMs = knownSpeaksAtMs ?? nowMs + waitMs;
+    speaksAtMs.set(key, atMs);
+    if (nowMs < atMs) return;
+    forget(key);
+    onEnd(body, body.evidence);
+  }
+
   return {
+    noteSend(content, { instanceId, address }) {
+      if (!isSuspected(content)) return;
+      open({ content: digestContent(content), instanceId, address, ranMs: 0 }, 'attempt');
+    },
     async note(run) {
-      if (isOver(run) || !(await isThere(run.address))) {
-        onEnd(run);
-        return;
-      }
-      const untilMs = clock.nowMs() + PENDING_MS;
-      pending = [...pending, { run, untilMs }].slice(-MAX_PENDING);
+      if (isOver(run) || !(await isThere(run.address))) onEnd(run, 'run');
+      else open(run, 'run');
+    },
+    onFact(body) {
+      const key = FACT_KEYS.openRun(body);
+      if (speaksAtMs.has(key)) return;
+      speaksAtMs.set(key, null);
+      const [oldest] = speaksAtMs.keys();
+      if (speaksAtMs.size > MAX_OPEN && oldest !== undefined) forget(oldest);
     },
     tick() {
-      if (pending.length === 0) return;
-      const ended = pending.filter(({ run }) => isOver(run));
-      const nowMs = clock.nowMs();
-      pending = pending.filter((held) => !ended.includes(held) && nowMs < held.untilMs);
-      ended.forEach(({ run }) => onEnd(run));
+      speaksAtMs.forEach((atMs, key) => follow(key, atMs));
     },
   };
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -6,14 +6,7 @@
   isRestart,
   retentionOf,
 } from '@spoolplank/membership';
-import type {
-  AcquittalFact,
-  CrashFact,
-  FactUpdate,
-  LoadFact,
-  SystemFact,
-  SystemFactKind,
-} from '@spoolplank/membership';
+import type { FactUpdate, LoadFact, SystemFact, SystemFactKind } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
@@ -24,7 +17,8 @@
 import type { AddressBook } from './addressBook';
 import type { BackendOperations } from './backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
-import { createCrashGuard } from './crashGuard';
+import { createCrashGuard, isGuardFact } from './crashGuard';
+import type { GuardFact } from './crashGuard';
 import { createEngineHealth } from './engineHealth';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import { createEntryFeed } from './entryFeed';
@@ -97,6 +91,7 @@
   'suspicion',
   'crash',
   'acquittal',
+  'open-run',
 ]);
 
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
@@ -112,7 +107,7 @@
   let isStopped = false;
 
   let onEngineLoss = () => {};
-  let onCrashFact = (_body: CrashFact | AcquittalFact): void => {};
+  let onGuardFact = (_body: GuardFact): void => {};
   let crashStatements = (): readonly FactUpdate<SystemFact>[] => [];
   let syncedAtMs = () => Number.NEGATIVE_INFINITY;
   const table = createFactTable<SystemFact>({
@@ -120,7 +115,7 @@
     instance: run,
     isUrgent: (body, before) => URGENT_FACTS.has(body.kind) || isRestart(body, before),
     onUrgent(body) {
-      if (body.kind === 'crash' || body.kind === 'acquittal') onCrashFact(body);
+      if (isGuardFact(body)) onGuardFact(body);
       else onEngineLoss();
     },
   });
@@ -209,6 +204,7 @@
     random,
     log,
     metrics,
+    host,
     table,
     view,
     streams,
@@ -217,7 +213,7 @@
     spread: () => spread(),
   });
   const { quarantine, crashes } = guard;
-  onCrashFact = guard.onFact;
+  onGuardFact = guard.onFact;
   crashStatements = quarantine.listStatements;
 
   const countEntries = () => view.listMembers('entry').length;
@@ -287,7 +283,7 @@
     crashes.tick();
     if (ticks % SWEEP_TICKS === 0) {
       table.sweep(retentionOf);
-      quarantine.sweep();
+      guard.sweep();
       notices.sweep();
     }
     scheduleTimer(tick, TICK_MS);
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -248,6 +248,7 @@
         servedBy = [backend.instanceId];
         current = new AbortController();
         const canRepeat = route.kind === 'safe' && runs + 1 < route.maxAttempts;
+        crashes.noteSend(content, backend);
         const result = await attempt(admitted, backend, canRepeat, current);
         hasLeave = result.kind === 'held-back';
         if (result.kind === 'held-back') {
--- a/packages/entry/src/quarantine.ts
+++ b/packages/entry/src/quarantine.ts
@@ -7,6 +7,7 @@
 import { CRASH_RETENTION_MS, FACT_KEYS } from '@spoolplank/membership';
 import type {
   AcquittalFact,
+  CrashEvidence,
   CrashFact,
   Fact,
   FactTable,
@@ -17,7 +18,8 @@
 import { judgeCrashes, QUARANTINE_ENDS } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
-import type { BrokenServerRun } from './crashWitness';
+import type { ServerRun } from './crashWitness';
+import type { OwnStatements } from './ownStatements';
 import { digestContent } from './requestContent';
 import type { RequestContent } from './requestContent';
 import { createServedContents } from './servedContents';
@@ -28,8 +30,7 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly table: FactTable<SystemFact>;
-  /** Makes what this VM states known to others at once. */
-  readonly spread: () => void;
+  readonly statements: OwnStatements;
 }
 
 export interface Quarantine {
@@ -45,8 +46,10 @@
    * two servers ended under is left to its caller: the third end would be the router's own doing.
    */
   maySendOn(content: RequestContent): boolean;
+  /** Whether a server has ended under it. */
+  isSuspected(content: RequestContent): boolean;
   /** Holds the end of a server against a content. */
-  noteEnd(run: Omit<BrokenServerRun, 'address'>): void;
+  noteEnd(run: Omit<ServerRun, 'address'>, evidence?: CrashEvidence): void;
   /** Clears a content: it was run, and its server lives. */
   noteServed(content: RequestContent): void;
   /** Clears a content by its digest, for an operator; false when nothing was held against it. */
@@ -65,8 +68,6 @@
   describe(): JsonValue;
 }
 
-/** What this VM saw is repeated so long, for a control VM that was just exchanged for another. */
-const REPEAT_MS = 5000;
 /**
  * Control VMs that all start again at once know nothing: every VM states a few of the facts that it
  * knows again, drawn by lot, so that all of them are back within some ten seconds. Eight facts of
@@ -83,16 +84,13 @@
 type CrashRow = Fact<SystemFact> & { readonly body: CrashFact };
 
 function keyOf(body: CrashFact | AcquittalFact): string {
-  return body.kind === 'crash'
-    ? FACT_KEYS.crash(body.content, body.instanceId)
-    : FACT_KEYS.acquittal(body.content);
+  return body.kind === 'crash' ? FACT_KEYS.crash(body) : FACT_KEYS.acquittal(body.content);
 }
 
 export function createQuarantine(options: QuarantineOptions): Quarantine {
-  const { clock, random, log, metrics, table } = options;
+  const { clock, random, log, metrics, table, statements } = options;
   /** Keys of all crashes and acquittals in the table, in the order in which they were heard of. */
   const keys = new Set<string>();
-  const statedAtMs = new Map<string, number>();
   const served = createServedContents({ clock });
   let endsByContent: ReadonlyMap<string, readonly CrashRow[]> = new Map();
   let guilty: ReadonlySet<string> = new Set();
@@ -126,6 +124,7 @@
     const nowMs = clock.nowMs();
     return (endsByContent.get(digest) ?? []).map(({ body, heardAtMs, origin }) => ({
       instanceId: body.instanceId,
+      evidence: body.evidence,
       ranMs: body.ranMs,
       ageMs: Math.round(nowMs - heardAtMs),
       origin,
@@ -147,10 +146,7 @@
 
   /** States something of this VM's own, which the table then passes to `onFact`. */
   function state(body: CrashFact | AcquittalFact): void {
-    const key = keyOf(body);
-    table.put(key, Math.floor(clock.wallMs()), body);
-    statedAtMs.set(key, clock.nowMs());
-    options.spread();
+    statements.state(keyOf(body), body);
   }
 
   function acquit(content: string, reason: AcquittalFact['reason']): void {
@@ -177,9 +173,9 @@
     return [...guilty].some((content) => !before.has(content));
   }
 
-  function countEnds(digest: string): number {
-    refresh();
-    return endsByContent.get(digest)?.length ?? 0;
+  /** Runs of servers that ended under a content, each of them once. */
+  function countEnds(rows: readonly CrashRow[]): number {
+    return new Set(rows.map(({ body }) => body.instanceId)).size;
   }
 
   function endsOf(content: RequestContent): readonly CrashRow[] {
@@ -193,13 +189,6 @@
     return guilty.size > 0 && guilty.has(digestContent(content));
   }
 
-  function toUpdate(key: string): readonly FactUpdate<SystemFact>[] {
-    const row = table.find(key);
-    if (!row) return [];
-    const { sequence, body, heardAtMs } = row;
-    return [{ key, sequence, ageMs: Math.round(clock.nowMs() - heardAtMs), body }];
-  }
-
   function drawKeys(): readonly string[] {
     const all = [...keys];
     if (all.length <= RESTATED) return all;
@@ -218,22 +207,26 @@
       const lastMs = Math.max(...rows.map(({ heardAtMs }) => heardAtMs));
       const ageS = Math.round((clock.nowMs() - lastMs) / MS_PER_S);
       throw new SpoolplankError('quarantined', {
-        detail: `Content ${digest}: ${rows.length} ended, the last one ${ageS} s ago.`,
+        detail: `Content ${digest}: ${countEnds(rows)} ended, the last one ${ageS} s ago.`,
         retryAfterMs: CRASH_RETENTION_MS,
       });
     },
-    maySendOn: (content) => endsOf(content).length < QUARANTINE_ENDS - 1,
-    noteEnd({ content, instanceId, ranMs }) {
-      const body: CrashFact = { kind: 'crash', content, instanceId, ranMs: Math.round(ranMs) };
+    maySendOn: (content) => countEnds(endsOf(content)) < QUARANTINE_ENDS - 1,
+    isSuspected: (content) => endsOf(content).length > 0,
+    noteEnd({ content, instanceId, ranMs }, evidence = 'run') {
+      const body: CrashFact = {
+        kind: 'crash',
+        content,
+        instanceId,
+        ranMs: Math.round(ranMs),
+        evidence,
+      };
       // Another copy of it was on the same run, here or at another VM.
       if (table.find(keyOf(body)) || served.has(content)) return;
       state(body);
-      log.info('content-suspected', {
-        content,
-        instanceId,
-        ranMs: body.ranMs,
-        ends: countEnds(content),
-      });
+      refresh();
+      const ends = countEnds(endsByContent.get(content) ?? []);
+      log.info('content-suspected', { content, instanceId, ranMs: body.ranMs, evidence, ends });
       metrics.count('spoolplank_content_ends_total', {});
     },
     noteServed(content) {
@@ -259,18 +252,13 @@
       keys.forEach((key) => {
         if (!table.find(key)) keys.delete(key);
       });
-      statedAtMs.forEach((atMs, key) => {
-        if (clock.nowMs() - atMs > REPEAT_MS) statedAtMs.delete(key);
-      });
       judge();
     },
     listStatements() {
       const nowMs = clock.nowMs();
-      const own = [...statedAtMs].filter(([, atMs]) => nowMs - atMs < REPEAT_MS);
-      const repeated = own.map(([key]) => key);
-      if (nowMs < restateAtMs) return repeated.flatMap(toUpdate);
+      if (nowMs < restateAtMs) return statements.list();
       restateAtMs = nowMs + RESTATE_EVERY_MS;
-      return [...new Set([...repeated, ...drawKeys()])].flatMap(toUpdate);
+      return statements.list(drawKeys());
     },
     describe() {
       refresh();
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -244,9 +244,11 @@
     progress.servedBy = chain.stages.map(
       ({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`,
     );
+    const target = { instanceId: head.id, address: head.address };
+    context.crashes.noteSend(contentOf(search.admitted), target);
     try {
       const response = await operations.open({
-        target: { instanceId: head.id, address: head.address },
+        target,
         request,
         organisation: organisation?.name ?? null,
         remainingMs,
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -87,18 +87,42 @@
 }
 
 /**
- * A run of a backend server that ended, and a request content that it had just begun to run. Each
- * VM states what it saw; the set of them is what counts, so no VM has to keep a count.
+ * What ties a content to a run of a backend server that ended: the server had begun to run it, or
+ * an attempt was under way and nothing shows that it had come so far.
  */
-export interface CrashFact {
-  readonly kind: 'crash';
+export type CrashEvidence = 'run' | 'attempt';
+
+/** Which content, at which run of a backend server, and how that is known. */
+export interface CrashIdentity {
   /** Digest of the content. */
   readonly content: string;
   readonly instanceId: string;
+  readonly evidence: CrashEvidence;
+}
+
+/**
+ * A run of a backend server that ended, and a request content that it had just begun to run. Each
+ * VM states what it saw; the set of them is what counts, so no VM has to keep a count.
+ */
+export interface CrashFact extends CrashIdentity {
+  readonly kind: 'crash';
   /** How long the content had run there. */
   readonly ranMs: number;
 }
 
+/**
+ * A content at a run of a backend server of which nobody knows yet whether it ends: an attempt that
+ * broke off, or one that is under way. Others hold it against the content if the server has ended,
+ * also when the VM that stated it is gone by then.
+ */
+export interface OpenRunFact extends CrashIdentity {
+  readonly kind: 'open-run';
+  readonly address: string;
+  readonly ranMs: number;
+  /** Time of day at which it was stated: a further attempt at one run is another body. */
+  readonly wallMs: number;
+}
+
 /** A content that is cleared of all ends stated before: it was run, or an operator says so. */
 export interface AcquittalFact {
   readonly kind: 'acquittal';
@@ -122,6 +146,7 @@
   | PaceFact
   | RoomFact
   | CrashFact
+  | OpenRunFact
   | AcquittalFact
   | LeavingFact;
 
@@ -140,7 +165,11 @@
   pace: (instanceId: string) => `pace/${instanceId}`,
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
   leaving: (instanceId: string) => `leaving/${instanceId}`,
-  crash: (content: string, instanceId: string) => `crash/${content}/${instanceId}`,
+  /** What shows that a server had run a content is never displaced by what does not. */
+  crash: ({ evidence, content, instanceId }: CrashIdentity) =>
+    `crash/${evidence}/${content}/${instanceId}`,
+  openRun: ({ evidence, content, instanceId }: CrashIdentity) =>
+    `open-run/${evidence}/${content}/${instanceId}`,
   acquittal: (content: string) => `acquittal/${content}`,
 } as const;
 
@@ -152,11 +181,18 @@
  */
 export const CRASH_RETENTION_MS = 1_800_000;
 
+/**
+ * A server that is back before anybody looked is known by its next announcement, which comes within
+ * a second or two, and may come some seconds late. One that ends later ends for another reason.
+ */
+export const OPEN_RUN_RETENTION_MS = 8000;
+
 /** Runs that leave end within seconds; one that takes minutes must not seem to be back. */
 const LEAVING_RETENTION_MS = 600_000;
 
 const RETENTIONS_MS: Readonly<Partial<Record<SystemFactKind, number>>> = {
   crash: CRASH_RETENTION_MS,
+  'open-run': OPEN_RUN_RETENTION_MS,
   acquittal: CRASH_RETENTION_MS,
   leaving: LEAVING_RETENTION_MS,
 };
--- a/packages/routing/__tests__/crashJudgement.spec.ts
+++ b/packages/routing/__tests__/crashJudgement.spec.ts
@@ -5,7 +5,11 @@
 import type { ServerEnd } from '../src/crashJudgement';
 
 function createEnd(content: string, instanceId: string, ranMs = 100): ServerEnd {
-  return { content, instanceId, ranMs };
+  return { content, instanceId, ranMs, evidence: 'run' };
+}
+
+function createAttempts(content: string, instanceIds: readonly string[]): readonly ServerEnd[] {
+  return instanceIds.map((instanceId) => ({ content, instanceId, ranMs: 0, evidence: 'attempt' }));
 }
 
 /** Ends of servers s1, s2, ... under one content. */
@@ -47,6 +51,27 @@
     assert.deepEqual([...judgeCrashes(more)].sort(), ['a', 'b']);
   });
 
+  it('is run no more after two ends and one under an attempt of which no more is known', () => {
+    const ends = createEnds('a', ['s1', 's2']);
+    assert.deepEqual([...judgeCrashes([...ends, ...createAttempts('a', ['s2'])])], []);
+    assert.deepEqual([...judgeCrashes([...ends, ...createAttempts('a', ['s3'])])], ['a']);
+  });
+
+  it('is not convicted by attempts, however many', () => {
+    const attempts = createAttempts('a', ['s1', 's2', 's3', 's4', 's5']);
+    assert.deepEqual([...judgeCrashes(attempts)], []);
+    assert.deepEqual([...judgeCrashes([...attempts, createEnd('a', 's1')])], []);
+  });
+
+  it('goes before one with more ends, most of them under attempts', () => {
+    const ends = [
+      ...createEnds('deadly', ['s1', 's2', 's3']),
+      ...createEnds('unlucky', ['s1', 's2']),
+      ...createAttempts('unlucky', ['s3', 's4']),
+    ];
+    assert.deepEqual([...judgeCrashes(ends)], ['deadly']);
+  });
+
   it('is judged alike in whatever order the ends are heard of', () => {
     const ends = [
       ...createEnds('deadly', ['s1', 's2', 's3', 's4']),
--- a/packages/routing/src/crashJudgement.ts
+++ b/packages/routing/src/crashJudgement.ts
@@ -14,6 +14,8 @@
   readonly instanceId: string;
   /** How long the content had run there. */
   readonly ranMs: number;
+  /** Whether the server had begun to run it, or an attempt was under way and no more is known. */
+  readonly evidence: 'run' | 'attempt';
 }
 
 /**
@@ -21,13 +23,29 @@
  * sent to another at once, which may be lost too. Each further one costs a chain its first engine.
  */
 export const QUARANTINE_ENDS = 3;
+/**
+ * So many of them must be of servers that had begun to run the content. Up to six attempts that had
+ * not begun stood beside each of 15 ends, and at most one other content that had (logs of one day):
+ * attempts alone convict nobody.
+ */
+const MIN_BEGUN_ENDS = 2;
 
 interface Suspect {
   readonly content: string;
   readonly instanceIds: ReadonlySet<string>;
+  /** Those of them that had begun to run it. */
+  readonly begunIds: ReadonlySet<string>;
+  /** How long it had run at those. */
   readonly meanRanMs: number;
 }
 
+/** Ends of a suspect that no guilty content explains. */
+interface OpenCount {
+  readonly suspect: Suspect;
+  readonly allEnds: number;
+  readonly begunEnds: number;
+}
+
 function listSuspects(ends: readonly ServerEnd[]): readonly Suspect[] {
   const byContent = new Map<string, ServerEnd[]>();
   ends.forEach((end) => {
@@ -35,18 +53,24 @@
     if (known) known.push(end);
     else byContent.set(end.content, [end]);
   });
-  return [...byContent].map(([content, own]) => ({
-    content,
-    instanceIds: new Set(own.map(({ instanceId }) => instanceId)),
-    meanRanMs: own.reduce((sum, { ranMs }) => sum + ranMs, 0) / own.length,
-  }));
+  return [...byContent].map(([content, own]) => {
+    const begun = own.filter(({ evidence }) => evidence === 'run');
+    return {
+      content,
+      instanceIds: new Set(own.map(({ instanceId }) => instanceId)),
+      begunIds: new Set(begun.map(({ instanceId }) => instanceId)),
+      meanRanMs: begun.reduce((sum, { ranMs }) => sum + ranMs, 0) / Math.max(1, begun.length),
+    };
+  });
 }
 
 /** Whether `a` is the likelier cause: more ends, or else it ended its servers sooner. */
-function isLikelier(a: Suspect, endsOfA: number, b: Suspect, endsOfB: number): boolean {
-  if (endsOfA !== endsOfB) return endsOfA > endsOfB;
-  if (a.meanRanMs !== b.meanRanMs) return a.meanRanMs < b.meanRanMs;
-  return a.content < b.content;
+function isLikelier(a: OpenCount, b: OpenCount): boolean {
+  if (a.begunEnds !== b.begunEnds) return a.begunEnds > b.begunEnds;
+  if (a.allEnds !== b.allEnds) return a.allEnds > b.allEnds;
+  const [suspectA, suspectB] = [a.suspect, b.suspect];
+  if (suspectA.meanRanMs !== suspectB.meanRanMs) return suspectA.meanRanMs < suspectB.meanRanMs;
+  return suspectA.content < suspectB.content;
 }
 
 /**
@@ -62,19 +86,23 @@
   const suspects = listSuspects(ends);
   const explained = new Set<string>();
   const guilty = new Set<string>();
-  const unexplained = ({ instanceIds }: Suspect) =>
-    [...instanceIds].filter((id) => !explained.has(id)).length;
+  const countOpen = (ids: ReadonlySet<string>) =>
+    [...ids].filter((id) => !explained.has(id)).length;
 
   for (;;) {
     const worst = suspects
       .filter(({ content }) => !guilty.has(content))
-      .map((suspect) => ({ suspect, count: unexplained(suspect) }))
-      .reduce<{ readonly suspect: Suspect; readonly count: number } | undefined>(
-        (best, next) =>
-          best && !isLikelier(next.suspect, next.count, best.suspect, best.count) ? best : next,
+      .map((suspect): OpenCount => ({
+        suspect,
+        allEnds: countOpen(suspect.instanceIds),
+        begunEnds: countOpen(suspect.begunIds),
+      }))
+      .filter(({ allEnds, begunEnds }) => allEnds >= QUARANTINE_ENDS && begunEnds >= MIN_BEGUN_ENDS)
+      .reduce<OpenCount | undefined>(
+        (best, next) => (best && !isLikelier(next, best) ? best : next),
         undefined,
       );
-    if (!worst || worst.count < QUARANTINE_ENDS) return guilty;
+    if (!worst) return guilty;
     guilty.add(worst.suspect.content);
     worst.suspect.instanceIds.forEach((id) => explained.add(id));
   }
