test(bench): engines that were killed are all started again before any is waited for

Of two engines that a test had killed it started one again and waited until six are known, while five ran: that holds only until the announcement of the other one runs out after 3 s. Ruled out: a fault of the system; with a pause of 5 s before the replacement the same six of 16 fail each time, and no others.

Change: both are started, then six are waited for. As strict: the same count, the same bound.

--- a/packages/bench/__tests__/sessionFaults.spec.ts
+++ b/packages/bench/__tests__/sessionFaults.spec.ts
@@ -68,8 +68,9 @@
     engines = engines.map((other) => (other.name === engine.name ? started : other));
   }
 
-  async function replace(engine: RunningFake): Promise<void> {
-    await startAgain(engine);
+  /** Starts engines again that were killed, all before any is waited for: no other one runs. */
+  async function replace(...killed: readonly RunningFake[]): Promise<void> {
+    for (const engine of killed) await startAgain(engine);
     await waitForBackendServers(deployment, 6);
   }
 
@@ -106,7 +107,7 @@
       if (position === 30) kills.push(kill(2));
     });
     await Promise.all(kills);
-    for (const engine of killed) await replace(engine);
+    await replace(...killed);
     assert.equal(answer.text, EXPECTED);
   });
 
