fix(entry,controller,membership): a rest that a server asks one process of a VM for holds for both

Cause: a server asks a VM for rest, and each of a VM's two processes kept what it had been told itself: a control process sent orders and reports to an engine that the entry beside it was asked to leave alone. Told over the exchange of facts, rests would be a row a VM and server; told to the process on the same host they are one call on it.

Change: either process tells the other one on its host of each rest. Orders and questions to engines are held back in one place, as requests are; the watch of engines' pace asked resting ones before. The dump of a control VM lists rests. Open runs are told on at once by control VMs: one was lost with the VM that stated it and with its control VM, killed 0.4 s later.

--- a/packages/controller/__tests__/engineNotices.spec.ts
+++ b/packages/controller/__tests__/engineNotices.spec.ts
@@ -1,16 +1,20 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createFactTable, isLeaving } from '@spoolplank/membership';
-import type { ServerNotice, SystemFact } from '@spoolplank/membership';
+import type { RestWord, ServerNotice, SystemFact } from '@spoolplank/membership';
 import { createEventLog } from '@spoolplank/node';
 import { createManualClock } from '@spoolplank/shared';
+import type { EngineOrders } from '../src/engineOperations';
 import { createEngineNotices } from '../src/engineNotices';
+import { guardOrders } from '../src/guardedOrders';
 
 function createSetting() {
   const clock = createManualClock(1000);
   const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
   const log = createEventLog({ vmId: 'vm', clock, writeChunk: () => {} });
-  return { clock, table, notices: createEngineNotices({ clock, log, table }) };
+  const told: RestWord[] = [];
+  const onRest = (word: RestWord) => told.push(word);
+  return { clock, table, told, notices: createEngineNotices({ clock, log, table, onRest }) };
 }
 
 const NOTICE: ServerNotice = {
@@ -33,6 +37,18 @@
     assert.equal(notices.isResting('e1'), false);
   });
 
+  it('is told to the other process of the VM, and what that one was told is told back to nobody', () => {
+    const { notices, told } = createSetting();
+    notices.take({ ...NOTICE, restMs: 2000 });
+    notices.noteRest({ instanceId: 'e2', restMs: 500 });
+    assert.deepEqual(told, [{ instanceId: 'e1', restMs: 2000 }]);
+    assert.equal(notices.isResting('e2'), true);
+    assert.deepEqual(notices.describe(), [
+      { instanceId: 'e1', remainingMs: 2000 },
+      { instanceId: 'e2', remainingMs: 500 },
+    ]);
+  });
+
   it('is that it leaves, which everybody then hears', () => {
     const { table, notices } = createSetting();
     notices.take({ ...NOTICE, status: 202, isLeaving: true });
@@ -42,3 +58,37 @@
     assert.equal(table.revision, revision, 'said once');
   });
 });
+
+describe('an engine that rests', () => {
+  const ENGINE = { instanceId: 'e1', address: 'e1:80' };
+  const ORDER = { firstLayer: 0, endLayer: 4, isPreempting: false, timeoutMs: 100 };
+
+  it('is sent no order and no question by a control VM until its rest is over', async () => {
+    const { clock, notices } = createSetting();
+    const sent: string[] = [];
+    const orders = guardOrders(
+      {
+        onNotice: () => {},
+        place({ instanceId }) {
+          sent.push(`order ${instanceId}`);
+          return Promise.resolve('begun');
+        },
+        inspect({ instanceId }) {
+          sent.push(`question ${instanceId}`);
+          return Promise.resolve({ held: null, slowdown: 1 });
+        },
+        isReachable: () => Promise.resolve(true),
+      } satisfies EngineOrders,
+      notices,
+    );
+    notices.noteRest({ instanceId: 'e1', restMs: 500 });
+    assert.equal(await orders.place(ENGINE, ORDER), 'refused');
+    await assert.rejects(orders.inspect(ENGINE), { code: 'server-closed' });
+    await orders.inspect({ instanceId: 'e2', address: 'e2:80' });
+    assert.deepEqual(sent, ['question e2']);
+    clock.advance(500);
+    assert.equal(await orders.place(ENGINE, ORDER), 'begun');
+    await orders.inspect(ENGINE);
+    assert.deepEqual(sent, ['question e2', 'order e1', 'question e1']);
+  });
+});
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -5,6 +5,7 @@
   createDocumentCache,
   createFactTable,
   createFeedServer,
+  createSiblingRests,
   FACT_KEYS,
   retentionOf,
 } from '@spoolplank/membership';
@@ -29,6 +30,7 @@
 import { createDocumentCalls } from './documentCalls';
 import { createEngineNotices } from './engineNotices';
 import type { EngineOrders } from './engineOperations';
+import { guardOrders } from './guardedOrders';
 import { createLoadSums } from './loadSums';
 import { createControlVms } from './controlVms';
 import { createPaceWatch } from './paceWatch';
@@ -80,15 +82,8 @@
 /** What a VM without a replica answers to one that looks for its group. */
 const DISKLESS: GroupDescription = { replicaId: null, configuration: null };
 
-/**
- * Facts that go with the next exchange: they change with every statement, or say nothing before
- * another one is heard.
- */
-const ROUTINE_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>([
-  'load',
-  'room',
-  'open-run',
-]);
+/** Facts that change with every statement: they go with the next exchange. */
+const ROUTINE_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>(['load', 'room']);
 /**
  * So much of a random name tells a run of a VM from its last one: with 2,700 restarts a day two are
  * alike once in 17 years. It goes with each fact that is passed on, 7 bytes of some 110.
@@ -150,13 +145,22 @@
   }
 
   const backends = createBackendDirectory({ log, table, currentDocument });
-  const notices = createEngineNotices({ clock, log, table });
+  const siblingRests = createSiblingRests({
+    table,
+    host,
+    role: 'control',
+    call: peers.call,
+    onUntold: (problem, word) => log.info('rest-untold', { ...word, problem }),
+  });
+  const notices = createEngineNotices({ clock, log, table, onRest: siblingRests.tell });
   options.engineOrders.onNotice(notices.take);
+  siblingRests.onWord(notices.noteRest);
+  const engineOrders = guardOrders(options.engineOrders, notices);
   const placement = createPlacementLoop({
     clock,
     log,
     table,
-    orders: options.engineOrders,
+    orders: engineOrders,
     mayOrder: () => group?.canRead() ?? false,
     currentDocument,
     isResting: notices.isResting,
@@ -175,7 +179,7 @@
     clock,
     log,
     table,
-    orders: options.engineOrders,
+    orders: engineOrders,
     dataCentre,
     isAppointed: controlVms.isAppointed,
   });
@@ -248,6 +252,7 @@
       return feed.answer({ ...request, updates }) as unknown as Promise<JsonValue>;
     },
     ...documentCalls.methods,
+    ...siblingRests.methods,
     'group.describe': () => DISKLESS as unknown as JsonValue,
   };
 
@@ -294,6 +299,7 @@
         replica: group?.status() ?? null,
         documentVersion: documents.current?.version ?? null,
         confirmedAgeMs: documents.confirmedAgeMs(),
+        rests: notices.describe(),
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -3,6 +3,7 @@
 import {
   createDocumentCache,
   createFactTable,
+  createSiblingRests,
   isRestart,
   retentionOf,
 } from '@spoolplank/membership';
@@ -139,6 +140,13 @@
     spread: () => spread(),
   });
 
+  const siblingRests = createSiblingRests({
+    table,
+    host,
+    role: 'entry',
+    call: peers.call,
+    onUntold: (problem, word) => log.info('rest-untold', { ...word, problem }),
+  });
   const notices = createServerNotices({
     clock,
     log,
@@ -146,8 +154,10 @@
     table,
     findByAddress: view.findByAddress,
     spread: () => spread(),
+    onRest: siblingRests.tell,
   });
   options.operations.onNotice(notices.take);
+  siblingRests.onWord(notices.noteRest);
 
   const readiness = createReadiness({
     documents,
@@ -295,7 +305,7 @@
       selfAddress: options.callerAddress,
       ownAddress: () => (readiness.isReady() ? options.callerAddress : null),
     }),
-    methods: stream.methods,
+    methods: { ...stream.methods, ...siblingRests.methods },
     start() {
       tick();
       void feed.run();
--- a/packages/entry/src/serverNotices.ts
+++ b/packages/entry/src/serverNotices.ts
@@ -3,7 +3,13 @@
  * Both hold here by what was said here, without any other VM. See docs/design/server-rests.md.
  */
 import { FACT_KEYS, isLeaving, stateLeaving } from '@spoolplank/membership';
-import type { FactTable, FactUpdate, ServerNotice, SystemFact } from '@spoolplank/membership';
+import type {
+  FactTable,
+  FactUpdate,
+  RestWord,
+  ServerNotice,
+  SystemFact,
+} from '@spoolplank/membership';
 import type { EventLog, Metrics } from '@spoolplank/node';
 import { createRestTable } from '@spoolplank/routing';
 import type { RestTable } from '@spoolplank/routing';
@@ -18,6 +24,8 @@
   readonly findByAddress: RoutingView['findByAddress'];
   /** Makes what this VM states known to others at once. */
   readonly spread: () => void;
+  /** Told of each rest that a server asks this process for. */
+  readonly onRest?: (word: RestWord) => void;
 }
 
 /** Why nothing is sent to a server now. */
@@ -27,6 +35,8 @@
   readonly rests: RestTable;
   /** Takes in what a server said. */
   take(notice: ServerNotice): void;
+  /** Takes in a rest that a server asked the other process of this VM for. */
+  noteRest(word: RestWord): void;
   /** Why a request is not to be sent to a server; null when it may be. */
   closedReason(instanceId: string): ClosedReason | null;
   /**
@@ -47,7 +57,7 @@
 const REPEAT_MS = 5000;
 
 export function createServerNotices(options: ServerNoticesOptions): ServerNotices {
-  const { clock, log, metrics, table, findByAddress } = options;
+  const { clock, log, metrics, table, findByAddress, onRest = () => {} } = options;
   const rests = createRestTable({ clock });
   const leavingSinceMs = new Map<string, number>();
 
@@ -65,6 +75,7 @@
   function takeRest(notice: ServerNotice, restMs: number): void {
     listResting(notice).forEach((instanceId) => {
       const hasBegun = rests.note(instanceId, restMs);
+      onRest({ instanceId, restMs });
       metrics.count('spoolplank_server_rests_total', { word: hasBegun ? 'first' : 'repeated' });
       // What was under way is turned away too: one line a rest.
       if (!hasBegun) return;
@@ -87,6 +98,9 @@
       if (notice.restMs !== null) takeRest(notice, notice.restMs);
       if (notice.isLeaving) takeLeaving(notice);
     },
+    noteRest: ({ instanceId, restMs }) => {
+      rests.note(instanceId, restMs);
+    },
     closedReason(instanceId) {
       if (isLeaving(table, instanceId)) return 'leaves';
       return rests.isHeldBack(instanceId) ? 'rests' : null;
--- /dev/null
+++ b/packages/membership/src/siblingRests.ts
@@ -0,0 +1,81 @@
+/**
+ * Rests that a backend server asked one process of a VM for, told to the other process of it.
+ *
+ * A server asks a VM, not a process, to send it nothing: orders and reports of the control role
+ * would reach it in a rest that it asked the entry for.
+ */
+import type { JsonValue } from '@spoolplank/shared';
+import type { FactTable } from './factTable';
+import type { MemberFact, SystemFact } from './systemFacts';
+
+/** How long a run of a backend server wants nothing, from now on. */
+export interface RestWord {
+  readonly instanceId: string;
+  readonly restMs: number;
+}
+
+/** Where the other process of this VM is called. */
+export interface SiblingTarget {
+  readonly vmId: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+export interface SiblingRestsOptions {
+  readonly table: Pick<FactTable<SystemFact>, 'list'>;
+  /** This process. */
+  readonly host: string;
+  readonly role: MemberFact['role'];
+  /** Calls a method of the other process; rejects when it does not answer. */
+  readonly call: (sibling: SiblingTarget, method: string, params: JsonValue) => Promise<unknown>;
+  /** Told when the other process could not be told. */
+  readonly onUntold: (problem: string, word: RestWord) => void;
+}
+
+export interface SiblingRests {
+  /** What the other process calls here. */
+  readonly methods: Readonly<Record<string, (params: JsonValue) => JsonValue>>;
+  /** Has a listener told of what the other process was asked for. */
+  onWord(listener: (word: RestWord) => void): void;
+  /** Tells the other process, where there is one. */
+  tell(word: RestWord): void;
+}
+
+const REST_METHOD = 'server.rests';
+
+export function createSiblingRests(options: SiblingRestsOptions): SiblingRests {
+  const { table, host, role, call, onUntold } = options;
+  let takeIn = (_word: RestWord): void => {};
+
+  /** The run heard of last: an earlier one listened at the same port. */
+  function findSibling(): SiblingTarget | undefined {
+    const [newest] = table
+      .list()
+      .flatMap(({ body, heardAtMs }) =>
+        body.kind === 'member' && body.host === host && body.role !== role
+          ? [{ port: body.peerPort, heardAtMs }]
+          : [],
+      )
+      .sort((a, b) => b.heardAtMs - a.heardAtMs);
+    return newest?.port === undefined ? undefined : { vmId: host, host, port: newest.port };
+  }
+
+  return {
+    methods: {
+      [REST_METHOD]: (params) => {
+        takeIn(params as unknown as RestWord);
+        return true;
+      },
+    },
+    onWord(listener) {
+      takeIn = listener;
+    },
+    tell(word) {
+      const sibling = findSibling();
+      if (!sibling) return;
+      call(sibling, REST_METHOD, { ...word }).catch((error: unknown) =>
+        onUntold(String(error), word),
+      );
+    },
+  };
+}
