--- a/packages/entry/__tests__/crashGuard.spec.ts
+++ b/packages/entry/__tests__/crashGuard.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createFactTable, FACT_KEYS } from '@spoolplank/membership';
+import { createFactTable, FACT_KEYS, parseInstanceId } from '@spoolplank/membership';
 import type { FactUpdate, SystemFact } from '@spoolplank/membership';
 import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
@@ -8,7 +8,7 @@
 import type { CrashGuard } from '../src/crashGuard';
 import { contentOf, digestContent } from '../src/requestContent';
 import type { StreamRow, StreamTable } from '../src/streamTable';
-import { createTables } from './fixtures';
+import { createEngine, createTables } from './fixtures';
 
 function createRow(body: string, row: Partial<StreamRow> = {}) {
   const cuts: string[] = [];
@@ -25,7 +25,12 @@
   return { row: created, cuts, digest: digestContent(contentOf(admitted)) };
 }
 
-function createSetting(rows: readonly StreamRow[] = []) {
+interface Setting {
+  readonly rows?: readonly StreamRow[];
+  readonly isThere?: boolean;
+}
+
+function createSetting({ rows = [], isThere = false }: Setting = {}) {
   const clock = createManualClock(100_000);
   let guard: CrashGuard | null = null;
   const table = createFactTable<SystemFact>({
@@ -43,14 +48,21 @@
     metrics: createMetrics(),
     host: 'vm',
     table,
-    view: createTables().view,
+    view: createTables({ clock, table }).view,
     streams: { list: () => rows } as unknown as StreamTable,
     health: { isLost: () => false },
-    isThere: () => Promise.resolve(false),
+    isThere: () => Promise.resolve(isThere),
     spread: () => {},
   });
   return {
     guard,
+    clock,
+    /** Hears that a run of a server is at an address. */
+    announce(instanceId: string, address: string): void {
+      const { incarnation } = parseInstanceId(instanceId);
+      const body = createEngine(instanceId, 0, 8, { address });
+      table.put(FACT_KEYS.backend(instanceId), { incarnation, sequence: 1 }, body);
+    },
     hear: (updates: readonly FactUpdate<SystemFact>[]) => table.merge(updates, clock.nowMs(), 'c'),
   };
 }
@@ -69,7 +81,7 @@
     const waiting = createRow('deadly');
     const begun = createRow('deadly', { hasBegun: true });
     const other = createRow('other');
-    const { hear } = createSetting([waiting.row, begun.row, other.row]);
+    const { hear } = createSetting({ rows: [waiting.row, begun.row, other.row] });
     hear(createCrashes(waiting.digest, ['s1', 's2', 's3'], 80));
     await Promise.resolve();
     assert.deepEqual([waiting.cuts, begun.cuts, other.cuts], [['quarantined'], [], []]);
@@ -77,7 +89,7 @@
 
   it('is not ended for ends that the rest of the same exchange explains', async () => {
     const unlucky = createRow('unlucky');
-    const { hear } = createSetting([unlucky.row]);
+    const { hear } = createSetting({ rows: [unlucky.row] });
     hear([
       ...createCrashes(unlucky.digest, ['s1', 's2', 's3'], 70),
       ...createCrashes('deadly', ['s1', 's2', 's3', 's4'], 80),
@@ -99,3 +111,28 @@
     );
   });
 });
+
+describe('a run that broke off at a server that is there', () => {
+  const RUN = { content: 'c', instanceId: 'e1/7', address: 'e1:80', ranMs: 40 };
+
+  it('is no end for a VM that has heard only of an earlier run, or an earlier server there', async () => {
+    for (const earlier of ['e1/6', 'e9']) {
+      const { guard, clock, announce } = createSetting({ isThere: true });
+      announce(earlier, 'e1:80');
+      clock.advance(2000);
+      await guard.crashes.note(RUN);
+      guard.crashes.tick();
+      assert.deepEqual(guard.quarantine.describe(), [], earlier);
+    }
+  });
+
+  it('is an end once another server has announced itself there', async () => {
+    const { guard, clock, announce } = createSetting({ isThere: true });
+    await guard.crashes.note(RUN);
+    clock.advance(500);
+    announce('e9', 'e1:80');
+    guard.crashes.tick();
+    const [suspected] = guard.quarantine.describe() as unknown as { readonly content: string }[];
+    assert.equal(suspected?.content, 'c');
+  });
+});
