fix(entry): only what announces itself after a send shows that the server it went to is gone

Cause: any other owner of the address counted as a successor, also the server's own earlier run, or a server that had left the address before. Ruled out: suspicion and restarts, which are told by the run's own identity.

Change: a run is over when it is suspected, when a later run of its server is known, or when another server has announced itself at its address since the request was sent.

--- a/packages/entry/__tests__/crashWitness.spec.ts
+++ b/packages/entry/__tests__/crashWitness.spec.ts
@@ -35,7 +35,7 @@
     state: statements.state,
     isSuspected: () => isSuspected,
     isThere: () => Promise.resolve(isThere),
-    hasEnded: (instanceId) => ended.has(instanceId),
+    hasEnded: ({ instanceId }) => ended.has(instanceId),
     rankOf: () => rank,
     onEnd: ({ instanceId }, evidence) => seen.push(evidence === 'run' ? instanceId : evidence),
   });
--- a/packages/entry/src/crashGuard.ts
+++ b/packages/entry/src/crashGuard.ts
@@ -1,4 +1,5 @@
 /** Keeps requests that end backend servers from the next ones: what is seen, judged and stopped. */
+import { parseInstanceId } from '@spoolplank/membership';
 import type {
   AcquittalFact,
   CrashFact,
@@ -10,6 +11,7 @@
 import type { EventLog, Metrics } from '@spoolplank/node';
 import { rankByRendezvous } from '@spoolplank/shared';
 import type { Clock, Random } from '@spoolplank/shared';
+import type { BackendTarget } from './backendOperations';
 import { createCrashWitness } from './crashWitness';
 import type { CrashWitness } from './crashWitness';
 import type { EngineHealth } from './engineHealth';
@@ -81,10 +83,17 @@
   /** One end is stated by many streams at the same moment: one exchange takes all of it. */
   const spreadSoon = createOnce((run) => scheduleTimer(run, 0), options.spread);
 
-  /** Whether a run of a server is over: suspected, or followed by another one at its address. */
-  function hasEnded(instanceId: string, address: string): boolean {
-    const owner = view.findByAddress(address)?.body;
-    const isTaken = owner?.kind === 'backend' && owner.instanceId !== instanceId;
+  /**
+   * Whether a run of a server is over: suspected, followed by its next one, or by another server
+   * that has announced itself at its address since. What was heard before says nothing: a place may
+   * name a run that this VM has not heard of yet.
+   */
+  function hasEnded({ instanceId, address }: BackendTarget, sinceMs: number): boolean {
+    const owner = view.findByAddress(address);
+    const isOther =
+      owner?.body.kind === 'backend' &&
+      parseInstanceId(owner.body.instanceId).serverId !== parseInstanceId(instanceId).serverId;
+    const isTaken = isOther && owner.heardAtMs >= sinceMs;
     return isTaken || health.isLost(instanceId);
   }
 
--- a/packages/entry/src/crashWitness.ts
+++ b/packages/entry/src/crashWitness.ts
@@ -31,8 +31,8 @@
   readonly isSuspected: (content: RequestContent) => boolean;
   /** Whether a new connection to the server is accepted. */
   readonly isThere: (address: string) => Promise<boolean>;
-  /** Whether this run of the server is known to be over. */
-  readonly hasEnded: (instanceId: string, address: string) => boolean;
+  /** Whether a run of a server that was sent something at a moment is known to be over. */
+  readonly hasEnded: (target: BackendTarget, sinceMs: number) => boolean;
   /** How many VMs are to speak before this one about a run that another VM has stated. */
   readonly rankOf: (key: string) => number;
   /** Told of each run whose server ended. */
@@ -67,10 +67,6 @@
   const speaksAtMs = new Map<string, number | null>();
   const own = new Set<string>();
 
-  function isOver({ instanceId, address }: BackendTarget): boolean {
-    return hasEnded(instanceId, address);
-  }
-
   function open(run: ServerRun, evidence: CrashEvidence): void {
     const { content, instanceId, address, ranMs } = run;
     const body: OpenRunFact = {
@@ -100,7 +96,7 @@
       return;
     }
     const { body } = fact;
-    if (!isOver(body)) return;
+    if (!hasEnded(body, fact.heardAtMs - body.ranMs)) return;
     const waitMs = own.has(key) ? 0 : rankOf(key) * SPEAKERS_APART_MS;
     const atMs = knownSpeaksAtMs ?? nowMs + waitMs;
     speaksAtMs.set(key, atMs);
@@ -115,7 +111,8 @@
       open({ content: digestContent(content), instanceId, address, ranMs: 0 }, 'attempt');
     },
     async note(run) {
-      if (isOver(run) || !(await isThere(run.address))) onEnd(run, 'run');
+      const sentAtMs = clock.nowMs() - run.ranMs;
+      if (hasEnded(run, sentAtMs) || !(await isThere(run.address))) onEnd(run, 'run');
       else open(run, 'run');
     },
     onFact(body) {
