fix(entry,membership): runs that were sent to under one name are told apart when one came after another had broken off

Ruled out: facts lost on the way; all entries agreed on two ends.

Change: an end has a turn: how many runs under its name had broken off under the content before it was sent. Attempts are not told apart, as one that comes after an end may reach nobody.

--- a/packages/controller/__tests__/controlRestart.spec.ts
+++ b/packages/controller/__tests__/controlRestart.spec.ts
@@ -24,7 +24,8 @@
 const POLL_MS = 50;
 
 function createFact(instanceId: string): FactUpdate<SystemFact> {
-  const body = { kind: 'crash', content: 'c', instanceId, ranMs: 80, evidence: 'run' } as const;
+  const run = { content: 'c', instanceId, turn: 0, ranMs: 80 };
+  const body = { kind: 'crash', ...run, evidence: 'run' } as const;
   return { key: FACT_KEYS.crash(body), sequence: 1, ageMs: 0, body };
 }
 
--- a/packages/entry/__tests__/crashDispatch.spec.ts
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -84,8 +84,9 @@
       ...base.crashes,
       note(run) {
         notes.push(run);
-        base.quarantine.noteEnd(run);
-        base.quarantine.onFact({ kind: 'crash', evidence: 'run', ...run });
+        const end = { ...run, turn: 0, evidence: 'run' } as const;
+        base.quarantine.noteEnd(end);
+        base.quarantine.onFact({ kind: 'crash', ...end });
         return Promise.resolve();
       },
     },
@@ -96,8 +97,9 @@
   function endElsewhere(): void {
     ended += 1;
     const run = { content, instanceId: `other-${ended}`, ranMs: 80 };
-    context.quarantine.noteEnd(run);
-    context.quarantine.onFact({ kind: 'crash', evidence: 'run', ...run });
+    const end = { ...run, turn: 0, evidence: 'run' } as const;
+    context.quarantine.noteEnd(end);
+    context.quarantine.onFact({ kind: 'crash', ...end });
   }
   for (let count = 0; count < endsBefore; count += 1) endElsewhere();
 
--- a/packages/entry/__tests__/crashGuard.spec.ts
+++ b/packages/entry/__tests__/crashGuard.spec.ts
@@ -58,10 +58,10 @@
     guard,
     clock,
     /** Hears that a run of a server is at an address. */
-    announce(instanceId: string, address: string): void {
+    announce(instanceId: string, address: string, sequence = 1): void {
       const { incarnation } = parseInstanceId(instanceId);
       const body = createEngine(instanceId, 0, 8, { address });
-      table.put(FACT_KEYS.backend(instanceId), { incarnation, sequence: 1 }, body);
+      table.put(FACT_KEYS.backend(instanceId), { incarnation, sequence }, body);
     },
     hear: (updates: readonly FactUpdate<SystemFact>[]) => table.merge(updates, clock.nowMs(), 'c'),
   };
@@ -69,10 +69,10 @@
 
 function createCrashes(content: string, instanceIds: readonly string[], ranMs: number) {
   return instanceIds.map((instanceId): FactUpdate<SystemFact> => ({
-    key: FACT_KEYS.crash({ content, instanceId, evidence: 'run' }),
+    key: FACT_KEYS.crash({ content, instanceId, turn: 0, evidence: 'run' }),
     sequence: 1,
     ageMs: 0,
-    body: { kind: 'crash', content, instanceId, ranMs, evidence: 'run' },
+    body: { kind: 'crash', content, instanceId, turn: 0, ranMs, evidence: 'run' },
   }));
 }
 
@@ -123,6 +123,9 @@
       await guard.crashes.note(RUN);
       guard.crashes.tick();
       assert.deepEqual(guard.quarantine.describe(), [], earlier);
+      if (earlier === 'e1/6') announce(earlier, 'e1:80', 2);
+      guard.crashes.tick();
+      assert.deepEqual(guard.quarantine.describe(), [], `${earlier}, late`);
     }
   });
 
--- a/packages/entry/__tests__/crashWitness.spec.ts
+++ b/packages/entry/__tests__/crashWitness.spec.ts
@@ -37,7 +37,10 @@
     isThere: () => Promise.resolve(isThere),
     hasEnded: ({ instanceId }) => ended.has(instanceId),
     rankOf: () => rank,
-    onEnd: ({ instanceId }, evidence) => seen.push(evidence === 'run' ? instanceId : evidence),
+    onEnd({ instanceId, turn, evidence }) {
+      const name = turn === 0 ? instanceId : `${instanceId}#${turn}`;
+      seen.push(evidence === 'run' ? name : `${evidence} ${name}`);
+    },
   });
   onFact = (body) => {
     if (body.kind === 'open-run') witness.onFact(body);
@@ -52,6 +55,9 @@
   };
 }
 
+const createContent = () =>
+  contentOf(createAdmitted(createManualClock(100_000), createRoute('stream')));
+
 describe('a run whose connection broke', () => {
   it('counts as an end when its server accepts no connection any more', async () => {
     const { witness, seen } = createSetting({ isThere: false });
@@ -134,10 +140,50 @@
   });
 });
 
-describe('an attempt that is about to be sent', () => {
-  const createContent = () =>
-    contentOf(createAdmitted(createManualClock(100_000), createRoute('stream')));
+describe('runs that were sent to under one name', () => {
+  it('are told apart when one was sent after another had broken off', async () => {
+    const { witness, clock, ended, seen } = createSetting();
+    await witness.note(RUN);
+    clock.advance(500);
+    await witness.note(RUN);
+    ended.add('s1');
+    witness.tick();
+    assert.deepEqual(seen, ['s1', 's1#1']);
+  });
+
+  it('are one where the second was under way already', async () => {
+    const { witness, clock, ended, seen } = createSetting();
+    await witness.note(RUN);
+    clock.advance(RUN.ranMs);
+    await witness.note(RUN);
+    ended.add('s1');
+    witness.tick();
+    assert.deepEqual(seen, ['s1']);
+  });
 
+  it('are not told apart by attempts, which may have come after the end and reached nobody', async () => {
+    const { witness, clock, ended, seen } = createSetting({ isSuspected: true });
+    const content = createContent();
+    await witness.note({ ...RUN, content: digestContent(content) });
+    clock.advance(500);
+    witness.noteSend(content, RUN);
+    ended.add('s1');
+    witness.tick();
+    assert.deepEqual(seen, ['s1', 'attempt s1']);
+  });
+
+  it('are no end while the server lives, however often its connections break', async () => {
+    const { witness, clock, seen } = createSetting();
+    for (let count = 0; count < 5; count += 1) {
+      await witness.note(RUN);
+      clock.advance(500);
+      witness.tick();
+    }
+    assert.deepEqual(seen, []);
+  });
+});
+
+describe('an attempt that is about to be sent', () => {
   it('is stated where servers have ended under its content, and only there', () => {
     const told = [true, false].map((isSuspected) => {
       const { witness, tell } = createSetting({ isSuspected });
@@ -161,6 +207,6 @@
     witness.noteSend(createContent(), RUN);
     ended.add('s1');
     witness.tick();
-    assert.deepEqual(seen, ['attempt']);
+    assert.deepEqual(seen, ['attempt s1']);
   });
 });
--- a/packages/entry/__tests__/lostWitness.spec.ts
+++ b/packages/entry/__tests__/lostWitness.spec.ts
@@ -110,7 +110,8 @@
   const admitted = createAdmitted(clock, createRoute('stream', { maxAttempts: 1 }));
   const content = digestContent(contentOf(admitted));
   for (let count = 1; count <= runsBefore; count += 1) {
-    quarantine.noteEnd({ content, instanceId: `earlier-${count}`, ranMs: 40 });
+    const run = { content, instanceId: `earlier-${count}`, turn: 0, ranMs: 40 };
+    quarantine.noteEnd({ ...run, evidence: 'run' });
   }
   await dispatch.run(admitted, MODEL).catch((error: unknown) => {
     assert.ok(error instanceof SpoolplankError);
--- a/packages/entry/__tests__/quarantine.spec.ts
+++ b/packages/entry/__tests__/quarantine.spec.ts
@@ -61,7 +61,8 @@
     quarantine,
     spreads: () => spreads,
     end(content, instanceId, ranMs = 80) {
-      quarantine.noteEnd({ content: digestContent(content), instanceId, ranMs });
+      const run = { content: digestContent(content), instanceId, turn: 0, ranMs };
+      quarantine.noteEnd({ ...run, evidence: 'run' });
     },
     state: () => quarantine.listStatements(),
     hear: (updates) => table.merge(updates, clock.nowMs(), name),
@@ -176,7 +177,7 @@
     const deadly = createContent('deadly');
     const content = digestContent(deadly);
     ['s1', 's2', 's3'].forEach((instanceId) =>
-      vm.quarantine.noteEnd({ content, instanceId, ranMs: 0 }, 'attempt'),
+      vm.quarantine.noteEnd({ content, instanceId, turn: 0, evidence: 'attempt', ranMs: 0 }),
     );
     assert.equal(vm.quarantine.has(deadly), false, 'nothing shows that it was run');
     vm.end(deadly, 's1');
@@ -185,12 +186,20 @@
     assert.equal(vm.quarantine.has(deadly), true);
   });
 
+  it('is counted for each of the runs that were sent to under one name', () => {
+    const vm = createVm(createManualClock());
+    const deadly = createContent('deadly');
+    const run = { content: digestContent(deadly), instanceId: 's1', ranMs: 40 };
+    [0, 1, 1, 2].forEach((turn) => vm.quarantine.noteEnd({ ...run, turn, evidence: 'run' }));
+    assert.equal(vm.quarantine.has(deadly), true);
+  });
+
   it('is sent on by the router itself after one end that was stated twice', () => {
     const vm = createVm(createManualClock());
     const deadly = createContent('deadly');
     vm.end(deadly, 's1');
-    const run = { content: digestContent(deadly), instanceId: 's1', ranMs: 0 };
-    vm.quarantine.noteEnd(run, 'attempt');
+    const run = { content: digestContent(deadly), instanceId: 's1', turn: 0, ranMs: 0 };
+    vm.quarantine.noteEnd({ ...run, evidence: 'attempt' });
     assert.equal(vm.quarantine.maySendOn(deadly), true);
   });
 
--- a/packages/entry/src/crashGuard.ts
+++ b/packages/entry/src/crashGuard.ts
@@ -113,7 +113,7 @@
     isThere: options.isThere,
     hasEnded,
     rankOf,
-    onEnd: (run, evidence) => quarantine.noteEnd(run, evidence),
+    onEnd: quarantine.noteEnd,
   });
 
   /** Copies that are under way, and have not begun to answer, may still be kept from a server. */
@@ -137,7 +137,8 @@
     noteLost(row, instanceId) {
       if (!row.hasAnswered || row.hasBegun) return;
       const content = digestContent(contentOf(row.admitted));
-      quarantine.noteEnd({ content, instanceId, ranMs: clock.nowMs() - row.startedAtMs });
+      const ranMs = Math.round(clock.nowMs() - row.startedAtMs);
+      quarantine.noteEnd({ content, instanceId, turn: 0, evidence: 'run', ranMs });
     },
     onFact(body) {
       if (body.kind === 'open-run') {
--- a/packages/entry/src/crashWitness.ts
+++ b/packages/entry/src/crashWitness.ts
@@ -6,7 +6,14 @@
  * announced itself again, took that end with it, and a fourth server ended.
  */
 import { FACT_KEYS, OPEN_RUN_RETENTION_MS } from '@spoolplank/membership';
-import type { CrashEvidence, FactTable, OpenRunFact, SystemFact } from '@spoolplank/membership';
+import type {
+  CrashEvidence,
+  CrashFact,
+  CrashIdentity,
+  FactTable,
+  OpenRunFact,
+  SystemFact,
+} from '@spoolplank/membership';
 import type { Clock } from '@spoolplank/shared';
 import type { BackendTarget } from './backendOperations';
 import { digestContent } from './requestContent';
@@ -22,6 +29,9 @@
   readonly ranMs: number;
 }
 
+/** A run whose server ended, and what shows that the content was there. */
+export type EndedRun = Omit<CrashFact, 'kind'>;
+
 export interface CrashWitnessOptions {
   readonly clock: Clock;
   readonly table: Pick<FactTable<SystemFact>, 'find'>;
@@ -36,7 +46,7 @@
   /** How many VMs are to speak before this one about a run that another VM has stated. */
   readonly rankOf: (key: string) => number;
   /** Told of each run whose server ended. */
-  readonly onEnd: (run: ServerRun, evidence: CrashEvidence) => void;
+  readonly onEnd: (end: EndedRun) => void;
 }
 
 export interface CrashWitness {
@@ -67,17 +77,31 @@
   const speaksAtMs = new Map<string, number | null>();
   const own = new Set<string>();
 
-  function open(run: ServerRun, evidence: CrashEvidence): void {
-    const { content, instanceId, address, ranMs } = run;
-    const body: OpenRunFact = {
-      kind: 'open-run',
-      content,
-      instanceId,
-      address,
-      ranMs: Math.round(ranMs),
-      evidence,
-      wallMs: Math.floor(clock.wallMs()),
-    };
+  function wasKnown(identity: CrashIdentity, sentAtMs: number): boolean {
+    const keys = [FACT_KEYS.crash(identity), FACT_KEYS.openRun(identity)];
+    return keys.some((key) => (table.find(key)?.heardAtMs ?? Infinity) < sentAtMs);
+  }
+
+  /**
+   * How many runs under this name had broken off under the content before it was sent. Either that
+   * was a connection only, and none of them is an end, or the server has started again since.
+   */
+  function countBefore({ content, instanceId }: ServerRun, sentAtMs: number): number {
+    let turn = 0;
+    while (wasKnown({ content, instanceId, turn, evidence: 'run' }, sentAtMs)) turn += 1;
+    return turn;
+  }
+
+  /** Attempts are not told apart: one that came after the server's end may have reached nobody. */
+  function toEnd(run: ServerRun, evidence: CrashEvidence, sentAtMs: number): EndedRun {
+    const { content, instanceId, ranMs } = run;
+    const turn = evidence === 'run' ? countBefore(run, sentAtMs) : 0;
+    return { content, instanceId, turn, evidence, ranMs: Math.round(ranMs) };
+  }
+
+  function open(end: EndedRun, address: string): void {
+    const wallMs = Math.floor(clock.wallMs());
+    const body: OpenRunFact = { kind: 'open-run', ...end, address, wallMs };
     const key = FACT_KEYS.openRun(body);
     own.add(key);
     state(key, body);
@@ -102,18 +126,21 @@
     speaksAtMs.set(key, atMs);
     if (nowMs < atMs) return;
     forget(key);
-    onEnd(body, body.evidence);
+    onEnd(body);
   }
 
   return {
     noteSend(content, { instanceId, address }) {
       if (!isSuspected(content)) return;
-      open({ content: digestContent(content), instanceId, address, ranMs: 0 }, 'attempt');
+      const run = { content: digestContent(content), instanceId, address, ranMs: 0 };
+      open(toEnd(run, 'attempt', clock.nowMs()), address);
     },
     async note(run) {
       const sentAtMs = clock.nowMs() - run.ranMs;
-      if (hasEnded(run, sentAtMs) || !(await isThere(run.address))) onEnd(run, 'run');
-      else open(run, 'run');
+      const hasGone = hasEnded(run, sentAtMs) || !(await isThere(run.address));
+      const end = toEnd(run, 'run', sentAtMs);
+      if (hasGone) onEnd(end);
+      else open(end, run.address);
     },
     onFact(body) {
       const key = FACT_KEYS.openRun(body);
--- a/packages/entry/src/quarantine.ts
+++ b/packages/entry/src/quarantine.ts
@@ -7,7 +7,6 @@
 import { CRASH_RETENTION_MS, FACT_KEYS } from '@spoolplank/membership';
 import type {
   AcquittalFact,
-  CrashEvidence,
   CrashFact,
   Fact,
   FactTable,
@@ -18,7 +17,7 @@
 import { judgeCrashes, QUARANTINE_ENDS } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
-import type { ServerRun } from './crashWitness';
+import type { EndedRun } from './crashWitness';
 import type { OwnStatements } from './ownStatements';
 import { digestContent } from './requestContent';
 import type { RequestContent } from './requestContent';
@@ -49,7 +48,7 @@
   /** Whether a server has ended under it. */
   isSuspected(content: RequestContent): boolean;
   /** Holds the end of a server against a content. */
-  noteEnd(run: Omit<ServerRun, 'address'>, evidence?: CrashEvidence): void;
+  noteEnd(end: EndedRun): void;
   /** Clears a content: it was run, and its server lives. */
   noteServed(content: RequestContent): void;
   /** Clears a content by its digest, for an operator; false when nothing was held against it. */
@@ -87,6 +86,11 @@
   return body.kind === 'crash' ? FACT_KEYS.crash(body) : FACT_KEYS.acquittal(body.content);
 }
 
+/** Tells the runs of servers that ended apart, also those that were sent to under one name. */
+function runOf({ instanceId, turn }: CrashFact): string {
+  return `${instanceId}#${turn}`;
+}
+
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   const { clock, random, log, metrics, table, statements } = options;
   /** Keys of all crashes and acquittals in the table, in the order in which they were heard of. */
@@ -124,6 +128,7 @@
     const nowMs = clock.nowMs();
     return (endsByContent.get(digest) ?? []).map(({ body, heardAtMs, origin }) => ({
       instanceId: body.instanceId,
+      turn: body.turn,
       evidence: body.evidence,
       ranMs: body.ranMs,
       ageMs: Math.round(nowMs - heardAtMs),
@@ -135,7 +140,9 @@
     const before = guilty;
     isJudgementDue = false;
     endsByContent = groupByContent(listCrashes().filter((row) => !isAcquitted(row)));
-    guilty = judgeCrashes([...endsByContent.values()].flat().map(({ body }) => body));
+    guilty = judgeCrashes(
+      [...endsByContent.values()].flat().map(({ body }) => ({ ...body, instanceId: runOf(body) })),
+    );
     const added = [...guilty].filter((content) => !before.has(content));
     const released = [...before].filter((content) => !guilty.has(content));
     added.forEach((content) =>
@@ -175,7 +182,7 @@
 
   /** Runs of servers that ended under a content, each of them once. */
   function countEnds(rows: readonly CrashRow[]): number {
-    return new Set(rows.map(({ body }) => body.instanceId)).size;
+    return new Set(rows.map(({ body }) => runOf(body))).size;
   }
 
   function endsOf(content: RequestContent): readonly CrashRow[] {
@@ -213,20 +220,14 @@
     },
     maySendOn: (content) => countEnds(endsOf(content)) < QUARANTINE_ENDS - 1,
     isSuspected: (content) => endsOf(content).length > 0,
-    noteEnd({ content, instanceId, ranMs }, evidence = 'run') {
-      const body: CrashFact = {
-        kind: 'crash',
-        content,
-        instanceId,
-        ranMs: Math.round(ranMs),
-        evidence,
-      };
+    noteEnd({ content, instanceId, turn, evidence, ranMs }) {
+      const body: CrashFact = { kind: 'crash', content, instanceId, turn, evidence, ranMs };
       // Another copy of it was on the same run, here or at another VM.
       if (table.find(keyOf(body)) || served.has(content)) return;
       state(body);
       refresh();
       const ends = countEnds(endsByContent.get(content) ?? []);
-      log.info('content-suspected', { content, instanceId, ranMs: body.ranMs, evidence, ends });
+      log.info('content-suspected', { content, instanceId, turn, ranMs, evidence, ends });
       metrics.count('spoolplank_content_ends_total', {});
     },
     noteServed(content) {
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -97,6 +97,11 @@
   /** Digest of the content. */
   readonly content: string;
   readonly instanceId: string;
+  /**
+   * Runs that were sent the content under one name: 1 and more for those that came after another
+   * one had broken off, as the server's next run is sent requests before it has announced itself.
+   */
+  readonly turn: number;
   readonly evidence: CrashEvidence;
 }
 
@@ -166,10 +171,10 @@
   suspicion: (instanceId: string) => `suspicion/${instanceId}`,
   leaving: (instanceId: string) => `leaving/${instanceId}`,
   /** What shows that a server had run a content is never displaced by what does not. */
-  crash: ({ evidence, content, instanceId }: CrashIdentity) =>
-    `crash/${evidence}/${content}/${instanceId}`,
-  openRun: ({ evidence, content, instanceId }: CrashIdentity) =>
-    `open-run/${evidence}/${content}/${instanceId}`,
+  crash: ({ evidence, content, instanceId, turn }: CrashIdentity) =>
+    `crash/${evidence}/${content}/${instanceId}/${turn}`,
+  openRun: ({ evidence, content, instanceId, turn }: CrashIdentity) =>
+    `open-run/${evidence}/${content}/${instanceId}/${turn}`,
   acquittal: (content: string) => `acquittal/${content}`,
 } as const;
 
