--- /dev/null
+++ b/packages/entry/src/entryFacts.ts
@@ -0,0 +1,123 @@
+/** What an entry knows of the others, and how it tells them what it knows itself. */
+import type { StoredDocument } from '@spoolplank/control';
+import {
+  createDocumentCache,
+  createFactTable,
+  isRestart,
+  retentionOf,
+} from '@spoolplank/membership';
+import type {
+  DocumentCache,
+  FactTable,
+  FactUpdate,
+  LoadFact,
+  SystemFact,
+  SystemFactKind,
+} from '@spoolplank/membership';
+import type { EventLog, PeerClient } from '@spoolplank/node';
+import type { RoutingDocument } from '@spoolplank/routing';
+import type { Clock } from '@spoolplank/shared';
+import { createEntryFeed } from './entryFeed';
+import { createRoutingView } from './routingView';
+import type { RoutingView } from './routingView';
+
+export interface EntryFactsOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly peers: PeerClient;
+  /** Unique to this run of the process. */
+  readonly run: string;
+  readonly host: string;
+  readonly dataCentre: string;
+  /** Hosts of control VMs, as the settings name them. */
+  readonly seeds: () => readonly string[];
+  readonly controlPeerPort: number;
+  readonly readDocument: (document: StoredDocument) => RoutingDocument;
+  readonly announcementMs: number;
+  /** The load of this VM that was stated last. */
+  readonly statedLoad: () => LoadFact['inFlight'];
+  readonly onDocument: (document: RoutingDocument) => void;
+}
+
+/** States something with each exchange. */
+export type StatementSource = () => readonly FactUpdate<SystemFact>[];
+
+export interface EntryFacts {
+  readonly table: FactTable<SystemFact>;
+  readonly documents: DocumentCache<StoredDocument>;
+  readonly view: RoutingView;
+  /** When a control VM last answered, on this VM's clock; not finite before the first answer. */
+  readonly syncedAtMs: number;
+  addStatements(source: StatementSource): void;
+  /** Has a listener told of each fact that is to be acted on as soon as it is heard. */
+  onUrgentFact(listener: (body: SystemFact) => void): void;
+  /** Tells others what this VM states now, without waiting for the next exchange. */
+  spread(): void;
+  start(): void;
+  /** Forgets what nobody states any more. */
+  sweep(): void;
+  stop(): void;
+}
+
+/** Facts that this VM acts on as soon as it hears of them. */
+const URGENT_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>([
+  'suspicion',
+  'crash',
+  'acquittal',
+  'open-run',
+]);
+
+export function createEntryFacts(options: EntryFactsOptions): EntryFacts {
+  const { clock, log, run, readDocument, announcementMs, statedLoad } = options;
+  const documents = createDocumentCache<StoredDocument>(clock);
+  const sources: StatementSource[] = [];
+  const listeners: ((body: SystemFact) => void)[] = [];
+  const table = createFactTable<SystemFact>({
+    clock,
+    instance: run,
+    isUrgent: (body, before) => URGENT_FACTS.has(body.kind) || isRestart(body, before),
+    onUrgent: (body) => listeners.forEach((listener) => listener(body)),
+  });
+  let syncedAtMs = () => Number.NEGATIVE_INFINITY;
+  const view = createRoutingView({
+    clock,
+    table,
+    documents,
+    readDocument,
+    syncedAtMs: () => syncedAtMs(),
+    announcementMs,
+    ownStatedLoad: statedLoad,
+  });
+  const feed = createEntryFeed({
+    ...options,
+    table,
+    documents,
+    statements: () => sources.flatMap((list) => list()),
+    listControlMembers: () => view.listMembers('control'),
+    onDocument({ version }) {
+      const routes = view.routes();
+      log.info('document-in-force', { version, routes: routes?.document.routes.length });
+      if (routes) options.onDocument(routes.document);
+    },
+  });
+  syncedAtMs = () => feed.syncedAtMs;
+
+  return {
+    table,
+    documents,
+    view,
+    get syncedAtMs() {
+      return feed.syncedAtMs;
+    },
+    addStatements: (source) => sources.push(source),
+    onUrgentFact: (listener) => listeners.push(listener),
+    spread() {
+      void feed.push();
+    },
+    start() {
+      void feed.run();
+    },
+    sweep: () => table.sweep(retentionOf),
+    stop: () => feed.stop(),
+  };
+}
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,13 +1,7 @@
 /** The role `entry` with everything it needs injected. */
 import type { StoredDocument } from '@spoolplank/control';
-import {
-  createDocumentCache,
-  createFactTable,
-  createSiblingRests,
-  isRestart,
-  retentionOf,
-} from '@spoolplank/membership';
-import type { FactUpdate, LoadFact, SystemFact, SystemFactKind } from '@spoolplank/membership';
+import { createSiblingRests } from '@spoolplank/membership';
+import type { LoadFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable } from '@spoolplank/routing';
@@ -19,10 +13,9 @@
 import type { BackendOperations } from './backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
 import { createCrashGuard, isGuardFact } from './crashGuard';
-import type { GuardFact } from './crashGuard';
 import { createEngineHealth } from './engineHealth';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
-import { createEntryFeed } from './entryFeed';
+import { createEntryFacts } from './entryFacts';
 import { createEntryStatements } from './entryStatements';
 import { createPlainDispatch } from './plainDispatch';
 import { createReadiness } from './readiness';
@@ -31,7 +24,6 @@
 import { createRequestReport, toRequestEnd } from './requestReport';
 import { createRetryBudgets } from './retryBudgets';
 import type { RetryLimits } from './retryBudgets';
-import { createRoutingView } from './routingView';
 import { guardOperations } from './guardedOperations';
 import { createServerNotices } from './serverNotices';
 import { createStreamPath } from './streamPath';
@@ -87,59 +79,19 @@
 
 const TICK_MS = 40;
 const SWEEP_TICKS = 250;
-/** Facts that this VM acts on as soon as it hears of them. */
-const URGENT_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>([
-  'suspicion',
-  'crash',
-  'acquittal',
-  'open-run',
-]);
-
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
-  const { clock, random, log, metrics, peers, run, host, dataCentre, readDocument } = options;
-  const documents = createDocumentCache<StoredDocument>(clock);
-  let placeStatements = (): readonly FactUpdate<SystemFact>[] => [];
-  let onStreamEnd = (_row: StreamRow): void => {};
-  const streams = createStreamTable({ clock, onEnd: (row) => onStreamEnd(row) });
+  const { clock, random, log, metrics, peers, run, host, dataCentre } = options;
   const openRequests = new Set<CallerRequest>();
+  let onStreamEnd = (_row: StreamRow): void => {};
   let statedLoad = (): LoadFact['inFlight'] => ({});
   let ticks = 0;
   let firstSyncedAtMs = Number.POSITIVE_INFINITY;
   let isStopped = false;
 
-  let onEngineLoss = () => {};
-  let onGuardFact = (_body: GuardFact): void => {};
-  let crashStatements = (): readonly FactUpdate<SystemFact>[] => [];
-  let syncedAtMs = () => Number.NEGATIVE_INFINITY;
-  const table = createFactTable<SystemFact>({
-    clock,
-    instance: run,
-    isUrgent: (body, before) => URGENT_FACTS.has(body.kind) || isRestart(body, before),
-    onUrgent(body) {
-      if (isGuardFact(body)) onGuardFact(body);
-      else onEngineLoss();
-    },
-  });
-  const view = createRoutingView({
-    clock,
-    table,
-    documents,
-    readDocument,
-    syncedAtMs: () => syncedAtMs(),
-    announcementMs: options.announcementMs,
-    ownStatedLoad: () => statedLoad(),
-  });
-
-  let spread = () => {};
-  const health = createEngineHealth({
-    clock,
-    log,
-    metrics,
-    table,
-    dataCentre,
-    spread: () => spread(),
-  });
-
+  const streams = createStreamTable({ clock, onEnd: (row) => onStreamEnd(row) });
+  const facts = createEntryFacts({ ...options, statedLoad: () => statedLoad() });
+  const { table, documents, view, spread } = facts;
+  const health = createEngineHealth({ clock, log, metrics, table, dataCentre, spread });
   const siblingRests = createSiblingRests({
     table,
     host,
@@ -153,7 +105,7 @@
     metrics,
     table,
     findByAddress: view.findByAddress,
-    spread: () => spread(),
+    spread,
     onRest: siblingRests.tell,
   });
   options.operations.onNotice(notices.take);
@@ -179,35 +131,6 @@
   });
   statedLoad = () => statements.statedLoad;
 
-  const feed = createEntryFeed({
-    clock,
-    log,
-    peers,
-    host,
-    dataCentre,
-    table,
-    documents,
-    statements: () => [
-      ...statements.list(),
-      ...placeStatements(),
-      ...crashStatements(),
-      ...notices.listStatements(),
-    ],
-    listControlMembers: () => view.listMembers('control'),
-    seeds: options.seeds,
-    controlPeerPort: options.controlPeerPort,
-    onDocument({ version }) {
-      const routes = view.routes();
-      log.info('document-in-force', { version, routes: routes?.document.routes.length });
-      if (routes) options.onDocument(routes.document);
-    },
-  });
-
-  syncedAtMs = () => feed.syncedAtMs;
-  spread = () => {
-    void feed.push();
-  };
-
   let isThere = (_address: string): Promise<boolean> => Promise.resolve(true);
   const guard = createCrashGuard({
     clock,
@@ -220,11 +143,9 @@
     streams,
     health,
     isThere: (address) => isThere(address),
-    spread: () => spread(),
+    spread,
   });
   const { quarantine, crashes } = guard;
-  onGuardFact = guard.onFact;
-  crashStatements = quarantine.listStatements;
 
   const countEntries = () => view.listMembers('entry').length;
   const context: EntryContext = {
@@ -245,7 +166,7 @@
     quarantine,
     crashes,
     notices,
-    factsAgeMs: () => clock.nowMs() - feed.syncedAtMs,
+    factsAgeMs: () => clock.nowMs() - facts.syncedAtMs,
   };
   const plain = createPlainDispatch(context);
   const stream = createStreamPath({
@@ -259,10 +180,18 @@
     countEntries,
   });
   const { places, repair } = stream;
-  onStreamEnd = (row) => places.noteReturn(row.dataCentre, row.ticket);
-  placeStatements = () => places.listStatements();
   ({ isThere } = repair);
-  onEngineLoss = () => repair.repairLost(health.isLost);
+  onStreamEnd = (row) => places.noteReturn(row.dataCentre, row.ticket);
+  facts.onUrgentFact((body) => {
+    if (isGuardFact(body)) guard.onFact(body);
+    else repair.repairLost(health.isLost);
+  });
+  [
+    statements.list,
+    places.listStatements,
+    quarantine.listStatements,
+    notices.listStatements,
+  ].forEach(facts.addStatements);
 
   const admission = createRequestAdmission({ clock, random, view, ...readiness });
 
@@ -286,13 +215,13 @@
   function tick(): void {
     if (isStopped) return;
     ticks += 1;
-    const isSynced = Number.isFinite(feed.syncedAtMs);
+    const isSynced = Number.isFinite(facts.syncedAtMs);
     if (isSynced) firstSyncedAtMs = Math.min(firstSyncedAtMs, clock.steadyMs());
     repair.tick();
     places.tick();
     crashes.tick();
     if (ticks % SWEEP_TICKS === 0) {
-      table.sweep(retentionOf);
+      facts.sweep();
       guard.sweep();
       notices.sweep();
     }
@@ -308,7 +237,7 @@
     methods: { ...stream.methods, ...siblingRests.methods },
     start() {
       tick();
-      void feed.run();
+      facts.start();
     },
     async handle(request, answer) {
       let route = '';
@@ -335,7 +264,7 @@
     beginLeaving() {
       readiness.beginLeaving();
       log.info('leaving');
-      void feed.push();
+      spread();
     },
     refuseNew: () => admission.refuseNew(),
     get inFlight() {
@@ -343,7 +272,7 @@
     },
     stop() {
       isStopped = true;
-      feed.stop();
+      facts.stop();
     },
     describe: () =>
       ({
