--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -20,7 +20,7 @@
     '--test',
     '--test-reporter=spec',
     '--test-reporter-destination=stdout',
-    '--test-reporter=./scripts/failureReporter.ts',
+    '--test-reporter=./scripts/failureReporter.mjs',
     `--test-reporter-destination=${failureFile}`,
   ];
   return spawnSync(process.execPath, [...options, ...specs], { stdio: 'inherit' }).status;
