fix(entry): a run that is followed no more is not kept as this VM's own

Cause: read in the diff: where another VM had stated the same run with a later time of day, this VM's own mark on it stayed after the run was forgotten, one name each.

Change: the mark is set only while the run is followed.

Measured: 187 specs of the entry pass.

--- a/packages/entry/src/crashWitness.ts
+++ b/packages/entry/src/crashWitness.ts
@@ -103,8 +103,9 @@
     const wallMs = Math.floor(clock.wallMs());
     const body: OpenRunFact = { kind: 'open-run', ...end, address, wallMs };
     const key = FACT_KEYS.openRun(body);
-    own.add(key);
     state(key, body);
+    // One that is followed no more is not kept as this VM's own either.
+    if (speaksAtMs.has(key)) own.add(key);
   }
 
   function forget(key: string): void {
