feat(controller,consensus): a replica says who votes, whom it hears, which votes it denied and when the quorum is lost

Cause: the logs of the unread configuration could not tell who voted, which of the voters were heard, when a majority was lost and for want of whom; a refused call named neither a term nor a leader. Change: messages are noted by the identity that sent them; a replica keeps the last vote that it denied and why; quorum-lost, quorum-regained and vote-denied are one line each, control-call-refused carries the group as this replica sees it, and four gauges and the dump show the same. No decision reads any of it.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -9,7 +9,7 @@
 import type { MessageOf, PreVoteMessage, VoteMessage } from './messages';
 import { becomeLeader, isLeaseValid } from './replication';
 import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
-import type { ReplicaState } from './replicaState';
+import type { ReplicaState, VoteDenialReason } from './replicaState';
 
 function isLogUpToDate(
   state: ReplicaState,
@@ -89,9 +89,32 @@
   startElection(state);
 }
 
+function noteDenial(
+  state: ReplicaState,
+  { kind, from, term }: PreVoteMessage | VoteMessage,
+  reason: VoteDenialReason,
+): void {
+  state.lastDenial = {
+    candidate: from,
+    term,
+    reason,
+    isPreVote: kind === 'pre-vote',
+  };
+}
+
+function findPreVoteDenial(
+  state: ReplicaState,
+  message: MessageOf<'pre-vote'>,
+): VoteDenialReason | null {
+  if (message.term <= state.term) return 'term-not-newer';
+  if (isBoundToLeader(state)) return 'leader-alive';
+  return isLogUpToDate(state, message) ? null : 'log-behind';
+}
+
 export function receivePreVote(state: ReplicaState, message: MessageOf<'pre-vote'>): void {
-  const isGranted =
-    message.term > state.term && !isBoundToLeader(state) && isLogUpToDate(state, message);
+  const denial = findPreVoteDenial(state, message);
+  if (denial !== null) noteDenial(state, message, denial);
+  const isGranted = denial === null;
   const term = isGranted ? message.term : state.term;
   queueMessage(state, message.from, { kind: 'pre-vote-reply', term, isGranted });
 }
@@ -110,12 +133,23 @@
   if (countVotes(state, true) >= quorumSize(state.log.configuration)) startElection(state);
 }
 
+function findVoteDenial(state: ReplicaState, message: MessageOf<'vote'>): VoteDenialReason | null {
+  if (message.term !== state.term) return 'term-not-newer';
+  const isFree = state.votedFor === null || state.votedFor === message.from;
+  if (!isFree) return 'already-voted';
+  return isLogUpToDate(state, message) ? null : 'log-behind';
+}
+
 export function receiveVote(state: ReplicaState, message: MessageOf<'vote'>): void {
   // Not even the term is taken over: a candidate that ignores a living leader is not heard.
-  if (message.term > state.term && !message.isTransfer && isBoundToLeader(state)) return;
+  if (message.term > state.term && !message.isTransfer && isBoundToLeader(state)) {
+    noteDenial(state, message, 'leader-alive');
+    return;
+  }
   if (message.term > state.term) becomeFollower(state, message.term, null);
-  const isFree = state.votedFor === null || state.votedFor === message.from;
-  const isGranted = message.term === state.term && isFree && isLogUpToDate(state, message);
+  const denial = findVoteDenial(state, message);
+  if (denial !== null) noteDenial(state, message, denial);
+  const isGranted = denial === null;
   if (isGranted) {
     state.votedFor = message.from;
     resetElectionDeadline(state);
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -1,5 +1,5 @@
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
-import { changeConfiguration } from './configuration';
+import { changeConfiguration, listReplicas } from './configuration';
 import type { Configuration, ConfigurationChange, ReplicaId } from './configuration';
 import {
   receivePreVote,
@@ -21,7 +21,7 @@
   receiveAppendReply,
 } from './replication';
 import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
-import type { ReplicaRole, ReplicaState, ReplicaTimings } from './replicaState';
+import type { ReplicaRole, ReplicaState, ReplicaTimings, VoteDenial } from './replicaState';
 import { receiveSnapshot, receiveSnapshotReply } from './snapshotTransfer';
 import type { LogBase, StoredState } from './storage';
 
@@ -64,9 +64,15 @@
   readonly savedIndex: number;
   readonly snapshotIndex: number;
   readonly configuration: Configuration;
+  /** Index of the entry that holds the configuration. */
+  readonly configurationIndex: number;
   readonly isLeaseValid: boolean;
   /** Leader only: what each follower is known to hold. */
   readonly matchIndexes: Readonly<Record<ReplicaId, number>>;
+  /** Age in milliseconds of the last message of each member that was heard since the start. */
+  readonly heardAgesMs: Readonly<Record<ReplicaId, number>>;
+  /** The last vote that this replica denied; null when it has denied none since its start. */
+  readonly lastDenial: VoteDenial | null;
 }
 
 /** One member of a replicated log. It does no I/O: time, disk and network are its caller's. */
@@ -140,6 +146,8 @@
     transferTarget: null,
     transferDeadlineMs: 0,
     votes: new Map(),
+    heardAtMs: new Map(),
+    lastDenial: null,
     progress: new Map(),
     incomingSnapshot: null,
     pendingSnapshot: null,
@@ -149,8 +157,15 @@
   return state;
 }
 
+/** Members only, so that identities of the past do not pile up. */
+function noteHeard(state: ReplicaState, from: ReplicaId): void {
+  const members = listReplicas(state.log.configuration);
+  if (members.includes(from)) state.heardAtMs.set(from, state.clock.nowMs());
+}
+
 function receiveMessage(state: ReplicaState, message: Message): void {
   if (message.group !== state.group || message.to !== state.id) return;
+  noteHeard(state, message.from);
   if (message.term > state.term && !TERM_NEUTRAL_KINDS.has(message.kind)) {
     becomeFollower(state, message.term, null);
   }
@@ -245,10 +260,15 @@
     savedIndex: log.savedIndex,
     snapshotIndex: log.snapshot?.index ?? 0,
     configuration: log.configuration,
+    configurationIndex: log.configurationIndex,
     isLeaseValid: isLeaseValid(state),
     matchIndexes: Object.fromEntries(
       [...state.progress].map(([id, { matchIndex }]) => [id, matchIndex]),
     ),
+    heardAgesMs: Object.fromEntries(
+      [...state.heardAtMs].map(([id, atMs]) => [id, state.clock.nowMs() - atMs]),
+    ),
+    lastDenial: state.lastDenial,
   };
 }
 
--- a/packages/consensus/src/replicaState.ts
+++ b/packages/consensus/src/replicaState.ts
@@ -39,6 +39,25 @@
   readonly maxInFlightEntries: number;
 }
 
+/** Why a replica denied another one its vote. */
+export type VoteDenialReason =
+  /** It has heard a leader within an election timeout. */
+  | 'leader-alive'
+  /** Its own log is more up to date than the candidate's. */
+  | 'log-behind'
+  /** It voted for another candidate in this term. */
+  | 'already-voted'
+  /** The candidate's term is not newer than its own. */
+  | 'term-not-newer';
+
+/** The last vote, or pre-vote, that a replica denied. */
+export interface VoteDenial {
+  readonly candidate: ReplicaId;
+  readonly term: number;
+  readonly reason: VoteDenialReason;
+  readonly isPreVote: boolean;
+}
+
 /** Everything a replica holds in memory; the functions of this package run over it. */
 export interface ReplicaState {
   readonly id: ReplicaId;
@@ -66,6 +85,9 @@
   /** By the steady time. */
   transferDeadlineMs: number;
   readonly votes: Map<ReplicaId, boolean>;
+  /** When a message of each other replica last arrived here. */
+  readonly heardAtMs: Map<ReplicaId, number>;
+  lastDenial: VoteDenial | null;
   readonly progress: Map<ReplicaId, Progress>;
   incomingSnapshot: IncomingSnapshot | null;
   /** A received snapshot that is whole and waits to be installed. */
--- /dev/null
+++ b/packages/controller/__tests__/groupWatch.spec.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { ReplicaStatus } from '@spoolplank/consensus';
+import type { LogFields } from '@spoolplank/node';
+import { createManualClock } from '@spoolplank/shared';
+import { createGroupWatch, summarizeGroup } from '../src/groupWatch';
+
+const ELECTION_LIMIT_MS = 2000;
+const SILENT_AFTER_MS = 1500;
+
+function createStatus(overrides: Partial<ReplicaStatus> = {}): ReplicaStatus {
+  return {
+    id: 'vm1#a',
+    role: 'follower',
+    term: 3,
+    leaderId: null,
+    commitIndex: 10,
+    lastIndex: 10,
+    savedIndex: 10,
+    snapshotIndex: 0,
+    configuration: { voters: ['vm1#a', 'vm2#b', 'vm3#c'], learners: [] },
+    configurationIndex: 7,
+    isLeaseValid: false,
+    matchIndexes: {},
+    heardAgesMs: { 'vm2#b': 100, 'vm3#c': 5000 },
+    lastDenial: null,
+    ...overrides,
+  };
+}
+
+function createFixture() {
+  const clock = createManualClock(10_000);
+  const lines: { readonly event: string; readonly fields: LogFields }[] = [];
+  const write = (event: string, fields: LogFields = {}) => lines.push({ event, fields });
+  const watch = createGroupWatch({
+    clock,
+    log: { info: write, warn: write },
+    electionLimitMs: ELECTION_LIMIT_MS,
+    silentAfterMs: SILENT_AFTER_MS,
+  });
+  return { clock, lines, watch };
+}
+
+describe('the watch over a group', () => {
+  it('says once that the quorum is lost, for want of whom, and how long that lasted', () => {
+    const { clock, lines, watch } = createFixture();
+    watch.observe(createStatus({ leaderId: 'vm2#b' }), true);
+    clock.advance(ELECTION_LIMIT_MS);
+    watch.observe(createStatus(), false);
+    assert.equal(lines.length, 0, 'an election takes its time');
+    clock.advance(500);
+    watch.observe(createStatus(), false);
+    watch.observe(createStatus(), false);
+    assert.equal(lines.length, 1);
+    assert.equal(lines[0]?.event, 'quorum-lost');
+    assert.deepEqual(lines[0].fields.silentVoters, ['vm3#c']);
+    assert.equal(lines[0].fields.configurationIndex, 7);
+    clock.advance(500);
+    watch.observe(createStatus({ leaderId: 'vm2#b' }), true);
+    assert.equal(lines[1]?.event, 'quorum-regained');
+    assert.equal(lines[1].fields.lostForMs, 3000);
+  });
+
+  it('says which vote was denied and why, and does not repeat itself', () => {
+    const { lines, watch } = createFixture();
+    const denial = { candidate: 'vm2#b', reason: 'log-behind', isPreVote: true } as const;
+    [4, 5, 6].forEach((term) =>
+      watch.observe(createStatus({ lastDenial: { ...denial, term } }), true),
+    );
+    assert.deepEqual(lines, [{ event: 'vote-denied', fields: { ...denial, term: 4 } }]);
+  });
+});
+
+describe('the summary of a group', () => {
+  it('counts how many more voters may fall silent', () => {
+    const { silentVoters, tolerableLosses } = summarizeGroup(createStatus(), SILENT_AFTER_MS);
+    assert.deepEqual(silentVoters, ['vm3#c']);
+    assert.equal(tolerableLosses, 0);
+  });
+
+  it('does not count on a follower, which hears only its leader', () => {
+    const status = createStatus({ leaderId: 'vm2#b' });
+    const { silentVoters, tolerableLosses } = summarizeGroup(status, SILENT_AFTER_MS);
+    assert.equal(silentVoters, null);
+    assert.equal(tolerableLosses, null);
+  });
+});
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -2,6 +2,7 @@
 export * from './src/controlNode';
 export * from './src/coreGroup';
 export * from './src/engineOperations';
+export * from './src/groupWatch';
 export * from './src/membershipRepair';
 export * from './src/placementLoop';
 export * from './src/raftTransport';
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -18,7 +18,7 @@
   SystemFactKind,
 } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
-import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
+import type { EventLog, Metrics, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import type { RoutingDocument } from '@spoolplank/routing';
 import type { Clock, JsonValue, Random, SpoolplankError } from '@spoolplank/shared';
 import { createBackendDirectory } from './backendDirectory';
@@ -30,6 +30,8 @@
 import { createDocumentCalls } from './documentCalls';
 import { createEngineNotices } from './engineNotices';
 import type { EngineOrders } from './engineOperations';
+import { registerGroupMetrics } from './groupMetrics';
+import type { GroupSummary } from './groupWatch';
 import { guardOrders } from './guardedOrders';
 import { createLoadSums } from './loadSums';
 import { createControlVms } from './controlVms';
@@ -76,6 +78,10 @@
    * @throws SpoolplankError `not-leader` when no quorum confirms it.
    */
   readDocument(): Promise<StoredDocument | null>;
+  /** What this VM's replica believes of the log's group; null where there is none. */
+  groupSummary(): GroupSummary | null;
+  /** Registers what is measured of the log's group; nothing where there is no replica. */
+  registerMetrics(metrics: Metrics): void;
   describe(): JsonValue;
 }
 
@@ -294,9 +300,14 @@
     withdraw: backends.withdraw,
     replaceDocument: documentCalls.replace,
     readDocument: documentCalls.read,
+    groupSummary: () => group?.summary() ?? null,
+    registerMetrics(metrics) {
+      if (group) registerGroupMetrics(metrics, group);
+    },
     describe: () =>
       ({
         replica: group?.status() ?? null,
+        group: group?.summary() ?? null,
         documentVersion: documents.current?.version ?? null,
         confirmedAgeMs: documents.confirmedAgeMs(),
         rests: notices.describe(),
--- a/packages/controller/src/coreGroup.ts
+++ b/packages/controller/src/coreGroup.ts
@@ -18,6 +18,8 @@
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { decideBootstrap } from './bootstrap';
 import type { GroupDescription, JoinRequest } from './bootstrap';
+import { createGroupWatch, summarizeGroup } from './groupWatch';
+import type { GroupSummary } from './groupWatch';
 import { decideRepair, decideRetirement } from './membershipRepair';
 import { createRaftTransport, vmOfReplica } from './raftTransport';
 
@@ -53,6 +55,10 @@
   /** The VM that leads, as far as this replica knows. */
   leaderVm(): string | undefined;
   status(): ReplicaStatus | null;
+  /** What this replica believes of the group; null while it looks for it. */
+  summary(): GroupSummary | null;
+  /** Time since a leader was last known to be confirmed by a quorum; infinite when never. */
+  unconfirmedMs(): number;
 }
 
 const GROUP = 'documents';
@@ -69,6 +75,10 @@
 const KEEP_ENTRIES = 16;
 /** Operators move on after a second without an answer. */
 const PROPOSAL_TIMEOUT_MS = 2000;
+/** Two random election timeouts, and one more where the votes were split. */
+const ELECTION_LIMIT_MS = 3 * TIMINGS.electionTimeoutMs;
+/** A replica that takes part answers, or asks for votes, within twice the election timeout. */
+const SILENT_AFTER_MS = 2 * TIMINGS.electionTimeoutMs;
 /** Longer than a killed or frozen process is away; one that is back later joins again. */
 const RETIRE_AFTER_MS = 6000;
 
@@ -109,6 +119,13 @@
     },
   });
 
+  const watch = createGroupWatch({
+    clock,
+    log,
+    electionLimitMs: ELECTION_LIMIT_MS,
+    silentAfterMs: SILENT_AFTER_MS,
+  });
+
   const status = () => (isTakingPart ? runner.status() : null);
 
   function describeGroup(): GroupDescription {
@@ -183,6 +200,7 @@
     const current = status();
     if (!current) return;
     const isLeader = current.role === 'leader';
+    watch.observe(current, isLeader ? runner.canRead() : current.leaderId !== null);
     if (isLeader !== wasLeader) {
       if (isLeader) heardAtMs.clear();
       log.info(isLeader ? 'lead-won' : 'lead-lost', {
@@ -265,5 +283,10 @@
       return leaderId ? vmOfReplica(leaderId) : undefined;
     },
     status,
+    summary() {
+      const current = status();
+      return current && summarizeGroup(current, SILENT_AFTER_MS);
+    },
+    unconfirmedMs: () => watch.unconfirmedMs(),
   };
 }
--- a/packages/entry/__tests__/decisions.spec.ts
+++ b/packages/entry/__tests__/decisions.spec.ts
@@ -69,8 +69,11 @@
       savedIndex: 100,
       snapshotIndex: 0,
       configuration,
+      configurationIndex: 1,
       isLeaseValid: true,
       matchIndexes: { 'vm1#new': matchIndex },
+      heardAgesMs: {},
+      lastDenial: null,
     };
   }
 
--- a/packages/vm/src/logger.ts
+++ b/packages/vm/src/logger.ts
@@ -3,7 +3,9 @@
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
-export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | null | undefined | readonly string[]>
+>;
 
 export interface VmLogger {
   debug(event: string, fields?: LogFields): void;
