refactor(consensus,controller): what decides on the members of a group stands with the log that it changes

Cause: the decisions on founding, joining, promotion and retirement stood in the control role, partly inside its loop (who asks to join, who was heard), so that the schedules which check the log could not run them and had a policy of their own. Change: bootstrap.ts and membershipRepair.ts move to consensus as groupFounding.ts and groupMembership.ts; the list of joining replicas and the times at which VMs were heard become createGroupMembership, with the same behaviour. Conclusion: a test can now run in virtual time what the product decides.

--- a/packages/consensus/index.ts
+++ b/packages/consensus/index.ts
@@ -1,4 +1,6 @@
 export * from './src/configuration';
+export * from './src/groupFounding';
+export * from './src/groupMembership';
 export * from './src/groupRunner';
 export * from './src/messages';
 export * from './src/replica';
--- a/packages/consensus/src/configuration.ts
+++ b/packages/consensus/src/configuration.ts
@@ -4,6 +4,11 @@
  */
 export type ReplicaId = string;
 
+/** The VM of a replica: what its identity begins with. */
+export function vmOfReplica(replicaId: ReplicaId): string {
+  return replicaId.split('#')[0] ?? replicaId;
+}
+
 /** Who takes part in a group. Learners receive the log but neither vote nor count. */
 export interface Configuration {
   readonly voters: readonly ReplicaId[];
--- a/packages/controller/src/bootstrap.ts
+++ b/packages/consensus/src/groupFounding.ts
@@ -3,8 +3,8 @@
  * control VM says that it is blank too: a majority is not enough, as the one VM that cannot
  * be asked may hold what was accepted. See docs/design/replicated-log.md.
  */
-import type { Configuration, ReplicaId } from '@spoolplank/consensus';
-import { listReplicas } from '@spoolplank/consensus';
+import { listReplicas } from './configuration';
+import type { Configuration, ReplicaId } from './configuration';
 
 /** What a control VM says of itself. */
 export interface GroupDescription {
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -1,4 +1,5 @@
 /** The role `control` with everything it needs injected: log, directory, feed, placement. */
+import type { GroupDescription } from '@spoolplank/consensus';
 import type { ReplaceResult, StoredDocument } from '@spoolplank/control';
 import { createDocumentState } from '@spoolplank/control';
 import {
@@ -23,7 +24,6 @@
 import type { Clock, JsonValue, Random, SpoolplankError } from '@spoolplank/shared';
 import { createBackendDirectory } from './backendDirectory';
 import type { BackendDirectory } from './backendDirectory';
-import type { GroupDescription } from './bootstrap';
 import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
 import { createCoreGroup } from './coreGroup';
 import type { CoreGroup } from './coreGroup';
--- a/packages/controller/src/coreGroup.ts
+++ b/packages/controller/src/coreGroup.ts
@@ -4,10 +4,16 @@
  * when a member comes back with an empty disk or another takes its place.
  */
 import { join } from 'node:path';
-import { createGroupRunner, listReplicas } from '@spoolplank/consensus';
+import {
+  createGroupMembership,
+  createGroupRunner,
+  decideBootstrap,
+  vmOfReplica,
+} from '@spoolplank/consensus';
 import type {
-  ConfigurationChange,
+  GroupDescription,
   GroupRunner,
+  JoinRequest,
   ReplicaStatus,
   StateMachine,
   Message,
@@ -16,12 +22,9 @@
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
-import { decideBootstrap } from './bootstrap';
-import type { GroupDescription, JoinRequest } from './bootstrap';
 import { createGroupWatch, summarizeGroup } from './groupWatch';
 import type { GroupSummary } from './groupWatch';
-import { decideRepair, decideRetirement } from './membershipRepair';
-import { createRaftTransport, vmOfReplica } from './raftTransport';
+import { createRaftTransport } from './raftTransport';
 
 export interface CoreGroupOptions {
   readonly clock: Clock;
@@ -79,15 +82,12 @@
 const ELECTION_LIMIT_MS = 3 * TIMINGS.electionTimeoutMs;
 /** A replica that takes part answers, or asks for votes, within twice the election timeout. */
 const SILENT_AFTER_MS = 2 * TIMINGS.electionTimeoutMs;
-/** Longer than a killed or frozen process is away; one that is back later joins again. */
-const RETIRE_AFTER_MS = 6000;
 
 export async function createCoreGroup(options: CoreGroupOptions): Promise<CoreGroup> {
   const { clock, log, peers, vmId, findTarget, stateMachine, dataFolder } = options;
   const replicaId = await loadIdentity(dataFolder, vmId);
   const storage = createFileStorage({ folder: join(dataFolder, GROUP) });
-  const joining = new Set<string>();
-  const heardAtMs = new Map<string, number>();
+  const membership = createGroupMembership({ clock, replicaId });
   let isTakingPart = false;
   let isStopped = false;
   let wasLeader = false;
@@ -95,7 +95,7 @@
   const transport = createRaftTransport({
     peers,
     findTarget,
-    onDelivered: (other) => heardAtMs.set(other, clock.nowMs()),
+    onDelivered: membership.noteDelivered,
   });
   const runner: GroupRunner = createGroupRunner({
     id: replicaId,
@@ -179,30 +179,13 @@
     );
   }
 
-  function decideChange(current: ReplicaStatus): ConfigurationChange | null {
-    for (const candidate of joining) {
-      const change = decideRepair(current, candidate);
-      if (change) return change;
-      if (current.configuration.voters.includes(candidate)) joining.delete(candidate);
-    }
-    const nowMs = clock.nowMs();
-    const silent = listReplicas(current.configuration).filter((id) => {
-      if (id === replicaId) return false;
-      const host = vmOfReplica(id);
-      // A new leader gives everyone the whole time to be heard.
-      if (!heardAtMs.has(host)) heardAtMs.set(host, nowMs);
-      return nowMs - (heardAtMs.get(host) ?? nowMs) > RETIRE_AFTER_MS;
-    });
-    return decideRetirement(current.configuration, silent);
-  }
-
   async function step(): Promise<void> {
     const current = status();
     if (!current) return;
     const isLeader = current.role === 'leader';
     watch.observe(current, isLeader ? runner.canRead() : current.leaderId !== null);
     if (isLeader !== wasLeader) {
-      if (isLeader) heardAtMs.clear();
+      if (isLeader) membership.beginLead();
       log.info(isLeader ? 'lead-won' : 'lead-lost', {
         term: current.term,
         leader: current.leaderId,
@@ -210,11 +193,11 @@
       wasLeader = isLeader;
     }
     if (!isLeader) {
-      joining.clear();
+      membership.endLead();
       if (!current.configuration.voters.includes(replicaId)) await askToJoin();
       return;
     }
-    const change = decideChange(current);
+    const change = membership.nextChange(current);
     if (!change) return;
     log.info('group-change', {
       kind: change.kind,
@@ -248,7 +231,7 @@
       const { replicaId: candidate } = params as unknown as JoinRequest;
       if (!isTakingPart || !runner.canRead()) throw new SpoolplankError('not-leader');
       if (vmOfReplica(candidate) !== sender) throw new SpoolplankError('forbidden');
-      joining.add(candidate);
+      membership.noteJoin(candidate);
       return null;
     },
   };
--- a/packages/controller/src/raftTransport.ts
+++ b/packages/controller/src/raftTransport.ts
@@ -1,4 +1,5 @@
 /** Carries messages of the replicated log between control VMs. */
+import { vmOfReplica } from '@spoolplank/consensus';
 import type { Message } from '@spoolplank/consensus';
 import type { PeerClient, PeerTarget } from '@spoolplank/node';
 
@@ -22,11 +23,6 @@
 /** Messages that may wait for one VM; beyond it the oldest are lost, as the log allows. */
 const MAX_WAITING = 1000;
 
-/** The VM of a replica identity. */
-export function vmOfReplica(replicaId: string): string {
-  return replicaId.split('#')[0] ?? replicaId;
-}
-
 /** Sends what has gathered for a VM in one request, one request at a time. */
 export function createRaftTransport({
   peers,
--- a/packages/controller/src/settings/controlRole.ts
+++ b/packages/controller/src/settings/controlRole.ts
@@ -1,7 +1,7 @@
 /** The role `control`: one voter of the replicated log and the methods that use it. */
 import { join } from 'node:path';
-import { createGroupRunner } from '@spoolplank/consensus';
-import type { Message, ReplicaStatus } from '@spoolplank/consensus';
+import { createGroupRunner, decideRepair, vmOfReplica } from '@spoolplank/consensus';
+import type { GroupDescription, JoinRequest, Message, ReplicaStatus } from '@spoolplank/consensus';
 import { createControlState, createLogClock } from '@spoolplank/control';
 import type {
   AcceptedChange,
@@ -17,9 +17,7 @@
 import type { JsonValue } from '@spoolplank/shared';
 import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
 import type { VmContext } from '@spoolplank/vm';
-import type { GroupDescription, JoinRequest } from '../bootstrap';
-import { decideRepair } from '../membershipRepair';
-import { createRaftTransport, vmOfReplica } from '../raftTransport';
+import { createRaftTransport } from '../raftTransport';
 import { findGroup } from './findGroup';
 import { collectChangeFindings, createReachTracker } from './settingsService';
 import type { ReachReport, SettingsPull, SettingsPullReply } from './settingsService';
--- a/packages/controller/src/settings/findGroup.ts
+++ b/packages/controller/src/settings/findGroup.ts
@@ -1,10 +1,9 @@
 /** Carries out what `decideBootstrap` decides, until a blank replica has its group. */
-import type { ReplicaId, ReplicaStorage } from '@spoolplank/consensus';
+import { decideBootstrap } from '@spoolplank/consensus';
+import type { GroupDescription, ReplicaId, ReplicaStorage } from '@spoolplank/consensus';
 import { delay } from '@spoolplank/node';
 import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
 import type { VmContext } from '@spoolplank/vm';
-import type { GroupDescription } from '../bootstrap';
-import { decideBootstrap } from '../bootstrap';
 
 export interface FindGroupOptions {
   readonly context: VmContext;
--- a/packages/entry/__tests__/decisions.spec.ts
+++ b/packages/entry/__tests__/decisions.spec.ts
@@ -1,101 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { Configuration, ReplicaStatus } from '@spoolplank/consensus';
 import { createManualClock } from '@spoolplank/shared';
-import { decideBootstrap, decideRepair, createReachTracker } from '@spoolplank/controller';
+import { createReachTracker } from '@spoolplank/controller';
 import { readKeyTime } from '../src/sessions/callerRequest';
 import { copyRequestHeaders } from '../src/sessions/forwardedHeaders';
 import { createSessionStore, toSessionUpdate } from '../src/sessions/sessionStore';
 import { createStagePatience } from '../src/sessions/stagePatience';
 
-const GROUP: Configuration = { voters: ['vm1#a', 'vm2#b', 'vm3#c'], learners: [] };
-
-describe('a blank control VM', () => {
-  const blank = (replicaId: string) => ({ replicaId, configuration: null });
-  const member = (replicaId: string) => ({ replicaId, configuration: GROUP });
-
-  it('founds a group only when every other one is blank too', () => {
-    const step = decideBootstrap({ self: 'vm1#x', others: [blank('vm2#y'), blank('vm3#z')] });
-    assert.deepEqual(step, {
-      kind: 'found',
-      configuration: { voters: ['vm1#x', 'vm2#y', 'vm3#z'], learners: [] },
-    });
-  });
-
-  it('waits for one that does not answer, which may hold everything', () => {
-    assert.equal(
-      decideBootstrap({ self: 'vm1#x', others: [blank('vm2#y'), undefined] }).kind,
-      'wait',
-    );
-  });
-
-  it('founds it without a VM that has no disk, and will never vote', () => {
-    const step = decideBootstrap({
-      self: 'vm1#x',
-      others: [blank('vm2#y'), { replicaId: null, configuration: null }],
-    });
-    assert.equal(step.kind, 'found');
-    assert.deepEqual(step.kind === 'found' && step.configuration.voters, ['vm1#x', 'vm2#y']);
-  });
-
-  it('leaves it to one of them to found the group', () => {
-    assert.equal(
-      decideBootstrap({ self: 'vm2#y', others: [blank('vm1#x'), blank('vm3#z')] }).kind,
-      'wait',
-    );
-  });
-
-  it('joins a group that does not know this life of its disk, and takes part in one that does', () => {
-    assert.equal(
-      decideBootstrap({ self: 'vm1#new', others: [member('vm2#b'), undefined] }).kind,
-      'join',
-    );
-    assert.equal(
-      decideBootstrap({ self: 'vm1#a', others: [member('vm2#b'), blank('vm3#z')] }).kind,
-      'take-part',
-    );
-  });
-});
-
-describe('repair of the membership', () => {
-  function status(configuration: Configuration, matchIndex = 0): ReplicaStatus {
-    return {
-      id: 'vm2#b',
-      role: 'leader',
-      term: 1,
-      leaderId: 'vm2#b',
-      commitIndex: 100,
-      lastIndex: 100,
-      savedIndex: 100,
-      snapshotIndex: 0,
-      configuration,
-      configurationIndex: 1,
-      isLeaseValid: true,
-      matchIndexes: { 'vm1#new': matchIndex },
-      heardAgesMs: {},
-      lastDenial: null,
-    };
-  }
-
-  it('goes step by step: out with the lost identity, in as a learner, then a voter', () => {
-    assert.deepEqual(decideRepair(status(GROUP), 'vm1#new'), {
-      kind: 'remove',
-      replicaId: 'vm1#a',
-    });
-    const two = { voters: ['vm2#b', 'vm3#c'], learners: [] };
-    assert.deepEqual(decideRepair(status(two), 'vm1#new'), {
-      kind: 'add-learner',
-      replicaId: 'vm1#new',
-    });
-    const learning = { ...two, learners: ['vm1#new'] };
-    assert.equal(decideRepair(status(learning, 10), 'vm1#new'), null, 'it has to catch up first');
-    assert.deepEqual(decideRepair(status(learning, 99), 'vm1#new'), {
-      kind: 'promote',
-      replicaId: 'vm1#new',
-    });
-  });
-});
-
 describe('reach of a version', () => {
   it('counts a VM as silent only after its lease must have run out', () => {
     const clock = createManualClock();
--- a/packages/entry/src/sessions/controlClient.ts
+++ b/packages/entry/src/sessions/controlClient.ts
@@ -1,10 +1,10 @@
 /** How every VM reaches the leader of the control group, wherever it is. */
+import { vmOfReplica } from '@spoolplank/consensus';
 import { delay } from '@spoolplank/node';
 import type { PeerMethod } from '@spoolplank/node';
 import type { VmAddress } from '@spoolplank/settings';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
-import { vmOfReplica } from '@spoolplank/controller';
 import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
 import type { VmContext } from '@spoolplank/vm';
 
