--- a/packages/consensus/__tests__/groupRunner.spec.ts
+++ b/packages/consensus/__tests__/groupRunner.spec.ts
@@ -3,11 +3,19 @@
 import { createManualClock, createSeededRandom, SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
 import { BLANK_STATE, createGroupRunner } from '..';
-import type { GroupRunner, ReplicaStorage, SaveRequest, StoredState } from '..';
+import type {
+  GroupRunner,
+  LogEntry,
+  ReplicaStorage,
+  SaveRequest,
+  SnapshotMeta,
+  StoredState,
+} from '..';
 
 interface Fixture {
   readonly runner: GroupRunner;
   readonly saves: SaveRequest[];
+  readonly snapshots: SnapshotMeta[];
   readonly applied: JsonValue[];
   readonly storageStates: (string | null)[];
   /** Lets the disk be full, or not. */
@@ -20,16 +28,25 @@
   for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
 }
 
-async function createFixture(): Promise<Fixture> {
+interface FixtureOptions {
+  readonly voters?: readonly string[];
+  readonly snapshotEveryEntries?: number;
+}
+
+async function createFixture({
+  voters = ['a'],
+  snapshotEveryEntries = 2000,
+}: FixtureOptions = {}): Promise<Fixture> {
   const clock = createManualClock();
   const saves: SaveRequest[] = [];
+  const snapshots: SnapshotMeta[] = [];
   const applied: JsonValue[] = [];
   const storageStates: (string | null)[] = [];
   let timers: { readonly atMs: number; readonly run: () => void }[] = [];
   let isFull = false;
   const stored: StoredState = {
     ...BLANK_STATE,
-    snapshot: { index: 1, term: 0, configuration: { voters: ['a'], learners: [] } },
+    snapshot: { index: 1, term: 0, configuration: { voters, learners: [] } },
     base: { index: 1, term: 0 },
   };
   const storage: ReplicaStorage = {
@@ -39,7 +56,10 @@
       saves.push(request);
       return Promise.resolve();
     },
-    saveSnapshot: () => Promise.resolve(),
+    saveSnapshot(meta) {
+      snapshots.push(meta);
+      return Promise.resolve();
+    },
     installSnapshot: () => Promise.resolve(),
     readSnapshot: () => Promise.resolve(''),
   };
@@ -50,6 +70,7 @@
     random: createSeededRandom(1),
     storage,
     send: () => {},
+    snapshotEveryEntries,
     onStorageState: (error) => storageStates.push(error?.code ?? null),
     stateMachine: {
       apply: (command) => applied.push(command),
@@ -68,6 +89,7 @@
   return {
     runner,
     saves,
+    snapshots,
     applied,
     storageStates,
     setFull(next) {
@@ -115,6 +137,45 @@
     assert.deepEqual(storageStates, ['storage-full', null]);
   });
 
+  /**
+   * A snapshot named the newest configuration in the log, which may stand behind the entries that
+   * it covers and be taken back. A replica that had cut its log there went on with voters that
+   * the group never agreed on.
+   */
+  it('puts the configuration of the last entry that a snapshot covers into it', async () => {
+    const { runner, snapshots, advance } = await createFixture({
+      voters: ['a', 'b', 'c'],
+      snapshotEveryEntries: 1,
+    });
+    const entries: LogEntry[] = [
+      { index: 2, term: 1, payload: { kind: 'command', command: 'x' } },
+      {
+        index: 3,
+        term: 1,
+        payload: {
+          kind: 'configuration',
+          configuration: { voters: ['a', 'b', 'c', 'd'], learners: [] },
+        },
+      },
+    ];
+    runner.receive({
+      group: 'g',
+      from: 'b',
+      to: 'a',
+      kind: 'append',
+      term: 1,
+      prevIndex: 1,
+      prevTerm: 0,
+      entries,
+      commitIndex: 2,
+      sentAtMs: 1,
+    });
+    await advance(25);
+    assert.deepEqual(snapshots, [
+      { index: 2, term: 1, configuration: { voters: ['a', 'b', 'c'], learners: [] } },
+    ]);
+  });
+
   it('refuses commands, as not run, when it does not lead', async () => {
     const { runner } = await createFixture();
     await assert.rejects(runner.propose('early'), { code: 'not-leader', outcome: 'not-run' });
--- a/packages/consensus/__tests__/memoryCluster.ts
+++ b/packages/consensus/__tests__/memoryCluster.ts
@@ -268,9 +268,13 @@
   #snapshotIfDue(node: Node): void {
     const { replica, disk } = node;
     if (!replica) return;
-    const { snapshotIndex, configuration } = replica.status();
+    const { snapshotIndex } = replica.status();
     if (node.appliedIndex - snapshotIndex < this.#snapshotEvery) return;
-    const meta: SnapshotMeta = { index: node.appliedIndex, term: node.appliedTerm, configuration };
+    const meta: SnapshotMeta = {
+      index: node.appliedIndex,
+      term: node.appliedTerm,
+      configuration: replica.configurationAt(node.appliedIndex),
+    };
     const base = replica.baseFor(node.appliedIndex - 2);
     disk.snapshot = meta;
     disk.snapshotData = JSON.stringify([...node.applied]);
--- a/packages/consensus/src/groupRunner.ts
+++ b/packages/consensus/src/groupRunner.ts
@@ -143,9 +143,14 @@
   }
 
   async function takeSnapshotIfDue(): Promise<void> {
-    const { snapshotIndex, configuration } = replica.status();
+    const { snapshotIndex } = replica.status();
     if (appliedIndex - snapshotIndex < settings.snapshotEveryEntries) return;
-    const meta: SnapshotMeta = { index: appliedIndex, term: appliedTerm, configuration };
+    const meta: SnapshotMeta = {
+      index: appliedIndex,
+      term: appliedTerm,
+      // The newest one may stand behind what was applied, and be taken back by another leader.
+      configuration: replica.configurationAt(appliedIndex),
+    };
     const baseIndex = Math.max(0, appliedIndex - settings.keepEntries);
     const base = replica.baseFor(baseIndex);
     await storage.saveSnapshot(meta, stateMachine.takeSnapshot(), base);
--- a/packages/consensus/src/raftLog.ts
+++ b/packages/consensus/src/raftLog.ts
@@ -14,6 +14,8 @@
   readonly configuration: Configuration;
   /** Index of the newest configuration entry. */
   readonly configurationIndex: number;
+  /** The configuration of the newest configuration entry up to `index`. */
+  configurationAt(index: number): Configuration;
   /** Term of an entry; undefined when the entry is not in the log. */
   termAt(index: number): number | undefined;
   /** Entries from `from` on, at most `limit` of them. */
@@ -91,6 +93,10 @@
     get configurationIndex() {
       return newestConfiguration().index;
     },
+    configurationAt(index) {
+      const known = configurations.findLast((at) => at.index <= index);
+      return (known ?? NO_CONFIGURATION).configuration;
+    },
     termAt(index) {
       if (index === base.index) return base.term;
       return entries[index - base.index - 1]?.term;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -94,6 +94,8 @@
   takeReady(): Ready;
   /** Tells that everything of a `Ready` is on disk. */
   onSaved(ready: Ready): void;
+  /** The configuration as of an entry: what a snapshot up to it must hold. */
+  configurationAt(index: number): Configuration;
   /** The place to cut the log at `index`, or at its present beginning when that is later. */
   baseFor(index: number): LogBase;
   /** Forgets entries up to `baseIndex`, after a snapshot was saved. */
@@ -291,6 +293,7 @@
       if (last) state.log.markSaved(last.index, last.term);
       advanceCommit(state);
     },
+    configurationAt: (index) => state.log.configurationAt(index),
     baseFor(index) {
       const term = state.log.termAt(index);
       return term === undefined ? state.log.base : { index, term };
