feat(consensus): voters are exchanged in one step, by joint consensus

Cause: a voter could be replaced only by an addition and a removal. Either order has a time in which one loss more is final: four voters of which one is gone, or two. Change: an exchange names voters that come and go; until both sets have a majority for it, whatever needs a majority needs one of each. It finishes by itself, also under a later leader. A replica whose vote is being taken away seeks election until that is known to be committed: it may be the only one that holds the entry. Standbys receive the log and neither vote nor count. No decision uses it yet. Conclusion: a replacement need not lower what can be lost at any moment.

--- a/packages/consensus/__tests__/replica.spec.ts
+++ b/packages/consensus/__tests__/replica.spec.ts
@@ -2,8 +2,17 @@
 import { describe, it } from 'node:test';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
-import { BLANK_STATE, createReplica, quorumSize } from '..';
-import type { LogEntry, Message, MessageOf, Ready, Replica, StoredState } from '..';
+import { BLANK_STATE, createReplica, majorityOf } from '..';
+import type {
+  Configuration,
+  ConfigurationChange,
+  LogEntry,
+  Message,
+  MessageOf,
+  Ready,
+  Replica,
+  StoredState,
+} from '..';
 
 const VOTERS = ['a', 'b', 'c'];
 const FOUNDED: StoredState = {
@@ -277,7 +286,7 @@
 
   it('needs more than half of the voters, also of an even number', () => {
     const sizes = [1, 2, 3, 4, 5].map((count) =>
-      quorumSize({ voters: VOTERS.concat('d', 'e').slice(0, count), learners: [] }),
+      majorityOf(VOTERS.concat('d', 'e').slice(0, count)),
     );
     assert.deepEqual(sizes, [1, 2, 2, 3, 3]);
   });
@@ -297,6 +306,124 @@
     assert.ok(fixture.replica.proposeConfiguration({ kind: 'add-learner', replicaId: 'd' }));
   });
 
+  describe('that exchanges voters', () => {
+    const LEARNED: StoredState = {
+      ...FOUNDED,
+      snapshot: {
+        index: 1,
+        term: 0,
+        configuration: { voters: ['a', 'b', 'c'], learners: ['d', 'e'] },
+      },
+    };
+    const EXCHANGE: ConfigurationChange = {
+      kind: 'exchange',
+      incoming: ['d', 'e'],
+      outgoing: ['b', 'c'],
+      kept: ['b'],
+    };
+
+    function beginExchange(): { readonly fixture: Fixture; readonly term: number } {
+      const fixture = createFixture(LEARNED);
+      const term = elect(fixture);
+      fixture.save();
+      acknowledge(fixture, 'b', term, 2);
+      assert.ok(fixture.replica.propose('a command'));
+      assert.ok(fixture.replica.proposeConfiguration(EXCHANGE));
+      fixture.save();
+      return { fixture, term };
+    }
+
+    it('commits with a majority of the voters before and of those after', () => {
+      [
+        ['b', 'c', 'd'],
+        ['d', 'e', 'b'],
+      ].forEach(([first = '', second = '', third = '']) => {
+        const { fixture, term } = beginExchange();
+        acknowledge(fixture, first, term, 4);
+        acknowledge(fixture, second, term, 4);
+        assert.equal(fixture.replica.status().commitIndex, 2, `${first} and ${second} are one set`);
+        acknowledge(fixture, third, term, 4);
+        assert.equal(fixture.replica.status().commitIndex, 4);
+      });
+    });
+
+    it('goes on with the new voters alone once both sets agreed, and not before', () => {
+      const { fixture, term } = beginExchange();
+      acknowledge(fixture, 'b', term, 3);
+      acknowledge(fixture, 'd', term, 3);
+      assert.equal(fixture.replica.status().commitIndex, 3);
+      assert.deepEqual(fixture.replica.status().configuration.outgoing, ['a', 'b', 'c']);
+      acknowledge(fixture, 'b', term, 4);
+      acknowledge(fixture, 'd', term, 4);
+      assert.deepEqual(fixture.replica.status().configuration, {
+        voters: ['a', 'd', 'e'],
+        learners: [],
+        standbys: ['b'],
+      });
+      assert.equal(fixture.replica.proposeConfiguration({ kind: 'remove', replicaId: 'b' }), null);
+      fixture.save();
+      acknowledge(fixture, 'd', term, 5);
+      assert.equal(fixture.replica.status().commitIndex, 5, 'a and d are two of a, d and e');
+    });
+  });
+
+  it('finishes the exchange that an earlier leader began', () => {
+    const configuration: Configuration = {
+      voters: ['a', 'b', 'd'],
+      learners: [],
+      outgoing: ['a', 'b', 'c'],
+    };
+    const fixture = createFixture({
+      ...FOUNDED,
+      entries: [{ index: 2, term: 1, payload: { kind: 'configuration', configuration } }],
+      hardState: { term: 1, votedFor: null },
+    });
+    const term = elect(fixture);
+    fixture.save();
+    acknowledge(fixture, 'b', term, 3);
+    assert.deepEqual(fixture.replica.status().configuration, {
+      voters: ['a', 'b', 'd'],
+      learners: [],
+    });
+  });
+
+  it('is not elected by one of two sets of voters', () => {
+    const configuration: Configuration = {
+      voters: ['a', 'd', 'e'],
+      learners: [],
+      outgoing: ['a', 'b', 'c'],
+    };
+    const { replica, clock, save } = createFixture({
+      ...FOUNDED,
+      snapshot: { index: 1, term: 0, configuration },
+    });
+    clock.advance(2100);
+    replica.tick();
+    save();
+    replica.receive(from('b', { kind: 'pre-vote-reply', term: 1, isGranted: true }));
+    replica.receive(from('c', { kind: 'pre-vote-reply', term: 1, isGranted: true }));
+    assert.equal(replica.status().role, 'pre-candidate');
+    replica.receive(from('e', { kind: 'pre-vote-reply', term: 1, isGranted: true }));
+    assert.equal(replica.status().role, 'candidate');
+  });
+
+  it('seeks election while the entry that takes its vote away may not be in force', () => {
+    const configuration: Configuration = { voters: ['b', 'c', 'd'], learners: [] };
+    const { replica, clock, save } = createFixture({
+      ...FOUNDED,
+      entries: [{ index: 2, term: 1, payload: { kind: 'configuration', configuration } }],
+      hardState: { term: 1, votedFor: null },
+    });
+    clock.advance(2100);
+    replica.tick();
+    assert.equal(findSent(save(), 'pre-vote').length, 3, 'nobody else may hold that entry');
+    replica.receive(append('b', 2, [2, 1], [], 2));
+    save();
+    clock.advance(2100);
+    replica.tick();
+    assert.deepEqual(findSent(save(), 'pre-vote'), [], 'it is committed, and this one is out');
+  });
+
   it('goes on with entries after a follower took in its snapshot', () => {
     const fixture = createFixture();
     const term = elect(fixture);
--- a/packages/consensus/__tests__/schedules.ts
+++ b/packages/consensus/__tests__/schedules.ts
@@ -74,7 +74,24 @@
   cluster.start(node);
 }
 
-const OPERATIONS: readonly WeightedOperation[] = [
+/** How a kind of schedule changes the members, and takes disks. */
+export interface MembershipPlay {
+  /** Prepares the cluster before its first step. */
+  readonly prepare: (cluster: MemoryCluster) => void;
+  readonly repair: (cluster: MemoryCluster) => void;
+  /** Brings everyone back in, after the faults. */
+  readonly mend: (cluster: MemoryCluster) => void;
+  readonly wipe: (cluster: MemoryCluster, node: Node) => void;
+}
+
+const REMOVE_THEN_ADD: MembershipPlay = {
+  prepare: () => {},
+  repair,
+  mend: repair,
+  wipe: wipeOne,
+};
+
+const listOperations = (play: MembershipPlay): readonly WeightedOperation[] => [
   { weights: [40, 50, 40, 40], run: deliverAny },
   { weights: [12, 15, 10, 20], run: (cluster, node) => cluster.beginSave(node) },
   { weights: [12, 15, 10, 12], run: (cluster, node) => cluster.finishSave(node) },
@@ -117,8 +134,8 @@
       node.isCut = !node.isCut;
     },
   },
-  { weights: [2, 1, 2, 3], run: repair },
-  { weights: [1, 0, 1, 2], run: wipeOne },
+  { weights: [2, 1, 2, 3], run: play.repair },
+  { weights: [1, 0, 1, 2], run: play.wipe },
   {
     weights: [1, 2, 3, 1],
     run(_cluster, node) {
@@ -128,13 +145,15 @@
 ];
 
 const KINDS = 4;
-const TOTAL_WEIGHTS = Array.from({ length: KINDS }, (_unused, kind) =>
-  OPERATIONS.reduce((sum, { weights }) => sum + (weights[kind] ?? 0), 0),
-);
 
-function pickOperation(cluster: MemoryCluster, kind: number): Operation {
-  let left = cluster.random.nextInt(TOTAL_WEIGHTS[kind] ?? 1);
-  const found = OPERATIONS.find(({ weights }) => {
+function pickOperation(
+  cluster: MemoryCluster,
+  operations: readonly WeightedOperation[],
+  kind: number,
+): Operation {
+  const total = operations.reduce((sum, { weights }) => sum + (weights[kind] ?? 0), 0);
+  let left = cluster.random.nextInt(total);
+  const found = operations.find(({ weights }) => {
     left -= weights[kind] ?? 0;
     return left < 0;
   });
@@ -147,23 +166,29 @@
 }
 
 /** Runs one schedule and then checks that nothing acknowledged was lost. */
-export function runSchedule(seed: number, steps: number): ScheduleResult {
+export function runSchedule(
+  seed: number,
+  steps: number,
+  play: MembershipPlay = REMOVE_THEN_ADD,
+): ScheduleResult {
+  const operations = listOperations(play);
   const kind = seed % KINDS;
   const cluster = new MemoryCluster({
     seed,
     size: seed % 5 === 0 ? 5 : 3,
     snapshotEvery: seed % 3 === 0 ? 3 : 9,
   });
+  play.prepare(cluster);
   if (cluster.random.nextInt(4) > 0) cluster.electLeader();
   for (let step = 0; step < steps; step += 1) {
     const node = cluster.nodes[cluster.random.nextInt(cluster.nodes.length)];
-    if (node) pickOperation(cluster, kind)(cluster, node);
+    if (node) pickOperation(cluster, operations, kind)(cluster, node);
     cluster.checkInvariants();
   }
   const acked = cluster.ackedIndex;
   cluster.settle(60);
   for (let round = 0; round < 8; round += 1) {
-    repair(cluster);
+    play.mend(cluster);
     cluster.settle(6);
   }
   const leader = cluster.leader();
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -5,7 +5,7 @@
  * Ongaro, "Consensus: bridging theory and practice", 2014, section 9.6 (pre-vote) and
  * section 6.4.1 (leader leases).
  */
-import { quorumSize } from './configuration';
+import { hasQuorum, listVoters, majorityOf, voterSets } from './configuration';
 import type { MessageOf, PreVoteMessage, VoteMessage } from './messages';
 import { becomeLeader, isLeaseValid } from './replication';
 import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
@@ -30,13 +30,20 @@
   return state.clock.steadyMs() - state.lastLeaderContactMs < state.timings.electionTimeoutMs;
 }
 
-function countVotes(state: ReplicaState, isGranted: boolean): number {
-  return state.log.configuration.voters.filter((id) => state.votes.get(id) === isGranted).length;
+function hasWon(state: ReplicaState): boolean {
+  return hasQuorum(state.log.configuration, (id) => state.votes.get(id) === true);
+}
+
+function hasLost(state: ReplicaState): boolean {
+  return voterSets(state.log.configuration).some((voters) => {
+    const denials = voters.filter((id) => state.votes.get(id) === false);
+    return denials.length >= majorityOf(voters);
+  });
 }
 
 function askForVotes(state: ReplicaState, kind: 'pre-vote' | 'vote', term: number): void {
   const { lastIndex, lastTerm } = state.log;
-  state.log.configuration.voters
+  listVoters(state.log.configuration)
     .filter((id) => id !== state.id)
     .forEach((id) => {
       if (kind === 'vote') {
@@ -67,7 +74,7 @@
   state.votes.set(state.id, true);
   resetElectionDeadline(state);
   askForVotes(state, 'vote', state.term);
-  if (countVotes(state, true) >= quorumSize(state.log.configuration)) becomeLeader(state);
+  if (hasWon(state)) becomeLeader(state);
 }
 
 /** Asks whether an election could be won, without disturbing anyone's term. */
@@ -79,7 +86,7 @@
   state.votes.set(state.id, true);
   resetElectionDeadline(state);
   askForVotes(state, 'pre-vote', state.term + 1);
-  if (countVotes(state, true) >= quorumSize(state.log.configuration)) startElection(state);
+  if (hasWon(state)) startElection(state);
 }
 
 /** Starts an election at once, because the leader hands over. */
@@ -130,7 +137,7 @@
   }
   if (message.term !== state.term + 1) return;
   state.votes.set(message.from, true);
-  if (countVotes(state, true) >= quorumSize(state.log.configuration)) startElection(state);
+  if (hasWon(state)) startElection(state);
 }
 
 function findVoteDenial(state: ReplicaState, message: MessageOf<'vote'>): VoteDenialReason | null {
@@ -160,7 +167,6 @@
 export function receiveVoteReply(state: ReplicaState, message: MessageOf<'vote-reply'>): void {
   if (state.role !== 'candidate' || message.term !== state.term) return;
   state.votes.set(message.from, message.isGranted);
-  const quorum = quorumSize(state.log.configuration);
-  if (countVotes(state, true) >= quorum) becomeLeader(state);
-  else if (countVotes(state, false) >= quorum) becomeFollower(state, state.term, null);
+  if (hasWon(state)) becomeLeader(state);
+  else if (hasLost(state)) becomeFollower(state, state.term, null);
 }
--- a/packages/consensus/src/raftLog.ts
+++ b/packages/consensus/src/raftLog.ts
@@ -16,6 +16,8 @@
   readonly configurationIndex: number;
   /** The configuration of the newest configuration entry up to `index`. */
   configurationAt(index: number): Configuration;
+  /** That configuration and all newer ones. */
+  configurationsFrom(index: number): readonly Configuration[];
   /** Term of an entry; undefined when the entry is not in the log. */
   termAt(index: number): number | undefined;
   /** Entries from `from` on, at most `limit` of them. */
@@ -97,6 +99,10 @@
       const known = configurations.findLast((at) => at.index <= index);
       return (known ?? NO_CONFIGURATION).configuration;
     },
+    configurationsFrom(index) {
+      const newer = configurations.filter((at) => at.index > index);
+      return [this.configurationAt(index), ...newer.map(({ configuration }) => configuration)];
+    },
     termAt(index) {
       if (index === base.index) return base.term;
       return entries[index - base.index - 1]?.term;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -20,7 +20,7 @@
   receiveAppend,
   receiveAppendReply,
 } from './replication';
-import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
+import { becomeFollower, mayCampaign, queueMessage, resetElectionDeadline } from './replicaState';
 import type { ReplicaRole, ReplicaState, ReplicaTimings, VoteDenial } from './replicaState';
 import { receiveSnapshot, receiveSnapshotReply } from './snapshotTransfer';
 import type { LogBase, StoredState } from './storage';
@@ -83,7 +83,10 @@
   tick(): void;
   /** Adds a command; returns its place, or null when this replica does not lead. */
   propose(command: JsonValue): { readonly index: number; readonly term: number } | null;
-  /** Changes the membership by one step; null when not leading or a change is under way. */
+  /**
+   * Changes the membership; null when not leading or a change is under way. An exchange finishes
+   * by itself once both sets of voters have agreed to it.
+   */
   proposeConfiguration(
     change: ConfigurationChange,
   ): { readonly index: number; readonly term: number } | null;
@@ -186,7 +189,7 @@
     if (isTransferOver) becomeFollower(state, state.term, null);
     return;
   }
-  if (nowMs >= state.electionDeadlineMs && isVoter(state)) startPreVote(state);
+  if (nowMs >= state.electionDeadlineMs && mayCampaign(state)) startPreVote(state);
 }
 
 function takeHardState(state: ReplicaState): HardState | null {
@@ -241,10 +244,13 @@
 }
 
 function proposeConfiguration(state: ReplicaState, change: ConfigurationChange) {
+  const { commitIndex, log, termStartIndex } = state;
   const isSettled =
-    state.commitIndex >= state.log.configurationIndex && state.commitIndex >= state.termStartIndex;
+    commitIndex >= log.configurationIndex &&
+    commitIndex >= termStartIndex &&
+    !log.configuration.outgoing;
   if (state.role !== 'leader' || state.transferTarget !== null || !isSettled) return null;
-  const configuration = changeConfiguration(state.log.configuration, change);
+  const configuration = changeConfiguration(log.configuration, change);
   if (configuration.voters.length === 0) return null;
   const index = appendAsLeader(state, { kind: 'configuration', configuration });
   return { index, term: state.term };
--- a/packages/consensus/src/replicaState.ts
+++ b/packages/consensus/src/replicaState.ts
@@ -1,4 +1,5 @@
 import type { Clock, Random } from '@spoolplank/shared';
+import { isVoterOf } from './configuration';
 import type { ReplicaId } from './configuration';
 import type { HardState, Message, SnapshotMeta } from './messages';
 import type { RaftLog } from './raftLog';
@@ -112,9 +113,19 @@
     state.clock.nowMs() + electionTimeoutMs * (1 + state.random.nextFloat());
 }
 
-/** Whether this replica may vote and be elected. */
+/** Whether this replica votes by the newest configuration in its log. */
 export function isVoter(state: ReplicaState): boolean {
-  return state.log.configuration.voters.includes(state.id);
+  return isVoterOf(state.log.configuration, state.id);
+}
+
+/**
+ * Whether this replica may seek election: it votes by a configuration that may be in force. One
+ * that is taken out by an entry which is not committed may be the only one that holds that entry,
+ * and then nobody else can win.
+ */
+export function mayCampaign(state: ReplicaState): boolean {
+  const { id, log, commitIndex } = state;
+  return log.configurationsFrom(commitIndex).some((configuration) => isVoterOf(configuration, id));
 }
 
 /** Enters a term as a follower. */
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -1,5 +1,5 @@
 /** Replication of the log by the leader, commitment, and the leader's lease. */
-import { listReplicas, quorumSize } from './configuration';
+import { finishExchange, listReplicas, majorityOf, voterSets } from './configuration';
 import type { ReplicaId } from './configuration';
 import type { EntryPayload, MessageOf } from './messages';
 import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
@@ -51,11 +51,13 @@
   state.termStartIndex = appendAsLeader(state, { kind: 'noop' });
 }
 
-/** The value that a quorum of voters reaches: the quorum-th largest. */
+/** The value that a majority of each set of voters reaches. */
 function quorumValue(state: ReplicaState, valueOf: (id: ReplicaId) => number): number {
-  const { configuration } = state.log;
-  const values = configuration.voters.map(valueOf).sort((a, b) => b - a);
-  return values[quorumSize(configuration) - 1] ?? Number.NEGATIVE_INFINITY;
+  const reached = voterSets(state.log.configuration).map((voters) => {
+    const values = voters.map(valueOf).sort((a, b) => b - a);
+    return values[majorityOf(voters) - 1] ?? Number.NEGATIVE_INFINITY;
+  });
+  return Math.min(...reached);
 }
 
 /** Latest time at which a quorum is known to have heard this leader. */
@@ -80,6 +82,20 @@
   if (state.clock.nowMs() - contactMs > electionTimeoutMs) becomeFollower(state, state.term, null);
 }
 
+/**
+ * Finishes an exchange of voters once both sets have agreed to it, also one that an earlier leader
+ * began. After that the old voters are not asked any more.
+ */
+function finishExchangeIfDue(state: ReplicaState): void {
+  const { log } = state;
+  const isAgreed = state.commitIndex >= log.configurationIndex;
+  if (!isAgreed || !log.configuration.outgoing || state.transferTarget !== null) return;
+  appendAsLeader(state, {
+    kind: 'configuration',
+    configuration: finishExchange(log.configuration),
+  });
+}
+
 /** Commits what a quorum has on disk, provided it is of this leader's term. */
 export function advanceCommit(state: ReplicaState): void {
   if (state.role !== 'leader') return;
@@ -91,6 +107,7 @@
   state.progress.forEach((progress) => {
     progress.nextSendMs = state.clock.nowMs();
   });
+  finishExchangeIfDue(state);
   const isRemoved = state.commitIndex >= state.log.configurationIndex && !isVoter(state);
   if (isRemoved) becomeFollower(state, state.term, null);
 }
--- a/packages/controller/src/coreGroup.ts
+++ b/packages/controller/src/coreGroup.ts
@@ -8,6 +8,7 @@
   createGroupMembership,
   createGroupRunner,
   decideBootstrap,
+  replicasOf,
   vmOfReplica,
 } from '@spoolplank/consensus';
 import type {
@@ -201,7 +202,7 @@
     if (!change) return;
     log.info('group-change', {
       kind: change.kind,
-      replica: change.replicaId,
+      replicas: replicasOf(change),
       voters: current.configuration.voters,
     });
     await runner.changeMembership(change);
--- a/packages/controller/src/groupWatch.ts
+++ b/packages/controller/src/groupWatch.ts
@@ -1,5 +1,5 @@
 /** Tells when a replicated log's group loses its quorum and regains it, and who was missing. */
-import { quorumSize } from '@spoolplank/consensus';
+import { listVoters, majorityOf, voterSets } from '@spoolplank/consensus';
 import type { ReplicaId, ReplicaStatus, VoteDenial } from '@spoolplank/consensus';
 import type { EventLog, LogFields } from '@spoolplank/node';
 import type { Clock } from '@spoolplank/shared';
@@ -10,8 +10,10 @@
   readonly role: ReplicaStatus['role'];
   readonly term: number;
   readonly leader: ReplicaId | null;
+  /** Those before an exchange that is under way among them. */
   readonly voters: readonly ReplicaId[];
   readonly learners: readonly ReplicaId[];
+  readonly standbys: readonly ReplicaId[];
   /** Index of the log entry that says who the voters are. */
   readonly configurationIndex: number;
   /** Voters that were not heard lately; null on a follower, which hears only its leader. */
@@ -39,23 +41,24 @@
 /** Describes a group as one of its replicas sees it. */
 export function summarizeGroup(status: ReplicaStatus, silentAfterMs: number): GroupSummary {
   const { id, role, term, leaderId, configuration, configurationIndex, heardAgesMs } = status;
-  const { voters, learners } = configuration;
+  const { learners } = configuration;
   const isSilent = (voter: ReplicaId) =>
     voter !== id && (heardAgesMs[voter] ?? Number.POSITIVE_INFINITY) > silentAfterMs;
   const hearsOthers = role !== 'follower' || leaderId === null;
-  const silentVoters = hearsOthers ? voters.filter(isSilent) : null;
+  const silentVoters = hearsOthers ? listVoters(configuration).filter(isSilent) : null;
+  const countLosses = (voters: readonly ReplicaId[]) =>
+    voters.filter((voter) => !isSilent(voter)).length - majorityOf(voters);
   return {
     replica: id,
     role,
     term,
     leader: leaderId,
-    voters,
+    voters: listVoters(configuration),
     learners,
+    standbys: configuration.standbys ?? [],
     configurationIndex,
     silentVoters,
-    tolerableLosses: silentVoters
-      ? voters.length - silentVoters.length - quorumSize(configuration)
-      : null,
+    tolerableLosses: hearsOthers ? Math.min(...voterSets(configuration).map(countLosses)) : null,
   };
 }
 
--- a/packages/controller/src/settings/controlRole.ts
+++ b/packages/controller/src/settings/controlRole.ts
@@ -1,6 +1,6 @@
 /** The role `control`: one voter of the replicated log and the methods that use it. */
 import { join } from 'node:path';
-import { createGroupRunner, decideRepair, vmOfReplica } from '@spoolplank/consensus';
+import { createGroupRunner, decideRepair, replicasOf, vmOfReplica } from '@spoolplank/consensus';
 import type { GroupDescription, JoinRequest, Message, ReplicaStatus } from '@spoolplank/consensus';
 import { createControlState, createLogClock } from '@spoolplank/control';
 import type {
@@ -236,7 +236,7 @@
     if (candidate === undefined) return;
     const change = decideRepair(current, candidate);
     if (change) {
-      logger.info('membership-change', { kind: change.kind, replica: change.replicaId });
+      logger.info('membership-change', { kind: change.kind, replicas: replicasOf(change) });
       await runner.changeMembership(change);
     } else if (voters.includes(candidate)) joining.delete(candidate);
   }
