--- a/packages/consensus/__tests__/groupSchedules.ts
+++ b/packages/consensus/__tests__/groupSchedules.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { Random } from '@spoolplank/shared';
+import { listReplicas } from '..';
 import { MemoryGroup } from './memoryGroup';
 import type { GroupVm } from './memoryGroup';
 
@@ -12,6 +13,8 @@
   readonly seed: number;
   /** VMs with a disk at the start. */
   readonly size: number;
+  /** Data centres over which they are spread. */
+  readonly dataCentres: number;
   /** VMs that may be lost at a time. */
   readonly lossesBorne: number;
   /** How long a VM counts as lost after it has started, in milliseconds. */
@@ -38,68 +41,81 @@
   readonly struck: Set<GroupVm>;
   /** Runs something when its time has come. */
   schedule(delayMs: number, run: () => void): void;
+  /** Tells that the VM is back, or its successor is there: it counts as lost a while longer. */
+  settle(regain: () => void): void;
 }
 
-/** Strikes a VM; returns how long the slot is taken from now on, in milliseconds. */
-type Loss = (world: World, victim: GroupVm) => number;
+/** Strikes a VM, and tells when it no longer counts as lost. */
+type Loss = (world: World, victim: GroupVm, regain: () => void) => void;
 
 const ELECTION_MS = 3000;
 const MAX_AWAY_MS = 2500;
 const MAX_PAUSE_MS = 500;
 const CALM_LIMIT_MS = 15_000;
 const STEP_MS = 50;
-/** A process that is asked to stop hands over the lead, and is gone after this. */
-const STOP_MS = 250;
+/** A process that is asked to stop is killed after this. */
+const GRACE_MS = 2000;
 
 const draw = ({ random }: World, limitMs: number) => random.nextInt(limitMs);
 
 /** The VM stands still, or is cut off, and is as before after a while. */
 function disturb(change: (vm: GroupVm, isBegun: boolean, world: World) => void): Loss {
-  return (world, victim) => {
-    const forMs = draw(world, MAX_AWAY_MS);
+  return (world, victim, regain) => {
     change(victim, true, world);
-    world.schedule(forMs, () => change(victim, false, world));
-    return forMs + world.catchUpMs;
+    world.schedule(draw(world, MAX_AWAY_MS), () => {
+      change(victim, false, world);
+      world.settle(regain);
+    });
   };
 }
 
+function addSuccessor(world: World, victim: GroupVm, regain: () => void): GroupVm {
+  world.settle(regain);
+  return world.group.addVm(victim.dataCentre);
+}
+
+/** Asks the process of a VM to stop, and takes the VM away when it has, or after its grace. */
+function stopForGood(world: World, vm: GroupVm, onGone: () => void): void {
+  const { group } = world;
+  const killedAtMs = group.nowMs + GRACE_MS;
+  const look = () => {
+    if (MemoryGroup.isReadyToEnd(vm) || group.nowMs >= killedAtMs) {
+      group.remove(vm);
+      onGone();
+    } else world.schedule(STEP_MS, look);
+  };
+  look();
+}
+
 const LOSSES: Readonly<Record<string, Loss>> = {
-  replacedOldFirst(world, victim) {
-    const awayMs = draw(world, MAX_AWAY_MS);
+  replacedOldFirst(world, victim, regain) {
     world.group.remove(victim);
-    world.schedule(awayMs, () => world.group.addVm());
-    return awayMs + world.catchUpMs;
+    world.schedule(draw(world, MAX_AWAY_MS), () => addSuccessor(world, victim, regain));
   },
-  replacedWhileJoining(world, victim) {
-    world.group.addVm();
-    const leftMs = draw(world, world.catchUpMs / 2);
-    world.schedule(leftMs, () => world.group.remove(victim));
-    return world.catchUpMs;
+  replacedWhileJoining(world, victim, regain) {
+    addSuccessor(world, victim, regain);
+    world.schedule(draw(world, world.catchUpMs / 2), () => world.group.remove(victim));
   },
-  replacedOldLast(world, victim) {
-    world.group.addVm();
-    world.schedule(world.catchUpMs, () => {
-      victim.node.replica?.transferLeadership();
-    });
-    world.schedule(world.catchUpMs + STOP_MS, () => world.group.remove(victim));
-    return world.catchUpMs + STOP_MS;
+  replacedOldLast(world, victim, regain) {
+    addSuccessor(world, victim, () => stopForGood(world, victim, regain));
   },
-  replacedTwice(world, victim) {
-    const awayMs = draw(world, MAX_AWAY_MS);
+  replacedTwice(world, victim, regain) {
     const livesMs = draw(world, world.catchUpMs);
     world.group.remove(victim);
-    world.schedule(awayMs, () => {
-      const first = world.group.addVm();
-      world.schedule(livesMs, () => world.group.remove(first));
+    world.schedule(draw(world, MAX_AWAY_MS), () => {
+      const first = world.group.addVm(victim.dataCentre);
+      world.schedule(livesMs, () => {
+        world.group.remove(first);
+        addSuccessor(world, victim, regain);
+      });
     });
-    world.schedule(awayMs + livesMs, () => world.group.addVm());
-    return awayMs + livesMs + world.catchUpMs;
   },
-  diskLost(world, victim) {
-    const awayMs = draw(world, MAX_AWAY_MS);
+  diskLost(world, victim, regain) {
     world.group.loseDisk(victim);
-    world.schedule(awayMs, () => world.group.start(victim));
-    return awayMs + world.catchUpMs;
+    world.schedule(draw(world, MAX_AWAY_MS), () => {
+      world.group.start(victim);
+      world.settle(regain);
+    });
   },
   powerLost: disturb((vm, isBegun, { group }) => {
     if (isBegun) group.stop(vm);
@@ -133,10 +149,7 @@
 
 function isComplete({ vms }: MemoryGroup, leader: GroupVm): boolean {
   const status = leader.node.replica?.status();
-  const members = [
-    ...(status?.configuration.voters ?? []),
-    ...(status?.configuration.learners ?? []),
-  ];
+  const members = status ? listReplicas(status.configuration) : [];
   return vms.every(({ isRunning, node }) => !isRunning || members.includes(node.id));
 }
 
@@ -158,11 +171,14 @@
 
 /** Plays one schedule, and the calm after it. */
 export function runGroupSchedule(options: GroupScheduleOptions): GroupScheduleResult {
-  const { seed, size, lossesBorne, catchUpMs, lossesInRow } = options;
-  const group = new MemoryGroup({ seed, size });
+  const { seed, size, dataCentres, lossesBorne, catchUpMs, lossesInRow } = options;
+  const promise = { lossesBorne, catchUpMs };
+  const group = new MemoryGroup({ seed, size, promise, dataCentres });
   const { random } = group.cluster;
   const due: { readonly atMs: number; readonly run: () => void }[] = [];
   const losses: string[] = [];
+  /** After the last losses the calm begins at once. */
+  const lastRegains = new Set<() => void>();
   const world: World = {
     group,
     random,
@@ -171,6 +187,9 @@
     schedule(delayMs, run) {
       due.push({ atMs: group.nowMs + delayMs, run });
     },
+    settle(regain) {
+      if (!lastRegains.has(regain)) world.schedule(catchUpMs, regain);
+    },
   };
 
   function strike(left: number): void {
@@ -180,9 +199,12 @@
     if (!victim || !loss) return;
     losses.push(`${group.nowMs}: ${victim.node.vmId} ${name}`);
     world.struck.add(victim);
-    const takenMs = loss(world, victim);
-    world.schedule(takenMs, () => world.struck.delete(victim));
-    if (left > 1) world.schedule(takenMs + draw(world, MAX_PAUSE_MS), () => strike(left - 1));
+    const regain = () => {
+      world.struck.delete(victim);
+      if (left > 1) world.schedule(draw(world, MAX_PAUSE_MS), () => strike(left - 1));
+    };
+    if (left === 1) lastRegains.add(regain);
+    loss(world, victim, regain);
   }
 
   group.run(ELECTION_MS);
@@ -212,9 +234,11 @@
 const COMPLETE_WITHIN_MS = 10_000;
 /** What the settings of a group may say. */
 const GROUPS: readonly Omit<GroupScheduleOptions, 'seed'>[] = [
-  { size: 3, lossesBorne: 1, catchUpMs: 4000, lossesInRow: 2 },
-  { size: 3, lossesBorne: 1, catchUpMs: 2000, lossesInRow: 4 },
-  { size: 5, lossesBorne: 2, catchUpMs: 4000, lossesInRow: 2 },
+  { size: 3, dataCentres: 3, lossesBorne: 1, catchUpMs: 4000, lossesInRow: 3 },
+  { size: 3, dataCentres: 1, lossesBorne: 1, catchUpMs: 2000, lossesInRow: 4 },
+  { size: 5, dataCentres: 3, lossesBorne: 2, catchUpMs: 4000, lossesInRow: 2 },
+  { size: 6, dataCentres: 3, lossesBorne: 2, catchUpMs: 6000, lossesInRow: 2 },
+  { size: 3, dataCentres: 3, lossesBorne: 1, catchUpMs: 2000, lossesInRow: 3 },
 ];
 
 function findProblem(result: GroupScheduleResult): string | null {
--- a/packages/consensus/__tests__/memoryCluster.ts
+++ b/packages/consensus/__tests__/memoryCluster.ts
@@ -12,7 +12,7 @@
   SnapshotMeta,
   StoredState,
 } from '..';
-import { blankDisk, fillSnapshot, writeToDisk } from './memoryNode';
+import { blankDisk, fillSnapshot, SHORT_CHUNK_LENGTH, writeToDisk } from './memoryNode';
 import type { Node } from './memoryNode';
 
 export interface ClusterOptions {
@@ -21,8 +21,8 @@
   /** Entries after which a replica takes a snapshot. */
   readonly snapshotEvery?: number;
   readonly timings?: Partial<ReplicaTimings>;
-  /** Told of each message that reaches the VM it is for, whatever identity that VM has now. */
-  readonly onArrival?: (message: Message) => void;
+  /** Longest part of a snapshot in one message. */
+  readonly chunkLength?: number;
 }
 
 /** Half of the election timeout: a promise that ends so early would let two leaders act. */
@@ -55,18 +55,18 @@
 
   readonly #timings: ReplicaTimings;
 
-  readonly #onArrival: (message: Message) => void;
+  readonly #chunkLength: number;
 
   #lives = 0;
 
   #proposed = 0;
 
   constructor(options: ClusterOptions) {
-    const { seed, size = 3, snapshotEvery = 6, timings, onArrival = () => {} } = options;
+    const { seed, size = 3, snapshotEvery = 6, timings } = options;
     this.random = createSeededRandom(seed);
     this.#snapshotEvery = snapshotEvery;
     this.#timings = { ...TIMINGS, ...timings };
-    this.#onArrival = onArrival;
+    this.#chunkLength = options.chunkLength ?? SHORT_CHUNK_LENGTH;
     this.nodes = Array.from({ length: size }, (_unused, index) =>
       this.#createNode(`vm${index + 1}`),
     );
@@ -240,7 +240,9 @@
     }
     writeToDisk(node, ready);
     replica.onSaved(ready);
-    this.network.push(...ready.messages.flatMap((message) => fillSnapshot(node, message)));
+    this.network.push(
+      ...ready.messages.flatMap((message) => fillSnapshot(node, message, this.#chunkLength)),
+    );
     ready.committed.forEach((entry) => this.#apply(node, entry));
     this.#snapshotIfDue(node);
     return true;
@@ -287,12 +289,10 @@
     const [message] = this.network.splice(at, 1);
     if (!message) return;
     const target = this.nodes.find(({ id }) => id === message.to);
+    if (!target?.replica) return;
     const sender = this.nodes.find(({ id }) => id === message.from);
     const isSenderCut = sender !== undefined && (sender.isCut || sender.isMute);
-    const isTargetCut = target !== undefined && (target.isCut || target.isDeaf);
-    const isHeld = target?.isFrozen === true || isTargetCut || isSenderCut;
-    if (!isHeld) this.#onArrival(message);
-    if (!target?.replica) return;
+    const isHeld = target.isFrozen || target.isCut || target.isDeaf || isSenderCut;
     if (isHeld) this.network.push(message);
     else target.replica.receive(message);
   }
--- a/packages/consensus/__tests__/memoryGroup.ts
+++ b/packages/consensus/__tests__/memoryGroup.ts
@@ -2,33 +2,46 @@
  * A group whose VMs come and go, in virtual time: replicas as in `MemoryCluster`, and beside each
  * of them what decides on the members of the group, called as a control process calls it.
  */
-import { createGroupMembership, decideBootstrap, vmOfReplica } from '..';
-import type { GroupDescription, GroupMembership, Message } from '..';
+import {
+  createGroupMembership,
+  decideBootstrap,
+  deriveElectionTimings,
+  deriveMembershipLimits,
+} from '..';
+import type { GroupDescription, GroupMembership, GroupPromise, MembershipAction } from '..';
 import { MemoryCluster } from './memoryCluster';
 import type { Node } from './memoryNode';
 
 /** A VM of the group, with one life of its process. */
 export interface GroupVm {
   readonly node: Node;
+  readonly dataCentre: string;
   /** Gone for good: it never starts again. */
   isGone: boolean;
   isRunning: boolean;
   /** Whether its process knows its group and runs its replica. */
   isTakingPart: boolean;
   membership: GroupMembership;
-  wasLeader: boolean;
-  /** When its process looks at its group next. */
+  /** When its process looks at its group next, and at its replica's timers. */
   nextStepMs: number;
+  nextTickMs: number;
 }
 
 export interface MemoryGroupOptions {
   readonly seed: number;
   readonly size: number;
+  readonly promise: GroupPromise;
+  /** Data centres over which the VMs of the start are spread. */
+  readonly dataCentres: number;
 }
 
-/** As the platform's group of documents has them. */
-const TIMINGS = { electionTimeoutMs: 700, heartbeatIntervalMs: 200 };
-const STEP_MS = 250;
+/** As the group of a control process has it. */
+const STEP_MS = 100;
+const TICK_MS = 50;
+/** Of so many timers one runs out while another one's messages are on their way. */
+const TICKS_TOGETHER = 4;
+/** A snapshot goes in one message, as those of the product do. */
+const CHUNK_LENGTH = 100_000;
 /** A turn takes between these, so that the replicas' timers do not fall together. */
 const MIN_TURN_MS = 10;
 const MAX_TURN_MS = 40;
@@ -41,20 +54,25 @@
 
   readonly vms: GroupVm[];
 
+  readonly #promise: GroupPromise;
+
   #nextProposalMs = 0;
 
   #count: number;
 
-  constructor({ seed, size }: MemoryGroupOptions) {
+  constructor({ seed, size, promise, dataCentres }: MemoryGroupOptions) {
+    this.#promise = promise;
     this.cluster = new MemoryCluster({
       seed,
       size,
       snapshotEvery: 9,
-      timings: TIMINGS,
-      onArrival: (message) => this.#noteArrival(message),
+      timings: deriveElectionTimings(promise),
+      chunkLength: CHUNK_LENGTH,
     });
     this.#count = size;
-    this.vms = this.cluster.nodes.map((node) => this.#createVm(node));
+    this.vms = this.cluster.nodes.map((node, index) =>
+      this.#createVm(node, `dc${index % dataCentres}`),
+    );
     this.vms.forEach((vm) => {
       vm.isRunning = true;
       vm.isTakingPart = true;
@@ -65,15 +83,16 @@
     return this.cluster.nowMs;
   }
 
-  #createVm(node: Node): GroupVm {
+  #createVm(node: Node, dataCentre: string): GroupVm {
     return {
       node,
+      dataCentre,
       isGone: false,
       isRunning: false,
       isTakingPart: false,
       membership: this.#createMembership(node),
-      wasLeader: false,
       nextStepMs: this.cluster.nowMs + this.cluster.random.nextInt(STEP_MS),
+      nextTickMs: this.cluster.nowMs + this.cluster.random.nextInt(TICK_MS),
     };
   }
 
@@ -83,7 +102,12 @@
       steadyMs: () => this.cluster.nowMs,
       wallMs: () => 0,
     };
-    return createGroupMembership({ clock, replicaId: node.id });
+    return createGroupMembership({
+      clock,
+      replicaId: node.id,
+      limits: deriveMembershipLimits(this.#promise),
+      dataCentreOf: (id) => this.vms.find((vm) => vm.node.id === id)?.dataCentre,
+    });
   }
 
   /** Whether two VMs reach each other both ways now. */
@@ -92,14 +116,6 @@
     return vm.isRunning && !isFrozen && !isCut && !isDeaf && !isMute;
   }
 
-  /** A process counts messages as delivered when the VM that they are for takes them. */
-  #noteArrival({ from, to }: Message): void {
-    const host = vmOfReplica(to);
-    const target = this.vms.find(({ node }) => node.vmId === host);
-    const sender = this.vms.find(({ node }) => node.id === from);
-    if (target?.isRunning) sender?.membership.noteDelivered(host);
-  }
-
   static #describe({ node, isTakingPart }: GroupVm): GroupDescription {
     const configuration = isTakingPart ? node.replica?.status().configuration : undefined;
     const isKnown = configuration !== undefined && configuration.voters.length > 0;
@@ -120,11 +136,17 @@
     vm.isTakingPart = true;
   }
 
-  #askToJoin(vm: GroupVm): void {
-    this.#others(vm)
+  /** Those that a VM reaches and that lead, as they say. */
+  #leaders(vm: GroupVm): readonly GroupVm[] {
+    if (!MemoryGroup.#isReachable(vm)) return [];
+    return this.#others(vm)
       .filter((other) => MemoryGroup.#isReachable(other) && other.isTakingPart)
-      .filter((other) => other.node.replica?.canRead())
-      .forEach((other) => other.membership.noteJoin(vm.node.id));
+      .filter((other) => other.node.replica?.canRead());
+  }
+
+  #askToJoin(vm: GroupVm): void {
+    const request = { replicaId: vm.node.id, dataCentre: vm.dataCentre };
+    this.#leaders(vm).forEach(({ membership }) => membership.noteJoin(request));
   }
 
   /** What the process of a VM does for its group every so often. */
@@ -135,24 +157,29 @@
     }
     const { node, membership } = vm;
     const status = node.replica?.status();
-    if (!status) return;
-    const isLeader = status.role === 'leader';
-    if (isLeader && !vm.wasLeader) membership.beginLead();
-    vm.wasLeader = isLeader;
-    if (isLeader) {
-      const change = membership.nextChange(status);
-      if (change) node.replica?.proposeConfiguration(change);
-      return;
-    }
-    membership.endLead();
-    const isVoter = status.configuration.voters.includes(node.id);
-    if (!isVoter && MemoryGroup.#isReachable(vm)) this.#askToJoin(vm);
+    const action = status && membership.next(status);
+    if (action) this.#act(vm, action);
+  }
+
+  #act(vm: GroupVm, action: MembershipAction): void {
+    const { replica } = vm.node;
+    if (action.kind === 'ask-to-join') this.#askToJoin(vm);
+    else if (action.kind === 'ask-to-leave') this.#askToLeave(vm);
+    else if (action.kind === 'hand-over') replica?.transferLeadership(action.successor);
+    else replica?.proposeConfiguration(action.change);
+  }
+
+  #askToLeave(vm: GroupVm): void {
+    this.#leaders(vm).forEach(({ membership }) => {
+      membership.noteLeave(vm.node.id);
+      vm.membership.noteLeaveHeard();
+    });
   }
 
   /** Adds a VM at an address of its own, with a blank disk. */
-  addVm(): GroupVm {
+  addVm(dataCentre: string): GroupVm {
     this.#count += 1;
-    const vm = this.#createVm(this.cluster.addBlank(`vm${this.#count}`));
+    const vm = this.#createVm(this.cluster.addBlank(`vm${this.#count}`), dataCentre);
     this.vms.push(vm);
     this.start(vm);
     return vm;
@@ -163,13 +190,20 @@
     if (vm.isGone || vm.isRunning) return;
     const { node } = vm;
     vm.isRunning = true;
-    vm.wasLeader = false;
     vm.membership = this.#createMembership(node);
     const isBlank = node.disk.snapshot === null && node.disk.entries.length === 0;
     vm.isTakingPart = !isBlank;
     if (!isBlank) this.cluster.start(node);
   }
 
+  /** Asks a process to stop; returns whether it is done with what it does for its group. */
+  static isReadyToEnd(vm: GroupVm): boolean {
+    vm.membership.beginLeaving();
+    vm.node.replica?.avoidLead();
+    const status = vm.node.replica?.status();
+    return !status || !vm.membership.hasToHandOver(status);
+  }
+
   /** Takes the power from a VM. */
   stop(vm: GroupVm): void {
     this.cluster.thaw(vm.node);
@@ -191,7 +225,26 @@
 
   /** The VM whose replica leads and may read now. */
   confirmedLeader(): GroupVm | undefined {
-    return this.vms.find((vm) => MemoryGroup.#isReachable(vm) && vm.node.replica?.canRead());
+    return this.vms.find((vm) => {
+      const { replica, appliedIndex } = vm.node;
+      const isApplied = (replica?.status().commitIndex ?? 0) <= appliedIndex;
+      return MemoryGroup.#isReachable(vm) && isApplied && replica?.canRead();
+    });
+  }
+
+  /** Each process looks at its replica's timers at times of its own. */
+  #tick(): void {
+    this.vms
+      .filter(({ node }) => node.replica && !node.isFrozen)
+      .filter((vm) => this.nowMs >= vm.nextTickMs)
+      .forEach((vm) => {
+        vm.nextTickMs = this.nowMs + TICK_MS;
+        const roleBefore = vm.node.replica?.status().role;
+        vm.node.replica?.tick();
+        const isChanged = vm.node.replica?.status().role !== roleBefore;
+        // Messages are faster than timers, but for now and then.
+        if (isChanged && this.cluster.random.nextInt(TICKS_TOGETHER) > 0) this.cluster.runTurn();
+      });
   }
 
   #loseSomeMessages(): void {
@@ -213,7 +266,7 @@
     while (this.nowMs < endsAtMs) {
       const { random } = this.cluster;
       this.cluster.advance(MIN_TURN_MS + random.nextInt(MAX_TURN_MS - MIN_TURN_MS));
-      this.cluster.tick();
+      this.#tick();
       this.vms
         .filter((vm) => vm.isRunning && !vm.node.isFrozen && this.nowMs >= vm.nextStepMs)
         .forEach((vm) => {
--- a/packages/consensus/__tests__/memoryNode.ts
+++ b/packages/consensus/__tests__/memoryNode.ts
@@ -49,7 +49,8 @@
   clockOffsetMs: number;
 }
 
-const CHUNK_LENGTH = 40;
+/** Short, so that a snapshot takes many messages. */
+export const SHORT_CHUNK_LENGTH = 40;
 
 export function blankDisk(): Disk {
   return { ...BLANK_STATE, snapshotData: '', entries: [] };
@@ -74,11 +75,15 @@
 }
 
 /** Puts the chunk into a snapshot message; none when the snapshot was replaced meanwhile. */
-export function fillSnapshot(node: Node, message: Message): readonly Message[] {
+export function fillSnapshot(
+  node: Node,
+  message: Message,
+  chunkLength: number,
+): readonly Message[] {
   if (message.kind !== 'snapshot') return [message];
   const { snapshot, snapshotData } = node.disk;
   if (snapshot?.index !== message.meta.index) return [];
-  const end = message.offset + CHUNK_LENGTH;
+  const end = message.offset + chunkLength;
   return [
     {
       ...message,
--- a/packages/consensus/index.ts
+++ b/packages/consensus/index.ts
@@ -2,6 +2,8 @@
 export * from './src/groupFounding';
 export * from './src/groupMembership';
 export * from './src/groupRunner';
+export * from './src/membershipLimits';
+export * from './src/membershipRules';
 export * from './src/messages';
 export * from './src/replica';
 export * from './src/storage';
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -8,7 +8,13 @@
 import { hasQuorum, listVoters, majorityOf, voterSets } from './configuration';
 import type { MessageOf, PreVoteMessage, VoteMessage } from './messages';
 import { becomeLeader, isLeaseValid } from './replication';
-import { becomeFollower, isVoter, queueMessage, resetElectionDeadline } from './replicaState';
+import {
+  becomeFollower,
+  isVoter,
+  queueMessage,
+  resetElectionDeadline,
+  resetRetryDeadline,
+} from './replicaState';
 import type { ReplicaState, VoteDenialReason } from './replicaState';
 
 function isLogUpToDate(
@@ -72,7 +78,7 @@
   state.leaderId = null;
   state.votes.clear();
   state.votes.set(state.id, true);
-  resetElectionDeadline(state);
+  resetRetryDeadline(state);
   askForVotes(state, 'vote', state.term);
   if (hasWon(state)) becomeLeader(state);
 }
@@ -84,7 +90,7 @@
   state.isTransferElection = false;
   state.votes.clear();
   state.votes.set(state.id, true);
-  resetElectionDeadline(state);
+  resetRetryDeadline(state);
   askForVotes(state, 'pre-vote', state.term + 1);
   if (hasWon(state)) startElection(state);
 }
--- a/packages/consensus/src/groupFounding.ts
+++ b/packages/consensus/src/groupFounding.ts
@@ -14,11 +14,6 @@
   readonly configuration: Configuration | null;
 }
 
-/** What a replica with a new identity asks the leader for. */
-export interface JoinRequest {
-  readonly replicaId: ReplicaId;
-}
-
 export type BootstrapStep =
   /** The group knows this replica: take part. */
   | { readonly kind: 'take-part' }
--- a/packages/consensus/src/groupMembership.ts
+++ b/packages/consensus/src/groupMembership.ts
@@ -1,105 +1,175 @@
-/** Brings replicas with a new identity into the group, one step of membership at a time. */
+/** What one replica does for its group's members: it changes them as leader, or asks to be one. */
 import type { Clock } from '@spoolplank/shared';
 import { listReplicas, vmOfReplica } from './configuration';
-import type { Configuration, ConfigurationChange, ReplicaId } from './configuration';
+import type { ReplicaId } from './configuration';
+import type { MembershipLimits } from './membershipLimits';
+import { decideMembershipStep } from './membershipRules';
+import type { JoinRequest, MembershipStep, MemberView } from './membershipRules';
 import type { ReplicaStatus } from './replica';
 
-/** How far behind a learner may be to be made a voter. */
-const PROMOTE_WITHIN_ENTRIES = 50;
-
-function findPredecessor(
-  { voters, learners }: Configuration,
-  candidate: ReplicaId,
-): ReplicaId | undefined {
-  return [...voters, ...learners].find(
-    (id) => id !== candidate && vmOfReplica(id) === vmOfReplica(candidate),
-  );
-}
-
-/**
- * The next change that brings a candidate closer to being a voter; null when it is one, or
- * when it has to catch up first. The identity that the VM had before goes first: it will
- * never vote again, and with it gone a majority needs one replica fewer.
- */
-export function decideRepair(
-  status: ReplicaStatus,
-  candidate: ReplicaId,
-): ConfigurationChange | null {
-  const { configuration, matchIndexes, commitIndex } = status;
-  const predecessor = findPredecessor(configuration, candidate);
-  if (predecessor) return { kind: 'remove', replicaId: predecessor };
-  if (configuration.voters.includes(candidate)) return null;
-  if (!configuration.learners.includes(candidate))
-    return { kind: 'add-learner', replicaId: candidate };
-  const isCaughtUp = (matchIndexes[candidate] ?? 0) + PROMOTE_WITHIN_ENTRIES >= commitIndex;
-  return isCaughtUp ? { kind: 'promote', replicaId: candidate } : null;
-}
-
-/**
- * Removes a silent replica where that lowers the number of votes a majority needs: an even
- * number of voters tolerates no more losses than one fewer. A learner that fell silent goes
- * too. Null when nothing is gained.
- */
-export function decideRetirement(
-  { voters, learners }: Configuration,
-  silent: readonly ReplicaId[],
-): ConfigurationChange | null {
-  const learner = learners.find((id) => silent.includes(id));
-  if (learner !== undefined) return { kind: 'remove', replicaId: learner };
-  const voter = voters.find((id) => silent.includes(id));
-  const isWorthwhile = voters.length > 2 && voters.length % 2 === 0;
-  return voter !== undefined && isWorthwhile ? { kind: 'remove', replicaId: voter } : null;
-}
-
 export interface GroupMembershipOptions {
   readonly clock: Clock;
   readonly replicaId: ReplicaId;
+  readonly limits: MembershipLimits;
+  /** Data centre of a replica's VM, as far as it is known otherwise. */
+  readonly dataCentreOf?: (replicaId: ReplicaId) => string | undefined;
 }
 
-/** The leader's record of who asks to be taken in and who has fallen silent. */
+export type MembershipAction =
+  | MembershipStep
+  /** This replica is outside, or cut off from the group's leader: it asks to be taken in. */
+  | { readonly kind: 'ask-to-join' }
+  /** This replica's process is about to end: it asks to have its vote taken over. */
+  | { readonly kind: 'ask-to-leave' };
+
 export interface GroupMembership {
-  /** Notes that a replica asks to be taken in. */
-  noteJoin(candidate: ReplicaId): void;
-  /** Notes that a VM took messages. */
-  noteDelivered(vmId: string): void;
-  /** Gives everyone the whole time to be heard; for a new leader. */
-  beginLead(): void;
-  endLead(): void;
-  /** The next change of the leader's group; null when there is nothing to do. */
-  nextChange(status: ReplicaStatus): ConfigurationChange | null;
+  /** Notes that a replica asks to be taken in; called where it leads. */
+  noteJoin(request: JoinRequest): void;
+  /** Notes that a member's process is about to end; called where it leads. */
+  noteLeave(replicaId: ReplicaId): void;
+  /** From now on this replica's process is about to end. */
+  beginLeaving(): void;
+  /** Notes that the leader knows that it is. */
+  noteLeaveHeard(): void;
+  /**
+   * Whether it has its lead, or its vote, to hand over first, and somebody may take it; or has not
+   * told the leader yet, which may be about to give it a vote.
+   */
+  hasToHandOver(status: ReplicaStatus): boolean;
+  /** What to do next; called every so often, whatever the replica's role. */
+  next(status: ReplicaStatus): MembershipAction | null;
 }
 
-/** Longer than a killed or frozen process is away; one that is back later joins again. */
-const RETIRE_AFTER_MS = 6000;
+interface Asked {
+  readonly request: JoinRequest;
+  readonly atMs: number;
+}
 
-/** Creates the record of one replica. */
+/** Creates the part of one replica. */
 export function createGroupMembership(options: GroupMembershipOptions): GroupMembership {
-  const { clock, replicaId } = options;
-  const joining = new Set<ReplicaId>();
-  const heardAtMs = new Map<string, number>();
+  const { clock, replicaId, limits, dataCentreOf = () => undefined } = options;
+  const asked = new Map<ReplicaId, Asked>();
+  const leavingAtMs = new Map<ReplicaId, number>();
+  const dataCentres = new Map<ReplicaId, string>();
+  const steadySinceMs = new Map<ReplicaId, number>();
+  let commitIndexBefore = 0;
+  let isLeaving = false;
+  let isLeaveHeard = false;
+  let leadsSinceMs: number | null = null;
+  let lastLeader: ReplicaId | null = null;
+  let leaderSeenAtMs = clock.nowMs();
+
+  function silentForMs({ answerAgesMs, heardAgesMs }: ReplicaStatus, id: ReplicaId): number {
+    if (id === replicaId) return 0;
+    const answeredMs = answerAgesMs[id];
+    if (answeredMs !== undefined) return answeredMs;
+    // The leader before was heard until it fell silent; of the others nothing was heard till now.
+    const heardMs = id === lastLeader ? heardAgesMs[id] : undefined;
+    return heardMs ?? clock.nowMs() - (leadsSinceMs ?? clock.nowMs());
+  }
 
-  function isSilent(id: ReplicaId): boolean {
-    if (id === replicaId) return false;
-    const vmId = vmOfReplica(id);
+  function holdsUpTo(status: ReplicaStatus, id: ReplicaId, index: number): boolean {
+    return (status.matchIndexes[id] ?? 0) >= index;
+  }
+
+  /** Notes who has answered and held what was committed at the look before. */
+  function noteSteady(status: ReplicaStatus): void {
+    const members = listReplicas(status.configuration);
+    [...steadySinceMs.keys()]
+      .filter((id) => !members.includes(id))
+      .forEach((id) => steadySinceMs.delete(id));
+    members.forEach((id) => {
+      const isSteady =
+        silentForMs(status, id) <= limits.freshForMs && holdsUpTo(status, id, commitIndexBefore);
+      if (!isSteady) steadySinceMs.delete(id);
+      else if (!steadySinceMs.has(id)) steadySinceMs.set(id, clock.nowMs());
+    });
+    commitIndexBefore = status.commitIndex;
+  }
+
+  function viewOf(status: ReplicaStatus, id: ReplicaId): MemberView {
     const nowMs = clock.nowMs();
-    const heardMs = heardAtMs.get(vmId) ?? nowMs;
-    heardAtMs.set(vmId, heardMs);
-    return nowMs - heardMs > RETIRE_AFTER_MS;
+    const sinceMs = steadySinceMs.get(id);
+    return {
+      silentForMs: silentForMs(status, id),
+      steadyForMs: sinceMs === undefined ? null : nowMs - sinceMs,
+      isInStep: holdsUpTo(status, id, status.commitIndex),
+    };
+  }
+
+  function takeJoining(): readonly JoinRequest[] {
+    const oldestMs = clock.nowMs() - limits.freshForMs;
+    [...asked].filter(([, { atMs }]) => atMs < oldestMs).forEach(([id]) => asked.delete(id));
+    return [...asked.values()].map(({ request }) => request);
+  }
+
+  function listLeaving(): readonly ReplicaId[] {
+    // Until their silence shows.
+    const oldestMs = clock.nowMs() - 2 * limits.freshForMs;
+    const others = [...leavingAtMs].filter(([, atMs]) => atMs >= oldestMs).map(([id]) => id);
+    return isLeaving ? [...others, replicaId] : others;
+  }
+
+  function lead(status: ReplicaStatus): MembershipStep | null {
+    if (leadsSinceMs === null) {
+      leadsSinceMs = clock.nowMs();
+      commitIndexBefore = status.commitIndex;
+      steadySinceMs.clear();
+    }
+    noteSteady(status);
+    const isChanging = status.commitIndex < status.configurationIndex;
+    if (isChanging || status.configuration.outgoing) return null;
+    return decideMembershipStep(
+      {
+        leader: replicaId,
+        configuration: status.configuration,
+        viewOf: (id) => viewOf(status, id),
+        dataCentreOf: (id) => dataCentres.get(id) ?? dataCentreOf(id),
+        joining: takeJoining(),
+        leaving: listLeaving(),
+      },
+      limits,
+    );
+  }
+
+  /** A replica that was removed while it was away hears of that from nobody. */
+  function follow({ configuration, leaderId }: ReplicaStatus): MembershipAction | null {
+    leadsSinceMs = null;
+    asked.clear();
+    leavingAtMs.clear();
+    const nowMs = clock.nowMs();
+    if (leaderId !== null) {
+      lastLeader = leaderId;
+      leaderSeenAtMs = nowMs;
+    }
+    if (isLeaving) return { kind: 'ask-to-leave' };
+    const isMember = listReplicas(configuration).includes(replicaId);
+    const isCutOff = nowMs - leaderSeenAtMs > limits.silentAfterMs;
+    return isMember && !isCutOff ? null : { kind: 'ask-to-join' };
   }
 
   return {
-    noteJoin: (candidate) => joining.add(candidate),
-    noteDelivered: (vmId) => heardAtMs.set(vmId, clock.nowMs()),
-    beginLead: () => heardAtMs.clear(),
-    endLead: () => joining.clear(),
-    nextChange(status) {
-      for (const candidate of joining) {
-        const change = decideRepair(status, candidate);
-        if (change) return change;
-        if (status.configuration.voters.includes(candidate)) joining.delete(candidate);
-      }
-      const silent = listReplicas(status.configuration).filter(isSilent);
-      return decideRetirement(status.configuration, silent);
+    noteJoin(request) {
+      const vmId = vmOfReplica(request.replicaId);
+      // A VM has one identity at a time: what an earlier one asked for is over.
+      [...asked.keys()].filter((id) => vmOfReplica(id) === vmId).forEach((id) => asked.delete(id));
+      asked.set(request.replicaId, { request, atMs: clock.nowMs() });
+      if (request.dataCentre !== undefined) dataCentres.set(request.replicaId, request.dataCentre);
+    },
+    noteLeave: (id) => leavingAtMs.set(id, clock.nowMs()),
+    beginLeaving() {
+      isLeaving = true;
+    },
+    noteLeaveHeard() {
+      isLeaveHeard = true;
+    },
+    hasToHandOver({ role, configuration }) {
+      const { voters, learners, standbys = [] } = configuration;
+      if (!voters.includes(replicaId)) return !isLeaveHeard;
+      const leaving = listLeaving();
+      const hasSuccessor = voters.some((id) => id !== replicaId && !leaving.includes(id));
+      return learners.length + standbys.length > 0 || (role === 'leader' && hasSuccessor);
     },
+    next: (status) => (status.role === 'leader' ? lead(status) : follow(status)),
   };
 }
--- a/packages/consensus/src/groupRunner.ts
+++ b/packages/consensus/src/groupRunner.ts
@@ -58,7 +58,10 @@
   /** Changes the membership by one step and resolves when that is committed. */
   changeMembership(change: ConfigurationChange): Promise<void>;
   canRead(): boolean;
-  transferLeadership(): boolean;
+  /** Hands the lead to a voter; returns whether the transfer has begun. */
+  transferLeadership(successor?: ReplicaId): boolean;
+  /** From now on others go first in elections, as this replica is about to stop. */
+  avoidLead(): void;
   status(): ReplicaStatus;
   /** Stops taking part; what is being saved is finished first. */
   stop(): Promise<void>;
@@ -256,11 +259,12 @@
       !readyStore.isFull &&
       replica.canRead() &&
       replica.status().commitIndex <= appliedIndex,
-    transferLeadership() {
-      const hasBegun = replica.transferLeadership();
+    transferLeadership(successor) {
+      const hasBegun = replica.transferLeadership(successor);
       wake();
       return hasBegun;
     },
+    avoidLead: () => replica.avoidLead(),
     status: () => replica.status(),
     async stop() {
       isStopped = true;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -69,6 +69,8 @@
   readonly isLeaseValid: boolean;
   /** Leader only: what each follower is known to hold. */
   readonly matchIndexes: Readonly<Record<ReplicaId, number>>;
+  /** Leader only: age in milliseconds of the newest message that each follower has answered. */
+  readonly answerAgesMs: Readonly<Record<ReplicaId, number>>;
   /** Age in milliseconds of the last message of each member that was heard since the start. */
   readonly heardAgesMs: Readonly<Record<ReplicaId, number>>;
   /** The last vote that this replica denied; null when it has denied none since its start. */
@@ -90,8 +92,13 @@
   proposeConfiguration(
     change: ConfigurationChange,
   ): { readonly index: number; readonly term: number } | null;
-  /** Hands the lead to another voter; returns whether the transfer has begun. */
-  transferLeadership(): boolean;
+  /**
+   * Hands the lead to a voter, to the one that holds most of the log by default; returns whether
+   * the transfer has begun.
+   */
+  transferLeadership(successor?: ReplicaId): boolean;
+  /** From now on others go first in elections, as this replica is about to stop. */
+  avoidLead(): void;
   /** Whether a read of applied state is current now; waits for nothing. */
   canRead(): boolean;
   takeReady(): Ready;
@@ -148,6 +155,7 @@
     lastLeaderContactMs: clock.steadyMs(),
     electionDeadlineMs: 0,
     isTransferElection: false,
+    isAvoidingLead: false,
     transferTarget: null,
     transferDeadlineMs: 0,
     votes: new Map(),
@@ -227,11 +235,11 @@
   };
 }
 
-function transferLeadership(state: ReplicaState): boolean {
-  if (state.role !== 'leader') return false;
+function transferLeadership(state: ReplicaState, successor?: ReplicaId): boolean {
+  if (state.role !== 'leader' || state.transferTarget !== null) return false;
   const { voters } = state.log.configuration;
   const [best] = [...state.progress.entries()]
-    .filter(([id]) => voters.includes(id))
+    .filter(([id]) => voters.includes(id) && (successor === undefined || id === successor))
     .sort(([, a], [, b]) => b.matchIndex - a.matchIndex || b.ackedSentAtMs - a.ackedSentAtMs);
   if (!best) return false;
   const [target, progress] = best;
@@ -273,6 +281,11 @@
     matchIndexes: Object.fromEntries(
       [...state.progress].map(([id, { matchIndex }]) => [id, matchIndex]),
     ),
+    answerAgesMs: Object.fromEntries(
+      [...state.progress]
+        .filter(([, { ackedSentAtMs }]) => ackedSentAtMs > Number.NEGATIVE_INFINITY)
+        .map(([id, { ackedSentAtMs }]) => [id, state.clock.nowMs() - ackedSentAtMs]),
+    ),
     heardAgesMs: Object.fromEntries(
       [...state.heardAtMs].map(([id, atMs]) => [id, state.clock.nowMs() - atMs]),
     ),
@@ -291,7 +304,10 @@
       return { index: appendAsLeader(state, { kind: 'command', command }), term: state.term };
     },
     proposeConfiguration: (change) => proposeConfiguration(state, change),
-    transferLeadership: () => transferLeadership(state),
+    transferLeadership: (successor) => transferLeadership(state, successor),
+    avoidLead() {
+      state.isAvoidingLead = true;
+    },
     canRead: () => isLeaseValid(state) && state.commitIndex >= state.termStartIndex,
     takeReady: () => takeReady(state),
     onSaved({ entries }) {
--- a/packages/consensus/src/replicaState.ts
+++ b/packages/consensus/src/replicaState.ts
@@ -82,6 +82,8 @@
   lastLeaderContactMs: number;
   electionDeadlineMs: number;
   isTransferElection: boolean;
+  /** Whether it lets others go first in elections. */
+  isAvoidingLead: boolean;
   transferTarget: ReplicaId | null;
   /** By the steady time. */
   transferDeadlineMs: number;
@@ -106,11 +108,31 @@
   state.outbox.push({ ...envelope, ...body, term: body.term ?? state.term });
 }
 
+/** Election timeouts that a replica which avoids the lead leaves to others. */
+const AVOIDED_TURNS = 2;
+
 /** Sets the time of the next election: random, so that replicas rarely collide. */
 export function resetElectionDeadline(state: ReplicaState): void {
   const { electionTimeoutMs } = state.timings;
+  // Not never: it may hold an entry that nobody else can be elected without.
+  const turns = state.isAvoidingLead ? AVOIDED_TURNS : 0;
   state.electionDeadlineMs =
-    state.clock.nowMs() + electionTimeoutMs * (1 + state.random.nextFloat());
+    state.clock.nowMs() + electionTimeoutMs * (1 + turns + state.random.nextFloat());
+}
+
+/** Share of the election timeout after which pre-votes are asked for again, at least. */
+const PRE_VOTE_RETRY_SHARE = 0.25;
+/** The same for votes, which have to reach two disks before they are answered. */
+const VOTE_RETRY_SHARE = 0.5;
+
+/**
+ * Sets the time at which an election that nobody won is tried again. No leader was near when it
+ * began, so there is none to wait for.
+ */
+export function resetRetryDeadline(state: ReplicaState): void {
+  const share = state.role === 'candidate' ? VOTE_RETRY_SHARE : PRE_VOTE_RETRY_SHARE;
+  const retryMs = state.timings.electionTimeoutMs * share;
+  state.electionDeadlineMs = state.clock.nowMs() + retryMs * (1 + state.random.nextFloat());
 }
 
 /** Whether this replica votes by the newest configuration in its log. */
--- a/packages/controller/__tests__/groupWatch.spec.ts
+++ b/packages/controller/__tests__/groupWatch.spec.ts
@@ -7,6 +7,7 @@
 
 const ELECTION_LIMIT_MS = 2000;
 const SILENT_AFTER_MS = 1500;
+const FEW_VOTERS_LIMIT_MS = 10_000;
 
 function createStatus(overrides: Partial<ReplicaStatus> = {}): ReplicaStatus {
   return {
@@ -22,6 +23,7 @@
     configurationIndex: 7,
     isLeaseValid: false,
     matchIndexes: {},
+    answerAgesMs: {},
     heardAgesMs: { 'vm2#b': 100, 'vm3#c': 5000 },
     lastDenial: null,
     ...overrides,
@@ -37,6 +39,8 @@
     log: { info: write, warn: write },
     electionLimitMs: ELECTION_LIMIT_MS,
     silentAfterMs: SILENT_AFTER_MS,
+    votersWanted: 3,
+    fewVotersLimitMs: FEW_VOTERS_LIMIT_MS,
   });
   return { clock, lines, watch };
 }
@@ -71,6 +75,25 @@
   });
 });
 
+describe('the watch over a group with too few voters', () => {
+  it('says once that the losses which are promised are not borne', () => {
+    const { clock, lines, watch } = createFixture();
+    const configuration = { voters: ['vm1#a', 'vm2#b'], learners: [] };
+    const status = createStatus({ role: 'leader', leaderId: 'vm1#a', configuration });
+    watch.observe(status, true);
+    clock.advance(FEW_VOTERS_LIMIT_MS);
+    watch.observe(status, true);
+    assert.equal(lines.length, 0, 'a newcomer takes its time');
+    clock.advance(100);
+    watch.observe(status, true);
+    watch.observe(status, true);
+    assert.deepEqual(
+      lines.map(({ event, fields }) => [event, fields.votersWanted]),
+      [['voters-missing', 3]],
+    );
+  });
+});
+
 describe('the summary of a group', () => {
   it('counts how many more voters may fall silent', () => {
     const { silentVoters, tolerableLosses } = summarizeGroup(createStatus(), SILENT_AFTER_MS);
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -1,5 +1,5 @@
 export * from './src/controlNode';
-export * from './src/coreGroup';
+export * from './src/groupMember';
 export * from './src/engineOperations';
 export * from './src/groupWatch';
 export * from './src/placementLoop';
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -1,5 +1,6 @@
 /** The role `control` with everything it needs injected: log, directory, feed, placement. */
-import type { GroupDescription } from '@spoolplank/consensus';
+import { DEFAULT_GROUP_PROMISE, deriveElectionTimings } from '@spoolplank/consensus';
+import type { GroupDescription, GroupPromise } from '@spoolplank/consensus';
 import type { ReplaceResult, StoredDocument } from '@spoolplank/control';
 import { createDocumentState } from '@spoolplank/control';
 import {
@@ -25,11 +26,11 @@
 import { createBackendDirectory } from './backendDirectory';
 import type { BackendDirectory } from './backendDirectory';
 import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
-import { createCoreGroup } from './coreGroup';
-import type { CoreGroup } from './coreGroup';
 import { createDocumentCalls } from './documentCalls';
 import { createEngineNotices } from './engineNotices';
 import type { EngineOrders } from './engineOperations';
+import { createGroupMember } from './groupMember';
+import type { GroupMember } from './groupMember';
 import { registerGroupMetrics } from './groupMetrics';
 import type { GroupSummary } from './groupWatch';
 import { guardOrders } from './guardedOrders';
@@ -53,6 +54,8 @@
   /** Hosts of control VMs, as the settings name them now. */
   readonly seeds: () => readonly string[];
   readonly isFirstStart: boolean;
+  /** Losses that the log's group has to bear; one at a time by default. */
+  readonly promise?: GroupPromise;
   /** Null on a VM without a disk: it relays, and is no replica. */
   readonly dataFolder: string | null;
   readonly engineOrders: EngineOrders;
@@ -88,6 +91,16 @@
 /** What a VM without a replica answers to one that looks for its group. */
 const DISKLESS: GroupDescription = { replicaId: null, configuration: null };
 
+const GROUP = 'documents';
+const GROUP_RUNNING = {
+  /** A quarter of a heartbeat: a finer clock only costs wake-ups. */
+  tickIntervalMs: 50,
+  /** A document of 100 KB is 10 KB compressed: 64 entries and their snapshot stay below 2 MB. */
+  snapshotEveryEntries: 64,
+  keepEntries: 16,
+  /** Operators move on after a second without an answer. */
+  proposalTimeoutMs: 2000,
+};
 /** Facts that change with every statement: they go with the next exchange. */
 const ROUTINE_FACTS: ReadonlySet<SystemFactKind> = new Set<SystemFactKind>(['load', 'room']);
 /**
@@ -105,9 +118,10 @@
 
 export async function createControlNode(options: ControlNodeOptions): Promise<ControlNode> {
   const { clock, log, peers, host, peerPort, dataCentre, run } = options;
+  const { promise = DEFAULT_GROUP_PROMISE } = options;
   const state = createDocumentState();
   const documents = createDocumentCache<StoredDocument>(clock);
-  let group: CoreGroup | null = null;
+  let group: GroupMember | null = null;
   let isStopped = false;
   let sequence = 0;
   let ticks = 0;
@@ -179,7 +193,7 @@
     host,
     dataCentre,
     seeds: options.seeds,
-    replicas: () => group?.status()?.configuration.voters ?? [],
+    replicas: () => group?.summary()?.voters ?? [],
   });
   const paceWatch = createPaceWatch({
     clock,
@@ -263,17 +277,23 @@
   };
 
   if (options.dataFolder !== null) {
-    group = await createCoreGroup({
+    group = await createGroupMember({
       clock,
       random: options.random,
       log,
       peers,
+      group: GROUP,
       vmId: host,
+      dataCentre,
       dataFolder: options.dataFolder,
-      founders: options.founders,
+      founders: options.isFirstStart ? options.founders : [],
       isFirstStart: options.isFirstStart,
+      promise,
+      timings: deriveElectionTimings(promise),
+      running: GROUP_RUNNING,
       listOthers: controlVms.listOthers,
       findTarget,
+      dataCentreOf: controlVms.dataCentreOf,
       stateMachine: state,
       onApplied() {
         if (!state.current || !documents.offer(state.current)) return;
--- a/packages/controller/src/controlVms.ts
+++ b/packages/controller/src/controlVms.ts
@@ -17,6 +17,8 @@
 export interface ControlVms {
   /** Hosts of the others: heard of lately, named by the settings, or voters. */
   listOthers(): readonly string[];
+  /** Data centre of a control VM that was heard of; undefined for others. */
+  dataCentreOf(host: string): string | undefined;
   /** Whether this VM does for its data centre what only one is to do. */
   isAppointed(): boolean;
 }
@@ -42,6 +44,8 @@
       const hosts = [...new Set([...seeds(), ...heard, ...voters])];
       return hosts.filter((other) => other !== host && other !== '');
     },
+    dataCentreOf: (other) =>
+      other === host ? dataCentre : listHeard().find((member) => member.host === other)?.dataCentre,
     isAppointed() {
       const here = listHeard().filter((member) => member.dataCentre === dataCentre);
       // The first name: whoever hears the same members appoints the same one.
--- a/packages/controller/src/documentCalls.ts
+++ b/packages/controller/src/documentCalls.ts
@@ -9,7 +9,7 @@
 import type { PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue } from '@spoolplank/shared';
-import type { CoreGroup } from './coreGroup';
+import type { GroupMember } from './groupMember';
 
 export interface DocumentCallsOptions {
   readonly clock: Clock;
@@ -18,7 +18,7 @@
   readonly host: string;
   readonly state: DocumentState;
   /** Null on a VM without a replica. */
-  readonly group: () => CoreGroup | null;
+  readonly group: () => GroupMember | null;
   readonly findTarget: (vmId: string) => PeerTarget;
   readonly listOthers: () => readonly string[];
 }
--- a/packages/controller/src/groupWatch.ts
+++ b/packages/controller/src/groupWatch.ts
@@ -1,5 +1,5 @@
 /** Tells when a replicated log's group loses its quorum and regains it, and who was missing. */
-import { listVoters, majorityOf, voterSets } from '@spoolplank/consensus';
+import { listReplicas, listVoters, majorityOf, voterSets } from '@spoolplank/consensus';
 import type { ReplicaId, ReplicaStatus, VoteDenial } from '@spoolplank/consensus';
 import type { EventLog, LogFields } from '@spoolplank/node';
 import type { Clock } from '@spoolplank/shared';
@@ -29,6 +29,10 @@
   readonly electionLimitMs: number;
   /** Silence after which a voter counts as silent, in milliseconds. */
   readonly silentAfterMs: number;
+  /** Voters that the group needs for the losses that it has to bear. */
+  readonly votersWanted: number;
+  /** How long a leader may lead fewer voters before it says so, in milliseconds. */
+  readonly fewVotersLimitMs: number;
 }
 
 export interface GroupWatch {
@@ -82,6 +86,8 @@
   let unconfirmedSinceMs = clock.nowMs();
   let isLost = false;
   let knownDenial: VoteDenial | null = null;
+  let enoughVotersAtMs = clock.nowMs();
+  let isShort = false;
 
   function noteConfirmed(status: ReplicaStatus): void {
     const nowMs = clock.nowMs();
@@ -97,11 +103,25 @@
   }
 
   function noteUnconfirmed(status: ReplicaStatus): void {
+    // One that has yet to be taken in has no quorum to lose.
+    if (!listReplicas(status.configuration).includes(status.id)) return;
     if (isLost || clock.nowMs() - unconfirmedSinceMs <= electionLimitMs) return;
     isLost = true;
     log.warn('quorum-lost', toGroupFields(summarizeGroup(status, silentAfterMs)));
   }
 
+  function noteVoters({ role, configuration }: ReplicaStatus): void {
+    const { voters, standbys = [] } = configuration;
+    const nowMs = clock.nowMs();
+    if (role !== 'leader' || voters.length >= options.votersWanted) {
+      enoughVotersAtMs = nowMs;
+      isShort = false;
+    } else if (!isShort && nowMs - enoughVotersAtMs > options.fewVotersLimitMs) {
+      isShort = true;
+      log.warn('voters-missing', { voters, standbys, votersWanted: options.votersWanted });
+    }
+  }
+
   function noteDenial({ lastDenial }: ReplicaStatus): void {
     if (lastDenial === null || lastDenial === knownDenial) return;
     const isRepeated =
@@ -115,6 +135,7 @@
       if (isConfirmed) noteConfirmed(status);
       else noteUnconfirmed(status);
       noteDenial(status);
+      noteVoters(status);
     },
     unconfirmedMs: () =>
       confirmedAtMs === null ? Number.POSITIVE_INFINITY : clock.nowMs() - confirmedAtMs,
--- a/packages/controller/src/settings/controlRole.ts
+++ b/packages/controller/src/settings/controlRole.ts
@@ -1,7 +1,4 @@
 /** The role `control`: one voter of the replicated log and the methods that use it. */
-import { join } from 'node:path';
-import { createGroupRunner, decideRepair, replicasOf, vmOfReplica } from '@spoolplank/consensus';
-import type { GroupDescription, JoinRequest, Message, ReplicaStatus } from '@spoolplank/consensus';
 import { createControlState, createLogClock } from '@spoolplank/control';
 import type {
   AcceptedChange,
@@ -10,20 +7,22 @@
   ControlResult,
   ControlState,
 } from '@spoolplank/control';
-import { createFileStorage, delay, loadIdentity, scheduleTimer } from '@spoolplank/node';
+import { scheduleTimer } from '@spoolplank/node';
 import type { PeerMethod } from '@spoolplank/node';
 import type { Edit } from '@spoolplank/settings';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
 import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
 import type { VmContext } from '@spoolplank/vm';
-import { createRaftTransport } from '../raftTransport';
-import { findGroup } from './findGroup';
+import { createGroupMember } from '../groupMember';
+import type { GroupMember } from '../groupMember';
+import { registerGroupMetrics } from '../groupMetrics';
 import { collectChangeFindings, createReachTracker } from './settingsService';
 import type { ReachReport, SettingsPull, SettingsPullReply } from './settingsService';
 
 const GROUP = 'control';
-const REPAIR_INTERVAL_MS = 250;
+/** A VM that is back, or whose disk is new, is in step with the group after so many timeouts. */
+const CATCH_UP_TIMEOUTS = 6;
 
 /** A change as the operator's tool sends it. */
 export interface ChangeRequest {
@@ -58,42 +57,40 @@
   onFatal,
 }: ControlRoleOptions): Promise<ControlRole> {
   const { settings, clock, logger, timings, metrics, peers } = context;
-  const replicaId = await loadIdentity(dataFolder, settings.vm.vmId);
-  const storage = createFileStorage({ folder: join(dataFolder, GROUP) });
   const logClock = createLogClock(clock);
   const state: ControlState = createControlState({ logClock });
-  const others = listVmsWithRole(settings, 'control').filter(
-    ({ vmId }) => vmId !== settings.vm.vmId,
+  const controlVms = listVmsWithRole(settings, 'control');
+  const others = new Map(
+    controlVms.filter(({ vmId }) => vmId !== settings.vm.vmId).map((vm) => [vm.vmId, vm]),
   );
-  const targets = new Map(others.map((vm) => [vm.vmId, toPeerTarget(vm)]));
   const entryVmIds = listVmsWithRole(settings, 'entry').map(({ vmId }) => vmId);
   const reach = createReachTracker(clock, timings.settingsLeaseMs, entryVmIds);
-  const joining = new Set<string>();
   let versionWaiters: (() => void)[] = [];
   let lastVersion = 0;
-  let isTakingPart = false;
-  let isStopped = false;
-  let wasLeader = false;
-
-  const runner = createGroupRunner({
-    id: replicaId,
-    group: GROUP,
+  const member: GroupMember = await createGroupMember({
     clock,
     random: context.random,
-    storage,
-    stateMachine: state,
-    send: createRaftTransport({ peers, findTarget: (vmId) => targets.get(vmId) }).send,
-    schedule: scheduleTimer,
-    timings: {
-      electionTimeoutMs: timings.electionTimeoutMs,
-      heartbeatIntervalMs: timings.heartbeatIntervalMs,
+    log: logger,
+    peers,
+    group: GROUP,
+    vmId: settings.vm.vmId,
+    dataCentre: settings.vm.dataCentre,
+    dataFolder,
+    founders: controlVms.map(({ vmId }) => vmId),
+    // Whoever joins a group that was founded by all takes the place of an identity that was lost.
+    isFirstStart: false,
+    promise: {
+      lossesBorne: Math.floor((controlVms.length - 1) / 2),
+      catchUpMs: timings.electionTimeoutMs * CATCH_UP_TIMEOUTS,
     },
-    onStorageState(error) {
-      if (!error) logger.info('storage-recovered');
-      else if (error.code === 'storage-full')
-        logger.error('storage-full', { detail: error.message });
-      else onFatal(error);
+    timings,
+    listOthers: () => [...others.keys()],
+    findTarget(vmId) {
+      const vm = others.get(vmId);
+      return vm && toPeerTarget(vm);
     },
+    dataCentreOf: (vmId) => controlVms.find((vm) => vm.vmId === vmId)?.dataCentre,
+    stateMachine: state,
     onApplied() {
       if (state.settings.version === lastVersion) return;
       lastVersion = state.settings.version;
@@ -101,21 +98,19 @@
       versionWaiters = [];
       waiting.forEach((resolve) => resolve());
     },
+    onLeadWon: () => reach.forget(),
+    onFatal,
   });
-
-  function status(): ReplicaStatus | null {
-    return isTakingPart ? runner.status() : null;
-  }
+  registerGroupMetrics(metrics, member);
 
   function assertCanRead(): void {
-    if (isTakingPart && runner.canRead()) return;
-    throw new SpoolplankError('not-leader', { leaderId: status()?.leaderId ?? undefined });
+    if (member.canRead()) return;
+    throw new SpoolplankError('not-leader', { leaderId: member.status()?.leaderId ?? undefined });
   }
 
   async function submit(request: ControlRequest): Promise<ControlResult> {
-    if (!isTakingPart) throw new SpoolplankError('not-leader');
     const command = { ...request, logTimeMs: logClock.nowMs() };
-    return (await runner.propose(command as unknown as JsonValue)) as unknown as ControlResult;
+    return (await member.propose(command as unknown as JsonValue)) as unknown as ControlResult;
   }
 
   async function changeSettings(request: ChangeRequest): Promise<ChangeReply> {
@@ -166,32 +161,8 @@
     };
   }
 
-  function describeGroup(): GroupDescription {
-    const configuration = status()?.configuration ?? null;
-    return {
-      replicaId,
-      configuration: configuration && configuration.voters.length > 0 ? configuration : null,
-    };
-  }
-
   const methods: Readonly<Record<string, PeerMethod>> = {
-    'consensus.step': (params, senderVmId) => {
-      const { messages } = params as unknown as { readonly messages: readonly Message[] };
-      if (!isTakingPart) return null;
-      // A VM speaks for its own replicas only.
-      messages
-        .filter(({ from }) => vmOfReplica(from) === senderVmId)
-        .forEach((message) => runner.receive(message));
-      return null;
-    },
-    'group.describe': () => describeGroup() as unknown as JsonValue,
-    'group.join': (params, senderVmId) => {
-      const { replicaId: candidate } = params as unknown as JoinRequest;
-      assertCanRead();
-      if (vmOfReplica(candidate) !== senderVmId) throw new SpoolplankError('forbidden');
-      joining.add(candidate);
-      return null;
-    },
+    ...member.methods,
     'settings.change': (params) =>
       changeSettings(params as unknown as ChangeRequest) as unknown as Promise<JsonValue>,
     'settings.pull': (params) =>
@@ -212,75 +183,17 @@
       // Proposed together, so that one sync serves all of them.
       return (await Promise.all(requests.map(submit))) as unknown as JsonValue;
     },
-    'control.status': () => status() as unknown as JsonValue,
+    'control.status': () => member.status() as unknown as JsonValue,
   };
 
-  async function askToJoin(): Promise<void> {
-    await Promise.all(
-      others.map((vm) =>
-        peers.call(toPeerTarget(vm), 'group.join', { replicaId }).catch(() => null),
-      ),
-    );
-  }
-
-  async function repairMembership(): Promise<void> {
-    const current = status();
-    if (!current) return;
-    const { voters } = current.configuration;
-    if (current.role !== 'leader') {
-      joining.clear();
-      if (!voters.includes(replicaId)) await askToJoin();
-      return;
-    }
-    const [candidate] = joining;
-    if (candidate === undefined) return;
-    const change = decideRepair(current, candidate);
-    if (change) {
-      logger.info('membership-change', { kind: change.kind, replicas: replicasOf(change) });
-      await runner.changeMembership(change);
-    } else if (voters.includes(candidate)) joining.delete(candidate);
-  }
-
-  function noteLeadership(): void {
-    const isLeader = status()?.role === 'leader';
-    if (isLeader && !wasLeader) {
-      reach.forget();
-      logger.info('leader-elected', { term: runner.status().term });
-    }
-    wasLeader = isLeader;
-  }
-
-  async function runRepairs(): Promise<void> {
-    while (!isStopped) {
-      noteLeadership();
-      await repairMembership().catch(() => {});
-      await delay(REPAIR_INTERVAL_MS);
-    }
-  }
-
   return {
     methods,
-    async start() {
-      const stored = await storage.load();
-      const isBlank = stored.snapshot === null && stored.entries.length === 0;
-      if (isBlank) await findGroup({ context, replicaId, storage, isStopped: () => isStopped });
-      if (isStopped) return;
-      await runner.start();
-      isTakingPart = true;
-      runRepairs().catch(() => {});
-    },
-    async stop() {
-      isStopped = true;
-      if (!isTakingPart) return;
-      if (runner.status().role === 'leader' && runner.transferLeadership()) {
-        await delay(timings.heartbeatIntervalMs);
-      }
-      isTakingPart = false;
-      await runner.stop();
-    },
+    start: () => member.start(),
+    stop: () => member.stop(),
     describe: () =>
       ({
-        replica: status(),
+        replica: member.status(),
+        group: member.summary(),
         settingsVersion: state.settings.version,
         leases: state.leases.size,
         claims: state.claims.size,
