--- /dev/null
+++ b/packages/cli/__tests__/renderGroup.spec.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { GroupSummary } from '@spoolplank/controller';
+import { renderGroup } from '../src/commands/renderGroup';
+
+const SUMMARY: GroupSummary = {
+  replica: 'vm1#a',
+  role: 'leader',
+  term: 4,
+  leader: 'vm1#a',
+  voters: ['vm1#a', 'vm2#b', 'vm3#c'],
+  learners: [],
+  standbys: ['vm4#d'],
+  configurationIndex: 9,
+  silentVoters: ['vm3#c'],
+  tolerableLosses: 0,
+};
+
+describe('the table of a control group', () => {
+  it('says who votes, who leads, who is silent, and how many losses it bears', () => {
+    assert.deepEqual(renderGroup(SUMMARY), [
+      'Control group: leader in term 4, bears 0 more losses',
+      'REPLICA  PART     LEADER  HEARD',
+      'vm1#a    voter    leads           this VM',
+      'vm2#b    voter',
+      'vm3#c    voter            SILENT',
+      'vm4#d    standby',
+    ]);
+  });
+
+  it('says that there is no majority', () => {
+    const [heading] = renderGroup({ ...SUMMARY, role: 'pre-candidate', tolerableLosses: -1 });
+    assert.equal(
+      heading,
+      'Control group: pre-candidate in term 4, NO MAJORITY of the voters is heard',
+    );
+  });
+});
--- /dev/null
+++ b/packages/cli/src/commands/renderGroup.ts
@@ -0,0 +1,32 @@
+/** How a control VM sees the group of the replicated log, as text. */
+import type { GroupSummary } from '@spoolplank/controller';
+import { renderTable } from './renderTable';
+
+function describeLosses({ tolerableLosses }: GroupSummary): string {
+  if (tolerableLosses === null) return 'only the leader knows how many losses it bears now';
+  if (tolerableLosses < 0) return 'NO MAJORITY of the voters is heard';
+  return `bears ${tolerableLosses} more ${tolerableLosses === 1 ? 'loss' : 'losses'}`;
+}
+
+/** Renders a heading and a row for each member. */
+export function renderGroup(group: GroupSummary): readonly string[] {
+  const { replica, role, term, leader, voters, learners, standbys, silentVoters } = group;
+  const states: Readonly<Record<string, readonly string[]>> = {
+    voter: voters,
+    learner: learners,
+    standby: standbys,
+  };
+  const rows = Object.entries(states).flatMap(([part, ids]) =>
+    ids.map((id) => [
+      id,
+      part,
+      id === leader ? 'leads' : '',
+      silentVoters?.includes(id) ? 'SILENT' : '',
+      id === replica ? 'this VM' : '',
+    ]),
+  );
+  return [
+    `Control group: ${role} in term ${term}, ${describeLosses(group)}`,
+    ...renderTable([['REPLICA', 'PART', 'LEADER', 'HEARD', ''], ...rows]),
+  ];
+}
--- a/packages/cli/src/commands/statusCommands.ts
+++ b/packages/cli/src/commands/statusCommands.ts
@@ -1,8 +1,11 @@
 /** `spoolplank status`, `spoolplank dump`, `spoolplank version`. */
 import { Command, Flags } from '@oclif/core';
+import type { GroupSummary } from '@spoolplank/controller';
 import type { JsonValue } from '@spoolplank/shared';
 import { BaseCommand, connect, CONNECTION_FLAGS } from './baseCommand';
 import { PROGRAM_VERSION } from './programVersion';
+import { renderGroup } from './renderGroup';
+import { renderTable } from './renderTable';
 
 interface StatusRow {
   readonly name: string;
@@ -21,6 +24,7 @@
   readonly settings: { readonly version: number; readonly isConfirmed: boolean };
   readonly control: {
     readonly replica: { readonly role: string; readonly leaderId: string | null } | null;
+    readonly group: GroupSummary | null;
   } | null;
   readonly requests: {
     readonly running: number;
@@ -31,7 +35,7 @@
   readonly backendServers: readonly StatusRow[];
 }
 
-function renderTable(rows: readonly StatusRow[]): readonly string[] {
+function renderRows(rows: readonly StatusRow[]): readonly string[] {
   const cells = rows.map(({ name, dataCentre, state, serves, running, queued }) => [
     name,
     dataCentre,
@@ -40,16 +44,7 @@
     String(running),
     String(queued),
   ]);
-  const table = [['NAME', 'DATA CENTRE', 'STATE', 'SERVES', 'RUNNING', 'QUEUED'], ...cells];
-  const widths =
-    table[0]?.map((_cell, column) => Math.max(...table.map((row) => row[column]?.length ?? 0))) ??
-    [];
-  return table.map((row) =>
-    row
-      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
-      .join('  ')
-      .trimEnd(),
-  );
+  return renderTable([['NAME', 'DATA CENTRE', 'STATE', 'SERVES', 'RUNNING', 'QUEUED'], ...cells]);
 }
 
 function renderStatus(status: Status): string {
@@ -59,13 +54,14 @@
     `${status.vmId} in ${status.dataCentre}, deployment ${status.deployment}: ${status.isTaking ? 'taking requests' : 'NOT taking requests'}`,
     `settings version ${settings.version}, ${settings.isConfirmed ? 'confirmed' : 'NOT confirmed'}`,
     `control ${replica ? `${replica.role}, leader ${replica.leaderId ?? 'unknown'}` : 'not on this VM'}`,
+    ...(control?.group ? ['', ...renderGroup(control.group), ''] : []),
     `requests ${requests.running} running, ${requests.waiting} waiting; ${requests.sessions} sessions kept`,
     '',
     'Entry VMs',
-    ...renderTable(status.vms),
+    ...renderRows(status.vms),
     '',
     'Backend servers',
-    ...renderTable(status.backendServers),
+    ...renderRows(status.backendServers),
   ].join('\n');
 }
 
