feat(controller,cli,platform): a control group whose majority is gone for good goes on from one copy, as an operator decides

Cause: with a majority lost for good the only way was to stop every VM and empty its folder, which loses the copy that is left. Change: recover shows what each copy holds (term, last entry, entries in force, version, voters), names the one that holds most and what is lost by going on from it, and refuses while a majority can be reached, where copies contradict each other, and without the name of the replica. The chosen one goes on alone in the next generation of the group; messages of another generation are not taken, so voters that come back late cannot vote as before: they put their copy aside and join anew. The product's own interface and the platform's have it; spoolplank status shows the group. What a control VM does for its group is split into search, loop, recovery and member.

--- a/packages/cli/src/commands/commandLine.ts
+++ b/packages/cli/src/commands/commandLine.ts
@@ -12,6 +12,7 @@
 } from './configCommands';
 import { ControlCommand, EntryCommand } from './daemonCommand';
 import { PROGRAM_VERSION } from './programVersion';
+import { RecoverCommand } from './recoverCommand';
 import { ReportCommand } from './reportCommand';
 import { DumpCommand, StatusCommand, VersionCommand } from './statusCommands';
 
@@ -26,6 +27,7 @@
   'config history': ConfigHistoryCommand,
   status: StatusCommand,
   dump: DumpCommand,
+  recover: RecoverCommand,
   report: ReportCommand,
   version: VersionCommand,
 };
--- a/packages/cli/src/commands/statusCommands.ts
+++ b/packages/cli/src/commands/statusCommands.ts
@@ -1,11 +1,11 @@
 /** `spoolplank status`, `spoolplank dump`, `spoolplank version`. */
 import { Command, Flags } from '@oclif/core';
+import { renderGroup } from '@spoolplank/controller';
 import type { GroupSummary } from '@spoolplank/controller';
+import { renderTable } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
 import { BaseCommand, connect, CONNECTION_FLAGS } from './baseCommand';
 import { PROGRAM_VERSION } from './programVersion';
-import { renderGroup } from './renderGroup';
-import { renderTable } from './renderTable';
 
 interface StatusRow {
   readonly name: string;
--- a/packages/cli/src/vm/vm.ts
+++ b/packages/cli/src/vm/vm.ts
@@ -45,6 +45,7 @@
     context,
     controlMethods: control?.methods ?? {},
     describeControl,
+    recovery: control ?? null,
   });
   const methods: Readonly<Record<string, PeerMethod>> = { ...control?.methods, ...entry.methods };
 
--- a/packages/consensus/__tests__/membershipRecord.spec.ts
+++ b/packages/consensus/__tests__/membershipRecord.spec.ts
@@ -22,6 +22,7 @@
     leaderId: SELF,
     commitIndex: 100,
     lastIndex: 100,
+    lastTerm: 2,
     savedIndex: 100,
     snapshotIndex: 0,
     configuration: THREE,
--- a/packages/consensus/index.ts
+++ b/packages/consensus/index.ts
@@ -1,6 +1,7 @@
 export * from './src/configuration';
 export * from './src/groupFounding';
 export * from './src/groupMembership';
+export * from './src/groupRecovery';
 export * from './src/groupRunner';
 export * from './src/membershipLimits';
 export * from './src/membershipRules';
--- a/packages/consensus/src/groupFounding.ts
+++ b/packages/consensus/src/groupFounding.ts
@@ -12,6 +12,8 @@
   readonly replicaId: ReplicaId | null;
   /** Null while its folder is blank. */
   readonly configuration: Configuration | null;
+  /** Counts how often the group went on from one copy; 0 by default. */
+  readonly generation?: number;
 }
 
 export type BootstrapStep =
@@ -29,10 +31,18 @@
   readonly others: readonly (GroupDescription | undefined)[];
 }
 
+/** The highest generation of a group that others tell of; copies of earlier ones do not count. */
+export function newestGeneration(others: readonly (GroupDescription | undefined)[]): number {
+  return Math.max(0, ...others.map((other) => other?.generation ?? 0));
+}
+
 /** Decides the next step of a blank replica. */
 export function decideBootstrap({ self, others }: BootstrapView): BootstrapStep {
   const answers = others.filter((other) => other !== undefined);
-  const groups = answers.flatMap(({ configuration }) => (configuration ? [configuration] : []));
+  const generation = newestGeneration(others);
+  const groups = answers.flatMap(({ configuration, generation: theirs = 0 }) =>
+    configuration && theirs === generation ? [configuration] : [],
+  );
   if (groups.some((configuration) => listReplicas(configuration).includes(self)))
     return { kind: 'take-part' };
   if (groups.length > 0) return { kind: 'join' };
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -61,6 +61,7 @@
   readonly leaderId: ReplicaId | null;
   readonly commitIndex: number;
   readonly lastIndex: number;
+  readonly lastTerm: number;
   readonly savedIndex: number;
   readonly snapshotIndex: number;
   readonly configuration: Configuration;
@@ -273,6 +274,7 @@
     leaderId: state.leaderId,
     commitIndex: state.commitIndex,
     lastIndex: log.lastIndex,
+    lastTerm: log.lastTerm,
     savedIndex: log.savedIndex,
     snapshotIndex: log.snapshot?.index ?? 0,
     configuration: log.configuration,
--- a/packages/controller/__tests__/groupWatch.spec.ts
+++ b/packages/controller/__tests__/groupWatch.spec.ts
@@ -3,7 +3,7 @@
 import type { ReplicaStatus } from '@spoolplank/consensus';
 import type { LogFields } from '@spoolplank/node';
 import { createManualClock } from '@spoolplank/shared';
-import { createGroupWatch, summarizeGroup } from '../src/groupWatch';
+import { createGroupWatch, summarizeGroup } from '../src/group/groupWatch';
 
 const ELECTION_LIMIT_MS = 2000;
 const SILENT_AFTER_MS = 1500;
@@ -17,6 +17,7 @@
     leaderId: null,
     commitIndex: 10,
     lastIndex: 10,
+    lastTerm: 2,
     savedIndex: 10,
     snapshotIndex: 0,
     configuration: { voters: ['vm1#a', 'vm2#b', 'vm3#c'], learners: [] },
--- a/packages/cli/__tests__/renderGroup.spec.ts
+++ b/packages/controller/__tests__/renderGroup.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { GroupSummary } from '@spoolplank/controller';
-import { renderGroup } from '../src/commands/renderGroup';
+import type { GroupSummary } from '../src/group/groupWatch';
+import { renderGroup } from '../src/group/renderGroup';
 
 const SUMMARY: GroupSummary = {
   replica: 'vm1#a',
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -22,17 +22,19 @@
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import type { RoutingDocument } from '@spoolplank/routing';
-import type { Clock, JsonValue, Random, SpoolplankError } from '@spoolplank/shared';
+import { SpoolplankError } from '@spoolplank/shared';
+import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { createBackendDirectory } from './backendDirectory';
 import type { BackendDirectory } from './backendDirectory';
 import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
 import { createDocumentCalls } from './documentCalls';
 import { createEngineNotices } from './engineNotices';
 import type { EngineOrders } from './engineOperations';
-import { createGroupMember } from './groupMember';
-import type { GroupMember } from './groupMember';
-import { registerGroupMetrics } from './groupMetrics';
-import type { GroupSummary } from './groupWatch';
+import { createGroupMember } from './group/groupMember';
+import type { GroupMember } from './group/groupMember';
+import { registerGroupMetrics } from './group/groupMetrics';
+import type { RecoveryReport } from './group/groupRecovery';
+import type { GroupSummary } from './group/groupWatch';
 import { guardOrders } from './guardedOrders';
 import { createLoadSums } from './loadSums';
 import { createControlVms } from './controlVms';
@@ -83,6 +85,14 @@
   readDocument(): Promise<StoredDocument | null>;
   /** What this VM's replica believes of the log's group; null where there is none. */
   groupSummary(): GroupSummary | null;
+  /**
+   * Copies of the log, and from which it may go on where a majority is gone for good.
+   *
+   * @throws SpoolplankError `not-found` on a VM without a replica.
+   */
+  reportRecovery(): Promise<RecoveryReport>;
+  /** @throws SpoolplankError `not-found`, `recovery-refused`. */
+  recover(replicaId: string): Promise<RecoveryReport>;
   /** Registers what is measured of the log's group; nothing where there is no replica. */
   registerMetrics(metrics: Metrics): void;
   describe(): JsonValue;
@@ -295,6 +305,7 @@
       findTarget,
       dataCentreOf: controlVms.dataCentreOf,
       stateMachine: state,
+      describeState: () => `document version ${state.current?.version ?? 'none'}`,
       onApplied() {
         if (!state.current || !documents.offer(state.current)) return;
         log.info('document-in-force', { version: state.current.version });
@@ -304,6 +315,11 @@
     });
   }
 
+  function requireGroup(): GroupMember {
+    if (!group) throw new SpoolplankError('not-found', { detail: 'This VM holds no replica.' });
+    return group;
+  }
+
   return {
     methods: { ...methods, ...group?.methods },
     async start() {
@@ -321,6 +337,8 @@
     replaceDocument: documentCalls.replace,
     readDocument: documentCalls.read,
     groupSummary: () => group?.summary() ?? null,
+    reportRecovery: async () => requireGroup().report(),
+    recover: async (replicaId) => requireGroup().recover(replicaId),
     registerMetrics(metrics) {
       if (group) registerGroupMetrics(metrics, group);
     },
--- a/packages/controller/src/documentCalls.ts
+++ b/packages/controller/src/documentCalls.ts
@@ -9,7 +9,7 @@
 import type { PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue } from '@spoolplank/shared';
-import type { GroupMember } from './groupMember';
+import type { GroupMember } from './group/groupMember';
 
 export interface DocumentCallsOptions {
   readonly clock: Clock;
--- a/packages/controller/src/groupMember.ts
+++ b/packages/controller/src/group/groupMember.ts
@@ -6,21 +6,16 @@
 import {
   createGroupMembership,
   createGroupRunner,
-  decideBootstrap,
   deriveMembershipLimits,
   findPromiseProblem,
-  listVoters,
-  replicasOf,
   vmOfReplica,
 } from '@spoolplank/consensus';
 import type {
-  ConfigurationChange,
   ElectionTimings,
   GroupDescription,
   GroupPromise,
   GroupRunner,
   JoinRequest,
-  MembershipAction,
   Message,
   ReplicaStatus,
   StateMachine,
@@ -29,8 +24,14 @@
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
+import { loadGroupGeneration } from './groupGeneration';
+import { createGroupLoop } from './groupLoop';
+import { createGroupRecovery } from './groupRecovery';
+import type { DescribedCopy, GroupRecovery } from './groupRecovery';
+import { createGroupSearch } from './groupSearch';
 import { createGroupWatch, summarizeGroup } from './groupWatch';
 import type { GroupSummary } from './groupWatch';
+import { goOnFromCopy } from './copyRestart';
 import { createRaftTransport } from './raftTransport';
 
 export interface GroupMemberOptions {
@@ -62,16 +63,17 @@
   readonly findTarget: (vmId: string) => PeerTarget | undefined;
   readonly dataCentreOf: (vmId: string) => string | undefined;
   readonly stateMachine: StateMachine;
+  /** What the state machine holds, in a few words, for an operator who compares copies. */
+  readonly describeState: () => string;
   readonly onApplied: () => void;
   readonly onLeadWon?: () => void;
   /** Told when the replica cannot go on; the process should end. */
   readonly onFatal: (error: SpoolplankError) => void;
 }
 
-export interface GroupMember {
+export interface GroupMember extends Pick<GroupRecovery, 'report' | 'recover'> {
   /** What other control VMs call here. */
   readonly methods: Readonly<Record<string, PeerMethod>>;
-  readonly replicaId: string;
   start(): Promise<void>;
   /** Hands over the lead, and the vote where another member can take it, and stops. */
   stop(): Promise<void>;
@@ -81,21 +83,19 @@
   canRead(): boolean;
   /** The VM that leads, as far as this replica knows. */
   leaderVm(): string | undefined;
+  /** Null while the replica looks for its group. */
   status(): ReplicaStatus | null;
   /** What this replica believes of the group; null while it looks for it. */
   summary(): GroupSummary | null;
   /** Time since a leader was last known to be confirmed by a quorum; infinite when never. */
   unconfirmedMs(): number;
+  readonly replicaId: string;
 }
 
-const STEP_MS = 100;
-/** Pause between two rounds of asking all others for the same. */
-const ASK_PAUSE_MS = 250;
+const POLL_MS = 100;
 const ASK_TIMEOUT_MS = 500;
 /** Part of the time after which the next VM may be lost that a process takes to hand over. */
 const HAND_OVER_SHARE = 0.5;
-/** Place of the founding configuration, before the first elected term. */
-const FOUNDING_PLACE = { index: 1, term: 0 };
 /** Two random election timeouts, and one more where the votes were split. */
 const ELECTION_LIMIT_TIMEOUTS = 3;
 /** A replica that takes part answers, or asks for votes, within twice the election timeout. */
@@ -103,38 +103,17 @@
 
 export async function createGroupMember(options: GroupMemberOptions): Promise<GroupMember> {
   const { clock, log, peers, vmId, group, findTarget, stateMachine, dataFolder } = options;
-  const { promise, timings, founders } = options;
+  const { promise, timings } = options;
   const replicaId = await loadIdentity(dataFolder, vmId);
+  const generation = await loadGroupGeneration({ dataFolder, group });
   const storage = createFileStorage({ folder: join(dataFolder, group) });
   const limits = deriveMembershipLimits(promise);
   const silentAfterMs = SILENT_AFTER_TIMEOUTS * timings.electionTimeoutMs;
-  /** VMs of the voters, as others told; the list of known VMs may have none of them. */
-  const knownVoterVms = new Set<string>();
-  let isTakingPart = false;
+  const transport = createRaftTransport({ peers, findTarget });
+  const search = createGroupSearch({ ...options, replicaId, storage, generation });
+  let runner: GroupRunner | null = null;
   let isStopping = false;
-  let hasStopped = false;
-  let wasLeader = false;
-  let awaitedReason = '';
-  let askedAtMs = Number.NEGATIVE_INFINITY;
 
-  const runner: GroupRunner = createGroupRunner({
-    ...options.running,
-    id: replicaId,
-    group,
-    clock,
-    random: options.random,
-    storage,
-    stateMachine,
-    send: createRaftTransport({ peers, findTarget }).send,
-    schedule: scheduleTimer,
-    timings,
-    onApplied: options.onApplied,
-    onStorageState(error) {
-      if (!error) log.info('storage-recovered');
-      else if (error.code === 'storage-full') log.error('storage-full', { detail: error.message });
-      else options.onFatal(error);
-    },
-  });
   const membership = createGroupMembership({
     clock,
     replicaId,
@@ -150,11 +129,37 @@
     fewVotersLimitMs: limits.removeAfterMs,
   });
 
-  const status = () => (isTakingPart ? runner.status() : null);
+  const status = () => runner?.status() ?? null;
+  const canRead = () => runner?.canRead() ?? false;
 
-  function listOthers(): readonly string[] {
-    const all = new Set([...options.listOthers(), ...knownVoterVms]);
-    return [...all].filter((other) => other !== vmId);
+  async function takePart(): Promise<void> {
+    const created = createGroupRunner({
+      ...options.running,
+      id: replicaId,
+      group: generation.groupName,
+      clock,
+      random: options.random,
+      storage,
+      stateMachine,
+      send: transport.send,
+      schedule: scheduleTimer,
+      timings,
+      onApplied: options.onApplied,
+      onStorageState(error) {
+        if (!error) log.info('storage-recovered');
+        else if (error.code === 'storage-full')
+          log.error('storage-full', { detail: error.message });
+        else options.onFatal(error);
+      },
+    });
+    await created.start();
+    runner = created;
+  }
+
+  async function takeNoPart(): Promise<void> {
+    const ending = runner;
+    runner = null;
+    await ending?.stop();
   }
 
   function describeGroup(): GroupDescription {
@@ -162,122 +167,83 @@
     return {
       replicaId,
       configuration: configuration && configuration.voters.length > 0 ? configuration : null,
+      generation: generation.current,
     };
   }
 
-  async function describeOthers(
-    others: readonly string[],
-  ): Promise<readonly (GroupDescription | undefined)[]> {
-    return Promise.all(
-      others.map(async (other) => {
-        const target = findTarget(other);
-        if (!target) return undefined;
-        return peers
-          .call<GroupDescription>(target, 'group.describe', {}, ASK_TIMEOUT_MS)
-          .catch(() => undefined);
-      }),
-    );
+  function describeCopy(): DescribedCopy | null {
+    const current = status();
+    if (!current || current.configuration.voters.length === 0) return null;
+    const { configuration, lastIndex, lastTerm, commitIndex } = current;
+    return {
+      vmId,
+      replicaId,
+      generation: generation.current,
+      configuration,
+      lastIndex,
+      lastTerm,
+      commitIndex,
+      state: options.describeState(),
+    };
   }
 
-  function noteVoters(descriptions: readonly (GroupDescription | undefined)[]): void {
-    descriptions
-      .flatMap((description) => description?.configuration ?? [])
-      .flatMap(listVoters)
-      .forEach((id) => knownVoterVms.add(vmOfReplica(id)));
+  const recovery = createGroupRecovery({
+    log,
+    peers,
+    vmId,
+    listOthers: search.listOthers,
+    findTarget,
+    describeCopy,
+    async goOnAlone() {
+      await takeNoPart();
+      await generation.advance(generation.current + 1);
+      await goOnFromCopy({ storage, stateMachine, replicaId });
+      await takePart();
+    },
+  });
+
+  /** Puts this replica's copy aside, as the group went on without it; the VM starts anew. */
+  async function giveWay(newer: number): Promise<void> {
+    log.warn('group-superseded', { generation: generation.current, newer });
+    await takeNoPart();
+    await generation.supersede(newer);
+    options.onFatal(new SpoolplankError('superseded'));
   }
 
-  async function tryToFindGroup(): Promise<boolean> {
-    const isFounder = founders.includes(vmId);
-    const others = isFounder ? founders.filter((founder) => founder !== vmId) : listOthers();
-    const descriptions = await describeOthers(others);
-    noteVoters(descriptions);
-    const decision = decideBootstrap({ self: replicaId, others: descriptions });
-    if (decision.kind === 'wait') {
-      const { reason } = decision;
-      if (reason !== awaitedReason) log.info('group-awaited', { reason });
-      awaitedReason = reason;
-      return false;
-    }
-    if (decision.kind !== 'found') {
-      log.info('group-found', { step: decision.kind });
-      return true;
-    }
-    if (!isFounder) return false;
-    const { configuration } = decision;
-    await storage.installSnapshot({ ...FOUNDING_PLACE, configuration }, '');
-    log.info('group-founded', { voters: configuration.voters });
-    return true;
+  async function checkGeneration(): Promise<void> {
+    const newer = await search.findNewerGeneration();
+    if (newer !== null && !isStopping) await giveWay(newer);
   }
 
-  /** Only the leader answers with success, and which one that is may not be known. */
-  function askAll(method: string, request: JoinRequest, onTaken = () => {}): void {
-    if (clock.nowMs() - askedAtMs < ASK_PAUSE_MS) return;
-    askedAtMs = clock.nowMs();
-    listOthers().forEach((other) => {
+  function askOthers(method: string, request: JoinRequest, onTaken: () => void): void {
+    search.listOthers().forEach((other) => {
       const target = findTarget(other);
       if (target) peers.call(target, method, request, ASK_TIMEOUT_MS).then(onTaken, () => null);
     });
   }
 
-  function changeMembership(change: ConfigurationChange, reason: string): void {
-    const { voters } = runner.status().configuration;
-    log.info('group-change', {
-      kind: change.kind,
-      replicas: replicasOf(change),
-      reason,
-      voters,
-    });
-    runner
-      .changeMembership(change)
-      .catch((error: unknown) => log.warn('group-change-failed', { problem: String(error) }));
-  }
-
-  function act(action: MembershipAction): void {
-    if (action.kind === 'change') changeMembership(action.change, action.reason);
-    else if (action.kind === 'hand-over') {
-      const { successor, reason } = action;
-      if (runner.transferLeadership(successor)) log.info('lead-handed-over', { successor, reason });
-    } else if (action.kind === 'ask-to-join') {
-      const { dataCentre, isFirstStart } = options;
-      askAll('group.join', { replicaId, dataCentre, isFounding: isFirstStart });
-    } else askAll('group.leave', { replicaId }, membership.noteLeaveHeard);
-  }
-
-  function noteLead(current: ReplicaStatus): void {
-    const isLeader = current.role === 'leader';
-    if (isLeader === wasLeader) return;
-    wasLeader = isLeader;
-    log.info(isLeader ? 'lead-won' : 'lead-lost', {
-      term: current.term,
-      leader: current.leaderId,
-    });
-    if (isLeader) options.onLeadWon?.();
-  }
-
-  function step(): void {
-    const current = status();
-    if (!current) return;
-    noteLead(current);
-    const isConfirmed = wasLeader ? runner.canRead() : current.leaderId !== null;
-    watch.observe(current, isConfirmed);
-    const action = membership.next(current);
-    if (action) act(action);
-  }
-
-  async function run(): Promise<void> {
-    while (!hasStopped) {
-      step();
-      await delay(STEP_MS);
-    }
-  }
+  const loop = createGroupLoop({
+    clock,
+    log,
+    membership,
+    watch,
+    isFirstStart: options.isFirstStart,
+    dataCentre: options.dataCentre,
+    replicaId,
+    runner: () => runner,
+    askOthers,
+    checkGeneration,
+    onLeadWon: options.onLeadWon,
+  });
 
   /** Takes what a member, or a VM that wants to be one, asks of the leader. */
   function takeRequest(take: (request: JoinRequest) => void): PeerMethod {
     return (params, sender) => {
       const request = params as unknown as JoinRequest;
-      if (!isTakingPart || !runner.canRead()) throw new SpoolplankError('not-leader');
+      if (!canRead()) throw new SpoolplankError('not-leader');
       if (vmOfReplica(request.replicaId) !== sender) throw new SpoolplankError('forbidden');
       take(request);
+      loop.lookNow();
       return null;
     };
   }
@@ -285,58 +251,54 @@
   const methods: Readonly<Record<string, PeerMethod>> = {
     'consensus.step': (params, sender) => {
       const { messages } = params as unknown as { readonly messages: readonly Message[] };
-      if (!isTakingPart) return null;
       // A VM speaks for its own replicas only.
       messages
         .filter(({ from }) => vmOfReplica(from) === sender)
-        .forEach((message) => runner.receive(message));
+        .forEach((message) => runner?.receive(message));
       return null;
     },
     'group.describe': () => describeGroup() as unknown as JsonValue,
     'group.join': takeRequest((request) => membership.noteJoin(request)),
     'group.leave': takeRequest((request) => membership.noteLeave(request.replicaId)),
+    ...recovery.methods,
   };
 
-  async function handOver(): Promise<void> {
+  async function handOver(ending: GroupRunner): Promise<void> {
     membership.beginLeaving();
-    runner.avoidLead();
+    ending.avoidLead();
     const endsAtMs = clock.nowMs() + promise.catchUpMs * HAND_OVER_SHARE;
-    while (membership.hasToHandOver(runner.status()) && clock.nowMs() < endsAtMs) {
-      await delay(STEP_MS);
+    while (membership.hasToHandOver(ending.status()) && clock.nowMs() < endsAtMs) {
+      await delay(POLL_MS);
     }
     // The vote for the successor is still on its way.
-    await delay(STEP_MS);
+    await delay(POLL_MS);
   }
 
   return {
     methods,
     replicaId,
+    report: recovery.report,
+    recover: recovery.recover,
     async start() {
       const problem = findPromiseProblem(promise);
       if (problem !== null) log.warn('promise-not-kept', { problem });
       const stored = await storage.load();
       const isBlank = stored.snapshot === null && stored.entries.length === 0;
-      while (isBlank && !isStopping && !(await tryToFindGroup())) await delay(STEP_MS);
+      while (isBlank && !isStopping && !(await search.tryToFind())) await delay(POLL_MS);
       if (isStopping) return;
-      await runner.start();
-      isTakingPart = true;
+      await takePart();
       log.info('replica-started', { replica: replicaId, isBlank });
-      run().catch((error: unknown) => log.error('group-ended', { problem: String(error) }));
+      loop.start();
     },
     async stop() {
       isStopping = true;
-      if (isTakingPart) {
-        await handOver();
-        isTakingPart = false;
-        await runner.stop();
-      }
-      hasStopped = true;
-    },
-    propose: (command) => {
-      if (!isTakingPart) return Promise.reject(new SpoolplankError('not-leader'));
-      return runner.propose(command);
+      if (runner) await handOver(runner);
+      await takeNoPart();
+      loop.stop();
     },
-    canRead: () => isTakingPart && runner.canRead(),
+    propose: (command) =>
+      runner ? runner.propose(command) : Promise.reject(new SpoolplankError('not-leader')),
+    canRead,
     leaderVm() {
       const leaderId = status()?.leaderId;
       return leaderId ? vmOfReplica(leaderId) : undefined;
--- a/packages/cli/src/commands/renderGroup.ts
+++ b/packages/controller/src/group/renderGroup.ts
@@ -1,6 +1,6 @@
 /** How a control VM sees the group of the replicated log, as text. */
-import type { GroupSummary } from '@spoolplank/controller';
-import { renderTable } from './renderTable';
+import { renderTable } from '@spoolplank/shared';
+import type { GroupSummary } from './groupWatch';
 
 function describeLosses({ tolerableLosses }: GroupSummary): string {
   if (tolerableLosses === null) return 'only the leader knows how many losses it bears now';
--- a/packages/controller/src/settings/controlRole.ts
+++ b/packages/controller/src/settings/controlRole.ts
@@ -14,9 +14,10 @@
 import type { JsonValue } from '@spoolplank/shared';
 import { listVmsWithRole, toPeerTarget } from '@spoolplank/vm';
 import type { VmContext } from '@spoolplank/vm';
-import { createGroupMember } from '../groupMember';
-import type { GroupMember } from '../groupMember';
-import { registerGroupMetrics } from '../groupMetrics';
+import { createGroupMember } from '../group/groupMember';
+import type { GroupMember } from '../group/groupMember';
+import { registerGroupMetrics } from '../group/groupMetrics';
+import type { RecoveryReport } from '../group/groupRecovery';
 import { collectChangeFindings, createReachTracker } from './settingsService';
 import type { ReachReport, SettingsPull, SettingsPullReply } from './settingsService';
 
@@ -42,6 +43,10 @@
   /** Hands the lead over and stops. */
   stop(): Promise<void>;
   describe(): JsonValue;
+  /** Copies of the group, and from which it may go on where a majority is gone for good. */
+  reportRecovery(): Promise<RecoveryReport>;
+  /** @throws SpoolplankError `recovery-refused`. */
+  recover(replicaId: string): Promise<RecoveryReport>;
 }
 
 export interface ControlRoleOptions {
@@ -91,6 +96,7 @@
     },
     dataCentreOf: (vmId) => controlVms.find((vm) => vm.vmId === vmId)?.dataCentre,
     stateMachine: state,
+    describeState: () => `settings version ${state.settings.version}`,
     onApplied() {
       if (state.settings.version === lastVersion) return;
       lastVersion = state.settings.version;
@@ -188,6 +194,8 @@
 
   return {
     methods,
+    reportRecovery: member.report,
+    recover: member.recover,
     start: () => member.start(),
     stop: () => member.stop(),
     describe: () =>
--- a/packages/entry/src/sessions/entryRole.ts
+++ b/packages/entry/src/sessions/entryRole.ts
@@ -4,7 +4,7 @@
 import type { PeerMethod } from '@spoolplank/node';
 import { createBackendLoadTable, createRestTable, createRetryBudget } from '@spoolplank/routing';
 import type { JsonValue } from '@spoolplank/shared';
-import type { SettingsPull } from '@spoolplank/controller';
+import type { ControlRole, SettingsPull } from '@spoolplank/controller';
 import type { VmContext } from '@spoolplank/vm';
 import { createClaimsClient } from './claimsClient';
 import { createCompletionRoute } from './completions';
@@ -35,6 +35,8 @@
   readonly context: VmContext;
   readonly controlMethods: Readonly<Record<string, PeerMethod>>;
   readonly describeControl: () => JsonValue;
+  /** Null on a VM without the role control. */
+  readonly recovery: Pick<ControlRole, 'reportRecovery' | 'recover'> | null;
 }
 
 const DRAIN_POLL_MS = 50;
@@ -43,6 +45,7 @@
   context,
   controlMethods,
   describeControl,
+  recovery,
 }: EntryRoleOptions): EntryRole {
   const { clock, settings } = context;
   let isShuttingDown = false;
@@ -73,7 +76,7 @@
   };
   const replication = createSessionReplication(context, sessions);
   const completions = createCompletionRoute(entry, replication);
-  const operators = createOperatorRoutes(entry, describeControl);
+  const operators = createOperatorRoutes({ context: entry, describeControl, recovery });
 
   const methods: Readonly<Record<string, PeerMethod>> = {
     'directory.pull': async (params) =>
--- a/packages/entry/src/sessions/entryServer.ts
+++ b/packages/entry/src/sessions/entryServer.ts
@@ -147,6 +147,16 @@
     },
     { method: 'GET', path: '/v1/status', handle: forOperators(() => operators.getStatus()) },
     { method: 'GET', path: '/v1/dump', handle: forOperators(() => dump()) },
+    {
+      method: 'GET',
+      path: '/v1/group/recovery',
+      handle: forOperators(() => operators.getRecovery()),
+    },
+    {
+      method: 'POST',
+      path: '/v1/group/recovery',
+      handle: forOperators((request) => operators.recover(request)),
+    },
     {
       method: 'GET',
       path: '/healthz',
--- a/packages/entry/src/sessions/operatorRoutes.ts
+++ b/packages/entry/src/sessions/operatorRoutes.ts
@@ -11,7 +11,7 @@
 import type { BranchPath, Edit } from '@spoolplank/settings';
 import { isJsonObject, parsePointer, SpoolplankError } from '@spoolplank/shared';
 import type { JsonObject, JsonValue } from '@spoolplank/shared';
-import type { ChangeReply, ReachReport } from '@spoolplank/controller';
+import type { ChangeReply, ControlRole, ReachReport } from '@spoolplank/controller';
 import { ENTRY_SERVICE } from './directorySync';
 import type { EntryContext } from './entryContext';
 
@@ -22,6 +22,9 @@
   getHistory(url: URL): Promise<JsonValue>;
   getReach(url: URL): Promise<JsonValue>;
   getStatus(): JsonValue;
+  /** Copies of the control group, and from which it may go on without a majority. */
+  getRecovery(): Promise<JsonValue>;
+  recover(request: IncomingMessage): Promise<JsonValue>;
 }
 
 const MAX_CHANGE_BYTES = 33_554_432;
@@ -99,10 +102,15 @@
   return value as unknown as readonly Edit[];
 }
 
-export function createOperatorRoutes(
-  context: EntryContext,
-  describeControl: () => JsonValue,
-): OperatorRoutes {
+export interface OperatorRoutesOptions {
+  readonly context: EntryContext;
+  readonly describeControl: () => JsonValue;
+  /** Null on a VM without the role control. */
+  readonly recovery: Pick<ControlRole, 'reportRecovery' | 'recover'> | null;
+}
+
+export function createOperatorRoutes(options: OperatorRoutesOptions): OperatorRoutes {
+  const { context, describeControl, recovery } = options;
   const { control, mirror, directorySync, gate, sessions, settings } = context;
 
   async function readObject(request: IncomingMessage): Promise<JsonObject> {
@@ -112,7 +120,17 @@
     return body;
   }
 
+  function requireRecovery() {
+    if (recovery) return recovery;
+    throw new SpoolplankError('not-found', { detail: 'This VM does not have the role control.' });
+  }
+
   return {
+    getRecovery: async () => asJson(await requireRecovery().reportRecovery()),
+    async recover(request) {
+      const body = await readObject(request);
+      return asJson(await requireRecovery().recover(readText(body, 'replicaId', '')));
+    },
     getConfig(url) {
       const pointer = url.searchParams.get('pointer') ?? '';
       const { version, tree } = mirror;
--- a/packages/node/src/dataFolder.ts
+++ b/packages/node/src/dataFolder.ts
@@ -58,6 +58,17 @@
   }
 }
 
+/** Renames a folder beside itself, so that nothing in it is used any more; none is no error. */
+export async function setAsideFolder(folder: string, name: string): Promise<void> {
+  const parent = dirname(folder);
+  try {
+    await rename(folder, join(parent, `${name}-${randomUUID().slice(0, 8)}`));
+  } catch (error) {
+    if ((error as SystemError).code !== 'ENOENT') throw error;
+  }
+  await syncFolder(parent);
+}
+
 const IDENTITY_FILE = 'identity.json';
 
 /**
@@ -84,3 +95,9 @@
   await replaceFile(path, `${JSON.stringify({ vmId, replicaId })}\n`);
   return replicaId;
 }
+
+/** Has the folder begin another life: the next start makes a new identity. */
+export async function forgetIdentity(folder: string): Promise<void> {
+  await rm(join(folder, IDENTITY_FILE), { force: true });
+  await syncFolder(folder);
+}
--- a/packages/shared/index.ts
+++ b/packages/shared/index.ts
@@ -4,3 +4,4 @@
 export * from './src/json';
 export * from './src/random';
 export * from './src/rendezvous';
+export * from './src/textTable';
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -150,6 +150,16 @@
     outcome: 'not-run',
     message: 'A file in the data folder is damaged.',
   },
+  superseded: {
+    httpStatus: 503,
+    outcome: 'not-run',
+    message: 'The control group went on from another copy; this VM joins it anew.',
+  },
+  'recovery-refused': {
+    httpStatus: 409,
+    outcome: 'not-run',
+    message: 'The control group does not go on from this copy.',
+  },
   'version-conflict': {
     httpStatus: 409,
     outcome: 'not-run',
