fix(controller): an engine that withdrew counts as serving until it is gone

What callers saw: streams broken off in the middle, eleven and more within a second, while servers were replaced and the configuration changed. Cause: an engine that withdraws without having said before that it leaves is at work for seconds on what it has. Placement took it for gone at once: its data centre seemed to serve nothing any more, so the engines that were to hold its layers were told to drop what they had under way, streams of the same chain that were well. Change: for 8 s after its withdrawal, or until it is found to be gone, it counts as serving; its layers are given to others, which wait for their streams. Why it works: the order that drops streams is only for a data centre that nobody can pass through.

--- a/packages/controller/__tests__/placementFixtures.ts
+++ b/packages/controller/__tests__/placementFixtures.ts
@@ -3,10 +3,11 @@
 import {
   createFactTable,
   FACT_KEYS,
+  FINAL_SEQUENCE,
   formatInstanceId,
   parseInstanceId,
 } from '@spoolplank/membership';
-import type { LayerRange, SystemFact } from '@spoolplank/membership';
+import type { BackendFact, LayerRange, SystemFact } from '@spoolplank/membership';
 import { createEventLog } from '@spoolplank/node';
 import type { ModelDescription, RoutingDocument } from '@spoolplank/routing';
 import { createManualClock } from '@spoolplank/shared';
@@ -75,23 +76,31 @@
   const given: GivenOrder[] = [];
   let sequence = 0;
 
+  function describeEngine(instanceId: string, state: BackendFact['state']): BackendFact {
+    return {
+      kind: 'backend',
+      instanceId,
+      service: 'engines',
+      address: `${parseInstanceId(instanceId).serverId}:80`,
+      dataCentre: 'a',
+      state,
+      slots: 10,
+      engine: { acceleratorKind: 'big', held: held.get(instanceId) ?? null, version: 1 },
+    };
+  }
+
   function announce(instanceId: string): void {
     sequence += 1;
-    const { serverId, incarnation } = parseInstanceId(instanceId);
-    table.put(
-      FACT_KEYS.backend(instanceId),
-      { incarnation, sequence },
-      {
-        kind: 'backend',
-        instanceId,
-        service: 'engines',
-        address: `${serverId}:80`,
-        dataCentre: 'a',
-        state: 'ready',
-        slots: 10,
-        engine: { acceleratorKind: 'big', held: held.get(instanceId) ?? null, version: 1 },
-      },
-    );
+    const { incarnation } = parseInstanceId(instanceId);
+    const version = { incarnation, sequence };
+    table.put(FACT_KEYS.backend(instanceId), version, describeEngine(instanceId, 'ready'));
+  }
+
+  /** Has an engine say that it is gone, as one does that serves on for a moment. */
+  function withdraw(instanceId: string): void {
+    const { incarnation } = parseInstanceId(instanceId);
+    const version = { incarnation, sequence: FINAL_SEQUENCE };
+    table.put(FACT_KEYS.backend(instanceId), version, describeEngine(instanceId, 'gone'));
   }
 
   const loop = createPlacementLoop({
@@ -128,6 +137,7 @@
     orderedAtMs,
     given,
     announce,
+    withdraw,
     async pass(durationMs: number, announcing: readonly string[]): Promise<void> {
       for (let passedMs = 0; passedMs < durationMs; passedMs += TICK_MS) {
         announcing.forEach(announce);
--- a/packages/controller/__tests__/placementLoop.spec.ts
+++ b/packages/controller/__tests__/placementLoop.spec.ts
@@ -50,6 +50,43 @@
     after.forEach(({ instanceId }) => assert.ok(['e2', 'e4'].includes(instanceId), instanceId));
   });
 
+  /**
+   * Eleven streams and more were broken off within a second, beside a change of the configuration.
+   * An engine had withdrawn without having said before that it leaves, and was still at work on
+   * them; its layers were given to another engine of the same chain, which was told to drop what
+   * it had under way, as if the chain could no longer be passed through.
+   *
+   * "event":"backend-left","instanceId":"i-ee2343a6d6", and 0.1 s later
+   * "event":"order-given","engine":"i-7cbed11e98","firstLayer":60,"endLayer":65,"isPreempting":true
+   */
+  it('lets streams pass that an engine which withdrew is still at work on', async () => {
+    const { given, withdraw, pass } = createSetting(() => 'begun');
+    await pass(6000, ALL);
+    const before = given.length;
+    ['e1', 'e3'].forEach(withdraw);
+    await pass(1800, ['e2', 'e4']);
+    const after = given.slice(before);
+    assert.ok(after.some(({ firstLayer }) => firstLayer === 0));
+    assert.deepEqual(
+      after.map(({ isPreempting }) => isPreempting),
+      after.map(() => false),
+    );
+  });
+
+  it('has engines drop what they have under way once it is gone', async () => {
+    let isOrdered = false;
+    const { given, withdraw, pass } = createPlacementSetting({
+      answer: () => (isOrdered ? 'begun' : 'refused'),
+    });
+    await pass(6000, ALL);
+    ['e1', 'e3'].forEach(withdraw);
+    await pass(9000, ['e2', 'e4']);
+    isOrdered = true;
+    const before = given.length;
+    await pass(6000, ['e2', 'e4']);
+    assert.ok(given.slice(before).some(({ isPreempting }) => isPreempting));
+  });
+
   it('moves no layers for a rest, and orders nothing of an engine meanwhile', async () => {
     const orderedWhile = async (resting: string) => {
       const isResting = (instanceId: string) => instanceId === resting;
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -57,6 +57,8 @@
 
 type EngineRow = Fact<SystemFact> & { readonly body: BackendFact };
 
+/** An engine that withdraws ends what it has under way, which at times takes many seconds. */
+const WITHDRAWN_SERVES_MS = 8000;
 /** Engines announce themselves within two intervals; before that, some may not be known yet. */
 const SETTLE_INTERVALS = 1.5;
 /** So long no further engine may have become known before the first layout. */
@@ -167,13 +169,16 @@
   function toPlaced(row: EngineRow, newestMs: number): PlacedEngine {
     const { body, heardAtMs } = row;
     const { instanceId, dataCentre, state, engine, slots } = body;
+    const nowMs = clock.nowMs();
     const ordered = pending.find(instanceId);
     const range = ordered ?? engine?.held ?? null;
     const isSuspect = isConfirmedLost(row);
     const isHeard = newestMs - heardAtMs < lostAfterMs(announcementMs);
-    const isServing = isHeard && !isSuspect && state !== 'gone';
-    const slowdown = readSlowdown(table, instanceId, clock.nowMs());
-    const isDoubtful = (doubtfulUntilMs.get(instanceId) ?? 0) > clock.nowMs();
+    // One that withdrew is at work for a while on what it has: that must not be broken off.
+    const isThere = state === 'gone' ? nowMs - heardAtMs < WITHDRAWN_SERVES_MS : isHeard;
+    const isServing = isThere && !isSuspect;
+    const slowdown = readSlowdown(table, instanceId, nowMs);
+    const isDoubtful = (doubtfulUntilMs.get(instanceId) ?? 0) > nowMs;
     const isReady = state === 'ready' && !isLeaving(table, instanceId);
     const isStaying = isReady && slowdown < TOO_SLOW && !isDoubtful;
     // A rest of seconds is no reason to move layers: it only takes no order meanwhile.
