--- a/packages/consensus/__tests__/groupSchedules.ts
+++ b/packages/consensus/__tests__/groupSchedules.ts
@@ -43,6 +43,8 @@
   schedule(delayMs: number, run: () => void): void;
   /** Tells that the VM is back, or its successor is there: it counts as lost a while longer. */
   settle(regain: () => void): void;
+  /** Until when all VMs count as lost, as all of them lost their power. */
+  allLostUntilMs: number;
 }
 
 /** Strikes a VM, and tells when it no longer counts as lost. */
@@ -55,6 +57,10 @@
 const STEP_MS = 50;
 /** A process that is asked to stop is killed after this. */
 const GRACE_MS = 2000;
+const MAX_HERD_MS = 1000;
+/** In one of so many schedules all VMs lose their power, in the middle or with the last loss. */
+const HERDS_OF = 3;
+const HERD_WITHIN_MS = 12_000;
 
 const draw = ({ random }: World, limitMs: number) => random.nextInt(limitMs);
 
@@ -87,6 +93,43 @@
   look();
 }
 
+const loseDisk: Loss = (world, victim, regain) => {
+  world.group.loseDisk(victim);
+  world.schedule(draw(world, MAX_AWAY_MS), () => {
+    world.group.start(victim);
+    world.settle(regain);
+  });
+};
+const disturbPower = disturb((vm, isBegun, { group }) => {
+  if (isBegun) group.stop(vm);
+  else group.start(vm);
+});
+const freeze = disturb(({ node }, isBegun, { group }) => {
+  if (isBegun) group.cluster.freeze(node);
+  else group.cluster.thaw(node);
+});
+const cutOff = disturb(({ node }, isBegun) => {
+  node.isCut = isBegun;
+});
+const deafen = disturb(({ node }, isBegun) => {
+  node.isDeaf = isBegun;
+});
+const silence = disturb(({ node }, isBegun) => {
+  node.isMute = isBegun;
+});
+/** What may strike a VM that stays. */
+const STRIKES: readonly Loss[] = [loseDisk, disturbPower, freeze, cutOff, deafen, silence];
+
+/** All VMs that run lose their power, and are back within a second with the disks they had. */
+function herd(world: World): void {
+  const { group, catchUpMs } = world;
+  const struck = group.vms.filter(({ isRunning }) => isRunning);
+  const awayMs = draw(world, MAX_HERD_MS);
+  world.allLostUntilMs = group.nowMs + awayMs + catchUpMs;
+  struck.forEach((vm) => group.stop(vm));
+  world.schedule(awayMs, () => struck.forEach((vm) => group.start(vm)));
+}
+
 const LOSSES: Readonly<Record<string, Loss>> = {
   replacedOldFirst(world, victim, regain) {
     world.group.remove(victim);
@@ -110,30 +153,20 @@
       });
     });
   },
-  diskLost(world, victim, regain) {
-    world.group.loseDisk(victim);
+  newcomerStruck(world, victim, regain) {
+    world.group.remove(victim);
     world.schedule(draw(world, MAX_AWAY_MS), () => {
-      world.group.start(victim);
-      world.settle(regain);
+      const newcomer = world.group.addVm(victim.dataCentre);
+      const strikeNewcomer = STRIKES[draw(world, STRIKES.length)] ?? disturbPower;
+      world.schedule(draw(world, world.catchUpMs), () => strikeNewcomer(world, newcomer, regain));
     });
   },
-  powerLost: disturb((vm, isBegun, { group }) => {
-    if (isBegun) group.stop(vm);
-    else group.start(vm);
-  }),
-  frozen: disturb(({ node }, isBegun, { group }) => {
-    if (isBegun) group.cluster.freeze(node);
-    else group.cluster.thaw(node);
-  }),
-  cutOff: disturb(({ node }, isBegun) => {
-    node.isCut = isBegun;
-  }),
-  deaf: disturb(({ node }, isBegun) => {
-    node.isDeaf = isBegun;
-  }),
-  mute: disturb(({ node }, isBegun) => {
-    node.isMute = isBegun;
-  }),
+  diskLost: loseDisk,
+  powerLost: disturbPower,
+  frozen: freeze,
+  cutOff,
+  deaf: deafen,
+  mute: silence,
 };
 /** Replacements come as often as everything else together. */
 const DRAWN = Object.keys(LOSSES).flatMap((name) =>
@@ -188,8 +221,15 @@
       due.push({ atMs: group.nowMs + delayMs, run });
     },
     settle(regain) {
-      if (!lastRegains.has(regain)) world.schedule(catchUpMs, regain);
+      if (lastRegains.has(regain)) return;
+      const regainOrWait = () => {
+        const leftMs = world.allLostUntilMs - group.nowMs;
+        if (leftMs > 0) world.schedule(leftMs, regainOrWait);
+        else regain();
+      };
+      world.schedule(catchUpMs, regainOrWait);
     },
+    allLostUntilMs: 0,
   };
 
   function strike(left: number): void {
@@ -204,6 +244,7 @@
       if (left > 1) world.schedule(draw(world, MAX_PAUSE_MS), () => strike(left - 1));
     };
     if (left === 1) lastRegains.add(regain);
+    if (left === 1 && draw(world, HERDS_OF) === 0) herd(world);
     loss(world, victim, regain);
   }
 
@@ -211,6 +252,7 @@
   for (let slot = 0; slot < lossesBorne; slot += 1) {
     world.schedule(draw(world, MAX_AWAY_MS), () => strike(lossesInRow));
   }
+  if (draw(world, HERDS_OF) === 0) world.schedule(draw(world, HERD_WITHIN_MS), () => herd(world));
   while (due.length > 0) {
     due.sort((a, b) => a.atMs - b.atMs);
     const [next] = due.splice(0, 1);
--- a/packages/consensus/__tests__/memoryGroup.ts
+++ b/packages/consensus/__tests__/memoryGroup.ts
@@ -40,6 +40,8 @@
 const TICK_MS = 50;
 /** Of so many timers one runs out while another one's messages are on their way. */
 const TICKS_TOGETHER = 4;
+/** What a VM without a disk answers to one that looks for its group. */
+const RELAY: GroupDescription = { replicaId: null, configuration: null };
 /** A snapshot goes in one message, as those of the product do. */
 const CHUNK_LENGTH = 100_000;
 /** A turn takes between these, so that the replicas' timers do not fall together. */
@@ -130,7 +132,7 @@
     const others = this.#others(vm).map((other) =>
       MemoryGroup.#isReachable(other) ? MemoryGroup.#describe(other) : undefined,
     );
-    const { kind } = decideBootstrap({ self: vm.node.id, others });
+    const { kind } = decideBootstrap({ self: vm.node.id, others: [...others, RELAY] });
     if (kind === 'wait' || kind === 'found') return;
     this.cluster.start(vm.node);
     vm.isTakingPart = true;
