--- a/packages/controller/src/group/groupSearch.ts
+++ b/packages/controller/src/group/groupSearch.ts
@@ -66,6 +66,11 @@
     return descriptions;
   }
 
+  function noteAwaited(reason: string): void {
+    if (reason !== awaitedReason) log.info('group-awaited', { reason });
+    awaitedReason = reason;
+  }
+
   async function found(configuration: Configuration): Promise<void> {
     await storage.installSnapshot({ ...FOUNDING_PLACE, configuration }, '');
     log.info('group-founded', { voters: configuration.voters });
@@ -79,14 +84,16 @@
       const descriptions = await describeOthers(others);
       const decision = decideBootstrap({ self: replicaId, others: descriptions });
       if (decision.kind === 'wait') {
-        const { reason } = decision;
-        if (reason !== awaitedReason) log.info('group-awaited', { reason });
-        awaitedReason = reason;
+        noteAwaited(decision.reason);
+        return false;
+      }
+      if (decision.kind === 'found' && !isFounder) {
+        noteAwaited('no control VM holds a group, and this one is not among those that found it');
         return false;
       }
       if (decision.kind === 'found') {
-        if (isFounder) await found(decision.configuration);
-        return isFounder;
+        await found(decision.configuration);
+        return true;
       }
       await generation.advance(newestGeneration(descriptions));
       log.info('group-found', { step: decision.kind });
--- a/packages/settings/__tests__/settings.spec.ts
+++ b/packages/settings/__tests__/settings.spec.ts
@@ -166,6 +166,17 @@
     assert.deepEqual(pointers.sort(), ['/extra', '/sharedKey', '/vm/host']);
   });
 
+  it('name a VM that stands twice, under its own name or under another one', () => {
+    const { vm } = createVmSettings();
+    const other = { ...vm, vmId: 'vm2', host: '127.0.0.2' };
+    const findPointers = (peers: readonly (typeof vm)[]) =>
+      collectVmFindings({ ...createVmSettings(), peers }, 'vm.json').map(({ pointer }) => pointer);
+    assert.deepEqual(findPointers([other]), []);
+    assert.deepEqual(findPointers([{ ...other, vmId: vm.vmId }]), ['/peers/0/vmId']);
+    assert.deepEqual(findPointers([{ ...vm, vmId: 'vm2', callerPort: 9 }]), ['/peers/0']);
+    assert.deepEqual(findPointers([other, { ...other, vmId: 'vm3', peerPort: 9 }]), ['/peers/1']);
+  });
+
   it('give line and column of what is not JSON', () => {
     assert.throws(() => parseJson('{\n  "a": 1,\n  oops\n}', 'f.json'), {
       code: 'invalid-settings',
--- a/packages/settings/src/validation.ts
+++ b/packages/settings/src/validation.ts
@@ -6,7 +6,7 @@
 import { TREE_SCHEMA } from './tree';
 import type { SettingsTree } from './tree';
 import { VM_SETTINGS_SCHEMA } from './vmSettings';
-import type { VmSettings } from './vmSettings';
+import type { VmAddress, VmSettings } from './vmSettings';
 
 type Explain = (
   error: ErrorObject,
@@ -96,6 +96,24 @@
   return findings.length ? findings : collectReferenceFindings(value as SettingsTree, source);
 }
 
+/** Two VMs at one address are one VM under two names: it would vote twice. */
+function collectAddressFindings({ vm, peers }: VmSettings, source: string): readonly Finding[] {
+  const owners = new Map<string, string>();
+  const addressesOf = ({ host, callerPort, peerPort }: VmAddress) => [
+    ...new Set([`${host}:${callerPort}`, `${host}:${peerPort}`]),
+  ];
+  addressesOf(vm).forEach((address) => owners.set(address, vm.vmId));
+  return peers.flatMap((peer, index) =>
+    addressesOf(peer).flatMap((address) => {
+      const owner = owners.get(address);
+      owners.set(address, peer.vmId);
+      if (owner === undefined) return [];
+      const problem = `${address} is the address of ${owner} too`;
+      return [{ source, pointer: `/peers/${index}`, problem, expected: 'an address of its own' }];
+    }),
+  );
+}
+
 function collectVmReferenceFindings(settings: VmSettings, source: string): readonly Finding[] {
   const findings: Finding[] = [];
   if (settings.vm.roles.includes('control') && !settings.dataFolder) {
@@ -118,6 +136,7 @@
     }
     seen.add(vmId);
   });
+  findings.push(...collectAddressFindings(settings, source));
   const hasControl = [settings.vm, ...settings.peers].some(({ roles }) =>
     roles.includes('control'),
   );
