--- a/packages/bench/__tests__/restingService.spec.ts
+++ b/packages/bench/__tests__/backingOffService.spec.ts
@@ -4,12 +4,12 @@
 import type { Deployment, RunningFake } from '..';
 import { KALAHARI_TOKEN, SERVICE, startReady } from './fixtures';
 
-const REST_S = 60;
+const BACKOFF_S = 60;
 const CALLS = 12;
 /** The VM that is called. */
 const VM = 3;
 
-describe('a plain service whose servers ask for rest', () => {
+describe('a plain service whose servers ask for a backoff', () => {
   let deployment: Deployment;
   let services: readonly RunningFake[];
 
@@ -41,20 +41,20 @@
   }
 
   it('sends nothing to the one that asked, and serves callers by the other', async () => {
-    await services[0]?.post('/-/faults', { failure: 'before', retryAfterS: REST_S });
+    await services[0]?.post('/-/faults', { failure: 'before', retryAfterS: BACKOFF_S });
     for (let count = 0; count < CALLS; count += 1) {
       assert.equal((await call(`one-${count}`)).status, 200);
     }
     assert.deepEqual(await countRefusals(), [1, 0]);
   });
 
-  it('says when the first rest ends where all of them rest', async () => {
-    await services[1]?.post('/-/faults', { failure: 'before', retryAfterS: REST_S });
+  it('says when the first backoff ends where all of them back off', async () => {
+    await services[1]?.post('/-/faults', { failure: 'before', retryAfterS: BACKOFF_S });
     await call('last');
     const answer = await call('refused');
     const retryAfterS = Number(answer.headers['retry-after']);
     assert.equal(answer.status, 503);
-    assert.ok(retryAfterS > REST_S / 2 && retryAfterS <= REST_S, String(retryAfterS));
+    assert.ok(retryAfterS > BACKOFF_S / 2 && retryAfterS <= BACKOFF_S, String(retryAfterS));
     assert.deepEqual(await countRefusals(), [1, 1]);
   });
 });
--- a/packages/controller/__tests__/engineNotices.spec.ts
+++ b/packages/controller/__tests__/engineNotices.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createFactTable, isLeaving } from '@spoolplank/membership';
-import type { RestWord, ServerNotice, SystemFact } from '@spoolplank/membership';
+import type { BackoffDirective, ServerNotice, SystemFact } from '@spoolplank/membership';
 import { createEventLog } from '@spoolplank/node';
 import { createManualClock } from '@spoolplank/shared';
 import type { EngineOrders } from '../src/engineOperations';
@@ -12,9 +12,9 @@
   const clock = createManualClock(1000);
   const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
   const log = createEventLog({ vmId: 'vm', clock, writeChunk: () => {} });
-  const told: RestWord[] = [];
-  const onRest = (word: RestWord) => told.push(word);
-  return { clock, table, told, notices: createEngineNotices({ clock, log, table, onRest }) };
+  const told: BackoffDirective[] = [];
+  const onBackoff = (word: BackoffDirective) => told.push(word);
+  return { clock, table, told, notices: createEngineNotices({ clock, log, table, onBackoff }) };
 }
 
 const NOTICE: ServerNotice = {
@@ -22,7 +22,7 @@
   address: 'e1:80',
   requestId: null,
   status: 503,
-  restMs: null,
+  backoffMs: null,
   isLeaving: false,
   culpritAddress: null,
 };
@@ -30,19 +30,19 @@
 describe('what an engine says to a control VM', () => {
   it('is that it wants no orders for a while', () => {
     const { clock, notices } = createSetting();
-    notices.take({ ...NOTICE, restMs: 2000 });
-    assert.equal(notices.isResting('e1'), true);
-    assert.equal(notices.isResting('e2'), false);
+    notices.take({ ...NOTICE, backoffMs: 2000 });
+    assert.equal(notices.isBackingOff('e1'), true);
+    assert.equal(notices.isBackingOff('e2'), false);
     clock.advance(2000);
-    assert.equal(notices.isResting('e1'), false);
+    assert.equal(notices.isBackingOff('e1'), false);
   });
 
   it('is told to the other process of the VM, and what that one was told is told back to nobody', () => {
     const { notices, told } = createSetting();
-    notices.take({ ...NOTICE, restMs: 2000 });
-    notices.noteRest({ instanceId: 'e2', restMs: 500 });
-    assert.deepEqual(told, [{ instanceId: 'e1', restMs: 2000 }]);
-    assert.equal(notices.isResting('e2'), true);
+    notices.take({ ...NOTICE, backoffMs: 2000 });
+    notices.noteBackoff({ instanceId: 'e2', backoffMs: 500 });
+    assert.deepEqual(told, [{ instanceId: 'e1', backoffMs: 2000 }]);
+    assert.equal(notices.isBackingOff('e2'), true);
     assert.deepEqual(notices.describe(), [
       { instanceId: 'e1', remainingMs: 2000 },
       { instanceId: 'e2', remainingMs: 500 },
@@ -59,11 +59,11 @@
   });
 });
 
-describe('an engine that rests', () => {
+describe('an engine that backs off', () => {
   const ENGINE = { instanceId: 'e1', address: 'e1:80' };
   const ORDER = { firstLayer: 0, endLayer: 4, isPreempting: false, timeoutMs: 100 };
 
-  it('is sent no order and no question by a control VM until its rest is over', async () => {
+  it('is sent no order and no question by a control VM until its backoff is over', async () => {
     const { clock, notices } = createSetting();
     const sent: string[] = [];
     const orders = guardOrders(
@@ -81,7 +81,7 @@
       } satisfies EngineOrders,
       notices,
     );
-    notices.noteRest({ instanceId: 'e1', restMs: 500 });
+    notices.noteBackoff({ instanceId: 'e1', backoffMs: 500 });
     assert.equal(await orders.place(ENGINE, ORDER), 'refused');
     await assert.rejects(orders.inspect(ENGINE), { code: 'server-closed' });
     await orders.inspect({ instanceId: 'e2', address: 'e2:80' });
--- a/packages/controller/__tests__/placementFixtures.ts
+++ b/packages/controller/__tests__/placementFixtures.ts
@@ -53,15 +53,15 @@
   /** What an engine answers to an order. */
   readonly answer: (order: GivenOrder) => OrderOutcome;
   readonly inspect?: EngineOrders['inspect'];
-  /** Whether an engine asked this VM for rest. */
-  readonly isResting?: (instanceId: string) => boolean;
+  /** Whether an engine asked this VM for a backoff. */
+  readonly isBackingOff?: (instanceId: string) => boolean;
 }
 
 /** The first engine holds one half of the layers, the three others hold the other half. */
 export function createPlacementSetting({
   answer,
   inspect,
-  isResting = () => false,
+  isBackingOff = () => false,
 }: PlacementSettingOptions) {
   const clock = createManualClock(100_000);
   const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
@@ -125,7 +125,7 @@
     },
     mayOrder: () => true,
     currentDocument: () => DOCUMENT,
-    isResting,
+    isBackingOff,
     announcementMs: ANNOUNCEMENT_MS,
   });
 
--- a/packages/controller/__tests__/placementLoop.spec.ts
+++ b/packages/controller/__tests__/placementLoop.spec.ts
@@ -87,10 +87,10 @@
     assert.ok(given.slice(before).some(({ isPreempting }) => isPreempting));
   });
 
-  it('moves no layers for a rest, and orders nothing of an engine meanwhile', async () => {
-    const orderedWhile = async (resting: string) => {
-      const isResting = (instanceId: string) => instanceId === resting;
-      const { ordered, pass } = createPlacementSetting({ answer: () => 'begun', isResting });
+  it('moves no layers for a backoff, and orders nothing of an engine meanwhile', async () => {
+    const orderedWhile = async (backingOff: string) => {
+      const isBackingOff = (instanceId: string) => instanceId === backingOff;
+      const { ordered, pass } = createPlacementSetting({ answer: () => 'begun', isBackingOff });
       await pass(6000, ALL);
       return ordered;
     };
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -7,7 +7,7 @@
   createDocumentCache,
   createFactTable,
   createFeedServer,
-  createSiblingRests,
+  createSiblingBackoffs,
   FACT_KEYS,
   retentionOf,
 } from '@spoolplank/membership';
@@ -175,16 +175,16 @@
   }
 
   const backends = createBackendDirectory({ log, table, currentDocument });
-  const siblingRests = createSiblingRests({
+  const siblingBackoffs = createSiblingBackoffs({
     table,
     host,
     role: 'control',
     call: peers.call,
-    onUntold: (problem, word) => log.info('rest-untold', { ...word, problem }),
+    onUntold: (problem, word) => log.info('backoff-untold', { ...word, problem }),
   });
-  const notices = createEngineNotices({ clock, log, table, onRest: siblingRests.tell });
+  const notices = createEngineNotices({ clock, log, table, onBackoff: siblingBackoffs.tell });
   options.engineOrders.onNotice(notices.take);
-  siblingRests.onWord(notices.noteRest);
+  siblingBackoffs.onWord(notices.noteBackoff);
   const engineOrders = guardOrders(options.engineOrders, notices);
   const placement = createPlacementLoop({
     clock,
@@ -193,7 +193,7 @@
     orders: engineOrders,
     mayOrder: () => group?.canRead() ?? false,
     currentDocument,
-    isResting: notices.isResting,
+    isBackingOff: notices.isBackingOff,
     announcementMs: options.announcementMs,
   });
 
@@ -282,7 +282,7 @@
       return feed.answer({ ...request, updates }) as unknown as Promise<JsonValue>;
     },
     ...documentCalls.methods,
-    ...siblingRests.methods,
+    ...siblingBackoffs.methods,
     'group.describe': () => DISKLESS as unknown as JsonValue,
   };
 
@@ -348,7 +348,7 @@
         group: group?.summary() ?? null,
         documentVersion: documents.current?.version ?? null,
         confirmedAgeMs: documents.confirmedAgeMs(),
-        rests: notices.describe(),
+        backoffs: notices.describe(),
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/controller/src/engineNotices.ts
+++ b/packages/controller/src/engineNotices.ts
@@ -1,52 +1,52 @@
 /** What engines said of themselves to this control VM, with an order's answer or a report. */
 import { stateLeaving } from '@spoolplank/membership';
-import type { FactTable, RestWord, ServerNotice, SystemFact } from '@spoolplank/membership';
+import type { FactTable, BackoffDirective, ServerNotice, SystemFact } from '@spoolplank/membership';
 import type { EventLog } from '@spoolplank/node';
-import { createRestTable } from '@spoolplank/routing';
+import { createBackoffTable } from '@spoolplank/routing';
 import type { Clock, JsonValue } from '@spoolplank/shared';
 
 export interface EngineNoticesOptions {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly table: FactTable<SystemFact>;
-  /** Told of each rest that an engine asks this process for. */
-  readonly onRest: (word: RestWord) => void;
+  /** Told of each backoff that an engine asks this process for. */
+  readonly onBackoff: (word: BackoffDirective) => void;
 }
 
 export interface EngineNotices {
   /** Takes in what an engine said. */
   take(notice: ServerNotice): void;
-  /** Takes in a rest that an engine asked the other process of this VM for. */
-  noteRest(word: RestWord): void;
+  /** Takes in a backoff that an engine asked the other process of this VM for. */
+  noteBackoff(word: BackoffDirective): void;
   /** Whether an engine wants nothing from this VM now. */
-  isResting(instanceId: string): boolean;
+  isBackingOff(instanceId: string): boolean;
   /** Forgets what is over. */
   sweep(): void;
-  /** Engines that rest, and for how much longer. */
+  /** Engines that back off, and for how much longer. */
   describe(): JsonValue;
 }
 
 export function createEngineNotices(options: EngineNoticesOptions): EngineNotices {
-  const { clock, log, table, onRest } = options;
-  const rests = createRestTable({ clock });
+  const { clock, log, table, onBackoff } = options;
+  const backoffs = createBackoffTable({ clock });
 
   return {
-    take({ instanceId, address, status, restMs, isLeaving }) {
-      if (restMs !== null) {
-        if (rests.note(instanceId, restMs)) {
-          log.info('server-rests', { instanceId, address, status, restMs });
+    take({ instanceId, address, status, backoffMs, isLeaving }) {
+      if (backoffMs !== null) {
+        if (backoffs.note(instanceId, backoffMs)) {
+          log.info('server-backoff', { instanceId, address, status, backoffMs });
         }
-        onRest({ instanceId, restMs });
+        onBackoff({ instanceId, backoffMs });
       }
       if (!isLeaving || !stateLeaving(table, instanceId)) return;
       log.info('server-leaves', { instanceId, address, status });
     },
-    noteRest: ({ instanceId, restMs }) => {
-      rests.note(instanceId, restMs);
+    noteBackoff: ({ instanceId, backoffMs }) => {
+      backoffs.note(instanceId, backoffMs);
     },
-    isResting: rests.isResting,
-    sweep: rests.sweep,
+    isBackingOff: backoffs.isBackingOff,
+    sweep: backoffs.sweep,
     describe: () =>
-      rests.list().map(({ name, remainingMs }) => ({ instanceId: name, remainingMs })),
+      backoffs.list().map(({ name, remainingMs }) => ({ instanceId: name, remainingMs })),
   };
 }
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -32,7 +32,7 @@
   readonly mayOrder: () => boolean;
   readonly currentDocument: () => RoutingDocument | null;
   /** Whether an engine wants nothing from this VM now. */
-  readonly isResting: (instanceId: string) => boolean;
+  readonly isBackingOff: (instanceId: string) => boolean;
   /** Interval at which engines announce themselves. */
   readonly announcementMs: number;
 }
@@ -181,8 +181,8 @@
     const isDoubtful = (doubtfulUntilMs.get(instanceId) ?? 0) > nowMs;
     const isReady = state === 'ready' && !isLeaving(table, instanceId);
     const isStaying = isReady && slowdown < TOO_SLOW && !isDoubtful;
-    // A rest of seconds is no reason to move layers: it only takes no order meanwhile.
-    const mayBeOrdered = !wasRefusedLately(instanceId) && !options.isResting(instanceId);
+    // A backoff of seconds is no reason to move layers: it only takes no order meanwhile.
+    const mayBeOrdered = !wasRefusedLately(instanceId) && !options.isBackingOff(instanceId);
     const isReliable = isServing && isStaying;
     return {
       id: instanceId,
--- a/packages/entry/__tests__/restFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -1,7 +1,7 @@
-/** An entry whose servers rest, are busy, fail or cannot be reached, as a test has them. */
+/** An entry whose servers back off, are busy, fail or cannot be reached, as a test has them. */
 import assert from 'node:assert/strict';
 import { PassThrough } from 'node:stream';
-import type { NoticeListener, RestWord, ServerNotice } from '@spoolplank/membership';
+import type { NoticeListener, BackoffDirective, ServerNotice } from '@spoolplank/membership';
 import type { RouteKind } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendOperations, BackendResponse } from '../src/backendOperations';
@@ -25,7 +25,7 @@
 } from './fixtures';
 
 /** What a server asks for that turns a request away. */
-export const REST_MS = 3000;
+export const BACKOFF_MS = 3000;
 export const SERVERS: readonly string[] = ['e1', 'e2', 'e3'];
 
 export function createNotice(overrides: Partial<ServerNotice> = {}): ServerNotice {
@@ -34,20 +34,22 @@
     address: 'e1:80',
     requestId: 'r0',
     status: 503,
-    restMs: REST_MS,
+    backoffMs: BACKOFF_MS,
     isLeaving: false,
     culpritAddress: null,
     ...overrides,
   };
 }
 
-/** How a server answers; `busy` turns away without asking for rest, `gone` cannot be reached. */
-export type Mood = 'fine' | 'rests' | 'busy' | 'fails' | 'gone';
+/**
+ * How a server answers; `busy` turns away without asking for a backoff, `gone` cannot be reached.
+ */
+export type Mood = 'fine' | 'backoff' | 'busy' | 'fails' | 'gone';
 
 function createResponse(mood: Mood): BackendResponse {
   const body = new PassThrough();
   body.end(mood === 'fine' ? 'id: 1\ndata: x\n\n' : '');
-  const isNotRun = mood === 'rests' || mood === 'busy';
+  const isNotRun = mood === 'backoff' || mood === 'busy';
   const status = isNotRun ? 503 : 500;
   return {
     status: mood === 'fine' ? 200 : status,
@@ -57,13 +59,13 @@
     problem: null,
     culpritAddress: null,
     load: null,
-    restMs: mood === 'rests' ? REST_MS : null,
+    backoffMs: mood === 'backoff' ? BACKOFF_MS : null,
     body,
   };
 }
 
 /** An entry's dispatch over servers whose mood is set, and all that it was told and sent. */
-export function createRestSetting(kind: RouteKind = 'safe') {
+export function createBackoffSetting(kind: RouteKind = 'safe') {
   const tables = createTables();
   const { clock, view, table, announce } = tables;
   SERVERS.forEach((id) => announce(createEngine(id, 0, 8)));
@@ -79,7 +81,7 @@
       const { instanceId } = target;
       const mood = moods.get(instanceId) ?? 'fine';
       sends.push(instanceId);
-      if (mood === 'rests') listener(createNotice({ instanceId, address: `${instanceId}:80` }));
+      if (mood === 'backoff') listener(createNotice({ instanceId, address: `${instanceId}:80` }));
       onSend(instanceId);
       if (mood === 'gone') {
         return Promise.reject(new SpoolplankError('unreachable', { outcome: 'not-run' }));
@@ -96,7 +98,7 @@
     ...base.log,
     info: (event: string, fields: unknown) => lines.push({ event, fields }),
   };
-  const told: RestWord[] = [];
+  const told: BackoffDirective[] = [];
   const notices = createServerNotices({
     clock,
     log,
@@ -104,7 +106,7 @@
     table,
     findByAddress: view.findByAddress,
     spread: () => {},
-    onRest: (word) => told.push(word),
+    onBackoff: (word) => told.push(word),
   });
   operations.onNotice(notices.take);
   const guarded = guardOperations(operations, notices);
@@ -117,7 +119,7 @@
   function findChain(search: PlaceSearch): Promise<ChosenChain | undefined> {
     searches.push({ ...search, excludedHeads: new Set(search.excludedHeads) });
     const id = SERVERS.find(
-      (server) => !search.excludedHeads.has(server) && !notices.rests.isHeldBack(server),
+      (server) => !search.excludedHeads.has(server) && !notices.backoffs.isHeldBack(server),
     );
     if (id === undefined) return Promise.reject(new SpoolplankError('no-backend-server'));
     return Promise.resolve(createChain(id));
--- a/packages/entry/__tests__/crashDispatch.spec.ts
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -39,7 +39,7 @@
     problem: null,
     culpritAddress: null,
     load: null,
-    restMs: null,
+    backoffMs: null,
     body,
   };
 }
--- a/packages/entry/__tests__/placeRests.spec.ts
+++ b/packages/entry/__tests__/placeBackoff.spec.ts
@@ -5,11 +5,11 @@
 import type { Vm } from './placeFixtures';
 
 describe('places beside chains that turn requests away', () => {
-  it('gives a VM no chain that rests for it, and gives that chain to others', async () => {
+  it('gives a VM no chain that backs off for it, and gives that chain to others', async () => {
     const site = createDataCentre(3, ['c1', 'c2']);
     await site.pass(1500);
     const [told, other] = site.vms as [Vm, Vm];
-    told.resting.add('c1');
+    told.backingOff.add('c1');
     const headsOf = (outcomes: readonly PlaceOutcome[]) =>
       outcomes.map((outcome) => (outcome.kind === 'placed' ? outcome.chain.headId : outcome.kind));
     const toTold = Array.from({ length: 20 }, (_, index) => site.send(told, `t${index}`));
@@ -22,11 +22,11 @@
     assert.equal(site.inFlight('c2'), 20);
   });
 
-  it('refuses at once a VM for which every chain rests', async () => {
+  it('refuses at once a VM for which every chain backs off', async () => {
     const site = createDataCentre(3, ['c1']);
     await site.pass(1500);
     const [told, other] = site.vms as [Vm, Vm];
-    told.resting.add('c1');
+    told.backingOff.add('c1');
     const refused = site.send(told, 'in-vain');
     const placed = site.send(other, 'well');
     await site.pass(10);
@@ -50,7 +50,7 @@
     assert.equal(begun[0]?.kind, 'placed');
   });
 
-  it('keeps no place idle for those at the head of the line for whom its chain rests', async () => {
+  it('keeps no place idle for those at the head of the line for whom its chain backs off', async () => {
     const site = createDataCentre(4, ['c1', 'c2']);
     await completeAccount(site);
     const [told, other, filler] = site.vms as [Vm, Vm, Vm];
@@ -59,10 +59,11 @@
     }
     await site.pass(100);
     assert.equal(site.inFlight('c1') + site.inFlight('c2'), 2 * ADMITTED);
-    // The chain on which places come free rests for a VM whose requests are the more urgent ones.
+    // The chain on which places come free backs off for a VM whose requests are the more urgent
+    // ones.
     const freeing =
       [...filler.held.entries()].find(([ticket]) => ticket === 'f0')?.[1].headId ?? '';
-    told.resting.add(freeing);
+    told.backingOff.add(freeing);
     const ahead = Array.from({ length: 6 }, (_, index) =>
       site.send(told, `ahead${index}`, { priority: 0 }),
     );
--- a/packages/entry/__tests__/placeFixtures.ts
+++ b/packages/entry/__tests__/placeFixtures.ts
@@ -26,8 +26,8 @@
   readonly held: Map<string, HeldPlace>;
   /** Engines that turned a request of this VM away. */
   readonly avoided: Set<string>;
-  /** Engines that asked this VM for rest. */
-  readonly resting: Set<string>;
+  /** Engines that asked this VM for a backoff. */
+  readonly backingOff: Set<string>;
   isUp: boolean;
   /** Its answers are lost, though it hears everything. */
   isMute: boolean;
@@ -87,7 +87,7 @@
   function createVm(host: string): Vm {
     const held = new Map<string, HeldPlace>();
     const avoided = new Set<string>();
-    const resting = new Set<string>();
+    const backingOff = new Set<string>();
     const rank = createAllocatorRank({ clock, listEntries: () => heard });
     const allocator = createPlaceAllocator({
       clock,
@@ -109,11 +109,11 @@
         call(target, (vm) => vm.allocator.answer(params), timeoutMs),
       listHeld: () => [...held.values()],
       listAvoided: () => [...avoided],
-      listClosed: () => [...resting],
+      listClosed: () => [...backingOff],
       schedule,
       onFailure: () => {},
     });
-    return { host, client, allocator, held, avoided, resting, isUp: true, isMute: false };
+    return { host, client, allocator, held, avoided, backingOff, isUp: true, isMute: false };
   }
 
   for (let index = 0; index < count; index += 1) vms.push(createVm(`vm${index}`));
--- a/packages/entry/__tests__/routingView.spec.ts
+++ b/packages/entry/__tests__/routingView.spec.ts
@@ -81,7 +81,7 @@
       unseenInFlight: () => 0,
       firstEventMs: (headId) => (headId === slow ? 2000 : 50),
       isAvoided: () => false,
-      restMsOf: () => 0,
+      backoffMsOf: () => 0,
       ...overrides,
     });
     tables.announce(createEngine('a1', 0, 4));
@@ -182,7 +182,7 @@
       const whole = Buffer.concat([first, splitter.push(Buffer.from(events.slice(at)))]);
       assert.equal(whole.toString(), events);
       assert.equal(splitter.lastEventId, '3');
-      assert.equal(splitter.hasRest, false);
+      assert.equal(splitter.hasBackoff, false);
     }
   });
 
@@ -190,6 +190,6 @@
     const splitter = createEventSplitter();
     splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
     assert.equal(splitter.lastEventId, '1');
-    assert.equal(splitter.hasRest, true);
+    assert.equal(splitter.hasBackoff, true);
   });
 });
--- a/packages/entry/__tests__/serverRests.spec.ts
+++ b/packages/entry/__tests__/serverBackoff.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { RequestEnd } from '../src/entryContext';
-import { createNotice, createRestSetting, REST_MS, SERVERS } from './restFixtures';
+import { createNotice, createBackoffSetting, BACKOFF_MS, SERVERS } from './backoffFixtures';
 
 async function refusalOf(end: Promise<RequestEnd>): Promise<SpoolplankError> {
   const error = await end.then(
@@ -16,21 +16,23 @@
 describe('a request that a server turned away', () => {
   for (const kind of ['stream', 'safe', 'once'] as const) {
     it(`goes to another one, as does the next request (${kind})`, async () => {
-      const setting = createRestSetting(kind);
-      SERVERS.slice(0, 2).forEach((id) => setting.moods.set(id, 'rests'));
+      const setting = createBackoffSetting(kind);
+      SERVERS.slice(0, 2).forEach((id) => setting.moods.set(id, 'backoff'));
       assert.equal((await setting.send()).outcome, 'served');
       const first = [...setting.sends];
       assert.equal(new Set(first).size, first.length, 'no server had it twice');
       assert.equal((await setting.send()).outcome, 'served');
-      const rested = first.filter((id) => id !== 'e3');
+      const backingOff = first.filter((id) => id !== 'e3');
       const after = setting.sends.slice(first.length);
-      rested.forEach((id) => assert.ok(!after.includes(id), `${id} was sent something`));
-      const held = setting.metrics.valueOf('spoolplank_sends_held_back_total', { reason: 'rests' });
+      backingOff.forEach((id) => assert.ok(!after.includes(id), `${id} was sent something`));
+      const held = setting.metrics.valueOf('spoolplank_sends_held_back_total', {
+        reason: 'backoff',
+      });
       assert.equal(held, 0, 'none of them was chosen');
     });
 
-    it(`does not go there again where it asked for no rest; the next request may (${kind})`, async () => {
-      const setting = createRestSetting(kind);
+    it(`does not go there again where it asked for no backoff; the next request may (${kind})`, async () => {
+      const setting = createBackoffSetting(kind);
       SERVERS.forEach((id) => setting.moods.set(id, 'busy'));
       const error = await refusalOf(setting.send());
       assert.equal(error.outcome, 'not-run');
@@ -41,7 +43,7 @@
   }
 
   it('may go to a chain whose first engine could not be reached, once it is mended', async () => {
-    const setting = createRestSetting('stream');
+    const setting = createBackoffSetting('stream');
     setting.moods.set('e1', 'gone');
     setting.whenSent(() => setTimeout(() => setting.moods.delete('e1'), 0));
     await setting.send().catch(() => {});
@@ -49,8 +51,8 @@
     setting.searches.forEach(({ excludedHeads }) => assert.equal(excludedHeads.size, 0));
   });
 
-  it('is refused at once when all rest, and told the time of its turn', async () => {
-    const setting = createRestSetting('safe');
+  it('is refused at once when all back off, and told the time of its turn', async () => {
+    const setting = createBackoffSetting('safe');
     SERVERS.forEach((id) => setting.notices.take(createNotice({ instanceId: id })));
     setting.clock.advance(500);
     const first = await refusalOf(setting.send());
@@ -61,15 +63,15 @@
     assert.deepEqual(setting.sends, []);
   });
 
-  it('is told the end of the first rest by the request that all of them turned away', async () => {
-    const setting = createRestSetting('safe');
-    SERVERS.forEach((id) => setting.moods.set(id, 'rests'));
+  it('is told the end of the first backoff by the request that all of them turned away', async () => {
+    const setting = createBackoffSetting('safe');
+    SERVERS.forEach((id) => setting.moods.set(id, 'backoff'));
     const error = await refusalOf(setting.send());
-    assert.equal(error.retryAfterMs, REST_MS);
+    assert.equal(error.retryAfterMs, BACKOFF_MS);
   });
 
   it('is never refused as not run once a server may have run it', async () => {
-    const setting = createRestSetting('safe');
+    const setting = createBackoffSetting('safe');
     setting.moods.set('e1', 'fails');
     setting.moods.set('e2', 'fails');
     setting.moods.set('e3', 'fails');
@@ -85,14 +87,14 @@
   });
 });
 
-describe('a stream whose engine asked for rest after the choice', () => {
+describe('a stream whose engine asked for a backoff after the choice', () => {
   it('is given another place, at the cost of no retry', async () => {
-    const setting = createRestSetting('stream');
-    const { rests } = setting.notices;
+    const setting = createBackoffSetting('stream');
+    const { backoffs } = setting.notices;
     // Chosen as if the word had not come yet.
     let isHidden = true;
-    const { isHeldBack } = rests;
-    Object.assign(rests, {
+    const { isHeldBack } = backoffs;
+    Object.assign(backoffs, {
       isHeldBack(id: string) {
         if (!isHidden || id !== 'e1') return isHeldBack(id);
         isHidden = false;
--- a/packages/entry/__tests__/serverNotices.spec.ts
+++ b/packages/entry/__tests__/serverNotices.spec.ts
@@ -3,42 +3,42 @@
 import { FACT_KEYS } from '@spoolplank/membership';
 import type { BackendOperations } from '../src/backendOperations';
 import { createEngine } from './fixtures';
-import { createNotice, createRestSetting, REST_MS, SERVERS } from './restFixtures';
+import { createNotice, createBackoffSetting, BACKOFF_MS, SERVERS } from './backoffFixtures';
 
 describe('what a server said of itself', () => {
-  it('is noted once a rest, whatever is turned away in it', () => {
-    const { notices, linesOf, metrics } = createRestSetting();
+  it('is noted once a backoff, whatever is turned away in it', () => {
+    const { notices, linesOf, metrics } = createBackoffSetting();
     [1, 2, 3].forEach(() => notices.take(createNotice()));
-    assert.equal(linesOf('server-rests').length, 1);
-    const repeated = metrics.valueOf('spoolplank_server_rests_total', { word: 'repeated' });
+    assert.equal(linesOf('server-backoff').length, 1);
+    const repeated = metrics.valueOf('spoolplank_server_backoffs_total', { word: 'repeated' });
     assert.equal(repeated, 2);
-    assert.deepEqual(notices.describe(), [{ instanceId: 'e1', remainingMs: REST_MS }]);
+    assert.deepEqual(notices.describe(), [{ instanceId: 'e1', remainingMs: BACKOFF_MS }]);
   });
 
   it('holds for the engine that is named as at fault as well as for the one that answered', () => {
-    const { notices } = createRestSetting();
+    const { notices } = createBackoffSetting();
     notices.take(createNotice({ culpritAddress: 'e2:80' }));
     const closed = SERVERS.map((id) => notices.closedReason(id));
-    assert.deepEqual(closed, ['rests', 'rests', null]);
+    assert.deepEqual(closed, ['backoff', 'backoff', null]);
   });
 
   it('is told to the other process of the VM, and what that one was told is told back to nobody', () => {
-    const { notices, told } = createRestSetting();
+    const { notices, told } = createBackoffSetting();
     notices.take(createNotice());
-    notices.noteRest({ instanceId: 'e2', restMs: 500 });
-    assert.deepEqual(told, [{ instanceId: 'e1', restMs: REST_MS }]);
-    assert.equal(notices.closedReason('e2'), 'rests');
+    notices.noteBackoff({ instanceId: 'e2', backoffMs: 500 });
+    assert.deepEqual(told, [{ instanceId: 'e1', backoffMs: BACKOFF_MS }]);
+    assert.equal(notices.closedReason('e2'), 'backoff');
   });
 
   it('does not hold for the next run of the server, nor does its late word', () => {
-    const { notices } = createRestSetting();
+    const { notices } = createBackoffSetting();
     notices.take(createNotice({ instanceId: 'e1/1' }));
     assert.equal(notices.closedReason('e1/2'), null);
   });
 
   it('that it leaves, is undone by no announcement that is heard later', () => {
-    const { notices, view, announce } = createRestSetting();
-    notices.take(createNotice({ restMs: null, isLeaving: true, status: 200 }));
+    const { notices, view, announce } = createBackoffSetting();
+    notices.take(createNotice({ backoffMs: null, isLeaving: true, status: 200 }));
     announce(createEngine('e1', 0, 8), 7);
     assert.equal(notices.closedReason('e1'), 'leaves');
     const left = view.listBackends('engines').map(({ instanceId }) => instanceId);
@@ -46,8 +46,8 @@
   });
 
   it('that it leaves, holds for one run only', () => {
-    const { notices, view, announce, table } = createRestSetting();
-    notices.take(createNotice({ instanceId: 'e1/1', restMs: null, isLeaving: true }));
+    const { notices, view, announce, table } = createBackoffSetting();
+    notices.take(createNotice({ instanceId: 'e1/1', backoffMs: null, isLeaving: true }));
     announce(createEngine('e1/2', 0, 8), 2);
     table.put(
       FACT_KEYS.backend('e1/2'),
@@ -59,8 +59,8 @@
   });
 
   it('that it leaves, is stated to others for five seconds, and logged once', () => {
-    const { notices, clock, linesOf } = createRestSetting();
-    [1, 2].forEach(() => notices.take(createNotice({ restMs: null, isLeaving: true })));
+    const { notices, clock, linesOf } = createBackoffSetting();
+    [1, 2].forEach(() => notices.take(createNotice({ backoffMs: null, isLeaving: true })));
     assert.equal(linesOf('server-leaves').length, 1);
     const [update] = notices.listStatements();
     assert.deepEqual(update?.body, { kind: 'leaving', instanceId: 'e1' });
@@ -76,30 +76,30 @@
   const target = { instanceId: 'e1', address: 'e1:80' };
   const call = { target } as unknown as Parameters<BackendOperations['open']>[0];
 
-  it('holds back requests, reports and repairs of a server that rests', async () => {
-    const { notices, guarded, sends, metrics } = createRestSetting();
+  it('holds back requests, reports and repairs of a server that backs off', async () => {
+    const { notices, guarded, sends, metrics } = createBackoffSetting();
     notices.take(createNotice());
     await assert.rejects(guarded.open(call), { code: 'server-closed', outcome: 'not-run' });
     await assert.rejects(guarded.report(target, 100), { code: 'server-closed' });
     assert.equal((await guarded.repair(target, 'r1', [], 100)).kind, 'failed');
     assert.equal(await guarded.isReachable('e1:80', 100), true);
     assert.deepEqual(sends, []);
-    assert.equal(metrics.valueOf('spoolplank_sends_held_back_total', { reason: 'rests' }), 3);
+    assert.equal(metrics.valueOf('spoolplank_sends_held_back_total', { reason: 'backoff' }), 3);
   });
 
   it('lets streams over a leaving engine be repaired, and sends it nothing new', async () => {
-    const { notices, guarded } = createRestSetting();
-    notices.take(createNotice({ restMs: null, isLeaving: true }));
+    const { notices, guarded } = createBackoffSetting();
+    notices.take(createNotice({ backoffMs: null, isLeaving: true }));
     await assert.rejects(guarded.open(call), { code: 'server-closed' });
     assert.equal((await guarded.repair(target, 'r1', [], 100)).kind, 'repaired');
   });
 
   it('repairs streams while requests return to a server one after the other', async () => {
-    const { notices, guarded, clock } = createRestSetting();
+    const { notices, guarded, clock } = createBackoffSetting();
     notices.take(createNotice());
-    clock.advance(REST_MS);
+    clock.advance(BACKOFF_MS);
     await guarded.open(call);
-    assert.equal(notices.rests.isHeldBack('e1'), true);
+    assert.equal(notices.backoffs.isHeldBack('e1'), true);
     assert.equal((await guarded.repair(target, 'r1', [], 100)).kind, 'repaired');
   });
 });
--- a/packages/entry/__tests__/standIns.spec.ts
+++ b/packages/entry/__tests__/standIns.spec.ts
@@ -23,7 +23,7 @@
       unseenInFlight: () => 0,
       firstEventMs: () => 0,
       isAvoided: () => false,
-      restMsOf: () => 0,
+      backoffMsOf: () => 0,
     });
     const stages = [
       { id: 'a1', address: 'a1:80', firstLayer: 0, endLayer: 4 },
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -63,7 +63,7 @@
     unseenInFlight: () => 0,
     firstEventMs: () => 0,
     isAvoided: () => false,
-    restMsOf: () => 0,
+    backoffMsOf: () => 0,
   });
   const repair = createStreamRepair({
     context,
--- a/packages/entry/src/backendOperations.ts
+++ b/packages/entry/src/backendOperations.ts
@@ -45,7 +45,7 @@
   readonly culpritAddress: string | null;
   readonly load: ReportedBackendLoad | null;
   /** How long the backend server wants nothing from this VM; null where it does not say. */
-  readonly restMs: number | null;
+  readonly backoffMs: number | null;
   readonly body: Readable;
 }
 
--- a/packages/entry/src/chainCatalog.ts
+++ b/packages/entry/src/chainCatalog.ts
@@ -19,7 +19,9 @@
 
 export interface ChainCatalog {
   listDataCentres(service: string): readonly string[];
-  /** The chains of a data centre, whatever their load, and whether an engine of theirs rests. */
+  /**
+   * The chains of a data centre, whatever their load, and whether an engine of theirs backs off.
+   */
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
   /** Engines that may take a part of a path, in the data centre of one of them. */
   listEnginesBeside(
--- a/packages/entry/src/chainChoice.ts
+++ b/packages/entry/src/chainChoice.ts
@@ -22,7 +22,7 @@
   /** Engines to leave out for now, by instance. */
   readonly isAvoided: (instanceId: string) => boolean;
   /** Time until this VM may send something to an engine, in milliseconds; 0 when it may now. */
-  readonly restMsOf: (instanceId: string) => number;
+  readonly backoffMsOf: (instanceId: string) => number;
 }
 
 export interface ChosenChain {
@@ -53,12 +53,14 @@
    * Time until this VM may use a chain of a service, in milliseconds; 0 when it may use one now, or
    * there is none at all.
    */
-  restEndsInMs(
+  backoffEndsInMs(
     service: string,
     model: ModelDescription,
     excludedHeads: ReadonlySet<string>,
   ): number;
-  /** The chains of a data centre, whatever their load, and whether an engine of theirs rests. */
+  /**
+   * The chains of a data centre, whatever their load, and whether an engine of theirs backs off.
+   */
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
   /** Another path for a running stream that keeps its first stage; undefined without one. */
   readonly repair: PathRepair;
@@ -110,9 +112,9 @@
 }
 
 export function createChainChoice(options: ChainChoiceOptions): ChainChoice {
-  const { view, random, isAvoided, ownInFlight, restMsOf } = options;
+  const { view, random, isAvoided, ownInFlight, backoffMsOf } = options;
   const catalog = createChainCatalog({ view, isAvoided });
-  const repair = createPathRepair({ random, catalog, restMsOf });
+  const repair = createPathRepair({ random, catalog, backoffMsOf });
 
   function toCandidate(chain: RatedChain, dataCentre: string): Candidate {
     const { headId, stages, capacity } = chain;
@@ -154,9 +156,9 @@
     );
   }
 
-  /** Time until the last engine of a chain has rested. */
-  function chainRestMs({ stages }: RatedChain): number {
-    return stages.reduce((longestMs, { id }) => Math.max(longestMs, restMsOf(id)), 0);
+  /** Time until the last engine of a chain is done backing off. */
+  function chainBackoffMs({ stages }: RatedChain): number {
+    return stages.reduce((longestMs, { id }) => Math.max(longestMs, backoffMsOf(id)), 0);
   }
 
   function listCandidates(
@@ -164,19 +166,19 @@
     model: ModelDescription,
     excludedHeads: ReadonlySet<string>,
   ): readonly Candidate[] {
-    // A rest concerns this VM only: the chains that are found are the same for all.
+    // A backoff concerns this VM only: the chains that are found are the same for all.
     return listChains(service, model, excludedHeads)
-      .filter(({ chain }) => chainRestMs(chain) === 0)
+      .filter(({ chain }) => chainBackoffMs(chain) === 0)
       .map(({ chain, dataCentre }) => toCandidate(chain, dataCentre));
   }
 
   return {
     listOf: catalog.listOf,
-    restEndsInMs(service, model, excludedHeads) {
-      const restsMs = listChains(service, model, excludedHeads).map(({ chain }) =>
-        chainRestMs(chain),
+    backoffEndsInMs(service, model, excludedHeads) {
+      const backoffsMs = listChains(service, model, excludedHeads).map(({ chain }) =>
+        chainBackoffMs(chain),
       );
-      return restsMs.length === 0 ? 0 : Math.min(...restsMs);
+      return backoffsMs.length === 0 ? 0 : Math.min(...backoffsMs);
     },
     choose(service, model, excludedHeads) {
       const candidates = listCandidates(service, model, excludedHeads);
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,6 +1,6 @@
 /** The role `entry` with everything it needs injected. */
 import type { StoredDocument } from '@spoolplank/control';
-import { createSiblingRests } from '@spoolplank/membership';
+import { createSiblingBackoffs } from '@spoolplank/membership';
 import type { LoadFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
@@ -92,12 +92,12 @@
   const facts = createEntryFacts({ ...options, statedLoad: () => statedLoad() });
   const { table, documents, view, spread } = facts;
   const health = createEngineHealth({ clock, log, metrics, table, dataCentre, spread });
-  const siblingRests = createSiblingRests({
+  const siblingBackoffs = createSiblingBackoffs({
     table,
     host,
     role: 'entry',
     call: peers.call,
-    onUntold: (problem, word) => log.info('rest-untold', { ...word, problem }),
+    onUntold: (problem, word) => log.info('backoff-untold', { ...word, problem }),
   });
   const notices = createServerNotices({
     clock,
@@ -106,10 +106,10 @@
     table,
     findByAddress: view.findByAddress,
     spread,
-    onRest: siblingRests.tell,
+    onBackoff: siblingBackoffs.tell,
   });
   options.operations.onNotice(notices.take);
-  siblingRests.onWord(notices.noteRest);
+  siblingBackoffs.onWord(notices.noteBackoff);
 
   const readiness = createReadiness({
     documents,
@@ -234,7 +234,7 @@
       selfAddress: options.callerAddress,
       ownAddress: () => (readiness.isReady() ? options.callerAddress : null),
     }),
-    methods: { ...stream.methods, ...siblingRests.methods },
+    methods: { ...stream.methods, ...siblingBackoffs.methods },
     start() {
       tick();
       facts.start();
@@ -281,7 +281,7 @@
         inFlight: streams.counts(),
         places: places.describe(),
         quarantine: quarantine.describe(),
-        rests: notices.describe(),
+        backoffs: notices.describe(),
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/entry/src/eventSplitter.ts
+++ b/packages/entry/src/eventSplitter.ts
@@ -8,9 +8,9 @@
   /** Id of the last whole event returned; null before the first one that has an id. */
   readonly lastEventId: string | null;
   /** Whether bytes of an unfinished event are kept. */
-  readonly hasRest: boolean;
+  readonly hasBackoff: boolean;
   /** What is left at the end of a stream that ended regularly. */
-  takeRest(): Buffer;
+  takeBackoff(): Buffer;
 }
 
 const NOTHING = Buffer.alloc(0);
@@ -33,7 +33,7 @@
     get lastEventId() {
       return lastEventId;
     },
-    get hasRest() {
+    get hasBackoff() {
       return rest.length > 0;
     },
     push(bytes) {
@@ -49,7 +49,7 @@
       lastEventId = findLastId(whole.toString('latin1')) ?? lastEventId;
       return whole;
     },
-    takeRest() {
+    takeBackoff() {
       const last = rest;
       rest = NOTHING;
       return last;
--- a/packages/entry/src/guardedOperations.ts
+++ b/packages/entry/src/guardedOperations.ts
@@ -1,6 +1,6 @@
 /**
  * The operations with backend servers, with the last look before anything is sent: between the
- * choice of a server and the send, the server may have asked for rest or said that it leaves.
+ * choice of a server and the send, the server may have asked for a backoff or said that it leaves.
  */
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendOperations, BackendTarget } from './backendOperations';
@@ -10,7 +10,7 @@
   operations: BackendOperations,
   notices: ServerNotices,
 ): BackendOperations {
-  const { rests } = notices;
+  const { backoffs } = notices;
 
   function refuse({ address }: BackendTarget, reason: ClosedReason): SpoolplankError {
     notices.noteHeldBack(reason);
@@ -23,19 +23,19 @@
       const { target } = call;
       const reason = notices.closedReason(target.instanceId);
       if (reason !== null) throw refuse(target, reason);
-      rests.noteSent(target.instanceId);
+      backoffs.noteSent(target.instanceId);
       return operations.open(call);
     },
     async report(target, timeoutMs) {
-      if (rests.isResting(target.instanceId)) throw refuse(target, 'rests');
+      if (backoffs.isBackingOff(target.instanceId)) throw refuse(target, 'backoff');
       return operations.report(target, timeoutMs);
     },
     // A connection over which nothing is sent asks nothing of the server.
     isReachable: (address, timeoutMs) => operations.isReachable(address, timeoutMs),
     async repair(target, requestId, stages, timeoutMs) {
       // Streams that run over a leaving engine go on, and may be repaired there.
-      if (rests.isResting(target.instanceId)) {
-        return { kind: 'failed', problem: refuse(target, 'rests').message };
+      if (backoffs.isBackingOff(target.instanceId)) {
+        return { kind: 'failed', problem: refuse(target, 'backoff').message };
       }
       return operations.repair(target, requestId, stages, timeoutMs);
     },
--- a/packages/entry/src/pathRepair.ts
+++ b/packages/entry/src/pathRepair.ts
@@ -8,7 +8,7 @@
   readonly random: Random;
   readonly catalog: Pick<ChainCatalog, 'listEnginesBeside'>;
   /** Time until this VM may send something to an engine, in milliseconds; 0 when it may now. */
-  readonly restMsOf: (instanceId: string) => number;
+  readonly backoffMsOf: (instanceId: string) => number;
 }
 
 /** A path that keeps the first stage, and of the others what it can; undefined without one. */
@@ -19,7 +19,7 @@
   lostIds: ReadonlySet<string>,
 ) => readonly PathStage[] | undefined;
 
-export function createPathRepair({ random, catalog, restMsOf }: PathRepairOptions): PathRepair {
+export function createPathRepair({ random, catalog, backoffMsOf }: PathRepairOptions): PathRepair {
   /**
    * Streams of a lost engine are read again by who takes its part, one after the other: 80 of them
    * keep one engine busy for a third of a second. Weights drawn up to twice the cost spread them
@@ -35,7 +35,7 @@
     const kept = new Set(stages.map(({ id }) => id).filter((id) => !lostIds.has(id)));
     const engines = catalog
       .listEnginesBeside(service, model, head.id)
-      .filter(({ id }) => !lostIds.has(id) && (kept.has(id) || restMsOf(id) === 0));
+      .filter(({ id }) => !lostIds.has(id) && (kept.has(id) || backoffMsOf(id) === 0));
     const replaceable = engines
       .filter(({ id }) => !kept.has(id))
       .map((engine) => ({ ...engine, layerCostMs: engine.layerCostMs * drawWeight() }));
--- a/packages/entry/src/places/placeAllocator.ts
+++ b/packages/entry/src/places/placeAllocator.ts
@@ -41,7 +41,7 @@
 }
 
 interface Ticket {
-  /** As it was asked last: what rests for the asking VM changes while it stands in the line. */
+  /** As it was asked last: what backs off for the asking VM changes while it stands in the line. */
   ask: PlaceAsk;
   readonly leavesAtMs: number;
   lastAskedAtMs: number;
--- a/packages/entry/src/places/placeClient.ts
+++ b/packages/entry/src/places/placeClient.ts
@@ -53,7 +53,9 @@
   /** Engines that this VM leaves out for now. */
   readonly listAvoided: () => readonly string[];
   readonly schedule: (run: () => void, delayMs: number) => void;
-  /** Engines that this VM sends nothing now: they asked it for rest, or said that they leave. */
+  /**
+   * Engines that this VM sends nothing now: they asked it for a backoff, or said that they leave.
+   */
   readonly listClosed: () => readonly string[];
   /** Told of a VM that did not answer. */
   readonly onFailure: (target: MemberFact, problem: string) => void;
--- a/packages/entry/src/places/placeFinder.ts
+++ b/packages/entry/src/places/placeFinder.ts
@@ -5,10 +5,10 @@
 import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { SpoolplankError } from '@spoolplank/shared';
 import { createReturnTimes, sizeOfRequest } from '@spoolplank/routing';
-import type { ModelDescription, RestTable } from '@spoolplank/routing';
+import type { ModelDescription, BackoffTable } from '@spoolplank/routing';
 import type { ChainChoice, ChosenChain } from '../chainChoice';
 import type { AdmittedRequest } from '../entryContext';
-import { createRestWaits } from '../restWaits';
+import { createBackoffWaits } from '../backoffWaits';
 import type { StreamTable } from '../streamTable';
 import { createWaitingLine } from '../waitingLine';
 import type { RatedDataCentre } from './dataCentreRank';
@@ -22,7 +22,7 @@
   readonly streams: StreamTable;
   readonly chains: ChainChoice;
   readonly places: PlaceClient;
-  readonly rests: Pick<RestTable, 'returnAfterMs' | 'isEmpty'>;
+  readonly backoffs: Pick<BackoffTable, 'returnAfterMs' | 'isEmpty'>;
   /** Data centres that may have a place for a service, the best one first. */
   readonly rankDataCentres: (service: string) => readonly RatedDataCentre[];
 }
@@ -82,14 +82,14 @@
 };
 
 export function createPlaceFinder(options: PlaceFinderOptions): PlaceFinder {
-  const { clock, delay, streams, chains, places, rests } = options;
+  const { clock, delay, streams, chains, places, backoffs } = options;
   const line = createWaitingLine({
     clock,
     delay,
     maxWaiting: MAX_WAITING,
     pollMs: ADMISSION_POLL_MS,
   });
-  const restWaits = createRestWaits({ clock, delay, rests });
+  const backoffWaits = createBackoffWaits({ clock, delay, backoffs });
   const returns = createReturnTimes({ clock, random: options.random });
 
   function toRequest(search: PlaceSearch, leavesAtMs: number, hasBegun: boolean): PlaceRequest {
@@ -142,18 +142,18 @@
   }
 
   /** Looking through the chains of all data centres takes up to 5 ms where engines have changed. */
-  function restEndsInMs(
+  function backoffEndsInMs(
     { admitted, model }: Pick<PlaceSearch, 'admitted' | 'model'>,
     excludedHeads: ReadonlySet<string>,
   ): number {
-    return rests.isEmpty ? 0 : chains.restEndsInMs(admitted.service, model, excludedHeads);
+    return backoffs.isEmpty ? 0 : chains.backoffEndsInMs(admitted.service, model, excludedHeads);
   }
 
   return {
     async toBegin(search) {
       const { admitted } = search;
       const sinceMs = clock.nowMs();
-      await restWaits.wait(admitted, () => restEndsInMs(search, search.excludedHeads));
+      await backoffWaits.wait(admitted, () => backoffEndsInMs(search, search.excludedHeads));
       const latestMs = admitted.request.arrivedAtMs + MAX_ADMISSION_WAIT_MS;
       const request = toRequest(search, Math.min(latestMs, admitted.endsAtMs), false);
       const outcome = await places.find(request);
@@ -182,8 +182,8 @@
     },
     returnAfterMs(search) {
       const { service, endsAtMs } = search.admitted;
-      const restMs = restEndsInMs(search, NONE_EXCLUDED);
-      if (restMs > 0) return rests.returnAfterMs(service, restMs);
+      const backoffMs = backoffEndsInMs(search, NONE_EXCLUDED);
+      if (backoffMs > 0) return backoffs.returnAfterMs(service, backoffMs);
       return returns.afterMs(endsAtMs - clock.nowMs());
     },
   };
--- a/packages/entry/src/places/placeService.ts
+++ b/packages/entry/src/places/placeService.ts
@@ -3,7 +3,7 @@
 import type { FactUpdate, MemberFact, RoomFact, SystemFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod } from '@spoolplank/node';
-import type { ModelDescription, RestTable } from '@spoolplank/routing';
+import type { ModelDescription, BackoffTable } from '@spoolplank/routing';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { ChainChoice } from '../chainChoice';
 import type { RoutingView } from '../routingView';
@@ -33,7 +33,7 @@
   readonly listAvoided: () => readonly string[];
   /** Engines that this entry sends nothing now, as they said so. */
   readonly listClosed: () => readonly string[];
-  readonly rests: RestTable;
+  readonly backoffs: BackoffTable;
 }
 
 export interface PlaceService {
@@ -119,7 +119,7 @@
       streams,
       chains,
       places: client,
-      rests: options.rests,
+      backoffs: options.backoffs,
       rankDataCentres: (service) =>
         rankDataCentres({
           own: dataCentre,
--- a/packages/entry/src/plainDispatch.ts
+++ b/packages/entry/src/plainDispatch.ts
@@ -9,7 +9,7 @@
 import { createPlainServers } from './plainServers';
 import { contentOf, digestContent } from './requestContent';
 import type { RequestContent } from './requestContent';
-import { createRestWaits } from './restWaits';
+import { createBackoffWaits } from './backoffWaits';
 
 /** What came of sending a request to one backend server. */
 type AttemptResult =
@@ -24,9 +24,9 @@
       readonly kind: 'not-run';
       readonly problem: string;
       /** How long it wants nothing from this VM, in milliseconds; null where it does not say. */
-      readonly restMs: number | null;
+      readonly backoffMs: number | null;
     }
-  /** Nothing was sent: the server asked for rest, or said that it leaves, after the choice. */
+  /** Nothing was sent: the server asked for a backoff, or said that it leaves, after the choice. */
   | { readonly kind: 'held-back'; readonly problem: string }
   /** It may have run there, and there is no answer to pass on. */
   | {
@@ -47,7 +47,9 @@
 const PATIENCE_FACTOR = 2.5;
 /** Rejections that one request may meet before it is refused. */
 const MAX_REJECTIONS = 3;
-/** Choices that came just before their server asked for rest; each is made with what was heard. */
+/**
+ * Choices that came just before their server asked for a backoff; each is made with what was heard.
+ */
 const MAX_HELD_BACK = 4;
 /** Greatest answer that is held back until it is whole. */
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -63,7 +65,7 @@
   brokeAfterMs: number | null,
 ): AttemptResult {
   if (code === 'server-closed') return { kind: 'held-back', problem: message };
-  if (outcome === 'not-run') return { kind: 'not-run', problem: message, restMs: null };
+  if (outcome === 'not-run') return { kind: 'not-run', problem: message, backoffMs: null };
   return { kind: 'unknown', problem: message, brokeAfterMs };
 }
 
@@ -86,10 +88,10 @@
 
 /**
  * Whether the server said itself how long to leave it alone: one that fails again and again is left
- * out for 5 s, which would keep it idle after a shorter rest.
+ * out for 5 s, which would keep it idle after a shorter backoff.
  */
 function hasSaidWhen(result: AttemptResult): boolean {
-  return result.kind === 'held-back' || (result.kind === 'not-run' && result.restMs !== null);
+  return result.kind === 'held-back' || (result.kind === 'not-run' && result.backoffMs !== null);
 }
 
 export interface PlainDispatch {
@@ -104,7 +106,7 @@
 export function createPlainDispatch(context: EntryContext): PlainDispatch {
   const { clock, loads, log, operations, quarantine, crashes, notices } = context;
   const servers = createPlainServers(context);
-  const restWaits = createRestWaits({ clock, delay, rests: notices.rests });
+  const backoffWaits = createBackoffWaits({ clock, delay, backoffs: notices.backoffs });
 
   async function judge(response: BackendResponse, backend: BackendFact): Promise<AttemptResult> {
     const { status, headers, problem, isNotRun, load } = response;
@@ -114,8 +116,8 @@
     }
     if (isNotRun) {
       response.body.resume();
-      const { restMs } = response;
-      return { kind: 'not-run', problem: problem ?? `rejected with status ${status}`, restMs };
+      const { backoffMs } = response;
+      return { kind: 'not-run', problem: problem ?? `rejected with status ${status}`, backoffMs };
     }
     if (problem !== null) {
       response.body.destroy();
@@ -220,7 +222,7 @@
           address: backend.address,
           result: result.kind,
           problem: result.kind === 'answered' ? `status ${result.status}` : result.problem,
-          restMs: result.kind === 'not-run' ? result.restMs : undefined,
+          backoffMs: result.kind === 'not-run' ? result.backoffMs : undefined,
           content: digestContent(content),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
@@ -229,8 +231,8 @@
 
       for (;;) {
         // Once it may have run, it cannot be refused as not run.
-        if (runs === 0 && servers.restEndsInMs(service, excluded) > 0) {
-          await restWaits.wait(admitted, () => servers.restEndsInMs(service, excluded));
+        if (runs === 0 && servers.backoffEndsInMs(service, excluded) > 0) {
+          await backoffWaits.wait(admitted, () => servers.backoffEndsInMs(service, excluded));
         }
         if (answer.isClosed) return end('caller-left', 0);
         const remainingMs = admitted.endsAtMs - clock.nowMs();
--- a/packages/entry/src/plainServers.ts
+++ b/packages/entry/src/plainServers.ts
@@ -7,7 +7,7 @@
   /** The less loaded of two that may be sent a request which was not there yet. */
   choose(service: string, excluded: ReadonlySet<string>): BackendFact | undefined;
   /** Time until one of them may be sent something; 0 when one may be now, or none is left. */
-  restEndsInMs(service: string, excluded: ReadonlySet<string>): number;
+  backoffEndsInMs(service: string, excluded: ReadonlySet<string>): number;
   /** When the caller of a request that no server ran is to come back, in milliseconds. */
   returnAfterMs(service: string): number;
 }
@@ -18,31 +18,31 @@
 
 export function createPlainServers(context: EntryContext): PlainServers {
   const { clock, loads, random, view, dataCentre, notices } = context;
-  const { rests } = notices;
+  const { backoffs } = notices;
 
   function listLeft(service: string, excluded: ReadonlySet<string>): readonly BackendFact[] {
     return view.listBackends(service).filter(({ instanceId }) => !excluded.has(instanceId));
   }
 
-  function restEndsInMs(service: string, excluded: ReadonlySet<string>): number {
-    const restsMs = listLeft(service, excluded).map(({ instanceId }) =>
-      rests.remainingMs(instanceId),
+  function backoffEndsInMs(service: string, excluded: ReadonlySet<string>): number {
+    const backoffsMs = listLeft(service, excluded).map(({ instanceId }) =>
+      backoffs.remainingMs(instanceId),
     );
-    return restsMs.length === 0 ? 0 : Math.min(...restsMs);
+    return backoffsMs.length === 0 ? 0 : Math.min(...backoffsMs);
   }
 
   return {
     choose(service, excluded) {
       const candidates = listLeft(service, excluded)
-        .filter(({ instanceId }) => !rests.isHeldBack(instanceId))
+        .filter(({ instanceId }) => !backoffs.isHeldBack(instanceId))
         .map((fact) => ({ name: fact.instanceId, dataCentre: fact.dataCentre, fact }));
       const nowMs = clock.nowMs();
       return selectCandidate(candidates, { dataCentre, excluded, nowMs }, loads, random)?.fact;
     },
-    restEndsInMs,
+    backoffEndsInMs,
     returnAfterMs(service) {
-      const restMs = restEndsInMs(service, NONE_EXCLUDED);
-      return restMs === 0 ? RETRY_AFTER_MS : rests.returnAfterMs(service, restMs);
+      const backoffMs = backoffEndsInMs(service, NONE_EXCLUDED);
+      return backoffMs === 0 ? RETRY_AFTER_MS : backoffs.returnAfterMs(service, backoffMs);
     },
   };
 }
--- a/packages/entry/src/serverNotices.ts
+++ b/packages/entry/src/serverNotices.ts
@@ -1,18 +1,18 @@
 /**
  * What backend servers said of themselves to this VM, and what it sends them no more because of it.
- * Both hold here by what was said here, without any other VM. See docs/design/server-rests.md.
+ * Both hold here by what was said here, without any other VM. See docs/design/server-backoff.md.
  */
 import { FACT_KEYS, isLeaving, stateLeaving } from '@spoolplank/membership';
 import type {
   FactTable,
   FactUpdate,
-  RestWord,
+  BackoffDirective,
   ServerNotice,
   SystemFact,
 } from '@spoolplank/membership';
 import type { EventLog, Metrics } from '@spoolplank/node';
-import { createRestTable } from '@spoolplank/routing';
-import type { RestTable } from '@spoolplank/routing';
+import { createBackoffTable } from '@spoolplank/routing';
+import type { BackoffTable } from '@spoolplank/routing';
 import type { Clock, JsonValue } from '@spoolplank/shared';
 import type { RoutingView } from './routingView';
 
@@ -24,19 +24,19 @@
   readonly findByAddress: RoutingView['findByAddress'];
   /** Makes what this VM states known to others at once. */
   readonly spread: () => void;
-  /** Told of each rest that a server asks this process for. */
-  readonly onRest?: (word: RestWord) => void;
+  /** Told of each backoff that a server asks this process for. */
+  readonly onBackoff?: (word: BackoffDirective) => void;
 }
 
 /** Why nothing is sent to a server now. */
-export type ClosedReason = 'rests' | 'leaves';
+export type ClosedReason = 'backoff' | 'leaves';
 
 export interface ServerNotices {
-  readonly rests: RestTable;
+  readonly backoffs: BackoffTable;
   /** Takes in what a server said. */
   take(notice: ServerNotice): void;
-  /** Takes in a rest that a server asked the other process of this VM for. */
-  noteRest(word: RestWord): void;
+  /** Takes in a backoff that a server asked the other process of this VM for. */
+  noteBackoff(word: BackoffDirective): void;
   /** Why a request is not to be sent to a server; null when it may be. */
   closedReason(instanceId: string): ClosedReason | null;
   /**
@@ -57,30 +57,30 @@
 const REPEAT_MS = 5000;
 
 export function createServerNotices(options: ServerNoticesOptions): ServerNotices {
-  const { clock, log, metrics, table, findByAddress, onRest = () => {} } = options;
-  const rests = createRestTable({ clock });
+  const { clock, log, metrics, table, findByAddress, onBackoff = () => {} } = options;
+  const backoffs = createBackoffTable({ clock });
   const leavingSinceMs = new Map<string, number>();
 
   /**
-   * The engine that is named as at fault rests as well as the one that answered: the first one
+   * The engine that is named as at fault backs off as well as the one that answered: the first one
    * asked for it, and paths over the other one would be turned away for the same reason.
    */
-  function listResting({ instanceId, culpritAddress }: ServerNotice): readonly string[] {
+  function listBackingOff({ instanceId, culpritAddress }: ServerNotice): readonly string[] {
     const culprit = culpritAddress === null ? undefined : findByAddress(culpritAddress)?.body;
     return culprit?.kind === 'backend' && culprit.instanceId !== instanceId
       ? [instanceId, culprit.instanceId]
       : [instanceId];
   }
 
-  function takeRest(notice: ServerNotice, restMs: number): void {
-    listResting(notice).forEach((instanceId) => {
-      const hasBegun = rests.note(instanceId, restMs);
-      onRest({ instanceId, restMs });
-      metrics.count('spoolplank_server_rests_total', { word: hasBegun ? 'first' : 'repeated' });
-      // What was under way is turned away too: one line a rest.
+  function takeBackoff(notice: ServerNotice, backoffMs: number): void {
+    listBackingOff(notice).forEach((instanceId) => {
+      const hasBegun = backoffs.note(instanceId, backoffMs);
+      onBackoff({ instanceId, backoffMs });
+      metrics.count('spoolplank_server_backoffs_total', { word: hasBegun ? 'first' : 'repeated' });
+      // What was under way is turned away too: one line a backoff.
       if (!hasBegun) return;
       const { status, requestId, address, instanceId: answeredBy } = notice;
-      log.info('server-rests', { instanceId, restMs, status, requestId, answeredBy, address });
+      log.info('server-backoff', { instanceId, backoffMs, status, requestId, answeredBy, address });
     });
   }
 
@@ -93,19 +93,19 @@
   }
 
   return {
-    rests,
+    backoffs,
     take(notice) {
-      if (notice.restMs !== null) takeRest(notice, notice.restMs);
+      if (notice.backoffMs !== null) takeBackoff(notice, notice.backoffMs);
       if (notice.isLeaving) takeLeaving(notice);
     },
-    noteRest: ({ instanceId, restMs }) => {
-      rests.note(instanceId, restMs);
+    noteBackoff: ({ instanceId, backoffMs }) => {
+      backoffs.note(instanceId, backoffMs);
     },
     closedReason(instanceId) {
       if (isLeaving(table, instanceId)) return 'leaves';
-      return rests.isHeldBack(instanceId) ? 'rests' : null;
+      return backoffs.isHeldBack(instanceId) ? 'backoff' : null;
     },
-    listClosed: () => [...rests.list().map(({ name }) => name), ...leavingSinceMs.keys()],
+    listClosed: () => [...backoffs.list().map(({ name }) => name), ...leavingSinceMs.keys()],
     noteHeldBack(reason) {
       metrics.count('spoolplank_sends_held_back_total', { reason });
     },
@@ -122,12 +122,12 @@
         }));
     },
     sweep() {
-      rests.sweep();
+      backoffs.sweep();
       leavingSinceMs.forEach((sinceMs, instanceId) => {
         if (clock.nowMs() - sinceMs > REPEAT_MS) leavingSinceMs.delete(instanceId);
       });
     },
     describe: () =>
-      rests.list().map(({ name, remainingMs }) => ({ instanceId: name, remainingMs })),
+      backoffs.list().map(({ name, remainingMs }) => ({ instanceId: name, remainingMs })),
   };
 }
--- a/packages/entry/src/sessions/backendServers.ts
+++ b/packages/entry/src/sessions/backendServers.ts
@@ -1,14 +1,16 @@
-/** The backend servers that new work may go to, with their loads taken in, and those at rest. */
+/**
+ * The backend servers that new work may go to, with their loads taken in, and those that back off.
+ */
 import type { Announcement } from '@spoolplank/membership';
-import { parseRestMs } from '@spoolplank/node';
+import { parseBackoffMs } from '@spoolplank/node';
 import { ENTRY_SERVICE } from './directorySync';
 import type { EntryContext } from './entryContext';
 
-/** Only this status asks for rest. */
+/** Only this status asks for a backoff. */
 const TURNED_AWAY = 503;
 
-/** A rest holds for one run of a server: the next one wants work. */
-function restNameOf({ name, incarnation }: Pick<Announcement, 'name' | 'incarnation'>): string {
+/** A backoff holds for one run of a server: the next one wants work. */
+function backoffNameOf({ name, incarnation }: Pick<Announcement, 'name' | 'incarnation'>): string {
   return `${name}/${incarnation}`;
 }
 
@@ -21,10 +23,10 @@
 
 /** All that are announced, but for those that want nothing from this VM now. */
 export function listBackendServers(context: EntryContext): readonly Announcement[] {
-  const { loads, rests } = context;
+  const { loads, backoffs } = context;
   const announced = listAnnounced(context);
   announced.forEach((announcement) => loads.report(announcement));
-  return announced.filter((announcement) => !rests.isHeldBack(restNameOf(announcement)));
+  return announced.filter((announcement) => !backoffs.isHeldBack(backoffNameOf(announcement)));
 }
 
 /** What a server answered when it did not take a request. */
@@ -33,34 +35,34 @@
   readonly retryAfter: string | undefined;
 }
 
-/** Takes in that a server turned a request away; it rests if it asked for that. */
+/** Takes in that a server turned a request away; it backs off if it asked for that. */
 export function noteTurnedAway(
-  { directorySync, rests, logger }: EntryContext,
+  { directorySync, backoffs, logger }: EntryContext,
   name: string,
   { status, retryAfter = '' }: TurnedAway,
 ): void {
-  const restMs = status === TURNED_AWAY ? parseRestMs([retryAfter]) : null;
+  const backoffMs = status === TURNED_AWAY ? parseBackoffMs([retryAfter]) : null;
   const row = directorySync.directory.findLive(name);
-  if (restMs === null || !row) return;
-  const hasBegun = rests.note(restNameOf(row.announcement), restMs);
-  if (hasBegun) logger.info('server-rests', { name, restMs });
+  if (backoffMs === null || !row) return;
+  const hasBegun = backoffs.note(backoffNameOf(row.announcement), backoffMs);
+  if (hasBegun) logger.info('server-backoff', { name, backoffMs });
 }
 
 /** Notes that something is sent to a server. */
-export function noteSent({ directorySync, rests }: EntryContext, name: string): void {
+export function noteSent({ directorySync, backoffs }: EntryContext, name: string): void {
   const row = directorySync.directory.findLive(name);
-  if (row) rests.noteSent(restNameOf(row.announcement));
+  if (row) backoffs.noteSent(backoffNameOf(row.announcement));
 }
 
 /**
  * When a caller of a service is to come back for which there is no server, in milliseconds: when it
- * is its turn after the first rest, where servers rest, or else `otherwiseMs`.
+ * is its turn after the first backoff, where servers back off, or else `otherwiseMs`.
  */
 export function returnAfterMs(context: EntryContext, service: string, otherwiseMs: number): number {
-  const restsMs = listAnnounced(context)
+  const backoffsMs = listAnnounced(context)
     .filter(({ services }) => services.includes(service))
-    .map((announcement) => context.rests.remainingMs(restNameOf(announcement)))
-    .filter((restMs) => restMs > 0);
-  if (restsMs.length === 0) return otherwiseMs;
-  return context.rests.returnAfterMs(service, Math.min(...restsMs));
+    .map((announcement) => context.backoffs.remainingMs(backoffNameOf(announcement)))
+    .filter((backoffMs) => backoffMs > 0);
+  if (backoffsMs.length === 0) return otherwiseMs;
+  return context.backoffs.returnAfterMs(service, Math.min(...backoffsMs));
 }
--- a/packages/entry/src/sessions/entryContext.ts
+++ b/packages/entry/src/sessions/entryContext.ts
@@ -1,5 +1,5 @@
 /** What the handlers of an entry VM share. */
-import type { BackendLoadTable, RestTable, RetryBudget } from '@spoolplank/routing';
+import type { BackendLoadTable, BackoffTable, RetryBudget } from '@spoolplank/routing';
 import type { VmContext } from '@spoolplank/vm';
 import type { ClaimsClient } from './claimsClient';
 import type { ControlClient } from './controlClient';
@@ -15,8 +15,8 @@
   readonly gate: Gate;
   readonly claims: ClaimsClient;
   readonly loads: BackendLoadTable;
-  /** Backend servers that asked this VM for rest, by `restNameOf`. */
-  readonly rests: RestTable;
+  /** Backend servers that asked this VM for a backoff, by `backoffNameOf`. */
+  readonly backoffs: BackoffTable;
   readonly retryBudget: RetryBudget;
   readonly sessions: SessionStore;
   /** Whether new requests are taken: fresh settings, and no shutdown under way. */
--- a/packages/entry/src/sessions/entryRole.ts
+++ b/packages/entry/src/sessions/entryRole.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { closeServer, delay } from '@spoolplank/node';
 import type { PeerMethod } from '@spoolplank/node';
-import { createBackendLoadTable, createRestTable, createRetryBudget } from '@spoolplank/routing';
+import { createBackendLoadTable, createBackoffTable, createRetryBudget } from '@spoolplank/routing';
 import type { JsonValue } from '@spoolplank/shared';
 import type { ControlRole, SettingsPull } from '@spoolplank/controller';
 import type { VmContext } from '@spoolplank/vm';
@@ -70,7 +70,7 @@
     isTaking,
     claims: createClaimsClient(control),
     loads: createBackendLoadTable(),
-    rests: createRestTable({ clock }),
+    backoffs: createBackoffTable({ clock }),
     retryBudget: createRetryBudget(),
     isShuttingDown: () => isShuttingDown,
   };
@@ -104,7 +104,7 @@
       directory: directorySync.directory.listAll() as unknown as JsonValue,
       admission: gate.counts() as unknown as JsonValue,
       retryBudget: entry.retryBudget.saved,
-      rests: entry.rests.list() as unknown as JsonValue,
+      backoffs: entry.backoffs.list() as unknown as JsonValue,
       sessions: sessions.size,
       control: describeControl(),
       memory: {
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -19,7 +19,7 @@
       /** The engine that could not do its part, by address; null where none is named. */
       readonly culprit: string | null;
       /** How long it wants nothing from this VM, in milliseconds; null where it does not say. */
-      readonly restMs: number | null;
+      readonly backoffMs: number | null;
     }
   /** It broke off, or was ended here; what the caller has of it stays. */
   | {
@@ -29,7 +29,10 @@
       readonly isHeadFine: boolean;
       readonly run: BrokenRun;
     }
-  /** Nothing was sent: its first engine asked for rest or said that it leaves, after the choice. */
+  /**
+   * Nothing was sent: its first engine asked for a backoff or said that it leaves, after the
+   * choice.
+   */
   | { readonly kind: 'held-back'; readonly problem: string }
   | { readonly kind: 'caller-left' };
 
@@ -165,7 +168,7 @@
         if (whole.length > 0 && !answer.isClosed) passOn(whole);
       });
       body.once('end', () => {
-        if (splitter.hasRest) passOn(splitter.takeRest());
+        if (splitter.hasBackoff) passOn(splitter.takeBackoff());
         else if (!progress.hasBegun) passOn(Buffer.alloc(0));
         resolve();
       });
@@ -188,8 +191,8 @@
     const { status, isNotRun, problem } = response;
     if (isNotRun || response.isMisdirected) {
       response.body.resume();
-      const { culpritAddress: culprit, restMs } = response;
-      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit, restMs };
+      const { culpritAddress: culprit, backoffMs } = response;
+      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit, backoffMs };
     }
     if (problem !== null) {
       response.body.destroy();
@@ -219,7 +222,7 @@
       examine(head.id, head.address);
     }
     if (known.outcome === 'not-run' && row.cutReason === null) {
-      return { kind: 'not-run', problem, culprit: head?.address ?? null, restMs: null };
+      return { kind: 'not-run', problem, culprit: head?.address ?? null, backoffMs: null };
     }
     const isHeadFine = row.cutReason === 'no-repair';
     return { kind: 'broken', problem, isHeadFine, run: describeRun(row) };
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -29,7 +29,9 @@
 }
 
 const MAX_REJECTIONS = 4;
-/** Choices that came just before their engine asked for rest; each is made with what was heard. */
+/**
+ * Choices that came just before their engine asked for a backoff; each is made with what was heard.
+ */
 const MAX_HELD_BACK = 4;
 /**
  * A closed port is seen within 2 to 6 ms, so that a request knows what ended under it before it is
@@ -194,7 +196,9 @@
           requestId: request.id,
           result: result.kind,
           problem,
-          ...(result.kind === 'not-run' ? { culprit: result.culprit, restMs: result.restMs } : {}),
+          ...(result.kind === 'not-run'
+            ? { culprit: result.culprit, backoffMs: result.backoffMs }
+            : {}),
           path: progress.servedBy,
           lastEventId: progress.lastEventId,
           ...(result.kind === 'broken' ? describeRun(admitted, result.run) : {}),
--- a/packages/entry/src/streamPath.ts
+++ b/packages/entry/src/streamPath.ts
@@ -49,7 +49,7 @@
     unseenInFlight: (headId) => streams.estimateUnseen(headId, Math.max(0, countEntries() - 1)),
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAvoided: health.isAvoided,
-    restMsOf: notices.rests.remainingMs,
+    backoffMsOf: notices.backoffs.remainingMs,
   });
   const places = createPlaceService({
     clock,
@@ -64,7 +64,7 @@
     chains,
     listAvoided: health.listAvoided,
     listClosed: notices.listClosed,
-    rests: notices.rests,
+    backoffs: notices.backoffs,
   });
   const looks = createEngineLooks({
     clock,
--- a/packages/entry/src/waitingLine.ts
+++ b/packages/entry/src/waitingLine.ts
@@ -40,7 +40,9 @@
 
 /** So many that find no place stand for all behind them that leave out the same. */
 const MAX_VAIN_LOOKS = 3;
-/** With three VMs in four at rest with one chain each, the others' places stood empty otherwise. */
+/**
+ * With three VMs in four backing off with one chain each, the others' places stood empty otherwise.
+ */
 const MAX_LOOKS = 24;
 /** Pause after a place was given. */
 const NEXT_PLACE_MS = 2;
--- a/packages/fakes/src/plainService.ts
+++ b/packages/fakes/src/plainService.ts
@@ -53,7 +53,7 @@
   durationMs: number;
   /** `before`: refuse unrun; `during`: run, then break off; `after`: run, send half. */
   failure: 'none' | 'before' | 'during' | 'after';
-  /** With a refusal: the seconds of rest that it asks for; 0 for none. */
+  /** With a refusal: the seconds of backoff that it asks for; 0 for none. */
   retryAfterS: number;
   /** Calls that still fail; then the service is well again. */
   remaining: number;
--- a/packages/membership/__tests__/siblingRests.spec.ts
+++ b/packages/membership/__tests__/siblingBackoffs.spec.ts
@@ -2,10 +2,10 @@
 import { describe, it } from 'node:test';
 import type { JsonValue } from '@spoolplank/shared';
 import { createManualClock } from '@spoolplank/shared';
-import { createFactTable, createSiblingRests, FACT_KEYS } from '..';
-import type { MemberFact, RestWord, SiblingTarget, SystemFact } from '..';
+import { createFactTable, createSiblingBackoffs, FACT_KEYS } from '..';
+import type { MemberFact, BackoffDirective, SiblingTarget, SystemFact } from '..';
 
-const WORD: RestWord = { instanceId: 'e1', restMs: 3000 };
+const WORD: BackoffDirective = { instanceId: 'e1', backoffMs: 3000 };
 
 function createMember(host: string, role: MemberFact['role'], peerPort: number): MemberFact {
   return { kind: 'member', vmId: host, dataCentre: 'a', host, role, peerPort, state: 'ready' };
@@ -16,9 +16,9 @@
   const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
   const calls: { readonly port: number; readonly method: string; readonly params: JsonValue }[] =
     [];
-  const words: RestWord[] = [];
-  const untold: RestWord[] = [];
-  const rests = createSiblingRests({
+  const words: BackoffDirective[] = [];
+  const untold: BackoffDirective[] = [];
+  const backoffs = createSiblingBackoffs({
     table,
     host: 'vm1',
     role: 'entry',
@@ -28,9 +28,9 @@
     },
     onUntold: (_problem, word) => untold.push(word),
   });
-  rests.onWord((word) => words.push(word));
+  backoffs.onWord((word) => words.push(word));
   return {
-    rests,
+    backoffs,
     calls,
     words,
     untold,
@@ -41,14 +41,14 @@
   };
 }
 
-describe('a rest that one process of a VM was asked for', () => {
+describe('a backoff that one process of a VM was asked for', () => {
   it('is told to the other process of that VM, to the run heard of last, and to nobody else', () => {
-    const { rests, calls, join } = createSetting();
+    const { backoffs, calls, join } = createSetting();
     join(createMember('vm1', 'entry', 1), 'self');
     join(createMember('vm1', 'control', 2), 'earlier');
     join(createMember('vm1', 'control', 3), 'later');
     join(createMember('vm2', 'control', 4));
-    rests.tell(WORD);
+    backoffs.tell(WORD);
     assert.deepEqual(
       calls.map(({ port, params }) => ({ port, params })),
       [{ port: 3, params: WORD }],
@@ -56,26 +56,26 @@
   });
 
   it('is told to nobody where the VM has no other process', () => {
-    const { rests, calls, join } = createSetting();
+    const { backoffs, calls, join } = createSetting();
     join(createMember('vm1', 'entry', 1));
     join(createMember('vm2', 'control', 4));
-    rests.tell(WORD);
+    backoffs.tell(WORD);
     assert.deepEqual(calls, []);
   });
 
   it('is taken in by the process that is told, under the method that is called', () => {
-    const { rests, calls, words, join } = createSetting();
+    const { backoffs, calls, words, join } = createSetting();
     join(createMember('vm1', 'control', 2));
-    rests.tell(WORD);
+    backoffs.tell(WORD);
     const [call] = calls;
-    rests.methods[call?.method ?? '']?.(call?.params ?? null);
+    backoffs.methods[call?.method ?? '']?.(call?.params ?? null);
     assert.deepEqual(words, [WORD]);
   });
 
   it('ends nothing when the other process does not answer', async () => {
-    const { rests, untold, join } = createSetting({ isThere: false });
+    const { backoffs, untold, join } = createSetting({ isThere: false });
     join(createMember('vm1', 'control', 2));
-    rests.tell(WORD);
+    backoffs.tell(WORD);
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -10,4 +10,4 @@
 export * from './src/feedServer';
 export * from './src/pace';
 export * from './src/serverNotice';
-export * from './src/siblingRests';
+export * from './src/siblingBackoffs';
--- a/packages/membership/src/serverNotice.ts
+++ b/packages/membership/src/serverNotice.ts
@@ -8,7 +8,7 @@
   readonly requestId: string | null;
   readonly status: number;
   /** How long it wants nothing from this VM, in milliseconds; null where it does not ask for it. */
-  readonly restMs: number | null;
+  readonly backoffMs: number | null;
   /** It takes no new work, from anybody. */
   readonly isLeaving: boolean;
   /** The server that it names as unable to do its part; null where it names none. */
--- a/packages/membership/src/siblingRests.ts
+++ b/packages/membership/src/siblingBackoffs.ts
@@ -1,17 +1,17 @@
 /**
- * Rests that a backend server asked one process of a VM for, told to the other process of it.
+ * Backoffs that a backend server asked one process of a VM for, told to the other process of it.
  *
  * A server asks a VM, not a process, to send it nothing: orders and reports of the control role
- * would reach it in a rest that it asked the entry for.
+ * would reach it in a backoff that it asked the entry for.
  */
 import type { JsonValue } from '@spoolplank/shared';
 import type { FactTable } from './factTable';
 import type { MemberFact, SystemFact } from './systemFacts';
 
 /** How long a run of a backend server wants nothing, from now on. */
-export interface RestWord {
+export interface BackoffDirective {
   readonly instanceId: string;
-  readonly restMs: number;
+  readonly backoffMs: number;
 }
 
 /** Where the other process of this VM is called. */
@@ -21,7 +21,7 @@
   readonly port: number;
 }
 
-export interface SiblingRestsOptions {
+export interface SiblingBackoffsOptions {
   readonly table: Pick<FactTable<SystemFact>, 'list'>;
   /** This process. */
   readonly host: string;
@@ -29,23 +29,23 @@
   /** Calls a method of the other process; rejects when it does not answer. */
   readonly call: (sibling: SiblingTarget, method: string, params: JsonValue) => Promise<unknown>;
   /** Told when the other process could not be told. */
-  readonly onUntold: (problem: string, word: RestWord) => void;
+  readonly onUntold: (problem: string, word: BackoffDirective) => void;
 }
 
-export interface SiblingRests {
+export interface SiblingBackoffs {
   /** What the other process calls here. */
   readonly methods: Readonly<Record<string, (params: JsonValue) => JsonValue>>;
   /** Has a listener told of what the other process was asked for. */
-  onWord(listener: (word: RestWord) => void): void;
+  onWord(listener: (word: BackoffDirective) => void): void;
   /** Tells the other process, where there is one. */
-  tell(word: RestWord): void;
+  tell(word: BackoffDirective): void;
 }
 
-const REST_METHOD = 'server.rests';
+const REST_METHOD = 'server.backoff';
 
-export function createSiblingRests(options: SiblingRestsOptions): SiblingRests {
+export function createSiblingBackoffs(options: SiblingBackoffsOptions): SiblingBackoffs {
   const { table, host, role, call, onUntold } = options;
-  let takeIn = (_word: RestWord): void => {};
+  let takeIn = (_word: BackoffDirective): void => {};
 
   /** The run heard of last: an earlier one listened at the same port. */
   function findSibling(): SiblingTarget | undefined {
@@ -63,7 +63,7 @@
   return {
     methods: {
       [REST_METHOD]: (params) => {
-        takeIn(params as unknown as RestWord);
+        takeIn(params as unknown as BackoffDirective);
         return true;
       },
     },
--- /dev/null
+++ b/packages/routing/__tests__/backoffTable.spec.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock } from '@spoolplank/shared';
+import { createBackoffTable, isBackoffWorthWaiting } from '..';
+
+function createSetting() {
+  const clock = createManualClock(1000);
+  return { clock, backoffs: createBackoffTable({ clock }) };
+}
+
+describe('the backoff of a server', () => {
+  it('lasts as long as it was asked for, from the word on', () => {
+    const { clock, backoffs } = createSetting();
+    assert.equal(backoffs.note('e1', 3000), true);
+    assert.equal(backoffs.remainingMs('e1'), 3000);
+    clock.advance(2999);
+    assert.equal(backoffs.isHeldBack('e1'), true);
+    clock.advance(1);
+    assert.equal(backoffs.isHeldBack('e1'), false);
+    assert.equal(backoffs.isHeldBack('e2'), false);
+  });
+
+  it('is replaced by a longer one, and not by a shorter one', () => {
+    const { clock, backoffs } = createSetting();
+    backoffs.note('e1', 1000);
+    assert.equal(backoffs.note('e1', 3000), false, 'it was backing off already');
+    assert.equal(backoffs.remainingMs('e1'), 3000);
+    backoffs.note('e1', 500);
+    assert.equal(backoffs.remainingMs('e1'), 3000);
+    clock.advance(3000);
+    assert.equal(backoffs.note('e1', 100), true, 'a new one');
+  });
+
+  it('is not shortened by a suspension of the VM, nor by a step of the time of day', () => {
+    const { clock, backoffs } = createSetting();
+    backoffs.note('e1', 3000);
+    clock.suspend(10_000);
+    clock.jumpWall(10_000);
+    assert.equal(backoffs.remainingMs('e1'), 3000);
+  });
+
+  it('is followed by requests one after the other for a second, and then by all', () => {
+    const { clock, backoffs } = createSetting();
+    backoffs.note('e1', 3000);
+    clock.advance(3000);
+    backoffs.noteSent('e1');
+    assert.equal(backoffs.remainingMs('e1'), 25);
+    assert.equal(backoffs.isBackingOff('e1'), false, 'it is back');
+    clock.advance(25);
+    assert.equal(backoffs.isHeldBack('e1'), false);
+    clock.advance(975);
+    backoffs.noteSent('e1');
+    assert.equal(backoffs.isHeldBack('e1'), false);
+  });
+
+  it('gives those who come back a turn each, and begins anew with the next backoff', () => {
+    const { clock, backoffs } = createSetting();
+    assert.equal(backoffs.returnAfterMs('drafts', 3000), 3000);
+    assert.equal(backoffs.returnAfterMs('drafts', 3000), 3025);
+    assert.equal(backoffs.returnAfterMs('looks', 500), 500, 'another service has its own turns');
+    clock.advance(1000);
+    assert.equal(backoffs.returnAfterMs('drafts', 2000), 2050);
+    clock.advance(2000);
+    assert.equal(backoffs.returnAfterMs('drafts', 700), 700);
+  });
+
+  it('is forgotten when it is over and its second of return too', () => {
+    const { clock, backoffs } = createSetting();
+    backoffs.note('e1', 3000);
+    backoffs.sweep();
+    assert.deepEqual(backoffs.list(), [{ name: 'e1', remainingMs: 3000 }]);
+    clock.advance(3900);
+    backoffs.sweep();
+    backoffs.noteSent('e1');
+    assert.equal(backoffs.isHeldBack('e1'), true, 'still coming back');
+    clock.advance(200);
+    backoffs.sweep();
+    assert.deepEqual(backoffs.list(), []);
+  });
+});
+
+describe('a request before which all servers back off', () => {
+  const wait = { turnInMs: 400, remainingMs: 2000, waitedMs: 0 };
+
+  it('waits where its turn comes soon', () => {
+    assert.equal(isBackoffWorthWaiting(wait), true);
+  });
+
+  it('is refused where half of its time would be over, or 1.2 s since it came', () => {
+    assert.equal(isBackoffWorthWaiting({ ...wait, remainingMs: 790 }), false);
+    assert.equal(isBackoffWorthWaiting({ ...wait, waitedMs: 900, remainingMs: 9000 }), false);
+    assert.equal(
+      isBackoffWorthWaiting({ turnInMs: 3000, remainingMs: 20_000, waitedMs: 0 }),
+      false,
+    );
+  });
+});
--- a/packages/routing/src/restTable.ts
+++ b/packages/routing/src/backoffTable.ts
@@ -2,15 +2,15 @@
  * Which backend servers want nothing from this VM for a while, because they said so.
  *
  * The load pattern it answers: a server is full, or sheds the share of one VM, and asks it for some
- * seconds of rest. Everything that is sent to it meanwhile is turned away, and costs the server
- * what it wanted to be spared: one VM sent 14 requests into a rest of three seconds, though two
- * other chains had room. At the end of a rest all who waited for it would come at once; they come
- * one after the other instead, so that a server which still sheds is asked by one of them.
+ * seconds of backoff. Everything that is sent to it meanwhile is turned away, and costs the server
+ * what it wanted to be spared: one VM sent 14 requests into a backoff of three seconds, though two
+ * other chains had room. At the end of a backoff all who waited for it would come at once; they
+ * come one after the other instead, so that a server which still sheds is asked by one of them.
  */
 import type { Clock } from '@spoolplank/shared';
 
-export interface RestTableOptions {
-  /** A rest is waited out, so it is counted by the time that never runs ahead. */
+export interface BackoffTableOptions {
+  /** A backoff is waited out, so it is counted by the time that never runs ahead. */
   readonly clock: Pick<Clock, 'steadyMs'>;
 }
 
@@ -20,32 +20,34 @@
   readonly remainingMs: number;
 }
 
-export interface RestTable {
+export interface BackoffTable {
   /**
-   * Takes in that a server wants nothing for so long, in milliseconds; a shorter rest than the one
-   * it has changes nothing. Returns whether it rested not yet.
+   * Takes in that a server wants nothing for so long, in milliseconds; a shorter backoff than the
+   * one it has changes nothing. Returns whether it was not backing off yet.
    */
-  note(name: string, restMs: number): boolean;
+  note(name: string, backoffMs: number): boolean;
   /** Time until something may be sent to a server, in milliseconds; 0 when it may be now. */
   remainingMs(name: string): number;
   isHeldBack(name: string): boolean;
-  /** Whether the rest that a server asked for is not over. */
-  isResting(name: string): boolean;
-  /** Notes that something is sent to a server: what comes next after a rest waits for its turn. */
+  /** Whether the backoff that a server asked for is not over. */
+  isBackingOff(name: string): boolean;
+  /**
+   * Notes that something is sent to a server: what comes next after a backoff waits for its turn.
+   */
   noteSent(name: string): void;
   /**
    * When one more request for a group of servers is to come back, in milliseconds from now, where
-   * the first of them rests for so long: one after the other, in the order in which they ask.
+   * the first of them backs off for so long: one after the other, in the order in which they ask.
    */
-  returnAfterMs(group: string, restMs: number): number;
+  returnAfterMs(group: string, backoffMs: number): number;
   list(): readonly HeldBackServer[];
-  /** Whether any server rested within the last seconds; mostly none did. */
+  /** Whether any server backed off within the last seconds; mostly none did. */
   readonly isEmpty: boolean;
   /** Forgets servers that are back. */
   sweep(): void;
 }
 
-interface RestRow {
+interface BackoffRow {
   /** On the steady clock. */
   readonly endsAtMs: number;
   nextSendAtMs: number;
@@ -56,13 +58,13 @@
   readonly given: number;
 }
 
-/** After a rest, requests go to the server one after the other for so long. */
+/** After a backoff, requests go to the server one after the other for so long. */
 const RETURN_MS = 1000;
 /** A server turns a request away within 2 to 5 ms: the next one is sent when that was heard. */
 const RETURN_SPACING_MS = 25;
 
-export function createRestTable({ clock }: RestTableOptions): RestTable {
-  const rows = new Map<string, RestRow>();
+export function createBackoffTable({ clock }: BackoffTableOptions): BackoffTable {
+  const rows = new Map<string, BackoffRow>();
   const returns = new Map<string, ReturnRow>();
 
   function remainingMs(name: string): number {
@@ -72,28 +74,28 @@
   }
 
   return {
-    note(name, restMs) {
+    note(name, backoffMs) {
       const nowMs = clock.steadyMs();
       const known = rows.get(name);
-      const wasResting = known !== undefined && nowMs < known.endsAtMs;
-      const endsAtMs = Math.max(nowMs + restMs, known?.endsAtMs ?? 0);
+      const wasBackingOff = known !== undefined && nowMs < known.endsAtMs;
+      const endsAtMs = Math.max(nowMs + backoffMs, known?.endsAtMs ?? 0);
       rows.set(name, { endsAtMs, nextSendAtMs: endsAtMs });
-      return !wasResting;
+      return !wasBackingOff;
     },
     remainingMs,
     isHeldBack: (name) => remainingMs(name) > 0,
-    isResting: (name) => clock.steadyMs() < (rows.get(name)?.endsAtMs ?? 0),
+    isBackingOff: (name) => clock.steadyMs() < (rows.get(name)?.endsAtMs ?? 0),
     noteSent(name) {
       const row = rows.get(name);
       const nowMs = clock.steadyMs();
       if (row && nowMs < row.endsAtMs + RETURN_MS) row.nextSendAtMs = nowMs + RETURN_SPACING_MS;
     },
-    returnAfterMs(group, restMs) {
+    returnAfterMs(group, backoffMs) {
       const nowMs = clock.steadyMs();
       const known = returns.get(group);
       const given = known && nowMs < known.endsAtMs ? known.given : 0;
-      returns.set(group, { endsAtMs: nowMs + restMs, given: given + 1 });
-      return Math.ceil(restMs + given * RETURN_SPACING_MS);
+      returns.set(group, { endsAtMs: nowMs + backoffMs, given: given + 1 });
+      return Math.ceil(backoffMs + given * RETURN_SPACING_MS);
     },
     list: () =>
       [...rows.keys()]
--- a/packages/routing/src/restWait.ts
+++ b/packages/routing/src/backoffWait.ts
@@ -1,12 +1,12 @@
 /**
- * Whether a request waits for the end of a rest here, or its caller is told when to come back.
+ * Whether a request waits for the end of a backoff here, or its caller is told when to come back.
  *
- * All servers that could run it rest, and the first of them for a known time. A short rest is
- * waited for: the caller keeps its turn, and makes no second connection. What cannot be served
+ * All servers that could run it back off, and the first of them for a known time. A short backoff
+ * is waited for: the caller keeps its turn, and makes no second connection. What cannot be served
  * in time that way is refused at once, with the time at which it can be.
  */
 
-export interface RestWait {
+export interface BackoffWait {
   /** When it is this request's turn, in milliseconds from now. */
   readonly turnInMs: number;
   /** What is left of its time. */
@@ -20,6 +20,6 @@
 /** The other half is for the run itself, and for another server when this one fails. */
 const MAX_SHARE = 0.5;
 
-export function isRestWorthWaiting({ turnInMs, remainingMs, waitedMs }: RestWait): boolean {
+export function isBackoffWorthWaiting({ turnInMs, remainingMs, waitedMs }: BackoffWait): boolean {
   return waitedMs + turnInMs <= MAX_WAIT_MS && turnInMs <= remainingMs * MAX_SHARE;
 }
