fix(consensus): a replica without a vote gives up a leader that it no longer hears

Callers saw: nothing yet. A VM with a disk that was away for longer than its place is kept was outside the group from then on, and the next loss met a group that bore one less than its settings say; in a schedule it ended the group. Cause: only an election made a replica give its leader up, and who has no vote holds none. Asking to be let in again hangs on having no leader. Ruled out: the requests being lost (none was sent) or refused. Change: when the time of an election comes, a replica that may not campaign gives up its leader. Why it works: that time is put off by each message of the leader, for every replica, so it comes exactly when the leader is not heard; the asking then follows as for voters.

--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -198,7 +198,10 @@
     if (isTransferOver) becomeFollower(state, state.term, null);
     return;
   }
-  if (nowMs >= state.electionDeadlineMs && mayCampaign(state)) startPreVote(state);
+  if (nowMs < state.electionDeadlineMs) return;
+  if (mayCampaign(state)) startPreVote(state);
+  // Nothing else tells a replica without a vote that it was removed while it was away.
+  else state.leaderId = null;
 }
 
 function takeHardState(state: ReplicaState): HardState | null {
