test(consensus): a newcomer is given time to answer by a leader of long standing (fails)

Measured: it fails: the newcomer is removed at the look after it was taken in. Conclusion: on a link with a round trip longer than that look a newcomer would be taken in and removed in turn.

--- a/packages/consensus/__tests__/membershipRecord.spec.ts
+++ b/packages/consensus/__tests__/membershipRecord.spec.ts
@@ -141,6 +141,15 @@
     assert.deepEqual(changes(look(status, LOOK_MS)), ['exchange']);
   });
 
+  it('counts that of a member from when it was taken in, however long it has led itself', () => {
+    const { look } = createFixture();
+    look(createStatus(), 2 * LIMITS.removeAfterMs);
+    const answerAgesMs = { 'vm2#b': 50, 'vm3#c': 50 };
+    const unheard = createStatus({ configuration: LEARNING, answerAgesMs });
+    assert.deepEqual(changes(look(unheard, LIMITS.removeAfterMs)), []);
+    assert.deepEqual(changes(look(unheard, 2 * LOOK_MS)), ['remove', 'remove']);
+  });
+
   it('takes no answer of a new identity of its VM for one of the old', () => {
     const { look } = createFixture();
     const status = createStatus({
