fix(consensus): a newcomer has its own time to answer, and only answers make a member steady

Callers saw: nothing. Where a round trip takes longer than a look of the leader, a newcomer was removed before its first answer could come, asked again, and so on: the group went without it. Cause: the silence of who never answered was counted from the beginning of the lead, for voters, of whom the leader may know nothing, and for newcomers, of whom it knows when it took them in. Ruled out: the decision itself; it removed the most silent one, by what it was told. Change: silence counts from when this leader has the member; and a member is steady by answers alone, as one that was just taken in is not yet silent. Why it works: each member has the whole time that the settings give, and nobody has it twice under one lead.

--- a/packages/consensus/src/groupMembership.ts
+++ b/packages/consensus/src/groupMembership.ts
@@ -52,10 +52,13 @@
   const leavingAtMs = new Map<ReplicaId, number>();
   const dataCentres = new Map<ReplicaId, string>();
   const steadySinceMs = new Map<ReplicaId, number>();
+  /** Since when this leader has them as members. */
+  const memberSinceMs = new Map<ReplicaId, number>();
   let commitIndexBefore = 0;
   let isLeaving = false;
   let isLeaveHeard = false;
-  let leadsSinceMs: number | null = null;
+  /** Whether it led at the look before. */
+  let hasLed = false;
   let lastLeader: ReplicaId | null = null;
   let leaderSeenAtMs = clock.nowMs();
 
@@ -65,22 +68,34 @@
     if (answeredMs !== undefined) return answeredMs;
     // The leader before was heard until it fell silent; of the others nothing was heard till now.
     const heardMs = id === lastLeader ? heardAgesMs[id] : undefined;
-    return heardMs ?? clock.nowMs() - (leadsSinceMs ?? clock.nowMs());
+    return heardMs ?? clock.nowMs() - (memberSinceMs.get(id) ?? clock.nowMs());
   }
 
   function holdsUpTo(status: ReplicaStatus, id: ReplicaId, index: number): boolean {
     return (status.matchIndexes[id] ?? 0) >= index;
   }
 
+  function noteMembers({ configuration }: ReplicaStatus): void {
+    const members = listReplicas(configuration);
+    [...memberSinceMs.keys()]
+      .filter((id) => !members.includes(id))
+      .forEach((id) => {
+        memberSinceMs.delete(id);
+        steadySinceMs.delete(id);
+      });
+    members
+      .filter((id) => !memberSinceMs.has(id))
+      .forEach((id) => memberSinceMs.set(id, clock.nowMs()));
+  }
+
   /** Notes who has answered and held what was committed at the look before. */
   function noteSteady(status: ReplicaStatus): void {
-    const members = listReplicas(status.configuration);
-    [...steadySinceMs.keys()]
-      .filter((id) => !members.includes(id))
-      .forEach((id) => steadySinceMs.delete(id));
-    members.forEach((id) => {
+    listReplicas(status.configuration).forEach((id) => {
+      const answeredMs = id === replicaId ? 0 : status.answerAgesMs[id];
       const isSteady =
-        silentForMs(status, id) <= limits.freshForMs && holdsUpTo(status, id, commitIndexBefore);
+        answeredMs !== undefined &&
+        answeredMs <= limits.freshForMs &&
+        holdsUpTo(status, id, commitIndexBefore);
       if (!isSteady) steadySinceMs.delete(id);
       else if (!steadySinceMs.has(id)) steadySinceMs.set(id, clock.nowMs());
     });
@@ -111,11 +126,13 @@
   }
 
   function lead(status: ReplicaStatus): MembershipStep | null {
-    if (leadsSinceMs === null) {
-      leadsSinceMs = clock.nowMs();
+    if (!hasLed) {
+      hasLed = true;
       commitIndexBefore = status.commitIndex;
       steadySinceMs.clear();
+      memberSinceMs.clear();
     }
+    noteMembers(status);
     noteSteady(status);
     const isChanging = status.commitIndex < status.configurationIndex;
     if (isChanging || status.configuration.outgoing) return null;
@@ -134,7 +151,7 @@
 
   /** A replica that was removed while it was away hears of that from nobody. */
   function follow({ configuration, leaderId }: ReplicaStatus): MembershipAction | null {
-    leadsSinceMs = null;
+    hasLed = false;
     asked.clear();
     leavingAtMs.clear();
     const nowMs = clock.nowMs();
