refactor(entry): a look at an engine is a probe, as in the rest of the field

Cause: SWIM and Kubernetes call it a probe; a newcomer had to learn "look". An entry of before answers the new call with an error for the minutes of an upgrade, and the asking one probes for itself, as it does when nobody answers. Conclusion: one term fewer to learn.

--- a/packages/entry/__tests__/engineLooks.spec.ts
+++ b/packages/entry/__tests__/engineProbes.spec.ts
@@ -6,23 +6,23 @@
 import type { PeerClient, PeerTarget } from '@spoolplank/node';
 import { createManualClock, SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
-import { createEngineLooks } from '../src/engineLooks';
-import type { EngineLooks } from '../src/engineLooks';
+import { createEngineProbes } from '../src/engineProbes';
+import type { EngineProbes } from '../src/engineProbes';
 
 const ENTRIES = 78;
 const PATH = ['e1', 'e2', 'e3'].map((id) => ({ instanceId: id, address: `${id}:80` }));
 
-/** All entries of a data centre; the first one looks for all. */
+/** All entries of a data centre; the first one probes for all. */
 function createEntries(answer: (address: string, tries: number) => boolean) {
   const clock = createManualClock(1000);
   const tries = new Map<string, number>();
   const limitsMs: number[] = [];
-  const looks = new Map<string, EngineLooks>();
+  const probes = new Map<string, EngineProbes>();
   const appointed = { host: 'h0', peerPort: 1 } as MemberFact;
   let isAppointedThere = true;
   const peersOf = (sender: string): PeerClient => ({
     async call<Result>({ vmId }: PeerTarget, method: string, params: unknown): Promise<Result> {
-      const called = isAppointedThere ? looks.get(vmId)?.methods[method] : undefined;
+      const called = isAppointedThere ? probes.get(vmId)?.methods[method] : undefined;
       if (!called) throw new SpoolplankError('unreachable');
       return (await called(structuredClone(params) as JsonValue, sender)) as Result;
     },
@@ -30,7 +30,7 @@
   });
   for (let index = 0; index < ENTRIES; index += 1) {
     const host = `h${index}`;
-    const created = createEngineLooks({
+    const created = createEngineProbes({
       clock,
       delay: async () => {
         await nextTurn();
@@ -49,14 +49,14 @@
       findAppointed: () => appointed,
       countEntries: () => ENTRIES,
     });
-    looks.set(host, created);
+    probes.set(host, created);
   }
   return {
     clock,
     tries,
     limitsMs,
-    askAll: () => Promise.all([...looks.values()].map((entry) => entry.ask('a', PATH))),
-    askOf: (host: string) => looks.get(host)?.ask('a', PATH),
+    askAll: () => Promise.all([...probes.values()].map((entry) => entry.ask('a', PATH))),
+    askOf: (host: string) => probes.get(host)?.ask('a', PATH),
     endAppointed() {
       isAppointedThere = false;
     },
@@ -64,7 +64,7 @@
 }
 
 describe('a path that falls silent over all entries at once', () => {
-  it('is looked at once for all of them, and each is told what is lost', async () => {
+  it('is probed once for all of them, and each is told what is lost', async () => {
     const { askAll, tries } = createEntries((address) => address !== 'e2:80');
     const answers = await askAll();
     assert.equal(answers.length, ENTRIES);
@@ -73,7 +73,7 @@
     tries.forEach((count) => assert.ok(count <= 3, `${count} connections`));
   });
 
-  it('is not looked at for one VM or two that alone miss something', async () => {
+  it('is not probed for one VM or two that alone miss something', async () => {
     const { askOf, tries } = createEntries(() => false);
     assert.deepEqual(await Promise.all([askOf('h1'), askOf('h2')]), [[], []]);
     assert.equal(tries.size, 0);
@@ -93,7 +93,7 @@
     limitsMs.forEach((limitMs) => assert.ok(limitMs >= 1, `${limitMs} ms`));
   });
 
-  it('is looked at anew when it is still silent a moment later', async () => {
+  it('is probed anew when it is still silent a moment later', async () => {
     const { askAll, tries, clock } = createEntries(() => true);
     await askAll();
     const before = tries.get('e1:80') ?? 0;
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -17,13 +17,13 @@
   readonly unreachable?: readonly string[];
   readonly stalledAt?: string;
   readonly outcome?: RepairOutcome;
-  /** What the VM that looks for all others answers. */
-  readonly lostByLook?: readonly string[];
+  /** What the VM that probes for all others answers. */
+  readonly lostByProbe?: readonly string[];
 }
 
 const ROUTE = { targetGapMs: 200, targetLatencyMs: 500 } as Route;
 
-function createSetting({ unreachable = [], stalledAt, outcome, lostByLook }: Setting = {}) {
+function createSetting({ unreachable = [], stalledAt, outcome, lostByProbe }: Setting = {}) {
   const tables = createTables();
   const { clock, view, announce } = tables;
   announce(createEngine('a1', 0, 4));
@@ -73,7 +73,7 @@
     avoid: () => {},
     askAppointed() {
       asks += 1;
-      return Promise.resolve(lostByLook ?? null);
+      return Promise.resolve(lostByProbe ?? null);
     },
   });
   const row: StreamRow = {
@@ -129,7 +129,7 @@
 }
 
 describe('a stream that fell silent', () => {
-  it('is looked into by a few of many entries at a time, and by each of them in the end', async () => {
+  it('is probed by a few of many entries at a time, and by each of them in the end', async () => {
     const { table, counts, pass, clock } = createSetting();
     const announceEntries = () =>
       Array.from({ length: 120 }, (_, index) =>
@@ -143,14 +143,14 @@
           state: 'ready',
         }),
       );
-    let looks = 0;
+    let probes = 0;
     for (let window = 0; window < 100; window += 1) {
       announceEntries();
       const before = counts().connections;
       await pass(400);
-      if (counts().connections > before) looks += 1;
+      if (counts().connections > before) probes += 1;
     }
-    assert.ok(looks > 0 && looks < 30, `${looks} of 100`);
+    assert.ok(probes > 0 && probes < 30, `${probes} of 100`);
   });
 
   it('is no reason to connect to engines while others go on over the same path', async () => {
@@ -206,21 +206,21 @@
     assert.deepEqual(setting.cuts, ['no-repair']);
   });
 
-  it('looks less and less often when nothing is wrong', async () => {
+  it('is probed less and less often when nothing is wrong', async () => {
     const setting = createSetting();
     for (let passed = 0; passed < 5000; passed += 100) await setting.pass(100);
     assert.ok(setting.counts().reports <= 6, `${setting.counts().reports} reports`);
   });
 
-  it('is no reason to look while the caller does not read', async () => {
+  it('is no reason to probe while the caller does not read', async () => {
     const setting = createSetting();
     setting.row.isPaused = true;
     await setting.pass(5000);
     assert.deepEqual(setting.counts(), { connections: 0, reports: 0 });
   });
 
-  it('is repaired before its pause is late when the VM that looks for all finds an engine lost', async () => {
-    const setting = createSetting({ lostByLook: ['a2'] });
+  it('is repaired before its pause is late when the VM that probes for all finds an engine lost', async () => {
+    const setting = createSetting({ lostByProbe: ['a2'] });
     await setting.pass(110);
     assert.deepEqual(setting.repairs, [['a1', 'a3']]);
     assert.deepEqual(setting.suspects, ['a2']);
@@ -228,7 +228,7 @@
   });
 
   it('is asked about once, until something came over its path again', async () => {
-    const setting = createSetting({ lostByLook: [] });
+    const setting = createSetting({ lostByProbe: [] });
     for (let passed = 0; passed < 180; passed += 40) await setting.pass(40);
     assert.equal(setting.asks(), 1);
     setting.row.lastProgressAtMs = setting.clock.nowMs();
--- a/packages/entry/src/engineLooks.ts
+++ b/packages/entry/src/engineProbes.ts
@@ -1,17 +1,17 @@
 /**
- * Looks whether engines are still there, from one VM of their data centre for all others.
+ * Probes engines from one VM of their data centre for all others.
  *
  * The load pattern it answers: an engine is lost, and all streams of its path fall silent, over all
  * entries at once. To connect to each engine of the path costs one VM little and seventy VMs more
  * than the loss; so all of them ask the one that gives out the places of that data centre, which
- * looks once for all who ask within a moment and answers each of them directly.
+ * probes once for all who ask within a moment and answers each of them directly.
  */
 import type { MemberFact } from '@spoolplank/membership';
 import type { EventLog, PeerClient, PeerMethod } from '@spoolplank/node';
 import type { Clock } from '@spoolplank/shared';
 import type { BackendOperations, BackendTarget } from './backendOperations';
 
-export interface EngineLooksOptions {
+export interface EngineProbesOptions {
   readonly clock: Clock;
   readonly delay: (durationMs: number) => Promise<void>;
   readonly log: EventLog;
@@ -19,59 +19,58 @@
   /** This VM. */
   readonly host: string;
   readonly operations: Pick<BackendOperations, 'isReachable'>;
-  /** The VM that looks for all others in a data centre; undefined when there is none. */
+  /** The VM that probes for all others in a data centre; undefined when there is none. */
   readonly findAppointed: (dataCentre: string) => MemberFact | undefined;
   /** Entries that are heard of, this one included. */
   readonly countEntries: () => number;
 }
 
-export interface EngineLooks {
+export interface EngineProbes {
   /** What other VMs call here. */
   readonly methods: Readonly<Record<string, PeerMethod>>;
   /**
-   * Has the appointed VM of a data centre look at engines; resolves with the instance ids of those
+   * Has the appointed VM of a data centre probe engines; resolves with the instance ids of those
    * that are lost, or with null when nobody answered.
    */
   ask(dataCentre: string, engines: readonly BackendTarget[]): Promise<readonly string[] | null>;
 }
 
-interface LookCall {
+interface ProbeCall {
   readonly engines: readonly BackendTarget[];
 }
 
-interface Look {
+interface Probe {
   readonly atMs: number;
   readonly isThere: Promise<boolean>;
 }
 
-const LOOKS_METHOD = 'engines.look';
+const PROBE_METHOD = 'engines.probe';
 /** All who miss something on a path ask within a pass or two of each other. */
 const SHARED_FOR_MS = 150;
 /**
  * Connections are tried this long apart, and all given up together. Inside a data centre one takes
- * 2 ms; where ten packets in a hundred are lost, all three are once in a thousand looks.
+ * 2 ms; where ten packets in a hundred are lost, all three are once in a thousand probes.
  */
 const MAX_TRIES = 3;
 const NEXT_TRY_AFTER_MS = 20;
 const GIVEN_UP_AFTER_MS = 80;
 /**
  * A VM that was frozen, or has used up its share of a core, hears of no connection for that time:
- * a look that took so long says nothing of the engine, and must not make a whole path suspect.
+ * a probe that took so long says nothing of the engine, and must not make a whole path suspect.
  */
 const LATE_AFTER_MS = 120;
 /**
  * So many VMs must miss something on a path: with one or two streams on it, each of them alone
- * meets a pause some times a second. Looks for whoever asks made 18,178 connections in 42 s where
- * those for three made 4,154 in 33 s (a day of 78 VMs on which six engines are lost).
+ * meets a pause some times a second, and probes for whoever asks cost more than the loss.
  */
 const MIN_ASKERS = 3;
 /** All who miss something on a path that stands still ask within two of their ticks. */
 const ASKERS_WITHIN_MS = 80;
-/** The wait for others who ask, a look, the way there and back, and what a busy VM takes. */
+/** The wait for others who ask, a probe, the way there and back, and what a busy VM takes. */
 const ANSWER_MS = 240;
-/** What one call may have looked at: a path has at most so many engines. */
+/** What one call may have probed: a path has at most so many engines. */
 const MAX_ENGINES = 32;
-const LOOKS_KEPT = 512;
+const PROBES_KEPT = 512;
 
 /** Who missed something on a path lately, and who waits for enough of them. */
 interface Doubt {
@@ -89,16 +88,16 @@
   return { sinceMs, askers: new Set(), enough, noteEnough };
 }
 
-export function createEngineLooks(options: EngineLooksOptions): EngineLooks {
+export function createEngineProbes(options: EngineProbesOptions): EngineProbes {
   const { clock, delay, log, peers, host, operations, findAppointed } = options;
-  const looks = new Map<string, Look>();
+  const probes = new Map<string, Probe>();
   const doubts = new Map<string, Doubt>();
 
   /**
    * Whether one of several connections is accepted. The next one is tried as soon as one is
    * refused, or has been without an answer for a moment: a lost packet is not waited for.
    */
-  async function look(address: string): Promise<boolean> {
+  async function probe(address: string): Promise<boolean> {
     const startedAtMs = clock.nowMs();
     const tries: Promise<boolean>[] = [];
     for (let count = 0; count < MAX_TRIES; count += 1) {
@@ -114,13 +113,13 @@
     return isThere || isOwnFault;
   }
 
-  function lookShared(address: string): Promise<boolean> {
+  function probeShared(address: string): Promise<boolean> {
     const nowMs = clock.nowMs();
-    const known = looks.get(address);
+    const known = probes.get(address);
     if (known && nowMs - known.atMs < SHARED_FOR_MS) return known.isThere;
-    if (looks.size >= LOOKS_KEPT) looks.clear();
-    const isThere = look(address);
-    looks.set(address, { atMs: nowMs, isThere });
+    if (probes.size >= PROBES_KEPT) probes.clear();
+    const isThere = probe(address);
+    probes.set(address, { atMs: nowMs, isThere });
     return isThere;
   }
 
@@ -128,7 +127,7 @@
     const found = await Promise.all(
       engines.slice(0, MAX_ENGINES).map(async ({ instanceId, address }) => ({
         instanceId,
-        isThere: await lookShared(address),
+        isThere: await probeShared(address),
       })),
     );
     return found.filter(({ isThere }) => !isThere).map(({ instanceId }) => instanceId);
@@ -139,27 +138,27 @@
     const nowMs = clock.nowMs();
     const known = doubts.get(name);
     if (known && nowMs - known.sinceMs < ASKERS_WITHIN_MS) return known;
-    if (doubts.size >= LOOKS_KEPT) doubts.clear();
+    if (doubts.size >= PROBES_KEPT) doubts.clear();
     const doubt = createDoubt(nowMs);
     doubts.set(name, doubt);
     return doubt;
   }
 
-  /** Looks once enough VMs have asked; one that few miss is slow for them alone. */
+  /** Probes once enough VMs have asked; one that few miss is slow for them alone. */
   async function answer(asker: string, engines: readonly BackendTarget[]) {
     const doubt = doubtOf(engines);
     doubt.askers.add(asker);
     const isEnough = doubt.askers.size >= Math.min(MIN_ASKERS, options.countEntries());
     if (isEnough) doubt.noteEnough();
     else await Promise.race([doubt.enough, delay(ASKERS_WITHIN_MS)]);
-    const isLooked = isEnough || doubt.askers.size >= MIN_ASKERS;
-    return isLooked ? findLost(engines) : [];
+    const isProbed = isEnough || doubt.askers.size >= MIN_ASKERS;
+    return isProbed ? findLost(engines) : [];
   }
 
   return {
     methods: {
-      [LOOKS_METHOD]: async (params, sender) => {
-        const { engines } = params as unknown as LookCall;
+      [PROBE_METHOD]: async (params, sender) => {
+        const { engines } = params as unknown as ProbeCall;
         return answer(sender, engines);
       },
     },
@@ -167,13 +166,13 @@
       const appointed = findAppointed(dataCentre);
       if (!appointed) return null;
       if (appointed.host === host) return answer(host, engines);
-      const call: LookCall = { engines };
+      const call: ProbeCall = { engines };
       const peer = { vmId: appointed.host, host: appointed.host, port: appointed.peerPort ?? 0 };
       try {
-        return await peers.call<readonly string[]>(peer, LOOKS_METHOD, call, ANSWER_MS);
+        return await peers.call<readonly string[]>(peer, PROBE_METHOD, call, ANSWER_MS);
       } catch (error) {
         const problem = error instanceof Error ? error.message : String(error);
-        log.info('look-unanswered', { appointed: appointed.host, dataCentre, problem });
+        log.info('probe-unanswered', { appointed: appointed.host, dataCentre, problem });
         return null;
       }
     },
--- a/packages/entry/src/streamAttempt.ts
+++ b/packages/entry/src/streamAttempt.ts
@@ -67,7 +67,7 @@
 export interface StreamAttemptOptions {
   readonly context: EntryContext;
   readonly streams: StreamTable;
-  /** Looks whether an engine whose connection failed is still there. */
+  /** Probes an engine whose connection failed. */
   readonly examine: (instanceId: string, address: string) => void;
 }
 
@@ -218,7 +218,7 @@
     const problem = row.cutReason ?? known.message;
     if (known.code === 'server-closed') return { kind: 'held-back', problem };
     if (row.cutReason === null && head) {
-      // The engine ended, or only this answer was lost: that is looked into beside.
+      // The engine ended, or only this answer was lost: a probe tells which.
       examine(head.id, head.address);
     }
     if (known.outcome === 'not-run' && row.cutReason === null) {
--- a/packages/entry/src/streamDispatch.ts
+++ b/packages/entry/src/streamDispatch.ts
@@ -14,7 +14,7 @@
   readonly context: EntryContext;
   readonly streams: StreamTable;
   readonly places: PlaceFinder;
-  /** Looks whether an engine whose connection failed is still there. */
+  /** Probes an engine whose connection failed. */
   readonly examine: (instanceId: string, address: string) => void;
   readonly avoid: (instanceId: string) => void;
 }
@@ -105,8 +105,8 @@
   ): Promise<void> {
     if (!head || !hasAnswered || hasBegun || wasCutHere) return;
     const content = digestContent(contentOf(admitted));
-    const looked = crashes.note({ content, instanceId: head.id, address: head.address, ranMs });
-    await Promise.race([looked, delay(MAX_EVIDENCE_WAIT_MS)]);
+    const judged = crashes.note({ content, instanceId: head.id, address: head.address, ranMs });
+    await Promise.race([judged, delay(MAX_EVIDENCE_WAIT_MS)]);
   }
 
   return {
--- a/packages/entry/src/streamPath.ts
+++ b/packages/entry/src/streamPath.ts
@@ -4,7 +4,7 @@
 import { createChainChoice } from './chainChoice';
 import type { CrashGuard } from './crashGuard';
 import type { EngineHealth } from './engineHealth';
-import { createEngineLooks } from './engineLooks';
+import { createEngineProbes } from './engineProbes';
 import type { EntryContext } from './entryContext';
 import { createPlaceService } from './places/placeService';
 import type { PlaceService } from './places/placeService';
@@ -66,7 +66,7 @@
     listClosed: notices.listClosed,
     backoffs: notices.backoffs,
   });
-  const looks = createEngineLooks({
+  const probes = createEngineProbes({
     clock,
     delay,
     log,
@@ -82,7 +82,7 @@
     chains,
     suspect,
     avoid,
-    askAppointed: looks.ask,
+    askAppointed: probes.ask,
     onLost: guard.noteLost,
   });
   const dispatch = createStreamDispatch({
@@ -93,5 +93,5 @@
     avoid,
   });
 
-  return { dispatch, repair, places, methods: { ...places.methods, ...looks.methods } };
+  return { dispatch, repair, places, methods: { ...places.methods, ...probes.methods } };
 }
--- a/packages/entry/src/streamRepair.ts
+++ b/packages/entry/src/streamRepair.ts
@@ -5,7 +5,7 @@
 import type { PathStage } from '@spoolplank/routing';
 import type { BackendTarget } from './backendOperations';
 import type { ChainChoice } from './chainChoice';
-import type { EngineLooks } from './engineLooks';
+import type { EngineProbes } from './engineProbes';
 import type { EntryContext } from './entryContext';
 import { createPathSilence } from './pathSilence';
 import { contentOf } from './requestContent';
@@ -19,16 +19,16 @@
   readonly suspect: (instanceId: string, evidence: string) => void;
   /** Leaves an engine out here for a while. */
   readonly avoid: (instanceId: string) => void;
-  /** Has one VM look for all others; null when nobody answered. */
-  readonly askAppointed: EngineLooks['ask'];
+  /** Has one VM probe for all others; null when nobody answered. */
+  readonly askAppointed: EngineProbes['ask'];
   /** Told of an engine that is lost under a stream which runs over it. */
   readonly onLost?: (row: StreamRow, instanceId: string) => void;
 }
 
 export interface StreamRepair {
-  /** Looks whether an engine whose connection failed is still there. */
+  /** Probes an engine whose connection failed. */
   examine(instanceId: string, address: string): void;
-  /** Whether a new connection to an address is accepted; one look serves all who ask. */
+  /** Whether a new connection to an address is accepted; one probe serves all who ask. */
   isThere(address: string): Promise<boolean>;
   /** Lets time pass: looks for streams that have been silent too long. */
   tick(): void;
@@ -36,31 +36,31 @@
   repairLost(isLost: (instanceId: string) => boolean): void;
 }
 
-/** Shares of a route's own targets after which silence is looked into. */
+/** Shares of a route's own targets after which a silent path is probed. */
 const GAP_SHARE = 0.75;
 /**
- * The appointed VM is asked earlier, as it looks for all: two engines that crashed were known after
- * 126 and 139 ms (logs of a day of 78 VMs), where a look of one's own begins after 187 ms.
+ * The appointed VM is asked earlier: its probe serves all, and is over before one of our own
+ * begins.
  */
 const ASK_GAP_SHARE = 0.4;
 const FIRST_EVENT_SHARE = 0.6;
 /** Streams of one path fall silent within a pass of each other: a fraction of the limit. */
 const OTHERS_GO_ON_SHARE = 0.5;
-/** Pause before the next look; it doubles with each one that found nothing. */
+/** Pause before the next probe; it doubles with each one that found nothing. */
 const RECHECK_MS = 300;
 const MAX_RECHECK_MS = 1200;
 /** A connection in a region takes 2 ms; ten lost packets in a hundred are sent again after 200. */
 const REACH_TIMEOUTS_MS: readonly number[] = [120, 250];
 const REPORT_TIMEOUT_MS = 300;
 const REPAIR_TIMEOUT_MS = 400;
-/** Streams of one engine fall silent together: one look serves all of them. */
+/** Streams of one engine fall silent together: one probe serves all of them. */
 const SHARED_FOR_MS = 400;
 const MAX_REPAIR_TRIES = 3;
 /**
- * Entries that look for a lost engine at the same time. One that finds it tells all others within
- * milliseconds; with 64 entries that all looked, connections cost more than the loss.
+ * Entries that probe a lost engine at the same time. One that finds it tells all others within
+ * milliseconds; where all entries probe, connections cost more than the loss.
  */
-const LOOKING_ENTRIES = 12;
+const PROBING_ENTRIES = 12;
 
 interface Shared<Result> {
   readonly atMs: number;
@@ -74,7 +74,7 @@
   const paths = createPathSilence();
   /** When the appointed VM was last asked about a path that is silent since. */
   const askedAtMs = new Map<string, number>();
-  let looks = { untilMs: Number.NEGATIVE_INFINITY, isLooking: true };
+  let turn = { untilMs: Number.NEGATIVE_INFINITY, isProbing: true };
 
   /** One lost packet must not make an engine suspect: the second try is a new connection. */
   async function tryToReach(address: string): Promise<boolean> {
@@ -180,16 +180,19 @@
       });
   }
 
-  /** Whether this entry is among those that look now; drawn anew after each look's lifetime. */
-  function isLooking(nowMs: number): boolean {
-    if (nowMs >= looks.untilMs) {
+  /**
+   * Whether this entry is among those that probe now; drawn anew when the result of a probe is too
+   * old.
+   */
+  function isProbing(nowMs: number): boolean {
+    if (nowMs >= turn.untilMs) {
       const entries = Math.max(1, view.listMembers('entry').length);
-      looks = {
+      turn = {
         untilMs: nowMs + SHARED_FOR_MS,
-        isLooking: random.nextInt(entries) < LOOKING_ENTRIES,
+        isProbing: random.nextInt(entries) < PROBING_ENTRIES,
       };
     }
-    return looks.isLooking;
+    return turn.isProbing;
   }
 
   async function check(row: StreamRow): Promise<void> {
@@ -197,7 +200,7 @@
     try {
       await findLostEngines(row);
     } catch (error) {
-      // No report, though the connection was accepted: the next look decides.
+      // No report, though the connection was accepted: the next probe decides.
       log.info('stream-check-failed', {
         requestId: row.admitted.request.id,
         problem: String(error),
@@ -232,7 +235,7 @@
     }
   }
 
-  /** Has the engines of a silent path looked at, and repairs what runs over lost ones. */
+  /** Has the engines of a silent path probed, and repairs what runs over lost ones. */
   async function askAbout({ stages, dataCentre }: StreamRow): Promise<void> {
     const engines = stages.map(({ id, address }) => ({ instanceId: id, address }));
     const lost = await options.askAppointed(dataCentre, engines);
@@ -273,7 +276,7 @@
           void askAbout(row);
         }
         const isDue = !isBusy && isSilentTooLong(row, nowMs, newestOnPathMs);
-        if (isDue && isLooking(nowMs)) void check(row);
+        if (isDue && isProbing(nowMs)) void check(row);
       }
     },
     repairLost(isLost) {
--- a/packages/entry/src/streamTable.ts
+++ b/packages/entry/src/streamTable.ts
@@ -28,7 +28,7 @@
   hasBegun: boolean;
   lastProgressAtMs: number;
   lastCheckAtMs: number;
-  /** Looks since the last event, none of which found anything. */
+  /** Probes since the last event, none of which found anything. */
   checks: number;
   isChecking: boolean;
   isRepairing: boolean;
