docs: decisions under overload, and their settings

Cause: two deployments ask for decisions that the router does not make: slots on engines that chains share, copies of layers by demand, streams off engines that leave, shares between organisations and classes, refusals by forecast.

Change: docs/hard-load.md says what is asked, the parts, their interfaces and what happens on partial failure. packages/routing/src/decisionSettings.ts reads the section 'decisions' of the settings, checked, with defaults; entry and control nodes receive it. Nothing decides by it yet.

Measured: lint, types and the new spec pass; no behaviour changes.

Conclusion: the parts can be built side by side against this page.

--- a/packages/controller/__tests__/placementFixtures.ts
+++ b/packages/controller/__tests__/placementFixtures.ts
@@ -9,6 +9,7 @@
 } from '@spoolplank/membership';
 import type { BackendFact, LayerRange, SystemFact } from '@spoolplank/membership';
 import { createEventLog } from '@spoolplank/node';
+import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { ModelDescription, RoutingDocument } from '@spoolplank/routing';
 import { createManualClock } from '@spoolplank/shared';
 import type { EngineOrders, OrderOutcome, PlaceOrder } from '../src/engineOperations';
@@ -104,6 +105,7 @@
   }
 
   const loop = createPlacementLoop({
+    decisions: DEFAULT_DECISIONS,
     clock,
     log: createEventLog({ vmId: 'vm', clock, writeChunk: () => {} }),
     table,
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -21,7 +21,8 @@
 } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
-import type { RoutingDocument } from '@spoolplank/routing';
+import { DEFAULT_DECISIONS } from '@spoolplank/routing';
+import type { DecisionSettings, RoutingDocument } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { createBackendDirectory } from './backendDirectory';
@@ -64,6 +65,8 @@
   /** Decodes a stored document, which was validated before it was stored. */
   readonly readDocument: (document: StoredDocument) => RoutingDocument;
   readonly announcementMs: number;
+  /** Switches of the decisions under load. */
+  readonly decisions?: DecisionSettings;
   readonly onFatal: (error: SpoolplankError) => void;
 }
 
@@ -195,6 +198,7 @@
     currentDocument,
     isBackingOff: notices.isBackingOff,
     announcementMs: options.announcementMs,
+    decisions: options.decisions ?? DEFAULT_DECISIONS,
   });
 
   const controlVms = createControlVms({
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -11,6 +11,7 @@
 import type { EventLog } from '@spoolplank/node';
 import { findDocumentConflict, planPlacement } from '@spoolplank/routing';
 import type {
+  DecisionSettings,
   ModelDescription,
   ObservedEngine,
   PlacementOrder,
@@ -35,6 +36,8 @@
   readonly isBackingOff: (instanceId: string) => boolean;
   /** Interval at which engines announce themselves. */
   readonly announcementMs: number;
+  /** Switches of the decisions under load. */
+  readonly decisions: DecisionSettings;
 }
 
 export interface PlacementLoop {
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -2,7 +2,7 @@
 import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createDocumentCache, createFactTable, FACT_KEYS } from '@spoolplank/membership';
 import type { BackendFact, FactTable, SystemFact } from '@spoolplank/membership';
-import { createBackendLoadTable, createWindowBudget } from '@spoolplank/routing';
+import { createBackendLoadTable, createWindowBudget, DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { ModelDescription, Route, RouteKind, RoutingDocument } from '@spoolplank/routing';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
@@ -138,6 +138,7 @@
       metrics: createMetrics(),
       countEntries: () => 1,
     }),
+    decisions: DEFAULT_DECISIONS,
     factsAgeMs: () => 0,
   };
 }
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -1,6 +1,12 @@
 /** Dependencies and types shared by the components of an entry. */
 import type { EventLog, Metrics } from '@spoolplank/node';
-import type { BackendLoadTable, Organisation, Route, WindowBudget } from '@spoolplank/routing';
+import type {
+  BackendLoadTable,
+  DecisionSettings,
+  Organisation,
+  Route,
+  WindowBudget,
+} from '@spoolplank/routing';
 import type { Clock, Random } from '@spoolplank/shared';
 import type { BackendOperations } from './dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
@@ -29,6 +35,8 @@
   readonly notices: ServerNotices;
   /** Rate limits that backend servers named to this VM. */
   readonly limits: ServerLimits;
+  /** Switches and bounds of the decisions under load. */
+  readonly decisions: DecisionSettings;
   /** Age of the facts, which are the records that VMs replicate by gossip, in milliseconds. */
   readonly factsAgeMs: () => number;
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -4,8 +4,8 @@
 import type { LoadFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
-import { createBackendLoadTable } from '@spoolplank/routing';
-import type { RoutingDocument } from '@spoolplank/routing';
+import { createBackendLoadTable, DEFAULT_DECISIONS } from '@spoolplank/routing';
+import type { DecisionSettings, RoutingDocument } from '@spoolplank/routing';
 import { toSpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { createAddressBook } from './addressBook';
@@ -58,6 +58,8 @@
   readonly onDocument: (document: RoutingDocument) => void;
   /** Whether the VM can accept new connections of callers; it is not ready while it cannot. */
   readonly canAccept?: () => boolean;
+  /** Switches and bounds of the decisions under load. */
+  readonly decisions?: DecisionSettings;
 }
 
 export interface EntryNode {
@@ -185,6 +187,7 @@
     crashes,
     notices,
     limits,
+    decisions: options.decisions ?? DEFAULT_DECISIONS,
     factsAgeMs: () => clock.nowMs() - facts.syncedAtMs,
   };
   const stream = createStreamPath({
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -7,6 +7,7 @@
 export * from './src/chainLayout';
 export * from './src/chainSpeed';
 export * from './src/crashJudgement';
+export * from './src/decisionSettings';
 export * from './src/fairQueue';
 export * from './src/lineage';
 export * from './src/namedLimits';
