--- a/packages/entry/__tests__/callerAge.spec.ts
+++ b/packages/entry/__tests__/callerAge.spec.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createSeededRandom } from '@spoolplank/shared';
 import { createCallerAge } from '../src/admission/callerAge';
 
+const TARGET_MS = 500;
+const FIRST_WAITS = 400;
+/** Waits from which the estimate no longer depends on the order of the first ones. */
+const WINDOW_LENGTH = 64;
+
 describe('the age of a caller', () => {
   it('is the difference to the longest wait of its group', () => {
     const age = createCallerAge();
@@ -16,4 +22,36 @@
     assert.equal(age.estimateMs('r1 org', null), 0);
     assert.equal(age.estimateMs('r2 org', 5000), 0);
   });
+
+  // Guards against first attempts that count as late retries where stated waits differ by 15 %.
+  it('is below the target for first attempts whose stated waits differ from request to request', () => {
+    const seeds = [1, 2, 3, 4, 5];
+    const late = seeds.map((seed) => {
+      const random = createSeededRandom(seed);
+      const age = createCallerAge();
+      const agesMs = Array.from({ length: FIRST_WAITS }, () =>
+        age.estimateMs('r1 org', 17_000 + random.nextFloat() * 3000),
+      );
+      assert.ok(age.estimateMs('r1 org', 15_000) > 1900, 'a wait below all others is a retry');
+      return agesMs.slice(WINDOW_LENGTH).filter((ageMs) => ageMs > TARGET_MS).length;
+    });
+    const sum = late.reduce((total, count) => total + count, 0);
+    // By chance, a quarter of a window is within 2 % of the longest for some requests.
+    const judged = seeds.length * (FIRST_WAITS - WINDOW_LENGTH);
+    assert.ok(sum < 0.03 * judged, `${sum} of ${judged} first attempts count as late: ${late}`);
+  });
+
+  it('is the difference to the longest wait while a quarter of the callers state that wait', () => {
+    const random = createSeededRandom(1);
+    const age = createCallerAge();
+    for (let index = 0; index < FIRST_WAITS; index += 1) {
+      assert.equal(age.estimateMs('r1 org', 20_000), 0);
+      // Callers that retry three times: each retry has up to 2 s less.
+      [0, 1, 2].forEach(() => {
+        const elapsedMs = random.nextFloat() * 2000;
+        const ageMs = age.estimateMs('r1 org', 20_000 - elapsedMs);
+        assert.ok(Math.abs(ageMs - elapsedMs) < 0.001, `${ageMs} for ${elapsedMs}`);
+      });
+    }
+  });
 });
