feat(routing): copies of layers follow losses and demand

Cause: four engines of one data centre lost for good leave some layers with one holder and others with three, and no layer moves for 6 s. Engines that return empty receive layers that suit their speed, and their chain is then laid out anew as a whole.

Change: layerCopies computes the capacity of each layer, copyPlan plans moves of single engines that raise the bottleneck layer by a fifth, at once where demand is not met, else after the 6 s. Empty engines take the lowest layers first. demand reads the need of a data centre from capacity facts. A data centre that has lost nothing and meets its demand takes the same path as before; `decisions.demandPlacement` switches it off.

--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -97,7 +97,7 @@
   reportRecovery(): Promise<RecoveryReport>;
   /** @throws SpoolplankError `not-found`, `recovery-refused`. */
   recover(replicaId: string): Promise<RecoveryReport>;
-  /** Registers the metrics of the group; none without a replica. */
+  /** Registers the counter of layer moves and, with a replica, the gauges of the group. */
   registerMetrics(metrics: Metrics): void;
   describe(): JsonValue;
 }
@@ -136,6 +136,7 @@
   let isStopped = false;
   let sequence = 0;
   let ticks = 0;
+  let metrics: Metrics | null = null;
 
   let wakeFeed = () => {};
   const table: FactTable<SystemFact> = createFactTable<SystemFact>({
@@ -199,6 +200,7 @@
     isBackingOff: notices.isBackingOff,
     announcementMs: options.announcementMs,
     decisions: options.decisions ?? DEFAULT_DECISIONS,
+    countMove: (cause) => metrics?.count('spoolplank_layer_moves_total', { cause }),
   });
 
   const controlVms = createControlVms({
@@ -343,8 +345,9 @@
     groupSummary: () => group?.summary() ?? null,
     reportRecovery: async () => requireGroup().report(),
     recover: async (replicaId) => requireGroup().recover(replicaId),
-    registerMetrics(metrics) {
-      if (group) registerGroupMetrics(metrics, group);
+    registerMetrics(registry) {
+      metrics = registry;
+      if (group) registerGroupMetrics(registry, group);
     },
     describe: () =>
       ({
--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -13,11 +13,13 @@
 import type {
   DecisionSettings,
   ModelDescription,
+  MoveCause,
   ObservedEngine,
   PlacementOrder,
   RoutingDocument,
 } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
+import { createDemandWatch } from './demand';
 import { createEngineCounts } from './engineCounts';
 import { createEngineLosses } from './engineLosses';
 import type { EngineAddress, EngineOrders } from './engineOperations';
@@ -38,6 +40,8 @@
   readonly announcementMs: number;
   /** Switches of the decisions under load. */
   readonly decisions: DecisionSettings;
+  /** Counts an order that follows demand or losses. */
+  readonly countMove?: (cause: MoveCause) => void;
 }
 
 export interface PlacementLoop {
@@ -58,6 +62,11 @@
   readonly timeoutMs: number;
 }
 
+interface LastOrder {
+  readonly atMs: number;
+  readonly hasHeldLayers: boolean;
+}
+
 type EngineRow = Fact<SystemFact> & { readonly body: BackendFact };
 
 /** A withdrawn engine finishes its streams in flight, which sometimes takes many seconds. */
@@ -78,6 +87,11 @@
 const ORDER_MARGIN_MS = 4000;
 /** Longer than a load and the announcement after it, so the outcome of the last order is known. */
 const IMPROVE_PAUSE_MS = 4000;
+/**
+ * Time for which an engine that received an order is not moved again: the load, the announcement
+ * after it, and the requests that then use its layers.
+ */
+const SETTLING_MS = 4000;
 /** Timeouts of two successive probes, as a lost packet is retransmitted only after one second. */
 const PROBE_TIMEOUTS_MS: readonly number[] = [150, 300];
 /** Interval of polling an engine for the completion of a load. */
@@ -123,6 +137,10 @@
   const counts = createEngineCounts({ clock, log });
   const losses = createEngineLosses({ clock });
   const orderCounts = createOrderCounts();
+  const demand = createDemandWatch({ clock, table });
+  const { isEnabled: isByDemand } = options.decisions.demandPlacement;
+  /** The last order of each engine, and whether the engine held layers when it received it. */
+  const lastOrders = new Map<string, LastOrder>();
   let discovered = { count: 0, atMs: Number.NEGATIVE_INFINITY };
 
   function wasRecentlyRefused(instanceId: string): boolean {
@@ -199,6 +217,7 @@
     // A backoff of seconds does not justify moving layers, so the engine merely gets no orders.
     const mayBeOrdered = !wasRecentlyRefused(instanceId) && !options.isBackingOff(instanceId);
     const isReliable = isServing && isRetained;
+    const last = lastOrders.get(instanceId);
     return {
       id: instanceId,
       dataCentre,
@@ -209,6 +228,10 @@
       isOrderable: isReliable && ordered === undefined && mayBeOrdered,
       isReliable,
       isServing,
+      isLeaving: !isReady,
+      isLoading: ordered !== undefined,
+      isMoving: ordered !== undefined && last?.hasHeldLayers === true,
+      isSettling: last !== undefined && nowMs - last.atMs < SETTLING_MS,
     };
   }
 
@@ -232,6 +255,8 @@
     const { firstLayer, endLayer, isPreempting } = order;
     const range = { firstLayer, endLayer };
     orderedAtMs.set(engine.body.dataCentre, clock.nowMs());
+    const hasHeldLayers = (engine.body.engine?.held ?? null) !== null;
+    lastOrders.set(instanceId, { atMs: clock.nowMs(), hasHeldLayers });
     pending.add(instanceId, range, clock.nowMs() + loadMs + ORDER_MARGIN_MS);
     const expectedOrders = await findExpectedOrders(engine);
     const placement = { ...range, isPreempting, timeoutMs, expectedOrders };
@@ -262,6 +287,33 @@
     await followLoad({ instanceId, address }, range);
   }
 
+  function reportMove(
+    { id, firstLayer, endLayer, move }: PlacementOrder,
+    dataCentre: string,
+    service: string,
+  ): void {
+    if (!move) return;
+    const { cause, bottleneckBefore, bottleneckAfter } = move;
+    const known = demand.find(dataCentre, service);
+    options.countMove?.(cause);
+    log.info('layers-moved', {
+      engine: id,
+      firstLayer,
+      endLayer,
+      cause,
+      bottleneckBefore: Math.round(bottleneckBefore),
+      bottleneckAfter: Math.round(bottleneckAfter),
+      demand: known ? Math.round(known.requests) : null,
+      demandAgeMs: known ? Math.round(known.ageMs) : null,
+    });
+  }
+
+  function dropGoneEngines(): void {
+    lastOrders.forEach((_, instanceId) => {
+      if (!findBackend(table, instanceId)) lastOrders.delete(instanceId);
+    });
+  }
+
   function mayRebalance(dataCentre: string): boolean {
     const lastMs = orderedAtMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY;
     return clock.nowMs() - lastMs > IMPROVE_PAUSE_MS;
@@ -292,11 +344,14 @@
     const isFirst = placed.every(({ firstLayer }) => firstLayer === null);
     if (isFirst && isDiscovering(engines)) return;
     const mayMoveLayers = (dataCentre: string) => !losses.isReturnLikely(dataCentre);
-    const plan = planPlacement(placed, model, { mayRebalance, mayMoveLayers });
+    const copiesFor = (dataCentre: string) =>
+      isByDemand ? { demand: demand.find(dataCentre, service)?.requests ?? null } : null;
+    const plan = planPlacement(placed, model, { mayRebalance, mayMoveLayers, copiesFor });
     // The first loads are cheap, and all of them have to finish before requests arrive.
     plan.slice(0, isFirst ? plan.length : Math.max(0, freeLoads)).forEach((order) => {
       const engine = engines.find(({ body }) => body.instanceId === order.id);
       if (!engine) return;
+      reportMove(order, engine.body.dataCentre, service);
       const loadMs = (model.loadMs * (order.endLayer - order.firstLayer)) / model.layers;
       const timeoutMs = isFirst ? FIRST_ORDER_TIMEOUT_MS : ORDER_TIMEOUT_MS;
       void sendOrder(engine, order, { loadMs: loadMs * 2, timeoutMs });
@@ -314,6 +369,8 @@
       orderableSinceMs ??= clock.nowMs();
       const isSettled = clock.nowMs() - orderableSinceMs > SETTLE_INTERVALS * announcementMs;
       if (!isSettled) return;
+      if (isByDemand) demand.record();
+      dropGoneEngines();
       document.services.forEach(({ name, model }) => {
         const engines = table
           .list()
--- /dev/null
+++ b/packages/routing/__tests__/copyFixtures.ts
@@ -0,0 +1,183 @@
+/** A data centre with three chains whose orders are carried out in virtual time. */
+import { planPlacement } from '../src/placement';
+import type { ObservedEngine, PlacementOrder } from '../src/placement';
+import { capacityByLayer } from '../src/layerCopies';
+import { createEngines, createModel, repeat } from './fixtures';
+
+const TICK_MS = 200;
+/** Time after a loss for which the engine may return; see `engineLosses` of the controller. */
+const RETURN_WINDOW_MS = 6000;
+/** Pause between optimisations, and before an engine is moved again. */
+const PAUSE_MS = 4000;
+const SLOTS = 134;
+
+/** The model and the kinds of a deployment with 93 engines in three data centres. */
+export const MODEL = createModel({
+  stepMs: 1.02,
+  stepsPerPass: 4,
+  maxConcurrentLoads: 15,
+  kinds: [
+    { name: 'a100', memoryMb: 72_000, stepFactor: 2.4, readFactor: 3.2 },
+    { name: 'v100', memoryMb: 14_000, stepFactor: 5.3, readFactor: 7.9 },
+    { name: 'l4', memoryMb: 22_000, stepFactor: 16, readFactor: 8.2 },
+  ],
+});
+
+const KINDS = [...repeat('a100', 3), ...repeat('v100', 16), ...repeat('l4', 12)];
+
+/** An engine of the simulation; `loaded` is what it serves now. */
+export interface SimulatedEngine {
+  readonly id: string;
+  readonly kind: string;
+  state: 'ready' | 'draining' | 'lost';
+  isSlow: boolean;
+  loaded: { readonly first: number; readonly end: number } | null;
+  order: { readonly first: number; readonly end: number; readonly doneAtMs: number } | null;
+  orderedAtMs: number;
+  hasMoved: boolean;
+}
+
+export interface GivenOrder extends PlacementOrder {
+  readonly atMs: number;
+  /** Whether the engine held layers when it received the order. */
+  readonly isMove: boolean;
+  readonly memoryMb: number;
+}
+
+export interface SimulationOptions {
+  readonly isEnabled: boolean;
+  /** Requests for which capacity is needed; null when no fact is known. */
+  readonly demand?: (nowMs: number) => number | null;
+}
+
+function isWithin(layer: number, range: SimulatedEngine['loaded']): boolean {
+  return range !== null && range.first <= layer && layer < range.end;
+}
+
+/** Starts with the three chains that the planner lays out for empty engines. */
+export function createCopySimulation({ isEnabled, demand = () => null }: SimulationOptions) {
+  let nowMs = 0;
+  let lostAtMs = Number.NEGATIVE_INFINITY;
+  let orderedAtMs = Number.NEGATIVE_INFINITY;
+  const orders: GivenOrder[] = [];
+  const engines: SimulatedEngine[] = [];
+  /** Capacity of the bottleneck layer at each tick, of loaded layers of serving engines. */
+  const capacities: { readonly atMs: number; readonly requests: number }[] = [];
+
+  function memoryMbOf({ kind }: SimulatedEngine): number {
+    return MODEL.kinds.find(({ name }) => name === kind)?.memoryMb ?? 0;
+  }
+
+  function add(id: string, kind: string): SimulatedEngine {
+    const state = { state: 'ready' as const, isSlow: false, loaded: null, order: null };
+    const engine: SimulatedEngine = { id, kind, ...state, orderedAtMs: -PAUSE_MS, hasMoved: false };
+    engines.push(engine);
+    return engine;
+  }
+
+  function observe(engine: SimulatedEngine): ObservedEngine {
+    const { id, kind, state, order } = engine;
+    const range = order ?? engine.loaded;
+    const isReliable = state === 'ready' && !engine.isSlow;
+    return {
+      id,
+      dataCentre: 'a',
+      acceleratorKind: kind,
+      slots: SLOTS,
+      firstLayer: range?.first ?? null,
+      endLayer: range?.end ?? null,
+      isReliable,
+      isOrderable: isReliable && order === null,
+      isServing: state !== 'lost',
+      isLeaving: state === 'draining',
+      isLoading: order !== null,
+      isMoving: order !== null && engine.hasMoved,
+      isSettling: nowMs - engine.orderedAtMs < PAUSE_MS,
+    };
+  }
+
+  function findCapacities(): readonly number[] {
+    const holders = engines
+      .filter(({ state }) => state !== 'lost')
+      .map((engine) => ({
+        memoryMb: memoryMbOf(engine),
+        slots: SLOTS,
+        planned: engine.loaded,
+      }));
+    return capacityByLayer(holders, MODEL);
+  }
+
+  function place(order: PlacementOrder): void {
+    const engine = engines.find(({ id }) => id === order.id);
+    if (!engine) return;
+    const { firstLayer: first, endLayer: end } = order;
+    const held = engine.loaded;
+    orders.push({
+      ...order,
+      atMs: nowMs,
+      isMove: held !== null,
+      memoryMb: memoryMbOf(engine),
+    });
+    const kept = held && { first: Math.max(first, held.first), end: Math.min(end, held.end) };
+    const keptLayers = kept ? Math.max(0, kept.end - kept.first) : 0;
+    const loadMs = (MODEL.loadMs * (end - first - keptLayers)) / MODEL.layers;
+    engine.hasMoved = held !== null;
+    engine.loaded = kept && keptLayers > 0 ? kept : null;
+    engine.order = { first, end, doneAtMs: nowMs + loadMs };
+    engine.orderedAtMs = nowMs;
+    orderedAtMs = nowMs;
+  }
+
+  function tick(): void {
+    nowMs += TICK_MS;
+    engines.forEach((engine) => {
+      if (!engine.order || engine.order.doneAtMs > nowMs) return;
+      engine.loaded = { first: engine.order.first, end: engine.order.end };
+      engine.order = null;
+    });
+    const needed = demand(nowMs);
+    planPlacement(engines.map(observe), MODEL, {
+      mayRebalance: () => nowMs - orderedAtMs > PAUSE_MS,
+      mayMoveLayers: () => nowMs - lostAtMs >= RETURN_WINDOW_MS,
+      copiesFor: () => (isEnabled ? { demand: needed } : null),
+    }).forEach(place);
+    capacities.push({ atMs: nowMs, requests: Math.min(...findCapacities()) });
+  }
+
+  createEngines(KINDS).forEach(({ id, acceleratorKind }) => add(id, acceleratorKind));
+  planPlacement(engines.map(observe), MODEL).forEach(({ id, firstLayer, endLayer }) => {
+    const engine = engines.find((candidate) => candidate.id === id);
+    if (engine) engine.loaded = { first: firstLayer, end: endLayer };
+  });
+
+  return {
+    engines,
+    orders,
+    capacities,
+    add,
+    now: () => nowMs,
+    findCapacities,
+    findHolders: (layer: number) =>
+      engines.filter(({ state, loaded }) => state === 'ready' && isWithin(layer, loaded)),
+    /** Engines that are lost keep their last announcement. */
+    lose(lost: readonly SimulatedEngine[]): void {
+      lost.forEach((engine) => {
+        engine.state = 'lost';
+        engine.order = null;
+      });
+      lostAtMs = nowMs;
+    },
+    /** An engine that restarts is empty. */
+    restart(engine: SimulatedEngine): void {
+      engines.splice(engines.indexOf(engine), 1);
+      add(`${engine.id}/2`, engine.kind);
+    },
+    remove(engine: SimulatedEngine): void {
+      engine.state = 'lost';
+      lostAtMs = nowMs;
+    },
+    runUntil(endMs: number): void {
+      while (nowMs < endMs) tick();
+    },
+  };
+}
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -6,6 +6,7 @@
 export * from './src/chainCount';
 export * from './src/chainLayout';
 export * from './src/chainSpeed';
+export type { CopyMove, MoveCause } from './src/copyPlan';
 export * from './src/crashJudgement';
 export * from './src/decisionSettings';
 export * from './src/fairQueue';
--- /dev/null
+++ b/packages/routing/src/copyPlan.ts
@@ -0,0 +1,311 @@
+/**
+ * Plans moves of single engines that raise the capacity of the bottleneck layer.
+ *
+ * The load: engines of one data centre are lost for good, so that some layers have one holder while
+ * others have three. Laying out a broken chain anew moves all its borders and starts only after the
+ * lost engines could have returned; one engine whose layers all have other holders, moved to the
+ * bottleneck, restores the capacity with a single load of about a second.
+ *
+ * Each move raises layers that were below the gain limit above it and takes no other layer below
+ * it. The bottleneck therefore never falls, and without new losses a sequence of moves ends.
+ */
+import { capacityByLayer, countRequests, findEvenCapacity, findLowRanges } from './layerCopies';
+import { GOOD_MEMORY_PER_LAYER } from './plannedEngines';
+import type { PlannedEngine, Range } from './plannedEngines';
+import type { ModelDescription } from './routingDocument';
+import { findCompleteChains } from './wholeChains';
+
+/** Reason of a move, for metrics and the log. */
+export type MoveCause = 'demand' | 'loss' | 'leaving' | 'empty';
+
+/** An engine as input of the plan. */
+export interface CopyEngine extends PlannedEngine {
+  /** Whether an order is in progress, so that some of its layers are not available yet. */
+  readonly isLoading: boolean;
+  /** Whether the order in progress made it give up layers. */
+  readonly isMoving: boolean;
+  /** Whether it received an order a short time ago. */
+  readonly isSettling: boolean;
+}
+
+/** An engine whose layers do not count, because it is lost, slow or leaving. */
+export interface MissingEngine {
+  readonly held: Range | null;
+  readonly isServing: boolean;
+  readonly isLeaving: boolean;
+}
+
+export interface CopyPlanOptions {
+  readonly missing: readonly MissingEngine[];
+  /** Requests for which the data centre needs capacity; null when that is unknown. */
+  readonly demand: number | null;
+  /** Whether lost engines are not expected to return any more. */
+  readonly isLossFinal: boolean;
+}
+
+/** A planned move of an engine, as the range in its `planned` field. */
+export interface CopyMove {
+  readonly id: string;
+  readonly cause: MoveCause;
+  /** Capacity of the bottleneck layer before and after the move, in requests of usual size. */
+  readonly bottleneckBefore: number;
+  readonly bottleneckAfter: number;
+}
+
+export interface CopyPlan {
+  readonly moves: readonly CopyMove[];
+  /** Whether the plan moves engines now or has planned moves that are still in progress. */
+  readonly isBusy: boolean;
+  /** Whether empty engines are kept for the layers of engines that are about to leave. */
+  readonly hasReserved: boolean;
+  /** Whether the capacity is below demand, or so uneven that it is raised after a final loss. */
+  readonly isDue: boolean;
+}
+
+/** Relative gain below which a move is not worth the load, which takes about a second. */
+const MIN_GAIN = 1.2;
+/** Capacity of the bottleneck, relative to an even distribution, below which it is raised. */
+const MIN_EVEN_SHARE = 2 / 3;
+/** Each move makes the given-up layers unavailable at once and the new ones only after a load. */
+const MAX_MOVES = 2;
+/** Two moves at a time take about 1.5 s; a plan of more of them is out of date before its end. */
+const MAX_SEQUENCE = 8;
+/** Capacity above demand or an even distribution up to which additional copies are of use. */
+const HEADROOM = 1.2;
+/**
+ * Capacity, relative to an even distribution, below which a layer lacks a holder. The layouts of
+ * whole chains differ by up to 15 % between layers, as engines hold whole layers only.
+ */
+const HOLE_SHARE = 0.8;
+/** Preference for a range that leaves no part of a low range to another engine. */
+const COVER_BONUS = 1.1;
+
+interface Candidate {
+  readonly engine: CopyEngine;
+  readonly range: Range;
+  readonly relief: number;
+}
+
+interface SearchOptions {
+  /** Capacities of all layers without the engine that is placed. */
+  readonly capacities: readonly number[];
+  readonly lowRanges: readonly Range[];
+  /** Capacity up to which a layer counts as lacking copies. */
+  readonly target: number;
+  /** Capacity that each layer of the range must reach. */
+  readonly minAfter: number;
+  readonly model: ModelDescription;
+}
+
+function isOverlapping(a: Range, b: Range): boolean {
+  return a.first < b.end && b.first < a.end;
+}
+
+function isCovering(range: Range, low: Range): boolean {
+  return range.first <= low.first && range.end >= low.end;
+}
+
+/** Sum of the squared deficits of all layers. */
+function findDeficit(capacities: readonly number[], target: number): number {
+  return capacities.reduce((sum, requests) => sum + Math.max(0, target - requests) ** 2, 0);
+}
+
+/** Reduction of the squared deficits, so that the lowest layers count most; null if too small. */
+function findRelief(
+  range: Range,
+  requests: number,
+  { capacities, target, minAfter }: SearchOptions,
+): number | null {
+  let relief = 0;
+  for (let layer = range.first; layer < range.end; layer += 1) {
+    const before = capacities[layer] ?? 0;
+    if (before + requests < minAfter) return null;
+    relief += Math.max(0, target - before) ** 2 - Math.max(0, target - before - requests) ** 2;
+  }
+  return relief;
+}
+
+/**
+ * First layers of the ranges of a length that begin or end with a low range. Other ranges would
+ * leave parts of it to other engines on both sides.
+ */
+function listFirstLayers(low: Range, length: number, layers: number): readonly number[] {
+  return [low.first, low.end - length].filter((first) => first >= 0 && first + length <= layers);
+}
+
+/** Finds the range in which an engine reduces the lack of copies most. */
+function findBestRange(engine: CopyEngine, options: SearchOptions): Candidate | undefined {
+  const { lowRanges, model } = options;
+  const perLayerMb = model.layerMb * GOOD_MEMORY_PER_LAYER;
+  const maxLayers = Math.min(model.layers, Math.floor(engine.memoryMb / perLayerMb));
+  let best: Candidate | undefined;
+  for (const low of lowRanges) {
+    for (let length = 1; length <= maxLayers; length += 1) {
+      for (const first of listFirstLayers(low, length, model.layers)) {
+        const range = { first, end: first + length };
+        const found = findRelief(range, countRequests(engine, range, model), options);
+        const relief = (found ?? 0) * (isCovering(range, low) ? COVER_BONUS : 1);
+        if (relief > (best?.relief ?? 0)) best = { engine, range, relief };
+      }
+    }
+  }
+  return best;
+}
+
+function pickBest(candidates: readonly (Candidate | undefined)[]): Candidate | undefined {
+  return candidates.reduce(
+    (best, candidate) =>
+      candidate && (!best || candidate.relief > best.relief) ? candidate : best,
+    undefined,
+  );
+}
+
+const isPlaced = ({ held, planned, isLoading }: CopyEngine): boolean =>
+  !isLoading && held?.first === planned?.first && held?.end === planned?.end;
+
+/** The capacities without one engine; undefined if its layers would then be too low. */
+function removeHolder(
+  { planned }: CopyEngine,
+  capacities: readonly number[],
+  requests: number,
+  minLeft: number,
+): readonly number[] | undefined {
+  if (!planned) return undefined;
+  for (let layer = planned.first; layer < planned.end; layer += 1) {
+    if ((capacities[layer] ?? 0) - requests < minLeft) return undefined;
+  }
+  return capacities.map((value, layer) =>
+    layer >= planned.first && layer < planned.end ? value - requests : value,
+  );
+}
+
+/**
+ * Plans the next moves of engines of a data centre in which no layer is missing, and sets the
+ * `planned` ranges accordingly.
+ */
+export function planCopies(
+  engines: readonly CopyEngine[],
+  model: ModelDescription,
+  { missing, demand, isLossFinal }: CopyPlanOptions,
+): CopyPlan {
+  const moves: CopyMove[] = [];
+  let capacities: readonly number[] = capacityByLayer(engines, model);
+  const even = findEvenCapacity(capacities);
+  const target = HEADROOM * Math.max(even, demand ?? 0);
+
+  function causeOf(range: Range, otherwise: MoveCause): MoveCause {
+    const lacking = missing.filter(({ held }) => held && isOverlapping(held, range));
+    if (lacking.some(({ isLeaving }) => isLeaving)) return 'leaving';
+    return lacking.length > 0 && otherwise !== 'empty' ? 'loss' : otherwise;
+  }
+
+  function move({ engine, range }: Candidate, otherwise: MoveCause): void {
+    const bottleneckBefore = Math.min(...capacities);
+    engine.planned = range;
+    capacities = capacityByLayer(engines, model);
+    const cause = causeOf(range, otherwise);
+    moves.push({
+      id: engine.id,
+      cause,
+      bottleneckBefore,
+      bottleneckAfter: Math.min(...capacities),
+    });
+  }
+
+  const isBelowDemand = () => demand !== null && Math.min(...capacities) < demand;
+  const isLeavingSoon = missing.some(({ isLeaving, isServing }) => isLeaving && isServing);
+
+  /** Empty engines serve nothing yet, so their number is not limited. */
+  function placeEmptyEngines(): boolean {
+    for (;;) {
+      const empty = engines.filter(({ planned, isOrderable }) => planned === null && isOrderable);
+      if (empty.length === 0) return false;
+      const isReserved = isLeavingSoon && !isBelowDemand();
+      const limit = isReserved ? even * HOLE_SHARE : Math.min(...capacities) * MIN_GAIN;
+      const options = {
+        capacities,
+        lowRanges: findLowRanges(capacities, limit),
+        target,
+        minAfter: 0,
+        model,
+      };
+      // Engines of one kind have the same best range.
+      const kinds = new Map(
+        empty.map((engine) => [`${engine.memoryMb} ${engine.slots}`, engine] as const),
+      );
+      const best = pickBest([...kinds.values()].map((engine) => findBestRange(engine, options)));
+      if (!best) return isReserved;
+      move(best, 'empty');
+    }
+  }
+
+  /** The best next move; layers that are still being loaded elsewhere do not count as copies. */
+  function findMove(findIdle: () => ReadonlySet<string>): Candidate | undefined {
+    const minAfter = Math.min(...capacities) * MIN_GAIN;
+    const lowRanges = findLowRanges(capacities, minAfter);
+    const available = capacityByLayer(engines.filter(isPlaced), model);
+    const before = findDeficit(capacities, target);
+    const known = new Map<string, Candidate | undefined>();
+
+    function findCandidate(engine: CopyEngine): Candidate | undefined {
+      if (!engine.planned) return undefined;
+      const requests = countRequests(engine, engine.planned, model);
+      const left = removeHolder(engine, capacities, requests, minAfter);
+      if (!left || !removeHolder(engine, available, requests, minAfter)) return undefined;
+      const options = { capacities: left, lowRanges, target, minAfter, model };
+      const best = findBestRange(engine, options);
+      const relief = (best?.relief ?? 0) + before - findDeficit(left, target);
+      return best && relief > 0 ? { ...best, relief } : undefined;
+    }
+
+    const candidates = engines.flatMap((engine): Candidate[] => {
+      const { planned, isOrderable, isSettling, memoryMb, slots } = engine;
+      if (!planned || !isOrderable || isSettling || !isPlaced(engine)) return [];
+      // Engines of one kind with the same layers have the same best range.
+      const key = [memoryMb, slots, planned.first, planned.end].join(' ');
+      if (!known.has(key)) known.set(key, findCandidate(engine));
+      const candidate = known.get(key);
+      return candidate ? [{ ...candidate, engine }] : [];
+    });
+    if (candidates.length <= 1) return candidates[0];
+    const unused = candidates.filter(({ engine }) => findIdle().has(engine.id));
+    return pickBest(unused) ?? pickBest(candidates);
+  }
+
+  /**
+   * Moves engines until the bottleneck has risen by the minimum gain, and keeps the moves that may
+   * begin now; none if the bottleneck cannot be raised by so much.
+   */
+  function moveEngines(count: number): void {
+    const start = Math.min(...capacities);
+    let idle: ReadonlySet<string> | undefined;
+    const findIdle = () => {
+      idle ??= new Set(findCompleteChains(engines, model).rest.map(({ id }) => id));
+      return idle;
+    };
+    const before = engines.map(({ planned }) => planned);
+    const first = moves.length;
+    let kept: readonly (Range | null)[] = before;
+    while (moves.length - first < MAX_SEQUENCE && Math.min(...capacities) < start * MIN_GAIN) {
+      const best = findMove(findIdle);
+      if (!best) break;
+      move(best, 'demand');
+      if (moves.length - first === count) kept = engines.map(({ planned }) => planned);
+    }
+    const isWorthwhile = Math.min(...capacities) >= start * MIN_GAIN;
+    if (isWorthwhile && moves.length - first <= count) return;
+    moves.length = first + (isWorthwhile ? count : 0);
+    const restored = isWorthwhile ? kept : before;
+    engines.forEach((engine, index) => {
+      engine.planned = restored[index] ?? null;
+    });
+    capacities = capacityByLayer(engines, model);
+  }
+
+  const hasReserved = placeEmptyEngines();
+  const isUneven = () => Math.min(...capacities) < even * MIN_EVEN_SHARE;
+  const isDue = () => isBelowDemand() || (isLossFinal && missing.length > 0 && isUneven());
+  const moving = engines.filter(({ isMoving }) => isMoving).length;
+  if (moving < MAX_MOVES && isDue()) moveEngines(MAX_MOVES - moving);
+  return { moves, isBusy: moves.length > 0 || moving > 0, hasReserved, isDue: isDue() };
+}
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -7,6 +7,8 @@
  * size (`planChainCount`).
  */
 import { planChainCount, splitIntoChains } from './chainCount';
+import { planCopies } from './copyPlan';
+import type { CopyEngine, CopyMove, CopyPlan, MissingEngine } from './copyPlan';
 import {
   addSecondCopies,
   chooseMemoryPerLayer,
@@ -15,6 +17,7 @@
   layOutInOrder,
 } from './chainLayout';
 import { fillFromNeighbours, fillWithSpare, findLayerGap } from './holeFilling';
+import { capacityByLayer } from './layerCopies';
 import { countCopies, findMemoryPerLayer, GOOD_MEMORY_PER_LAYER } from './plannedEngines';
 import type { Range, PlannedEngine } from './plannedEngines';
 import type { ModelDescription } from './routingDocument';
@@ -40,6 +43,14 @@
   readonly isReliable: boolean;
   /** Whether it still serves the layers it holds, even if it is slow or about to leave. */
   readonly isServing: boolean;
+  /** Whether it announced that it leaves, or has left. */
+  readonly isLeaving?: boolean;
+  /** Whether an order is in progress, so that some of its layers are not available yet. */
+  readonly isLoading?: boolean;
+  /** Whether the order in progress made it give up layers. */
+  readonly isMoving?: boolean;
+  /** Whether it received an order so recently that it is not moved again. */
+  readonly isSettling?: boolean;
 }
 
 /**
@@ -55,6 +66,8 @@
    * continue anyway.
    */
   readonly isPreempting: boolean;
+  /** Set for an order that follows demand and losses; absent for other orders. */
+  readonly move?: Omit<CopyMove, 'id'>;
 }
 
 /** Excess layers that are tolerated: a layer costs a few requests, an order to drop it more. */
@@ -241,55 +254,121 @@
   return layers.size >= model.layers;
 }
 
-function planDataCentre(
+interface DataCentreOptions {
+  readonly mayRebalance: boolean;
+  readonly mayMoveLayers: boolean;
+  readonly copies: CopyNeeds | null;
+}
+
+function rangeOf({ firstLayer, endLayer }: ObservedEngine): Range | null {
+  return firstLayer === null || endLayer === null ? null : { first: firstLayer, end: endLayer };
+}
+
+function toCopyEngines(
   engines: readonly ObservedEngine[],
   model: ModelDescription,
-  {
-    mayRebalance,
-    mayMoveLayers,
-  }: { readonly mayRebalance: boolean; readonly mayMoveLayers: boolean },
-): readonly PlacementOrder[] {
+): readonly CopyEngine[] {
   const kinds = new Map(model.kinds.map((kind) => [kind.name, kind]));
-  const plannedEngines = engines.flatMap((engine): PlannedEngine[] => {
+  return engines.flatMap((engine): CopyEngine[] => {
     const kind = kinds.get(engine.acceleratorKind);
     if (!kind || !engine.isReliable) return [];
-    const { id, firstLayer, endLayer, isOrderable } = engine;
-    const held =
-      firstLayer === null || endLayer === null ? null : { first: firstLayer, end: endLayer };
+    const { id, slots, isOrderable } = engine;
+    const { isLoading = false, isMoving = false, isSettling = false } = engine;
+    const held = rangeOf(engine);
     const { memoryMb, stepFactor, readFactor } = kind;
-    return [
-      {
-        id,
-        memoryMb,
-        stepFactor,
-        readFactor,
-        slots: engine.slots,
-        isOrderable,
-        held,
-        planned: held,
-      },
-    ];
+    const speed = { memoryMb, stepFactor, readFactor };
+    const state = { isOrderable, isLoading, isMoving, isSettling };
+    return [{ id, ...speed, slots, ...state, held, planned: held }];
   });
+}
+
+function listMissing(engines: readonly ObservedEngine[]): readonly MissingEngine[] {
+  return engines
+    .filter(({ isReliable }) => !isReliable)
+    .map((engine) => ({
+      held: rangeOf(engine),
+      isServing: engine.isServing,
+      isLeaving: engine.isLeaving ?? false,
+    }));
+}
+
+/**
+ * Repairs a broken chain as a whole when single moves do not suffice. Such a layout is discarded if
+ * it would lower the bottleneck or, while single moves are due, not raise it.
+ */
+function repairWithoutLoss(
+  engines: readonly CopyEngine[],
+  model: ModelDescription,
+  { isDue, ...options }: RepairOptions & { readonly isDue: boolean },
+): boolean {
+  const before = engines.map(({ planned }) => planned);
+  const bottleneck = Math.min(...capacityByLayer(engines, model));
+  if (!repairBrokenChain(engines, model, options)) return false;
+  const after = Math.min(...capacityByLayer(engines, model));
+  if (isDue ? after > bottleneck : after >= bottleneck) return true;
+  engines.forEach((engine, index) => {
+    engine.planned = before[index] ?? null;
+  });
+  return false;
+}
+
+/** Plans a data centre that holds every layer, after a loss or while demand is not met. */
+function planByDemand(
+  engines: readonly CopyEngine[],
+  model: ModelDescription,
+  chains: number,
+  plan: CopyPlan,
+  { mayRebalance, mayMoveLayers }: DataCentreOptions,
+): void {
+  if (plan.isBusy || plan.hasReserved) return;
+  const { isDue } = plan;
+  const isRepaired =
+    mayMoveLayers && repairWithoutLoss(engines, model, { chains, mayMoveLayers, isDue });
+  if (!isRepaired && mayRebalance) improveLayout(engines, model, chains);
+}
+
+/** Whether a data centre has lost engines, or its capacity is below its demand. */
+function needsCopies(
+  engines: readonly CopyEngine[],
+  missing: readonly MissingEngine[],
+  model: ModelDescription,
+  { copies, mayMoveLayers }: DataCentreOptions,
+): boolean {
+  if (!copies) return false;
+  if (missing.length > 0 || !mayMoveLayers) return true;
+  const { demand } = copies;
+  return demand !== null && Math.min(...capacityByLayer(engines, model)) < demand;
+}
+
+function planDataCentre(
+  engines: readonly ObservedEngine[],
+  model: ModelDescription,
+  options: DataCentreOptions,
+): readonly PlacementOrder[] {
+  const { mayRebalance, mayMoveLayers, copies } = options;
+  const plannedEngines = toCopyEngines(engines, model);
+  const missing = listMissing(engines);
   const chains = planChainCount(plannedEngines, model);
   const isIncomplete = findLayerGap(countCopies(plannedEngines, model.layers)) !== undefined;
   const isStillServed = isServed(engines, model);
+  const moves = new Map<string, Omit<CopyMove, 'id'>>();
   if (plannedEngines.every(({ held }) => held === null)) {
     splitIntoChains(plannedEngines, chains).forEach((chain) => layOutChain(chain, model));
   } else if (isIncomplete) fillGaps(plannedEngines, model, { isStillServed });
-  else if (!repairBrokenChain(plannedEngines, model, { chains, mayMoveLayers }) && mayRebalance)
+  else if (copies && needsCopies(plannedEngines, missing, model, options)) {
+    const { demand } = copies;
+    const plan = planCopies(plannedEngines, model, { missing, demand, isLossFinal: mayMoveLayers });
+    plan.moves.forEach(({ id, ...move }) => moves.set(id, move));
+    planByDemand(plannedEngines, model, chains, plan, options);
+  } else if (!repairBrokenChain(plannedEngines, model, { chains, mayMoveLayers }) && mayRebalance)
     improveLayout(plannedEngines, model, chains);
-  return plannedEngines.flatMap(({ id, held, planned }) =>
-    planned && !isSameRange(held, planned)
-      ? [
-          {
-            id,
-            firstLayer: planned.first,
-            endLayer: planned.end,
-            isPreempting: isIncomplete && !isStillServed,
-          },
-        ]
-      : [],
-  );
+  return plannedEngines.flatMap(({ id, held, planned }) => {
+    if (!planned || isSameRange(held, planned)) return [];
+    const range = { firstLayer: planned.first, endLayer: planned.end };
+    const move = moves.get(id);
+    const isPreempting = isIncomplete && !isStillServed;
+    return [{ id, ...range, isPreempting, ...(move ? { move } : {}) }];
+  });
 }
 
 function groupByDataCentre(engines: readonly ObservedEngine[]): Map<string, ObservedEngine[]> {
@@ -300,6 +379,12 @@
   return groups;
 }
 
+/** What the copies of the layers of a data centre have to suffice for. */
+export interface CopyNeeds {
+  /** Requests for which capacity is needed; null when that is unknown. */
+  readonly demand: number | null;
+}
+
 export interface PlacementOptions {
   /**
    * Whether the layout of a data centre that has all layers may be optimised. Every order
@@ -312,6 +397,11 @@
    * an engine of another chain.
    */
   readonly mayMoveLayers?: (dataCentre: string) => boolean;
+  /**
+   * Needs that the copies of layers follow in a data centre that has lost engines or does not meet
+   * its demand; null, the default, for layouts by whole chains only.
+   */
+  readonly copiesFor?: (dataCentre: string) => CopyNeeds | null;
 }
 
 /**
@@ -321,12 +411,17 @@
 export function planPlacement(
   engines: readonly ObservedEngine[],
   model: ModelDescription,
-  { mayRebalance = () => true, mayMoveLayers = () => true }: PlacementOptions = {},
+  {
+    mayRebalance = () => true,
+    mayMoveLayers = () => true,
+    copiesFor = () => null,
+  }: PlacementOptions = {},
 ): readonly PlacementOrder[] {
   return [...groupByDataCentre(engines)].flatMap(([dataCentre, group]) =>
     planDataCentre(group, model, {
       mayRebalance: mayRebalance(dataCentre),
       mayMoveLayers: mayMoveLayers(dataCentre),
+      copies: copiesFor(dataCentre),
     }),
   );
 }
