feat(slots): pace streams that resume after the loss of a head at the allocator

Cause: waitToResume spaced the resumed streams of each VM by 8 ms times the number of entries, however many streams there were: with 37 entries the second stream of a VM waited 296 ms, where a pause of 250 ms is allowed.

The entry spaces only streams whose chain it chose itself because no allocator answered.

No play of a whole site.

Conclusion: the delay of a resumed stream follows the number of streams for each chain, not the number of entries.

--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -3,7 +3,7 @@
  * permission to put the load of one request on a chain. A stream that breaks off is resumed on
  * another chain after the last event that its caller received.
  */
-import { delay } from '@spoolplank/node';
+import { delay as delayByTimer } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { ModelDescription } from '@spoolplank/routing';
 import type { ChosenChain } from './chainChoice';
@@ -22,6 +22,8 @@
   readonly probeAfterFailure: (instanceId: string, address: string) => void;
   /** Excludes an engine for all requests of this VM for a short time. */
   readonly avoid: (instanceId: string) => void;
+  /** Resolves after a duration; by default with a timer. */
+  readonly delay?: (durationMs: number) => Promise<void>;
 }
 
 export interface StreamDispatch {
@@ -52,9 +54,9 @@
 /** Maximum number of attempts of one stream. If all fail, the cause is probably not the engines. */
 const MAX_ATTEMPTS = 6;
 /**
- * Interval at which all entries together resume streams. Resuming repeats the prefill, which keeps
- * the slowest engine of a chain busy for 4 ms with a prompt of 800 tokens. Twice that time leaves
- * half of the engine to the other streams.
+ * Interval at which all entries together resume streams while no allocator answers. Resuming
+ * repeats the prefill, which keeps the slowest engine of a chain busy for 4 ms with a prompt of 800
+ * tokens. Twice that time leaves half of the engine to the other streams.
  */
 const RESUME_SPACING_MS = 8;
 /**
@@ -62,6 +64,8 @@
  * the fault takes 0.5 s of it; the rest remains for the slot and for the repeated prefill.
  */
 const MAX_RESUME_DELAY_MS = 900;
+/** Pause after which a stream is resumed without further delay, as its caller leaves after 2 s. */
+const RESUME_BY_MS = 1400;
 /**
  * Share of the retry budget that is reserved for streams of which the caller has received a part.
  * Other streams can be refused and retried by their callers; a partly received one would be lost.
@@ -82,7 +86,7 @@
 }
 
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
-  const { context, streams, slots, probeAfterFailure, avoid } = options;
+  const { context, streams, slots, probeAfterFailure, avoid, delay = delayByTimer } = options;
   const { clock, log, view, quarantine, crashes } = context;
   const attempter = createStreamAttempts({
     context,
@@ -109,13 +113,15 @@
 
   /**
    * Staggers the streams that resume after the loss of an engine. Each of them repeats its prefill;
-   * if all did so at once, they would delay every other stream of their new chain.
+   * if all did so at once, they would delay every other stream of their new chain. An allocator
+   * paces the streams of all entries; without one, each entry spaces its own for all of them.
    */
-  async function waitToResume(): Promise<void> {
+  async function waitToResume(silentSinceMs: number): Promise<void> {
     const nowMs = clock.nowMs();
     const spacingMs = RESUME_SPACING_MS * Math.max(1, view.listMembers('entry').length);
     nextResumeAtMs = Math.max(nextResumeAtMs + spacingMs, nowMs);
-    const waitMs = Math.min(nextResumeAtMs - nowMs, MAX_RESUME_DELAY_MS);
+    const latestAtMs = Math.min(nowMs + MAX_RESUME_DELAY_MS, silentSinceMs + RESUME_BY_MS);
+    const waitMs = Math.min(nextResumeAtMs, latestAtMs) - nowMs;
     if (waitMs > 0) await delay(waitMs);
   }
 
@@ -164,6 +170,8 @@
       let attempts = 0;
       /** Whether an earlier attempt may have run; the caller then cannot be told `not-run`. */
       let mayHaveRun = false;
+      /** Whether the stream broke off and has not been spaced from other resumed streams since. */
+      let isSpacingDue = false;
       let problem = '';
 
       const end = (outcome: RequestEnd['outcome'], status: number): RequestEnd => ({
@@ -203,6 +211,11 @@
         const chain = mayHaveRun
           ? await slots.findForResumed(search, progress.lastEventAtMs ?? waitStartMs)
           : await slots.findForNew(search);
+        if (chain?.grantedBy === null && isSpacingDue) {
+          await waitToResume(progress.lastEventAtMs ?? waitStartMs);
+          if (answer.isClosed) return end('caller-left', progress.status);
+        }
+        isSpacingDue = false;
         progress.waitedMs += clock.nowMs() - waitStartMs;
         if (!chain && answer.isClosed) return end('caller-left', progress.status);
         // Other VMs may have reported crashes under this content while the request waited.
@@ -233,7 +246,7 @@
           ...(result.kind === 'broken' ? describeRun(admitted, result.run) : {}),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
-        if (result.kind === 'broken' && progress.hasBegun) await waitToResume();
+        isSpacingDue ||= result.kind === 'broken' && progress.hasBegun;
         if (result.kind === 'not-run') {
           rejections += 1;
           recordRejection(chain, result.culprit, excluded);
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -8,11 +8,13 @@
  * to poll first.
  */
 import type { ServiceCapacity } from '@spoolplank/membership';
-import { createRetrySchedule } from '@spoolplank/routing';
+import { createResumePacing, createRetrySchedule, resumeSpacingMs } from '@spoolplank/routing';
+import type { PathStage } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
 import { createAdmissionQueue } from '../admission/admissionQueue';
 import type { AdmissionQueue } from '../admission/admissionQueue';
+import type { RatedChain } from '../dispatch/chainCatalog';
 import type { LimitAccount } from '../limits/limitAccount';
 import { createSlotAccount } from './slotAccount';
 import { createSlotChains } from './slotChains';
@@ -32,6 +34,8 @@
   readonly isAllocator: () => boolean;
   /** Whether this VM has a configuration. Without one it has no chains to allocate. */
   readonly isConfigured: () => boolean;
+  /** Prefill time of a stage's engine relative to the model's; 1 where it is unknown. */
+  readonly prefillFactorOf?: (stage: PathStage, service: string) => number;
 }
 
 export interface SlotAllocator {
@@ -60,9 +64,13 @@
   settled: Promise<void>;
 }
 
-/** Identifies the chains that an ask excludes. Asks with equal keys can get the same slots. */
-function exclusionKeyOf({ heads = [], excludedHeads, closedIds = [] }: SlotAsk): string {
-  return `${[...heads].sort().join(' ')}-${[...excludedHeads, ...closedIds].sort().join(' ')}`;
+/**
+ * Identifies the chains that an ask excludes. Asks with equal keys can get the same slots; streams
+ * that have begun are paced, so that their failed tries say nothing about new ones.
+ */
+function exclusionKeyOf({ heads = [], excludedHeads, closedIds = [], hasBegun }: SlotAsk): string {
+  const excluded = [...excludedHeads, ...closedIds].sort().join(' ');
+  return `${hasBegun ? 'begun ' : ''}${[...heads].sort().join(' ')}-${excluded}`;
 }
 
 const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
@@ -77,11 +85,14 @@
 const MAX_QUEUE_LENGTH = 600;
 
 export function createSlotAllocator(options: SlotAllocatorOptions): SlotAllocator {
-  const { clock, delay, limits } = options;
+  const { clock, delay, limits, prefillFactorOf = () => 1 } = options;
   const retrySchedule = createRetrySchedule({ clock });
   const account = createSlotAccount(options);
   const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
   const permits = createSlotPermits({ limits });
+  const resumePacing = createResumePacing({ clock });
+  /** Turns of granted slots for resumed streams; an answer is held back until its turn. */
+  const turnsAtMs = new WeakMap<GrantedSlot, number>();
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
 
@@ -99,14 +110,44 @@
     return queue;
   }
 
+  function isPaced({ hasBegun, heads }: SlotAsk): boolean {
+    return hasBegun && heads === undefined;
+  }
+
+  /**
+   * No bound for a paced ask: the recent rate of grants says nothing about the turns of streams
+   * that resume together, and most of them would be refused by it.
+   */
+  function pacedRate(ask: SlotAsk): number | null {
+    return isPaced(ask) ? Number.POSITIVE_INFINITY : null;
+  }
+
+  function findBest(ask: SlotAsk): RatedChain | undefined {
+    if (!isPaced(ask)) return slotChains.findBest(ask);
+    return resumePacing.choose((busyHeads) =>
+      slotChains.findBest({ ...ask, excludedHeads: [...ask.excludedHeads, ...busyHeads] }),
+    );
+  }
+
+  function takeTurn({ service, size }: SlotAsk, slot: GrantedSlot): void {
+    const model = options.modelOf(service);
+    if (!model) return;
+    const { headId, stages } = slot;
+    const factorOf = (stage: PathStage) => prefillFactorOf(stage, service);
+    const spacingMs = resumeSpacingMs({ model, stages, size, prefillFactorOf: factorOf });
+    turnsAtMs.set(slot, resumePacing.takeTurn(headId, spacingMs));
+  }
+
   function findSlot(holder: string, ask: SlotAsk): GrantedSlot | undefined {
-    const chosen = slotChains.findBest(ask);
+    const chosen = findBest(ask);
     if (!chosen) return undefined;
     const { headId, stages, capacity } = chosen;
     const limitPerS = permits.take(holder, ask.ticket, headId);
     account.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
     const inFlight = account.inFlightOn(headId);
-    return { grantedBy: options.host, headId, stages, capacity, inFlight, limitPerS };
+    const slot = { grantedBy: options.host, headId, stages, capacity, inFlight, limitPerS };
+    if (isPaced(ask)) takeTurn(ask, slot);
+    return slot;
   }
 
   function enqueue(holder: string, ask: SlotAsk): Ticket {
@@ -127,7 +168,7 @@
       isRetry: ask.isRetry,
       find: () => findSlot(holder, ticket.ask),
       exclusionKey: () => exclusionKeyOf(ticket.ask),
-      limitedPerS: () => slotChains.limitedRate(ticket.ask),
+      limitedPerS: () => slotChains.limitedRate(ticket.ask) ?? pacedRate(ticket.ask),
       isAbandoned: () => clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS,
     };
     ticket.settled = queueOf(ask.service)
@@ -174,6 +215,14 @@
     return refuse(ask, refusalReasonOf(ask, ticket), ahead);
   }
 
+  /** Holds back an answer with a slot until the turn of the slot has come. */
+  async function holdUntilTurn(reply: SlotReply): Promise<SlotReply> {
+    const atMs = reply.kind === 'granted' ? turnsAtMs.get(reply.slot) : undefined;
+    const waitMs = (atMs ?? 0) - clock.nowMs();
+    if (waitMs > 0) await delay(waitMs);
+    return reply;
+  }
+
   function end(holder: string, name: string): void {
     permits.recordUsed(holder, name);
     account.cancel(holder, name);
@@ -215,7 +264,7 @@
         cancel(holder, ask.ticket);
         return refuse(ask, 'turned-away', queueOf(ask.service).length);
       }
-      return ask.mayWait ? waitInQueue(holder, ask) : tryOnce(holder, ask);
+      return holdUntilTurn(ask.mayWait ? await waitInQueue(holder, ask) : tryOnce(holder, ask));
     },
     capacityOf: (service) => ({
       ...slotChains.capacityOf(service),
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -7,7 +7,7 @@
 import type { FactUpdate, MemberFact, CapacityFact, SystemFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
-import type { ModelDescription, BackoffTable } from '@spoolplank/routing';
+import type { ModelDescription, BackoffTable, PathStage } from '@spoolplank/routing';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { ChainChoice } from '../dispatch/chainChoice';
 import { createLimitAccount } from '../limits/limitAccount';
@@ -92,6 +92,13 @@
     return view.routes()?.document.services.find(({ name }) => name === service)?.model;
   }
 
+  function prefillFactorOf({ id, address }: PathStage, service: string): number {
+    const body = view.findByAddress(address)?.body;
+    const kindName = body?.kind === 'backend' ? body.engine?.acceleratorKind : undefined;
+    const kind = modelOf(service)?.kinds.find(({ name }) => name === kindName);
+    return (kind?.readFactor ?? 1) * view.slowdownOf(id);
+  }
+
   const isAllocator = () => rank.find(dataCentre)?.host === host;
   const account = createLimitAccount({
     clock,
@@ -115,6 +122,7 @@
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAllocator,
     isConfigured: () => view.routes() !== null,
+    prefillFactorOf,
   });
 
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -13,6 +13,7 @@
 export * from './src/namedLimits';
 export * from './src/permitAccount';
 export * from './src/requestSize';
+export * from './src/resumePacing';
 export * from './src/backoffTable';
 export * from './src/backoffWait';
 export * from './src/retryBudget';
