feat(routing): slow engines are given up by the allowed pause of their streams

Cause: every engine that was 2.5 times slower than its kind counted as lost, although the streams of its chain kept their allowed pause. Eight engines of one data centre at three times the usual time caused ten moves of layers.

Change: findTooSlowEngines predicts the time that a request spends at the slow engine between two events, at the present demand; the engine is given up when less than 0.4 of the smallest allowed pause remains, and is used again below 0.8 of that limit. Services without stream routes keep the fixed limit. Moves are rated by the layers to load, so that two short loads come before one long one. While engines are slow, a chain is laid out anew only when demand calls for it.

--- a/packages/controller/src/placementLoop.ts
+++ b/packages/controller/src/placementLoop.ts
@@ -25,6 +25,7 @@
 import type { EngineAddress, EngineOrders } from './engineOperations';
 import { createOrderCounts } from './orderCounts';
 import { createPendingOrders, isSameRange } from './pendingOrders';
+import { createSlowEngineWatch, REPLACEMENT_SLOWDOWN } from './slowEngineWatch';
 
 export interface PlacementLoopOptions {
   readonly clock: Clock;
@@ -105,8 +106,6 @@
  * streams that use its layers have ended.
  */
 const REFUSED_PAUSE_MS = 2000;
-/** Slowdown from which an engine is replaced, as it delays every stream of its chain. */
-const REPLACEMENT_SLOWDOWN = 2.5;
 /**
  * Fractions added to the sequence of the last announcement for states that the control VM publishes
  * before the engine announces them, so that the next announcement supersedes the states.
@@ -138,6 +137,7 @@
   const losses = createEngineLosses({ clock });
   const orderCounts = createOrderCounts();
   const demand = createDemandWatch({ clock, table });
+  const slowEngines = createSlowEngineWatch({ clock, table, demand });
   const { isEnabled: isByDemand } = options.decisions.demandPlacement;
   /** The last order of each engine, and whether the engine held layers when it received it. */
   const lastOrders = new Map<string, LastOrder>();
@@ -210,10 +210,12 @@
     // A withdrawn engine still serves its streams in flight, which must not be interrupted.
     const isPresent = state === 'gone' ? nowMs - receivedAtMs < DRAIN_GRACE_MS : isAnnounced;
     const isServing = isPresent && !isSuspect;
-    const slowdown = readSlowdown(table, instanceId, nowMs);
+    const isTooSlow = isByDemand
+      ? slowEngines.isGivenUp(body.service, instanceId)
+      : readSlowdown(table, instanceId, nowMs) >= REPLACEMENT_SLOWDOWN;
     const isUncertain = (uncertainUntilMs.get(instanceId) ?? 0) > nowMs;
     const isReady = state === 'ready' && !isLeaving(table, instanceId);
-    const isRetained = isReady && slowdown < REPLACEMENT_SLOWDOWN && !isUncertain;
+    const isRetained = isReady && !isTooSlow && !isUncertain;
     // A backoff of seconds does not justify moving layers, so the engine merely gets no orders.
     const mayBeOrdered = !wasRecentlyRefused(instanceId) && !options.isBackingOff(instanceId);
     const isReliable = isServing && isRetained;
@@ -376,7 +378,12 @@
           .list()
           .filter(isEngineOf(name))
           .filter(({ body }) => findDocumentConflict(body, document) === null);
-        if (model && engines.length > 0) placeLayers(name, model, engines);
+        if (!model || engines.length === 0) return;
+        if (isByDemand) {
+          const bodies = engines.map(({ body }) => body);
+          slowEngines.record(name, model, bodies, document);
+        }
+        placeLayers(name, model, engines);
       });
     },
   };
--- a/packages/routing/__tests__/copyFixtures.ts
+++ b/packages/routing/__tests__/copyFixtures.ts
@@ -2,6 +2,7 @@
 import { planPlacement } from '../src/placement';
 import type { ObservedEngine, PlacementOrder } from '../src/placement';
 import { capacityByLayer } from '../src/layerCopies';
+import { findTooSlowEngines } from '../src/slowEngines';
 import { createEngines, createModel, repeat } from './fixtures';
 
 const TICK_MS = 200;
@@ -10,6 +11,9 @@
 /** Pause between optimisations, and before an engine is moved again. */
 const PAUSE_MS = 4000;
 const SLOTS = 134;
+const TARGET_GAP_MS = 250;
+/** Slowdown from which engines were given up before the allowed pause decided. */
+const REPLACEMENT_SLOWDOWN = 2.5;
 
 /** The model and the kinds of a deployment with 93 engines in three data centres. */
 export const MODEL = createModel({
@@ -30,7 +34,9 @@
   readonly id: string;
   readonly kind: string;
   state: 'ready' | 'draining' | 'lost';
-  isSlow: boolean;
+  /** 1 for the usual speed. */
+  slowdown: number;
+  isGivenUp: boolean;
   loaded: { readonly first: number; readonly end: number } | null;
   order: { readonly first: number; readonly end: number; readonly doneAtMs: number } | null;
   orderedAtMs: number;
@@ -69,8 +75,17 @@
   }
 
   function add(id: string, kind: string): SimulatedEngine {
-    const state = { state: 'ready' as const, isSlow: false, loaded: null, order: null };
-    const engine: SimulatedEngine = { id, kind, ...state, orderedAtMs: -PAUSE_MS, hasMoved: false };
+    const engine: SimulatedEngine = {
+      id,
+      kind,
+      state: 'ready',
+      slowdown: 1,
+      isGivenUp: false,
+      loaded: null,
+      order: null,
+      orderedAtMs: -PAUSE_MS,
+      hasMoved: false,
+    };
     engines.push(engine);
     return engine;
   }
@@ -78,7 +93,7 @@
   function observe(engine: SimulatedEngine): ObservedEngine {
     const { id, kind, state, order } = engine;
     const range = order ?? engine.loaded;
-    const isReliable = state === 'ready' && !engine.isSlow;
+    const isReliable = state === 'ready' && !engine.isGivenUp;
     return {
       id,
       dataCentre: 'a',
@@ -128,6 +143,20 @@
     orderedAtMs = nowMs;
   }
 
+  function judgeSpeeds(needed: number | null): void {
+    const speeds = engines
+      .filter(({ state }) => state === 'ready')
+      .map((engine) => {
+        const { id, kind: acceleratorKind, slowdown, isGivenUp, loaded } = engine;
+        return { id, acceleratorKind, slots: SLOTS, held: loaded, slowdown, isGivenUp };
+      });
+    const options = { model: MODEL, targetGapMs: TARGET_GAP_MS, demand: needed };
+    const tooSlow = isEnabled ? findTooSlowEngines(speeds, options) : null;
+    engines.forEach((engine) => {
+      engine.isGivenUp = tooSlow?.has(engine.id) ?? engine.slowdown >= REPLACEMENT_SLOWDOWN;
+    });
+  }
+
   function tick(): void {
     nowMs += TICK_MS;
     engines.forEach((engine) => {
@@ -136,6 +165,7 @@
       engine.order = null;
     });
     const needed = demand(nowMs);
+    judgeSpeeds(needed);
     planPlacement(engines.map(observe), MODEL, {
       mayRebalance: () => nowMs - orderedAtMs > PAUSE_MS,
       mayMoveLayers: () => nowMs - lostAtMs >= RETURN_WINDOW_MS,
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -24,6 +24,7 @@
 export * from './src/placement';
 export * from './src/routeTable';
 export * from './src/routingDocument';
+export { findTooSlowEngines } from './src/slowEngines';
 export * from './src/stageChains';
 export * from './src/stagePath';
 export * from './src/tokenBucket';
--- a/packages/routing/src/chainSpeed.ts
+++ b/packages/routing/src/chainSpeed.ts
@@ -19,6 +19,8 @@
 export interface ChainSpeed {
   /** Time of one pass of a request through the whole chain, in milliseconds. */
   readonly cycleMs: number;
+  /** The part of `cycleMs` that a request spends at each engine, in the order of the parts. */
+  readonly stageMs: readonly number[];
   /** Time to decode an answer of usual length, in milliseconds. */
   readonly answerMs: number;
   /** Throughput with the given number of requests in flight. */
@@ -69,12 +71,14 @@
 ): ChainSpeed {
   const passes = Math.max(1, model.usualAnswerTokens / model.stepsPerPass);
   let cycleMs = parts.length * (HOP_MS + model.stepMs);
+  let stageMs: readonly number[] = [];
   for (let round = 0; round < ITERATIONS; round += 1) {
     const state = { cycleMs, requests, perMs: requests / (cycleMs * passes) };
-    const nextMs = parts.reduce((sum, part) => sum + stageTimeMs(part, model, state), 0);
+    stageMs = parts.map((part) => stageTimeMs(part, model, state));
+    const nextMs = stageMs.reduce((sum, partMs) => sum + partMs, 0);
     // Averages with the previous value: the iteration oscillates without damping.
     cycleMs = (cycleMs + nextMs) / 2;
   }
   const answerMs = cycleMs * passes;
-  return { cycleMs, answerMs, requestsPerS: (requests / answerMs) * MS_PER_S };
+  return { cycleMs, stageMs, answerMs, requestsPerS: (requests / answerMs) * MS_PER_S };
 }
--- a/packages/routing/src/copyPlan.ts
+++ b/packages/routing/src/copyPlan.ts
@@ -10,7 +10,7 @@
  * it. The bottleneck therefore never falls, and without new losses a sequence of moves ends.
  */
 import { capacityByLayer, countRequests, findEvenCapacity, findLowRanges } from './layerCopies';
-import { GOOD_MEMORY_PER_LAYER } from './plannedEngines';
+import { GOOD_MEMORY_PER_LAYER, lengthOf } from './plannedEngines';
 import type { PlannedEngine, Range } from './plannedEngines';
 import type { ModelDescription } from './routingDocument';
 import { findCompleteChains } from './wholeChains';
@@ -60,6 +60,8 @@
   readonly hasReserved: boolean;
   /** Whether the capacity is below demand, or so uneven that it is raised after a final loss. */
   readonly isDue: boolean;
+  /** Whether layers do not count because their engine is slow. */
+  readonly hasSlow: boolean;
 }
 
 /** Relative gain below which a move is not worth the load, which takes about a second. */
@@ -255,7 +257,8 @@
       const options = { capacities: left, lowRanges, target, minAfter, model };
       const best = findBestRange(engine, options);
       const relief = (best?.relief ?? 0) + before - findDeficit(left, target);
-      return best && relief > 0 ? { ...best, relief } : undefined;
+      // The load time grows with the layers: two short loads at a time end before a long one.
+      return best && relief > 0 ? { ...best, relief: relief / lengthOf(best.range) } : undefined;
     }
 
     const candidates = engines.flatMap((engine): Candidate[] => {
@@ -307,5 +310,7 @@
   const isDue = () => isBelowDemand() || (isLossFinal && missing.length > 0 && isUneven());
   const moving = engines.filter(({ isMoving }) => isMoving).length;
   if (moving < MAX_MOVES && isDue()) moveEngines(MAX_MOVES - moving);
-  return { moves, isBusy: moves.length > 0 || moving > 0, hasReserved, isDue: isDue() };
+  const hasSlow = missing.some(({ isServing, isLeaving }) => isServing && !isLeaving);
+  const isBusy = moves.length > 0 || moving > 0;
+  return { moves, isBusy, hasReserved, isDue: isDue(), hasSlow };
 }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -321,9 +321,11 @@
   { mayRebalance, mayMoveLayers }: DataCentreOptions,
 ): void {
   if (plan.isBusy || plan.hasReserved) return;
-  const { isDue } = plan;
+  const { isDue, hasSlow } = plan;
+  // Engines are slow for some seconds; unless demand calls for it, that is not worth a new layout.
+  const mayRepair = mayMoveLayers && (isDue || !hasSlow);
   const isRepaired =
-    mayMoveLayers && repairWithoutLoss(engines, model, { chains, mayMoveLayers, isDue });
+    mayRepair && repairWithoutLoss(engines, model, { chains, mayMoveLayers, isDue });
   if (!isRepaired && mayRebalance) improveLayout(engines, model, chains);
 }
 
