test(routing): copies of layers while engines are replaced

Cause: new engines received layers by their speed while the layers of leaving engines had one holder left, and loaded engines were then laid out anew.

Conclusion: a layer range of 26 layers takes 4.6 s to load and cannot be covered within a drain of 2.5 s when two of its three holders leave one after the other; that dip remains as it was.

--- a/packages/routing/__tests__/copyFixtures.ts
+++ b/packages/routing/__tests__/copyFixtures.ts
@@ -202,6 +202,10 @@
       engines.splice(engines.indexOf(engine), 1);
       add(`${engine.id}/2`, engine.kind);
     },
+    /** The engine announces that it leaves, and still serves its layers. */
+    drain(engine: SimulatedEngine): void {
+      engine.state = 'draining';
+    },
     remove(engine: SimulatedEngine): void {
       engine.state = 'lost';
       lostAtMs = nowMs;
