feat(entry): precedence of classes by route priority, with a guaranteed share

Cause: an organisation's priority replaced that of the route, so where all organisations have one, routes of different priority were served alike. In a burst, the urgent class lost as much as the patient one.

Change: asks carry the route's priority and the cost of their slot. A charge is taken back when its slot is cancelled or was never listed. New metrics spoolplank_slot_grants_total and spoolplank_slot_wait_ms by class; the dump lists the share of each class.

--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -1,6 +1,6 @@
 /** Simulates the entry VMs of one data centre in front of engine chains, in virtual time. */
 import type { MemberFact } from '@spoolplank/membership';
-import type { HeldSlot } from '@spoolplank/routing';
+import type { HeldSlot, SharingSettings } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { RatedChain } from '../src/dispatch/chainCatalog';
@@ -73,7 +73,11 @@
 });
 
 /** Creates the entries of one data centre, in front of chains with a capacity of 100 each. */
-export function createDataCentre(count: number, heads: readonly string[]) {
+export function createDataCentre(
+  count: number,
+  heads: readonly string[],
+  { sharing }: { readonly sharing?: SharingSettings } = {},
+) {
   const time = createVirtualTime();
   const { clock, schedule, delay } = time;
   const vms: Vm[] = [];
@@ -161,6 +165,7 @@
       reportedInFlight: (headId) => reportedLoads.get(headId) ?? 0,
       firstEventMs: () => 0,
       isAllocator,
+      ...(sharing ? { sharing } : {}),
     });
     const client = createSlotClient({
       clock,
@@ -226,10 +231,17 @@
   }
 
   /** Sends one request, which holds its slot for `lastsMs` once it is granted one. */
-  function send(vm: Vm, ticket: string, overrides: Partial<SlotRequest> = {}, lastsMs = 2000) {
+  function send(
+    vm: Vm,
+    ticket: string,
+    overrides: Partial<SlotRequest> = {},
+    lastsMs = 2000,
+    onEnd: (outcome: SlotOutcome) => void = () => {},
+  ) {
     const outcomes: SlotOutcome[] = [];
     void vm.client.find(toRequest(vm, ticket, overrides)).then((outcome) => {
       outcomes.push(outcome);
+      onEnd(outcome);
       if (outcome.kind === 'granted' && vm.isUp) hold(vm, ticket, outcome.chain.headId, lastsMs);
     });
     return outcomes;
--- a/packages/entry/src/admission/admissionQueue.ts
+++ b/packages/entry/src/admission/admissionQueue.ts
@@ -2,8 +2,19 @@
  * Queues requests that wait for a slot, in the order of `compareQueued`. A slot is the permission
  * to put the load of one request on a chain of engines.
  */
-import { compareQueued, willMissQueueDeadline } from '@spoolplank/routing';
-import type { QueuedRequest } from '@spoolplank/routing';
+import {
+  classOf,
+  compareQueued,
+  createClassShares,
+  willMissQueueDeadline,
+} from '@spoolplank/routing';
+import type {
+  ClassShares,
+  CompareClasses,
+  QueuedRequest,
+  SharingSettings,
+  SlotClaim,
+} from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 
 export interface AdmissionQueueOptions {
@@ -13,9 +24,13 @@
   readonly maxLength: number;
   /** How often the queue looks for free slots. */
   readonly pollMs: number;
+  /** Shares of the classes; without them only the order of `compareQueued` counts. */
+  readonly sharing?: SharingSettings;
 }
 
 export interface QueueEntry<Slot> extends QueuedRequest {
+  /** Cost of the slot, relative to a request of usual size; 1 by default. */
+  readonly cost?: number;
   /** Tries to take a slot; undefined if there is none. */
   readonly find: () => Slot | undefined;
   /**
@@ -34,6 +49,12 @@
   readonly length: number;
   /** Recent rate of granted slots. */
   slotsPerS(): number;
+  /** Charges a slot that was granted without the queue. */
+  charge(claim: SlotClaim): void;
+  /** Takes back the charge for a slot that was not used. */
+  refund(claim: SlotClaim): void;
+  /** Share of the granted cost by class. */
+  listClassShares(): ReturnType<ClassShares['list']>;
   /**
    * Resolves with a slot, at once if one is free and no request is ahead, or with undefined if the
    * request left the queue without one or would wait in vain.
@@ -64,14 +85,36 @@
 const RATE_WINDOW_MS = 1500;
 const MS_PER_S = 1000;
 
+function claimOf(wait: QueueEntry<unknown>): SlotClaim {
+  return { priority: wait.priority, classPriority: classOf(wait), cost: wait.cost ?? 1 };
+}
+
 export function createAdmissionQueue(options: AdmissionQueueOptions): AdmissionQueue {
-  const { clock, delay, maxLength, pollMs } = options;
+  const { clock, delay, maxLength, pollMs, sharing } = options;
+  const minShare = sharing?.isEnabled ? sharing.minClassShare : 0;
+  const classShares = createClassShares({ clock, minShare });
   const queue: Ticket[] = [];
   const grantedAtMs: number[] = [];
   let isPolling = false;
 
-  function recordGrant(): void {
+  function recordGrant(wait: QueueEntry<unknown>): void {
     grantedAtMs.push(clock.nowMs());
+    classShares.charge(claimOf(wait));
+  }
+
+  /** Orders queued requests; a class that is owed a part of its share comes before the others. */
+  function createCompare(): (a: QueuedRequest, b: QueuedRequest) => number {
+    const nowMs = clock.nowMs();
+    const owedClasses = new Map<number, number | undefined>();
+    const owedAt = (priority: number): number | undefined => {
+      if (!owedClasses.has(priority)) owedClasses.set(priority, classShares.findOwed(priority));
+      return owedClasses.get(priority);
+    };
+    const compareClasses: CompareClasses = (priority, a, b) => {
+      const owed = a === b ? undefined : owedAt(priority);
+      return Number(b === owed) - Number(a === owed) || a - b;
+    };
+    return (a, b) => compareQueued(a, b, nowMs, compareClasses);
   }
 
   function slotsPerS(): number {
@@ -81,12 +124,17 @@
   }
 
   function sortQueue(): void {
-    const nowMs = clock.nowMs();
-    queue.sort((a, b) => compareQueued(a.wait, b.wait, nowMs));
+    const compare = createCompare();
+    queue.sort((a, b) => compare(a.wait, b.wait));
   }
 
-  function remove(ticket: Ticket, slot: unknown): void {
+  function takeOut(ticket: Ticket): void {
     queue.splice(queue.indexOf(ticket), 1);
+    classShares.leave(claimOf(ticket.wait));
+  }
+
+  function remove(ticket: Ticket, slot: unknown): void {
+    takeOut(ticket);
     ticket.settle(slot);
   }
 
@@ -102,11 +150,11 @@
     try {
       const slot = ticket.wait.find();
       if (slot === undefined) return false;
-      recordGrant();
+      recordGrant(ticket.wait);
       remove(ticket, slot);
       return true;
     } catch (error) {
-      queue.splice(queue.indexOf(ticket), 1);
+      takeOut(ticket);
       ticket.fail(error);
       return false;
     }
@@ -144,14 +192,24 @@
     isPolling = false;
   }
 
+  /**
+   * Number of requests that get a slot before this one. The guaranteed share of its class bounds
+   * it: however many requests of more urgent classes wait, the class gets its part of the slots.
+   */
   function countAhead(wait: QueuedRequest): number {
-    const nowMs = clock.nowMs();
-    return queue.filter((ticket) => compareQueued(ticket.wait, wait, nowMs) <= 0).length;
+    const compare = createCompare();
+    const ahead = queue.filter((ticket) => compare(ticket.wait, wait) <= 0);
+    if (minShare === 0) return ahead.length;
+    const ofClass = ahead.filter(({ wait: other }) => classOf(other) === classOf(wait)).length;
+    const ofLevel = ahead.filter(({ wait: other }) => other.priority === wait.priority).length;
+    const bounded = Math.min(ofLevel, Math.ceil((ofClass + 1) / minShare) - 1);
+    return ahead.length - ofLevel + bounded;
   }
 
   function join<Slot>(wait: QueueEntry<Slot>): Promise<Slot | undefined> {
     return new Promise((resolve, reject) => {
       queue.push({ wait, settle: (slot) => resolve(slot as Slot | undefined), fail: reject });
+      classShares.join(claimOf(wait));
       sortQueue();
       const last = queue.length > maxLength ? queue.at(-1) : undefined;
       if (last) remove(last, undefined);
@@ -164,11 +222,14 @@
       return queue.length;
     },
     slotsPerS,
+    charge: classShares.charge,
+    refund: classShares.refund,
+    listClassShares: classShares.list,
     async enqueue(wait) {
       const ahead = countAhead(wait);
       const slot = ahead === 0 ? wait.find() : undefined;
       if (slot !== undefined) {
-        recordGrant();
+        recordGrant(wait);
         return slot;
       }
       const remainingMs = wait.queueDeadlineAtMs - clock.nowMs();
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -8,9 +8,11 @@
  * to poll first.
  */
 import type { ServiceCapacity } from '@spoolplank/membership';
-import { createRetrySchedule } from '@spoolplank/routing';
+import type { Metrics } from '@spoolplank/node';
+import { createRetrySchedule, DEFAULT_DECISIONS } from '@spoolplank/routing';
+import type { SharingSettings, SlotClaim } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
-import type { Clock } from '@spoolplank/shared';
+import type { Clock, JsonValue } from '@spoolplank/shared';
 import { createAdmissionQueue } from '../admission/admissionQueue';
 import type { AdmissionQueue } from '../admission/admissionQueue';
 import type { LimitAccount } from '../limits/limitAccount';
@@ -32,6 +34,9 @@
   readonly isAllocator: () => boolean;
   /** Whether this VM has a configuration. Without one it has no chains to allocate. */
   readonly isConfigured: () => boolean;
+  /** The default settings if omitted. */
+  readonly sharing?: SharingSettings;
+  readonly metrics?: Pick<Metrics, 'count' | 'observe'>;
 }
 
 export interface SlotAllocator {
@@ -48,6 +53,15 @@
   readonly waiting: number;
   /** Number of VMs that hold slots. */
   readonly holders: number;
+  /** Share of the recently granted cost by service and class. */
+  describeShares(): JsonValue;
+}
+
+/** A slot that was charged to its class, and can be refunded until its request is sent. */
+interface Charge {
+  readonly service: string;
+  readonly claim: SlotClaim;
+  readonly atMs: number;
 }
 
 interface Ticket {
@@ -65,6 +79,17 @@
   return `${[...heads].sort().join(' ')}-${[...excludedHeads, ...closedIds].sort().join(' ')}`;
 }
 
+/** Cost of a permit for a plain server, which has no size. */
+const PERMIT_COST = 1;
+
+/** The class and cost of an ask. An older VM sends neither. */
+function claimOf(ask: SlotAsk, { isEnabled }: SharingSettings): SlotClaim {
+  const { priority, size, cost = size > 0 ? size : PERMIT_COST } = ask;
+  // Without sharing, all requests of one priority are in one class.
+  const classPriority = isEnabled ? (ask.classPriority ?? priority) : priority;
+  return { priority, classPriority, cost };
+}
+
 const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
 
 /**
@@ -73,17 +98,24 @@
 const ABANDONED_AFTER_MS = 900;
 /** Interval at which the queue looks for slots. A released slot is reported within about 30 ms. */
 const POLL_MS = 20;
+/**
+ * Time after which a granted slot that its holder never listed counts as unused; equal to the time
+ * after which the ledger releases it.
+ */
+const UNCLAIMED_MS = 1300;
 /** Bounds memory; far above the number of requests that arrive within the maximum wait. */
 const MAX_QUEUE_LENGTH = 600;
 
 export function createSlotAllocator(options: SlotAllocatorOptions): SlotAllocator {
-  const { clock, delay, limits } = options;
+  const { clock, delay, limits, metrics, sharing = DEFAULT_DECISIONS.sharing } = options;
   const retrySchedule = createRetrySchedule({ clock });
   const account = createSlotAccount(options);
   const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
   const permits = createSlotPermits({ limits });
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
+  /** Charges for granted slots that their holders have not listed yet, oldest first. */
+  const charges = new Map<string, Charge>();
 
   /** Each service has its own queue, as its requests need slots on its own chains. */
   function queueOf(service: string): AdmissionQueue {
@@ -94,23 +126,51 @@
       delay,
       maxLength: MAX_QUEUE_LENGTH,
       pollMs: POLL_MS,
+      sharing,
     });
     queues.set(service, queue);
     return queue;
   }
 
-  function findSlot(holder: string, ask: SlotAsk): GrantedSlot | undefined {
+  function recordGrant(holder: string, ask: SlotAsk, waitedMs: number): void {
+    const atMs = clock.nowMs();
+    const claim = claimOf(ask, sharing);
+    charges.set(keyOf(holder, ask.ticket), { service: ask.service, claim, atMs });
+    const labels = { class: String(ask.classPriority ?? ask.priority) };
+    metrics?.count('spoolplank_slot_grants_total', labels);
+    metrics?.observe('spoolplank_slot_wait_ms', waitedMs, labels);
+  }
+
+  /** Takes back the charge for a slot that its holder has not used. */
+  function refund(key: string): void {
+    const charge = charges.get(key);
+    if (!charge) return;
+    charges.delete(key);
+    queueOf(charge.service).refund(charge.claim);
+  }
+
+  function refundUnclaimed(): void {
+    const oldestMs = clock.nowMs() - UNCLAIMED_MS;
+    for (const [key, { atMs }] of charges) {
+      if (atMs >= oldestMs) return;
+      refund(key);
+    }
+  }
+
+  function findSlot(holder: string, ask: SlotAsk, waitedMs: number): GrantedSlot | undefined {
     const chosen = slotChains.findBest(ask);
     if (!chosen) return undefined;
     const { headId, stages, capacity } = chosen;
     const limitPerS = permits.take(holder, ask.ticket, headId);
     account.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
+    recordGrant(holder, ask, waitedMs);
     const inFlight = account.inFlightOn(headId);
     return { grantedBy: options.host, headId, stages, capacity, inFlight, limitPerS };
   }
 
   function enqueue(holder: string, ask: SlotAsk): Ticket {
     const nowMs = clock.nowMs();
+    const arrivedAtMs = nowMs - ask.waitedMs;
     const ticket: Ticket = {
       ask,
       queueDeadlineAtMs: nowMs + ask.leavesInMs,
@@ -119,13 +179,13 @@
       settled: Promise.resolve(),
     };
     const wait = {
-      priority: ask.priority,
+      ...claimOf(ask, sharing),
       hasBegun: ask.hasBegun,
-      arrivedAtMs: nowMs - ask.waitedMs,
+      arrivedAtMs,
       latestStartAtMs: nowMs + ask.inTimeForMs,
       queueDeadlineAtMs: ticket.queueDeadlineAtMs,
       isRetry: ask.isRetry,
-      find: () => findSlot(holder, ticket.ask),
+      find: () => findSlot(holder, ticket.ask, clock.nowMs() - arrivedAtMs),
       exclusionKey: () => exclusionKeyOf(ticket.ask),
       limitedPerS: () => slotChains.limitedRate(ticket.ask),
       isAbandoned: () => clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS,
@@ -147,7 +207,8 @@
   /** Tries once without queueing; grants nothing while requests are queued, as these come first. */
   function tryOnce(holder: string, ask: SlotAsk): SlotReply {
     const queue = queueOf(ask.service);
-    const slot = queue.length === 0 ? findSlot(holder, ask) : undefined;
+    const slot = queue.length === 0 ? findSlot(holder, ask, ask.waitedMs) : undefined;
+    if (slot) queue.charge(claimOf(ask, sharing));
     return slot ? { kind: 'granted', slot } : { kind: 'waiting', ahead: queue.length };
   }
 
@@ -176,6 +237,7 @@
 
   function end(holder: string, name: string): void {
     permits.recordUsed(holder, name);
+    charges.delete(keyOf(holder, name));
     account.cancel(holder, name);
     const ticket = tickets.get(keyOf(holder, name));
     if (ticket) ticket.lastAskedAtMs = Number.NEGATIVE_INFINITY;
@@ -184,6 +246,7 @@
   /** Releases the slot of a request that was not sent, and refunds its permit. */
   function cancel(holder: string, name: string): void {
     permits.refund(holder, name);
+    refund(keyOf(holder, name));
     end(holder, name);
   }
 
@@ -206,6 +269,8 @@
       slotChains.recordAvoided(call);
       account.report(holder, { sequence, slots });
       permits.recordListed(holder, slots);
+      slots.forEach(({ ticket }) => charges.delete(keyOf(holder, ticket)));
+      refundUnclaimed();
       ended.forEach((ticket) => end(holder, ticket));
       givenUp.forEach((ticket) => cancel(holder, ticket));
       limits.recordReports(holder, limitReports, ask?.limits ?? []);
@@ -227,5 +292,12 @@
     get holders() {
       return account.holders;
     },
+    describeShares: () =>
+      Object.fromEntries(
+        [...queues].map(([service, queue]) => [
+          service,
+          { classes: Object.fromEntries(queue.listClassShares()) },
+        ]),
+      ),
   };
 }
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -20,8 +20,10 @@
   readonly service: string;
   /** Memory that the request needs, relative to a request of typical size. */
   readonly size: number;
-  /** 0 is the highest. */
+  /** Priority of the organisation, or of the route if there is none; 0 is the highest. */
   readonly priority: number;
+  /** Class and cost of the request; set if slots are shared. */
+  readonly claim?: Pick<SlotAsk, 'classPriority' | 'cost'>;
   /** Whether the caller has already received a part of the stream. */
   readonly hasBegun: boolean;
   /** Whether the caller has tried before. */
@@ -213,6 +215,7 @@
       service,
       size,
       priority,
+      ...request.claim,
       hasBegun,
       isRetry,
       waitedMs: nowMs - request.arrivedAtMs,
--- a/packages/entry/src/slots/slotFinder.ts
+++ b/packages/entry/src/slots/slotFinder.ts
@@ -6,8 +6,8 @@
  */
 import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { SpoolplankError } from '@spoolplank/shared';
-import { createRetryDelays, sizeOfRequest } from '@spoolplank/routing';
-import type { ModelDescription, BackoffTable } from '@spoolplank/routing';
+import { costOfRequest, createRetryDelays, sizeOfRequest } from '@spoolplank/routing';
+import type { ModelDescription, BackoffTable, SharingSettings } from '@spoolplank/routing';
 import type { ChainChoice, ChosenChain } from '../dispatch/chainChoice';
 import type { AdmittedRequest } from '../entryContext';
 import { createBackoffWaits } from '../admission/backoffWaits';
@@ -29,6 +29,7 @@
   readonly hasAllocator: (dataCentre: string) => boolean;
   /** Data centres that may have a slot for a service, best first. */
   readonly rankDataCentres: (service: string) => readonly RankedDataCentre[];
+  readonly sharing: SharingSettings;
 }
 
 /** A request that needs a slot, and the chains that it has tried. */
@@ -89,16 +90,22 @@
 };
 
 export function createSlotFinder(options: SlotFinderOptions): SlotFinder {
-  const { clock, delay, streams, chains, slots, backoffs } = options;
+  const { clock, delay, streams, chains, slots, backoffs, sharing } = options;
   const queue = createAdmissionQueue({
     clock,
     delay,
     maxLength: MAX_QUEUE_LENGTH,
     pollMs: ADMISSION_POLL_MS,
+    sharing,
   });
   const backoffWaits = createBackoffWaits({ clock, delay, backoffs });
   const retryDelays = createRetryDelays({ clock, random: options.random });
 
+  function claimOf({ admitted, model }: SlotSearch): SlotRequest['claim'] {
+    const { route, request } = admitted;
+    return { classPriority: route.priority, cost: costOfRequest(request, model) };
+  }
+
   function toRequest(
     search: SlotSearch,
     queueDeadlineAtMs: number,
@@ -113,6 +120,7 @@
       service,
       size: sizeOfRequest(request, model),
       priority: organisation?.priority ?? route.priority,
+      ...(sharing.isEnabled ? { claim: claimOf(search) } : {}),
       hasBegun,
       isRetry: callerAgeMs > route.targetLatencyMs,
       arrivedAtMs,
@@ -141,7 +149,12 @@
   /** Queues the request on this entry, which chooses a chain from its own knowledge. */
   function findLocally(search: SlotSearch, request: SlotRequest): Promise<ChosenChain | undefined> {
     const { isAbandoned } = request;
-    return queue.enqueue({ ...request, isAbandoned, find: () => chooseWithCapacity(search) });
+    return queue.enqueue({
+      ...request,
+      ...request.claim,
+      isAbandoned,
+      find: () => chooseWithCapacity(search),
+    });
   }
 
   async function findChain(
--- a/packages/entry/src/slots/slotMessages.ts
+++ b/packages/entry/src/slots/slotMessages.ts
@@ -13,8 +13,12 @@
   readonly service: string;
   /** Memory that the request needs, relative to a request of typical size. */
   readonly size: number;
-  /** 0 is the highest. */
+  /** Priority of the organisation, or of the route if there is none; 0 is the highest. */
   readonly priority: number;
+  /** Priority of the route, which is the class of the request; equal to `priority` by default. */
+  readonly classPriority?: number;
+  /** Cost of the slot, relative to a request of usual size; equal to `size` by default. */
+  readonly cost?: number;
   /** Whether the caller has already received a part of the stream. */
   readonly hasBegun: boolean;
   /** Whether the caller has tried before. */
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -7,7 +7,7 @@
 import type { FactUpdate, MemberFact, CapacityFact, SystemFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
-import type { ModelDescription, BackoffTable } from '@spoolplank/routing';
+import type { ModelDescription, BackoffTable, DecisionSettings } from '@spoolplank/routing';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { ChainChoice } from '../dispatch/chainChoice';
 import { createLimitAccount } from '../limits/limitAccount';
@@ -51,6 +51,7 @@
   readonly dataCentreOf: (instanceId: string) => string | undefined;
   /** Whether this VM has recently exchanged facts with all others. */
   readonly isMembershipComplete: () => boolean;
+  readonly decisions: DecisionSettings;
 }
 
 export interface SlotService {
@@ -80,7 +81,7 @@
 
 export function createSlotService(options: SlotServiceOptions): SlotService {
   const { clock, log, metrics, peers, host, run, dataCentre, view, streams, chains } = options;
-  const { limits } = options;
+  const { limits, decisions } = options;
 
   // Starts from the wall clock, so that it grows over restarts and a late statement of an earlier
   // incarnation never counts as newer.
@@ -115,6 +116,8 @@
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAllocator,
     isConfigured: () => view.routes() !== null,
+    sharing: decisions.sharing,
+    metrics,
   });
 
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
@@ -182,6 +185,7 @@
           service,
           oldestMs: view.referenceMs() - CAPACITY_LIFETIME_MS,
         }),
+      sharing: decisions.sharing,
     }),
     methods: {
       [SLOTS_METHOD]: async (params) =>
@@ -208,6 +212,7 @@
     describe: () => ({
       waiting: allocator.waiting,
       holders: allocator.holders,
+      shares: allocator.describeShares(),
       limits: account.list().map((limit) => ({ ...limit })),
     }),
   };
--- a/packages/routing/__tests__/queueOrder.spec.ts
+++ b/packages/routing/__tests__/queueOrder.spec.ts
@@ -43,6 +43,16 @@
     assert.ok(isFirst(createQueued({ ...LATE, priority: 0 }), createQueued()));
   });
 
+  // Guards against route priorities that have no effect where all organisations have a priority.
+  it('goes to the more urgent class among organisations of one priority', () => {
+    const urgent = createQueued({ ...LATE, classPriority: 0 });
+    const patient = createQueued({ classPriority: 2 });
+    assert.ok(isFirst(urgent, patient));
+    assert.ok(isFirst(createQueued({ ...patient, priority: 0 }), urgent));
+    assert.ok(isFirst({ ...patient, hasBegun: true }, urgent), 'a stream that has begun');
+    assert.ok(isFirst(urgent, createQueued()), 'an ask of an older VM is of the class 1');
+  });
+
   it('keeps more callers in time than arrival order when slots are scarce', () => {
     // Simulates 90 requests per second for three seconds with 60 slots per second, and compares the
     // result with the order of arrival.
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -20,6 +20,7 @@
 export * from './src/retryTurns';
 export * from './src/selection';
 export * from './src/slotLedger';
+export * from './src/slotShares';
 export * from './src/placement';
 export * from './src/routeTable';
 export * from './src/routingDocument';
--- a/packages/routing/src/queueOrder.ts
+++ b/packages/routing/src/queueOrder.ts
@@ -8,12 +8,17 @@
  * attempt that is late already, as the caller of a retry will probably not retry again. Shortly
  * before a retry leaves the queue, only streams that have begun take precedence over it. A late
  * request loses nothing by waiting longer.
+ *
+ * Routes of a service may differ in priority. Their requests form classes, and a class is served
+ * before all less urgent ones of organisations of the same priority. `slotShares` bounds this.
  */
 
 /** A queued request. Times are on the VM's monotonic clock. */
 export interface QueuedRequest {
-  /** 0 is the highest. */
+  /** Priority of the organisation; 0 is the highest. */
   readonly priority: number;
+  /** Priority of the route; equal to `priority` by default. */
+  readonly classPriority?: number;
   readonly arrivedAtMs: number;
   /** Latest time at which a slot still leads to a first event within the target. */
   readonly latestStartAtMs: number;
@@ -28,10 +33,10 @@
 /** A retry gets precedence when less than this remains until it leaves the queue. */
 const LAST_CALL_MS = 300;
 
-/** Classes of requests, highest precedence first. */
-type QueueClass = 'begun' | 'last-call' | 'in-time' | 'retry' | 'late';
+/** Groups of the requests of a class, highest precedence first. */
+type QueueGroup = 'begun' | 'last-call' | 'in-time' | 'retry' | 'late';
 
-const CLASS_ORDER: Readonly<Record<QueueClass, number>> = {
+const GROUP_ORDER: Readonly<Record<QueueGroup, number>> = {
   begun: 0,
   'last-call': 1,
   'in-time': 2,
@@ -45,10 +50,10 @@
 const byArrival: Compare = (a, b) => a.arrivedAtMs - b.arrivedAtMs;
 
 /**
- * Order within a class. Requests that can be in time are served by their latest time for a slot,
+ * Order within a group. Requests that can be in time are served by their latest time for a slot,
  * earliest first.
  */
-const COMPARE_WITHIN_CLASS: Readonly<Record<QueueClass, Compare>> = {
+const COMPARE_WITHIN_GROUP: Readonly<Record<QueueGroup, Compare>> = {
   begun: byDeadline,
   'last-call': byDeadline,
   'in-time': (a, b) => a.latestStartAtMs - b.latestStartAtMs,
@@ -56,7 +61,7 @@
   late: byArrival,
 };
 
-function classify(request: QueuedRequest, nowMs: number): QueueClass {
+function groupOf(request: QueuedRequest, nowMs: number): QueueGroup {
   if (request.hasBegun) return 'begun';
   const isLastCall = request.isRetry && request.queueDeadlineAtMs - nowMs < LAST_CALL_MS;
   if (isLastCall) return 'last-call';
@@ -64,13 +69,33 @@
   return request.isRetry ? 'retry' : 'late';
 }
 
+export const classOf = ({ priority, classPriority = priority }: QueuedRequest): number =>
+  classPriority;
+
+/**
+ * Order of classes for organisations of one priority; negative when the class `a` is served before
+ * the class `b`.
+ */
+export type CompareClasses = (priority: number, a: number, b: number) => number;
+
+const byClassPriority: CompareClasses = (_priority, a, b) => a - b;
+
 /** Compares queued requests; negative when `a` gets the next slot. */
-export function compareQueued(a: QueuedRequest, b: QueuedRequest, nowMs: number): number {
+export function compareQueued(
+  a: QueuedRequest,
+  b: QueuedRequest,
+  nowMs: number,
+  compareClasses: CompareClasses = byClassPriority,
+): number {
   if (a.priority !== b.priority) return a.priority - b.priority;
-  const aClass = classify(a, nowMs);
-  const bClass = classify(b, nowMs);
-  if (aClass !== bClass) return CLASS_ORDER[aClass] - CLASS_ORDER[bClass];
-  return COMPARE_WITHIN_CLASS[aClass](a, b);
+  const aGroup = groupOf(a, nowMs);
+  const bGroup = groupOf(b, nowMs);
+  const isAnyBegun = aGroup === 'begun' || bGroup === 'begun';
+  // A stream that has begun is served before all classes, as its caller would lose it.
+  const byClass = isAnyBegun ? 0 : compareClasses(a.priority, classOf(a), classOf(b));
+  if (byClass !== 0) return byClass;
+  if (aGroup !== bGroup) return GROUP_ORDER[aGroup] - GROUP_ORDER[bGroup];
+  return COMPARE_WITHIN_GROUP[aGroup](a, b);
 }
 
 export interface WaitForecast {
--- a/packages/routing/src/requestSize.ts
+++ b/packages/routing/src/requestSize.ts
@@ -30,14 +30,36 @@
   return heldTokens(model.usualPromptTokens, model.usualAnswerTokens);
 }
 
+/** The usual answer, bounded by the limit of the caller. */
+function assumedAnswerTokens({ maxAnswerTokens }: RequestSize, model: ModelDescription): number {
+  const usual = model.usualAnswerTokens;
+  return maxAnswerTokens > 0 ? Math.min(usual, maxAnswerTokens) : usual;
+}
+
 /**
  * Returns the size of a request; 1 for a usual one. The length of the prompt is known; that of the
  * answer is assumed to be usual, bounded by the limit of the caller.
  */
 export function sizeOfRequest(request: RequestSize, model: ModelDescription): number {
-  const { promptTokens, maxAnswerTokens } = request;
+  const { promptTokens } = request;
   if (promptTokens === 0) return 1;
-  const usual = model.usualAnswerTokens;
-  const answerTokens = maxAnswerTokens > 0 ? Math.min(usual, maxAnswerTokens) : usual;
-  return heldTokens(promptTokens, answerTokens) / usualHeldTokens(model);
+  return heldTokens(promptTokens, assumedAnswerTokens(request, model)) / usualHeldTokens(model);
+}
+
+const MS_PER_S = 1000;
+
+/** Time for which a request occupies the engines: reading the prompt, then writing the answer. */
+function engineMs(promptTokens: number, answerTokens: number, model: ModelDescription): number {
+  return (promptTokens / model.readTokensPerS) * MS_PER_S + answerTokens * model.stepMs;
+}
+
+/**
+ * Returns the cost of a slot for a request; 1 for a usual one. Organisations share slots by cost,
+ * as requests differ in the time for which they occupy an engine.
+ */
+export function costOfRequest(request: RequestSize, model: ModelDescription): number {
+  const { promptTokens } = request;
+  if (promptTokens === 0) return 1;
+  const usualMs = engineMs(model.usualPromptTokens, model.usualAnswerTokens, model);
+  return engineMs(promptTokens, assumedAnswerTokens(request, model), model) / usualMs;
 }
