feat(slots): forecast the time to a slot from the slots in use

Cause: a wait in vain was recognised by the rate of grants of the last 1.5 s. After a loss of chains this rate describes the chains before it, or nothing, and requests waited 1.2 s and were refused.

Change: packages/routing/src/slotForecast.ts forecasts from the slots in use, the mean time that a slot is held (measured by the allocator from its own grants and releases) and the free slots; it also counts the requests in time that overtake late ones. slotOutlook.ts applies it on the allocator: a stream whose forecast exceeds its longest wait is refused at once, and one without any chain 400 ms after the last one was lost, unless one is known to come back in time. Begun streams and requests to rate-limited servers are judged as before, as are all while fewer than 20 slots were released. An entry keeps the refusal of a data centre with chains over that of one without. decisions.forecast.isEnabled switches it off. willMissQueueDeadline moved with its specs.

The allocator has no source for the loads of weights that are under way, so a chain that is to come back is not known outside the specs.

--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -1,6 +1,7 @@
 /** Simulates the entry VMs of one data centre in front of engine chains, in virtual time. */
 import type { MemberFact } from '@spoolplank/membership';
-import type { HeldSlot } from '@spoolplank/routing';
+import { DEFAULT_DECISIONS } from '@spoolplank/routing';
+import type { DecisionSettings, HeldSlot } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { RatedChain } from '../src/dispatch/chainCatalog';
@@ -73,7 +74,11 @@
 });
 
 /** Creates the entries of one data centre, in front of chains with a capacity of 100 each. */
-export function createDataCentre(count: number, heads: readonly string[]) {
+export function createDataCentre(
+  count: number,
+  heads: readonly string[],
+  decisions: DecisionSettings = DEFAULT_DECISIONS,
+) {
   const time = createVirtualTime();
   const { clock, schedule, delay } = time;
   const vms: Vm[] = [];
@@ -161,6 +166,7 @@
       reportedInFlight: (headId) => reportedLoads.get(headId) ?? 0,
       firstEventMs: () => 0,
       isAllocator,
+      decisions,
     });
     const client = createSlotClient({
       clock,
--- a/packages/entry/src/admission/admissionQueue.ts
+++ b/packages/entry/src/admission/admissionQueue.ts
@@ -25,6 +25,11 @@
   readonly exclusionKey?: () => string;
   /** Slots per second that the rate limits of servers allow; null if no rate limit applies. */
   readonly limitedPerS?: () => number | null;
+  /**
+   * Whether a request with `ahead` others before it would wait in vain; undefined to judge it by
+   * the rate of recent grants, as by default.
+   */
+  readonly isHopeless?: (ahead: number) => boolean | undefined;
   /** Whether the request no longer needs a slot, so that the queue drops it. */
   readonly isAbandoned: () => boolean;
 }
@@ -173,10 +178,10 @@
       }
       const remainingMs = wait.queueDeadlineAtMs - clock.nowMs();
       const limitedPerS = wait.limitedPerS?.() ?? null;
-      if (willMissQueueDeadline({ ahead, slotsPerS: slotsPerS(), remainingMs, limitedPerS })) {
-        return undefined;
-      }
-      return join(wait);
+      const isHopeless =
+        wait.isHopeless?.(ahead) ??
+        willMissQueueDeadline({ ahead, slotsPerS: slotsPerS(), remainingMs, limitedPerS });
+      return isHopeless ? undefined : join(wait);
     },
   };
 }
--- a/packages/entry/src/dispatch/streamPath.ts
+++ b/packages/entry/src/dispatch/streamPath.ts
@@ -80,6 +80,7 @@
     countEntries,
     dataCentreOf: options.dataCentreOf,
     isMembershipComplete: options.isMembershipComplete,
+    decisions: context.decisions,
   });
   const probes = createEngineProbes({
     clock,
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -8,7 +8,8 @@
  * to poll first.
  */
 import type { ServiceCapacity } from '@spoolplank/membership';
-import { createRetrySchedule } from '@spoolplank/routing';
+import { createRetrySchedule, DEFAULT_DECISIONS } from '@spoolplank/routing';
+import type { DecisionSettings } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
 import { createAdmissionQueue } from '../admission/admissionQueue';
@@ -17,6 +18,8 @@
 import { createSlotAccount } from './slotAccount';
 import { createSlotChains } from './slotChains';
 import type { SlotChainsOptions } from './slotChains';
+import { createSlotOutlook } from './slotOutlook';
+import type { SlotOutlookOptions } from './slotOutlook';
 import { createSlotPermits } from './slotPermits';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
@@ -32,6 +35,8 @@
   readonly isAllocator: () => boolean;
   /** Whether this VM has a configuration. Without one it has no chains to allocate. */
   readonly isConfigured: () => boolean;
+  readonly decisions?: Pick<DecisionSettings, 'forecast'>;
+  readonly chainReturnsInMs?: SlotOutlookOptions['chainReturnsInMs'];
 }
 
 export interface SlotAllocator {
@@ -77,11 +82,21 @@
 const MAX_QUEUE_LENGTH = 600;
 
 export function createSlotAllocator(options: SlotAllocatorOptions): SlotAllocator {
-  const { clock, delay, limits } = options;
+  const { clock, delay, limits, decisions = DEFAULT_DECISIONS, chainReturnsInMs } = options;
   const retrySchedule = createRetrySchedule({ clock });
   const account = createSlotAccount(options);
   const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
   const permits = createSlotPermits({ limits });
+  const outlook = createSlotOutlook({
+    clock,
+    capacityOf: slotChains.capacityOf,
+    hasChain(service, headId) {
+      const model = options.modelOf(service);
+      const own = model ? options.chains.listOf(service, model, options.dataCentre) : [];
+      return own.some((chain) => chain.headId === headId);
+    },
+    ...(chainReturnsInMs ? { chainReturnsInMs } : {}),
+  });
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
 
@@ -99,12 +114,28 @@
     return queue;
   }
 
+  /** Whether forecasts apply: to streams, whose chains set no rate limits. */
+  function isForecast(ask: SlotAsk): boolean {
+    return decisions.forecast.isEnabled && !ask.heads;
+  }
+
+  /** The latest ask of a ticket, with its times as of now. */
+  function askNow({ ask, lastAskedAtMs }: Ticket): SlotAsk {
+    const passedMs = clock.nowMs() - lastAskedAtMs;
+    return {
+      ...ask,
+      inTimeForMs: ask.inTimeForMs - passedMs,
+      leavesInMs: ask.leavesInMs - passedMs,
+    };
+  }
+
   function findSlot(holder: string, ask: SlotAsk): GrantedSlot | undefined {
     const chosen = slotChains.findBest(ask);
     if (!chosen) return undefined;
     const { headId, stages, capacity } = chosen;
     const limitPerS = permits.take(holder, ask.ticket, headId);
     account.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
+    if (isForecast(ask)) outlook.recordGrant(holder, ask, headId);
     const inFlight = account.inFlightOn(headId);
     return { grantedBy: options.host, headId, stages, capacity, inFlight, limitPerS };
   }
@@ -128,7 +159,15 @@
       find: () => findSlot(holder, ticket.ask),
       exclusionKey: () => exclusionKeyOf(ticket.ask),
       limitedPerS: () => slotChains.limitedRate(ticket.ask),
-      isAbandoned: () => clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS,
+      isHopeless: (ahead: number) =>
+        isForecast(ask) && slotChains.limitedRate(ask) === null
+          ? outlook.isHopeless(ask, ahead)
+          : undefined,
+      isAbandoned: () =>
+        clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS ||
+        (isForecast(ask) &&
+          outlook.hasLostProspect(askNow(ticket)) &&
+          slotChains.limitedRate(ticket.ask) === null),
     };
     ticket.settled = queueOf(ask.service)
       .enqueue(wait)
@@ -153,7 +192,8 @@
 
   function refuse(ask: SlotAsk, reason: SlotRefusal, ahead: number): SlotReply {
     const perS = slotChains.limitedRate(ask);
-    const slotsPerS = queueOf(ask.service).slotsPerS();
+    const forecastPerS = isForecast(ask) ? outlook.slotsPerS(ask.service) : null;
+    const slotsPerS = forecastPerS ?? queueOf(ask.service).slotsPerS();
     if (perS === null) return { kind: 'refused', reason, ahead, slotsPerS };
     const retryInMs = retrySchedule.reserveDelayMs(ask.service, perS, ahead);
     return { kind: 'refused', reason, ahead, slotsPerS: perS, retryInMs };
@@ -174,7 +214,8 @@
     return refuse(ask, refusalReasonOf(ask, ticket), ahead);
   }
 
-  function end(holder: string, name: string): void {
+  function end(holder: string, name: string, wasUsed = true): void {
+    outlook.recordReleased(holder, name, wasUsed);
     permits.recordUsed(holder, name);
     account.cancel(holder, name);
     const ticket = tickets.get(keyOf(holder, name));
@@ -184,7 +225,7 @@
   /** Releases the slot of a request that was not sent, and refunds its permit. */
   function cancel(holder: string, name: string): void {
     permits.refund(holder, name);
-    end(holder, name);
+    end(holder, name, false);
   }
 
   /**
@@ -205,6 +246,7 @@
       removeAbandoned();
       slotChains.recordAvoided(call);
       account.report(holder, { sequence, slots });
+      outlook.recordCall(call);
       permits.recordListed(holder, slots);
       ended.forEach((ticket) => end(holder, ticket));
       givenUp.forEach((ticket) => cancel(holder, ticket));
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -262,7 +262,10 @@
       return toChain(dataCentre, reply.slot);
     }
     if (reply?.kind !== 'waiting') search.exhausted.add(dataCentre);
-    if (reply?.kind === 'refused') search.refusal = reply;
+    // A data centre without a chain says less about the wait than one whose chains are full.
+    if (reply?.kind === 'refused' && (reply.reason !== 'no-chain' || !search.refusal)) {
+      search.refusal = reply;
+    }
     return undefined;
   }
 
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -7,7 +7,7 @@
 import type { FactUpdate, MemberFact, CapacityFact, SystemFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
-import type { ModelDescription, BackoffTable } from '@spoolplank/routing';
+import type { BackoffTable, DecisionSettings, ModelDescription } from '@spoolplank/routing';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { ChainChoice } from '../dispatch/chainChoice';
 import { createLimitAccount } from '../limits/limitAccount';
@@ -51,6 +51,7 @@
   readonly dataCentreOf: (instanceId: string) => string | undefined;
   /** Whether this VM has recently exchanged facts with all others. */
   readonly isMembershipComplete: () => boolean;
+  readonly decisions: DecisionSettings;
 }
 
 export interface SlotService {
@@ -115,6 +116,7 @@
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAllocator,
     isConfigured: () => view.routes() !== null,
+    decisions: options.decisions,
   });
 
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -19,6 +19,7 @@
 export * from './src/retryDelays';
 export * from './src/retryTurns';
 export * from './src/selection';
+export * from './src/slotForecast';
 export * from './src/slotLedger';
 export * from './src/placement';
 export * from './src/routeTable';
--- a/packages/routing/src/queueOrder.ts
+++ b/packages/routing/src/queueOrder.ts
@@ -72,26 +72,3 @@
   if (aClass !== bClass) return CLASS_ORDER[aClass] - CLASS_ORDER[bClass];
   return COMPARE_WITHIN_CLASS[aClass](a, b);
 }
-
-export interface WaitForecast {
-  /** Number of requests that get a slot before this one. */
-  readonly ahead: number;
-  /** Recent rate of freed slots per second; 0 when none were freed. */
-  readonly slotsPerS: number;
-  readonly remainingMs: number;
-  /** Maximum slots per second that limits allow; null when no limit applies. */
-  readonly limitedPerS?: number | null;
-}
-
-/** Below this rate no forecast is made, as a chain may come back at any moment. */
-const MIN_SLOTS_PER_S = 2;
-const MS_PER_S = 1000;
-
-/** Whether a request would leave the queue before it gets a slot, and can be refused now. */
-export function willMissQueueDeadline(forecast: WaitForecast): boolean {
-  const { ahead, slotsPerS, remainingMs, limitedPerS = null } = forecast;
-  // A limit is known exactly, so it is used however low it is.
-  if (limitedPerS !== null) return ((ahead + 1) / limitedPerS) * MS_PER_S > remainingMs;
-  if (slotsPerS < MIN_SLOTS_PER_S) return false;
-  return ((ahead + 1) / slotsPerS) * MS_PER_S > remainingMs;
-}
