--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -1,6 +1,7 @@
 /** Simulates the entry VMs of one data centre in front of engine chains, in virtual time. */
 import type { MemberFact } from '@spoolplank/membership';
-import type { HeldSlot, SharingSettings } from '@spoolplank/routing';
+import { DEFAULT_DECISIONS } from '@spoolplank/routing';
+import type { DecisionSettings, HeldSlot } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { RatedChain } from '../src/dispatch/chainCatalog';
@@ -76,7 +77,7 @@
 export function createDataCentre(
   count: number,
   heads: readonly string[],
-  { sharing }: { readonly sharing?: SharingSettings } = {},
+  decisions: DecisionSettings = DEFAULT_DECISIONS,
 ) {
   const time = createVirtualTime();
   const { clock, schedule, delay } = time;
@@ -165,7 +166,7 @@
       reportedInFlight: (headId) => reportedLoads.get(headId) ?? 0,
       firstEventMs: () => 0,
       isAllocator,
-      ...(sharing ? { sharing } : {}),
+      decisions,
     });
     const client = createSlotClient({
       clock,
--- a/packages/entry/__tests__/slotSharing.spec.ts
+++ b/packages/entry/__tests__/slotSharing.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { SharingSettings } from '@spoolplank/routing';
 import { inTimeShareOf, playLoad, shareOf, SHARED, UNSHARED } from './sharingFixtures';
 import { createDataCentre } from './slotFixtures';
@@ -18,7 +19,7 @@
   }
 
   async function play(sharing: SharingSettings) {
-    const site = createDataCentre(VMS, HEADS, { sharing });
+    const site = createDataCentre(VMS, HEADS, { ...DEFAULT_DECISIONS, sharing });
     await site.pass(1500);
     site.schedule(() => site.setChains(HEADS.slice(0, 5)), BURST_AT_MS);
     const isFirst = (atMs: number) => atMs >= BURST_AT_MS && atMs < URGENT_BURST_AT_MS;
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -15,7 +15,7 @@
   DEFAULT_DECISIONS,
   resumeSpacingMs,
 } from '@spoolplank/routing';
-import type { PathStage, SharingSettings, SlotClaim } from '@spoolplank/routing';
+import type { DecisionSettings, PathStage, SharingSettings, SlotClaim } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue } from '@spoolplank/shared';
 import { createAdmissionQueue } from '../admission/admissionQueue';
@@ -25,6 +25,8 @@
 import { createSlotAccount } from './slotAccount';
 import { createSlotChains } from './slotChains';
 import type { SlotChainsOptions } from './slotChains';
+import { createSlotOutlook } from './slotOutlook';
+import type { SlotOutlookOptions } from './slotOutlook';
 import { createSlotPermits } from './slotPermits';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
@@ -42,9 +44,10 @@
   readonly isConfigured: () => boolean;
   /** Prefill time of a stage's engine relative to the model's; 1 where it is unknown. */
   readonly prefillFactorOf?: (stage: PathStage, service: string) => number;
-  /** The default settings if omitted. */
-  readonly sharing?: SharingSettings;
   readonly metrics?: Pick<Metrics, 'count' | 'observe'>;
+  /** The default settings if omitted. */
+  readonly decisions?: Pick<DecisionSettings, 'forecast' | 'sharing'>;
+  readonly chainReturnsInMs?: SlotOutlookOptions['chainReturnsInMs'];
 }
 
 export interface SlotAllocator {
@@ -119,8 +122,9 @@
 const MAX_QUEUE_LENGTH = 600;
 
 export function createSlotAllocator(options: SlotAllocatorOptions): SlotAllocator {
-  const { clock, delay, limits, metrics, prefillFactorOf = () => 1 } = options;
-  const { sharing = DEFAULT_DECISIONS.sharing } = options;
+  const { clock, delay, limits, metrics, prefillFactorOf = () => 1, chainReturnsInMs } = options;
+  const { decisions = DEFAULT_DECISIONS } = options;
+  const { sharing } = decisions;
   const retrySchedule = createRetrySchedule({ clock });
   const account = createSlotAccount(options);
   const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
@@ -128,6 +132,16 @@
   const resumePacing = createResumePacing({ clock });
   /** Turns of granted slots for resumed streams; an answer is held back until its turn. */
   const turnsAtMs = new WeakMap<GrantedSlot, number>();
+  const outlook = createSlotOutlook({
+    clock,
+    capacityOf: slotChains.capacityOf,
+    hasChain(service, headId) {
+      const model = options.modelOf(service);
+      const own = model ? options.chains.listOf(service, model, options.dataCentre) : [];
+      return own.some((chain) => chain.headId === headId);
+    },
+    ...(chainReturnsInMs ? { chainReturnsInMs } : {}),
+  });
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
   /** Charges for granted slots that their holders have not listed yet, oldest first. */
@@ -201,6 +215,21 @@
     }
   }
 
+  /** Whether forecasts apply: to streams, whose chains set no rate limits. */
+  function isForecast(ask: SlotAsk): boolean {
+    return decisions.forecast.isEnabled && !ask.heads;
+  }
+
+  /** The latest ask of a ticket, with its times as of now. */
+  function askNow({ ask, lastAskedAtMs }: Ticket): SlotAsk {
+    const passedMs = clock.nowMs() - lastAskedAtMs;
+    return {
+      ...ask,
+      inTimeForMs: ask.inTimeForMs - passedMs,
+      leavesInMs: ask.leavesInMs - passedMs,
+    };
+  }
+
   function findSlot(holder: string, ask: SlotAsk, waitedMs: number): GrantedSlot | undefined {
     const chosen = findBest(ask);
     if (!chosen) return undefined;
@@ -208,6 +237,7 @@
     const limitPerS = permits.take(holder, ask.ticket, headId);
     account.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
     recordGrant(holder, ask, waitedMs);
+    if (isForecast(ask)) outlook.recordGrant(holder, ask, headId);
     const inFlight = account.inFlightOn(headId);
     const slot = { grantedBy: options.host, headId, stages, capacity, inFlight, limitPerS };
     if (isPaced(ask)) takeTurn(ask, slot);
@@ -234,7 +264,15 @@
       find: () => findSlot(holder, ticket.ask, clock.nowMs() - arrivedAtMs),
       exclusionKey: () => exclusionKeyOf(ticket.ask),
       limitedPerS: () => slotChains.limitedRate(ticket.ask) ?? pacedRate(ticket.ask),
-      isAbandoned: () => clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS,
+      isHopeless: (ahead: number) =>
+        isForecast(ask) && slotChains.limitedRate(ask) === null
+          ? outlook.isHopeless(ask, ahead)
+          : undefined,
+      isAbandoned: () =>
+        clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS ||
+        (isForecast(ask) &&
+          outlook.hasLostProspect(askNow(ticket)) &&
+          slotChains.limitedRate(ticket.ask) === null),
     };
     ticket.settled = queueOf(ask.service)
       .enqueue(wait)
@@ -260,7 +298,8 @@
 
   function refuse(ask: SlotAsk, reason: SlotRefusal, ahead: number): SlotReply {
     const perS = slotChains.limitedRate(ask);
-    const slotsPerS = queueOf(ask.service).slotsPerS();
+    const forecastPerS = isForecast(ask) ? outlook.slotsPerS(ask.service) : null;
+    const slotsPerS = forecastPerS ?? queueOf(ask.service).slotsPerS();
     if (perS === null) return { kind: 'refused', reason, ahead, slotsPerS };
     const retryInMs = retrySchedule.reserveDelayMs(ask.service, perS, ahead);
     return { kind: 'refused', reason, ahead, slotsPerS: perS, retryInMs };
@@ -289,7 +328,8 @@
     return reply;
   }
 
-  function end(holder: string, name: string): void {
+  function end(holder: string, name: string, wasUsed = true): void {
+    outlook.recordReleased(holder, name, wasUsed);
     permits.recordUsed(holder, name);
     charges.delete(keyOf(holder, name));
     account.cancel(holder, name);
@@ -301,7 +341,7 @@
   function cancel(holder: string, name: string): void {
     permits.refund(holder, name);
     refund(keyOf(holder, name));
-    end(holder, name);
+    end(holder, name, false);
   }
 
   /**
@@ -322,6 +362,7 @@
       removeAbandoned();
       slotChains.recordAvoided(call);
       account.report(holder, { sequence, slots });
+      outlook.recordCall(call);
       permits.recordListed(holder, slots);
       slots.forEach(({ ticket }) => charges.delete(keyOf(holder, ticket)));
       refundUnclaimed();
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -129,8 +129,8 @@
     isAllocator,
     isConfigured: () => view.routes() !== null,
     prefillFactorOf,
-    sharing: decisions.sharing,
     metrics,
+    decisions,
   });
 
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -21,6 +21,7 @@
 export * from './src/retryDelays';
 export * from './src/retryTurns';
 export * from './src/selection';
+export * from './src/slotForecast';
 export * from './src/slotLedger';
 export * from './src/slotShares';
 export * from './src/placement';
