feat(slots): grant slots by the load of each engine of a path

Cause: the memory of an engine that several chains use goes to the first of them, so after three chains have each lost one engine one or two of them serve, although every layer has two holders. The account knows streams by their head only: one that keeps its path when chains are formed anew counts on the wrong engines, which are then overfilled.

Change: the ledger keeps totals by engine beside those by head. VMs list the paths of their streams (`paths` and `path`, both optional): once a second, at once after a change, and to a new allocator. Where chains share engines or streams are off their chain's path, the allocator compares the load of each engine with its memory, over up to five paths for each head, planned once for each change of the engines. The published capacity is what these paths take together, limited by the least-held layer. With disjoint chains and all streams on them the rule by head decides as before. A list without paths leaves known ones as they are, so a VM of an older version counts on the paths that it was granted. `decisions.sharedEngines.isEnabled` switches all of it. The catalog compares engines only when the routing view has a new revision or an exclusion has changed.

--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -1,15 +1,15 @@
 /** Simulates the entry VMs of one data centre in front of engine chains, in virtual time. */
 import type { MemberFact } from '@spoolplank/membership';
-import type { HeldSlot } from '@spoolplank/routing';
+import type { HeldSlot, ModelDescription, PathStage } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
-import type { RatedChain } from '../src/dispatch/chainCatalog';
+import type { PathLayout, RatedChain } from '../src/dispatch/chainCatalog';
 import { createAllocatorRank } from '../src/slots/allocatorRank';
 import { createSlotAllocator } from '../src/slots/slotAllocator';
 import type { SlotAllocator } from '../src/slots/slotAllocator';
 import { createSlotClient } from '../src/slots/slotClient';
 import type { SlotClient, SlotOutcome, SlotRequest } from '../src/slots/slotClient';
-import type { SlotAsk, SlotReply } from '../src/slots/slotMessages';
+import type { SlotAsk, SlotCall, SlotReply } from '../src/slots/slotMessages';
 import { createLimitAccount } from '../src/limits/limitAccount';
 import { createServerLimits } from '../src/limits/serverLimits';
 import type { ServerLimits } from '../src/limits/serverLimits';
@@ -31,6 +31,8 @@
   readonly client: SlotClient;
   readonly allocator: SlotAllocator;
   readonly held: Map<string, HeldSlot>;
+  /** The path of each held slot; the VM lists it unless it is of an older version. */
+  readonly paths: Map<string, readonly PathStage[]>;
   /** Engines that rejected a request of this VM. */
   readonly avoided: Set<string>;
   /** Engines that asked this VM for a backoff. */
@@ -72,13 +74,29 @@
   capacity: CAPACITY,
 });
 
+export interface DataCentreOptions {
+  readonly model?: ModelDescription;
+  /** The paths of the data centre; without them slots are granted by the load of each head. */
+  readonly layoutOf?: () => PathLayout;
+  /** The chains; by default those set by `setChains`. */
+  readonly listOf?: () => readonly RatedChain[];
+  /** Whether a VM is of an older version, which neither lists nor reads paths. */
+  readonly isOlder?: (host: string) => boolean;
+  /** Whether a call is lost on its way to the allocator. */
+  readonly isCallLost?: (from: string, call: SlotCall) => boolean;
+}
+
 /** Creates the entries of one data centre, in front of chains with a capacity of 100 each. */
-export function createDataCentre(count: number, heads: readonly string[]) {
+export function createDataCentre(
+  count: number,
+  heads: readonly string[],
+  { model = MODEL, layoutOf, listOf, isOlder = () => false, isCallLost }: DataCentreOptions = {},
+) {
+  let chains = heads.map(chainOf);
   const time = createVirtualTime();
   const { clock, schedule, delay } = time;
   const vms: Vm[] = [];
   const random = createSeededRandom(1);
-  let chains = heads.map(chainOf);
   let reportedLoads = new Map<string, number>();
 
   function inFlight(headId: string): number {
@@ -104,15 +122,16 @@
   async function call(
     from: string,
     target: MemberFact,
-    answer: (vm: Vm) => Promise<SlotReply>,
+    params: SlotCall,
     timeoutMs: number,
   ): Promise<SlotReply> {
+    const answer = (vm: Vm) => vm.allocator.answer(params);
     const vm = vms.find(({ host }) => host === target.host);
     const isOther = from !== target.host;
     const isLinkCut = vms.some(
       ({ host, isPartitioned }) => isPartitioned && (host === from || host === target.host),
     );
-    if (isOther && isLinkCut) {
+    if ((isOther && isLinkCut) || isCallLost?.(from, params)) {
       await delay(timeoutMs);
       throw new Error('no answer');
     }
@@ -130,6 +149,8 @@
   /** Creates a VM that holds nothing. A restarted one knows all others from `settledAtMs`. */
   function createVm(host: string, settledAtMs = clock.nowMs()): Vm {
     const held = new Map<string, HeldSlot>();
+    const paths = new Map<string, readonly PathStage[]>();
+    const readsPaths = layoutOf !== undefined && !isOlder(host);
     const avoided = new Set<string>();
     const backingOff = new Set<string>();
     const rank = createAllocatorRank({ clock, listEntries: () => knownMembers });
@@ -148,8 +169,11 @@
       delay,
       host,
       dataCentre: 'a',
-      chains: { listOf: () => (isConfigured() ? chains : []) },
-      modelOf: () => (isConfigured() ? MODEL : undefined),
+      chains: {
+        listOf: () => (isConfigured() ? (listOf?.() ?? chains) : []),
+        ...(readsPaths ? { layoutOf } : {}),
+      },
+      modelOf: () => (isConfigured() ? model : undefined),
       isConfigured,
       listServers: () => [],
       limits: createLimitAccount({
@@ -167,9 +191,9 @@
       holder: host,
       dataCentre: 'a',
       rank,
-      call: (target, params, timeoutMs) =>
-        call(host, target, (vm) => vm.allocator.answer(params), timeoutMs),
+      call: (target, params, timeoutMs) => call(host, target, params, timeoutMs),
       listHeld: () => [...held.values()],
+      ...(readsPaths ? { pathOf: (ticket: string) => paths.get(ticket) } : {}),
       listAvoided: () => [...avoided],
       listClosed: () => [...backingOff],
       listLimits: limits.list,
@@ -179,7 +203,7 @@
     });
     limits.onReport((report) => client.reportLimit('a', report));
     const state = { isUp: true, isPartitioned: false, losesAnswers: false, isConfigured: true };
-    return { host, client, allocator, held, avoided, backingOff, limits, ...state };
+    return { host, client, allocator, held, paths, avoided, backingOff, limits, ...state };
   }
 
   for (let index = 0; index < count; index += 1) vms.push(createVm(`vm${index}`));
@@ -217,10 +241,18 @@
   }
 
   /** Holds a slot for `lastsMs`. */
-  function hold(vm: Vm, ticket: string, headId: string, lastsMs: number): void {
+  function hold(
+    vm: Vm,
+    ticket: string,
+    headId: string,
+    lastsMs: number,
+    stages?: readonly PathStage[],
+  ): void {
     vm.held.set(ticket, { ticket, headId, size: 1 });
+    if (stages) vm.paths.set(ticket, stages);
     schedule(() => {
       vm.held.delete(ticket);
+      vm.paths.delete(ticket);
       vm.client.recordReleased('a', ticket);
     }, lastsMs);
   }
@@ -230,7 +262,9 @@
     const outcomes: SlotOutcome[] = [];
     void vm.client.find(toRequest(vm, ticket, overrides)).then((outcome) => {
       outcomes.push(outcome);
-      if (outcome.kind === 'granted' && vm.isUp) hold(vm, ticket, outcome.chain.headId, lastsMs);
+      if (outcome.kind !== 'granted' || !vm.isUp) return;
+      const { headId, stages } = outcome.chain;
+      hold(vm, ticket, headId, lastsMs, stages);
     });
     return outcomes;
   }
--- a/packages/entry/src/dispatch/chainCatalog.ts
+++ b/packages/entry/src/dispatch/chainCatalog.ts
@@ -4,8 +4,24 @@
  * engine, and every request to it is sent to that engine.
  */
 import type { BackendFact } from '@spoolplank/membership';
-import { findStageChains, computeCapacities } from '@spoolplank/routing';
-import type { CapacityEngine, ModelDescription, PathStage, StageEngine } from '@spoolplank/routing';
+import {
+  computeCapacities,
+  findStageChains,
+  freeRequests,
+  jointCapacity,
+  keyOfPath,
+  listHeads,
+  planSharedPaths,
+  toEngineRooms,
+  toHeldPath,
+} from '@spoolplank/routing';
+import type {
+  CapacityEngine,
+  EngineRooms,
+  ModelDescription,
+  PathStage,
+  StageEngine,
+} from '@spoolplank/routing';
 import type { RoutingView } from '../gossip/routingView';
 
 export interface ChainCatalogOptions {
@@ -21,10 +37,26 @@
   readonly capacity: number;
 }
 
+/** All paths on which the allocator of a data centre may grant slots. */
+export interface PathLayout {
+  /**
+   * One or more paths for each head, in the order of heads; the first of a head is its present
+   * path. The capacity of a path on a shared engine is what it could take alone.
+   */
+  readonly paths: readonly RatedChain[];
+  readonly rooms: EngineRooms;
+  /** Whether no engine is on the paths of two chains, and every head has a chain. */
+  readonly isDisjoint: boolean;
+  /** Requests of usual size that all paths together can take; the least-held layer limits it. */
+  readonly capacity: number;
+}
+
 export interface ChainCatalog {
   listDataCentres(service: string): readonly string[];
   /** All chains of a data centre, including those that are full or have an engine in backoff. */
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
+  /** The paths of a data centre, computed when first asked for after a change of its chains. */
+  layoutOf(service: string, model: ModelDescription, dataCentre: string): PathLayout;
   /** Engines that can run a stage of a path, in the data centre of the given engine. */
   listEnginesInSameDataCentre(
     service: string,
@@ -35,10 +67,13 @@
 
 /** The chains of a data centre with the inputs that they were computed from. */
 interface CachedChains {
-  readonly facts: readonly BackendFact[];
+  /** The same array until the routing view has a new revision. */
+  facts: readonly BackendFact[];
+  readonly areAvoided: readonly boolean[];
   /** Slowdown of each engine, or `-` for an excluded engine, in the order of `facts`. */
   readonly engineStates: string;
   readonly chains: readonly RatedChain[];
+  layout: PathLayout | undefined;
 }
 
 /** The backend facts of a service by data centre, for one revision of the routing view. */
@@ -48,6 +83,7 @@
 }
 
 const MS_PER_S = 1000;
+const NO_PATHS: PathLayout = { paths: [], rooms: new Map(), isDisjoint: true, capacity: 0 };
 
 /** Time that one layer takes per output token, including its share of the prompt prefill. */
 function layerCostMs(kindName: string, model: ModelDescription): number {
@@ -90,6 +126,46 @@
   );
 }
 
+/** Whether no two chains share an engine. */
+function areDisjoint(chains: readonly RatedChain[]): boolean {
+  const ids = chains.flatMap(({ stages }) => stages.map(({ id }) => id));
+  return new Set(ids).size === ids.length;
+}
+
+/** Requests of usual size that a path can take while its engines serve no other. */
+function capacityAlone(stages: readonly PathStage[], rooms: EngineRooms): number {
+  return freeRequests(stages, rooms, { loadOf: () => 0, headSize: 0, share: 1 });
+}
+
+function planLayout(
+  chains: readonly RatedChain[],
+  engines: readonly StageEngine[],
+  rooms: EngineRooms,
+  { layers }: ModelDescription,
+): PathLayout {
+  const heads = listHeads(engines);
+  const headIds = new Set(chains.map(({ headId }) => headId));
+  if (areDisjoint(chains) && heads.every(({ id }) => headIds.has(id))) {
+    const capacity = chains.reduce((sum, chain) => sum + chain.capacity, 0);
+    return { paths: chains, rooms, isDisjoint: true, capacity };
+  }
+  const found = [
+    ...chains.map(({ stages }) => stages),
+    ...planSharedPaths(engines, { layers, rooms }),
+  ];
+  const distinct = new Map(found.map((stages) => [keyOfPath(toHeldPath(stages)), stages]));
+  const paths = heads.flatMap(({ id }) =>
+    [...distinct.values()]
+      .filter((stages) => stages[0]?.id === id)
+      .map((stages) => ({ headId: id, stages, capacity: capacityAlone(stages, rooms) })),
+  );
+  const capacity = jointCapacity(
+    paths.map(({ stages }) => stages),
+    rooms,
+  );
+  return { paths, rooms, isDisjoint: false, capacity };
+}
+
 export function createChainCatalog({ view, isAvoided }: ChainCatalogOptions): ChainCatalog {
   const cache = new Map<string, CachedChains>();
   const groupsByService = new Map<string, CachedGroups>();
@@ -116,27 +192,44 @@
     }));
   }
 
-  function chainsOf(
+  /**
+   * Whether nothing has changed that the chains depend on. A revision of the view covers the facts
+   * and the rounded slowdowns, but not the exclusions.
+   */
+  function isCurrent(known: CachedChains, facts: readonly BackendFact[]): boolean {
+    return (
+      known.facts === facts &&
+      facts.every(({ instanceId }, index) => known.areAvoided[index] === isAvoided(instanceId))
+    );
+  }
+
+  function cachedOf(
     dataCentre: string,
     facts: readonly BackendFact[],
     model: ModelDescription,
-  ): readonly RatedChain[] {
+  ): CachedChains {
+    const known = cache.get(dataCentre);
+    if (known && isCurrent(known, facts)) return known;
+    const areAvoided = facts.map(({ instanceId }) => isAvoided(instanceId));
     const engineStates = facts
-      .map(({ instanceId }) =>
-        isAvoided(instanceId) ? '-' : view.slowdownOf(instanceId).toFixed(0),
+      .map(({ instanceId }, index) =>
+        areAvoided[index] ? '-' : view.slowdownOf(instanceId).toFixed(0),
       )
       .join(' ');
-    const known = cache.get(dataCentre);
     // A search takes about 5 ms for 45 engines, so it is repeated only when an engine of this data
     // centre has changed.
     const isSame =
       known?.engineStates === engineStates &&
       known.facts.length === facts.length &&
       known.facts.every((fact, index) => fact === facts[index]);
-    if (isSame) return known.chains;
+    if (isSame) {
+      known.facts = facts;
+      return known;
+    }
     const chains = rateChains(facts, model);
-    cache.set(dataCentre, { facts, engineStates, chains });
-    return chains;
+    const created = { facts, areAvoided, engineStates, chains, layout: undefined };
+    cache.set(dataCentre, created);
+    return created;
   }
 
   function groupByDataCentre(service: string): ReadonlyMap<string, readonly BackendFact[]> {
@@ -157,7 +250,19 @@
     listDataCentres: (service) => [...groupByDataCentre(service).keys()],
     listOf(service, model, dataCentre) {
       const facts = groupByDataCentre(service).get(dataCentre) ?? [];
-      return facts.length > 0 ? chainsOf(dataCentre, facts, model) : [];
+      return facts.length > 0 ? cachedOf(dataCentre, facts, model).chains : [];
+    },
+    layoutOf(service, model, dataCentre) {
+      const facts = groupByDataCentre(service).get(dataCentre) ?? [];
+      if (facts.length === 0) return NO_PATHS;
+      const cached = cachedOf(dataCentre, facts, model);
+      cached.layout ??= planLayout(
+        cached.chains,
+        toStageEngines(facts, model),
+        toEngineRooms(toCapacityEngines(facts), model),
+        model,
+      );
+      return cached.layout;
     },
     listEnginesInSameDataCentre(service, model, instanceId) {
       const anchor = view.listBackends(service).find((fact) => fact.instanceId === instanceId);
--- a/packages/entry/src/dispatch/chainChoice.ts
+++ b/packages/entry/src/dispatch/chainChoice.ts
@@ -5,7 +5,7 @@
 import type { ModelDescription, PathStage } from '@spoolplank/routing';
 import type { Random } from '@spoolplank/shared';
 import { createChainCatalog } from './chainCatalog';
-import type { RatedChain } from './chainCatalog';
+import type { PathLayout, RatedChain } from './chainCatalog';
 import { createPathRepair } from '../repair/pathRepair';
 import type { PathRepair } from '../repair/pathRepair';
 import type { RoutingView } from '../gossip/routingView';
@@ -77,6 +77,8 @@
   ): number;
   /** All chains of a data centre, including those that are full or have an engine in backoff. */
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
+  /** All paths on which the allocator of a data centre may grant slots. */
+  layoutOf(service: string, model: ModelDescription, dataCentre: string): PathLayout;
   /** Finds another path for a running stream that keeps its first stage. */
   readonly repair: PathRepair;
 }
@@ -194,6 +196,7 @@
 
   return {
     listOf: catalog.listOf,
+    layoutOf: catalog.layoutOf,
     backoffEndsInMs(service, model, excludedHeads) {
       const backoffsMs = listChains(service, model, excludedHeads).map(({ chain }) =>
         chainBackoffMs(chain),
--- a/packages/entry/src/dispatch/streamPath.ts
+++ b/packages/entry/src/dispatch/streamPath.ts
@@ -73,6 +73,7 @@
     view,
     streams,
     chains,
+    isSharingEngines: context.decisions.sharedEngines.isEnabled,
     listAvoided: health.listAvoided,
     listClosed: notices.listClosed,
     backoffs: notices.backoffs,
--- a/packages/entry/src/dispatch/streamTable.ts
+++ b/packages/entry/src/dispatch/streamTable.ts
@@ -54,6 +54,8 @@
   list(): Iterable<StreamRow>;
   /** Slots held by the streams in a data centre: one for each attempt, on its chain. */
   listHeld(dataCentre: string): readonly HeldSlot[];
+  /** The path that the stream with a slot runs over now; undefined when it has ended. */
+  pathOf(ticket: string): readonly PathStage[] | undefined;
   /** Sum of the sizes of the streams in flight on the chain with the given first engine. */
   countOn(headId: string): number;
   /** Estimate of the load that `peers` other entries started on a chain but not reported yet. */
@@ -105,6 +107,7 @@
 
 export function createStreamTable({ clock, onEnd }: StreamTableOptions): StreamTable {
   const rows = new Set<StreamRow>();
+  const rowByTicket = new Map<string, StreamRow>();
   const countByHead = new Map<string, number>();
   const firstEvents = new Map<string, FirstEvents>();
   let usualFirstEventMs = INITIAL_FIRST_EVENT_MS;
@@ -120,10 +123,12 @@
   return {
     add(row) {
       rows.add(row);
+      rowByTicket.set(row.ticket, row);
       adjustInFlight(row.headId, row.size);
     },
     remove(row) {
       if (!rows.delete(row)) return;
+      rowByTicket.delete(row.ticket);
       adjustInFlight(row.headId, -row.size);
       onEnd?.(row);
     },
@@ -132,6 +137,7 @@
       [...rows]
         .filter((row) => row.dataCentre === dataCentre)
         .map(({ ticket, headId, size }) => ({ ticket, headId, size: roundSize(size) })),
+    pathOf: (ticket) => rowByTicket.get(ticket)?.stages,
     countOn: (headId) => countByHead.get(headId) ?? 0,
     estimateUnreported: (headId, peers) =>
       unreported.estimate(headId, countByHead.get(headId) ?? 0, peers),
--- a/packages/entry/src/slots/slotAccount.ts
+++ b/packages/entry/src/slots/slotAccount.ts
@@ -4,7 +4,7 @@
  * VMs report.
  */
 import { createSlotLedger } from '@spoolplank/routing';
-import type { HeldSlot, SlotLedger } from '@spoolplank/routing';
+import type { HeldPath, HeldSlot, SlotLedger } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 
 export interface SlotAccountOptions {
@@ -62,14 +62,17 @@
   }
 
   return {
-    grant(holder: string, slot: HeldSlot) {
+    grant(holder: string, slot: HeldSlot, path?: HeldPath) {
       const { headId, size } = slot;
-      ledger.grant(holder, slot);
+      ledger.grant(holder, slot, path);
       grantedSinceStart.set(headId, (grantedSinceStart.get(headId) ?? 0) + size);
     },
     report: ledger.report,
     cancel: ledger.cancel,
     heldSizeOf: ledger.heldSizeOf,
+    get engines() {
+      return ledger.engines;
+    },
     get holders() {
       return ledger.holders;
     },
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -8,7 +8,7 @@
  * to poll first.
  */
 import type { ServiceCapacity } from '@spoolplank/membership';
-import { createRetrySchedule } from '@spoolplank/routing';
+import { createRetrySchedule, toHeldPath } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
 import { createAdmissionQueue } from '../admission/admissionQueue';
@@ -20,7 +20,10 @@
 import { createSlotPermits } from './slotPermits';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
-export interface SlotAllocatorOptions extends Omit<SlotChainsOptions, 'inFlightOn'> {
+export interface SlotAllocatorOptions extends Omit<
+  SlotChainsOptions,
+  'inFlightOn' | 'engineLoads'
+> {
   readonly clock: Clock;
   readonly delay: (durationMs: number) => Promise<void>;
   /** This VM. */
@@ -80,7 +83,11 @@
   const { clock, delay, limits } = options;
   const retrySchedule = createRetrySchedule({ clock });
   const account = createSlotAccount(options);
-  const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
+  const slotChains = createSlotChains({
+    ...options,
+    inFlightOn: account.inFlightOn,
+    engineLoads: () => account.engines,
+  });
   const permits = createSlotPermits({ limits });
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
@@ -104,7 +111,8 @@
     if (!chosen) return undefined;
     const { headId, stages, capacity } = chosen;
     const limitPerS = permits.take(holder, ask.ticket, headId);
-    account.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
+    const path = options.chains.layoutOf && !ask.heads ? toHeldPath(stages) : undefined;
+    account.grant(holder, { ticket: ask.ticket, headId, size: ask.size }, path);
     const inFlight = account.inFlightOn(headId);
     return { grantedBy: options.host, headId, stages, capacity, inFlight, limitPerS };
   }
@@ -200,11 +208,12 @@
 
   return {
     async answer(call) {
-      const { holder, sequence, slots, givenUp, ended = [], limitReports = [], ask } = call;
+      const { holder, sequence, slots, paths, givenUp, ended = [] } = call;
+      const { limitReports = [], ask } = call;
       account.recordUse();
       removeAbandoned();
       slotChains.recordAvoided(call);
-      account.report(holder, { sequence, slots });
+      account.report(holder, { sequence, slots, ...(paths ? { paths } : {}) });
       permits.recordListed(holder, slots);
       ended.forEach((ticket) => end(holder, ticket));
       givenUp.forEach((ticket) => cancel(holder, ticket));
--- a/packages/entry/src/slots/slotChains.ts
+++ b/packages/entry/src/slots/slotChains.ts
@@ -8,18 +8,22 @@
  * all VMs for a short time; otherwise each VM would run into the same rejection.
  */
 import type { ServiceCapacity } from '@spoolplank/membership';
+import { createEngineLoads, freeRequests, usedShare } from '@spoolplank/routing';
 import type { ModelDescription } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import type { BackendTarget } from '../dispatch/backendOperations';
-import type { RatedChain } from '../dispatch/chainCatalog';
+import type { PathLayout, RatedChain } from '../dispatch/chainCatalog';
 import type { ChainChoice } from '../dispatch/chainChoice';
 import type { LimitAccount } from '../limits/limitAccount';
+import { createPathLoads } from './pathLoads';
+import type { PathLoadsOptions } from './pathLoads';
 import type { SlotAsk, SlotCall } from './slotMessages';
 
 export interface SlotChainsOptions {
   readonly clock: Pick<Clock, 'nowMs'>;
   readonly dataCentre: string;
-  readonly chains: Pick<ChainChoice, 'listOf'>;
+  /** Without `layoutOf`, slots are granted by the load of each head. */
+  readonly chains: Pick<ChainChoice, 'listOf'> & Partial<Pick<ChainChoice, 'layoutOf'>>;
   readonly modelOf: (service: string) => ModelDescription | undefined;
   /** Plain servers of a service in this data centre. */
   readonly listServers: (service: string) => readonly BackendTarget[];
@@ -27,6 +31,8 @@
   readonly limits: Pick<LimitAccount, 'limitPerSOf' | 'ratePerS' | 'hasPermit'>;
   /** Total size in flight on a chain. */
   readonly inFlightOn: (headId: string) => number;
+  /** Load by engine; required with `layoutOf`. */
+  readonly engineLoads?: PathLoadsOptions['engineLoads'];
   /** Recent time to first event on a chain. */
   readonly firstEventMs: (headId: string) => number;
 }
@@ -74,6 +80,8 @@
 export function createSlotChains(options: SlotChainsOptions): SlotChains {
   const { clock, dataCentre, chains, limits, inFlightOn } = options;
   const avoidedUntilMs = new Map<string, number>();
+  const { engineLoads = () => createEngineLoads() } = options;
+  const loads = createPathLoads({ engineLoads, inFlightOn });
 
   /**
    * Ignores calls from other data centres, as the network path from there may be at fault rather
@@ -106,16 +114,49 @@
     return inFlight + size <= capacity * (hasBegun ? 1 : ADMITTED_SHARE);
   }
 
+  /** Whether a path has room for a request on each of its engines, as `loads` has them. */
+  function hasFreePath(
+    { stages, headId }: RatedChain,
+    { rooms }: PathLayout,
+    ask: SlotAsk,
+  ): boolean {
+    const headSize = inFlightOn(headId);
+    const isIdle = headSize === 0 && stages.every(({ id }) => loads.loadOf(id) === 0);
+    const share = ask.hasBegun ? 1 : ADMITTED_SHARE;
+    return (
+      isIdle || freeRequests(stages, rooms, { loadOf: loads.loadOf, headSize, share }) >= ask.size
+    );
+  }
+
   /** Capacity of a chain, bounded by what its rate limit admits within the time of one stream. */
-  function usableCapacity({ headId, capacity }: RatedChain): number {
+  function usableCapacity({ headId, capacity }: Omit<RatedChain, 'stages'>): number {
     if (limits.limitPerSOf(headId) === null) return capacity;
     const permittedSoon = limits.ratePerS(headId) * TYPICAL_STREAM_S;
     return Math.min(capacity, inFlightOn(headId) + permittedSoon);
   }
 
-  function costOf({ headId, capacity }: RatedChain): number {
+  /** Cost of a chain by its load and latency; `layout` is set where engines are shared. */
+  function costOf(
+    { headId, stages, capacity }: RatedChain,
+    layout: PathLayout | undefined,
+  ): number {
     const slowness = options.firstEventMs(headId) / SLOW_FIRST_EVENT_MS;
-    return inFlightOn(headId) / Math.max(1, capacity) + slowness;
+    const headSize = inFlightOn(headId);
+    if (!layout) return headSize / Math.max(1, capacity) + slowness;
+    return usedShare(stages, layout.rooms, { loadOf: loads.loadOf, headSize }) + slowness;
+  }
+
+  function layoutOf(service: string): PathLayout | undefined {
+    const model = options.modelOf(service);
+    return model && chains.layoutOf?.(service, model, dataCentre);
+  }
+
+  /** The layout for an ask, with current loads, unless the load by head alone decides. */
+  function sharedLayoutOf({ service, heads }: SlotAsk): PathLayout | undefined {
+    const layout = heads ? undefined : layoutOf(service);
+    if (!layout || loads.isKnownByHead(layout)) return undefined;
+    loads.refresh(layout);
+    return layout;
   }
 
   /**
@@ -129,7 +170,8 @@
     }
     const model = options.modelOf(service);
     if (!model) return [];
-    return chains.listOf(service, model, dataCentre).filter(({ capacity }) => capacity >= 1);
+    const listed = layoutOf(service)?.paths ?? chains.listOf(service, model, dataCentre);
+    return listed.filter(({ capacity }) => capacity >= 1);
   }
 
   function listUsable(ask: SlotAsk): readonly RatedChain[] {
@@ -147,27 +189,46 @@
     const usable = listUsable(ask);
     const isLimited = ({ headId }: RatedChain) => limits.limitPerSOf(headId) !== null;
     if (usable.length === 0 || !usable.every(isLimited)) return null;
-    return usable.reduce((sum, { headId }) => sum + limits.ratePerS(headId), 0);
+    const heads = new Set(usable.map(({ headId }) => headId));
+    return [...heads].reduce((sum, headId) => sum + limits.ratePerS(headId), 0);
   }
 
   return {
     recordAvoided,
     findBest(ask) {
-      const free = listUsable(ask).filter(
-        (chain) => hasFreeSlot(chain, ask) && limits.hasPermit(chain.headId),
-      );
-      const [first, ...rest] = free;
-      if (!first) return undefined;
-      return rest.reduce((best, chain) => (costOf(chain) < costOf(best) ? chain : best), first);
+      const layout = sharedLayoutOf(ask);
+      let best: RatedChain | undefined;
+      let bestCost = Number.POSITIVE_INFINITY;
+      for (const chain of listChains(ask)) {
+        const isFree = () => (layout ? hasFreePath(chain, layout, ask) : hasFreeSlot(chain, ask));
+        if (isUsable(chain, ask) && isFree() && limits.hasPermit(chain.headId)) {
+          const cost = costOf(chain, layout);
+          if (cost < bestCost) {
+            best = chain;
+            bestCost = cost;
+          }
+        }
+      }
+      return best;
     },
     hasUsable: (ask) => listUsable(ask).length > 0,
     isTurnedAway,
     limitedRate,
     capacityOf(service) {
+      const layout = layoutOf(service);
       const model = options.modelOf(service);
-      const own = model ? chains.listOf(service, model, dataCentre) : [];
-      const capacity = own.reduce((sum, chain) => sum + usableCapacity(chain), 0);
-      const inFlight = own.reduce((sum, { headId }) => sum + inFlightOn(headId), 0);
+      const own = layout?.paths ?? (model ? chains.listOf(service, model, dataCentre) : []);
+      const headIds = new Set(own.map(({ headId }) => headId));
+      const inFlight = [...headIds].reduce((sum, headId) => sum + inFlightOn(headId), 0);
+      const bounded =
+        layout && !layout.isDisjoint
+          ? [...headIds].map((headId) => ({
+              headId,
+              capacity: layout.rooms.get(headId)?.slots ?? 0,
+            }))
+          : own;
+      const usable = bounded.reduce((sum, chain) => sum + usableCapacity(chain), 0);
+      const capacity = Math.min(usable, layout?.capacity ?? usable);
       return { capacity: Math.floor(capacity), inFlight: Math.ceil(inFlight) };
     },
   };
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -4,11 +4,12 @@
  * outcome is `unavailable`, and the caller chooses a chain by the load that this VM knows of.
  */
 import type { MemberFact } from '@spoolplank/membership';
-import type { HeldSlot, AdvertisedLimit } from '@spoolplank/routing';
+import type { HeldSlot, AdvertisedLimit, PathStage } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import type { ChosenChain } from '../dispatch/chainChoice';
 import type { PendingReport } from '../limits/serverLimits';
 import type { AllocatorRank } from './allocatorRank';
+import { createHeldPaths } from './heldPaths';
 import { createSlotOutbox } from './slotOutbox';
 import type { RankedDataCentre } from './dataCentreRank';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
@@ -65,6 +66,8 @@
   readonly call: (target: MemberFact, params: SlotCall, timeoutMs: number) => Promise<SlotReply>;
   /** Slots that this VM currently holds in a data centre. */
   readonly listHeld: (dataCentre: string) => readonly HeldSlot[];
+  /** The path of the stream with a slot; absent where slots are granted by head alone. */
+  readonly pathOf?: (ticket: string) => readonly PathStage[] | undefined;
   /** Engines that this VM avoids for now, as they rejected a request. */
   readonly listAvoided: () => readonly string[];
   /** Runs a function after a delay. */
@@ -153,6 +156,7 @@
   const reportedAtMs = new Map<string, number>();
   /** Tickets in the last list that was sent to each data centre. */
   const listed = new Map<string, ReadonlySet<string>>();
+  const heldPaths = options.pathOf && createHeldPaths({ clock, pathOf: options.pathOf });
   let sequence = 0;
   let sendReport = (_dataCentre: string): void => {};
   const { schedule } = options;
@@ -162,7 +166,7 @@
     call: (dataCentre) => sendReport(dataCentre),
   });
 
-  function reportOf(asked: string): SlotCall {
+  function reportOf(asked: string, target: MemberFact): SlotCall {
     sequence += 1;
     reportedAtMs.set(asked, clock.nowMs());
     const slots = options.listHeld(asked);
@@ -171,7 +175,7 @@
       holder,
       dataCentre: options.dataCentre,
       sequence,
-      slots,
+      ...(heldPaths?.describe(asked, target.host, slots) ?? { slots }),
       ...outbox.takePending(asked),
     };
   }
@@ -184,7 +188,7 @@
     for (let tries = 0; tries < MAX_ATTEMPTS; tries += 1) {
       const target = rank.find(dataCentre);
       if (!target) return undefined;
-      const params: SlotCall = { ...reportOf(dataCentre), ...(ask ? { ask } : {}) };
+      const params: SlotCall = { ...reportOf(dataCentre, target), ...(ask ? { ask } : {}) };
       const timeoutMs = (ask?.holdMs ?? 0) + ANSWER_TIMEOUT_MS;
       const sentAtMs = clock.nowMs();
       try {
--- a/packages/entry/src/slots/slotMessages.ts
+++ b/packages/entry/src/slots/slotMessages.ts
@@ -46,6 +46,7 @@
 
 /**
  * Lists all slots that a VM holds in a data centre, which renews their leases; may contain an ask.
+ * An allocator of an older version ignores the paths; a VM of an older version lists none.
  */
 export interface SlotCall extends HoldingsReport {
   /** Identifies the calling VM and the incarnation of its process. */
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -38,6 +38,8 @@
   readonly view: RoutingView;
   readonly streams: StreamTable;
   readonly chains: ChainChoice;
+  /** Whether slots are granted by the load of each engine of a path. */
+  readonly isSharingEngines: boolean;
   /** Engines that this entry avoids for now, as they rejected a request. */
   readonly listAvoided: () => readonly string[];
   /** Engines that this entry must not send to: they asked it for a backoff, or are leaving. */
@@ -80,7 +82,7 @@
 
 export function createSlotService(options: SlotServiceOptions): SlotService {
   const { clock, log, metrics, peers, host, run, dataCentre, view, streams, chains } = options;
-  const { limits } = options;
+  const { limits, isSharingEngines } = options;
 
   // Starts from the wall clock, so that it grows over restarts and a late statement of an earlier
   // incarnation never counts as newer.
@@ -106,7 +108,7 @@
     delay,
     host,
     dataCentre,
-    chains,
+    chains: isSharingEngines ? chains : { listOf: chains.listOf },
     modelOf,
     listServers: (service) =>
       view.listBackends(service).filter((fact) => fact.dataCentre === dataCentre),
@@ -135,6 +137,7 @@
     rank,
     call,
     listHeld: (name) => streams.listHeld(name),
+    ...(isSharingEngines ? { pathOf: streams.pathOf } : {}),
     listAvoided: options.listAvoided,
     listClosed: options.listClosed,
     listLimits: (name) =>
--- a/packages/routing/src/slotLedger.ts
+++ b/packages/routing/src/slotLedger.ts
@@ -13,6 +13,8 @@
  * Source: Gray and Cheriton, "Leases", SOSP 1989.
  */
 import type { Clock } from '@spoolplank/shared';
+import { createEngineLoads } from './engineLoad';
+import type { EngineLoads, HeldPath, LoadedPath } from './engineLoad';
 
 /** A slot on a chain, held for one request. */
 export interface HeldSlot {
@@ -22,6 +24,11 @@
   readonly headId: string;
   /** Memory of the request, relative to one of usual size. */
   readonly size: number;
+  /**
+   * Index into the paths of the report: the path that the request runs over now, which differs from
+   * that of its chain once the chains were formed anew or the stream was repaired.
+   */
+  readonly path?: number;
 }
 
 /** All slots that a holder has, from its own point of view. */
@@ -29,6 +36,11 @@
   /** Increases with every report of a holder, so that delayed reports are ignored. */
   readonly sequence: number;
   readonly slots: readonly HeldSlot[];
+  /**
+   * Paths of the slots. A report without them leaves the known paths as they are: paths change
+   * seldom and make up most of a report, and holders of an older version list none.
+   */
+  readonly paths?: readonly HeldPath[];
 }
 
 export interface SlotLedgerOptions {
@@ -40,14 +52,19 @@
 }
 
 export interface SlotLedger {
-  /** Records that a slot was granted. */
-  grant(holder: string, slot: HeldSlot): void;
+  /**
+   * Records that a slot was granted, with the path of its request where slots are granted by the
+   * load of each engine.
+   */
+  grant(holder: string, slot: HeldSlot, path?: HeldPath): void;
   /** Replaces the slots that a holder reported before. */
   report(holder: string, report: HoldingsReport): void;
   /** Frees a granted slot that its holder will not use. */
   cancel(holder: string, ticket: string): void;
   /** Total size of the slots held on a chain. */
   heldSizeOf(headId: string): number;
+  /** Load by engine of the slots whose path is known; the others count by head only. */
+  readonly engines: Pick<EngineLoads, 'loadOf' | 'sizeOn' | 'paths' | 'revision'>;
   /** Number of holders that have slots. */
   readonly holders: number;
 }
@@ -61,6 +78,8 @@
 
 interface Entry {
   readonly slot: HeldSlot;
+  /** Undefined while the path of the request is unknown. */
+  readonly path: LoadedPath | undefined;
   readonly grantedAtMs: number;
   isListed: boolean;
 }
@@ -75,6 +94,7 @@
   const { clock, leaseMs = DEFAULT_LEASE_MS, unclaimedMs = DEFAULT_UNCLAIMED_MS } = options;
   const holders = new Map<string, Holder>();
   const totals = new Map<string, number>();
+  const engines = createEngineLoads();
   let sweptAtMs = Number.NEGATIVE_INFINITY;
 
   function addToTotal({ headId }: HeldSlot, size: number): void {
@@ -93,19 +113,38 @@
     return created;
   }
 
-  function put({ entries }: Holder, slot: HeldSlot, isListed: boolean): void {
+  function release({ slot, path }: Entry): void {
+    addToTotal(slot, -slot.size);
+    if (path) engines.remove(path, slot.size);
+  }
+
+  function put(
+    { entries }: Holder,
+    slot: HeldSlot,
+    path: LoadedPath | undefined,
+    isListed: boolean,
+  ): void {
     const known = entries.get(slot.ticket);
-    if (known) addToTotal(known.slot, -known.slot.size);
+    const isSame =
+      known?.path?.key === path?.key &&
+      known?.slot.size === slot.size &&
+      known.slot.headId === slot.headId;
+    if (isSame && known) {
+      known.isListed = isListed;
+      return;
+    }
+    if (known) release(known);
     const grantedAtMs = known?.grantedAtMs ?? clock.nowMs();
-    entries.set(slot.ticket, { slot, grantedAtMs, isListed });
+    entries.set(slot.ticket, { slot, path, grantedAtMs, isListed });
     addToTotal(slot, slot.size);
+    if (path) engines.add(path, slot.size);
   }
 
   function remove({ entries }: Holder, ticket: string): void {
     const known = entries.get(ticket);
     if (!known) return;
     entries.delete(ticket);
-    addToTotal(known.slot, -known.slot.size);
+    release(known);
   }
 
   function isUnclaimed({ isListed, grantedAtMs }: Entry): boolean {
@@ -126,10 +165,10 @@
   }
 
   return {
-    grant(name, slot) {
-      put(findOrCreate(name), slot, false);
+    grant(name, slot, path) {
+      put(findOrCreate(name), slot, path && engines.recordOf(path), false);
     },
-    report(name, { sequence, slots }) {
+    report(name, { sequence, slots, paths }) {
       const holder = findOrCreate(name);
       if (sequence <= holder.sequence) return;
       holder.sequence = sequence;
@@ -138,7 +177,12 @@
       holder.entries.forEach((entry, ticket) => {
         if (entry.isListed && !listed.has(ticket)) remove(holder, ticket);
       });
-      slots.forEach((slot) => put(holder, slot, true));
+      const records = paths?.map((path) => engines.recordOf(path));
+      slots.forEach((slot) => {
+        const listedPath = slot.path === undefined ? undefined : records?.[slot.path];
+        const path = paths ? listedPath : holder.entries.get(slot.ticket)?.path;
+        put(holder, slot, path, true);
+      });
     },
     cancel(name, ticket) {
       const holder = holders.get(name);
@@ -148,6 +192,10 @@
       sweep();
       return Math.max(0, totals.get(headId) ?? 0);
     },
+    get engines() {
+      sweep();
+      return engines;
+    },
     get holders() {
       sweep();
       return [...holders.values()].filter(({ entries }) => entries.size > 0).length;
