--- a/packages/entry/__tests__/slotForecast.spec.ts
+++ b/packages/entry/__tests__/slotForecast.spec.ts
@@ -58,7 +58,7 @@
 
 /** Nine chains, of which four are lost while requests come at twice what the rest can take. */
 async function loseFourChains(decisions: DecisionSettings) {
-  const site = createDataCentre(12, HEADS, decisions);
+  const site = createDataCentre(12, HEADS, { decisions });
   await site.pass(1500);
   // 846 slots of 2 s serve 423 a second, and 470 of them 235.
   await sendFor(site, 400, 5000);
@@ -81,7 +81,7 @@
 
   it('grants the same slots as without it while they are not scarce', async () => {
     const decide = async (decisions: DecisionSettings) => {
-      const site = createDataCentre(12, HEADS, decisions);
+      const site = createDataCentre(12, HEADS, { decisions });
       await site.pass(1500);
       const all = await sendFor(site, 350, 5000);
       await site.pass(1300);
--- a/packages/entry/__tests__/slotSharing.spec.ts
+++ b/packages/entry/__tests__/slotSharing.spec.ts
@@ -19,7 +19,7 @@
   }
 
   async function play(sharing: SharingSettings) {
-    const site = createDataCentre(VMS, HEADS, { ...DEFAULT_DECISIONS, sharing });
+    const site = createDataCentre(VMS, HEADS, { decisions: { ...DEFAULT_DECISIONS, sharing } });
     await site.pass(1500);
     site.schedule(() => site.setChains(HEADS.slice(0, 5)), BURST_AT_MS);
     const isFirst = (atMs: number) => atMs >= BURST_AT_MS && atMs < URGENT_BURST_AT_MS;
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -14,6 +14,7 @@
   createRetrySchedule,
   DEFAULT_DECISIONS,
   resumeSpacingMs,
+  toHeldPath,
 } from '@spoolplank/routing';
 import type { DecisionSettings, PathStage, SharingSettings, SlotClaim } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
@@ -30,7 +31,10 @@
 import { createSlotPermits } from './slotPermits';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
-export interface SlotAllocatorOptions extends Omit<SlotChainsOptions, 'inFlightOn'> {
+export interface SlotAllocatorOptions extends Omit<
+  SlotChainsOptions,
+  'inFlightOn' | 'engineLoads'
+> {
   readonly clock: Clock;
   readonly delay: (durationMs: number) => Promise<void>;
   /** This VM. */
@@ -127,7 +131,11 @@
   const { sharing } = decisions;
   const retrySchedule = createRetrySchedule({ clock });
   const account = createSlotAccount(options);
-  const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
+  const slotChains = createSlotChains({
+    ...options,
+    inFlightOn: account.inFlightOn,
+    engineLoads: () => account.engines,
+  });
   const permits = createSlotPermits({ limits });
   const resumePacing = createResumePacing({ clock });
   /** Turns of granted slots for resumed streams; an answer is held back until its turn. */
@@ -235,7 +243,8 @@
     if (!chosen) return undefined;
     const { headId, stages, capacity } = chosen;
     const limitPerS = permits.take(holder, ask.ticket, headId);
-    account.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
+    const path = options.chains.layoutOf && !ask.heads ? toHeldPath(stages) : undefined;
+    account.grant(holder, { ticket: ask.ticket, headId, size: ask.size }, path);
     recordGrant(holder, ask, waitedMs);
     if (isForecast(ask)) outlook.recordGrant(holder, ask, headId);
     const inFlight = account.inFlightOn(headId);
@@ -357,11 +366,12 @@
 
   return {
     async answer(call) {
-      const { holder, sequence, slots, givenUp, ended = [], limitReports = [], ask } = call;
+      const { holder, sequence, slots, paths, givenUp, ended = [] } = call;
+      const { limitReports = [], ask } = call;
       account.recordUse();
       removeAbandoned();
       slotChains.recordAvoided(call);
-      account.report(holder, { sequence, slots });
+      account.report(holder, { sequence, slots, ...(paths ? { paths } : {}) });
       outlook.recordCall(call);
       permits.recordListed(holder, slots);
       slots.forEach(({ ticket }) => charges.delete(keyOf(holder, ticket)));
