fix(routing): moves of layers keep two holders where they can

Change: donors that leave two holders of all their layers come before others.

Conclusion: kept as a preference; a strict rule would leave data centres with two holders of each layer as they are.

--- a/packages/routing/__tests__/copyFixtures.ts
+++ b/packages/routing/__tests__/copyFixtures.ts
@@ -24,6 +24,9 @@
     { name: 'a100', memoryMb: 72_000, stepFactor: 2.4, readFactor: 3.2 },
     { name: 'v100', memoryMb: 14_000, stepFactor: 5.3, readFactor: 7.9 },
     { name: 'l4', memoryMb: 22_000, stepFactor: 16, readFactor: 8.2 },
+    { name: 'h100', memoryMb: 72_000, stepFactor: 1.4, readFactor: 1 },
+    { name: 'a100s', memoryMb: 36_000, stepFactor: 3.1, readFactor: 3.2 },
+    { name: 't4', memoryMb: 14_000, stepFactor: 15, readFactor: 15 },
   ],
 });
 
@@ -54,6 +57,7 @@
   readonly isEnabled: boolean;
   /** Requests for which capacity is needed; null when no fact is known. */
   readonly demand?: (nowMs: number) => number | null;
+  readonly kinds?: readonly string[];
 }
 
 function isWithin(layer: number, range: SimulatedEngine['loaded']): boolean {
@@ -61,7 +65,11 @@
 }
 
 /** Starts with the three chains that the planner lays out for empty engines. */
-export function createCopySimulation({ isEnabled, demand = () => null }: SimulationOptions) {
+export function createCopySimulation({
+  isEnabled,
+  demand = () => null,
+  kinds = KINDS,
+}: SimulationOptions) {
   let nowMs = 0;
   let lostAtMs = Number.NEGATIVE_INFINITY;
   let orderedAtMs = Number.NEGATIVE_INFINITY;
@@ -174,7 +182,7 @@
     capacities.push({ atMs: nowMs, requests: Math.min(...findCapacities()) });
   }
 
-  createEngines(KINDS).forEach(({ id, acceleratorKind }) => add(id, acceleratorKind));
+  createEngines(kinds).forEach(({ id, acceleratorKind }) => add(id, acceleratorKind));
   planPlacement(engines.map(observe), MODEL).forEach(({ id, firstLayer, endLayer }) => {
     const engine = engines.find((candidate) => candidate.id === id);
     if (engine) engine.loaded = { first: firstLayer, end: endLayer };
--- a/packages/routing/src/copyPlan.ts
+++ b/packages/routing/src/copyPlan.ts
@@ -10,7 +10,7 @@
  * it. The bottleneck therefore never falls, and without new losses a sequence of moves ends.
  */
 import { capacityByLayer, countRequests, findEvenCapacity, findLowRanges } from './layerCopies';
-import { GOOD_MEMORY_PER_LAYER, lengthOf } from './plannedEngines';
+import { countCopies, GOOD_MEMORY_PER_LAYER, lengthOf } from './plannedEngines';
 import type { PlannedEngine, Range } from './plannedEngines';
 import type { ModelDescription } from './routingDocument';
 import { findCompleteChains } from './wholeChains';
@@ -165,6 +165,11 @@
 const isPlaced = ({ held, planned, isLoading }: CopyEngine): boolean =>
   !isLoading && held?.first === planned?.first && held?.end === planned?.end;
 
+/** Whether the loss of one more engine after a move would leave a copy of each given-up layer. */
+function isCovered({ planned }: CopyEngine, copies: readonly number[]): boolean {
+  return planned !== null && copies.slice(planned.first, planned.end).every((count) => count > 2);
+}
+
 /** The capacities without one engine; undefined if its layers would then be too low. */
 function removeHolder(
   { planned }: CopyEngine,
@@ -271,8 +276,10 @@
       return candidate ? [{ ...candidate, engine }] : [];
     });
     if (candidates.length <= 1) return candidates[0];
-    const unused = candidates.filter(({ engine }) => findIdle().has(engine.id));
-    return pickBest(unused) ?? pickBest(candidates);
+    const copies = countCopies(engines.filter(isPlaced), model.layers);
+    const safe = candidates.filter(({ engine }) => isCovered(engine, copies));
+    const list = safe.length > 0 ? safe : candidates;
+    return pickBest(list.filter(({ engine }) => findIdle().has(engine.id))) ?? pickBest(list);
   }
 
   /**
