feat(repair): move streams off later stages that leave

Cause: an engine that announces that it leaves serves for 2.5 s and a little longer; streams of 3 to 8 s that still ran over it paused for 250 to 450 ms when it exited, as its replacement prefilled all of them at once.

Change: streamMigration decides which streams move when: 300 ms after the announcement at the earliest, those with most left to run first, one at a time, spaced by twice the prefill time of the slowest kind of engine over all entries, each entry in its own phase. The order is the repair that exists. A refusal (404, 409) leaves the stream on its path; an order without an answer is repeated over the same path; an engine found lost during a move is repaired as before. A withdrawn engine counts as leaving, as some serve on after it. Moves are planned when the routing view changed or a stream started, at most every 100 ms, on the timer of the checks. Metric spoolplank_stream_migrations_total, event stream-migrated. decisions.migration.isEnabled false: no moves.

--- a/packages/entry/src/dispatch/streamPath.ts
+++ b/packages/entry/src/dispatch/streamPath.ts
@@ -13,6 +13,9 @@
 import type { SlotService } from '../slots/slotService';
 import { createStreamDispatch } from './streamDispatch';
 import type { StreamDispatch } from './streamDispatch';
+import { createStreamMigration } from '../repair/streamMigration';
+import type { Departure } from '../repair/streamMigration';
+import type { EntryPosition } from '../repair/pathRepair';
 import { createStreamRepair } from '../repair/streamRepair';
 import type { StreamRepair } from '../repair/streamRepair';
 import type { StreamTable } from './streamTable';
@@ -31,6 +34,8 @@
   readonly countEntries: () => number;
   /** The data centre of a server; undefined when unknown. */
   readonly dataCentreOf: (instanceId: string) => string | undefined;
+  /** The announcement of an engine that leaves; undefined while it stays. */
+  readonly departureOf: (instanceId: string) => Departure | undefined;
   /** Whether this VM has exchanged facts (gossiped records) for long enough to know all members. */
   readonly isMembershipComplete: () => boolean;
 }
@@ -48,6 +53,12 @@
   const { clock, random, log, metrics, dataCentre, view, operations, notices, limits } = context;
   const { suspect, avoid } = health;
 
+  function position(): EntryPosition {
+    const hosts = view.listMembers('entry').map((member) => member.host);
+    const before = hosts.filter((other) => other < host).length;
+    return { index: before, count: Math.max(1, hosts.length) };
+  }
+
   const chains = createChainChoice({
     view,
     random,
@@ -60,11 +71,7 @@
     isAvoided: health.isAvoided,
     backoffMsOf: notices.backoffs.remainingMs,
     maySendWithoutPermit: limits.maySendWithoutPermit,
-    position() {
-      const hosts = view.listMembers('entry').map((member) => member.host);
-      const before = hosts.filter((other) => other < host).length;
-      return { index: before, count: Math.max(1, hosts.length) };
-    },
+    position,
   });
   const slots = createSlotService({
     clock,
@@ -96,6 +103,10 @@
     findDesignated: slots.findAllocator,
     countEntries,
   });
+  const { departureOf } = options;
+  const migration = context.decisions.migration.isEnabled
+    ? createStreamMigration({ clock, departureOf, position })
+    : undefined;
   const repair = createStreamRepair({
     context,
     streams,
@@ -104,6 +115,7 @@
     avoid,
     requestProbe: probes.requestProbe,
     onLost: guard.recordLost,
+    migration,
   });
   const dispatch = createStreamDispatch({
     context,
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -13,6 +13,7 @@
 import type { BackendOperations } from './dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
 import { createCrashGuard, isGuardFact } from './quarantine/crashGuard';
+import { findDeparture } from './repair/engineDepartures';
 import { createEngineHealth } from './repair/engineHealth';
 import type { AdmittedRequest, EntryContext, RequestEnd } from './entryContext';
 import { createEntryFacts } from './gossip/entryFacts';
@@ -200,6 +201,7 @@
     host,
     countEntries,
     dataCentreOf: (instanceId) => findBackend(table, instanceId)?.body.dataCentre,
+    departureOf: (instanceId) => findDeparture(table, instanceId),
     isMembershipComplete: syncHistory.isMembershipComplete,
   });
   const { slots, repair } = stream;
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -9,6 +9,7 @@
 import type { EngineProbes } from './engineProbes';
 import type { EntryContext } from '../entryContext';
 import { createPathSilence } from './pathSilence';
+import type { DueMove, StreamMigration } from './streamMigration';
 import { contentOf } from '../quarantine/requestContent';
 import type { StreamRow, StreamTable } from '../dispatch/streamTable';
 
@@ -24,6 +25,8 @@
   readonly requestProbe: EngineProbes['requestProbe'];
   /** Called when an engine on the path of a running stream is found lost. */
   readonly onLost?: (row: StreamRow, instanceId: string) => void;
+  /** Decides which streams are moved off engines that leave; none are moved without it. */
+  readonly migration?: StreamMigration;
   /** Runs a function after a delay; by default with a timer. */
   readonly schedule?: (run: () => void, delayMs: number) => void;
 }
@@ -66,6 +69,8 @@
  * to count as active. All streams of a lost path fall silent within a fraction of the limit.
  */
 const ACTIVE_PATH_SHARE = 0.5;
+/** Interval at which changed engines and streams are looked at for moves. */
+const PLAN_INTERVAL_MS = 100;
 /** Pause before the next check of a stream; it doubles with each check that finds nothing. */
 const RECHECK_MS = 300;
 const MAX_RECHECK_MS = 1200;
@@ -83,6 +88,9 @@
  */
 const PROBING_ENTRIES = 12;
 
+/** Result of moving a stream off an engine that leaves; a label of the metric. */
+type MoveOutcome = 'moved' | 'refused' | 'no-path' | 'lost';
+
 /** A probe of an engine, which is reused for `PROBE_REUSE_MS`. */
 interface CachedProbe<Result> {
   readonly atMs: number;
@@ -91,12 +99,17 @@
 
 export function createStreamRepair(options: StreamRepairOptions): StreamRepair {
   const { context, streams, chains, suspect, avoid, onLost = () => {} } = options;
-  const { clock, log, operations, random, view, quarantine } = context;
+  const { clock, log, metrics, operations, random, view, quarantine } = context;
+  const { migration } = options;
   const reachability = new Map<string, CachedProbe<boolean>>();
   const paths = createPathSilence(clock);
   const { schedule = scheduleTimer } = options;
   let isWatching = false;
   let tickedAtMs = Number.NEGATIVE_INFINITY;
+  /** Revision of the routing view for which moves were planned; null to plan them again. */
+  let plannedRevision: number | null = null;
+  let plannedAtMs = Number.NEGATIVE_INFINITY;
+  let isMoving = false;
   /** Time at which the designated VM was last asked to probe a path, by path key. */
   const probeRequestedAtMs = new Map<string, number>();
   let probeDraw = { untilMs: Number.NEGATIVE_INFINITY, isProbing: true };
@@ -153,6 +166,15 @@
       });
   }
 
+  const describePath = (stages: readonly PathStage[]): readonly string[] =>
+    stages.map(({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`);
+
+  /** Records the path that a stream runs over now. */
+  function changePath(row: StreamRow, stages: readonly PathStage[]): void {
+    row.stages = stages;
+    row.lastCheckAtMs = clock.nowMs();
+  }
+
   async function repairRow(row: StreamRow): Promise<void> {
     const { admitted, model } = row;
     const { request, service } = admitted;
@@ -169,15 +191,14 @@
       log.info('stream-repair', {
         requestId: request.id,
         lost: [...row.lostIds],
-        path: stages.map(({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`),
+        path: describePath(stages),
         outcome: outcome.kind,
         problem: outcome.kind === 'failed' ? outcome.problem : undefined,
         silentMs: Math.round(clock.nowMs() - row.lastProgressAtMs),
         factsAgeMs: Math.round(context.factsAgeMs()),
       });
       if (outcome.kind === 'repaired') {
-        row.stages = stages;
-        row.lastCheckAtMs = clock.nowMs();
+        changePath(row, stages);
         return;
       }
       const unfit =
@@ -209,6 +230,81 @@
       });
   }
 
+  function isRunning(row: StreamRow): boolean {
+    return row.abortReason === null && [...streams.list()].includes(row);
+  }
+
+  /** Orders a move; an order without an answer is repeated once, as it may have been executed. */
+  async function orderMove(row: StreamRow, head: PathStage, stages: readonly PathStage[]) {
+    const target: BackendTarget = { instanceId: head.id, address: head.address };
+    const { id } = row.admitted.request;
+    const outcome = await operations.repair(target, id, stages, REPAIR_TIMEOUT_MS);
+    if (outcome.kind !== 'failed' || !isRunning(row)) return outcome;
+    return operations.repair(target, id, stages, REPAIR_TIMEOUT_MS);
+  }
+
+  /** Moves a stream off an engine that leaves. A stream that cannot be moved stays on its path. */
+  async function move(due: DueMove): Promise<void> {
+    const { row, leavingId, avoidedIds, announcedAtMs } = due;
+    const [head] = row.stages;
+    const excluded = new Set([...row.lostIds, ...avoidedIds]);
+    const stages = chains.repair(row.admitted.service, row.model, row.stages, excluded);
+    let outcome: MoveOutcome = 'no-path';
+    if (head && stages) {
+      const { kind, ...details } = await orderMove(row, head, stages);
+      outcome = kind === 'repaired' ? 'moved' : 'refused';
+      if (kind === 'repaired') changePath(row, stages);
+      if (kind === 'unknown-request') migration?.giveUp(due);
+      const unfit = 'address' in details ? instanceAt(details.address ?? '', stages) : undefined;
+      if (unfit !== undefined && unfit !== head.id) avoid(unfit);
+    }
+    // A stream that ended during the move is unknown to its head.
+    if (outcome !== 'moved' && !isRunning(row)) return;
+    if (outcome !== 'moved' && row.lostIds.has(leavingId)) outcome = 'lost';
+    metrics.count('spoolplank_stream_migrations_total', { outcome });
+    log.info('stream-migrated', {
+      requestId: row.admitted.request.id,
+      leaving: leavingId,
+      path: describePath(row.stages),
+      outcome,
+      silentMs: Math.round(clock.nowMs() - row.lastProgressAtMs),
+      factAgeMs: Math.round(clock.nowMs() - announcedAtMs),
+    });
+  }
+
+  function startMove(due: DueMove): void {
+    const { row } = due;
+    if (quarantine.has(contentOf(row.admitted))) return;
+    isMoving = true;
+    row.isRepairing = true;
+    move(due)
+      .catch((error: unknown) => {
+        log.warn('stream-migration-failed', {
+          requestId: row.admitted.request.id,
+          problem: String(error),
+        });
+      })
+      .finally(() => {
+        isMoving = false;
+        row.isRepairing = false;
+        // An engine of the path may have been found lost during the move.
+        if (row.stages.some(({ id }) => row.lostIds.has(id))) startRepair(row);
+      });
+  }
+
+  /** Moves at most one stream at a time off engines that leave. */
+  function migrateDue(nowMs: number): void {
+    if (!migration) return;
+    if (nowMs - plannedAtMs >= PLAN_INTERVAL_MS) {
+      plannedAtMs = nowMs;
+      const { revision } = view;
+      if (revision !== plannedRevision) migration.plan(streams.list());
+      plannedRevision = revision;
+    }
+    const due = isMoving ? undefined : migration.takeDue(streams.list());
+    if (due) startMove(due);
+  }
+
   /**
    * Whether this entry is among those that probe now. This is drawn at random again when cached
    * probes expire.
@@ -317,6 +413,7 @@
       const isDue = !isBusy && isSilentTooLong(row, nowMs, lastPathEventMs);
       if (isDue && isProbing(nowMs)) void check(row);
     }
+    migrateDue(nowMs);
   }
 
   function hasStreams(): boolean {
@@ -341,6 +438,7 @@
     isReachable: findReachability,
     tick,
     watch() {
+      plannedRevision = null;
       if (isWatching) return;
       isWatching = true;
       tickedAtMs = clock.nowMs();
