feat(slots): a new stream waits for a slot as long as its caller is patient

Cause: every new stream waited 1.2 s at most, also where its caller stays for 4.8 s. In a burst of a class with a target of 1,200 ms its requests were refused although slots came within their time.

Change: the longest wait is 0.6 of the time after which the caller leaves: the maximum of 2 s, four times the target and eight times the allowed pause of the route, and at most what is left until the deadline. decisions.forecast.isEnabled off keeps 1.2 s.

Conclusion: a target of 500 ms waits as before, 600 ms waits 1.44 s and 1,200 ms 2.88 s.

--- a/packages/entry/src/slots/slotFinder.ts
+++ b/packages/entry/src/slots/slotFinder.ts
@@ -6,8 +6,8 @@
  */
 import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { SpoolplankError } from '@spoolplank/shared';
-import { createRetryDelays, sizeOfRequest } from '@spoolplank/routing';
-import type { ModelDescription, BackoffTable } from '@spoolplank/routing';
+import { createRetryDelays, longestWaitMs, sizeOfRequest } from '@spoolplank/routing';
+import type { BackoffTable, DecisionSettings, ModelDescription } from '@spoolplank/routing';
 import type { ChainChoice, ChosenChain } from '../dispatch/chainChoice';
 import type { AdmittedRequest } from '../entryContext';
 import { createBackoffWaits } from '../admission/backoffWaits';
@@ -29,6 +29,7 @@
   readonly hasAllocator: (dataCentre: string) => boolean;
   /** Data centres that may have a slot for a service, best first. */
   readonly rankDataCentres: (service: string) => readonly RankedDataCentre[];
+  readonly decisions: Pick<DecisionSettings, 'forecast'>;
 }
 
 /** A request that needs a slot, and the chains that it has tried. */
@@ -65,7 +66,10 @@
   retryAfterMs(search: Pick<SlotSearch, 'admitted' | 'model'>): number;
 }
 
-/** Callers wait two seconds for a first event; the other 800 ms are left for one failed attempt. */
+/**
+ * Longest wait for a slot where the targets of the route do not count. Callers wait two seconds for
+ * a first event; the other 800 ms are left for one failed attempt.
+ */
 const MAX_ADMISSION_WAIT_MS = 1200;
 const ADMISSION_POLL_MS = 15;
 /** 90th percentile of the time to first event, relative to its mean. */
@@ -89,7 +93,7 @@
 };
 
 export function createSlotFinder(options: SlotFinderOptions): SlotFinder {
-  const { clock, delay, streams, chains, slots, backoffs } = options;
+  const { clock, delay, streams, chains, slots, backoffs, decisions } = options;
   const queue = createAdmissionQueue({
     clock,
     delay,
@@ -186,7 +190,10 @@
       const { admitted } = search;
       const sinceMs = clock.nowMs();
       await backoffWaits.wait(admitted, () => backoffEndsInMs(search, search.excludedHeads));
-      const latestMs = admitted.request.arrivedAtMs + MAX_ADMISSION_WAIT_MS;
+      const waitMs = decisions.forecast.isEnabled
+        ? longestWaitMs(admitted.route)
+        : MAX_ADMISSION_WAIT_MS;
+      const latestMs = admitted.request.arrivedAtMs + waitMs;
       const request = toRequest(search, Math.min(latestMs, admitted.deadlineAtMs), false);
       const outcome = await slots.find(request);
       const chain = await findChain(search, request, outcome);
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -176,6 +176,7 @@
       chains,
       slots: client,
       backoffs: options.backoffs,
+      decisions: options.decisions,
       hasAllocator: (name) => rank.findOwner(name) !== undefined,
       rankDataCentres: (service) =>
         rankDataCentres({
--- a/packages/routing/__tests__/slotForecast.spec.ts
+++ b/packages/routing/__tests__/slotForecast.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock } from '@spoolplank/shared';
-import { createSlotForecast, willMissQueueDeadline } from '../src/slotForecast';
+import { createSlotForecast, longestWaitMs, willMissQueueDeadline } from '../src/slotForecast';
 
 const HELD_MS = 2000;
 const WAIT = { ahead: 0, inTimeForMs: 400, isOvertaken: false };
@@ -41,6 +41,17 @@
   });
 });
 
+describe('the longest wait for a slot', () => {
+  it('is 0.6 of the time after which the caller leaves', () => {
+    const waits = [
+      longestWaitMs({ targetLatencyMs: 500, targetGapMs: 250 }),
+      longestWaitMs({ targetLatencyMs: 1200, targetGapMs: 250 }),
+      longestWaitMs({ targetLatencyMs: 500, targetGapMs: 500 }),
+    ];
+    assert.deepEqual(waits, [1200, 2880, 2400]);
+  });
+});
+
 describe('the forecast of the time to a slot', () => {
   it('is zero while slots are free, also before anything was measured', () => {
     const { forecast } = createMeasured(0);
--- a/packages/routing/src/slotForecast.ts
+++ b/packages/routing/src/slotForecast.ts
@@ -9,6 +9,7 @@
  * known.
  */
 import type { Clock } from '@spoolplank/shared';
+import type { Route } from './routingDocument';
 import type { HoldingsReport } from './slotLedger';
 
 export interface WaitForecast {
@@ -93,6 +94,24 @@
 /** Share of the capacity for new streams; the rest is reserved for streams that have begun. */
 const NEW_STREAM_SHARE = 0.94;
 
+/** Callers abandon a stream after a silence of 2 s, or longer if its targets are longer. */
+const MIN_PATIENCE_MS = 2000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+/** Share of the caller's patience for the slot; the rest is left for one failed attempt. */
+const WAIT_SHARE = 0.6;
+
+/** Longest wait of a new stream for a slot, by the time after which its caller leaves. */
+export function longestWaitMs(route: Pick<Route, 'targetLatencyMs' | 'targetGapMs'>): number {
+  const { targetLatencyMs, targetGapMs } = route;
+  const patienceMs = Math.max(
+    MIN_PATIENCE_MS,
+    PATIENCE_TARGETS * targetLatencyMs,
+    PATIENCE_GAPS * targetGapMs,
+  );
+  return WAIT_SHARE * patienceMs;
+}
+
 /** Whether a request would leave the queue before it gets a slot, by the rate of recent grants. */
 export function willMissQueueDeadline(forecast: WaitForecast): boolean {
   const { ahead, slotsPerS, remainingMs, limitedPerS = null } = forecast;
