--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -193,6 +193,7 @@
       chains,
       slots: client,
       backoffs: options.backoffs,
+      decisions: options.decisions,
       hasAllocator: (name) => rank.findOwner(name) !== undefined,
       rankDataCentres: (service) =>
         rankDataCentres({
@@ -201,7 +202,6 @@
           service,
           oldestMs: view.referenceMs() - CAPACITY_LIFETIME_MS,
         }),
-      sharing: decisions.sharing,
     }),
     methods: {
       [SLOTS_METHOD]: async (params) =>
