refactor(routing): repair and improvement of layouts in files of their own

Change: chainRepair (missing layers, broken chains), layoutImprovement (empty engines, redundant layers) and copySearch (best range of an engine) hold what these files did; no statement changes.

Conclusion: placement.ts composes.

--- a/packages/routing/src/copyPlan.ts
+++ b/packages/routing/src/copyPlan.ts
@@ -9,8 +9,10 @@
  * Each move raises layers that were below the gain limit above it and takes no other layer below
  * it. The bottleneck therefore never falls, and without new losses a sequence of moves ends.
  */
+import { findBestRange, findDeficit, pickBest } from './copySearch';
+import type { Candidate as CandidateOf } from './copySearch';
 import { capacityByLayer, countRequests, findEvenCapacity, findLowRanges } from './layerCopies';
-import { countCopies, GOOD_MEMORY_PER_LAYER, lengthOf } from './plannedEngines';
+import { countCopies, lengthOf } from './plannedEngines';
 import type { PlannedEngine, Range } from './plannedEngines';
 import type { ModelDescription } from './routingDocument';
 import { findCompleteChains } from './wholeChains';
@@ -64,6 +66,8 @@
   readonly hasSlow: boolean;
 }
 
+type Candidate = CandidateOf<CopyEngine>;
+
 /** Relative gain below which a move is not worth the load, which takes about a second. */
 const MIN_GAIN = 1.2;
 /** Capacity of the bottleneck, relative to an even distribution, below which it is raised. */
@@ -79,89 +83,11 @@
  * whole chains differ by up to 15 % between layers, as engines hold whole layers only.
  */
 const HOLE_SHARE = 0.8;
-/** Preference for a range that leaves no part of a low range to another engine. */
-const COVER_BONUS = 1.1;
-
-interface Candidate {
-  readonly engine: CopyEngine;
-  readonly range: Range;
-  readonly relief: number;
-}
-
-interface SearchOptions {
-  /** Capacities of all layers without the engine that is placed. */
-  readonly capacities: readonly number[];
-  readonly lowRanges: readonly Range[];
-  /** Capacity up to which a layer counts as lacking copies. */
-  readonly target: number;
-  /** Capacity that each layer of the range must reach. */
-  readonly minAfter: number;
-  readonly model: ModelDescription;
-}
 
 function isOverlapping(a: Range, b: Range): boolean {
   return a.first < b.end && b.first < a.end;
 }
 
-function isCovering(range: Range, low: Range): boolean {
-  return range.first <= low.first && range.end >= low.end;
-}
-
-/** Sum of the squared deficits of all layers. */
-function findDeficit(capacities: readonly number[], target: number): number {
-  return capacities.reduce((sum, requests) => sum + Math.max(0, target - requests) ** 2, 0);
-}
-
-/** Reduction of the squared deficits, so that the lowest layers count most; null if too small. */
-function findRelief(
-  range: Range,
-  requests: number,
-  { capacities, target, minAfter }: SearchOptions,
-): number | null {
-  let relief = 0;
-  for (let layer = range.first; layer < range.end; layer += 1) {
-    const before = capacities[layer] ?? 0;
-    if (before + requests < minAfter) return null;
-    relief += Math.max(0, target - before) ** 2 - Math.max(0, target - before - requests) ** 2;
-  }
-  return relief;
-}
-
-/**
- * First layers of the ranges of a length that begin or end with a low range. Other ranges would
- * leave parts of it to other engines on both sides.
- */
-function listFirstLayers(low: Range, length: number, layers: number): readonly number[] {
-  return [low.first, low.end - length].filter((first) => first >= 0 && first + length <= layers);
-}
-
-/** Finds the range in which an engine reduces the lack of copies most. */
-function findBestRange(engine: CopyEngine, options: SearchOptions): Candidate | undefined {
-  const { lowRanges, model } = options;
-  const perLayerMb = model.layerMb * GOOD_MEMORY_PER_LAYER;
-  const maxLayers = Math.min(model.layers, Math.floor(engine.memoryMb / perLayerMb));
-  let best: Candidate | undefined;
-  for (const low of lowRanges) {
-    for (let length = 1; length <= maxLayers; length += 1) {
-      for (const first of listFirstLayers(low, length, model.layers)) {
-        const range = { first, end: first + length };
-        const found = findRelief(range, countRequests(engine, range, model), options);
-        const relief = (found ?? 0) * (isCovering(range, low) ? COVER_BONUS : 1);
-        if (relief > (best?.relief ?? 0)) best = { engine, range, relief };
-      }
-    }
-  }
-  return best;
-}
-
-function pickBest(candidates: readonly (Candidate | undefined)[]): Candidate | undefined {
-  return candidates.reduce(
-    (best, candidate) =>
-      candidate && (!best || candidate.relief > best.relief) ? candidate : best,
-    undefined,
-  );
-}
-
 const isPlaced = ({ held, planned, isLoading }: CopyEngine): boolean =>
   !isLoading && held?.first === planned?.first && held?.end === planned?.end;
 
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -7,21 +7,16 @@
  * size (`planChainCount`).
  */
 import { planChainCount, splitIntoChains } from './chainCount';
+import { layOutChain } from './chainLayout';
+import { fillGaps, repairBrokenChain, repairWithoutLoss } from './chainRepair';
 import { planCopies } from './copyPlan';
 import type { CopyEngine, CopyMove, CopyPlan, MissingEngine } from './copyPlan';
-import {
-  addSecondCopies,
-  chooseMemoryPerLayer,
-  findBestRange,
-  layOutChain,
-  layOutInOrder,
-} from './chainLayout';
-import { fillFromNeighbours, fillWithSpare, findLayerGap } from './holeFilling';
+import { findLayerGap } from './holeFilling';
 import { capacityByLayer } from './layerCopies';
-import { countCopies, findMemoryPerLayer, GOOD_MEMORY_PER_LAYER } from './plannedEngines';
-import type { Range, PlannedEngine } from './plannedEngines';
+import { improveLayout } from './layoutImprovement';
+import { countCopies } from './plannedEngines';
+import type { Range } from './plannedEngines';
 import type { ModelDescription } from './routingDocument';
-import { findCompleteChains } from './wholeChains';
 
 /** An engine as input of the planner. */
 export interface ObservedEngine {
@@ -70,180 +65,10 @@
   readonly move?: Omit<CopyMove, 'id'>;
 }
 
-/** Excess layers that are tolerated: a layer costs a few requests, an order to drop it more. */
-const TRIM_SLACK = 1;
-
-/**
- * Share of the layers from which on engines that belong to no complete chain are treated as a
- * broken chain.
- */
-const BROKEN_CHAIN_SHARE = 0.7;
-
-/** Distributes all layers over the engines in the given order, with equal memory per layer. */
-function spreadLayers(engines: readonly PlannedEngine[], model: ModelDescription): void {
-  const memoryMb = findMemoryPerLayer(engines, model);
-  if (memoryMb !== undefined) layOutInOrder(engines, memoryMb, model);
-}
-
-/** Whether the engines have enough memory for every layer and for running requests. */
-function canHoldAll(engines: readonly PlannedEngine[], model: ModelDescription): boolean {
-  const perLayerMb = model.layerMb * GOOD_MEMORY_PER_LAYER;
-  const layers = engines.reduce((sum, { memoryMb }) => sum + Math.floor(memoryMb / perLayerMb), 0);
-  return layers >= model.layers;
-}
-
-interface GapOptions {
-  /**
-   * Whether leaving or slow engines still serve the missing layers. If so, no order may remove the
-   * last copy of a layer.
-   */
-  readonly isStillServed: boolean;
-}
-
-function fillGaps(
-  engines: readonly PlannedEngine[],
-  model: ModelDescription,
-  { isStillServed }: GapOptions,
-): void {
-  const maxReach = isStillServed ? 1 : engines.length;
-  for (let attempt = 0; attempt < engines.length; attempt += 1) {
-    const gap = findLayerGap(countCopies(engines, model.layers));
-    if (!gap) return;
-    const isFilled =
-      fillWithSpare(engines, gap, model) || fillFromNeighbours(engines, gap, model, maxReach);
-    if (!isFilled) break;
-  }
-  if (isStillServed || !findLayerGap(countCopies(engines, model.layers))) return;
-  // No local repair suffices: all layers are distributed anew in the current order of the engines,
-  // so that each engine keeps as many of its layers as possible.
-  const movable = engines.filter(({ isOrderable }) => isOrderable);
-  if (movable.length < engines.length) return;
-  const firstHeldLayer = (engine: PlannedEngine) => engine.held?.first ?? model.layers;
-  spreadLayers(
-    [...movable].sort((a, b) => firstHeldLayer(a) - firstHeldLayer(b)),
-    model,
-  );
-}
-
-/** For each layer, the step factor of the fastest engine that holds it. */
-function stepFactorByLayer(
-  engines: readonly PlannedEngine[],
-  model: ModelDescription,
-): readonly number[] {
-  const factors = new Array<number>(model.layers).fill(Number.POSITIVE_INFINITY);
-  engines.forEach(({ planned, stepFactor }) => {
-    if (!planned) return;
-    for (let layer = planned.first; layer < planned.end; layer += 1) {
-      factors[layer] = Math.min(factors[layer] ?? stepFactor, stepFactor);
-    }
-  });
-  return factors;
-}
-
-/**
- * Assigns to an empty engine the layers for which it reduces the step time most or, if it is not
- * faster than the current holders of any layer, second copies.
- */
-function assignEmptyEngine(
-  engines: readonly PlannedEngine[],
-  empty: PlannedEngine,
-  perLayerMb: number,
-  model: ModelDescription,
-): void {
-  const length = Math.min(model.layers, Math.floor(empty.memoryMb / perLayerMb));
-  if (length === 0) return;
-  const gains = stepFactorByLayer(engines, model).map((factor) =>
-    Math.max(0, factor - empty.stepFactor),
-  );
-  if (gains.some((gain) => gain > 0)) empty.planned = findBestRange(gains, length);
-  else addSecondCopies(engines, empty, perLayerMb, model);
-}
-
 function isSameRange(a: Range | null, b: Range | null): boolean {
   return a?.first === b?.first && a?.end === b?.end;
 }
 
-/** Removes redundant layers from engines that hold more than their share. */
-function trimExcessLayers(
-  engines: readonly PlannedEngine[],
-  memoryMb: number,
-  model: ModelDescription,
-): void {
-  const copies = countCopies(engines, model.layers);
-  engines.forEach((engine) => {
-    if (!engine.isOrderable || !engine.planned || engine.held === null) return;
-    const share = Math.floor(engine.memoryMb / memoryMb) + TRIM_SLACK;
-    let { first, end } = engine.planned;
-    while (end - first > share && (copies[end - 1] ?? 0) > 1) {
-      end -= 1;
-      copies[end] = (copies[end] ?? 0) - 1;
-    }
-    while (end - first > share && (copies[first] ?? 0) > 1) {
-      copies[first] = (copies[first] ?? 0) - 1;
-      first += 1;
-    }
-    engine.planned = { first, end };
-  });
-}
-
-function improveLayout(
-  engines: readonly PlannedEngine[],
-  model: ModelDescription,
-  chains: number,
-): void {
-  // Waits for orders in progress: their effect is known before the next change is planned.
-  if (engines.some(({ isOrderable }) => !isOrderable)) return;
-  const emptyEngines = engines.filter(({ planned }) => planned === null);
-  if (emptyEngines.length === 0 && chains > 1) return;
-  const memoryMb =
-    chains > 1 ? findMemoryPerLayer(engines, model, chains) : chooseMemoryPerLayer(engines, model);
-  if (memoryMb === undefined) return;
-  // Trims only a single chain: with several, every layer is held more than once by design.
-  if (emptyEngines.length === 0) trimExcessLayers(engines, memoryMb, model);
-  emptyEngines.forEach((empty) => assignEmptyEngine(engines, empty, memoryMb, model));
-}
-
-/** Fills gaps using only engines that hold no layers. */
-function fillGapsWithEmptyEngines(
-  engines: readonly PlannedEngine[],
-  model: ModelDescription,
-): void {
-  const hasEmpty = () => engines.some(({ planned, isOrderable }) => !planned && isOrderable);
-  while (hasEmpty()) {
-    const gap = findLayerGap(countCopies(engines, model.layers));
-    if (!gap || !fillWithSpare(engines, gap, model)) return;
-  }
-}
-
-interface RepairOptions {
-  readonly chains: number;
-  /** Whether engines that hold layers may receive a different range. */
-  readonly mayMoveLayers: boolean;
-}
-
-/**
- * Repairs a broken chain next to complete ones, using its remaining engines and idle ones. Returns
- * whether the plan contains a repaired chain; otherwise the plan is unchanged.
- */
-function repairBrokenChain(
-  engines: readonly PlannedEngine[],
-  model: ModelDescription,
-  { chains, mayMoveLayers }: RepairOptions,
-): boolean {
-  const { count, rest } = findCompleteChains(engines, model);
-  const heldLayers = countCopies(rest, model.layers).filter((copies) => copies > 0).length;
-  const isWorthwhile = count < chains || heldLayers >= model.layers * BROKEN_CHAIN_SHARE;
-  if (!isWorthwhile || !canHoldAll(rest, model)) return false;
-  const before = rest.map(({ planned }) => planned);
-  if (mayMoveLayers) fillGaps(rest, model, { isStillServed: false });
-  else fillGapsWithEmptyEngines(rest, model);
-  if (findCompleteChains(rest, model).count > 0) return true;
-  rest.forEach((engine, index) => {
-    engine.planned = before[index] ?? null;
-  });
-  return false;
-}
-
 /** Whether the engines that still serve, including slow and leaving ones, cover every layer. */
 function isServed(engines: readonly ObservedEngine[], model: ModelDescription): boolean {
   const layers = new Set<number>();
@@ -292,26 +117,6 @@
     }));
 }
 
-/**
- * Repairs a broken chain as a whole when single moves do not suffice. Such a layout is discarded if
- * it would lower the bottleneck or, while single moves are due, not raise it.
- */
-function repairWithoutLoss(
-  engines: readonly CopyEngine[],
-  model: ModelDescription,
-  { isDue, ...options }: RepairOptions & { readonly isDue: boolean },
-): boolean {
-  const before = engines.map(({ planned }) => planned);
-  const bottleneck = Math.min(...capacityByLayer(engines, model));
-  if (!repairBrokenChain(engines, model, options)) return false;
-  const after = Math.min(...capacityByLayer(engines, model));
-  if (isDue ? after > bottleneck : after >= bottleneck) return true;
-  engines.forEach((engine, index) => {
-    engine.planned = before[index] ?? null;
-  });
-  return false;
-}
-
 /** Plans a data centre that holds every layer, after a loss or while demand is not met. */
 function planByDemand(
   engines: readonly CopyEngine[],
