fix(routing): no new layout of a whole chain while engines are replaced

Cause: in a play with 42 % of the engines replaced, ten engines of a data centre of 30 received new borders at once at 13.6 s, the head among them (26 layers, 4.6 s to load), while one more engine drained each second and demand was met; 16 of 30 engines took orders until the loss of three at 16 s.

Change: with copies by demand a chain is laid out anew only when its data centre is below its demand or uneven after a final loss, and no engine that leaves still serves. Single moves and empty engines go on.

Measured: specs of routing and controller that replay losses, replacements and slow engines pass.

--- a/packages/routing/src/copyPlan.ts
+++ b/packages/routing/src/copyPlan.ts
@@ -62,8 +62,8 @@
   readonly hasReserved: boolean;
   /** Whether the capacity is below demand, or so uneven that it is raised after a final loss. */
   readonly isDue: boolean;
-  /** Whether layers do not count because their engine is slow. */
-  readonly hasSlow: boolean;
+  /** Whether engines that have announced that they leave still serve. */
+  readonly isReplacing: boolean;
 }
 
 type Candidate = CandidateOf<CopyEngine>;
@@ -243,7 +243,6 @@
   const isDue = () => isBelowDemand() || (isLossFinal && missing.length > 0 && isUneven());
   const moving = engines.filter(({ isMoving }) => isMoving).length;
   if (moving < MAX_MOVES && isDue()) moveEngines(MAX_MOVES - moving);
-  const hasSlow = missing.some(({ isServing, isLeaving }) => isServing && !isLeaving);
   const isBusy = moves.length > 0 || moving > 0;
-  return { moves, isBusy, hasReserved, isDue: isDue(), hasSlow };
+  return { moves, isBusy, hasReserved, isDue: isDue(), isReplacing: isLeavingSoon };
 }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -126,9 +126,10 @@
   { mayRebalance, mayMoveLayers }: DataCentreOptions,
 ): void {
   if (plan.isBusy || plan.hasReserved) return;
-  const { isDue, hasSlow } = plan;
-  // Engines are slow for some seconds; unless demand calls for it, that is not worth a new layout.
-  const mayRepair = mayMoveLayers && (isDue || !hasSlow);
+  const { isDue, isReplacing } = plan;
+  // A new layout takes ten engines out for seconds. That is not worth it while demand is met, and
+  // not while engines are replaced, as the next ones of the chain are about to leave.
+  const mayRepair = mayMoveLayers && isDue && !isReplacing;
   const isRepaired =
     mayRepair && repairWithoutLoss(engines, model, { chains, mayMoveLayers, isDue });
   if (!isRepaired && mayRebalance) improveLayout(engines, model, chains);
