feat(entry): organisations share slots by the cost of what they were granted

Cause: each request counted the same, so an organisation that floods, whose callers retry three times at once, or hang up and come back, took slots from all others.

Change: slotShares.ts keeps a start time for each organisation of a class (start-time fair queueing), by cost and the weights of sharing.organisationWeights. Within a group the organisation with the earliest start time is served first, in steps of two usual requests. Retries of an organisation that is four usual requests ahead have no precedence. The number of requests ahead, by which waits are refused, follows the shares. The dump lists the organisations with most cost. An idle organisation gains no credit, and a slot that was not used is refunded.

Decisions are unchanged on a load with one organisation in overload, and with eight equal ones and short waits.

With several organisations in long overload the order differs from that without shares, as they lose unevenly.

--- a/packages/entry/__tests__/sharingFixtures.ts
+++ b/packages/entry/__tests__/sharingFixtures.ts
@@ -11,6 +11,7 @@
 export const STREAM_MS = 4000;
 /** Time to the first event on a chain that is not overfilled. */
 const FIRST_EVENT_MS = 150;
+const MAX_WAIT_MS = 1200;
 const STEP_MS = 10;
 
 /** Requests of one kind of callers. */
@@ -22,6 +23,10 @@
   readonly organisation?: string;
   readonly weight?: number;
   readonly targetMs?: number;
+  /** Requests that a caller sends at once after a refusal; 0 by default. */
+  readonly retries?: number;
+  /** Time after which a caller hangs up and sends its request again; never by default. */
+  readonly hangsUpAfterMs?: number;
 }
 
 /** How the requests of one kind of callers ended. */
@@ -48,6 +53,7 @@
   const ends = new Map<string, Served>();
   const due = callers.map(() => random.nextFloat());
   let tickets = 0;
+  const endsAtMs = site.clock.nowMs() + durationMs;
 
   const endsOf = (name: string): Served => {
     const known = ends.get(name) ?? { sent: 0, granted: 0, inTime: 0 };
@@ -55,21 +61,40 @@
     return known;
   };
 
-  function send(caller: Callers, atMs: number): void {
+  function send(caller: Callers, atMs: number, firstSentAtMs: number | null = null): void {
     const { name, classPriority = 1, organisation, weight, targetMs = 500 } = caller;
+    const { retries = 0, hangsUpAfterMs = Number.POSITIVE_INFINITY } = caller;
     tickets += 1;
+    const ticket = `s${tickets}`;
     const up = site.vms.filter(({ isUp }) => isUp);
     const vm = up[tickets % up.length];
     if (!vm) return;
     const arrivedAtMs = site.clock.nowMs();
-    const latestStartAtMs = arrivedAtMs + targetMs - FIRST_EVENT_MS;
+    const queueDeadlineAtMs = arrivedAtMs + MAX_WAIT_MS;
+    const sentAtMs = firstSentAtMs ?? arrivedAtMs;
+    const isRetry = firstSentAtMs !== null;
+    const latestStartAtMs = sentAtMs + targetMs - FIRST_EVENT_MS;
     const end = endsOf(`${name}${periodOf(atMs)}`);
     end.sent += 1;
+    let hasLeft = false;
+    const repeat = (count: number): void => {
+      if (isRetry || site.clock.nowMs() >= endsAtMs) return;
+      for (let index = 0; index < count; index += 1) send(caller, atMs, sentAtMs);
+    };
     const record = (outcome: SlotOutcome): void => {
-      if (outcome.kind !== 'granted') return;
-      end.granted += 1;
-      if (site.clock.nowMs() <= latestStartAtMs) end.inTime += 1;
+      const nowMs = site.clock.nowMs();
+      if (outcome.kind === 'granted') {
+        end.granted += 1;
+        if (nowMs <= latestStartAtMs) end.inTime += 1;
+      } else if (!hasLeft) repeat(retries);
     };
+    if (!isRetry && Number.isFinite(hangsUpAfterMs)) {
+      site.schedule(() => {
+        if (vm.held.has(ticket)) return;
+        hasLeft = true;
+        repeat(1);
+      }, hangsUpAfterMs);
+    }
     const claim = {
       classPriority,
       cost: 1,
@@ -78,7 +103,9 @@
     };
     // Durations vary from 0.5 to 1.5 times, so that slots are not released in bursts.
     const lastsMs = STREAM_MS * (0.5 + random.nextFloat());
-    site.send(vm, `s${tickets}`, { latestStartAtMs, claim }, lastsMs, record);
+    const isAbandoned = () => !vm.isUp || hasLeft || site.clock.nowMs() >= queueDeadlineAtMs;
+    const times = { latestStartAtMs, queueDeadlineAtMs, isAbandoned };
+    site.send(vm, ticket, { ...times, claim, isRetry }, lastsMs, record);
   }
 
   for (let atMs = 0; atMs < durationMs; atMs += STEP_MS) {
--- a/packages/entry/__tests__/slotSharing.spec.ts
+++ b/packages/entry/__tests__/slotSharing.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import type { SharingSettings } from '@spoolplank/routing';
 import { inTimeShareOf, playLoad, shareOf, SHARED, UNSHARED } from './sharingFixtures';
+import type { Callers } from './sharingFixtures';
 import { createDataCentre } from './slotFixtures';
 
 const HEADS = ['c1', 'c2', 'c3', 'c4', 'c5', 'c6', 'c7', 'c8', 'c9'];
@@ -58,3 +59,119 @@
     assert.ok(starved < 0.5 * shareOf(endsOf('patient in the second burst')), `${starved}`);
   });
 });
+
+describe('organisations of one class on two full chains', () => {
+  /** Slots for 47 requests a second. */
+  const FULL = ['c1', 'c2'];
+  const END_MS = 10_000;
+  /** The first seconds, in which the chains fill up, are not judged. */
+  const JUDGED_FROM_MS = 4000;
+  const SMALL = Array.from({ length: 23 }, (_, index) => `small${index}`);
+
+  /** The 23 other organisations, and one under test. */
+  function callersOf(smallPerS: number, large: Omit<Callers, 'name'>): readonly Callers[] {
+    return [
+      ...SMALL.map((name) => ({ name, organisation: name, perS: () => smallPerS, retries: 1 })),
+      { name: 'large', organisation: 'large', ...large },
+    ];
+  }
+
+  async function play(sharing: SharingSettings, callers: readonly Callers[]) {
+    const site = createDataCentre(VMS, FULL, { sharing });
+    await site.pass(1500);
+    const { endsOf } = await playLoad(site, callers, END_MS, (atMs) =>
+      atMs < JUDGED_FROM_MS ? ' filling' : '',
+    );
+    const small = SMALL.map(endsOf);
+    const sum = (key: 'sent' | 'granted' | 'inTime') =>
+      small.reduce((total, end) => total + end[key], 0);
+    return {
+      large: endsOf('large'),
+      /** All other organisations together. */
+      small: { sent: sum('sent'), granted: sum('granted'), inTime: sum('inTime') },
+      /** Share served of the worst of them. */
+      worst: Math.min(...small.map(shareOf)),
+    };
+  }
+
+  // Guards against a flood that takes the slots of all other organisations.
+  it('serves the others in time while one sends ten times its usual requests', async () => {
+    const callers = callersOf(1.7, { perS: () => 17 });
+    const shared = await play(SHARED, callers);
+    const unshared = await play(UNSHARED, callers);
+    assert.ok(inTimeShareOf(shared.small) > 0.97, `${inTimeShareOf(shared.small)} in time`);
+    assert.ok(inTimeShareOf(unshared.small) < 0.7, `${inTimeShareOf(unshared.small)} without`);
+    // What the others leave goes to the flood: no slot stays unused.
+    const granted = shared.small.granted + shared.large.granted;
+    const grantedBefore = unshared.small.granted + unshared.large.granted;
+    assert.ok(granted > 0.9 * grantedBefore, `${granted} of ${grantedBefore}`);
+  });
+
+  // Guards against organisations that get more slots because their callers ask more often.
+  const REPEATED: readonly (readonly [string, Partial<Callers>])[] = [
+    ['retry three times at once', { retries: 3 }],
+    ['hang up and come back', { hangsUpAfterMs: 300 }],
+  ];
+  REPEATED.forEach(([what, behaviour]) =>
+    it(`gives no advantage to callers that ${what}`, async () => {
+      const callers = callersOf(2.6, { perS: () => 2.6, ...behaviour });
+      const shared = await play(SHARED, callers);
+      const unshared = await play(UNSHARED, callers);
+      const advantageOf = ({ large, small }: typeof shared) =>
+        large.granted / (small.granted / SMALL.length);
+      assert.ok(advantageOf(shared) < 1.15, `${advantageOf(shared)} of the mean`);
+      assert.ok(advantageOf(unshared) > 1.4, `${advantageOf(unshared)} of the mean without shares`);
+    }),
+  );
+
+  // Guards against one key that displaces all others, and against a large one that is starved.
+  it('shares by weight beside one key with 0.28 of the requests', async () => {
+    const callers = (weight: number) => callersOf(1.9, { perS: () => 17, weight });
+    const equal = await play(SHARED, callers(1));
+    const weighted = await play(SHARED, callers(9));
+    const unshared = await play(UNSHARED, callers(1));
+    assert.ok(inTimeShareOf(equal.small) > 0.9, `${inTimeShareOf(equal.small)} in time`);
+    assert.ok(inTimeShareOf(unshared.small) < 0.6, `${inTimeShareOf(unshared.small)} without`);
+    const { small, large, worst } = weighted;
+    const mean = (small.granted + large.granted) / (small.sent + large.sent);
+    assert.ok(shareOf(large) > 0.5 * mean && worst > 0.5 * mean, `${shareOf(large)}, ${worst}`);
+  });
+
+  /** Plays a load whose requests come from some organisations in turn; returns all decisions. */
+  async function replay(sharing: SharingSettings, organisations: number, gapMs: number) {
+    const site = createDataCentre(VMS, FULL, { sharing });
+    await site.pass(1500);
+    const decisions: string[] = [];
+    const waited: string[] = [];
+    for (let index = 0; index < 720; index += 1) {
+      const claim = { classPriority: 1, cost: 1, organisation: `o${index % organisations}` };
+      const sentAtMs = site.clock.nowMs();
+      const lastsMs = 2000 + ((index * 1237) % 4000);
+      const vm = site.vms[index % VMS];
+      assert.ok(vm);
+      site.send(vm, `t${index}`, { claim }, lastsMs, ({ kind }) => {
+        const nowMs = site.clock.nowMs();
+        decisions.push(`${nowMs.toFixed(1)} ${kind} t${index}`);
+        if (nowMs - sentAtMs > 50) waited.push(`t${index}`);
+      });
+      // Every two seconds, twice as many requests arrive for 0.4 s.
+      const isBurst = (site.clock.nowMs() - 101_500) % 2000 < 400;
+      await site.pass(isBurst ? gapMs / 2 : gapMs);
+    }
+    await site.pass(1300);
+    const refused = decisions.filter((decision) => decision.includes('refused')).length;
+    return { decisions, waited, refused };
+  }
+
+  it('decides as without shares for one class and one organisation, also in overload', async () => {
+    const shared = await replay(SHARED, 1, 16);
+    assert.ok(shared.refused > 50, `${shared.refused} refused`);
+    assert.deepEqual(shared, await replay(UNSHARED, 1, 16));
+  });
+
+  it('decides as without shares for one class and equal organisations with short waits', async () => {
+    const shared = await replay(SHARED, 8, 26);
+    assert.ok(shared.waited.length >= 50, `${shared.waited.length} waited`);
+    assert.deepEqual(shared, await replay(UNSHARED, 8, 26));
+  });
+});
--- a/packages/entry/src/admission/admissionQueue.ts
+++ b/packages/entry/src/admission/admissionQueue.ts
@@ -5,13 +5,15 @@
 import {
   classOf,
   compareQueued,
-  createClassShares,
+  createSlotShares,
+  groupOf,
+  ROUND_COST,
   willMissQueueDeadline,
 } from '@spoolplank/routing';
 import type {
-  ClassShares,
-  CompareClasses,
   QueuedRequest,
+  ShareOrder,
+  SharesReport,
   SharingSettings,
   SlotClaim,
 } from '@spoolplank/routing';
@@ -31,6 +33,10 @@
 export interface QueueEntry<Slot> extends QueuedRequest {
   /** Cost of the slot, relative to a request of usual size; 1 by default. */
   readonly cost?: number;
+  /** Empty by default; all requests without one share as one organisation. */
+  readonly organisation?: string;
+  /** Weight of the organisation among those of its class; 1 by default. */
+  readonly weight?: number;
   /** Tries to take a slot; undefined if there is none. */
   readonly find: () => Slot | undefined;
   /**
@@ -53,8 +59,9 @@
   charge(claim: SlotClaim): void;
   /** Takes back the charge for a slot that was not used. */
   refund(claim: SlotClaim): void;
-  /** Share of the granted cost by class. */
-  listClassShares(): ReturnType<ClassShares['list']>;
+  /** Charges a slot that another allocator granted. */
+  chargeElsewhere(claim: SlotClaim): void;
+  describeShares(): SharesReport;
   /**
    * Resolves with a slot, at once if one is free and no request is ahead, or with undefined if the
    * request left the queue without one or would wait in vain.
@@ -85,36 +92,48 @@
 const RATE_WINDOW_MS = 1500;
 const MS_PER_S = 1000;
 
-function claimOf(wait: QueueEntry<unknown>): SlotClaim {
-  return { priority: wait.priority, classPriority: classOf(wait), cost: wait.cost ?? 1 };
+function claimOf(wait: Omit<QueueEntry<unknown>, 'find' | 'isAbandoned'>): SlotClaim {
+  const { priority, cost = 1, organisation = '', weight = 1 } = wait;
+  return { priority, classPriority: classOf(wait), cost, organisation, weight };
 }
 
 export function createAdmissionQueue(options: AdmissionQueueOptions): AdmissionQueue {
   const { clock, delay, maxLength, pollMs, sharing } = options;
   const minShare = sharing?.isEnabled ? sharing.minClassShare : 0;
-  const classShares = createClassShares({ clock, minShare });
+  const isShared = sharing?.isEnabled ?? false;
+  const shares = createSlotShares({ clock, minShare, isShared });
   const queue: Ticket[] = [];
   const grantedAtMs: number[] = [];
   let isPolling = false;
 
   function recordGrant(wait: QueueEntry<unknown>): void {
     grantedAtMs.push(clock.nowMs());
-    classShares.charge(claimOf(wait));
+    shares.charge(claimOf(wait));
   }
 
+  const isAhead: ShareOrder['isAhead'] = (wait) => shares.isAhead(claimOf(wait));
+  const byRound: ShareOrder['compareOrganisations'] = (a, b) =>
+    shares.roundOf(claimOf(a)) - shares.roundOf(claimOf(b));
+
   /** Orders queued requests; a class that is owed a part of its share comes before the others. */
-  function createCompare(): (a: QueuedRequest, b: QueuedRequest) => number {
+  function createCompare(
+    compareOrganisations = byRound,
+  ): (a: QueuedRequest, b: QueuedRequest) => number {
     const nowMs = clock.nowMs();
     const owedClasses = new Map<number, number | undefined>();
     const owedAt = (priority: number): number | undefined => {
-      if (!owedClasses.has(priority)) owedClasses.set(priority, classShares.findOwed(priority));
+      if (!owedClasses.has(priority)) owedClasses.set(priority, shares.findOwed(priority));
       return owedClasses.get(priority);
     };
-    const compareClasses: CompareClasses = (priority, a, b) => {
-      const owed = a === b ? undefined : owedAt(priority);
-      return Number(b === owed) - Number(a === owed) || a - b;
+    const order: ShareOrder = {
+      compareClasses(priority, a, b) {
+        const owed = a === b ? undefined : owedAt(priority);
+        return Number(b === owed) - Number(a === owed) || a - b;
+      },
+      compareOrganisations,
+      isAhead,
     };
-    return (a, b) => compareQueued(a, b, nowMs, compareClasses);
+    return (a, b) => compareQueued(a, b, nowMs, order);
   }
 
   function slotsPerS(): number {
@@ -130,7 +149,7 @@
 
   function takeOut(ticket: Ticket): void {
     queue.splice(queue.indexOf(ticket), 1);
-    classShares.leave(claimOf(ticket.wait));
+    shares.leave(claimOf(ticket.wait));
   }
 
   function remove(ticket: Ticket, slot: unknown): void {
@@ -192,24 +211,72 @@
     isPolling = false;
   }
 
+  /**
+   * Number of requests of the same group that get a slot before this one: those before it in the
+   * order of requests, except where the shares of the organisations differ by more than a round.
+   */
+  function countAheadInGroup(wait: QueueEntry<unknown>, group: readonly Ticket[]): number {
+    const own = claimOf(wait);
+    const compare = createCompare(() => 0);
+    const counts = new Map<string, { claim: SlotClaim; all: number; earlier: number }>();
+    group.forEach(({ wait: other }) => {
+      const claim = claimOf(other);
+      const count = counts.get(claim.organisation) ?? { claim, all: 0, earlier: 0 };
+      counts.set(claim.organisation, count);
+      count.all += 1;
+      if (compare(other, wait) <= 0) count.earlier += 1;
+    });
+    const ownEarlier = counts.get(own.organisation)?.earlier ?? 0;
+    const endsAt = shares.startOf(own) + (ownEarlier * own.cost) / own.weight;
+    let ahead = 0;
+    counts.forEach(({ claim, all, earlier }, organisation) => {
+      if (organisation === own.organisation) {
+        ahead += earlier;
+        return;
+      }
+      const byShare = endsAt - shares.startOf(claim);
+      const least = (byShare - ROUND_COST) * claim.weight;
+      const most = (byShare + ROUND_COST) * claim.weight;
+      ahead += Math.min(all, Math.max(0, Math.floor(least), Math.min(earlier, Math.ceil(most))));
+    });
+    return ahead;
+  }
+
   /**
    * Number of requests that get a slot before this one. The guaranteed share of its class bounds
    * it: however many requests of more urgent classes wait, the class gets its part of the slots.
    */
-  function countAhead(wait: QueuedRequest): number {
+  function countAhead(wait: QueueEntry<unknown>): number {
+    const nowMs = clock.nowMs();
     const compare = createCompare();
-    const ahead = queue.filter((ticket) => compare(ticket.wait, wait) <= 0);
-    if (minShare === 0) return ahead.length;
-    const ofClass = ahead.filter(({ wait: other }) => classOf(other) === classOf(wait)).length;
-    const ofLevel = ahead.filter(({ wait: other }) => other.priority === wait.priority).length;
-    const bounded = Math.min(ofLevel, Math.ceil((ofClass + 1) / minShare) - 1);
-    return ahead.length - ofLevel + bounded;
+    if (!isShared) return queue.filter((ticket) => compare(ticket.wait, wait) <= 0).length;
+    const ownGroup = groupOf(wait, nowMs, isAhead(wait));
+    const isOfClass = ({ wait: other }: Ticket) =>
+      other.priority === wait.priority && classOf(other) === classOf(wait);
+    const isOfGroup = (ticket: Ticket) =>
+      ownGroup !== 'begun' &&
+      isOfClass(ticket) &&
+      groupOf(ticket.wait, nowMs, isAhead(ticket.wait)) === ownGroup;
+    const others = queue.filter((ticket) => !isOfGroup(ticket) && compare(ticket.wait, wait) <= 0);
+    const inGroup = countAheadInGroup(wait, queue.filter(isOfGroup));
+    const ahead = others.length + inGroup;
+    if (minShare === 0 || ownGroup === 'begun') return ahead;
+    const ofClass = others.filter(isOfClass).length + inGroup;
+    const ofOtherLevels = others.filter(({ wait: other }) => other.priority !== wait.priority);
+    const guaranteed = Math.ceil((ofClass + 1) / minShare) - 1;
+    return Math.min(ahead, ofOtherLevels.length + guaranteed);
+  }
+
+  /** Whether no queued request comes before this one. */
+  function isNext(wait: QueuedRequest): boolean {
+    const compare = createCompare();
+    return queue.every((ticket) => compare(ticket.wait, wait) > 0);
   }
 
   function join<Slot>(wait: QueueEntry<Slot>): Promise<Slot | undefined> {
     return new Promise((resolve, reject) => {
       queue.push({ wait, settle: (slot) => resolve(slot as Slot | undefined), fail: reject });
-      classShares.join(claimOf(wait));
+      shares.join(claimOf(wait));
       sortQueue();
       const last = queue.length > maxLength ? queue.at(-1) : undefined;
       if (last) remove(last, undefined);
@@ -222,16 +289,17 @@
       return queue.length;
     },
     slotsPerS,
-    charge: classShares.charge,
-    refund: classShares.refund,
-    listClassShares: classShares.list,
+    charge: shares.charge,
+    refund: shares.refund,
+    chargeElsewhere: shares.chargeElsewhere,
+    describeShares: shares.describe,
     async enqueue(wait) {
-      const ahead = countAhead(wait);
-      const slot = ahead === 0 ? wait.find() : undefined;
+      const slot = isNext(wait) ? wait.find() : undefined;
       if (slot !== undefined) {
         recordGrant(wait);
         return slot;
       }
+      const ahead = countAhead(wait);
       const remainingMs = wait.queueDeadlineAtMs - clock.nowMs();
       const limitedPerS = wait.limitedPerS?.() ?? null;
       if (willMissQueueDeadline({ ahead, slotsPerS: slotsPerS(), remainingMs, limitedPerS })) {
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -53,7 +53,7 @@
   readonly waiting: number;
   /** Number of VMs that hold slots. */
   readonly holders: number;
-  /** Share of the recently granted cost by service and class. */
+  /** What classes and organisations were granted recently, by service. */
   describeShares(): JsonValue;
 }
 
@@ -82,12 +82,12 @@
 /** Cost of a permit for a plain server, which has no size. */
 const PERMIT_COST = 1;
 
-/** The class and cost of an ask. An older VM sends neither. */
+/** On whose account an ask is, and its cost. An older VM states neither. */
 function claimOf(ask: SlotAsk, { isEnabled }: SharingSettings): SlotClaim {
-  const { priority, size, cost = size > 0 ? size : PERMIT_COST } = ask;
+  const { priority, size, cost = size > 0 ? size : PERMIT_COST, organisation = '' } = ask;
   // Without sharing, all requests of one priority are in one class.
   const classPriority = isEnabled ? (ask.classPriority ?? priority) : priority;
-  return { priority, classPriority, cost };
+  return { priority, classPriority, cost, organisation, weight: ask.weight ?? 1 };
 }
 
 const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
@@ -294,10 +294,7 @@
     },
     describeShares: () =>
       Object.fromEntries(
-        [...queues].map(([service, queue]) => [
-          service,
-          { classes: Object.fromEntries(queue.listClassShares()) },
-        ]),
+        [...queues].map(([service, queue]) => [service, { ...queue.describeShares() }]),
       ),
   };
 }
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -22,8 +22,8 @@
   readonly size: number;
   /** Priority of the organisation, or of the route if there is none; 0 is the highest. */
   readonly priority: number;
-  /** Class and cost of the request; set if slots are shared. */
-  readonly claim?: Pick<SlotAsk, 'classPriority' | 'cost'>;
+  /** On whose account the slot is, and its cost; set if slots are shared. */
+  readonly claim?: Pick<SlotAsk, 'classPriority' | 'cost' | 'organisation' | 'weight'>;
   /** Whether the caller has already received a part of the stream. */
   readonly hasBegun: boolean;
   /** Whether the caller has tried before. */
--- a/packages/entry/src/slots/slotFinder.ts
+++ b/packages/entry/src/slots/slotFinder.ts
@@ -102,8 +102,14 @@
   const retryDelays = createRetryDelays({ clock, random: options.random });
 
   function claimOf({ admitted, model }: SlotSearch): SlotRequest['claim'] {
-    const { route, request } = admitted;
-    return { classPriority: route.priority, cost: costOfRequest(request, model) };
+    const { route, request, organisation } = admitted;
+    const weight = sharing.organisationWeights[organisation?.name ?? ''];
+    return {
+      classPriority: route.priority,
+      cost: costOfRequest(request, model),
+      ...(organisation ? { organisation: organisation.name } : {}),
+      ...(weight === undefined ? {} : { weight }),
+    };
   }
 
   function toRequest(
--- a/packages/entry/src/slots/slotMessages.ts
+++ b/packages/entry/src/slots/slotMessages.ts
@@ -19,6 +19,10 @@
   readonly classPriority?: number;
   /** Cost of the slot, relative to a request of usual size; equal to `size` by default. */
   readonly cost?: number;
+  /** Organisation of the caller; those without one share as one organisation. */
+  readonly organisation?: string;
+  /** Weight of the organisation among those of its class; 1 by default. */
+  readonly weight?: number;
   /** Whether the caller has already received a part of the stream. */
   readonly hasBegun: boolean;
   /** Whether the caller has tried before. */
--- a/packages/routing/__tests__/slotShares.spec.ts
+++ b/packages/routing/__tests__/slotShares.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock } from '@spoolplank/shared';
-import { createClassShares } from '..';
+import { createClassShares, createOrganisationShares } from '..';
 
 const claimOf = (classPriority: number, cost = 1) => ({ priority: 1, classPriority, cost });
 
@@ -47,3 +47,34 @@
     assert.equal(shares.findOwed(1), 2);
   });
 });
+
+describe('the share of an organisation', () => {
+  it('is not credited for the time in which the organisation did not wait', () => {
+    const shares = createOrganisationShares();
+    ['busy', 'other'].forEach(shares.join);
+    for (let grants = 0; grants < 10; grants += 1) {
+      ['busy', 'other'].forEach((name) => shares.charge(name, 1));
+    }
+    shares.join('idle');
+    assert.equal(shares.startOf('busy') - shares.startOf('idle'), 1);
+  });
+
+  // Guards against a credit of idle organisations while one waits that cannot be served.
+  it('is not credited either while another organisation cannot be served', () => {
+    const shares = createOrganisationShares();
+    ['blocked', 'busy'].forEach(shares.join);
+    for (let grants = 0; grants < 10; grants += 1) shares.charge('busy', 1);
+    shares.join('idle');
+    assert.equal(shares.startOf('busy') - shares.startOf('idle'), 1);
+  });
+
+  it('keeps the lead of an organisation that was served out of order', () => {
+    const shares = createOrganisationShares({ isOutOfOrder: true });
+    ['flood', 'waiting'].forEach(shares.join);
+    for (let grants = 0; grants < 10; grants += 1) shares.charge('flood', 1);
+    shares.join('new');
+    assert.equal(shares.startOf('flood') - shares.startOf('new'), 10);
+    shares.refund('flood', 4);
+    assert.equal(shares.leadOf('flood'), 6);
+  });
+});
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -21,6 +21,7 @@
 export * from './src/selection';
 export * from './src/slotLedger';
 export * from './src/slotShares';
+export * from './src/sortedList';
 export * from './src/placement';
 export * from './src/routeTable';
 export * from './src/routingDocument';
--- a/packages/routing/src/queueOrder.ts
+++ b/packages/routing/src/queueOrder.ts
@@ -10,7 +10,8 @@
  * request loses nothing by waiting longer.
  *
  * Routes of a service may differ in priority. Their requests form classes, and a class is served
- * before all less urgent ones of organisations of the same priority. `slotShares` bounds this.
+ * before all less urgent ones of organisations of the same priority. Within a group of a class, the
+ * organisation that was granted least for its weight is served first. `slotShares` counts both.
  */
 
 /** A queued request. Times are on the VM's monotonic clock. */
@@ -34,7 +35,7 @@
 const LAST_CALL_MS = 300;
 
 /** Groups of the requests of a class, highest precedence first. */
-type QueueGroup = 'begun' | 'last-call' | 'in-time' | 'retry' | 'late';
+export type QueueGroup = 'begun' | 'last-call' | 'in-time' | 'retry' | 'late';
 
 const GROUP_ORDER: Readonly<Record<QueueGroup, number>> = {
   begun: 0,
@@ -61,8 +62,10 @@
   late: byArrival,
 };
 
-function groupOf(request: QueuedRequest, nowMs: number): QueueGroup {
+/** Returns the group of a request; `isAhead` tells whether its organisation exceeds its share. */
+export function groupOf(request: QueuedRequest, nowMs: number, isAhead = false): QueueGroup {
   if (request.hasBegun) return 'begun';
+  if (isAhead) return request.latestStartAtMs > nowMs ? 'in-time' : 'late';
   const isLastCall = request.isRetry && request.queueDeadlineAtMs - nowMs < LAST_CALL_MS;
   if (isLastCall) return 'last-call';
   if (request.latestStartAtMs > nowMs) return 'in-time';
@@ -72,30 +75,39 @@
 export const classOf = ({ priority, classPriority = priority }: QueuedRequest): number =>
   classPriority;
 
-/**
- * Order of classes for organisations of one priority; negative when the class `a` is served before
- * the class `b`.
- */
-export type CompareClasses = (priority: number, a: number, b: number) => number;
+/** The shares of classes and organisations, as far as they change the order. */
+export interface ShareOrder {
+  /** Negative when the class `a` of organisations of a priority is served before the class `b`. */
+  readonly compareClasses: (priority: number, a: number, b: number) => number;
+  /** Negative when the organisation of `a` was granted less for its weight than that of `b`. */
+  readonly compareOrganisations: (a: QueuedRequest, b: QueuedRequest) => number;
+  /** Whether the organisation of a request exceeds its share, so that retries do not go first. */
+  readonly isAhead: (request: QueuedRequest) => boolean;
+}
 
-const byClassPriority: CompareClasses = (_priority, a, b) => a - b;
+const WITHOUT_SHARES: ShareOrder = {
+  compareClasses: (_priority, a, b) => a - b,
+  compareOrganisations: () => 0,
+  isAhead: () => false,
+};
 
 /** Compares queued requests; negative when `a` gets the next slot. */
 export function compareQueued(
   a: QueuedRequest,
   b: QueuedRequest,
   nowMs: number,
-  compareClasses: CompareClasses = byClassPriority,
+  shares: ShareOrder = WITHOUT_SHARES,
 ): number {
   if (a.priority !== b.priority) return a.priority - b.priority;
-  const aGroup = groupOf(a, nowMs);
-  const bGroup = groupOf(b, nowMs);
+  const aGroup = groupOf(a, nowMs, shares.isAhead(a));
+  const bGroup = groupOf(b, nowMs, shares.isAhead(b));
   const isAnyBegun = aGroup === 'begun' || bGroup === 'begun';
   // A stream that has begun is served before all classes, as its caller would lose it.
-  const byClass = isAnyBegun ? 0 : compareClasses(a.priority, classOf(a), classOf(b));
+  const byClass = isAnyBegun ? 0 : shares.compareClasses(a.priority, classOf(a), classOf(b));
   if (byClass !== 0) return byClass;
   if (aGroup !== bGroup) return GROUP_ORDER[aGroup] - GROUP_ORDER[bGroup];
-  return COMPARE_WITHIN_GROUP[aGroup](a, b);
+  const byShare = isAnyBegun ? 0 : shares.compareOrganisations(a, b);
+  return byShare || COMPARE_WITHIN_GROUP[aGroup](a, b);
 }
 
 export interface WaitForecast {
