refactor(routing): fair queue of the sessions entry on the shares of slots

Cause: start-time fair queueing was implemented in fairQueue.ts, and slotShares.ts would have been a second implementation.

Change: FairQueue keeps its lanes and uses createOrganisationShares for their start times.

Measured: routing specs and admissionControl.spec pass; the specs of the fair queue are unchanged.

Conclusion: one implementation, same order.

--- a/packages/routing/src/fairQueue.ts
+++ b/packages/routing/src/fairQueue.ts
@@ -1,10 +1,9 @@
 /**
  * A queue for `p-queue` that shares capacity between organisations by weight and serves the
- * requests of one organisation by priority.
- *
- * Source: start-time fair queueing; Goyal, Vin and Cheng, 1996.
+ * requests of one organisation by priority. The shares are those of the slots of streams.
  */
 import type { Queue, QueueAddOptions } from 'p-queue';
+import { createOrganisationShares } from './slotShares';
 
 export interface FairQueueOptions extends QueueAddOptions {
   readonly organisation?: string;
@@ -23,8 +22,6 @@
 /** The queued items of one organisation. */
 interface Lane {
   weight: number;
-  /** Virtual start time of the next item of the lane. */
-  startTag: number;
   readonly items: Item[];
 }
 
@@ -45,7 +42,7 @@
 
   readonly #hasCapacity: HasCapacity;
 
-  #virtualTime = 0;
+  readonly #shares = createOrganisationShares();
 
   #size = 0;
 
@@ -72,11 +69,10 @@
     const { organisation = '', weight = DEFAULT_WEIGHT, priority = 0, id } = options;
     let lane = this.#lanes.get(organisation);
     if (!lane) {
-      lane = { weight, startTag: this.#virtualTime, items: [] };
+      lane = { weight, items: [] };
       this.#lanes.set(organisation, lane);
     }
-    // An idle organisation does not accumulate credit.
-    if (lane.items.length === 0) lane.startTag = Math.max(lane.startTag, this.#virtualTime);
+    this.#shares.join(organisation);
     lane.weight = weight;
     this.#order += 1;
     insertByPriority(lane.items, {
@@ -127,8 +123,8 @@
     const [organisation, lane] = next;
     const item = lane.items.shift();
     this.#size -= 1;
-    this.#virtualTime = lane.startTag;
-    lane.startTag += 1 / lane.weight;
+    this.#shares.charge(organisation, 1 / lane.weight);
+    this.#shares.leave(organisation);
     this.#dropIdleLane(organisation, lane);
     return item?.run;
   }
@@ -150,33 +146,38 @@
   }
 
   remove(idOrRun: string | RunFunction): void {
-    this.#lanes.forEach(({ items }) => {
+    this.#lanes.forEach(({ items }, organisation) => {
       const at = items.findIndex(({ id, run }) => id === idOrRun || run === idOrRun);
       if (at < 0) return;
       items.splice(at, 1);
+      this.#shares.leave(organisation);
       this.#size -= 1;
     });
   }
 
   #nextLane(): [string, Lane] | undefined {
     let best: [string, Lane] | undefined;
+    let bestStart = Number.POSITIVE_INFINITY;
     // Hot path: one pass over the organisations with queued items, which are few even when there
     // are thousands of organisations.
     for (const entry of this.#lanes) {
       const [organisation, lane] = entry;
-      const isEarlier = !best || lane.startTag < best[1].startTag;
-      if (lane.items.length > 0 && isEarlier && this.#hasCapacity(organisation)) best = entry;
+      const start = this.#shares.startOf(organisation);
+      const isEarlier = lane.items.length > 0 && start < bestStart;
+      if (isEarlier && this.#hasCapacity(organisation)) {
+        best = entry;
+        bestStart = start;
+      }
     }
     return best;
   }
 
   /** Removes idle lanes, so that the table holds only current and recent organisations. */
   #dropIdleLane(organisation: string, lane: Lane): void {
-    if (lane.items.length === 0 && lane.startTag <= this.#virtualTime)
-      this.#lanes.delete(organisation);
+    if (lane.items.length === 0) this.#lanes.delete(organisation);
     if (this.#size > 0) return;
     this.#lanes.clear();
-    this.#virtualTime = 0;
+    this.#shares.reset();
   }
 }
 
