--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -26,6 +26,7 @@
 export * from './src/slotForecast';
 export * from './src/slotLedger';
 export * from './src/slotShares';
+export * from './src/sortedList';
 export * from './src/placement';
 export * from './src/routeTable';
 export * from './src/routingDocument';
