feat(slots): one schedule of retry times a service at each allocator

Cause: entries told refused callers to return after their own delays with jitter. After 360 callers were refused within a second, one in seven was refused again; callers that retried three times at once got 1.3 slots each.

The first turn is after the expected end of the overload; turns are spaced at the slots that new requests leave, at least half of all. A caller that leaves before its turn comes earlier, within a third of its time. A caller is recognised by class, size and deadline: one that returns before its turn has no precedence and keeps the same turn. Asks carry the caller's time left and the number of data centres, refusals carry turnInMs, which the entry bounds by a third of the time left. Turns under rate limits are unchanged.

--- a/packages/entry/__tests__/slotFinder.spec.ts
+++ b/packages/entry/__tests__/slotFinder.spec.ts
@@ -5,10 +5,12 @@
 import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
 import type { ChainChoice } from '../src/dispatch/chainChoice';
 import { createStreamTable } from '../src/dispatch/streamTable';
+import type { RefusedSlot, SlotClient } from '../src/slots/slotClient';
 import { createSlotFinder } from '../src/slots/slotFinder';
 import { createAdmitted, createRoute, MODEL } from './fixtures';
 import { ADMITTED, createDataCentre } from './slotFixtures';
 import type { DataCentre, Vm } from './slotFixtures';
+import { createVirtualTime } from './virtualTime';
 
 const OFF: DecisionSettings = { ...DEFAULT_DECISIONS, forecast: { isEnabled: false } };
 
@@ -19,15 +21,18 @@
 }
 
 /** Creates the slot finder of an entry VM that has no chain of its own choice. */
-function createFinder(site: DataCentre, vm: Vm, decisions: DecisionSettings) {
-  const { clock, delay } = site;
+function createFinder(
+  { clock, delay }: Pick<DataCentre, 'clock' | 'delay'>,
+  slots: SlotClient,
+  decisions: DecisionSettings,
+) {
   const finder = createSlotFinder({
     clock,
     random: createSeededRandom(1),
     delay,
     streams: createStreamTable({ clock }),
     chains: { choose: () => undefined } as unknown as ChainChoice,
-    slots: vm.client,
+    slots,
     backoffs: { retryAfterMs: () => 0, isEmpty: true },
     hasAllocator: () => true,
     rankDataCentres: () => [{ dataCentre: 'a', hasCapacity: true }],
@@ -61,7 +66,7 @@
     const [vm, other] = site.vms as [Vm, Vm];
     for (let index = 0; index < ADMITTED; index += 1) site.send(other, `f${index}`, {}, 2100);
     await site.pass(100);
-    const find = createFinder(site, vm, decisions);
+    const find = createFinder(site, vm.client, decisions);
     const found = Promise.all([
       find('patient', { targetLatencyMs: 1200 }),
       find('usual', { targetLatencyMs: 500 }),
@@ -84,3 +89,30 @@
     assert.ok(Math.abs(patient.waitedMs - 1200) < 30, String(patient.waitedMs));
   });
 });
+
+describe('the retry time of a refused stream', () => {
+  async function refuse(refusal: Partial<RefusedSlot>): Promise<number | null> {
+    const slots = {
+      find: () =>
+        Promise.resolve({
+          kind: 'refused',
+          reason: 'hopeless',
+          ahead: 9,
+          slotsPerS: 9,
+          ...refusal,
+        }),
+    } as unknown as SlotClient;
+    const find = createFinder(createVirtualTime(), slots, DEFAULT_DECISIONS);
+    const { error } = await find('refused', { timeoutMs: 6000 });
+    return error?.retryAfterMs ?? null;
+  }
+
+  it('is the turn at the allocator, within a third of the time that its caller has', async () => {
+    assert.equal(await refuse({ turnInMs: 1500 }), 1500);
+    assert.equal(await refuse({ turnInMs: 9000 }), 2000);
+  });
+
+  it('is the turn under rate limits as it was given', async () => {
+    assert.equal(await refuse({ retryInMs: 9000 }), 9000);
+  });
+});
--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -247,7 +247,8 @@
     inFlight,
     send,
     hold,
-    find: (vm: Vm, ticket: string) => vm.client.find(toRequest(vm, ticket, {})),
+    find: (vm: Vm, ticket: string, overrides: Partial<SlotRequest> = {}) =>
+      vm.client.find(toRequest(vm, ticket, overrides)),
     /** Restarts a VM under its address; it has a configuration after `configuredAfterMs`. */
     restart(host: string, configuredAfterMs = 0) {
       const index = vms.findIndex((vm) => vm.host === host);
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -20,6 +20,7 @@
 import type { SlotChainsOptions } from './slotChains';
 import { createSlotOutlook } from './slotOutlook';
 import type { SlotOutlookOptions } from './slotOutlook';
+import { createRefusedCallers } from './refusedCallers';
 import { createSlotPermits } from './slotPermits';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
@@ -56,6 +57,8 @@
 }
 
 interface Ticket {
+  /** Whether the caller retries before its turn, and so gets no precedence. */
+  readonly isEarly: boolean;
   /** The latest repetition of the ask; the chains that back off for its VM may have changed. */
   ask: SlotAsk;
   readonly queueDeadlineAtMs: number;
@@ -87,6 +90,7 @@
   const account = createSlotAccount(options);
   const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
   const permits = createSlotPermits({ limits });
+  const refusedCallers = createRefusedCallers({ clock });
   const outlook = createSlotOutlook({
     clock,
     capacityOf: slotChains.capacityOf,
@@ -120,10 +124,11 @@
   }
 
   /** The latest ask of a ticket, with its times as of now. */
-  function askNow({ ask, lastAskedAtMs }: Ticket): SlotAsk {
+  function askNow({ ask, lastAskedAtMs, isEarly }: Ticket): SlotAsk {
     const passedMs = clock.nowMs() - lastAskedAtMs;
     return {
       ...ask,
+      isRetry: ask.isRetry && !isEarly,
       inTimeForMs: ask.inTimeForMs - passedMs,
       leavesInMs: ask.leavesInMs - passedMs,
     };
@@ -133,6 +138,7 @@
     const chosen = slotChains.findBest(ask);
     if (!chosen) return undefined;
     const { headId, stages, capacity } = chosen;
+    if (isForecast(ask) && queueOf(ask.service).length === 0) refusedCallers.recordFree(ask);
     const limitPerS = permits.take(holder, ask.ticket, headId);
     account.grant(holder, { ticket: ask.ticket, headId, size: ask.size });
     if (isForecast(ask)) outlook.recordGrant(holder, ask, headId);
@@ -143,6 +149,7 @@
   function enqueue(holder: string, ask: SlotAsk): Ticket {
     const nowMs = clock.nowMs();
     const ticket: Ticket = {
+      isEarly: isForecast(ask) && refusedCallers.isEarly(ask),
       ask,
       queueDeadlineAtMs: nowMs + ask.leavesInMs,
       lastAskedAtMs: nowMs,
@@ -155,13 +162,13 @@
       arrivedAtMs: nowMs - ask.waitedMs,
       latestStartAtMs: nowMs + ask.inTimeForMs,
       queueDeadlineAtMs: ticket.queueDeadlineAtMs,
-      isRetry: ask.isRetry,
+      isRetry: ask.isRetry && !ticket.isEarly,
       find: () => findSlot(holder, ticket.ask),
       exclusionKey: () => exclusionKeyOf(ticket.ask),
       limitedPerS: () => slotChains.limitedRate(ticket.ask),
       isHopeless: (ahead: number) =>
         isForecast(ask) && slotChains.limitedRate(ask) === null
-          ? outlook.isHopeless(ask, ahead)
+          ? outlook.isHopeless(askNow(ticket), ahead)
           : undefined,
       isAbandoned: () =>
         clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS ||
@@ -194,7 +201,17 @@
     const perS = slotChains.limitedRate(ask);
     const forecastPerS = isForecast(ask) ? outlook.slotsPerS(ask.service) : null;
     const slotsPerS = forecastPerS ?? queueOf(ask.service).slotsPerS();
-    if (perS === null) return { kind: 'refused', reason, ahead, slotsPerS };
+    if (perS === null) {
+      const turnPerS = isForecast(ask) ? outlook.returningPerS(ask.service) : null;
+      const turnInMs = turnPerS === null ? null : refusedCallers.turnMs(ask, reason, turnPerS);
+      return {
+        kind: 'refused',
+        reason,
+        ahead,
+        slotsPerS,
+        ...(turnInMs === null ? {} : { turnInMs }),
+      };
+    }
     const retryInMs = retrySchedule.reserveDelayMs(ask.service, perS, ahead);
     return { kind: 'refused', reason, ahead, slotsPerS: perS, retryInMs };
   }
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -31,6 +31,8 @@
   readonly latestStartAtMs: number;
   /** Time at which the request stops waiting. */
   readonly queueDeadlineAtMs: number;
+  /** Time at which the caller gives up all attempts. */
+  readonly callerLeavesAtMs?: number;
   /** Plain servers that may serve the request; undefined for a stream, which needs a chain. */
   readonly heads?: readonly string[];
   /** First engines of the chains that were already tried. */
@@ -48,6 +50,8 @@
   readonly slotsPerS: number;
   /** When the caller should retry; set only if rate limits are all that delays the request. */
   readonly retryInMs?: number;
+  /** Earliest turn of the caller in the retry schedules of the allocators that refused it. */
+  readonly turnInMs?: number;
 }
 
 export type SlotOutcome =
@@ -148,6 +152,15 @@
   refusal: RefusedSlot | undefined;
 }
 
+/** Combines the refusals of data centres: the latest one, and the earliest turn of all. */
+function mergeRefusals(known: RefusedSlot | undefined, next: RefusedSlot): RefusedSlot {
+  if (!known) return next;
+  // A data centre without a chain says less about the wait than one whose chains are full.
+  const main = next.reason === 'no-chain' ? known : next;
+  const turnsMs = [known, next].flatMap(({ turnInMs }) => turnInMs ?? []);
+  return turnsMs.length > 0 ? { ...main, turnInMs: Math.min(...turnsMs) } : main;
+}
+
 export function createSlotClient(options: SlotClientOptions): SlotClient {
   const { clock, holder, rank } = options;
   const reportedAtMs = new Map<string, number>();
@@ -206,7 +219,7 @@
 
   function toAsk(request: SlotRequest, { dataCentre, mayWait, holdMs }: Step): SlotAsk {
     const nowMs = clock.nowMs();
-    const { ticket, service, size, priority, hasBegun, isRetry, heads } = request;
+    const { ticket, service, size, priority, hasBegun, isRetry, heads, callerLeavesAtMs } = request;
     const limits = options.listLimits(dataCentre);
     return {
       ticket,
@@ -218,6 +231,8 @@
       waitedMs: nowMs - request.arrivedAtMs,
       inTimeForMs: request.latestStartAtMs - nowMs,
       leavesInMs: request.queueDeadlineAtMs - nowMs,
+      ...(callerLeavesAtMs === undefined ? {} : { callerLeavesInMs: callerLeavesAtMs - nowMs }),
+      dataCentres: request.rankDataCentres().length,
       ...(heads ? { heads } : {}),
       excludedHeads: [...request.excludedHeads],
       avoidedIds: options.listAvoided(),
@@ -262,10 +277,7 @@
       return toChain(dataCentre, reply.slot);
     }
     if (reply?.kind !== 'waiting') search.exhausted.add(dataCentre);
-    // A data centre without a chain says less about the wait than one whose chains are full.
-    if (reply?.kind === 'refused' && (reply.reason !== 'no-chain' || !search.refusal)) {
-      search.refusal = reply;
-    }
+    if (reply?.kind === 'refused') search.refusal = mergeRefusals(search.refusal, reply);
     return undefined;
   }
 
--- a/packages/entry/src/slots/slotFinder.ts
+++ b/packages/entry/src/slots/slotFinder.ts
@@ -6,7 +6,12 @@
  */
 import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { SpoolplankError } from '@spoolplank/shared';
-import { createRetryDelays, longestWaitMs, sizeOfRequest } from '@spoolplank/routing';
+import {
+  createRetryDelays,
+  longestWaitMs,
+  MAX_REMAINING_SHARE,
+  sizeOfRequest,
+} from '@spoolplank/routing';
 import type { BackoffTable, DecisionSettings, ModelDescription } from '@spoolplank/routing';
 import type { ChainChoice, ChosenChain } from '../dispatch/chainChoice';
 import type { AdmittedRequest } from '../entryContext';
@@ -120,6 +125,7 @@
       hasBegun,
       isRetry: callerAgeMs > route.targetLatencyMs,
       arrivedAtMs,
+      callerLeavesAtMs: admitted.deadlineAtMs,
       latestStartAtMs: arrivedAtMs - callerAgeMs + route.targetLatencyMs - firstEventMs,
       queueDeadlineAtMs,
       excludedHeads,
@@ -165,11 +171,19 @@
     return (outcome.ahead / outcome.slotsPerS) * MS_PER_S;
   }
 
+  /** The caller's turn in the schedule of an allocator; undefined if none assigned one. */
+  function turnOf(outcome: SlotOutcome, remainingMs: number): number | undefined {
+    if (outcome.kind !== 'refused') return undefined;
+    const { retryInMs, turnInMs } = outcome;
+    if (retryInMs !== undefined || turnInMs === undefined) return retryInMs;
+    return Math.round(Math.max(0, Math.min(turnInMs, remainingMs * MAX_REMAINING_SHARE)));
+  }
+
   function refusalOf({ admitted }: SlotSearch, outcome: SlotOutcome): SpoolplankError {
     retryDelays.recordOverload();
     const remainingMs = admitted.deadlineAtMs - clock.nowMs();
-    const turnMs = outcome.kind === 'refused' ? outcome.retryInMs : undefined;
-    const retryAfterMs = turnMs ?? retryDelays.retryAfterMs(remainingMs, forecastMs(outcome));
+    const retryAfterMs =
+      turnOf(outcome, remainingMs) ?? retryDelays.retryAfterMs(remainingMs, forecastMs(outcome));
     if (outcome.kind !== 'refused')
       return new SpoolplankError('no-backend-server', { retryAfterMs });
     const { reason, ahead, slotsPerS } = outcome;
--- a/packages/entry/src/slots/slotMessages.ts
+++ b/packages/entry/src/slots/slotMessages.ts
@@ -25,6 +25,10 @@
   readonly inTimeForMs: number;
   /** Time left until the request gives up waiting. */
   readonly leavesInMs: number;
+  /** Time left until the caller gives up all attempts. */
+  readonly callerLeavesInMs?: number;
+  /** Number of data centres that may serve the request; 1 by default. */
+  readonly dataCentres?: number;
   /** Plain servers that may serve the request; undefined for a stream, which needs a chain. */
   readonly heads?: readonly string[];
   /** First engines of the chains that were already tried. */
@@ -105,6 +109,8 @@
       readonly slotsPerS: number;
       /** When the caller should retry; set only if rate limits are all that delays the request. */
       readonly retryInMs?: number;
+      /** Turn of the caller in the retry schedule of the service at this allocator. */
+      readonly turnInMs?: number;
     };
 
 export const SLOTS_METHOD = 'slots.ask';
--- a/packages/entry/src/slots/slotOutlook.ts
+++ b/packages/entry/src/slots/slotOutlook.ts
@@ -29,6 +29,11 @@
   recordReleased(holder: string, ticket: string, wasUsed: boolean): void;
   /** Slots of a service that are released per second; null when it is unknown. */
   slotsPerS(service: string): number | null;
+  /**
+   * Slots per second for callers that return, as last known while the service has no chain; null
+   * when it was never known.
+   */
+  returningPerS(service: string): number | null;
   /** Forecast for a request with `ahead` others before it; null when there is none. */
   waitMs(ask: SlotAsk, ahead: number): number | null;
   /**
@@ -54,6 +59,7 @@
   /** When a request was last refused by its forecast, and how many were before it. */
   refusedAtMs: number;
   refusedBehind: number;
+  lastReturningPerS: number | null;
 }
 
 /** Equal to the interval at which the queue looks for slots. */
@@ -81,6 +87,7 @@
       withoutChainSinceMs: null,
       refusedAtMs: Number.NEGATIVE_INFINITY,
       refusedBehind: 0,
+      lastReturningPerS: null,
     };
     services.set(service, created);
     return created;
@@ -132,6 +139,12 @@
       const { forecast, supply } = outlookOf(service);
       return forecast.slotsPerS(supply);
     },
+    returningPerS(service) {
+      const outlook = outlookOf(service);
+      const perS = outlook.forecast.returningPerS(outlook.supply);
+      outlook.lastReturningPerS = perS ?? outlook.lastReturningPerS;
+      return outlook.lastReturningPerS;
+    },
     waitMs,
     isHopeless(ask, ahead) {
       const outlook = outlookOf(ask.service);
--- a/packages/routing/src/retryDelays.ts
+++ b/packages/routing/src/retryDelays.ts
@@ -23,6 +23,11 @@
   recordOverload(): void;
   /** Records that a request got capacity at once while the queue was empty. */
   recordFreeCapacity(): void;
+  /**
+   * Expected time until the overload is over, without jitter; a forecast of when capacity is
+   * available raises it.
+   */
+  overloadLeftMs(forecastMs?: number): number;
   /**
    * Returns the retry-after time for a caller with the given remaining time, in milliseconds. A
    * forecast of when capacity is available raises the delay before jitter.
@@ -37,7 +42,7 @@
 /** An overload is over once capacity has been available for this long. */
 const RECOVERY_MS = 1000;
 /** Callers observe a retry-after of up to a third of their remaining time. */
-const MAX_REMAINING_SHARE = 1 / 3;
+export const MAX_REMAINING_SHARE = 1 / 3;
 /** The jitter factor is between 0.5 and 1.5. */
 const MIN_JITTER = 0.5;
 /** Resolution of the jitter, as random numbers are integers. */
@@ -48,7 +53,13 @@
   let overloadedSinceMs: number | null = null;
   let availableSinceMs: number | null = null;
 
+  function overloadLeftMs(forecastMs = 0): number {
+    const overloadedForMs = overloadedSinceMs === null ? 0 : clock.nowMs() - overloadedSinceMs;
+    return Math.min(maxMs, Math.max(minMs, overloadedForMs, forecastMs));
+  }
+
   return {
+    overloadLeftMs,
     recordOverload() {
       overloadedSinceMs ??= clock.nowMs();
       availableSinceMs = null;
@@ -59,8 +70,7 @@
       if (clock.nowMs() - availableSinceMs > RECOVERY_MS) overloadedSinceMs = null;
     },
     retryAfterMs(remainingMs, forecastMs = 0) {
-      const overloadedForMs = overloadedSinceMs === null ? 0 : clock.nowMs() - overloadedSinceMs;
-      const targetMs = Math.min(maxMs, Math.max(minMs, overloadedForMs, forecastMs));
+      const targetMs = overloadLeftMs(forecastMs);
       const jitter = MIN_JITTER + random.nextInt(JITTER_STEPS) / JITTER_STEPS;
       return Math.round(
         Math.max(0, Math.min(targetMs * jitter, remainingMs * MAX_REMAINING_SHARE)),
--- a/packages/routing/src/slotForecast.ts
+++ b/packages/routing/src/slotForecast.ts
@@ -52,6 +52,11 @@
   holdingMs(): number | null;
   /** Slots released per second with `inUse` slots in use; null until it was measured. */
   slotsPerS(supply: SlotSupply): number | null;
+  /**
+   * Slots per second that requests in time leave to others; at least `MIN_RETURNING_SHARE` of all.
+   * Null until it was measured.
+   */
+  returningPerS(supply: SlotSupply): number | null;
   /**
    * Time until a request gets a slot, infinite when later requests take all slots; null when it is
    * unknown.
@@ -94,6 +99,12 @@
 /** Share of the capacity for new streams; the rest is reserved for streams that have begun. */
 const NEW_STREAM_SHARE = 0.94;
 
+/**
+ * Share of the slots at which callers are told to return while new requests take all of them. At
+ * the full rate, callers with one retry return into the same overload; at less, slots stay unused
+ * after a short one.
+ */
+const MIN_RETURNING_SHARE = 0.5;
 /** Callers abandon a stream after a silence of 2 s, or longer if its targets are longer. */
 const MIN_PATIENCE_MS = 2000;
 const PATIENCE_TARGETS = 4;
@@ -202,6 +213,13 @@
     return perS < MIN_SLOTS_PER_S ? null : perS;
   }
 
+  /** Share of the slots that is left by requests that overtake late ones. */
+  function lateShare(perS: number): number {
+    decayOvertaking();
+    const overtakingPerS = (overtaking / OVERTAKING_WINDOW_MS) * MS_PER_S;
+    return Math.max(0, 1 - overtakingPerS / perS);
+  }
+
   return {
     recordGrant(holder, ticket, headId) {
       const held = { headId, grantedAtMs: clock.nowMs(), isListed: false };
@@ -236,6 +254,10 @@
     },
     holdingMs,
     slotsPerS,
+    returningPerS(supply) {
+      const perS = slotsPerS(supply);
+      return perS === null ? null : perS * Math.max(MIN_RETURNING_SHARE, lateShare(perS));
+    },
     waitMs({ ahead, inTimeForMs, isOvertaken }, supply) {
       const free = Math.max(0, supply.capacity * NEW_STREAM_SHARE - supply.inUse);
       const missing = ahead + 1 - free;
@@ -245,10 +267,7 @@
       const queuedMs = (missing / perS) * MS_PER_S;
       const inTimeMs = Math.max(0, inTimeForMs) * IN_TIME_SHARE;
       if (!isOvertaken || queuedMs <= inTimeMs) return queuedMs;
-      decayOvertaking();
-      const overtakingPerS = (overtaking / OVERTAKING_WINDOW_MS) * MS_PER_S;
-      const share = Math.max(0, 1 - overtakingPerS / perS);
-      return inTimeMs + (queuedMs - inTimeMs) / share;
+      return inTimeMs + (queuedMs - inTimeMs) / lateShare(perS);
     },
   };
 }
