--- a/packages/entry/__tests__/retrySchedule.spec.ts
+++ b/packages/entry/__tests__/retrySchedule.spec.ts
@@ -28,7 +28,7 @@
  * three times at once.
  */
 function createCallers(decisions: DecisionSettings, heads: readonly string[] = ['c1']) {
-  const site = createDataCentre(12, heads, decisions);
+  const site = createDataCentre(12, heads, { decisions });
   const { clock, delay } = site;
   const all: Caller[] = [];
   // The entries' own delays, as the slot finder uses them without a turn.
--- a/packages/entry/__tests__/slotSharing.spec.ts
+++ b/packages/entry/__tests__/slotSharing.spec.ts
@@ -78,7 +78,7 @@
   }
 
   async function play(sharing: SharingSettings, callers: readonly Callers[]) {
-    const site = createDataCentre(VMS, FULL, { sharing });
+    const site = createDataCentre(VMS, FULL, { decisions: { ...DEFAULT_DECISIONS, sharing } });
     await site.pass(1500);
     const { endsOf } = await playLoad(site, callers, END_MS, (atMs) =>
       atMs < JUDGED_FROM_MS ? ' filling' : '',
@@ -140,7 +140,7 @@
 
   /** Plays a load whose requests come from some organisations in turn; returns all decisions. */
   async function replay(sharing: SharingSettings, organisations: number, gapMs: number) {
-    const site = createDataCentre(VMS, FULL, { sharing });
+    const site = createDataCentre(VMS, FULL, { decisions: { ...DEFAULT_DECISIONS, sharing } });
     await site.pass(1500);
     const decisions: string[] = [];
     const waited: string[] = [];
--- a/packages/routing/__tests__/decisionSettings.spec.ts
+++ b/packages/routing/__tests__/decisionSettings.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { DEFAULT_DECISIONS, readDecisions } from '../index';
+import { DEFAULT_DECISIONS, readDecisions } from '..';
 
 describe('decision settings', () => {
   it('switch every mechanism on when the section is missing', () => {
