fix(routing): a demand above all capacity does not favour short ranges

Cause: ranges were rated against demand. With a demand far above what the engines hold, an engine took few layers with much memory for each and left the others of the bottleneck low, so that no plan reached the minimum gain.

Change: ranges are rated against 1.2 times the even capacity; demand decides only when to move. Specs of the donor rules on a model of eight layers. The complete chains are found once in a plan.

The three changed donor rules now fail a spec each.

--- a/packages/routing/__tests__/copyPlan.spec.ts
+++ b/packages/routing/__tests__/copyPlan.spec.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { planPlacement } from '../src/placement';
+import type { ObservedEngine } from '../src/placement';
 import { createCopySimulation, MODEL } from './copyFixtures';
 import type { SimulationOptions } from './copyFixtures';
+import { createEngines, createModel, repeat } from './fixtures';
 
 type Simulation = ReturnType<typeof createCopySimulation>;
 
@@ -110,6 +113,46 @@
   });
 });
 
+describe('an engine that gives up layers', () => {
+  const model = createModel({
+    layers: 8,
+    layerMb: 1000,
+    kinds: [{ name: 'big', memoryMb: 8000, stepFactor: 1, readFactor: 1 }],
+  });
+
+  /** One holder of the first half, and one that is lost; the given holders of the second half. */
+  function planWith(holders: readonly Partial<ObservedEngine>[]): readonly string[] {
+    const halves: readonly Partial<ObservedEngine>[] = [
+      { firstLayer: 0, endLayer: 4 },
+      { firstLayer: 0, endLayer: 4, isReliable: false, isOrderable: false, isServing: false },
+      ...holders.map((holder) => ({ firstLayer: 4, endLayer: 8, ...holder })),
+    ];
+    const engines = createEngines(repeat('big', halves.length));
+    const observed = engines.map((engine, index) => ({ ...engine, ...halves[index] }));
+    const no = () => false;
+    const copiesFor = () => ({ demand: 100 });
+    const options = { mayRebalance: no, mayMoveLayers: no, copiesFor };
+    return planPlacement(observed, model, options).map(({ id }) => id);
+  }
+
+  it('leaves other loaded holders with more than the bottleneck', () => {
+    const loading = { isLoading: true, isOrderable: false };
+    assert.equal(planWith([{}, {}, {}]).length, 1);
+    assert.deepEqual(planWith([{}, loading, loading]), []);
+    assert.deepEqual(planWith([{}, {}, loading]), []);
+    assert.deepEqual(planWith([{}, {}]), []);
+  });
+
+  it('has not received an order in the last seconds, and is not one of two that are moving', () => {
+    const settling = { isSettling: true };
+    const moving = { isLoading: true, isMoving: true, isOrderable: false };
+    assert.deepEqual(planWith([settling, settling, settling]), []);
+    assert.deepEqual(planWith([settling, {}, settling]), ['lafrenz-3']);
+    assert.equal(planWith([{}, {}, {}, moving]).length, 1);
+    assert.deepEqual(planWith([{}, {}, {}, moving, moving]), []);
+  });
+});
+
 describe('the orders of a data centre without losses that meets its demand', () => {
   function addEngines(options: SimulationOptions): Simulation {
     const simulation = createCopySimulation(options);
--- a/packages/routing/src/chainRepair.ts
+++ b/packages/routing/src/chainRepair.ts
@@ -6,6 +6,7 @@
 import type { PlannedEngine } from './plannedEngines';
 import type { ModelDescription } from './routingDocument';
 import { findCompleteChains } from './wholeChains';
+import type { CompleteChains } from './wholeChains';
 
 /**
  * Share of the layers from which on engines that belong to no complete chain are treated as a
@@ -75,6 +76,8 @@
   readonly chains: number;
   /** Whether engines that hold layers may receive a different range. */
   readonly mayMoveLayers: boolean;
+  /** The complete chains, if they are known; found here otherwise. */
+  readonly complete?: CompleteChains;
 }
 
 /**
@@ -84,9 +87,9 @@
 export function repairBrokenChain(
   engines: readonly PlannedEngine[],
   model: ModelDescription,
-  { chains, mayMoveLayers }: RepairOptions,
+  { chains, mayMoveLayers, complete }: RepairOptions,
 ): boolean {
-  const { count, rest } = findCompleteChains(engines, model);
+  const { count, rest } = complete ?? findCompleteChains(engines, model);
   const heldLayers = countCopies(rest, model.layers).filter((copies) => copies > 0).length;
   const isWorthwhile = count < chains || heldLayers >= model.layers * BROKEN_CHAIN_SHARE;
   if (!isWorthwhile || !canHoldAll(rest, model)) return false;
--- a/packages/routing/src/copyPlan.ts
+++ b/packages/routing/src/copyPlan.ts
@@ -16,6 +16,7 @@
 import type { PlannedEngine, Range } from './plannedEngines';
 import type { ModelDescription } from './routingDocument';
 import { findCompleteChains } from './wholeChains';
+import type { CompleteChains } from './wholeChains';
 
 /** Reason of a move, for metrics and the log. */
 export type MoveCause = 'demand' | 'loss' | 'leaving' | 'empty';
@@ -64,6 +65,8 @@
   readonly isDue: boolean;
   /** Whether layers do not count because their engine is slow. */
   readonly hasSlow: boolean;
+  /** The complete chains, if the plan had to find them; valid only without moves. */
+  readonly complete: CompleteChains | undefined;
 }
 
 type Candidate = CandidateOf<CopyEngine>;
@@ -76,7 +79,10 @@
 const MAX_MOVES = 2;
 /** Two moves at a time take about 1.5 s; a plan of more of them is out of date before its end. */
 const MAX_SEQUENCE = 8;
-/** Capacity above demand or an even distribution up to which additional copies are of use. */
+/**
+ * Capacity, relative to an even distribution, up to which additional copies of a layer are of use.
+ * A demand above it would favour a few layers with much memory for each.
+ */
 const HEADROOM = 1.2;
 /**
  * Capacity, relative to an even distribution, below which a layer lacks a holder. The layouts of
@@ -122,9 +128,10 @@
   { missing, demand, isLossFinal }: CopyPlanOptions,
 ): CopyPlan {
   const moves: CopyMove[] = [];
+  let complete: CompleteChains | undefined;
   let capacities: readonly number[] = capacityByLayer(engines, model);
   const even = findEvenCapacity(capacities);
-  const target = HEADROOM * Math.max(even, demand ?? 0);
+  const target = HEADROOM * even;
 
   function causeOf(range: Range, otherwise: MoveCause): MoveCause {
     const lacking = missing.filter(({ held }) => held && isOverlapping(held, range));
@@ -173,7 +180,7 @@
   }
 
   /** The best next move; layers that are still being loaded elsewhere do not count as copies. */
-  function findMove(findIdle: () => ReadonlySet<string>): Candidate | undefined {
+  function findMove(): Candidate | undefined {
     const minAfter = Math.min(...capacities) * MIN_GAIN;
     const lowRanges = findLowRanges(capacities, minAfter);
     const available = capacityByLayer(engines.filter(isPlaced), model);
@@ -205,7 +212,10 @@
     const copies = countCopies(engines.filter(isPlaced), model.layers);
     const safe = candidates.filter(({ engine }) => isCovered(engine, copies));
     const list = safe.length > 0 ? safe : candidates;
-    return pickBest(list.filter(({ engine }) => findIdle().has(engine.id))) ?? pickBest(list);
+    // The chains before the first move of a sequence; finding them costs more than the search.
+    complete ??= findCompleteChains(engines, model);
+    const idle = new Set(complete.rest.map(({ id }) => id));
+    return pickBest(list.filter(({ engine }) => idle.has(engine.id))) ?? pickBest(list);
   }
 
   /**
@@ -214,16 +224,11 @@
    */
   function moveEngines(count: number): void {
     const start = Math.min(...capacities);
-    let idle: ReadonlySet<string> | undefined;
-    const findIdle = () => {
-      idle ??= new Set(findCompleteChains(engines, model).rest.map(({ id }) => id));
-      return idle;
-    };
     const before = engines.map(({ planned }) => planned);
     const first = moves.length;
     let kept: readonly (Range | null)[] = before;
     while (moves.length - first < MAX_SEQUENCE && Math.min(...capacities) < start * MIN_GAIN) {
-      const best = findMove(findIdle);
+      const best = findMove();
       if (!best) break;
       move(best, 'demand');
       if (moves.length - first === count) kept = engines.map(({ planned }) => planned);
@@ -245,5 +250,5 @@
   if (moving < MAX_MOVES && isDue()) moveEngines(MAX_MOVES - moving);
   const hasSlow = missing.some(({ isServing, isLeaving }) => isServing && !isLeaving);
   const isBusy = moves.length > 0 || moving > 0;
-  return { moves, isBusy, hasReserved, isDue: isDue(), hasSlow };
+  return { moves, isBusy, hasReserved, isDue: isDue(), hasSlow, complete };
 }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -126,11 +126,17 @@
   { mayRebalance, mayMoveLayers }: DataCentreOptions,
 ): void {
   if (plan.isBusy || plan.hasReserved) return;
-  const { isDue, hasSlow } = plan;
+  const { isDue, hasSlow, complete } = plan;
   // Engines are slow for some seconds; unless demand calls for it, that is not worth a new layout.
   const mayRepair = mayMoveLayers && (isDue || !hasSlow);
   const isRepaired =
-    mayRepair && repairWithoutLoss(engines, model, { chains, mayMoveLayers, isDue });
+    mayRepair &&
+    repairWithoutLoss(engines, model, {
+      chains,
+      mayMoveLayers,
+      isDue,
+      ...(complete ? { complete } : {}),
+    });
   if (!isRepaired && mayRebalance) improveLayout(engines, model, chains);
 }
 
