--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -126,12 +126,18 @@
   { mayRebalance, mayMoveLayers }: DataCentreOptions,
 ): void {
   if (plan.isBusy || plan.hasReserved) return;
-  const { isDue, isReplacing } = plan;
+  const { isDue, isReplacing, complete } = plan;
   // A new layout takes ten engines out for seconds. That is not worth it while demand is met, and
   // not while engines are replaced, as the next ones of the chain are about to leave.
   const mayRepair = mayMoveLayers && isDue && !isReplacing;
   const isRepaired =
-    mayRepair && repairWithoutLoss(engines, model, { chains, mayMoveLayers, isDue });
+    mayRepair &&
+    repairWithoutLoss(engines, model, {
+      chains,
+      mayMoveLayers,
+      isDue,
+      ...(complete ? { complete } : {}),
+    });
   if (!isRepaired && mayRebalance) improveLayout(engines, model, chains);
 }
 
