feat(dispatch): hand streams over to another chain before their head exits

Cause: a head cannot be replaced on a running path; streams whose head left paused for 400 to 1,300 ms when it exited.

Change: a resumable stream that will not end while its head still serves is started again on another chain, after its last event. The old run goes on until the first event of the new one; then it is cancelled, and the events that it had forwarded meanwhile are recognised by their ids, in order, and dropped (streamHandover.ts). Runs that do not continue each other are not joined: before the switch the old run goes on, after it the stream is resumed as after a break. A handover spends a retry of the budget and a run of maxAttempts, is tried once for each head, never takes a chain without room, and starts nothing once the caller has left.

No play of a whole site, and no pause of a handover was measured.

Conclusion: a handover pauses the caller for about the time to first event of the new run, as the new run repeats what the old one sent meanwhile. With maxAttempts 2, a stream that was handed over cannot be resumed again.

--- a/packages/entry/__tests__/streamMigration.spec.ts
+++ b/packages/entry/__tests__/streamMigration.spec.ts
@@ -33,6 +33,7 @@
   /** Result of the n-th order, from 0; by default the stream is moved. */
   readonly outcomeOf?: (order: number) => RepairOutcome;
   readonly onOrder?: (row: StreamRow) => void;
+  readonly isResumable?: boolean;
 }
 
 /** Streams of several VMs over one path of four engines. */
@@ -49,6 +50,7 @@
   }
   const orders: Order[] = [];
   const rows: StreamRow[] = [];
+  const handedOver: string[] = [];
   const lines: Record<string, unknown>[] = [];
   const metrics = createMetrics();
   const operations = {
@@ -83,6 +85,10 @@
       avoid: () => {},
       requestProbe: () => Promise.resolve(null),
       migration: isEnabled ? migration : undefined,
+      handOver(row) {
+        handedOver.push(row.admitted.request.id);
+        return Promise.resolve({ outcome: 'moved', path: ['d1=0-8'] });
+      },
       schedule,
     });
     return { streams, repair };
@@ -90,6 +96,9 @@
   for (let index = 0; index < streamCount; index += 1) {
     const startedAtMs = clock.nowMs() - (index % 10) * 200;
     const row = createRunningRow(clock, `r${index}`, ids, { startedAtMs });
+    const { admitted } = row;
+    const route = { ...admitted.route, isResumable: setting.isResumable ?? false };
+    Object.assign(row, { admitted: { ...admitted, route } });
     rows.push(row);
     vms[index % vmCount]?.streams.add(row);
     const receive = (): void => {
@@ -105,6 +114,7 @@
     vms,
     rows,
     orders,
+    handedOver,
     lines,
     /** Number of moves with an outcome. */
     count: (outcome: string) => metrics.valueOf('spoolplank_stream_migrations_total', { outcome }),
@@ -179,6 +189,37 @@
   });
 });
 
+describe('streams on a head that leaves', () => {
+  it('are handed over once each, those with most left first, unless they end in time', async () => {
+    const setting = createSetting({ vms: 1, streams: 10, isResumable: true });
+    // Started 3 s ago: of a usual stream, less is left than the engine serves.
+    const ending = createRunningRow(setting.clock, 'ending', ['a1', 'a2', 'a3', 'a4'], {
+      startedAtMs: setting.clock.nowMs() - 3000,
+    });
+    Object.assign(ending, {
+      admitted: { ...setting.rows[0]?.admitted, request: { id: 'ending' } },
+    });
+    setting.vms[0]?.streams.add(ending);
+    setting.leave('a1');
+    await setting.pass(SERVES_MS);
+    assert.deepEqual(
+      setting.handedOver,
+      Array.from({ length: 10 }, (_, index) => `r${index}`),
+    );
+    assert.equal(setting.count('moved'), 10);
+    assert.equal(setting.orders.length, 0);
+  });
+
+  it('stay when their route cannot be resumed, or migration is switched off', async () => {
+    for (const options of [{ isResumable: false }, { isResumable: true, isEnabled: false }]) {
+      const setting = createSetting({ vms: 1, streams: 2, ...options });
+      setting.leave('a1');
+      await setting.pass(SERVES_MS);
+      assert.deepEqual(setting.handedOver, []);
+    }
+  });
+});
+
 describe('a move that fails', () => {
   const single = (overrides: Setting) => createSetting({ vms: 1, streams: 1, ...overrides });
 
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -6,6 +6,8 @@
 import type { ChosenChain } from './chainChoice';
 import type { EntryContext, SlotDecision } from '../entryContext';
 import { createEventSplitter } from './eventSplitter';
+import { HandoverMismatchError } from './streamHandover';
+import type { Handover } from './streamHandover';
 import type { SlotSearch } from '../slots/slotFinder';
 import { contentOf } from '../quarantine/requestContent';
 import type { AbortReason, StreamRow, StreamTable } from './streamTable';
@@ -37,6 +39,8 @@
    * leave, or the path does not cover all layers.
    */
   | { readonly kind: 'held-back'; readonly problem: string }
+  /** Another run has taken over the stream, or the attempt was cancelled before it took over. */
+  | { readonly kind: 'superseded' }
   | { readonly kind: 'caller-left' };
 
 /** Progress of an attempt at the moment it broke off. */
@@ -75,6 +79,20 @@
   longestPauseMs: number;
 }
 
+/** Connects an attempt with the one that takes over from it, or from which it takes over. */
+export interface RunLink {
+  /** Cancels the attempt: it sends and forwards nothing from then on. */
+  readonly signal: AbortSignal;
+  /** Called when the attempt has started. */
+  readonly onStart?: (row: StreamRow) => void;
+  /** Called with complete events that were forwarded. */
+  readonly onForwarded?: (events: Buffer) => void;
+  /** Called when the response has ended, before anything else is done. */
+  readonly onCompleted?: () => void;
+  /** Set for an attempt that takes over a stream from a run that still runs. */
+  readonly handover?: Pick<Handover, 'accept' | 'isCaughtUp'>;
+}
+
 export interface StreamAttemptOptions {
   readonly context: EntryContext;
   readonly streams: StreamTable;
@@ -86,7 +104,12 @@
 
 export interface StreamAttempts {
   /** Sends a stream, or the part of it that is missing, over a chain and updates `progress`. */
-  attempt(search: SlotSearch, chain: ChosenChain, progress: StreamProgress): Promise<StreamResult>;
+  attempt(
+    search: SlotSearch,
+    chain: ChosenChain,
+    progress: StreamProgress,
+    link?: RunLink,
+  ): Promise<StreamResult>;
 }
 
 /** A connection within a region takes 2 ms; the limit allows one lost packet to be sent again. */
@@ -99,6 +122,13 @@
   return stages.map(({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`);
 }
 
+/** Records on which chain a stream runs, and by which decision. */
+export function recordChain(progress: StreamProgress, chain: ChosenChain): void {
+  const { grantedBy, dataCentre, inFlight, capacity } = chain;
+  progress.slot = { grantedBy, dataCentre, inFlight, capacity };
+  progress.servedBy = describePath(chain.stages);
+}
+
 export function createStreamAttempts(options: StreamAttemptOptions): StreamAttempts {
   const { context, streams, probeAfterFailure } = options;
   const { clock, log, operations } = context;
@@ -148,11 +178,16 @@
     row: StreamRow,
     response: BackendResponse,
     progress: StreamProgress,
+    link: RunLink | undefined,
   ): Promise<void> {
     const { answer, request } = row.admitted;
     const splitter = createEventSplitter();
     const { body } = response;
+    const isCancelled = () => link?.signal.aborted ?? false;
     return new Promise((resolve, reject) => {
+      link?.signal.addEventListener('abort', () => reject(new Error('superseded')));
+      // The body of a run that was cancelled already emits no further event.
+      if (isCancelled()) reject(new Error('superseded'));
       function forward(events: Buffer): void {
         if (!progress.hasBegun) {
           answer.begin(response.status, response.headers);
@@ -164,6 +199,7 @@
         }
         progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
         recordPause(progress);
+        link?.onForwarded?.(events);
         if (answer.write(events)) return;
         row.isPaused = true;
         body.pause();
@@ -173,7 +209,33 @@
           body.resume();
         });
       }
+      /** Forwards those events that the caller has not received from another run. */
+      function forwardNew(events: Buffer): void {
+        if (isCancelled() || answer.isClosed) return;
+        const missing = link?.handover ? link.handover.accept(events) : events;
+        if (missing.length > 0) forward(missing);
+      }
+      function endStream(): void {
+        if (isCancelled()) return;
+        if (link?.handover && !link.handover.isCaughtUp) {
+          throw new HandoverMismatchError('ended before the events that were forwarded');
+        }
+        if (splitter.hasPartialEvent) forward(splitter.takePartialEvent());
+        else if (!progress.hasBegun) forward(Buffer.alloc(0));
+        link?.onCompleted?.();
+        resolve();
+      }
+      /** Ends the run, as its events do not continue what the caller has received. */
+      function guard(run: () => void): void {
+        try {
+          run();
+        } catch (error) {
+          reject(toSpoolplankError(error));
+          body.destroy();
+        }
+      }
       body.on('data', (bytes: Buffer) => {
+        if (isCancelled()) return;
         row.lastProgressAtMs = clock.nowMs();
         row.checks = 0;
         if (!row.hasBegun) {
@@ -182,13 +244,9 @@
           context.quarantine.recordServed(contentOf(row.admitted));
         }
         const completeEvents = splitter.push(bytes);
-        if (completeEvents.length > 0 && !answer.isClosed) forward(completeEvents);
-      });
-      body.once('end', () => {
-        if (splitter.hasPartialEvent) forward(splitter.takePartialEvent());
-        else if (!progress.hasBegun) forward(Buffer.alloc(0));
-        resolve();
+        if (completeEvents.length > 0) guard(() => forwardNew(completeEvents));
       });
+      body.once('end', () => guard(endStream));
       body.once('error', reject);
       body.once('close', () => reject(new Error('connection closed before the end of the stream')));
     });
@@ -204,6 +262,7 @@
     row: StreamRow,
     response: BackendResponse,
     progress: StreamProgress,
+    link: RunLink | undefined,
   ): Promise<StreamResult> {
     const { status, isNotRun, problem } = response;
     if (isNotRun || response.isMisdirected) {
@@ -224,12 +283,13 @@
         run: describeRun(row),
       };
     }
-    await relay(row, response, progress);
+    await relay(row, response, progress, link);
     return { kind: 'completed', status };
   }
 
-  function classifyError(row: StreamRow, error: unknown): StreamResult {
+  function classifyError(row: StreamRow, error: unknown, link: RunLink | undefined): StreamResult {
     if (row.abortReason === 'caller-left') return { kind: 'caller-left' };
+    if (link?.signal.aborted) return { kind: 'superseded' };
     const [head] = row.stages;
     const known = toSpoolplankError(error);
     const problem = row.abortReason ?? known.message;
@@ -264,6 +324,7 @@
     search: SlotSearch,
     chain: ChosenChain,
     progress: StreamProgress,
+    link?: RunLink,
   ): Promise<StreamResult> {
     const { request, organisation, answer, deadlineAtMs } = search.admitted;
     const [head] = chain.stages;
@@ -275,11 +336,13 @@
     answer.onClosed(() => row.abort('caller-left'));
     streams.add(row);
     options.onStart?.();
-    const { grantedBy, dataCentre, inFlight, capacity } = chain;
-    progress.slot = { grantedBy, dataCentre, inFlight, capacity };
-    progress.servedBy = describePath(chain.stages);
+    link?.onStart?.(row);
+    link?.signal.addEventListener('abort', () => abort.abort());
+    // A run that takes over is recorded when it does.
+    if (!link?.handover) recordChain(progress, chain);
     const target = { instanceId: head.id, address: head.address };
     try {
+      if (link?.signal.aborted) return { kind: 'superseded' };
       assertCompletePath(chain, search.model);
       context.crashes.recordSend(contentOf(search.admitted), target);
       const response = await operations.open({
@@ -294,9 +357,9 @@
         hasPermit: chain.hasPermit,
       });
       row.hasAnswered = true;
-      return await classifyResponse(row, response, progress);
+      return await classifyResponse(row, response, progress, link);
     } catch (error) {
-      return classifyError(row, error);
+      return classifyError(row, error, link);
     } finally {
       clearTimeout(timer);
       streams.remove(row);
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -8,11 +8,17 @@
 import type { ModelDescription } from '@spoolplank/routing';
 import type { ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
-import type { SlotFinder } from '../slots/slotFinder';
+import type { SlotFinder, SlotSearch } from '../slots/slotFinder';
 import { contentOf, digestContent } from '../quarantine/requestContent';
-import { createStreamAttempts, MAX_SUCCESS_STATUS, TIMEOUT_MARGIN_MS } from './streamAttempt';
-import type { BrokenRun, StreamProgress } from './streamAttempt';
-import type { StreamTable } from './streamTable';
+import {
+  createStreamAttempts,
+  MAX_SUCCESS_STATUS,
+  recordChain,
+  TIMEOUT_MARGIN_MS,
+} from './streamAttempt';
+import type { BrokenRun, StreamProgress, StreamResult } from './streamAttempt';
+import { createHandover } from './streamHandover';
+import type { StreamRow, StreamTable } from './streamTable';
 
 export interface StreamDispatchOptions {
   readonly context: EntryContext;
@@ -36,6 +42,29 @@
    *   of the response.
    */
   run(admitted: AdmittedRequest, model: ModelDescription): Promise<RequestEnd>;
+  /**
+   * Restarts a running stream on another chain, because its head leaves, and hands the caller's
+   * stream over to the new run with its first event. The stream stays where it is unless the end is
+   * `moved`; null if the stream has ended.
+   */
+  handOver(row: StreamRow): Promise<HandoverEnd | null>;
+}
+
+export interface HandoverEnd {
+  /**
+   * `refused`: not allowed by the route, the retry budget or the limits, or the new run failed.
+   * `no-path`: no other chain had a slot.
+   */
+  readonly outcome: 'moved' | 'refused' | 'no-path';
+  /** The path of the stream. */
+  readonly path: readonly string[];
+}
+
+/** A run that is to take over a stream, from the moment at which it is sent. */
+interface Successor {
+  readonly chain: ChosenChain;
+  readonly cancel: () => void;
+  readonly result: Promise<StreamResult>;
 }
 
 /** Number of rejections without a run after which a stream is not sent again. */
@@ -87,6 +116,13 @@
   };
 }
 
+/** A run that was superseded although no other run continues the stream has broken off. */
+function toEnded(result: StreamResult): Exclude<StreamResult, { kind: 'superseded' }> {
+  if (result.kind !== 'superseded') return result;
+  const run = { ranMs: 0, hasAnswered: true, hasBegun: true, wasCutHere: true };
+  return { kind: 'broken', problem: 'superseded', isHeadHealthy: false, run };
+}
+
 export function createStreamDispatch(options: StreamDispatchOptions): StreamDispatch {
   const { context, streams, slots, probeAfterFailure, avoid, delay = delayByTimer } = options;
   const { clock, log, view, quarantine, crashes } = context;
@@ -97,6 +133,8 @@
     onStart: options.onStart,
   });
   let nextResumeAtMs = 0;
+  /** How each running stream is handed over to another run. */
+  const handOvers = new WeakMap<StreamRow, (row: StreamRow) => Promise<HandoverEnd | null>>();
 
   /**
    * Excludes the engine that caused a rejection. If the rejection names a culprit, all requests of
@@ -146,6 +184,7 @@
   }
 
   return {
+    handOver: (row) => handOvers.get(row)?.(row) ?? Promise.resolve(null),
     async run(admitted, model) {
       const { request, answer, route, service } = admitted;
       const content = contentOf(admitted);
@@ -200,6 +239,112 @@
         return isAllowed && hasTime && isBelowLimits && budget.spend(reservedShare);
       }
 
+      /** Whether a run may be sent beside the running one; takes a retry out of the budget. */
+      function mayHandOver(): boolean {
+        if (!route.isResumable || !progress.hasBegun || progress.lastEventId === null) return false;
+        if (answer.isClosed || !quarantine.mayRetry(content)) return false;
+        const hasTime = admitted.deadlineAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
+        // The running run counts as one, and the new one as another.
+        const isBelowLimits = runs + 1 < route.maxAttempts && attempts < MAX_ATTEMPTS;
+        return hasTime && isBelowLimits && budget.spend();
+      }
+
+      /** Runs an attempt and, if its head leaves, the one that takes over from it. */
+      async function runAttempt(search: SlotSearch, chain: ChosenChain) {
+        const old = new AbortController();
+        const state: { successor?: Successor } = {};
+        let isOver = false;
+        let reportSwitch = (): void => {};
+        const whenSwitched = new Promise<'switched'>((resolve) => {
+          reportSwitch = () => resolve('switched');
+        });
+        const handover = createHandover({
+          onSwitch() {
+            old.abort();
+            if (state.successor) recordChain(progress, state.successor.chain);
+            reportSwitch();
+          },
+        });
+        const isObsolete = () => isOver || answer.isClosed || quarantine.has(content);
+
+        async function findNext(next: SlotSearch): Promise<ChosenChain | null> {
+          const found = await slots.findForResumed(next, clock.nowMs());
+          if (!found) return null;
+          if (found.grantedBy === null && !isObsolete()) {
+            if (!found.hasCapacityForResumed) return null;
+            await waitToResume(clock.nowMs());
+          }
+          return found;
+        }
+
+        /** Whether a chain may run the stream beside the chain on which it runs now. */
+        function isFit({ stages }: ChosenChain, row: StreamRow): boolean {
+          // An engine could not tell the two runs apart, as they have the same request id.
+          return !stages.some(({ id }) => row.stages.some((used) => used.id === id));
+        }
+
+        async function handOver(row: StreamRow): Promise<HandoverEnd | null> {
+          if (isObsolete()) return null;
+          const { servedBy: path } = progress;
+          if (!mayHandOver()) return { outcome: 'refused', path };
+          const next: SlotSearch = {
+            ...search,
+            ticket: `${search.ticket}/moved`,
+            excludedHeads: new Set([...excluded, chain.headId]),
+            isQuarantined: isObsolete,
+          };
+          const found = await findNext(next);
+          if (!found || isObsolete() || !isFit(found, row)) {
+            // Releases the slot: an attempt that is cancelled before its start sends nothing.
+            const link = { signal: AbortSignal.abort(), handover };
+            if (found) await attempter.attempt(next, found, progress, link);
+            return isObsolete() ? null : { outcome: 'no-path', path };
+          }
+          const cancel = new AbortController();
+          runs += 1;
+          attempts += 1;
+          handover.open();
+          const result = attempter.attempt(next, found, progress, {
+            signal: cancel.signal,
+            handover,
+          });
+          state.successor = { chain: found, cancel: () => cancel.abort(), result };
+          const first = await Promise.race([whenSwitched, result]);
+          if (first === 'switched' || handover.isSwitched) {
+            return { outcome: 'moved', path: progress.servedBy };
+          }
+          if (first.kind === 'not-run' || first.kind === 'held-back') runs -= 1;
+          if (isOver) return null;
+          // The first run goes on; if it breaks off, the stream is resumed as without a handover.
+          state.successor = undefined;
+          excluded.add(found.headId);
+          if (first.kind === 'broken') await recordBrokenRun(admitted, found, first.run);
+          return { outcome: 'refused', path };
+        }
+
+        const result = await attempter.attempt(search, chain, progress, {
+          signal: old.signal,
+          onStart: (row) => handOvers.set(row, handOver),
+          onForwarded: handover.recordForwarded,
+          onCompleted: handover.recordCompleted,
+        });
+        isOver = true;
+        const { successor } = state;
+        if (!successor) return { result: toEnded(result), chain };
+        const isContinued = result.kind === 'superseded' || result.kind === 'broken';
+        if (!isContinued || quarantine.has(content)) {
+          successor.cancel();
+          return { result: toEnded(result), chain };
+        }
+        // A run that broke off before the switch is continued by the one that was sent already.
+        const next = await successor.result;
+        if (next.kind === 'not-run' || next.kind === 'held-back') {
+          return { result: toEnded(result), chain };
+        }
+        excluded.add(chain.headId);
+        return { result: toEnded(next), chain: successor.chain };
+      }
+
       budget.earn();
       while (mayAttempt()) {
         const waitStartMs = clock.nowMs();
@@ -211,21 +356,21 @@
           excludedHeads: excluded,
           isQuarantined: () => quarantine.has(content),
         };
-        const chain = mayHaveRun
+        const chosen = mayHaveRun
           ? await slots.findForResumed(search, progress.lastEventAtMs ?? waitStartMs)
           : await slots.findForNew(search);
-        if (chain?.grantedBy === null && isSpacingDue) {
+        if (chosen?.grantedBy === null && isSpacingDue) {
           await waitToResume(progress.lastEventAtMs ?? waitStartMs);
           if (answer.isClosed) return end('caller-left', progress.status);
         }
         isSpacingDue = false;
         progress.waitedMs += clock.nowMs() - waitStartMs;
-        if (!chain && answer.isClosed) return end('caller-left', progress.status);
+        if (!chosen && answer.isClosed) return end('caller-left', progress.status);
         // Other VMs may have reported crashes under this content while the request waited.
         if (!mayHaveRun) quarantine.check(content);
-        if (!chain || quarantine.has(content)) break;
+        if (!chosen || quarantine.has(content)) break;
         attempts += 1;
-        const result = await attempter.attempt(search, chain, progress);
+        const { result, chain } = await runAttempt(search, chosen);
         if (result.kind === 'caller-left') return end('caller-left', progress.status);
         isAttemptGranted = result.kind === 'held-back';
         if (result.kind === 'held-back') {
--- a/packages/entry/src/dispatch/streamPath.ts
+++ b/packages/entry/src/dispatch/streamPath.ts
@@ -107,6 +107,7 @@
   const migration = context.decisions.migration.isEnabled
     ? createStreamMigration({ clock, departureOf, position })
     : undefined;
+  let handOver: StreamDispatch['handOver'] = () => Promise.resolve(null);
   const repair = createStreamRepair({
     context,
     streams,
@@ -116,6 +117,7 @@
     requestProbe: probes.requestProbe,
     onLost: guard.recordLost,
     migration,
+    handOver: (row) => handOver(row),
   });
   const dispatch = createStreamDispatch({
     context,
@@ -125,6 +127,7 @@
     avoid,
     onStart: () => repair.watch(),
   });
+  ({ handOver } = dispatch);
 
   return { dispatch, repair, slots, methods: { ...slots.methods, ...probes.methods } };
 }
--- a/packages/entry/src/repair/streamMigration.ts
+++ b/packages/entry/src/repair/streamMigration.ts
@@ -6,6 +6,9 @@
  * streams that still run over it then pause at once, for 250 to 450 ms, as its replacement repeats
  * their prefill one by one. Moved one at a time beforehand, each pauses for its own prefill only.
  *
+ * A head cannot be replaced on a running path, so that a stream whose head leaves is restarted on
+ * another chain and handed over.
+ *
  * The entries do not coordinate. Each of them has its own phase in a common cycle, from its
  * position among the entries, so that all entries together move one stream in each turn.
  */
@@ -34,6 +37,8 @@
   readonly row: StreamRow;
   /** The engine that leaves. */
   readonly leavingId: string;
+  /** Whether it is the first engine of the path; the stream is then restarted on another chain. */
+  readonly isHead: boolean;
   /** The engines that the stream avoids from now on: all of its path that leave, if possible. */
   readonly avoidedIds: readonly string[];
   readonly announcedAtMs: number;
@@ -61,6 +66,10 @@
 const END_AFTER_MS = 2000;
 /** Least time for the moves, if the announcement arrived late. */
 const MIN_WINDOW_MS = 400;
+/** Time for which an engine that leaves serves at least. */
+const SERVES_MS = 2500;
+/** A restart spends a retry and a run, so that it is tried once. */
+const MAX_HEAD_TRIES = 1;
 /** A second try covers a replacement that had no room; more would load engines in vain. */
 const MAX_TRIES = 2;
 /** Time until a stream that is not ready to be moved is looked at again. */
@@ -100,10 +109,20 @@
     tries.set(row, known.set(id, count));
   }
 
+  /** Whether a stream is restarted because its head leaves, as it will not end in time. */
+  function mayRestart(row: StreamRow, head: PathStage, { announcedAtMs }: Departure): boolean {
+    const nowMs = clock.nowMs();
+    const servesMs = announcedAtMs + SERVES_MS - nowMs;
+    const isAllowed = row.admitted.route.isResumable && triesOf(row, head.id) < MAX_HEAD_TRIES;
+    return isAllowed && remainingMs(row, nowMs) > servesMs;
+  }
+
   /** Stages of a stream that are to be taken over by other engines. */
   function listLeavingStages(row: StreamRow): readonly PathStage[] {
     const [head, ...later] = row.stages;
-    if (!head || departureOf(head.id)) return [];
+    if (!head) return [];
+    const departure = departureOf(head.id);
+    if (departure) return mayRestart(row, head, departure) ? [head] : [];
     return later.filter(({ id }) => departureOf(id) && triesOf(row, id) < MAX_TRIES);
   }
 
@@ -146,7 +165,8 @@
     const isFirstTry = triesOf(row, id) === 0;
     const avoidedIds = isFirstTry ? listLeavingStages(row).map((stage) => stage.id) : [id];
     recordTries(row, id, triesOf(row, id) + 1);
-    return { row, leavingId: id, avoidedIds, announcedAtMs: plan.announcedAtMs };
+    const isHead = row.stages[0]?.id === id;
+    return { row, leavingId: id, isHead, avoidedIds, announcedAtMs: plan.announcedAtMs };
   }
 
   return {
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -6,6 +6,7 @@
 import type { PathStage } from '@spoolplank/routing';
 import type { BackendTarget } from '../dispatch/backendOperations';
 import type { ChainChoice } from '../dispatch/chainChoice';
+import type { HandoverEnd } from '../dispatch/streamDispatch';
 import type { EngineProbes } from './engineProbes';
 import type { EntryContext } from '../entryContext';
 import { createPathSilence } from './pathSilence';
@@ -27,6 +28,8 @@
   readonly onLost?: (row: StreamRow, instanceId: string) => void;
   /** Decides which streams are moved off engines that leave; none are moved without it. */
   readonly migration?: StreamMigration;
+  /** Restarts a stream on another chain, as its head leaves; null if it has ended. */
+  readonly handOver?: (row: StreamRow) => Promise<HandoverEnd | null>;
   /** Runs a function after a delay; by default with a timer. */
   readonly schedule?: (run: () => void, delayMs: number) => void;
 }
@@ -243,9 +246,22 @@
     return operations.repair(target, id, stages, REPAIR_TIMEOUT_MS);
   }
 
+  function recordMove(due: DueMove, outcome: MoveOutcome, path: readonly string[]): void {
+    const { row, leavingId, announcedAtMs } = due;
+    metrics.count('spoolplank_stream_migrations_total', { outcome });
+    log.info('stream-migrated', {
+      requestId: row.admitted.request.id,
+      leaving: leavingId,
+      path,
+      outcome,
+      silentMs: Math.round(clock.nowMs() - row.lastProgressAtMs),
+      factAgeMs: Math.round(clock.nowMs() - announcedAtMs),
+    });
+  }
+
   /** Moves a stream off an engine that leaves. A stream that cannot be moved stays on its path. */
   async function move(due: DueMove): Promise<void> {
-    const { row, leavingId, avoidedIds, announcedAtMs } = due;
+    const { row, leavingId, avoidedIds } = due;
     const [head] = row.stages;
     const excluded = new Set([...row.lostIds, ...avoidedIds]);
     const stages = chains.repair(row.admitted.service, row.model, row.stages, excluded);
@@ -261,29 +277,31 @@
     // A stream that ended during the move is unknown to its head.
     if (outcome !== 'moved' && !isRunning(row)) return;
     if (outcome !== 'moved' && row.lostIds.has(leavingId)) outcome = 'lost';
-    metrics.count('spoolplank_stream_migrations_total', { outcome });
-    log.info('stream-migrated', {
-      requestId: row.admitted.request.id,
-      leaving: leavingId,
-      path: describePath(row.stages),
-      outcome,
-      silentMs: Math.round(clock.nowMs() - row.lastProgressAtMs),
-      factAgeMs: Math.round(clock.nowMs() - announcedAtMs),
-    });
+    recordMove(due, outcome, describePath(row.stages));
+  }
+
+  /** Hands a stream over to a new run on another chain, as its head leaves. */
+  async function restart(due: DueMove): Promise<void> {
+    const end = (await options.handOver?.(due.row)) ?? null;
+    if (end) recordMove(due, end.outcome, end.path);
+  }
+
+  function recordMoveFailure({ row }: DueMove, error: unknown): void {
+    const requestId = row.admitted.request.id;
+    log.warn('stream-migration-failed', { requestId, problem: String(error) });
   }
 
   function startMove(due: DueMove): void {
     const { row } = due;
     if (quarantine.has(contentOf(row.admitted))) return;
+    if (due.isHead) {
+      restart(due).catch((error: unknown) => recordMoveFailure(due, error));
+      return;
+    }
     isMoving = true;
     row.isRepairing = true;
     move(due)
-      .catch((error: unknown) => {
-        log.warn('stream-migration-failed', {
-          requestId: row.admitted.request.id,
-          problem: String(error),
-        });
-      })
+      .catch((error: unknown) => recordMoveFailure(due, error))
       .finally(() => {
         isMoving = false;
         row.isRepairing = false;
@@ -292,7 +310,7 @@
       });
   }
 
-  /** Moves at most one stream at a time off engines that leave. */
+  /** Moves streams off engines that leave, at most one at a time to another path. */
   function migrateDue(nowMs: number): void {
     if (!migration) return;
     if (nowMs - plannedAtMs >= PLAN_INTERVAL_MS) {
