test(repair): draw the weights of all VMs from one random source

Cause: pathLoss.spec.ts gave each VM a source seeded with its number.

The assertions are unchanged.

--- a/packages/entry/__tests__/pathLoss.spec.ts
+++ b/packages/entry/__tests__/pathLoss.spec.ts
@@ -66,7 +66,7 @@
       streams,
       chains: createChainChoice({
         view,
-        random: createSeededRandom(index),
+        random,
         dataCentre: 'a',
         ownInFlight: () => 0,
         countEntries: () => VMS,
