feat(entry): retry times after a start of all VMs are spread

Cause: after a power loss all entries refuse requests with settings-stale until the configuration arrives, and told their callers one fixed second: all that had waited returned together. Requests with a deadline of 0.6 s waited up to 1.8 s for the configuration.

Change: before its first configuration an entry spreads the retry times over the time that the start has taken, at least 1 s and at most 4 s, from the end of the usual start, within a third of the time that the caller has left. A request waits for the configuration for at most 0.6 of its deadline. Later losses of the confirmation are answered as before. decisions.forecast.isEnabled switches it off.

Where no deadline is stated, the wait is the same as before.

--- a/packages/entry/__tests__/slotFinder.spec.ts
+++ b/packages/entry/__tests__/slotFinder.spec.ts
@@ -3,11 +3,11 @@
 import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, Route } from '@spoolplank/routing';
 import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
-import type { ChainChoice } from '../src/dispatch/chainChoice';
+import type { ChainChoice, ChosenChain } from '../src/dispatch/chainChoice';
 import { createStreamTable } from '../src/dispatch/streamTable';
 import type { RefusedSlot, SlotClient } from '../src/slots/slotClient';
 import { createSlotFinder } from '../src/slots/slotFinder';
-import { createAdmitted, createRoute, MODEL } from './fixtures';
+import { createAdmitted, createChain, createRoute, MODEL } from './fixtures';
 import { ADMITTED, createDataCentre } from './slotFixtures';
 import type { DataCentre, Vm } from './slotFixtures';
 import { createVirtualTime } from './virtualTime';
@@ -25,13 +25,14 @@
   { clock, delay }: Pick<DataCentre, 'clock' | 'delay'>,
   slots: SlotClient,
   decisions: DecisionSettings,
+  ownChoice?: ChosenChain,
 ) {
   const finder = createSlotFinder({
     clock,
     random: createSeededRandom(1),
     delay,
     streams: createStreamTable({ clock }),
-    chains: { choose: () => undefined } as unknown as ChainChoice,
+    chains: { choose: () => ownChoice } as unknown as ChainChoice,
     slots,
     backoffs: { retryAfterMs: () => 0, isEmpty: true },
     hasAllocator: () => true,
@@ -116,3 +117,15 @@
     assert.equal(await refuse({ retryInMs: 9000 }), 9000);
   });
 });
+
+describe('an entry that has just started', () => {
+  it('chooses a chain itself while it knows no allocator', async () => {
+    const time = createVirtualTime();
+    const slots = {
+      find: () => Promise.resolve({ kind: 'unavailable' }),
+    } as unknown as SlotClient;
+    const find = createFinder(time, slots, DEFAULT_DECISIONS, createChain('c1'));
+    const [found] = await Promise.all([find('first', {}), time.pass(100)]);
+    assert.deepEqual(found, { waitedMs: 0, isGranted: true, error: null });
+  });
+});
--- a/packages/entry/src/admission/requestAdmission.ts
+++ b/packages/entry/src/admission/requestAdmission.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request is admitted, and selects its route and service. */
-import { delay } from '@spoolplank/node';
-import { drawTarget } from '@spoolplank/routing';
+import { delay as realDelay } from '@spoolplank/node';
+import { DEFAULT_DECISIONS, drawTarget, MAX_REMAINING_SHARE } from '@spoolplank/routing';
+import type { DecisionSettings } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, Random } from '@spoolplank/shared';
 import { createCallerAge } from './callerAge';
@@ -16,6 +17,8 @@
   readonly isReadyToRoute: () => boolean;
   /** Whether the last confirmation is recent enough to know of removed routes and keys. */
   readonly isFresh: () => boolean;
+  readonly decisions?: Pick<DecisionSettings, 'forecast'>;
+  readonly delay?: (durationMs: number) => Promise<void>;
 }
 
 export interface RequestAdmission {
@@ -31,7 +34,7 @@
 
 /**
  * Time after the start for which requests wait for the routing document, which arrives once the
- * consensus core has elected a leader.
+ * consensus core has elected a leader. Callers of streams abandon them after 2 s at the earliest.
  */
 const STARTUP_MS = 1800;
 const STARTUP_POLL_MS = 20;
@@ -40,16 +43,48 @@
  * a second or two.
  */
 const STALE_RETRY_AFTER_MS = 1000;
+/**
+ * Share of the caller's deadline for which a request waits for the routing document; the rest is
+ * left for the run.
+ */
+const STARTUP_WAIT_SHARE = 0.6;
+/** Maximum time over which callers return after the expected end of a start. */
+const MAX_RETURN_SPREAD_MS = 4000;
 /** Short, as another entry can serve the request as soon as the caller has connected to it. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
 
 export function createRequestAdmission(options: RequestAdmissionOptions): RequestAdmission {
   const { clock, random, view, isReadyToRoute, isFresh } = options;
+  const { decisions = DEFAULT_DECISIONS, delay = realDelay } = options;
   const callerAge = createCallerAge();
   const startedAtMs = clock.nowMs();
   let isRefusing = false;
+  /** Whether the routing document was seen since the start. */
+  let wasReady = false;
 
-  function staleError(): SpoolplankError {
+  /** Time that the caller has left; infinite when it stated none. */
+  function remainingMsOf({ arrivedAtMs, deadlineMs }: CallerRequest): number {
+    if (deadlineMs === null) return Number.POSITIVE_INFINITY;
+    return Math.max(0, arrivedAtMs + deadlineMs - clock.nowMs());
+  }
+
+  /**
+   * Retry time before the first routing document. After a power loss, all entries refuse callers at
+   * the same time, who would return together after a fixed time. They are spread over the time that
+   * the start has taken, as a late start tends to take about as long again.
+   */
+  function spreadRetryMs(request: CallerRequest): number {
+    const startedForMs = clock.nowMs() - startedAtMs;
+    const startupLeftMs = Math.max(0, STARTUP_MS - startedForMs);
+    const spreadMs = Math.min(MAX_RETURN_SPREAD_MS, Math.max(STALE_RETRY_AFTER_MS, startedForMs));
+    const retryInMs = startupLeftMs + random.nextInt(Math.ceil(spreadMs));
+    return Math.round(Math.min(retryInMs, remainingMsOf(request) * MAX_REMAINING_SHARE));
+  }
+
+  function staleError(request: CallerRequest): SpoolplankError {
+    if (decisions.forecast.isEnabled && !wasReady) {
+      return new SpoolplankError('settings-stale', { retryAfterMs: spreadRetryMs(request) });
+    }
     const startupLeftMs = Math.max(0, STARTUP_MS - (clock.nowMs() - startedAtMs));
     const retryAfterMs = Math.max(STALE_RETRY_AFTER_MS, startupLeftMs);
     return new SpoolplankError('settings-stale', { retryAfterMs });
@@ -59,8 +94,13 @@
    * Waits for the routing document, which arrives within a second or two of the start. Without the
    * wait, all entries would refuse all requests for that time after a power failure.
    */
-  async function waitForStartup(): Promise<void> {
-    const endsAtMs = startedAtMs + STARTUP_MS;
+  async function waitForStartup(request: CallerRequest): Promise<void> {
+    const { arrivedAtMs, deadlineMs } = request;
+    const patienceMs =
+      decisions.forecast.isEnabled && deadlineMs !== null
+        ? deadlineMs * STARTUP_WAIT_SHARE
+        : STARTUP_MS;
+    const endsAtMs = Math.min(startedAtMs + STARTUP_MS, arrivedAtMs + patienceMs);
     while (!isReadyToRoute() && clock.nowMs() < endsAtMs) await delay(STARTUP_POLL_MS);
   }
 
@@ -69,11 +109,11 @@
       throw new SpoolplankError('shutting-down', { retryAfterMs: SHUTDOWN_RETRY_AFTER_MS });
     }
     const routes = view.routes();
-    if (!routes) throw staleError();
+    if (!routes) throw staleError(request);
     const route = routes.findRoute(request.host, request.url);
     const needsKey = routes.document.isKeyRequired && !route?.isAnonymousAllowed;
     // Without a fresh confirmation, recently added or removed routes and keys are unknown.
-    if ((needsKey || !route) && !isFresh()) throw staleError();
+    if ((needsKey || !route) && !isFresh()) throw staleError(request);
     if (!route) throw new SpoolplankError('not-found');
     const organisation = request.key === null ? undefined : routes.findOrganisation(request.key);
     if (needsKey && !organisation) throw new SpoolplankError('unauthorized');
@@ -95,7 +135,8 @@
       isRefusing = true;
     },
     async admit(request, answer) {
-      if (!isReadyToRoute()) await waitForStartup();
+      if (!isReadyToRoute()) await waitForStartup(request);
+      wasReady ||= isReadyToRoute();
       return decide(request, answer);
     },
   };
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -217,7 +217,13 @@
     notices.listOutgoingFacts,
   ].forEach(facts.addSource);
 
-  const admission = createRequestAdmission({ clock, random, view, ...readiness });
+  const admission = createRequestAdmission({
+    clock,
+    random,
+    view,
+    decisions: context.decisions,
+    ...readiness,
+  });
 
   function dispatch(admitted: AdmittedRequest): Promise<RequestEnd> {
     const { service, route } = admitted;
