feat(slots): bound and match paths by their predicted timing

Cause: an engine that is slow by a factor of 3 to 12 keeps its free memory, so its chain is filled until the streams over it no longer keep their pauses. Requests of a route with a long target take the fast chains from those with a short one.

Change: `pathTiming` predicts the pause between events and the time to first event of a path, from step, prefill, slowdown and load of each engine. A path with a slow or shared engine takes new streams while its pause stays within 0.8 of `targetGapMs`; where the slowdown alone exceeds that it is the last resort. Where the stream routes of a service differ in target, requests with the longest one take the slowest path that keeps it once the faster paths are half full. Asks state both targets, which needs one line in `slotFinder`. Slots that are predicted to miss a target count in `spoolplank_slot_target_misses_total` and are logged as `slot-target-missed`.

--- a/packages/entry/__tests__/sharedEngines.spec.ts
+++ b/packages/entry/__tests__/sharedEngines.spec.ts
@@ -220,6 +220,32 @@
     assert.ok(total > 120, `${total} in flight`);
   });
 
+  it('an allocator that takes over counts reported load before any list', async () => {
+    const catalog = createPathCatalog(createChainFacts());
+    catalog.lose(...LOST);
+    const lostHost = await findAllocatorHost();
+    const quietHost = lostHost === 'vm0' ? 'vm1' : 'vm0';
+    let isQuiet = false;
+    const site = createSite(catalog, true, {
+      isCallLost: (from) => isQuiet && from === quietHost,
+    });
+    await completeAccount(site);
+    const { paths, capacity } = catalog.layoutOf();
+    const present = paths.find(({ headId }) => headId === 'c2-0');
+    assert.ok(present);
+    const held = Math.floor(present.capacity * 0.9);
+    holdOn(site, site.vms.find(({ host }) => host === quietHost) as Vm, held, present.stages);
+    await site.pass(1100);
+    isQuiet = true;
+    const lost = site.vms.find(({ host }) => host === lostHost) as Vm;
+    lost.isUp = false;
+    await site.pass(1100);
+    const granted = await grantAll(site);
+    const total = granted.length + held;
+    assert.ok(total <= capacity * 0.94, `${granted.length} granted beside ${held} held`);
+    assert.ok(granted.length > capacity * 0.4, `${granted.length} granted`);
+  });
+
   it('a list that is lost is made up for by the next', async () => {
     const catalog = createPathCatalog(createChainFacts());
     let isLosing = false;
@@ -286,7 +312,8 @@
       const size = 0.3 + 2 * random.nextFloat();
       const hasBegun = random.nextInt(10) === 0;
       const vm = site.vms[random.nextInt(4)] as Vm;
-      const overrides = { size, hasBegun, priority: random.nextInt(3) };
+      const targets = { targetGapMs: 250, targetFirstEventMs: 500 };
+      const overrides = { size, hasBegun, targets, priority: random.nextInt(3) };
       site.send(vm, `r${index}`, overrides, 500 + random.nextInt(3000));
       await site.pass(random.nextInt(index % 300 < 150 ? 8 : 25));
     }
--- a/packages/entry/src/dispatch/chainCatalog.ts
+++ b/packages/entry/src/dispatch/chainCatalog.ts
@@ -17,6 +17,8 @@
 } from '@spoolplank/routing';
 import type {
   CapacityEngine,
+  EnginePace,
+  EnginePaces,
   EngineRooms,
   ModelDescription,
   PathStage,
@@ -45,6 +47,9 @@
    */
   readonly paths: readonly RatedChain[];
   readonly rooms: EngineRooms;
+  readonly paces: EnginePaces;
+  /** Whether an engine is slower than others of its kind. */
+  readonly hasSlow: boolean;
   /** Whether no engine is on the paths of two chains, and every head has a chain. */
   readonly isDisjoint: boolean;
   /** Requests of usual size that all paths together can take; the least-held layer limits it. */
@@ -83,7 +88,16 @@
 }
 
 const MS_PER_S = 1000;
-const NO_PATHS: PathLayout = { paths: [], rooms: new Map(), isDisjoint: true, capacity: 0 };
+/** Slowdown from which an engine counts as slow; smaller ones are within the usual variation. */
+const SLOW_FROM = 1.5;
+const NO_PATHS: PathLayout = {
+  paths: [],
+  rooms: new Map(),
+  paces: new Map(),
+  hasSlow: false,
+  isDisjoint: true,
+  capacity: 0,
+};
 
 /** Time that one layer takes per output token, including its share of the prompt prefill. */
 function layerCostMs(kindName: string, model: ModelDescription): number {
@@ -137,17 +151,19 @@
   return freeRequests(stages, rooms, { loadOf: () => 0, headSize: 0, share: 1 });
 }
 
-function planLayout(
+type PathPlan = Pick<PathLayout, 'paths' | 'isDisjoint' | 'capacity'>;
+
+function planPaths(
   chains: readonly RatedChain[],
   engines: readonly StageEngine[],
   rooms: EngineRooms,
   { layers }: ModelDescription,
-): PathLayout {
+): PathPlan {
   const heads = listHeads(engines);
   const headIds = new Set(chains.map(({ headId }) => headId));
   if (areDisjoint(chains) && heads.every(({ id }) => headIds.has(id))) {
     const capacity = chains.reduce((sum, chain) => sum + chain.capacity, 0);
-    return { paths: chains, rooms, isDisjoint: true, capacity };
+    return { paths: chains, isDisjoint: true, capacity };
   }
   const found = [
     ...chains.map(({ stages }) => stages),
@@ -163,7 +179,28 @@
     paths.map(({ stages }) => stages),
     rooms,
   );
-  return { paths, rooms, isDisjoint: false, capacity };
+  return { paths, isDisjoint: false, capacity };
+}
+
+/** Speed of each engine relative to the reference accelerator. */
+function toPaces(
+  facts: readonly BackendFact[],
+  model: ModelDescription,
+  slowdownOf: (instanceId: string) => number,
+): EnginePaces {
+  return new Map(
+    facts.map(({ instanceId, engine }): [string, EnginePace] => {
+      const kind = model.kinds.find(({ name }) => name === engine?.acceleratorKind);
+      const slowdown = slowdownOf(instanceId);
+      const { stepFactor = 1, readFactor = 1 } = kind ?? {};
+      const isSlow = slowdown >= SLOW_FROM;
+      const factor = isSlow ? slowdown : 1;
+      return [
+        instanceId,
+        { stepFactor: stepFactor * factor, readFactor: readFactor * factor, isSlow },
+      ];
+    }),
+  );
 }
 
 export function createChainCatalog({ view, isAvoided }: ChainCatalogOptions): ChainCatalog {
@@ -256,12 +293,13 @@
       const facts = groupByDataCentre(service).get(dataCentre) ?? [];
       if (facts.length === 0) return NO_PATHS;
       const cached = cachedOf(dataCentre, facts, model);
-      cached.layout ??= planLayout(
-        cached.chains,
-        toStageEngines(facts, model),
-        toEngineRooms(toCapacityEngines(facts), model),
-        model,
-      );
+      if (!cached.layout) {
+        const rooms = toEngineRooms(toCapacityEngines(facts), model);
+        const paces = toPaces(facts, model, view.slowdownOf);
+        const plan = planPaths(cached.chains, toStageEngines(facts, model), rooms, model);
+        const hasSlow = [...paces.values()].some(({ isSlow }) => isSlow);
+        cached.layout = { ...plan, rooms, paces, hasSlow };
+      }
       return cached.layout;
     },
     listEnginesInSameDataCentre(service, model, instanceId) {
--- a/packages/entry/src/slots/heldPaths.ts
+++ b/packages/entry/src/slots/heldPaths.ts
@@ -1,9 +1,9 @@
 /**
  * Adds the paths of streams to the lists of held slots that a VM sends to an allocator.
  *
- * The engine ids of a path take 20 times the bytes of a slot, and a busy VM sends a list with each
- * of its asks. Paths are therefore listed once a second, at once when one has changed, and to a VM
- * that was not asked before, such as a new allocator. A lost list is made up for by the next one.
+ * The engine ids of a path take several times the bytes of a slot, and a busy VM sends a list with
+ * each of its asks. Paths are therefore listed once a second, at once when one has changed, and to
+ * a VM that was not asked before, such as a new allocator. A lost list is made up for by the next.
  */
 import { keyOfPath, toHeldPath } from '@spoolplank/routing';
 import type { HeldPath, HeldSlot, HoldingsReport, PathStage } from '@spoolplank/routing';
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -16,6 +16,7 @@
 import type { LimitAccount } from '../limits/limitAccount';
 import { createSlotAccount } from './slotAccount';
 import { createSlotChains } from './slotChains';
+import type { ChosenPath } from './pathChoice';
 import type { SlotChainsOptions } from './slotChains';
 import { createSlotPermits } from './slotPermits';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
@@ -35,6 +36,8 @@
   readonly isAllocator: () => boolean;
   /** Whether this VM has a configuration. Without one it has no chains to allocate. */
   readonly isConfigured: () => boolean;
+  /** Called with each granted slot. */
+  readonly onGranted?: (ask: SlotAsk, chosen: ChosenPath) => void;
 }
 
 export interface SlotAllocator {
@@ -109,6 +112,7 @@
   function findSlot(holder: string, ask: SlotAsk): GrantedSlot | undefined {
     const chosen = slotChains.findBest(ask);
     if (!chosen) return undefined;
+    options.onGranted?.(ask, chosen);
     const { headId, stages, capacity } = chosen;
     const limitPerS = permits.take(holder, ask.ticket, headId);
     const path = options.chains.layoutOf && !ask.heads ? toHeldPath(stages) : undefined;
--- a/packages/entry/src/slots/slotChains.ts
+++ b/packages/entry/src/slots/slotChains.ts
@@ -15,6 +15,8 @@
 import type { PathLayout, RatedChain } from '../dispatch/chainCatalog';
 import type { ChainChoice } from '../dispatch/chainChoice';
 import type { LimitAccount } from '../limits/limitAccount';
+import { choosePath, createLayoutTiming } from './pathChoice';
+import type { ChosenPath, LayoutTiming, PathCandidate } from './pathChoice';
 import { createPathLoads } from './pathLoads';
 import type { PathLoadsOptions } from './pathLoads';
 import type { SlotAsk, SlotCall } from './slotMessages';
@@ -35,13 +37,15 @@
   readonly engineLoads?: PathLoadsOptions['engineLoads'];
   /** Recent time to first event on a chain. */
   readonly firstEventMs: (headId: string) => number;
+  /** The longest target to a first event of the routes of a service; undefined if all are equal. */
+  readonly longestTargetMs?: (service: string) => number | undefined;
 }
 
 export interface SlotChains {
   /** Records the engines that rejected a request of the asking VM. */
   recordAvoided(call: SlotCall): void;
   /** The best chain with a free slot for a request; undefined if there is none. */
-  findBest(ask: SlotAsk): RatedChain | undefined;
+  findBest(ask: SlotAsk): ChosenPath | undefined;
   /** Whether some chain can serve the request, now or after waiting. */
   hasUsable(ask: SlotAsk): boolean;
   /**
@@ -77,11 +81,18 @@
   return { headId: instanceId, stages: [stage], capacity: UNBOUNDED };
 }
 
+/** The heads of chains. A layout may have several paths for a head. */
+function headsOf(chains: readonly RatedChain[], layout: PathLayout | undefined): readonly string[] {
+  const heads = chains.map(({ headId }) => headId);
+  return layout ? [...new Set(heads)] : heads;
+}
+
 export function createSlotChains(options: SlotChainsOptions): SlotChains {
   const { clock, dataCentre, chains, limits, inFlightOn } = options;
   const avoidedUntilMs = new Map<string, number>();
   const { engineLoads = () => createEngineLoads() } = options;
   const loads = createPathLoads({ engineLoads, inFlightOn });
+  const timings = new WeakMap<PathLayout, LayoutTiming>();
 
   /**
    * Ignores calls from other data centres, as the network path from there may be at fault rather
@@ -135,15 +146,20 @@
     return Math.min(capacity, inFlightOn(headId) + permittedSoon);
   }
 
-  /** Cost of a chain by its load and latency; `layout` is set where engines are shared. */
-  function costOf(
+  /** Used share of a chain; `layout` is set where the load of each engine decides. */
+  function usedShareOf(
     { headId, stages, capacity }: RatedChain,
     layout: PathLayout | undefined,
   ): number {
-    const slowness = options.firstEventMs(headId) / SLOW_FIRST_EVENT_MS;
     const headSize = inFlightOn(headId);
-    if (!layout) return headSize / Math.max(1, capacity) + slowness;
-    return usedShare(stages, layout.rooms, { loadOf: loads.loadOf, headSize }) + slowness;
+    if (!layout) return headSize / Math.max(1, capacity);
+    return usedShare(stages, layout.rooms, { loadOf: loads.loadOf, headSize });
+  }
+
+  /** Cost of a chain by its load and latency. */
+  function costOf(chain: RatedChain, layout: PathLayout | undefined): number {
+    const slowness = options.firstEventMs(chain.headId) / SLOW_FIRST_EVENT_MS;
+    return usedShareOf(chain, layout) + slowness;
   }
 
   function layoutOf(service: string): PathLayout | undefined {
@@ -151,12 +167,18 @@
     return model && chains.layoutOf?.(service, model, dataCentre);
   }
 
-  /** The layout for an ask, with current loads, unless the load by head alone decides. */
-  function sharedLayoutOf({ service, heads }: SlotAsk): PathLayout | undefined {
-    const layout = heads ? undefined : layoutOf(service);
-    if (!layout || loads.isKnownByHead(layout)) return undefined;
-    loads.refresh(layout);
-    return layout;
+  function timingOf(layout: PathLayout, model: ModelDescription): LayoutTiming {
+    const known = timings.get(layout);
+    if (known) return known;
+    const timing = createLayoutTiming(layout, model, loads.loadOf);
+    timings.set(layout, timing);
+    return timing;
+  }
+
+  /** Whether an ask has the longest of the different targets of its service's routes. */
+  function isPatient({ service, targetFirstEventMs }: SlotAsk): boolean {
+    if (targetFirstEventMs === undefined) return false;
+    return targetFirstEventMs === options.longestTargetMs?.(service);
   }
 
   /**
@@ -189,27 +211,46 @@
     const usable = listUsable(ask);
     const isLimited = ({ headId }: RatedChain) => limits.limitPerSOf(headId) !== null;
     if (usable.length === 0 || !usable.every(isLimited)) return null;
-    const heads = new Set(usable.map(({ headId }) => headId));
-    return [...heads].reduce((sum, headId) => sum + limits.ratePerS(headId), 0);
+    const heads = headsOf(usable, layoutOf(ask.service));
+    return heads.reduce((sum, headId) => sum + limits.ratePerS(headId), 0);
+  }
+
+  function findCheapest(free: readonly RatedChain[]): RatedChain | undefined {
+    let best: RatedChain | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    free.forEach((chain) => {
+      const cost = costOf(chain, undefined);
+      if (cost >= bestCost) return;
+      best = chain;
+      bestCost = cost;
+    });
+    return best;
   }
 
   return {
     recordAvoided,
     findBest(ask) {
-      const layout = sharedLayoutOf(ask);
-      let best: RatedChain | undefined;
-      let bestCost = Number.POSITIVE_INFINITY;
-      for (const chain of listChains(ask)) {
-        const isFree = () => (layout ? hasFreePath(chain, layout, ask) : hasFreeSlot(chain, ask));
-        if (isUsable(chain, ask) && isFree() && limits.hasPermit(chain.headId)) {
-          const cost = costOf(chain, layout);
-          if (cost < bestCost) {
-            best = chain;
-            bestCost = cost;
-          }
-        }
-      }
-      return best;
+      const model = options.modelOf(ask.service);
+      const layout = ask.heads ? undefined : layoutOf(ask.service);
+      const sharing = layout && !loads.isKnownByHead(layout) ? layout : undefined;
+      const patient = isPatient(ask);
+      const isTimed = layout && model && (sharing || layout.hasSlow || patient);
+      if (isTimed) loads.refresh(layout);
+      const isFree = (chain: RatedChain) =>
+        sharing ? hasFreePath(chain, sharing, ask) : hasFreeSlot(chain, ask);
+      const permitted = listUsable(ask).filter(({ headId }) => limits.hasPermit(headId));
+      if (!isTimed) return findCheapest(permitted.filter(isFree));
+      const toCandidate = (chain: RatedChain, isFreeNow: boolean): PathCandidate => ({
+        chain,
+        isFree: isFreeNow,
+        cost: costOf(chain, sharing),
+        usedShare: usedShareOf(chain, sharing),
+      });
+      // The load of full paths matters only to requests with a long target.
+      const candidates = patient
+        ? permitted.map((chain) => toCandidate(chain, isFree(chain)))
+        : permitted.filter(isFree).map((chain) => toCandidate(chain, true));
+      return choosePath(candidates, ask, { timing: timingOf(layout, model), isPatient: patient });
     },
     hasUsable: (ask) => listUsable(ask).length > 0,
     isTurnedAway,
@@ -218,11 +259,11 @@
       const layout = layoutOf(service);
       const model = options.modelOf(service);
       const own = layout?.paths ?? (model ? chains.listOf(service, model, dataCentre) : []);
-      const headIds = new Set(own.map(({ headId }) => headId));
-      const inFlight = [...headIds].reduce((sum, headId) => sum + inFlightOn(headId), 0);
+      const headIds = headsOf(own, layout);
+      const inFlight = headIds.reduce((sum, headId) => sum + inFlightOn(headId), 0);
       const bounded =
         layout && !layout.isDisjoint
-          ? [...headIds].map((headId) => ({
+          ? headIds.map((headId) => ({
               headId,
               capacity: layout.rooms.get(headId)?.slots ?? 0,
             }))
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -32,6 +32,8 @@
   readonly latestStartAtMs: number;
   /** Time at which the request stops waiting. */
   readonly queueDeadlineAtMs: number;
+  /** Targets of a stream for the pause between events and the time to the first one. */
+  readonly targets?: Pick<SlotAsk, 'targetGapMs' | 'targetFirstEventMs'>;
   /** Plain servers that may serve the request; undefined for a stream, which needs a chain. */
   readonly heads?: readonly string[];
   /** First engines of the chains that were already tried. */
@@ -221,6 +223,7 @@
       isRetry,
       waitedMs: nowMs - request.arrivedAtMs,
       inTimeForMs: request.latestStartAtMs - nowMs,
+      ...request.targets,
       leavesInMs: request.queueDeadlineAtMs - nowMs,
       ...(heads ? { heads } : {}),
       excludedHeads: [...request.excludedHeads],
--- a/packages/entry/src/slots/slotFinder.ts
+++ b/packages/entry/src/slots/slotFinder.ts
@@ -116,6 +116,7 @@
       hasBegun,
       isRetry: callerAgeMs > route.targetLatencyMs,
       arrivedAtMs,
+      targets: { targetGapMs: route.targetGapMs, targetFirstEventMs: route.targetLatencyMs },
       latestStartAtMs: arrivedAtMs - callerAgeMs + route.targetLatencyMs - firstEventMs,
       queueDeadlineAtMs,
       excludedHeads,
--- a/packages/entry/src/slots/slotMessages.ts
+++ b/packages/entry/src/slots/slotMessages.ts
@@ -23,6 +23,10 @@
   readonly waitedMs: number;
   /** Time left in which a slot still meets the latency target; negative if it is too late. */
   readonly inTimeForMs: number;
+  /** Target for the longest pause between events of a stream; older VMs state none. */
+  readonly targetGapMs?: number;
+  /** Target time to the first event of a stream; older VMs state none. */
+  readonly targetFirstEventMs?: number;
   /** Time left until the request gives up waiting. */
   readonly leavesInMs: number;
   /** Plain servers that may serve the request; undefined for a stream, which needs a chain. */
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -22,6 +22,7 @@
 import { createSlotClient } from './slotClient';
 import { createSlotFinder } from './slotFinder';
 import type { SlotFinder } from './slotFinder';
+import { createTargetMisses } from './targetMisses';
 import { SLOTS_METHOD } from './slotMessages';
 import type { SlotCall, SlotReply } from './slotMessages';
 
@@ -94,6 +95,19 @@
     return view.routes()?.document.services.find(({ name }) => name === service)?.model;
   }
 
+  /** The longest target to a first event of the routes of a service, if their targets differ. */
+  function longestTargetMs(service: string): number | undefined {
+    const routes = view.routes()?.document.routes ?? [];
+    let shortestMs = Number.POSITIVE_INFINITY;
+    let longestMs = 0;
+    routes.forEach(({ kind, targets, targetLatencyMs }) => {
+      if (kind !== 'stream' || !targets.some((target) => target.service === service)) return;
+      shortestMs = Math.min(shortestMs, targetLatencyMs);
+      longestMs = Math.max(longestMs, targetLatencyMs);
+    });
+    return longestMs > shortestMs ? longestMs : undefined;
+  }
+
   const isAllocator = () => rank.find(dataCentre)?.host === host;
   const account = createLimitAccount({
     clock,
@@ -117,6 +131,8 @@
     firstEventMs: (headId) => streams.firstEventMs(headId),
     isAllocator,
     isConfigured: () => view.routes() !== null,
+    longestTargetMs,
+    onGranted: createTargetMisses({ clock, log, metrics }),
   });
 
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -13,6 +13,7 @@
 export * from './src/lineage';
 export * from './src/namedLimits';
 export * from './src/pathCapacity';
+export * from './src/pathTiming';
 export * from './src/permitAccount';
 export * from './src/requestSize';
 export * from './src/backoffTable';
