fix(slots): drop the granted path of a slot that runs on another chain

Cause: a ticket whose answer was lost is asked for again and may run on another chain. A list without paths kept the path that was granted first, so the load by engine and by head differed.

Change: a known path is kept only while the listed slot has the same head.

Conclusion: such a slot counts for its head until the next list with paths.

--- a/packages/routing/__tests__/engineLoad.spec.ts
+++ b/packages/routing/__tests__/engineLoad.spec.ts
@@ -56,6 +56,16 @@
     assert.deepEqual([loadOf('a'), loadOf('b')], [0, 5]);
   });
 
+  it('drop the granted path of a slot that its holder lists on another chain', () => {
+    const { ledger, slot, loadOf } = createFixture();
+    ledger.grant('vm1', slot('r1'), OVER_A);
+    ledger.report('vm1', { sequence: 1, slots: [{ ...slot('r1'), headId: 'other' }] });
+    assert.deepEqual(
+      [loadOf('a'), ledger.heldSizeOf('h'), ledger.heldSizeOf('other')],
+      [0, 0, 0.1],
+    );
+  });
+
   it('leave out a slot with an unknown path, which counts for its head', () => {
     const { ledger, slot, loadOf } = createFixture();
     ledger.report('vm1', { sequence: 1, slots: [slot('r1', 7)], paths: [OVER_A] });
--- a/packages/routing/src/slotLedger.ts
+++ b/packages/routing/src/slotLedger.ts
@@ -180,8 +180,10 @@
       const records = paths?.map((path) => engines.recordOf(path));
       slots.forEach((slot) => {
         const listedPath = slot.path === undefined ? undefined : records?.[slot.path];
-        const path = paths ? listedPath : holder.entries.get(slot.ticket)?.path;
-        put(holder, slot, path, true);
+        const known = holder.entries.get(slot.ticket)?.path;
+        // A ticket that was asked for again may run on another chain than the one granted here.
+        const knownPath = known?.headId === slot.headId ? known : undefined;
+        put(holder, slot, paths ? listedPath : knownPath, true);
       });
     },
     cancel(name, ticket) {
