--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -25,6 +25,7 @@
 import type { LimitAccount } from '../limits/limitAccount';
 import { createSlotAccount } from './slotAccount';
 import { createSlotChains } from './slotChains';
+import type { ChosenPath } from './pathChoice';
 import type { SlotChainsOptions } from './slotChains';
 import { createSlotOutlook } from './slotOutlook';
 import type { SlotOutlookOptions } from './slotOutlook';
@@ -53,6 +54,8 @@
   /** The default settings if omitted. */
   readonly decisions?: Pick<DecisionSettings, 'forecast' | 'sharing'>;
   readonly chainReturnsInMs?: SlotOutlookOptions['chainReturnsInMs'];
+  /** Called with each granted slot. */
+  readonly onGranted?: (ask: SlotAsk, chosen: ChosenPath) => void;
 }
 
 export interface SlotAllocator {
@@ -186,7 +189,7 @@
     return isPaced(ask) ? Number.POSITIVE_INFINITY : null;
   }
 
-  function findBest(ask: SlotAsk): RatedChain | undefined {
+  function findBest(ask: SlotAsk): ChosenPath | undefined {
     if (!isPaced(ask)) return slotChains.findBest(ask);
     return resumePacing.choose((busyHeads) =>
       slotChains.findBest({ ...ask, excludedHeads: [...ask.excludedHeads, ...busyHeads] }),
@@ -246,6 +249,7 @@
   function findSlot(holder: string, ask: SlotAsk, waitedMs: number): GrantedSlot | undefined {
     const chosen = findBest(ask);
     if (!chosen) return undefined;
+    options.onGranted?.(ask, chosen);
     const { headId, stages, capacity } = chosen;
     if (isForecast(ask) && queueOf(ask.service).length === 0) refusedCallers.recordFree(ask);
     const limitPerS = permits.take(holder, ask.ticket, headId);
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -36,6 +36,8 @@
   readonly queueDeadlineAtMs: number;
   /** Time at which the caller gives up all attempts. */
   readonly callerLeavesAtMs?: number;
+  /** Targets of a stream for the pause between events and the time to the first one. */
+  readonly targets?: Pick<SlotAsk, 'targetGapMs' | 'targetFirstEventMs'>;
   /** Plain servers that may serve the request; undefined for a stream, which needs a chain. */
   readonly heads?: readonly string[];
   /** First engines of the chains that were already tried. */
@@ -242,6 +244,7 @@
       isRetry,
       waitedMs: nowMs - request.arrivedAtMs,
       inTimeForMs: request.latestStartAtMs - nowMs,
+      ...request.targets,
       leavesInMs: request.queueDeadlineAtMs - nowMs,
       ...(callerLeavesAtMs === undefined ? {} : { callerLeavesInMs: callerLeavesAtMs - nowMs }),
       dataCentres: request.rankDataCentres().length,
--- a/packages/entry/src/slots/slotFinder.ts
+++ b/packages/entry/src/slots/slotFinder.ts
@@ -141,6 +141,7 @@
       isRetry: callerAgeMs > route.targetLatencyMs,
       arrivedAtMs,
       callerLeavesAtMs: admitted.deadlineAtMs,
+      targets: { targetGapMs: route.targetGapMs, targetFirstEventMs: route.targetLatencyMs },
       latestStartAtMs: arrivedAtMs - callerAgeMs + route.targetLatencyMs - firstEventMs,
       queueDeadlineAtMs,
       excludedHeads,
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -27,6 +27,7 @@
 import { createSlotClient } from './slotClient';
 import { createSlotFinder } from './slotFinder';
 import type { SlotFinder } from './slotFinder';
+import { createTargetMisses } from './targetMisses';
 import { SLOTS_METHOD } from './slotMessages';
 import type { SlotCall, SlotReply } from './slotMessages';
 
@@ -107,6 +108,19 @@
     return (kind?.readFactor ?? 1) * view.slowdownOf(id);
   }
 
+  /** The longest target to a first event of the routes of a service, if their targets differ. */
+  function longestTargetMs(service: string): number | undefined {
+    const routes = view.routes()?.document.routes ?? [];
+    let shortestMs = Number.POSITIVE_INFINITY;
+    let longestMs = 0;
+    routes.forEach(({ kind, targets, targetLatencyMs }) => {
+      if (kind !== 'stream' || !targets.some((target) => target.service === service)) return;
+      shortestMs = Math.min(shortestMs, targetLatencyMs);
+      longestMs = Math.max(longestMs, targetLatencyMs);
+    });
+    return longestMs > shortestMs ? longestMs : undefined;
+  }
+
   const isAllocator = () => rank.find(dataCentre)?.host === host;
   const account = createLimitAccount({
     clock,
@@ -133,6 +147,8 @@
     prefillFactorOf,
     metrics,
     decisions,
+    longestTargetMs,
+    onGranted: createTargetMisses({ clock, log, metrics }),
   });
 
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
