--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -21,7 +21,6 @@
 import type { Clock, JsonValue } from '@spoolplank/shared';
 import { createAdmissionQueue } from '../admission/admissionQueue';
 import type { AdmissionQueue } from '../admission/admissionQueue';
-import type { RatedChain } from '../dispatch/chainCatalog';
 import type { LimitAccount } from '../limits/limitAccount';
 import { createSlotAccount } from './slotAccount';
 import { createSlotChains } from './slotChains';
@@ -31,6 +30,7 @@
 import type { SlotOutlookOptions } from './slotOutlook';
 import { createRefusedCallers } from './refusedCallers';
 import { createSlotPermits } from './slotPermits';
+import { createSlotRevision } from './slotRevision';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
 export interface SlotAllocatorOptions extends Omit<
@@ -172,6 +172,13 @@
       maxLength: MAX_QUEUE_LENGTH,
       pollMs: POLL_MS,
       sharing,
+      revision: createSlotRevision({
+        listChains() {
+          const model = options.modelOf(service);
+          return model ? options.chains.listOf(service, model, options.dataCentre) : [];
+        },
+        inFlightOn: account.inFlightOn,
+      }),
     });
     queues.set(service, queue);
     return queue;
