feat(slots): metrics and log lines of refused slots

Cause: a refusal for want of a slot left no trace at the VM that decided it, and nothing told how far forecasts are off.

Change: the allocator counts spoolplank_slot_refusals_total by reason and class, observes spoolplank_slot_forecast_error_ms for each queued request that got a slot, and writes slot-refused with ticket, class, reason, ahead, forecastMs, remainingMs, limit, and the inputs with their age: once a second for each service, reason and class, with the number of omitted lines. The class is the priority of the ask.

Conclusion: a refusal can be followed to the allocator by the id of its request.

--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, HeldSlot } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
+import type { LogFields } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { RatedChain } from '../src/dispatch/chainCatalog';
 import { createAllocatorRank } from '../src/slots/allocatorRank';
@@ -82,6 +83,8 @@
   const time = createVirtualTime();
   const { clock, schedule, delay } = time;
   const vms: Vm[] = [];
+  const metrics = createMetrics();
+  const lines: { readonly event: string; readonly fields: LogFields }[] = [];
   const random = createSeededRandom(1);
   let chains = heads.map(chainOf);
   let reportedLoads = new Map<string, number>();
@@ -138,7 +141,14 @@
     const avoided = new Set<string>();
     const backingOff = new Set<string>();
     const rank = createAllocatorRank({ clock, listEntries: () => knownMembers });
-    const telemetry = { log: { info: () => {} }, metrics: createMetrics() };
+    const telemetry = {
+      log: {
+        info(event: string, fields: LogFields = {}) {
+          lines.push({ event, fields });
+        },
+      },
+      metrics,
+    };
     const countEntries = () => Math.max(1, knownMembers.length);
     const limits = createServerLimits({
       clock,
@@ -167,6 +177,7 @@
       firstEventMs: () => 0,
       isAllocator,
       decisions,
+      ...telemetry,
     });
     const client = createSlotClient({
       clock,
@@ -244,6 +255,10 @@
   return {
     ...time,
     vms,
+    /** Metrics and log lines of all VMs. */
+    metrics,
+    linesOf: (name: string) =>
+      lines.filter(({ event }) => event === name).map(({ fields }) => fields),
     inFlight,
     send,
     hold,
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -22,6 +22,8 @@
 import type { SlotOutlookOptions } from './slotOutlook';
 import { createRefusedCallers } from './refusedCallers';
 import { createSlotPermits } from './slotPermits';
+import { createSlotRefusals } from './slotRefusals';
+import type { SlotRefusalsOptions } from './slotRefusals';
 import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
 export interface SlotAllocatorOptions extends Omit<SlotChainsOptions, 'inFlightOn'> {
@@ -38,6 +40,8 @@
   readonly isConfigured: () => boolean;
   readonly decisions?: Pick<DecisionSettings, 'forecast'>;
   readonly chainReturnsInMs?: SlotOutlookOptions['chainReturnsInMs'];
+  readonly log?: SlotRefusalsOptions['log'];
+  readonly metrics?: SlotRefusalsOptions['metrics'];
 }
 
 export interface SlotAllocator {
@@ -56,7 +60,18 @@
   readonly holders: number;
 }
 
+/** Forecast of a wait with `ahead` requests before it, made at `atMs`. */
+interface TicketForecast {
+  readonly ahead: number;
+  readonly waitMs: number | null;
+  readonly atMs: number;
+}
+
 interface Ticket {
+  /** The forecast when the request joined the queue; null if none was needed. */
+  forecast: TicketForecast | null;
+  /** Whether the request was refused by that forecast. */
+  isHopeless: boolean;
   /** Whether the caller retries before its turn, and so gets no precedence. */
   readonly isEarly: boolean;
   /** The latest repetition of the ask; the chains that back off for its VM may have changed. */
@@ -91,6 +106,7 @@
   const slotChains = createSlotChains({ ...options, inFlightOn: account.inFlightOn });
   const permits = createSlotPermits({ limits });
   const refusedCallers = createRefusedCallers({ clock });
+  const refusals = createSlotRefusals(options);
   const outlook = createSlotOutlook({
     clock,
     capacityOf: slotChains.capacityOf,
@@ -149,6 +165,8 @@
   function enqueue(holder: string, ask: SlotAsk): Ticket {
     const nowMs = clock.nowMs();
     const ticket: Ticket = {
+      forecast: null,
+      isHopeless: false,
       isEarly: isForecast(ask) && refusedCallers.isEarly(ask),
       ask,
       queueDeadlineAtMs: nowMs + ask.leavesInMs,
@@ -166,10 +184,14 @@
       find: () => findSlot(holder, ticket.ask),
       exclusionKey: () => exclusionKeyOf(ticket.ask),
       limitedPerS: () => slotChains.limitedRate(ticket.ask),
-      isHopeless: (ahead: number) =>
-        isForecast(ask) && slotChains.limitedRate(ask) === null
-          ? outlook.isHopeless(askNow(ticket), ahead)
-          : undefined,
+      isHopeless(ahead: number) {
+        if (!isForecast(ask) || slotChains.limitedRate(ask) !== null) return undefined;
+        const waitMs = outlook.waitMs(askNow(ticket), ahead);
+        ticket.forecast = { ahead, waitMs, atMs: clock.nowMs() };
+        const isHopeless = outlook.isHopeless(askNow(ticket), ahead);
+        ticket.isHopeless = isHopeless === true;
+        return isHopeless;
+      },
       isAbandoned: () =>
         clock.nowMs() - ticket.lastAskedAtMs > ABANDONED_AFTER_MS ||
         (isForecast(ask) &&
@@ -180,6 +202,10 @@
       .enqueue(wait)
       .then((slot) => {
         ticket.outcome = { slot };
+        const { waitMs, atMs } = ticket.forecast ?? { waitMs: null, atMs: 0 };
+        if (slot && waitMs !== null && Number.isFinite(waitMs)) {
+          refusals.recordWait(waitMs, clock.nowMs() - atMs);
+        }
       });
     return ticket;
   }
@@ -197,23 +223,44 @@
     return slot ? { kind: 'granted', slot } : { kind: 'waiting', ahead: queue.length };
   }
 
-  function refuse(ask: SlotAsk, reason: SlotRefusal, ahead: number): SlotReply {
-    const perS = slotChains.limitedRate(ask);
-    const forecastPerS = isForecast(ask) ? outlook.slotsPerS(ask.service) : null;
-    const slotsPerS = forecastPerS ?? queueOf(ask.service).slotsPerS();
-    if (perS === null) {
-      const turnPerS = isForecast(ask) ? outlook.returningPerS(ask.service) : null;
-      const turnInMs = turnPerS === null ? null : refusedCallers.turnMs(ask, reason, turnPerS);
-      return {
-        kind: 'refused',
-        reason,
-        ahead,
-        slotsPerS,
-        ...(turnInMs === null ? {} : { turnInMs }),
-      };
-    }
-    const retryInMs = retrySchedule.reserveDelayMs(ask.service, perS, ahead);
-    return { kind: 'refused', reason, ahead, slotsPerS: perS, retryInMs };
+  /** Refuses an ask, by the given forecast or by one for a place at the end of the queue. */
+  function refuse(
+    ask: SlotAsk,
+    reason: SlotRefusal,
+    forecast: Pick<TicketForecast, 'ahead' | 'waitMs'> | null = null,
+  ): SlotReply {
+    const { length } = queueOf(ask.service);
+    const isForecasted = isForecast(ask);
+    const limitedPerS = slotChains.limitedRate(ask);
+    const isRateLimited = limitedPerS !== null;
+    const forecastPerS = isForecasted ? outlook.slotsPerS(ask.service) : null;
+    const slotsPerS = limitedPerS ?? forecastPerS ?? queueOf(ask.service).slotsPerS();
+    const retryInMs = isRateLimited
+      ? retrySchedule.reserveDelayMs(ask.service, limitedPerS, length)
+      : null;
+    const turnPerS = isForecasted && !isRateLimited ? outlook.returningPerS(ask.service) : null;
+    const turnInMs = turnPerS === null ? null : refusedCallers.turnMs(ask, reason, turnPerS);
+    const { inUse, capacity, ageMs } = outlook.supplyOf(ask.service);
+    const waitMs = isForecasted && !isRateLimited ? outlook.waitMs(ask, length) : null;
+    refusals.record(ask, {
+      reason,
+      ahead: forecast?.ahead ?? length,
+      forecastMs: forecast ? forecast.waitMs : waitMs,
+      slotsPerS,
+      isRateLimited,
+      inUse,
+      capacity,
+      supplyAgeMs: ageMs,
+      turnInMs: retryInMs ?? turnInMs,
+    });
+    return {
+      kind: 'refused',
+      reason,
+      ahead: length,
+      slotsPerS,
+      ...(retryInMs === null ? {} : { retryInMs }),
+      ...(turnInMs === null ? {} : { turnInMs }),
+    };
   }
 
   async function waitInQueue(holder: string, ask: SlotAsk): Promise<SlotReply> {
@@ -228,7 +275,9 @@
     tickets.delete(key);
     const { slot } = ticket.outcome;
     if (slot) return { kind: 'granted', slot };
-    return refuse(ask, refusalReasonOf(ask, ticket), ahead);
+    const forecast = ticket.isHopeless ? ticket.forecast : null;
+    const { isRetry } = ask;
+    return refuse({ ...askNow(ticket), isRetry }, refusalReasonOf(ask, ticket), forecast);
   }
 
   function end(holder: string, name: string, wasUsed = true): void {
@@ -272,7 +321,7 @@
       if (!options.isConfigured()) throw new SpoolplankError('settings-stale');
       if (slotChains.isTurnedAway(ask)) {
         cancel(holder, ask.ticket);
-        return refuse(ask, 'turned-away', queueOf(ask.service).length);
+        return refuse(ask, 'turned-away');
       }
       return ask.mayWait ? waitInQueue(holder, ask) : tryOnce(holder, ask);
     },
--- a/packages/entry/src/slots/slotOutlook.ts
+++ b/packages/entry/src/slots/slotOutlook.ts
@@ -34,6 +34,8 @@
    * when it was never known.
    */
   returningPerS(service: string): number | null;
+  /** The load and capacity that forecasts are made from, and the time since they were read. */
+  supplyOf(service: string): SlotSupply & { readonly ageMs: number };
   /** Forecast for a request with `ahead` others before it; null when there is none. */
   waitMs(ask: SlotAsk, ahead: number): number | null;
   /**
@@ -145,6 +147,10 @@
       outlook.lastReturningPerS = perS ?? outlook.lastReturningPerS;
       return outlook.lastReturningPerS;
     },
+    supplyOf(service) {
+      const { supply, readAtMs } = outlookOf(service);
+      return { ...supply, ageMs: clock.nowMs() - readAtMs };
+    },
     waitMs,
     isHopeless(ask, ahead) {
       const outlook = outlookOf(ask.service);
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -117,6 +117,8 @@
     isAllocator,
     isConfigured: () => view.routes() !== null,
     decisions: options.decisions,
+    log,
+    metrics,
   });
 
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
