fix(slots): a chain that is lost again is waited for again

Cause: the time since a service has no chain was reset only when the load of the chains was read, which happens while requests wait. Each ask also ranked the data centres a second time.

Change: a grant resets the time.

Conclusion: an engine that is excluded for 300 ms causes no refusal.

--- a/packages/entry/__tests__/slotForecast.spec.ts
+++ b/packages/entry/__tests__/slotForecast.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings } from '@spoolplank/routing';
-import { createRegion } from './regionFixtures';
+import { createRegion, DATA_CENTRES } from './regionFixtures';
 import type { RegionRequest } from './regionFixtures';
 import { createDataCentre } from './slotFixtures';
 import type { DataCentre, Vm } from './slotFixtures';
@@ -192,6 +192,23 @@
   });
 });
 
+describe('a chain that is lost a second time', () => {
+  it('is waited for again until it is known to be lost', async () => {
+    const region = createRegion(DEFAULT_DECISIONS);
+    const lose = () => DATA_CENTRES.forEach((name) => region.withoutChains.add(name));
+    await region.sendFor(60, 2000);
+    lose();
+    await region.sendFor(60, 1000);
+    region.withoutChains.clear();
+    await region.sendFor(60, 2000);
+    lose();
+    region.schedule(() => region.withoutChains.clear(), 300);
+    const again = await region.sendFor(60, 300);
+    await region.pass(1300);
+    assert.deepEqual([...new Set(again.map(({ outcome }) => outcome?.kind))], ['granted']);
+  });
+});
+
 describe('a data centre that is cut off', () => {
   it('grants its own slots to its own requests, and refuses none that its chains can serve', async () => {
     const region = createRegion(DEFAULT_DECISIONS);
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -138,6 +138,8 @@
 /** A data centre to ask, and whether the request joins its queue. */
 interface Step {
   readonly dataCentre: string;
+  /** Number of data centres that may serve the request. */
+  readonly dataCentres: number;
   readonly mayWait: boolean;
   readonly holdMs: number;
 }
@@ -217,7 +219,8 @@
     return undefined;
   }
 
-  function toAsk(request: SlotRequest, { dataCentre, mayWait, holdMs }: Step): SlotAsk {
+  function toAsk(request: SlotRequest, step: Step): SlotAsk {
+    const { dataCentre, dataCentres, mayWait, holdMs } = step;
     const nowMs = clock.nowMs();
     const { ticket, service, size, priority, hasBegun, isRetry, heads, callerLeavesAtMs } = request;
     const limits = options.listLimits(dataCentre);
@@ -232,7 +235,7 @@
       inTimeForMs: request.latestStartAtMs - nowMs,
       leavesInMs: request.queueDeadlineAtMs - nowMs,
       ...(callerLeavesAtMs === undefined ? {} : { callerLeavesInMs: callerLeavesAtMs - nowMs }),
-      dataCentres: request.rankDataCentres().length,
+      dataCentres,
       ...(heads ? { heads } : {}),
       excludedHeads: [...request.excludedHeads],
       avoidedIds: options.listAvoided(),
@@ -254,16 +257,20 @@
    */
   function planSteps(search: Search): readonly Step[] {
     const { request, exhausted, queuedAt } = search;
-    const open = request.rankDataCentres().filter(({ dataCentre }) => !exhausted.has(dataCentre));
+    const ranked = request.rankDataCentres();
+    const dataCentres = ranked.length;
+    const open = ranked.filter(({ dataCentre }) => !exhausted.has(dataCentre));
     const isStillOpen = open.some(({ dataCentre }) => dataCentre === queuedAt);
     const next = isStillOpen ? queuedAt : open[0]?.dataCentre;
     if (next === undefined) return [];
     const isFirstCall = next !== queuedAt;
     search.queuedAt = next;
     const others = open.filter(({ dataCentre, hasCapacity }) => hasCapacity && dataCentre !== next);
+    const holdMs = isFirstCall ? PROBE_HOLD_MS : QUEUE_HOLD_MS;
+    const probe = { dataCentres, mayWait: false, holdMs: PROBE_HOLD_MS };
     return [
-      { dataCentre: next, mayWait: true, holdMs: isFirstCall ? PROBE_HOLD_MS : QUEUE_HOLD_MS },
-      ...others.map(({ dataCentre }) => ({ dataCentre, mayWait: false, holdMs: PROBE_HOLD_MS })),
+      { dataCentre: next, dataCentres, mayWait: true, holdMs },
+      ...others.map(({ dataCentre }) => ({ dataCentre, ...probe })),
     ];
   }
 
@@ -323,7 +330,8 @@
         queuedAt: undefined,
         refusal: undefined,
       };
-      return askDataCentre(search, { dataCentre, mayWait: false, holdMs: PROBE_HOLD_MS });
+      const step = { dataCentre, dataCentres: 1, mayWait: false, holdMs: PROBE_HOLD_MS };
+      return askDataCentre(search, step);
     },
     recordReleased(dataCentre, ticket) {
       // A ticket that was never listed is reported explicitly. Otherwise the account would count it
--- a/packages/entry/src/slots/slotOutlook.ts
+++ b/packages/entry/src/slots/slotOutlook.ts
@@ -129,6 +129,8 @@
     recordGrant(holder, { service, ticket }, headId) {
       const outlook = findOrCreate(service);
       outlook.hadChain = true;
+      // The load is read only while requests wait, so that a chain that came back shows here first.
+      outlook.withoutChainSinceMs = null;
       outlook.forecast.recordGrant(holder, ticket, headId);
     },
     recordReleased(holder, ticket, wasUsed) {
