--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, HeldSlot, ModelDescription, PathStage } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
+import type { LogFields } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { PathLayout, RatedChain } from '../src/dispatch/chainCatalog';
 import { createAllocatorRank } from '../src/slots/allocatorRank';
@@ -105,6 +106,8 @@
   const time = createVirtualTime();
   const { clock, schedule, delay } = time;
   const vms: Vm[] = [];
+  const metrics = createMetrics();
+  const lines: { readonly event: string; readonly fields: LogFields }[] = [];
   const random = createSeededRandom(1);
   let reportedLoads = new Map<string, number>();
 
@@ -163,7 +166,14 @@
     const avoided = new Set<string>();
     const backingOff = new Set<string>();
     const rank = createAllocatorRank({ clock, listEntries: () => knownMembers });
-    const telemetry = { log: { info: () => {} }, metrics: createMetrics() };
+    const telemetry = {
+      log: {
+        info(event: string, fields: LogFields = {}) {
+          lines.push({ event, fields });
+        },
+      },
+      metrics,
+    };
     const countEntries = () => Math.max(1, knownMembers.length);
     const limits = createServerLimits({
       clock,
@@ -195,6 +205,7 @@
       firstEventMs: () => 0,
       isAllocator,
       decisions,
+      ...telemetry,
     });
     const client = createSlotClient({
       clock,
@@ -289,6 +300,10 @@
   return {
     ...time,
     vms,
+    /** Metrics and log lines of all VMs. */
+    metrics,
+    linesOf: (name: string) =>
+      lines.filter(({ event }) => event === name).map(({ fields }) => fields),
     inFlight,
     send,
     hold,
--- a/packages/entry/src/slots/slotOutlook.ts
+++ b/packages/entry/src/slots/slotOutlook.ts
@@ -34,6 +34,8 @@
    * when it was never known.
    */
   returningPerS(service: string): number | null;
+  /** The load and capacity that forecasts are made from, and the time since they were read. */
+  supplyOf(service: string): SlotSupply & { readonly ageMs: number };
   /** Forecast for a request with `ahead` others before it; null when there is none. */
   waitMs(ask: SlotAsk, ahead: number): number | null;
   /**
@@ -127,6 +129,8 @@
     recordGrant(holder, { service, ticket }, headId) {
       const outlook = findOrCreate(service);
       outlook.hadChain = true;
+      // The load is read only while requests wait, so that a chain that came back shows here first.
+      outlook.withoutChainSinceMs = null;
       outlook.forecast.recordGrant(holder, ticket, headId);
     },
     recordReleased(holder, ticket, wasUsed) {
@@ -145,6 +149,10 @@
       outlook.lastReturningPerS = perS ?? outlook.lastReturningPerS;
       return outlook.lastReturningPerS;
     },
+    supplyOf(service) {
+      const { supply, readAtMs } = outlookOf(service);
+      return { ...supply, ageMs: clock.nowMs() - readAtMs };
+    },
     waitMs,
     isHopeless(ask, ahead) {
       const outlook = outlookOf(ask.service);
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -145,6 +145,7 @@
     isAllocator,
     isConfigured: () => view.routes() !== null,
     prefillFactorOf,
+    log,
     metrics,
     decisions,
     longestTargetMs,
