--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -100,6 +100,8 @@
   readonly probeAfterFailure: (instanceId: string, address: string) => void;
   /** Called when an attempt has started. */
   readonly onStart?: () => void;
+  /** Called when a part of a stream has arrived, after it was forwarded. */
+  readonly onEvent?: () => void;
 }
 
 export interface StreamAttempts {
@@ -245,6 +247,7 @@
         }
         const completeEvents = splitter.push(bytes);
         if (completeEvents.length > 0) guard(() => forwardNew(completeEvents));
+        options.onEvent?.();
       });
       body.once('end', () => guard(endStream));
       body.once('error', reject);
--- a/packages/entry/src/dispatch/streamPath.ts
+++ b/packages/entry/src/dispatch/streamPath.ts
@@ -128,6 +128,7 @@
     probeAfterFailure: (instanceId, address) => repair.probeAfterFailure(instanceId, address),
     avoid,
     onStart: () => repair.watch(),
+    onEvent: () => repair.recordEvent(),
   });
   ({ handOver } = dispatch);
 
--- a/packages/entry/src/slots/slotRefusals.ts
+++ b/packages/entry/src/slots/slotRefusals.ts
@@ -60,7 +60,7 @@
     log?.info('slot-refused', {
       ticket: ask.ticket,
       service: ask.service,
-      class: ask.priority,
+      class: ask.classPriority ?? ask.priority,
       reason,
       ahead,
       forecastMs:
@@ -79,7 +79,7 @@
   return {
     record(ask, inputs) {
       const { reason } = inputs;
-      const requestClass = String(ask.priority);
+      const requestClass = String(ask.classPriority ?? ask.priority);
       metrics?.count('spoolplank_slot_refusals_total', { reason, class: requestClass });
       const key = `${ask.service} ${reason} ${requestClass}`;
       const nowMs = clock.nowMs();
