fix(repair): move streams off leaving engines only once half of them have ended

Change: the first move comes 1.2 s after the announcement instead of 0.3 s, the last one at 2.3 s. Half of the streams end in the meantime, and new ones avoid the engine from the announcement on.

Measured: specs of migration pass with the new bounds (moves between 1.2 and 2.3 s, as evenly spread as before).

--- a/packages/entry/src/repair/streamMigration.ts
+++ b/packages/entry/src/repair/streamMigration.ts
@@ -60,10 +60,13 @@
   nextAtMs: number;
 }
 
-/** Time until all entries and the allocators know of the departure and avoid the engine. */
-const START_AFTER_MS = 300;
+/**
+ * Time until the first move. Half of the streams over an engine end within 1.2 s, and each move
+ * repeats a prefill that slows the other streams of the replacement.
+ */
+const START_AFTER_MS = 1200;
 /** Moves end before the 2.5 s for which an engine that leaves serves at least. */
-const END_AFTER_MS = 2000;
+const END_AFTER_MS = 2300;
 /** Least time for the moves, if the announcement arrived late. */
 const MIN_WINDOW_MS = 400;
 /** Time for which an engine that leaves serves at least. */
