feat(entry): a successor of an allocator knows the cost of held slots

Cause: the shares of organisations ended with the allocator. An organisation that held all slots got as many of the next ones as one that held none.

Change: SlotCall has an optional heldCosts, the costs of the listed slots by service, class and organisation, once a second and in the first call to an allocator. It charges them when a holder reports for the first time. Abandoned tickets are looked for every 100 ms instead of at each call.

Conclusion: whoever holds much waits, also after a loss of the allocator. Shares of classes start anew.

--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -2,6 +2,7 @@
 import type { MemberFact } from '@spoolplank/membership';
 import type { HeldSlot, SharingSettings } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
+import type { Metrics } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { RatedChain } from '../src/dispatch/chainCatalog';
 import { createAllocatorRank } from '../src/slots/allocatorRank';
@@ -37,6 +38,7 @@
   readonly backingOff: Set<string>;
   /** Rate limits that servers set in their answers to this VM. */
   readonly limits: ServerLimits;
+  readonly metrics: Metrics;
   isUp: boolean;
   /** Whether the VM is partitioned from all others. */
   isPartitioned: boolean;
@@ -165,6 +167,7 @@
       reportedInFlight: (headId) => reportedLoads.get(headId) ?? 0,
       firstEventMs: () => 0,
       isAllocator,
+      metrics: telemetry.metrics,
       ...(sharing ? { sharing } : {}),
     });
     const client = createSlotClient({
@@ -184,7 +187,8 @@
     });
     limits.onReport((report) => client.reportLimit('a', report));
     const state = { isUp: true, isPartitioned: false, losesAnswers: false, isConfigured: true };
-    return { host, client, allocator, held, avoided, backingOff, limits, ...state };
+    const { metrics } = telemetry;
+    return { host, client, allocator, held, avoided, backingOff, limits, metrics, ...state };
   }
 
   for (let index = 0; index < count; index += 1) vms.push(createVm(`vm${index}`));
--- a/packages/entry/__tests__/slotSharing.spec.ts
+++ b/packages/entry/__tests__/slotSharing.spec.ts
@@ -3,7 +3,7 @@
 import type { SharingSettings } from '@spoolplank/routing';
 import { inTimeShareOf, playLoad, shareOf, SHARED, UNSHARED } from './sharingFixtures';
 import type { Callers } from './sharingFixtures';
-import { createDataCentre } from './slotFixtures';
+import { ADMITTED, createDataCentre } from './slotFixtures';
 
 const HEADS = ['c1', 'c2', 'c3', 'c4', 'c5', 'c6', 'c7', 'c8', 'c9'];
 const VMS = 6;
@@ -182,3 +182,66 @@
     assert.deepEqual(shared, await replay(UNSHARED, 8, 26));
   });
 });
+
+describe('a successor of an allocator that is lost while requests wait', () => {
+  // Guards against an organisation that holds all slots and gets half of the next ones as well.
+  it('serves the organisation first that holds less', async () => {
+    const site = createDataCentre(VMS, ['c1'], { sharing: SHARED });
+    await site.pass(1500);
+    const claimOf = (organisation: string) => ({ classPriority: 1, cost: 1, organisation });
+    const send = (name: string, organisation: string, lastsMs: number, waitMs: number) => {
+      const queueDeadlineAtMs = site.clock.nowMs() + waitMs;
+      const vm = site.vms.filter(({ isUp }) => isUp)[Number(name.slice(1)) % (VMS - 1)];
+      assert.ok(vm);
+      const isAbandoned = () => !vm.isUp || site.clock.nowMs() >= queueDeadlineAtMs;
+      const times = { queueDeadlineAtMs, latestStartAtMs: queueDeadlineAtMs, isAbandoned };
+      return site.send(vm, name, { ...times, claim: claimOf(organisation) }, lastsMs);
+    };
+    const lost = site.allocator();
+    site.vms.sort((a, b) => Number(a === lost) - Number(b === lost));
+    for (let index = 0; index < ADMITTED; index += 1) {
+      send(`h${index}`, 'holder', 4000 + index * 25, 1000);
+    }
+    await site.pass(1000);
+    const waiting = Array.from({ length: 20 }, (_, index) => [
+      send(`a${index}`, 'holder', 20_000, 5000),
+      send(`b${index}`, 'other', 20_000, 5000),
+    ]);
+    await site.pass(700);
+    lost.isUp = false;
+    await site.pass(2900);
+    const granted = (of: 0 | 1) =>
+      waiting.filter((pair) => pair[of]?.[0]?.kind === 'granted').length;
+    assert.ok(granted(0) + granted(1) > 10, `${granted(0)} and ${granted(1)} granted`);
+    assert.ok(granted(1) > 3 * granted(0), `${granted(0)} and ${granted(1)} granted`);
+  });
+});
+
+describe('the report of an allocator', () => {
+  it('states the grants of each class, and the organisations with most cost', async () => {
+    const site = createDataCentre(VMS, ['c1'], { sharing: SHARED });
+    await site.pass(1500);
+    const [vm] = site.vms;
+    assert.ok(vm);
+    for (let index = 0; index < 12; index += 1) {
+      const classPriority = index % 4 === 0 ? 0 : 2;
+      const claim = { classPriority, cost: 1 + index, organisation: `o${index}` };
+      site.send(vm, `t${index}`, { claim });
+    }
+    // An older VM states neither class nor organisation.
+    site.send(vm, 'older');
+    await site.pass(50);
+    const { allocator, metrics } = site.allocator();
+    const grants = ['0', '1', '2'].map((name) =>
+      metrics.valueOf('spoolplank_slot_grants_total', { class: name }),
+    );
+    assert.deepEqual(grants, [3, 1, 9]);
+    assert.match(metrics.render(), /spoolplank_slot_wait_ms_count\{class="2"\} 9/);
+    const { engines } = allocator.describeShares() as {
+      engines: { classes: Record<string, number>; organisations: Record<string, number> };
+    };
+    assert.deepEqual(engines.classes, { 0: 0.19, 1: 0.013, 2: 0.797 });
+    assert.equal(Object.keys(engines.organisations).length, 10);
+    assert.equal(engines.organisations.o11, 12);
+  });
+});
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -21,7 +21,14 @@
 import type { SlotChainsOptions } from './slotChains';
 import { createSlotPermits } from './slotPermits';
 import { createSlotRevision } from './slotRevision';
-import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
+import type {
+  GrantedSlot,
+  HeldCost,
+  SlotAsk,
+  SlotCall,
+  SlotRefusal,
+  SlotReply,
+} from './slotMessages';
 
 export interface SlotAllocatorOptions extends Omit<SlotChainsOptions, 'inFlightOn'> {
   readonly clock: Clock;
@@ -104,6 +111,10 @@
  * after which the ledger releases it.
  */
 const UNCLAIMED_MS = 1300;
+/** Time without a call after which a holder has lost its slots; equal to that of the ledger. */
+const HOLDER_LOST_MS = 2600;
+/** Interval at which abandoned tickets and lost holders are removed. */
+const SWEEP_MS = 100;
 /** Bounds memory; far above the number of requests that arrive within the maximum wait. */
 const MAX_QUEUE_LENGTH = 600;
 
@@ -115,6 +126,9 @@
   const permits = createSlotPermits({ limits });
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
+  let sweptAtMs = Number.NEGATIVE_INFINITY;
+  /** When each holder called last whose slots are charged. */
+  const chargedHolders = new Map<string, number>();
   /** Charges for granted slots that their holders have not listed yet, oldest first. */
   const charges = new Map<string, Charge>();
 
@@ -165,6 +179,19 @@
     }
   }
 
+  /**
+   * Charges the slots that a holder has when it first reports their costs, as they were granted by
+   * another allocator.
+   */
+  function chargeHeld(holder: string, heldCosts: readonly HeldCost[] | undefined): void {
+    const nowMs = clock.nowMs();
+    const lastMs = chargedHolders.get(holder) ?? Number.NEGATIVE_INFINITY;
+    const isCharged = nowMs - lastMs <= HOLDER_LOST_MS;
+    if (isCharged || heldCosts) chargedHolders.set(holder, nowMs);
+    if (isCharged) return;
+    heldCosts?.forEach(({ service, ...claim }) => queueOf(service).chargeElsewhere(claim));
+  }
+
   function findSlot(holder: string, ask: SlotAsk, waitedMs: number): GrantedSlot | undefined {
     const chosen = slotChains.findBest(ask);
     if (!chosen) return undefined;
@@ -263,7 +290,13 @@
    * dropped by the queue.
    */
   function removeAbandoned(): void {
-    const oldestMs = clock.nowMs() - ABANDONED_AFTER_MS;
+    const nowMs = clock.nowMs();
+    if (nowMs - sweptAtMs < SWEEP_MS) return;
+    sweptAtMs = nowMs;
+    chargedHolders.forEach((lastMs, holder) => {
+      if (nowMs - lastMs > HOLDER_LOST_MS) chargedHolders.delete(holder);
+    });
+    const oldestMs = nowMs - ABANDONED_AFTER_MS;
     tickets.forEach(({ outcome, lastAskedAtMs }, key) => {
       if (outcome && lastAskedAtMs < oldestMs) tickets.delete(key);
     });
@@ -278,6 +311,7 @@
       account.report(holder, { sequence, slots });
       permits.recordListed(holder, slots);
       slots.forEach(({ ticket }) => charges.delete(keyOf(holder, ticket)));
+      chargeHeld(holder, call.heldCosts);
       refundUnclaimed();
       ended.forEach((ticket) => end(holder, ticket));
       givenUp.forEach((ticket) => cancel(holder, ticket));
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -9,9 +9,17 @@
 import type { ChosenChain } from '../dispatch/chainChoice';
 import type { PendingReport } from '../limits/serverLimits';
 import type { AllocatorRank } from './allocatorRank';
+import { createHeldCosts } from './heldCosts';
 import { createSlotOutbox } from './slotOutbox';
 import type { RankedDataCentre } from './dataCentreRank';
-import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
+import type {
+  GrantedSlot,
+  HeldCost,
+  SlotAsk,
+  SlotCall,
+  SlotRefusal,
+  SlotReply,
+} from './slotMessages';
 
 /** A request that needs a slot; times on this VM's clock. */
 export interface SlotRequest {
@@ -155,6 +163,7 @@
   const reportedAtMs = new Map<string, number>();
   /** Tickets in the last list that was sent to each data centre. */
   const listed = new Map<string, ReadonlySet<string>>();
+  const heldCosts = createHeldCosts({ clock });
   let sequence = 0;
   let sendReport = (_dataCentre: string): void => {};
   const { schedule } = options;
@@ -164,16 +173,18 @@
     call: (dataCentre) => sendReport(dataCentre),
   });
 
-  function reportOf(asked: string): SlotCall {
+  function reportOf(asked: string, allocator: string): SlotCall {
     sequence += 1;
     reportedAtMs.set(asked, clock.nowMs());
     const slots = options.listHeld(asked);
     listed.set(asked, new Set(slots.map(({ ticket }) => ticket)));
+    const costs = heldCosts.takeDue(asked, allocator, slots);
     return {
       holder,
       dataCentre: options.dataCentre,
       sequence,
       slots,
+      ...(costs ? { heldCosts: costs } : {}),
       ...outbox.takePending(asked),
     };
   }
@@ -186,7 +197,7 @@
     for (let tries = 0; tries < MAX_ATTEMPTS; tries += 1) {
       const target = rank.find(dataCentre);
       if (!target) return undefined;
-      const params: SlotCall = { ...reportOf(dataCentre), ...(ask ? { ask } : {}) };
+      const params: SlotCall = { ...reportOf(dataCentre, target.host), ...(ask ? { ask } : {}) };
       const timeoutMs = (ask?.holdMs ?? 0) + ANSWER_TIMEOUT_MS;
       const sentAtMs = clock.nowMs();
       try {
@@ -231,6 +242,12 @@
     };
   }
 
+  function costOf({ service, priority, size, claim }: SlotRequest): HeldCost | undefined {
+    if (!claim) return undefined;
+    const { classPriority = priority, cost = size, organisation = '', weight = 1 } = claim;
+    return { service, priority, classPriority, cost, organisation, weight };
+  }
+
   function toChain(dataCentre: string, slot: GrantedSlot): ChosenChain {
     const hasPermit = slot.limitPerS !== null;
     return { ...slot, dataCentre, hasPermit, hasCapacity: true, hasCapacityForResumed: true };
@@ -262,6 +279,8 @@
     if (reply?.kind === 'granted') {
       const { headId, limitPerS } = reply.slot;
       if (limitPerS === null) options.onUnlimited(headId, askedAtMs);
+      const cost = costOf(search.request);
+      if (cost) heldCosts.record(dataCentre, search.request.ticket, cost);
       return toChain(dataCentre, reply.slot);
     }
     if (reply?.kind !== 'waiting') search.exhausted.add(dataCentre);
@@ -314,6 +333,7 @@
       return askDataCentre(search, { dataCentre, mayWait: false, holdMs: PROBE_HOLD_MS });
     },
     recordReleased(dataCentre, ticket) {
+      heldCosts.remove(dataCentre, ticket);
       // A ticket that was never listed is reported explicitly. Otherwise the account would count it
       // as held for 1.3 s, so a request rejected within 3 ms would block a slot for that time.
       if (!listed.get(dataCentre)?.has(ticket)) outbox.end(dataCentre, ticket);
--- a/packages/entry/src/slots/slotMessages.ts
+++ b/packages/entry/src/slots/slotMessages.ts
@@ -3,7 +3,7 @@
  * the load of one request on a chain of engines, or to send one request to a plain server; in each
  * data centre one VM grants all slots.
  */
-import type { HoldingsReport, AdvertisedLimit, PathStage } from '@spoolplank/routing';
+import type { HoldingsReport, AdvertisedLimit, PathStage, SlotClaim } from '@spoolplank/routing';
 import type { LimitReport } from '../limits/limitAccount';
 
 /** One request that needs a slot. Times are durations relative to the moment of sending. */
@@ -52,6 +52,11 @@
   readonly holdMs: number;
 }
 
+/** Cost of the slots that a VM holds for one organisation and class of a service. */
+export interface HeldCost extends SlotClaim {
+  readonly service: string;
+}
+
 /**
  * Lists all slots that a VM holds in a data centre, which renews their leases; may contain an ask.
  */
@@ -66,6 +71,11 @@
   readonly ended?: readonly string[];
   /** Reports of the data centre's servers about their limits since the last call. */
   readonly limitReports?: readonly LimitReport[];
+  /**
+   * Costs of the listed slots, for an allocator that did not grant them. Sent once a second, and to
+   * each allocator that is called for the first time.
+   */
+  readonly heldCosts?: readonly HeldCost[];
   readonly ask?: SlotAsk;
 }
 
