perf(entry): ranks of the lines are computed once for each look at the queue

Cause: each comparison of two requests determined their groups, classes and shares again.

Change: rankOf determines the place of a request, compareRanked compares two of them; compareQueued is made of both. A weight that is not above 0 in an ask of another VM counts as 1.

--- a/packages/entry/src/admission/admissionQueue.ts
+++ b/packages/entry/src/admission/admissionQueue.ts
@@ -4,14 +4,15 @@
  */
 import {
   classOf,
-  compareQueued,
+  compareRanked,
   createSlotShares,
-  groupOf,
+  rankOf,
   ROUND_COST,
   willMissQueueDeadline,
 } from '@spoolplank/routing';
 import type {
   QueuedRequest,
+  QueueRank,
   ShareOrder,
   SharesReport,
   SharingSettings,
@@ -94,6 +95,13 @@
   readonly earlier: number;
 }
 
+/** A request of a line that may be tried next. */
+interface Cursor extends Ranked<Entry> {
+  readonly line: Line<Entry>;
+  readonly index: number;
+  readonly request: Queued<Entry>;
+}
+
 /** The exclusions of a request that found no slot, and when it was tried. */
 interface FailedTry {
   readonly revision: number;
@@ -121,6 +129,14 @@
 /** Window over which the rate of grants is measured. */
 const RATE_WINDOW_MS = 1500;
 const MS_PER_S = 1000;
+/** Rank of a class that is owed a part of its share; before those of all route priorities. */
+const OWED_RANK = -1;
+
+/** A request and its place in the order. */
+interface Ranked<Wait extends QueuedRequest> {
+  readonly wait: Wait;
+  readonly rank: QueueRank;
+}
 
 function claimOf(wait: Omit<QueueEntry<unknown>, 'find' | 'isAbandoned'>): SlotClaim {
   const { priority, cost = 1, organisation = '', weight = 1 } = wait;
@@ -143,14 +159,8 @@
     shares.charge(claimOf(wait));
   }
 
-  const isAhead: ShareOrder['isAhead'] = (wait) => shares.isAhead(claimOf(wait));
-  const byRound: ShareOrder['compareOrganisations'] = (a, b) =>
-    shares.roundOf(claimOf(a)) - shares.roundOf(claimOf(b));
-
-  /** Orders queued requests; a class that is owed a part of its share comes before the others. */
-  function createCompare(
-    compareOrganisations = byRound,
-  ): (a: QueuedRequest, b: QueuedRequest) => number {
+  /** Ranks queued requests; a class that is owed a part of its share comes before the others. */
+  function createRanking(): <Wait extends QueuedRequest>(wait: Wait) => Ranked<Wait> {
     const nowMs = clock.nowMs();
     const owedClasses = new Map<number, number | undefined>();
     const owedAt = (priority: number): number | undefined => {
@@ -158,14 +168,12 @@
       return owedClasses.get(priority);
     };
     const order: ShareOrder = {
-      compareClasses(priority, a, b) {
-        const owed = a === b ? undefined : owedAt(priority);
-        return Number(b === owed) - Number(a === owed) || a - b;
-      },
-      compareOrganisations,
-      isAhead,
+      classRankOf: (priority, classPriority) =>
+        classPriority === owedAt(priority) ? OWED_RANK : classPriority,
+      roundOf: (wait) => shares.roundOf(claimOf(wait)),
+      isAhead: (wait) => shares.isAhead(claimOf(wait)),
     };
-    return (a, b) => compareQueued(a, b, nowMs, order);
+    return (wait) => ({ wait, rank: rankOf(wait, nowMs, order) });
   }
 
   function slotsPerS(): number {
@@ -233,27 +241,30 @@
 
   /** The requests to try in one pass: the first ones of the lines that may find a slot. */
   function listCandidates(): readonly Queued<Entry>[] {
-    const compare = createCompare();
-    const candidates: Queued<Entry>[] = [];
+    const toRanked = createRanking();
     const tries = new Map<string, number>();
+    const candidates: Queued<Entry>[] = [];
+    const cursorAt = (line: Line<Entry>, index: number): readonly Cursor[] => {
+      const request = line.requests.at(index);
+      return request ? [{ ...toRanked(request.wait), line, index, request }] : [];
+    };
     const isOpen = ({ group, exclusions }: Line<Entry>) =>
       !isBlocked(failureKeyOf(exclusions, group === 'begun'));
-    let cursors = [...lines.list()].filter(isOpen).map((line) => ({ line, index: 0 }));
+    let cursors = [...lines.list()].filter(isOpen).flatMap((line) => cursorAt(line, 0));
     while (candidates.length < MAX_TRIES_PER_PASS) {
-      const [first, ...others] = cursors.flatMap((cursor) => {
-        const request = cursor.line.requests.at(cursor.index);
-        return request ? [{ cursor, request }] : [];
-      });
+      const [first, ...others] = cursors;
       if (!first) break;
       const next = others.reduce((best, other) => {
-        const order = compare(other.request.wait, best.request.wait);
+        const order = compareRanked(other, best);
         return (order || other.request.sequence - best.request.sequence) < 0 ? other : best;
       }, first);
       candidates.push(next.request);
-      next.cursor.index += 1;
-      const { exclusions } = next.cursor.line;
-      tries.set(exclusions, (tries.get(exclusions) ?? 0) + 1);
-      cursors = cursors.filter(({ line }) => (tries.get(line.exclusions) ?? 0) < MAX_FAILED_TRIES);
+      const { exclusions } = next.line;
+      const count = (tries.get(exclusions) ?? 0) + 1;
+      tries.set(exclusions, count);
+      cursors = cursors
+        .flatMap((cursor) => (cursor === next ? cursorAt(next.line, next.index + 1) : cursor))
+        .filter(({ line }) => count < MAX_FAILED_TRIES || line.exclusions !== exclusions);
     }
     return candidates;
   }
@@ -317,57 +328,57 @@
    * it: however many requests of more urgent classes wait, the class gets its part of the slots.
    */
   function countAhead(wait: Entry): number {
-    const nowMs = clock.nowMs();
-    const compare = createCompare();
-    const ownGroup = groupOf(wait, nowMs, isAhead(wait));
+    const toRanked = createRanking();
+    const own = toRanked(wait);
     const group: PeerLine[] = [];
     let ofLevel = 0;
     let ofClass = 0;
     let ofOthers = 0;
     for (const line of lines.list()) {
       const all = line.requests.length;
-      const head = line.requests.at(0)?.wait ?? wait;
-      const isOfLevel = head.priority === wait.priority;
-      const isOfClass = isOfLevel && classOf(head) === classOf(wait);
-      const headGroup = groupOf(head, nowMs, isAhead(head));
-      const isOfGroup = headGroup === ownGroup && (isOfClass || (isOfLevel && head.hasBegun));
-      if (isOfGroup) {
-        group.push({ claim: claimOf(head), all, earlier: lines.countBefore(line, wait) });
-      } else if (compare(head, wait) <= 0) {
+      const head = toRanked(line.requests.at(0)?.wait ?? wait);
+      const isOfLevel = head.rank.priority === own.rank.priority;
+      const isOfClass = isOfLevel && head.rank.classRank === own.rank.classRank;
+      if (isOfClass && head.rank.group === own.rank.group) {
+        group.push({ claim: claimOf(head.wait), all, earlier: lines.countBefore(line, wait) });
+      } else if (compareRanked(head, own) <= 0) {
         if (isOfClass) ofClass += all;
         else if (isOfLevel) ofLevel += all;
         else ofOthers += all;
       }
     }
-    const isByShare = isShared && ownGroup !== 'begun';
+    const isByShare = isShared && own.rank.group !== 'begun';
     const inGroup = isByShare
       ? countAheadInGroup(wait, group)
       : group.reduce((sum, { earlier }) => sum + earlier, 0);
     const ofOwnClass = ofClass + inGroup;
-    if (minShare === 0 || ownGroup === 'begun') return ofOthers + ofLevel + ofOwnClass;
+    if (minShare === 0 || !isByShare) return ofOthers + ofLevel + ofOwnClass;
     const guaranteed = Math.ceil((ofOwnClass + 1) / minShare) - 1;
     return ofOthers + Math.min(ofLevel + ofOwnClass, guaranteed);
   }
 
   /** Whether no queued request comes before this one. */
   function isNext(wait: QueuedRequest): boolean {
-    const compare = createCompare();
+    const toRanked = createRanking();
+    const own = toRanked(wait);
     return [...lines.list()].every(({ requests }) => {
       const head = requests.at(0);
-      return !head || compare(head.wait, wait) > 0;
+      return !head || compareRanked(toRanked(head.wait), own) > 0;
     });
   }
 
   function findLast(): Queued<Entry> | undefined {
-    const compare = createCompare();
-    const lasts = [...lines.list()].flatMap(
-      ({ requests }) => requests.at(requests.length - 1) ?? [],
-    );
-    return lasts.reduce<Queued<Entry> | undefined>((last, request) => {
-      const order = last ? compare(request.wait, last.wait) : 0;
-      const isLater = !last || (order || request.sequence - last.sequence) > 0;
-      return isLater ? request : last;
-    }, undefined);
+    const toRanked = createRanking();
+    const lasts = [...lines.list()].flatMap((line) => {
+      const request = line.requests.at(line.requests.length - 1);
+      return request ? [{ ...toRanked(request.wait), request }] : [];
+    });
+    const [first, ...others] = lasts;
+    return others.reduce((last, other) => {
+      const order = last ? compareRanked(other, last) : 0;
+      const isLater = !last || (order || other.request.sequence - last.request.sequence) > 0;
+      return isLater ? other : last;
+    }, first)?.request;
   }
 
   function canTryAtOnce(wait: Entry): boolean {
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -93,9 +93,10 @@
 /** On whose account an ask is, and its cost. An older VM states neither. */
 function claimOf(ask: SlotAsk, { isEnabled }: SharingSettings): SlotClaim {
   const { priority, size, cost = size > 0 ? size : PERMIT_COST, organisation = '' } = ask;
+  const weight = ask.weight !== undefined && ask.weight > 0 ? ask.weight : 1;
   // Without sharing, all requests of one priority are in one class.
   const classPriority = isEnabled ? (ask.classPriority ?? priority) : priority;
-  return { priority, classPriority, cost, organisation, weight: ask.weight ?? 1 };
+  return { priority, classPriority, cost, organisation, weight };
 }
 
 const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
--- a/packages/routing/src/queueOrder.ts
+++ b/packages/routing/src/queueOrder.ts
@@ -93,39 +93,61 @@
 
 /** The shares of classes and organisations, as far as they change the order. */
 export interface ShareOrder {
-  /** Negative when the class `a` of organisations of a priority is served before the class `b`. */
-  readonly compareClasses: (priority: number, a: number, b: number) => number;
-  /** Negative when the organisation of `a` was granted less for its weight than that of `b`. */
-  readonly compareOrganisations: (a: QueuedRequest, b: QueuedRequest) => number;
+  /** The class of the lowest rank is served first, among organisations of one priority. */
+  readonly classRankOf: (priority: number, classPriority: number) => number;
+  /** The organisation of the lowest round was granted least for its weight. */
+  readonly roundOf: (request: QueuedRequest) => number;
   /** Whether the organisation of a request exceeds its share, so that retries do not go first. */
   readonly isAhead: (request: QueuedRequest) => boolean;
 }
 
 const WITHOUT_SHARES: ShareOrder = {
-  compareClasses: (_priority, a, b) => a - b,
-  compareOrganisations: () => 0,
+  classRankOf: (_priority, classPriority) => classPriority,
+  roundOf: () => 0,
   isAhead: () => false,
 };
 
-/** Compares queued requests; negative when `a` gets the next slot. */
-export function compareQueued(
-  a: QueuedRequest,
-  b: QueuedRequest,
+/** Place of a request in the order, except for the order within its group. */
+export interface QueueRank {
+  readonly priority: number;
+  readonly classRank: number;
+  readonly group: QueueGroup;
+  readonly round: number;
+}
+
+export function rankOf(
+  request: QueuedRequest,
   nowMs: number,
   shares: ShareOrder = WITHOUT_SHARES,
-): number {
-  if (a.priority !== b.priority) return a.priority - b.priority;
-  const aGroup = groupOf(a, nowMs, shares.isAhead(a));
-  const bGroup = groupOf(b, nowMs, shares.isAhead(b));
-  const isAnyBegun = aGroup === 'begun' || bGroup === 'begun';
+): QueueRank {
+  const { priority } = request;
   // A stream that has begun is served before all classes, as its caller would lose it.
-  const byClass = isAnyBegun ? 0 : shares.compareClasses(a.priority, classOf(a), classOf(b));
-  if (byClass !== 0) return byClass;
-  if (aGroup !== bGroup) return GROUP_ORDER[aGroup] - GROUP_ORDER[bGroup];
-  const byShare = isAnyBegun ? 0 : shares.compareOrganisations(a, b);
-  return byShare || COMPARE_WITHIN_GROUP[aGroup](a, b);
+  if (request.hasBegun) {
+    return { priority, classRank: Number.NEGATIVE_INFINITY, group: 'begun', round: 0 };
+  }
+  const classRank = shares.classRankOf(priority, classOf(request));
+  const group = groupOf(request, nowMs, shares.isAhead(request));
+  return { priority, classRank, group, round: shares.roundOf(request) };
+}
+
+export interface RankedRequest {
+  readonly rank: QueueRank;
+  readonly wait: QueuedRequest;
 }
 
+/** Compares queued requests; negative when `a` gets the next slot. */
+export function compareRanked(a: RankedRequest, b: RankedRequest): number {
+  if (a.rank.priority !== b.rank.priority) return a.rank.priority - b.rank.priority;
+  if (a.rank.classRank !== b.rank.classRank) return a.rank.classRank < b.rank.classRank ? -1 : 1;
+  const byGroup = GROUP_ORDER[a.rank.group] - GROUP_ORDER[b.rank.group];
+  if (byGroup !== 0) return byGroup;
+  return a.rank.round - b.rank.round || compareWithinGroup(a.rank.group, a.wait, b.wait);
+}
+
+/** Compares queued requests without shares; negative when `a` gets the next slot. */
+export const compareQueued = (a: QueuedRequest, b: QueuedRequest, nowMs: number): number =>
+  compareRanked({ wait: a, rank: rankOf(a, nowMs) }, { wait: b, rank: rankOf(b, nowMs) });
+
 export interface WaitForecast {
   /** Number of requests that get a slot before this one. */
   readonly ahead: number;
