--- a/packages/entry/__tests__/slotFixtures.ts
+++ b/packages/entry/__tests__/slotFixtures.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, HeldSlot, ModelDescription, PathStage } from '@spoolplank/routing';
 import { createMetrics } from '@spoolplank/node';
-import type { LogFields } from '@spoolplank/node';
+import type { LogFields, Metrics } from '@spoolplank/node';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { PathLayout, RatedChain } from '../src/dispatch/chainCatalog';
 import { createAllocatorRank } from '../src/slots/allocatorRank';
@@ -41,6 +41,7 @@
   readonly backingOff: Set<string>;
   /** Rate limits that servers set in their answers to this VM. */
   readonly limits: ServerLimits;
+  readonly metrics: Metrics;
   isUp: boolean;
   /** Whether the VM is partitioned from all others. */
   isPartitioned: boolean;
@@ -224,7 +225,7 @@
     });
     limits.onReport((report) => client.reportLimit('a', report));
     const state = { isUp: true, isPartitioned: false, losesAnswers: false, isConfigured: true };
-    return { host, client, allocator, held, paths, avoided, backingOff, limits, ...state };
+    return { host, client, allocator, held, paths, avoided, backingOff, limits, metrics, ...state };
   }
 
   for (let index = 0; index < count; index += 1) vms.push(createVm(`vm${index}`));
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -33,7 +33,14 @@
 import { createSlotRevision } from './slotRevision';
 import { createSlotRefusals } from './slotRefusals';
 import type { SlotRefusalsOptions } from './slotRefusals';
-import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
+import type {
+  GrantedSlot,
+  HeldCost,
+  SlotAsk,
+  SlotCall,
+  SlotRefusal,
+  SlotReply,
+} from './slotMessages';
 
 export interface SlotAllocatorOptions extends Omit<
   SlotChainsOptions,
@@ -124,9 +131,10 @@
 /** On whose account an ask is, and its cost. An older VM states neither. */
 function claimOf(ask: SlotAsk, { isEnabled }: SharingSettings): SlotClaim {
   const { priority, size, cost = size > 0 ? size : PERMIT_COST, organisation = '' } = ask;
+  const weight = ask.weight !== undefined && ask.weight > 0 ? ask.weight : 1;
   // Without sharing, all requests of one priority are in one class.
   const classPriority = isEnabled ? (ask.classPriority ?? priority) : priority;
-  return { priority, classPriority, cost, organisation, weight: ask.weight ?? 1 };
+  return { priority, classPriority, cost, organisation, weight };
 }
 
 const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
@@ -142,6 +150,10 @@
  * after which the ledger releases it.
  */
 const UNCLAIMED_MS = 1300;
+/** Time without a call after which a holder has lost its slots; equal to that of the ledger. */
+const HOLDER_LOST_MS = 2600;
+/** Interval at which abandoned tickets and lost holders are removed. */
+const SWEEP_MS = 100;
 /** Bounds memory; far above the number of requests that arrive within the maximum wait. */
 const MAX_QUEUE_LENGTH = 600;
 
@@ -174,6 +186,9 @@
   });
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
+  let sweptAtMs = Number.NEGATIVE_INFINITY;
+  /** When each holder called last whose slots are charged. */
+  const chargedHolders = new Map<string, number>();
   /** Charges for granted slots that their holders have not listed yet, oldest first. */
   const charges = new Map<string, Charge>();
 
@@ -268,6 +283,19 @@
     };
   }
 
+  /**
+   * Charges the slots that a holder has when it first reports their costs, as they were granted by
+   * another allocator.
+   */
+  function chargeHeld(holder: string, heldCosts: readonly HeldCost[] | undefined): void {
+    const nowMs = clock.nowMs();
+    const lastMs = chargedHolders.get(holder) ?? Number.NEGATIVE_INFINITY;
+    const isCharged = nowMs - lastMs <= HOLDER_LOST_MS;
+    if (isCharged || heldCosts) chargedHolders.set(holder, nowMs);
+    if (isCharged) return;
+    heldCosts?.forEach(({ service, ...claim }) => queueOf(service).chargeElsewhere(claim));
+  }
+
   function findSlot(holder: string, ask: SlotAsk, waitedMs: number): GrantedSlot | undefined {
     const chosen = findBest(ask);
     if (!chosen) return undefined;
@@ -434,7 +462,13 @@
    * dropped by the queue.
    */
   function removeAbandoned(): void {
-    const oldestMs = clock.nowMs() - ABANDONED_AFTER_MS;
+    const nowMs = clock.nowMs();
+    if (nowMs - sweptAtMs < SWEEP_MS) return;
+    sweptAtMs = nowMs;
+    chargedHolders.forEach((lastMs, holder) => {
+      if (nowMs - lastMs > HOLDER_LOST_MS) chargedHolders.delete(holder);
+    });
+    const oldestMs = nowMs - ABANDONED_AFTER_MS;
     tickets.forEach(({ outcome, lastAskedAtMs }, key) => {
       if (outcome && lastAskedAtMs < oldestMs) tickets.delete(key);
     });
@@ -451,6 +485,7 @@
       outlook.recordCall(call);
       permits.recordListed(holder, slots);
       slots.forEach(({ ticket }) => charges.delete(keyOf(holder, ticket)));
+      chargeHeld(holder, call.heldCosts);
       refundUnclaimed();
       ended.forEach((ticket) => end(holder, ticket));
       givenUp.forEach((ticket) => cancel(holder, ticket));
--- a/packages/entry/src/slots/slotClient.ts
+++ b/packages/entry/src/slots/slotClient.ts
@@ -9,10 +9,18 @@
 import type { ChosenChain } from '../dispatch/chainChoice';
 import type { PendingReport } from '../limits/serverLimits';
 import type { AllocatorRank } from './allocatorRank';
+import { createHeldCosts } from './heldCosts';
 import { createHeldPaths } from './heldPaths';
 import { createSlotOutbox } from './slotOutbox';
 import type { RankedDataCentre } from './dataCentreRank';
-import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
+import type {
+  GrantedSlot,
+  HeldCost,
+  SlotAsk,
+  SlotCall,
+  SlotRefusal,
+  SlotReply,
+} from './slotMessages';
 
 /** A request that needs a slot; times on this VM's clock. */
 export interface SlotRequest {
@@ -181,6 +189,7 @@
   /** Tickets in the last list that was sent to each data centre. */
   const listed = new Map<string, ReadonlySet<string>>();
   const heldPaths = options.pathOf && createHeldPaths({ clock, pathOf: options.pathOf });
+  const heldCosts = createHeldCosts({ clock });
   let sequence = 0;
   let sendReport = (_dataCentre: string): void => {};
   const { schedule } = options;
@@ -195,11 +204,13 @@
     reportedAtMs.set(asked, clock.nowMs());
     const slots = options.listHeld(asked);
     listed.set(asked, new Set(slots.map(({ ticket }) => ticket)));
+    const costs = heldCosts.takeDue(asked, target.host, slots);
     return {
       holder,
       dataCentre: options.dataCentre,
       sequence,
       ...(heldPaths?.describe(asked, target.host, slots) ?? { slots }),
+      ...(costs ? { heldCosts: costs } : {}),
       ...outbox.takePending(asked),
     };
   }
@@ -261,6 +272,12 @@
     };
   }
 
+  function costOf({ service, priority, size, claim }: SlotRequest): HeldCost | undefined {
+    if (!claim) return undefined;
+    const { classPriority = priority, cost = size, organisation = '', weight = 1 } = claim;
+    return { service, priority, classPriority, cost, organisation, weight };
+  }
+
   function toChain(dataCentre: string, slot: GrantedSlot): ChosenChain {
     const hasPermit = slot.limitPerS !== null;
     return { ...slot, dataCentre, hasPermit, hasCapacity: true, hasCapacityForResumed: true };
@@ -296,6 +313,8 @@
     if (reply?.kind === 'granted') {
       const { headId, limitPerS } = reply.slot;
       if (limitPerS === null) options.onUnlimited(headId, askedAtMs);
+      const cost = costOf(search.request);
+      if (cost) heldCosts.record(dataCentre, search.request.ticket, cost);
       return toChain(dataCentre, reply.slot);
     }
     if (reply?.kind !== 'waiting') search.exhausted.add(dataCentre);
@@ -349,6 +368,7 @@
       return askDataCentre(search, step);
     },
     recordReleased(dataCentre, ticket) {
+      heldCosts.remove(dataCentre, ticket);
       // A ticket that was never listed is reported explicitly. Otherwise the account would count it
       // as held for 1.3 s, so a request rejected within 3 ms would block a slot for that time.
       if (!listed.get(dataCentre)?.has(ticket)) outbox.end(dataCentre, ticket);
