--- a/packages/routing/__tests__/routingDocument.spec.ts
+++ b/packages/routing/__tests__/routingDocument.spec.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { describe, it, mock } from 'node:test';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import { collectDocumentFindings } from '../src/routingDocument';
 import type { Route, RoutingDocument } from '../src/routingDocument';
@@ -66,6 +66,40 @@
   });
 });
 
+describe('a document of 1,500 routes of one host', () => {
+  /** Routes that count how often their host and prefix are read. */
+  function createCountedRoutes(count: number) {
+    let reads = 0;
+    const read = (value: string) => {
+      reads += 1;
+      return value;
+    };
+    const routes = Array.from({ length: count }, (_, index) =>
+      Object.defineProperties(createRoute({ name: `r${index}` }), {
+        host: { get: () => read('a.example') },
+        pathPrefix: { get: () => read(`/p${index}/`) },
+      }),
+    );
+    return { routes, reads: () => reads };
+  }
+
+  it('is checked with a constant number of reads for each route', () => {
+    const { routes, reads } = createCountedRoutes(1500);
+    assert.deepEqual(collectDocumentFindings(createDocument({ routes })), []);
+    assert.ok(reads() <= 3 * 1500, `${reads()} reads`);
+  });
+
+  it('is indexed by host without a new list for each route', () => {
+    const { routes } = createCountedRoutes(1500);
+    const document = createDocument({ routes });
+    const stored = mock.method(Map.prototype, 'set');
+    createRouteTable(document);
+    const lists = stored.mock.callCount();
+    stored.mock.restore();
+    assert.ok(lists <= 10, `${lists} lists`);
+  });
+});
+
 describe('a route table', () => {
   const routes = [
     createRoute(),
--- a/packages/routing/src/routeTable.ts
+++ b/packages/routing/src/routeTable.ts
@@ -12,7 +12,9 @@
 export function createRouteTable(document: RoutingDocument): RouteTable {
   const routesByHost = new Map<string, Route[]>();
   document.routes.forEach((route) => {
-    routesByHost.set(route.host, [...(routesByHost.get(route.host) ?? []), route]);
+    const known = routesByHost.get(route.host);
+    if (known) known.push(route);
+    else routesByHost.set(route.host, [route]);
   });
   routesByHost.forEach((routes) =>
     routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length),
--- a/packages/routing/src/routingDocument.ts
+++ b/packages/routing/src/routingDocument.ts
@@ -102,24 +102,35 @@
 
 function findRouteProblems(document: RoutingDocument): readonly Finding[] {
   const services = new Set(document.services.map(({ name }) => name));
-  const hostPaths = new Set<string>();
-  return document.routes.flatMap((route, index) => {
-    const pointer = `/routes/${index}`;
-    const hostPath = `${route.host} ${route.pathPrefix}`;
-    const isDuplicate = hostPaths.has(hostPath);
-    hostPaths.add(hostPath);
-    const weight = route.targets.reduce((sum, target) => sum + target.weight, 0);
-    return [
-      ...route.targets
-        .filter(({ service }) => !services.has(service))
-        .map(({ service }) => finding(pointer, `refers to the unknown service ${service}`)),
-      ...(isDuplicate
-        ? [finding(pointer, 'has the same host and path prefix as another route')]
-        : []),
-      ...(weight > 0 ? [] : [finding(pointer, 'has target weights with a sum of 0')]),
-      ...(route.timeoutMs > 0 ? [] : [finding(pointer, 'needs a time-out above 0')]),
-    ];
+  const prefixesByHost = new Map<string, Set<string>>();
+  const findings: Finding[] = [];
+
+  function report(index: number, problem: string): void {
+    findings.push(finding(`/routes/${index}`, problem));
+  }
+
+  /** Records the host and prefix of a route; returns false when they are known. */
+  function isNew({ host, pathPrefix }: Route): boolean {
+    const prefixes = prefixesByHost.get(host);
+    if (prefixes?.has(pathPrefix)) return false;
+    if (prefixes) prefixes.add(pathPrefix);
+    else prefixesByHost.set(host, new Set([pathPrefix]));
+    return true;
+  }
+
+  // Documents have some 1,500 routes, so that a valid route creates no objects here.
+  document.routes.forEach((route, index) => {
+    let weight = 0;
+    for (const target of route.targets) {
+      weight += target.weight;
+      if (!services.has(target.service))
+        report(index, `refers to the unknown service ${target.service}`);
+    }
+    if (!isNew(route)) report(index, 'has the same host and path prefix as another route');
+    if (!(weight > 0)) report(index, 'has target weights with a sum of 0');
+    if (!(route.timeoutMs > 0)) report(index, 'needs a time-out above 0');
   });
+  return findings;
 }
 
 function findKeyProblems({ organisations }: RoutingDocument): readonly Finding[] {
