perf(entry): forward an event that fills a chunk without decoding it

Cause: the relay decoded every event to a string to find its id, and searched each chunk for the end of an event, although one event a chunk is the usual case.

Change: a chunk that ends with an event is forwarded as it is. The id is searched in bytes, and only the id is decoded. Chunks that hold a part of an event take the path as before, with the same result. The pieces written to the caller and their times are unchanged.

--- a/packages/entry/src/dispatch/eventSplitter.ts
+++ b/packages/entry/src/dispatch/eventSplitter.ts
@@ -14,16 +14,27 @@
 }
 
 const EMPTY_BUFFER = Buffer.alloc(0);
-const EVENT_END = '\n\n';
-const ID_FIELD = 'id:';
+const LINE_END = 0x0a;
+const EVENT_END = Buffer.from('\n\n');
+const ID_FIELD = Buffer.from('id:');
+const ID_LINE = Buffer.from('\nid:');
 
-function findLastId(events: string): string | null {
-  const at = events.startsWith(ID_FIELD)
-    ? Math.max(0, events.lastIndexOf(`\n${ID_FIELD}`) + 1)
-    : events.lastIndexOf(`\n${ID_FIELD}`) + 1;
-  if (at === 0 && !events.startsWith(ID_FIELD)) return null;
-  const end = events.indexOf('\n', at);
-  return events.slice(at + ID_FIELD.length, end).trim();
+/** Whether the last byte ends an event. */
+function endsEvent(bytes: Buffer): boolean {
+  const { length } = bytes;
+  return length > 1 && bytes[length - 1] === LINE_END && bytes[length - 2] === LINE_END;
+}
+
+function startsWithId(events: Buffer): boolean {
+  return ID_FIELD.every((byte, index) => events[index] === byte);
+}
+
+/** The id of the last event that has one. Only the id is decoded, not the events. */
+function findLastId(events: Buffer): string | null {
+  const at = events.lastIndexOf(ID_LINE) + 1;
+  if (at === 0 && !startsWithId(events)) return null;
+  const from = at + ID_FIELD.length;
+  return events.toString('latin1', from, events.indexOf(LINE_END, from)).trim();
 }
 
 export function createEventSplitter(): EventSplitter {
@@ -37,6 +48,11 @@
       return partial.length > 0;
     },
     push(bytes) {
+      // Mostly, a chunk is one event.
+      if (partial.length === 0 && endsEvent(bytes)) {
+        lastEventId = findLastId(bytes) ?? lastEventId;
+        return bytes;
+      }
       const buffered = partial.length ? Buffer.concat([partial, bytes]) : bytes;
       const at = buffered.lastIndexOf(EVENT_END);
       if (at < 0) {
@@ -46,7 +62,7 @@
       const end = at + EVENT_END.length;
       const complete = buffered.subarray(0, end);
       partial = end < buffered.length ? buffered.subarray(end) : EMPTY_BUFFER;
-      lastEventId = findLastId(complete.toString('latin1')) ?? lastEventId;
+      lastEventId = findLastId(complete) ?? lastEventId;
       return complete;
     },
     takePartialEvent() {
