fix(entry): count the requests ahead by their present groups

Cause: the queue moved requests between its lines only when it looked for slots, at most every 20 ms. The number ahead of a new request took the group of a line from its first request. Once that had become late, the whole line of requests in time counted as late, so that a new request was forecast none ahead, joined the queue and waited in vain.

Change: requests are moved to the lines of their present groups before a new request is tried or counted.

The new spec of the number ahead fails without the change.

--- a/packages/entry/__tests__/admissionQueue.spec.ts
+++ b/packages/entry/__tests__/admissionQueue.spec.ts
@@ -247,3 +247,23 @@
     assert.ok(counts.granted > 150, `${counts.granted} granted`);
   });
 });
+
+describe('the number of requests ahead', () => {
+  // Guards against a forecast for an empty queue: between two passes the first request of a line
+  // becomes late, and all others of the line were taken for late with it.
+  it('includes requests in time that are behind one that became late since the last pass', async () => {
+    const { clock, queue, enter } = createQueue();
+    const nowMs = clock.nowMs();
+    const queueDeadlineAtMs = nowMs + 1000;
+    [5, 100, 200].forEach((inTimeForMs) => {
+      void enter(`r${inTimeForMs}`, { latestStartAtMs: nowMs + inTimeForMs, queueDeadlineAtMs });
+    });
+    clock.advance(6);
+    const counts: number[] = [];
+    const isHopeless = (ahead: number) => counts.push(ahead) > 0;
+    const newest = { latestStartAtMs: nowMs + 400, queueDeadlineAtMs, isHopeless };
+    assert.equal(await enter('newest', newest), undefined);
+    assert.deepEqual(counts, [2]);
+    assert.equal(queue.length, 3);
+  });
+});
--- a/packages/entry/src/admission/admissionQueue.ts
+++ b/packages/entry/src/admission/admissionQueue.ts
@@ -192,8 +192,16 @@
     takeOut(request)?.settle(slot);
   }
 
-  function removeEnded(): void {
+  /**
+   * Moves requests to the lines of their present groups, and removes those whose wait ended. The
+   * group of a line is read from its first request, so this comes before each use of the order.
+   */
+  function advance(): void {
     lines.advance(clock.nowMs()).forEach((request) => remove(request, undefined));
+  }
+
+  function removeEnded(): void {
+    advance();
     lines.takeTurn(CHECKED_PER_PASS).forEach((request) => {
       if (request.wait.isAbandoned()) remove(request, undefined);
       else lines.refresh(request);
@@ -401,6 +409,7 @@
     chargeElsewhere: shares.chargeElsewhere,
     describeShares: shares.describe,
     async enqueue(wait) {
+      advance();
       const slot = canTryAtOnce(wait) ? wait.find() : undefined;
       if (slot !== undefined) {
         recordGrant(wait);
