fix(entry): judge stated waits by all organisations of a route

Cause: whether callers state equal waits was decided by the waits of one organisation on one route at one VM. A small organisation sends 0.06 requests a second, so its few waits said nothing, and first attempts counted as late retries where waits differ by 15 %.

--- a/packages/entry/src/admission/requestAdmission.ts
+++ b/packages/entry/src/admission/requestAdmission.ts
@@ -117,7 +117,6 @@
     if (!route) throw new SpoolplankError('not-found');
     const organisation = request.key === null ? undefined : routes.findOrganisation(request.key);
     if (needsKey && !organisation) throw new SpoolplankError('unauthorized');
-    const group = `${route.name} ${organisation?.name ?? ''}`;
     const limitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     return {
       request,
@@ -125,7 +124,11 @@
       route,
       service: drawTarget(route.targets, random).service,
       organisation: organisation ?? null,
-      callerAgeMs: callerAge.estimateMs(group, request.deadlineMs),
+      callerAgeMs: callerAge.estimateMs({
+        route: route.name,
+        organisation: organisation?.name ?? '',
+        remainingMs: request.deadlineMs,
+      }),
       deadlineAtMs: request.arrivedAtMs + limitMs,
     };
   }
