fix(entry): spend the retry of a handover when its run is opened

Cause: a handover took its retry out of the budget before a slot was looked for. Without a path the retry was gone; the head then exited and the stream could not be resumed with the last retry of the budget.

Change: limits and budget are checked before the search (WindowBudget.hasLeft, which takes nothing), and again after it, as other streams spend meanwhile; the retry is spent just before the run is opened. The share reserved for begun streams applies as for resumed ones. A search that finds a slot but no retry releases the slot with the outcome refused.

Conclusion: a handover that sends nothing costs no retry. A run that was sent and rejected still costs one, as every other retry does.

--- a/packages/entry/__tests__/streamHandover.spec.ts
+++ b/packages/entry/__tests__/streamHandover.spec.ts
@@ -39,8 +39,8 @@
   readonly retries?: number;
   /** Engines that reject the request without running it. */
   readonly rejecting?: readonly string[];
-  /** Chains in the order in which they are granted, after the first one. */
-  readonly chains?: readonly string[];
+  /** Chains in the order in which they are granted, after the first one; undefined for no slot. */
+  readonly chains?: readonly (string | undefined)[];
   /** Whether no allocator answers, so that the entry finds only chains that are full. */
   readonly isUnallocated?: boolean;
 }
@@ -64,11 +64,8 @@
     },
     isReachable: () => Promise.resolve(true),
   } as unknown as BackendOperations;
-  const context = {
-    ...createContext(clock, view, operations),
-    budgetOf: () =>
-      createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => retries }),
-  };
+  const budget = createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => retries });
+  const context = { ...createContext(clock, view, operations), budgetOf: () => budget };
   const streams = createStreamTable({ clock });
   let granted = 0;
   const dispatch = createStreamDispatch({
@@ -111,6 +108,7 @@
   const end = dispatch.run(createAdmitted(clock, route, answer), MODEL);
   return {
     runs,
+    budget,
     end,
     streams,
     grants: () => granted,
@@ -246,6 +244,37 @@
     }
   });
 
+  // A retry that was spent before a slot was found was missing when the head then exited.
+  it('is resumed with its last retry when its head exits after a handover without a path', async () => {
+    for (const withoutPath of [undefined, 'e1']) {
+      const setting = createSetting({ retries: 1, chains: [withoutPath, 'e2'] });
+      await nextTurn();
+      const [old] = setting.runs as [Run];
+      await setting.send(old, 2);
+      assert.equal((await setting.handOver())?.outcome, 'no-path');
+      old.body.destroy(new Error('lost'));
+      await nextTurn();
+      await nextTurn();
+      assert.equal(setting.runs.length, 2);
+      await setting.send(setting.runs[1], EVENTS - 2);
+      await setting.finish(setting.runs[1]);
+      assert.equal((await setting.end).outcome, 'served');
+      assert.deepEqual(setting.received(), idsTo(EVENTS));
+    }
+  });
+
+  it('stays when another stream spends the last retry during the search for a slot', async () => {
+    const setting = createSetting({ retries: 1 });
+    await nextTurn();
+    await setting.send(setting.runs[0], 2);
+    const handedOver = setting.handOver();
+    assert.ok(setting.budget.spend());
+    assert.equal((await handedOver)?.outcome, 'refused');
+    assert.equal(setting.runs.length, 1, 'no run beyond the budget');
+    assert.equal([...setting.streams.list()].length, 1, 'the slot is released');
+    setting.leave();
+  });
+
   it('stays when the new run is rejected, or does not continue it', async () => {
     const rejected = createSetting({ rejecting: ['e2'] });
     await nextTurn();
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -230,6 +230,9 @@
         longestPauseMs: progress.longestPauseMs,
       });
 
+      /** Share of the retry budget that this stream leaves to streams that have begun. */
+      const reservedShare = (): number => (progress.hasBegun ? 0 : RESUME_RESERVE_SHARE);
+
       /** Whether another attempt is allowed by the deadline, the retry budget and the limits. */
       function mayAttempt(): boolean {
         if (heldBack > MAX_HELD_BACK) return false;
@@ -238,18 +241,20 @@
         if (!quarantine.mayRetry(content)) return false;
         const hasTime = admitted.deadlineAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
         const isBelowLimits = rejections < MAX_REJECTIONS && attempts < MAX_ATTEMPTS;
-        const reservedShare = progress.hasBegun ? 0 : RESUME_RESERVE_SHARE;
-        return isAllowed && hasTime && isBelowLimits && budget.spend(reservedShare);
+        return isAllowed && hasTime && isBelowLimits && budget.spend(reservedShare());
       }
 
-      /** Whether a run may be sent beside the running one; takes a retry out of the budget. */
+      /**
+       * Whether a run may be sent beside the running one. The retry is spent only when that run is
+       * opened: a search without a slot must leave it for the resumption after the head has exited.
+       */
       function mayHandOver(): boolean {
         if (!route.isResumable || !progress.hasBegun || progress.lastEventId === null) return false;
         if (answer.isClosed || !quarantine.mayRetry(content)) return false;
         const hasTime = admitted.deadlineAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
         // The running run counts as one, and the new one as another.
         const isBelowLimits = runs + 1 < route.maxAttempts && attempts < MAX_ATTEMPTS;
-        return hasTime && isBelowLimits && budget.spend();
+        return hasTime && isBelowLimits && budget.hasLeft(reservedShare());
       }
 
       /** Runs an attempt and, if its head leaves, the one that takes over from it. */
@@ -297,11 +302,14 @@
             isQuarantined: isObsolete,
           };
           const found = await findNext(next);
-          if (!found || isObsolete() || !isFit(found, row)) {
+          const isUsable = found && !isObsolete() && isFit(found, row);
+          // Deadline and budget may have changed during the search.
+          const isSpent = isUsable && mayHandOver() && budget.spend(reservedShare());
+          if (!isSpent) {
             // Releases the slot: an attempt that is cancelled before its start sends nothing.
             const link = { signal: AbortSignal.abort(), handover };
             if (found) await attempter.attempt(next, found, progress, link);
-            return isObsolete() ? null : { outcome: 'no-path', path };
+            return isObsolete() ? null : { outcome: isUsable ? 'refused' : 'no-path', path };
           }
           const cancel = new AbortController();
           runs += 1;
--- a/packages/routing/src/windowBudget.ts
+++ b/packages/routing/src/windowBudget.ts
@@ -21,6 +21,8 @@
    * of the budget would remain for retries of higher importance.
    */
   spend(reservedShare?: number): boolean;
+  /** Whether `spend` would succeed now; takes nothing out of the budget. */
+  hasLeft(reservedShare?: number): boolean;
 }
 
 export function createWindowBudget({
@@ -39,18 +41,23 @@
     if (expired) timesMs.splice(0, expired);
   }
 
+  function hasLeft(reservedShare = 0): boolean {
+    dropExpired(attemptsAtMs);
+    dropExpired(retriesAtMs);
+    const budget = (attemptsAtMs.length * ratio + allowance()) * (1 - reservedShare);
+    return retriesAtMs.length + 1 <= budget;
+  }
+
   return {
     earn() {
       dropExpired(attemptsAtMs);
       attemptsAtMs.push(clock.steadyMs());
     },
-    spend(reservedShare = 0) {
-      dropExpired(attemptsAtMs);
-      dropExpired(retriesAtMs);
-      const budget = (attemptsAtMs.length * ratio + allowance()) * (1 - reservedShare);
-      if (retriesAtMs.length + 1 > budget) return false;
+    spend(reservedShare) {
+      if (!hasLeft(reservedShare)) return false;
       retriesAtMs.push(clock.steadyMs());
       return true;
     },
+    hasLeft,
   };
 }
