fix(repair): use the rhythm of a path only when its pauses are known

Cause: 20 gaps were enough to set the timeout of a path by its rhythm.

Change: 60 gaps (about 2.5 s) are needed; until then the fixed share of the target gap is the timeout. A constant of a fixture has a name that is not one of the platform's fields.

Conclusion: the bound of the spec is the behaviour before rhythms again.

--- a/packages/entry/__tests__/pathLoss.spec.ts
+++ b/packages/entry/__tests__/pathLoss.spec.ts
@@ -144,10 +144,8 @@
     });
   });
 
-  // In the first second, few gaps are known, and three VMs may take pauses for a loss by chance:
-  // 5 of the 24 runs with a check every 20 ms.
-  it('is seldom suspected for pauses that single streams have several times a second', async () => {
-    let suspectingRuns = 0;
+  // Guards against pauses that are taken for a loss while few gaps of a path are known.
+  it('is not suspected for pauses that single streams have several times a second', async () => {
     for (let seed = 1; seed <= RUNS; seed += 1) {
       // Every eighth gap is a pause of 60 to 99 ms, below the longest timeout.
       const load = createLoad({
@@ -155,13 +153,9 @@
         streams: VMS,
         gapMs: (next) => (next() < 1 / 8 ? 60 + 39 * next() : 30 + 10 * next()),
       });
-      await load.pass(2000);
-      const early = load.connections();
-      if (early > 0) suspectingRuns += 1;
-      await load.pass(seed <= LONG_RUNS ? 18_000 : 0);
-      assert.equal(load.connections(), early, `seed ${seed}: suspected after two seconds`);
+      await load.pass(seed <= LONG_RUNS ? 20_000 : 4000);
+      assert.equal(load.connections(), 0, `seed ${seed}`);
     }
-    assert.ok(suspectingRuns <= 5, `${suspectingRuns} runs`);
   });
 });
 
--- a/packages/entry/src/repair/pathSilence.ts
+++ b/packages/entry/src/repair/pathSilence.ts
@@ -42,8 +42,11 @@
 const SILENT_GAPS = 2;
 /** Shorter pauses are frequent: timers of a busy VM and retransmitted packets take as long. */
 const MIN_TIMEOUT_MS = 50;
-/** Number of gaps from which the rhythm is used. */
-const MIN_GAPS = 20;
+/**
+ * Number of gaps from which the rhythm is used. Of paths that pause in every eighth gap, 7 % show no
+ * pause in 20 gaps, which was enough for three VMs to agree by chance, and 0.03 % in 60.
+ */
+const MIN_GAPS = 60;
 /** Weight of a new gap in the moving average. */
 const GAP_WEIGHT = 0.1;
 /**
--- a/packages/routing/__tests__/copyFixtures.ts
+++ b/packages/routing/__tests__/copyFixtures.ts
@@ -11,7 +11,7 @@
 /** Pause between optimisations, and before an engine is moved again. */
 const PAUSE_MS = 4000;
 const SLOTS = 134;
-const TARGET_GAP_MS = 250;
+const ALLOWED_PAUSE_MS = 250;
 /** Slowdown from which engines were given up before the allowed pause decided. */
 const REPLACEMENT_SLOWDOWN = 2.5;
 
@@ -158,7 +158,7 @@
         const { id, kind: acceleratorKind, slowdown, isGivenUp, loaded } = engine;
         return { id, acceleratorKind, slots: SLOTS, held: loaded, slowdown, isGivenUp };
       });
-    const options = { model: MODEL, targetGapMs: TARGET_GAP_MS, demand: needed };
+    const options = { model: MODEL, targetGapMs: ALLOWED_PAUSE_MS, demand: needed };
     const tooSlow = isEnabled ? findTooSlowEngines(speeds, options) : null;
     engines.forEach((engine) => {
       engine.isGivenUp = tooSlow?.has(engine.id) ?? engine.slowdown >= REPLACEMENT_SLOWDOWN;
