fix(slots): let requests wait for a chain while times of loads are unknown

Cause: no production code passes chainReturnsInMs, so 400 ms after the last chain of a data centre was lost every new stream was refused, also when a load of weights ended within its wait. Facts name the layers that an engine holds, not the end of a load, and the next announcement of the engine supersedes what the control plane published about it, so the time cannot be read from them.

Change: without the option no request is refused for want of a chain; the forecast and the longest wait decide. With the option all decides as before.

Result: slotOutlook.spec.ts fails in its first test without the change and passes with it.

Conclusion: a request without any chain waits for up to its longest wait. To refuse it at once again, the control plane has to publish the ends of loads.

--- a/packages/entry/src/slots/slotOutlook.ts
+++ b/packages/entry/src/slots/slotOutlook.ts
@@ -16,7 +16,8 @@
   readonly hasChain: (service: string, headId: string) => boolean;
   /**
    * Time until a chain of a service comes back, by the loads of weights that are under way; null
-   * when none is known.
+   * when none is under way. If omitted, loads are unknown, and no request is refused for want of a
+   * chain: a refusal where a slot comes within the wait costs more than a wait.
    */
   readonly chainReturnsInMs?: (service: string) => number | null;
 }
@@ -75,7 +76,7 @@
 const REFUSING_FOR_MS = 200;
 
 export function createSlotOutlook(options: SlotOutlookOptions): SlotOutlook {
-  const { clock, capacityOf, hasChain, chainReturnsInMs = () => null } = options;
+  const { clock, capacityOf, hasChain, chainReturnsInMs } = options;
   const services = new Map<string, ServiceOutlook>();
 
   function findOrCreate(service: string): ServiceOutlook {
@@ -110,7 +111,7 @@
   /** Whether no chain serves the request within its wait, as all are lost. */
   function isWithoutChain({ service, leavesInMs }: SlotAsk, outlook: ServiceOutlook): boolean {
     const { hadChain, withoutChainSinceMs } = outlook;
-    if (!hadChain || withoutChainSinceMs === null) return false;
+    if (!chainReturnsInMs || !hadChain || withoutChainSinceMs === null) return false;
     if (clock.nowMs() - withoutChainSinceMs < CHAIN_LOST_AFTER_MS) return false;
     const returnsInMs = chainReturnsInMs(service);
     return returnsInMs === null || returnsInMs > leavesInMs;
