fix(admission): give no retry time of 0 before the first configuration

Cause: the retry time is a random part of the spread plus what is left of the start, and both can be 0 once the start has taken 1800 ms. The caller then spends its one retry on the state that it was refused in.

Change: the time is at least 50 ms, within a third of the time that the caller has left.

Result: with the lowest random number the new test of requestAdmission.spec.ts gets 50 ms, and 20 ms for callers with 60 ms left; it fails without the change.

--- a/packages/entry/__tests__/requestAdmission.spec.ts
+++ b/packages/entry/__tests__/requestAdmission.spec.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings } from '@spoolplank/routing';
 import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
+import type { Random } from '@spoolplank/shared';
 import { createRequestAdmission } from '../src/admission/requestAdmission';
 import type { CallerRequest } from '../src/callerRequest';
 import type { RoutingView } from '../src/gossip/routingView';
@@ -21,7 +22,11 @@
 }
 
 /** Starts all entries at once; they have a configuration after `configuredAfterMs`. */
-function createStart(decisions: DecisionSettings, configuredAfterMs: number) {
+function createStart(
+  decisions: DecisionSettings,
+  configuredAfterMs: number,
+  randomOf: (index: number) => Random = (index) => createSeededRandom(index + 1),
+) {
   const { clock, delay, pass, schedule } = createVirtualTime();
   const route = createRoute('stream', { isAnonymousAllowed: true, timeoutMs: 20_000 });
   let isReady = false;
@@ -37,7 +42,7 @@
   const entries = Array.from({ length: ENTRIES }, (_, index) =>
     createRequestAdmission({
       clock,
-      random: createSeededRandom(index + 1),
+      random: randomOf(index),
       view,
       isReadyToRoute: () => isReady,
       isFresh: () => isReady,
@@ -111,6 +116,20 @@
     assert.ok(Math.max(...retries) <= 80, 'within a third of the time that is left');
   });
 
+  /** Guards against a retry time of 0, with which callers spend their retry on the same state. */
+  it('are never told to return at once', async () => {
+    const lowest: Random = { nextInt: () => 0, nextFloat: () => 0 };
+    const start = createStart(DEFAULT_DECISIONS, 5000, () => lowest);
+    await start.pass(2000);
+    await start.sendFor(100);
+    await start.sendFor(100, 60);
+    const retries = start.answered.map(({ retryAfterMs }) => retryAfterMs);
+    assert.deepEqual(retries, [
+      ...new Array<number>(10).fill(50),
+      ...new Array<number>(10).fill(20),
+    ]);
+  });
+
   it('are admitted when the configuration arrives while they wait', async () => {
     const start = createStart(DEFAULT_DECISIONS, 1000);
     await start.sendFor(1500);
--- a/packages/entry/src/admission/requestAdmission.ts
+++ b/packages/entry/src/admission/requestAdmission.ts
@@ -50,6 +50,8 @@
 const STARTUP_WAIT_SHARE = 0.6;
 /** Maximum time over which callers return after the expected end of a start. */
 const MAX_RETURN_SPREAD_MS = 4000;
+/** A caller that returns at once spends its retry on the state that it was refused in. */
+const MIN_RETRY_MS = 50;
 /** Short, as another entry can serve the request as soon as the caller has connected to it. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
 
@@ -77,7 +79,8 @@
     const startedForMs = clock.nowMs() - startedAtMs;
     const startupLeftMs = Math.max(0, STARTUP_MS - startedForMs);
     const spreadMs = Math.min(MAX_RETURN_SPREAD_MS, Math.max(STALE_RETRY_AFTER_MS, startedForMs));
-    const retryInMs = startupLeftMs + random.nextInt(Math.ceil(spreadMs));
+    const drawnMs = startupLeftMs + random.nextInt(Math.ceil(spreadMs));
+    const retryInMs = Math.max(MIN_RETRY_MS, drawnMs);
     return Math.round(Math.min(retryInMs, remainingMsOf(request) * MAX_REMAINING_SHARE));
   }
 
