fix(routing): leave no rounding residue in the totals of the slot ledger

Cause: the total of a chain was a sum of sizes only. After slots of 0.1 and 0.2 were released, 2.8e-17 remained, so the chain did not count as idle and refused a request larger than its capacity.

Change: totals count their slots and are removed with the last one, by the function that engineLoad.ts has for the totals by engine.

Conclusion: a chain without slots is idle, whatever ran on it before. Totals of chains that no longer exist do not accumulate either.

--- a/packages/routing/__tests__/slotLedger.spec.ts
+++ b/packages/routing/__tests__/slotLedger.spec.ts
@@ -55,6 +55,19 @@
     assert.equal(ledger.heldSizeOf('h'), 0);
   });
 
+  /**
+   * Guards against the rounding residue of a sum: with it a chain without requests did not count
+   * as idle, and refused a request larger than its capacity.
+   */
+  it('counts exactly nothing on a chain whose slots were all released', () => {
+    const { ledger, slot } = createFixture();
+    ledger.grant('vm1', slot('r1', 0.1));
+    ledger.grant('vm1', slot('r2', 0.2));
+    ledger.cancel('vm1', 'r1');
+    ledger.cancel('vm1', 'r2');
+    assert.equal(ledger.heldSizeOf('h'), 0);
+  });
+
   it('uses the newest report, regardless of the order of arrival', () => {
     const { ledger, slot } = createFixture();
     ledger.report('vm1', { sequence: 2, slots: [] });
--- a/packages/routing/src/engineLoad.ts
+++ b/packages/routing/src/engineLoad.ts
@@ -36,7 +36,7 @@
 }
 
 /** A running total. Its count of slots makes the total exactly zero with the last one removed. */
-interface Total {
+export interface Total {
   value: number;
   slots: number;
 }
@@ -66,27 +66,32 @@
   return path;
 }
 
+/** Changes the total of a key, which is removed with its last slot. */
+export function adjustTotal(
+  totals: Map<string, Total>,
+  id: string,
+  { value, slots }: Readonly<Total>,
+): void {
+  const total = totals.get(id);
+  if (!total) {
+    totals.set(id, { value, slots });
+    return;
+  }
+  total.slots += slots;
+  total.value += value;
+  if (total.slots <= 0) totals.delete(id);
+}
+
 export function createEngineLoads(): EngineLoads {
   const records = new Map<string, PathRecord>();
   const engines = new Map<string, Total>();
   const heads = new Map<string, Total>();
   let revision = 0;
 
-  function adjust(totals: Map<string, Total>, id: string, { value, slots }: Readonly<Total>): void {
-    const total = totals.get(id);
-    if (!total) {
-      totals.set(id, { value, slots });
-      return;
-    }
-    total.slots += slots;
-    total.value += value;
-    if (total.slots <= 0) totals.delete(id);
-  }
-
   function change(record: PathRecord, size: number, slots: number): void {
     const { path, headId } = record;
-    adjust(heads, headId, { value: size, slots });
-    path.forEach(([id, layers]) => adjust(engines, id, { value: size * layers, slots }));
+    adjustTotal(heads, headId, { value: size, slots });
+    path.forEach(([id, layers]) => adjustTotal(engines, id, { value: size * layers, slots }));
     record.slots += slots;
   }
 
--- a/packages/routing/src/slotLedger.ts
+++ b/packages/routing/src/slotLedger.ts
@@ -13,8 +13,8 @@
  * Source: Gray and Cheriton, "Leases", SOSP 1989.
  */
 import type { Clock } from '@spoolplank/shared';
-import { createEngineLoads } from './engineLoad';
-import type { EngineLoads, HeldPath, LoadedPath } from './engineLoad';
+import { adjustTotal, createEngineLoads } from './engineLoad';
+import type { EngineLoads, HeldPath, LoadedPath, Total } from './engineLoad';
 
 /** A slot on a chain, held for one request. */
 export interface HeldSlot {
@@ -93,14 +93,10 @@
 export function createSlotLedger(options: SlotLedgerOptions): SlotLedger {
   const { clock, leaseMs = DEFAULT_LEASE_MS, unclaimedMs = DEFAULT_UNCLAIMED_MS } = options;
   const holders = new Map<string, Holder>();
-  const totals = new Map<string, number>();
+  const totals = new Map<string, Total>();
   const engines = createEngineLoads();
   let sweptAtMs = Number.NEGATIVE_INFINITY;
 
-  function addToTotal({ headId }: HeldSlot, size: number): void {
-    totals.set(headId, (totals.get(headId) ?? 0) + size);
-  }
-
   function findOrCreate(name: string): Holder {
     const known = holders.get(name);
     if (known) return known;
@@ -114,7 +110,7 @@
   }
 
   function release({ slot, path }: Entry): void {
-    addToTotal(slot, -slot.size);
+    adjustTotal(totals, slot.headId, { value: -slot.size, slots: -1 });
     if (path) engines.remove(path, slot.size);
   }
 
@@ -136,7 +132,7 @@
     if (known) release(known);
     const grantedAtMs = known?.grantedAtMs ?? clock.nowMs();
     entries.set(slot.ticket, { slot, path, grantedAtMs, isListed });
-    addToTotal(slot, slot.size);
+    adjustTotal(totals, slot.headId, { value: slot.size, slots: 1 });
     if (path) engines.add(path, slot.size);
   }
 
@@ -192,7 +188,7 @@
     },
     heldSizeOf(headId) {
       sweep();
-      return Math.max(0, totals.get(headId) ?? 0);
+      return Math.max(0, totals.get(headId)?.value ?? 0);
     },
     get engines() {
       sweep();
