--- a/packages/entry/src/repair/pathSilence.ts
+++ b/packages/entry/src/repair/pathSilence.ts
@@ -43,8 +43,8 @@
 /** Shorter pauses are frequent: timers of a busy VM and retransmitted packets take as long. */
 const MIN_TIMEOUT_MS = 50;
 /**
- * Number of gaps from which the rhythm is used. Of paths that pause in every eighth gap, 7 % show no
- * pause in 20 gaps, which was enough for three VMs to agree by chance, and 0.03 % in 60.
+ * Number of gaps from which the rhythm is used. Of paths that pause in every eighth gap, 7 % show
+ * no pause in 20 gaps, which was enough for three VMs to agree by chance, and 0.03 % in 60 gaps.
  */
 const MIN_GAPS = 60;
 /** Weight of a new gap in the moving average. */
