fix(placement): repair a broken chain while demand is unknown

Demand is unknown for a second or two after a start or a change of leader.

Change: where the planner by copies orders nothing, demand is unknown, the loss is final and no engine is about to leave, the present repair of a chain is used, unless it lowers the bottleneck. Copies go first, as they serve better after few losses.

--- a/packages/routing/__tests__/copyPlan.spec.ts
+++ b/packages/routing/__tests__/copyPlan.spec.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createSeededRandom } from '@spoolplank/shared';
 import { planPlacement } from '../src/placement';
-import type { ObservedEngine } from '../src/placement';
+import type { ObservedEngine, PlacementOrder } from '../src/placement';
 import { createCopySimulation, MODEL } from './copyFixtures';
 import type { SimulationOptions } from './copyFixtures';
+import { capacityByLayer } from '../src/layerCopies';
 import { createEngines, createModel, repeat } from './fixtures';
 
 type Simulation = ReturnType<typeof createCopySimulation>;
@@ -153,6 +155,68 @@
   });
 });
 
+describe('the repair of a chain while demand is unknown', () => {
+  const kinds = [...repeat('a100', 3), ...repeat('v100', 16), ...repeat('l4', 12)];
+
+  function applyOrders(
+    engines: readonly ObservedEngine[],
+    orders: readonly PlacementOrder[],
+  ): readonly ObservedEngine[] {
+    return engines.map((engine) => {
+      const order = orders.find(({ id }) => id === engine.id);
+      return order ? { ...engine, firstLayer: order.firstLayer, endLayer: order.endLayer } : engine;
+    });
+  }
+
+  /** Three chains that lose three engines. */
+  function loseThree(seed: number): readonly ObservedEngine[] {
+    const random = createSeededRandom(seed);
+    const empty = createEngines(kinds);
+    const lost = new Set([0, 1, 2].map(() => empty[random.nextInt(empty.length)]?.id));
+    return applyOrders(empty, planPlacement(empty, MODEL)).map((engine) =>
+      lost.has(engine.id)
+        ? { ...engine, isReliable: false, isOrderable: false, isServing: false }
+        : engine,
+    );
+  }
+
+  function findBottleneck(engines: readonly ObservedEngine[]): number {
+    const holders = engines
+      .filter(({ isReliable }) => isReliable)
+      .map(({ acceleratorKind, slots, firstLayer, endLayer }) => ({
+        memoryMb: MODEL.kinds.find(({ name }) => name === acceleratorKind)?.memoryMb ?? 0,
+        slots,
+        planned:
+          firstLayer === null || endLayer === null ? null : { first: firstLayer, end: endLayer },
+      }));
+    return Math.min(...capacityByLayer(holders, MODEL));
+  }
+
+  /**
+   * Guards against a broken chain that stays idle: demand is unknown for a second or two after a
+   * change of leader, and copies are even enough to order nothing.
+   */
+  it('is ordered wherever whole chains were repaired before copies followed demand', () => {
+    const options = { mayRebalance: () => false };
+    const copiesFor = () => ({ demand: null });
+    const seeds = Array.from({ length: 200 }, (_, index) => index + 1);
+    const repaired = seeds.filter(
+      (seed) => planPlacement(loseThree(seed), MODEL, options).length > 0,
+    );
+    assert.ok(repaired.length > 30, String(repaired.length));
+    repaired.forEach((seed) => {
+      const engines = loseThree(seed);
+      const orders = planPlacement(engines, MODEL, { ...options, copiesFor });
+      assert.ok(orders.length > 0, `seed ${seed}`);
+      const after = findBottleneck(applyOrders(engines, orders));
+      assert.ok(after >= findBottleneck(engines), `seed ${seed}`);
+      const mayMoveLayers = () => false;
+      const early = planPlacement(engines, MODEL, { ...options, copiesFor, mayMoveLayers });
+      assert.deepEqual(early, [], `seed ${seed} while the lost engines may return`);
+    });
+  });
+});
+
 describe('the orders of a data centre without losses that meets its demand', () => {
   function addEngines(options: SimulationOptions): Simulation {
     const simulation = createCopySimulation(options);
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -123,13 +123,17 @@
   model: ModelDescription,
   chains: number,
   plan: CopyPlan,
-  { mayRebalance, mayMoveLayers }: DataCentreOptions,
+  { mayRebalance, mayMoveLayers, copies }: DataCentreOptions,
 ): void {
   if (plan.isBusy || plan.hasReserved) return;
-  const { isDue, isReplacing, complete } = plan;
+  const { isReplacing, complete } = plan;
+  // Without a known demand nothing shows that the remaining chains suffice, so a broken one is
+  // repaired also where this does not raise the bottleneck.
+  const isDemandKnown = copies?.demand !== null;
+  const isDue = plan.isDue && isDemandKnown;
   // A new layout takes ten engines out for seconds. That is not worth it while demand is met, and
   // not while engines are replaced, as the next ones of the chain are about to leave.
-  const mayRepair = mayMoveLayers && isDue && !isReplacing;
+  const mayRepair = mayMoveLayers && (isDue || !isDemandKnown) && !isReplacing;
   const isRepaired =
     mayRepair &&
     repairWithoutLoss(engines, model, {
