fix(repair): keep the two runs of a handover on different engines

Cause: during a handover two runs with the same request id exist. The run that takes over is started on other engines, but a repair or a move of either run excluded only its own lost and leaving engines, and could put it on an engine of the other one. An engine cannot tell the two apart.

Change: repairs and moves exclude the engines of all other rows with the same request id. Rows also record the stages of orders that are in flight or had no answer (orderedStages), as such an order may have been executed; both a handover and the repair of the other run avoid those engines too.

Conclusion: where no other engine has the layers, the old run is not repaired and the new one continues.

--- a/packages/entry/__tests__/streamFixtures.ts
+++ b/packages/entry/__tests__/streamFixtures.ts
@@ -41,6 +41,7 @@
     headId: ids[0] ?? '',
     size: 1,
     stages: createStages(ids),
+    orderedStages: [],
     lostIds: new Set(),
     startedAtMs: clock.nowMs(),
     hasAnswered: true,
--- a/packages/entry/__tests__/streamHandover.spec.ts
+++ b/packages/entry/__tests__/streamHandover.spec.ts
@@ -275,6 +275,17 @@
     setting.leave();
   });
 
+  it('stays when the only chain has an engine to which its path may just be changed', async () => {
+    const setting = createSetting({ chains: ['e2'] });
+    await nextTurn();
+    await setting.send(setting.runs[0], 2);
+    const [row] = setting.streams.list();
+    Object.assign(row ?? {}, { orderedStages: createChain('e2').stages });
+    assert.equal((await setting.handOver())?.outcome, 'no-path');
+    assert.equal(setting.runs.length, 1);
+    setting.leave();
+  });
+
   it('stays when the new run is rejected, or does not continue it', async () => {
     const rejected = createSetting({ rejecting: ['e2'] });
     await nextTurn();
--- a/packages/entry/__tests__/streamMigration.spec.ts
+++ b/packages/entry/__tests__/streamMigration.spec.ts
@@ -164,6 +164,24 @@
     gaps.forEach((gapMs) => assert.ok(gapMs >= 2, `${gapMs} ms`));
   });
 
+  it('are not moved to an engine of the other run of the request', async () => {
+    for (let free = 0; free < 2; free += 1) {
+      const ids = ['b2', 'c2'];
+      const setting = createSetting({ vms: 1, streams: 1 });
+      const used = ids[1 - free] ?? '';
+      const other = createRunningRow(setting.clock, 'r0', ['d1', used, 'd3', 'd4'], {
+        ticket: 'r0/0/moved',
+      });
+      setting.vms[0]?.streams.add(other);
+      setting.leave('a2');
+      await setting.pass(SERVES_MS);
+      assert.deepEqual(
+        setting.orders.map(({ path }) => path),
+        [['a1', ids[free], 'a3', 'a4']],
+      );
+    }
+  });
+
   it('stay while migration is switched off, and while it does not leave', async () => {
     const off = createSetting({ isEnabled: false });
     off.leave('a2');
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -84,6 +84,7 @@
       { id: 'a1', address: 'a1:80', firstLayer: 0, endLayer: 4 },
       { id: 'a2', address: 'a2:80', firstLayer: 4, endLayer: 8 },
     ],
+    orderedStages: [],
     lostIds: new Set(),
     startedAtMs: clock.nowMs(),
     hasAnswered: true,
@@ -241,4 +242,36 @@
     await setting.pass(0);
     assert.deepEqual(setting.repairs, [['a1', 'a3']]);
   });
+
+  // An engine on the paths of both runs could not tell them apart, as they have one request id.
+  it('is not repaired over an engine of the other run of its request', async () => {
+    const stagesOf = (id: string) => [{ id, address: `${id}:80`, firstLayer: 4, endLayer: 8 }];
+    const cases: readonly [Partial<StreamRow>, readonly string[][], readonly string[]][] = [
+      [{ stages: stagesOf('a3') }, [], ['no-repair']],
+      [{ stages: stagesOf('a4'), orderedStages: stagesOf('a3') }, [], ['no-repair']],
+      [{ stages: stagesOf('a4') }, [['a1', 'a3']], []],
+    ];
+    for (const [other, repairs, cuts] of cases) {
+      const setting = createSetting();
+      setting.streams.add({ ...setting.row, ticket: 'r/0/moved', lostIds: new Set(), ...other });
+      setting.repair.repairLost((instanceId) => instanceId === 'a2');
+      await setting.pass(0);
+      assert.deepEqual(setting.repairs, repairs);
+      assert.deepEqual(setting.cuts, cuts);
+    }
+  });
+
+  it('keeps the engines of an order without an answer, as it may have been executed', async () => {
+    const orderedBy = async (outcome: RepairOutcome) => {
+      const setting = createSetting({ outcome });
+      setting.repair.repairLost((instanceId) => instanceId === 'a2');
+      const inFlight = setting.row.orderedStages.map(({ id }) => id);
+      assert.deepEqual(inFlight, ['a1', 'a3']);
+      await setting.pass(0);
+      return setting.row.orderedStages.map(({ id }) => id);
+    };
+    assert.deepEqual(await orderedBy({ kind: 'repaired' }), []);
+    assert.deepEqual(await orderedBy({ kind: 'unknown-request' }), []);
+    assert.deepEqual(await orderedBy({ kind: 'failed', problem: 'timeout' }), ['a1', 'a3']);
+  });
 });
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -149,6 +149,7 @@
       headId: chain.headId,
       size: sizeOfRequest(admitted.request, model),
       stages: chain.stages,
+      orderedStages: [],
       lostIds: new Set(),
       startedAtMs: nowMs,
       hasAnswered: false,
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -18,6 +18,7 @@
 } from './streamAttempt';
 import type { BrokenRun, StreamProgress, StreamResult } from './streamAttempt';
 import { createHandover } from './streamHandover';
+import { enginesOf } from './streamTable';
 import type { StreamRow, StreamTable } from './streamTable';
 
 export interface StreamDispatchOptions {
@@ -288,7 +289,8 @@
         /** Whether a chain may run the stream beside the chain on which it runs now. */
         function isFit({ stages }: ChosenChain, row: StreamRow): boolean {
           // An engine could not tell the two runs apart, as they have the same request id.
-          return !stages.some(({ id }) => row.stages.some((used) => used.id === id));
+          const used = enginesOf(row);
+          return !stages.some(({ id }) => used.has(id));
         }
 
         async function handOver(row: StreamRow): Promise<HandoverEnd | null> {
--- a/packages/entry/src/dispatch/streamTable.ts
+++ b/packages/entry/src/dispatch/streamTable.ts
@@ -23,6 +23,11 @@
   /** Memory that the request takes, relative to a request of usual size. */
   readonly size: number;
   stages: readonly PathStage[];
+  /**
+   * Stages of other paths that the head was ordered to use, while the orders are in flight or if
+   * they had no answer, so that they may have been executed.
+   */
+  orderedStages: readonly PathStage[];
   /** Engines of the path that were found lost, or unfit for it, during this attempt. */
   readonly lostIds: Set<string>;
   readonly startedAtMs: number;
@@ -48,6 +53,11 @@
   readonly abort: (reason: AbortReason) => void;
 }
 
+/** Engines that a run may use: those of its path and of orders that may have been executed. */
+export function enginesOf({ stages, orderedStages }: StreamRow): ReadonlySet<string> {
+  return new Set([...stages, ...orderedStages].map(({ id }) => id));
+}
+
 export interface StreamTable {
   add(row: StreamRow): void;
   remove(row: StreamRow): void;
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -12,6 +12,7 @@
 import { createPathSilence } from './pathSilence';
 import type { DueMove, StreamMigration } from './streamMigration';
 import { contentOf } from '../quarantine/requestContent';
+import { enginesOf } from '../dispatch/streamTable';
 import type { StreamRow, StreamTable } from '../dispatch/streamTable';
 
 export interface StreamRepairOptions {
@@ -189,6 +190,31 @@
     row.lastCheckAtMs = clock.nowMs();
   }
 
+  /**
+   * Engines that a new path of a run must not use. These include the engines of the other run of
+   * the same request during a handover: an engine could not tell the two apart, as they have the
+   * same request id.
+   */
+  function listExcluded(row: StreamRow, avoidedIds: readonly string[] = []): ReadonlySet<string> {
+    const others = [...streams.list()].filter(
+      (other) => other !== row && other.admitted.request.id === row.admitted.request.id,
+    );
+    const usedByOthers = others.flatMap((other) => [...enginesOf(other)]);
+    return new Set([...row.lostIds, ...avoidedIds, ...usedByOthers]);
+  }
+
+  /** Orders the head to run a stream over another path. */
+  async function orderPath(row: StreamRow, head: PathStage, stages: readonly PathStage[]) {
+    const target: BackendTarget = { instanceId: head.id, address: head.address };
+    const { orderedStages: before } = row;
+    row.orderedStages = [...before, ...stages];
+    const { id } = row.admitted.request;
+    const outcome = await operations.repair(target, id, stages, REPAIR_TIMEOUT_MS);
+    if (outcome.kind === 'repaired') row.orderedStages = [];
+    else if (outcome.kind !== 'failed') row.orderedStages = before;
+    return outcome;
+  }
+
   async function repairRow(row: StreamRow): Promise<void> {
     const { admitted, model } = row;
     const { request, service } = admitted;
@@ -198,10 +224,9 @@
       return;
     }
     for (let attempt = 0; attempt < MAX_REPAIR_ATTEMPTS; attempt += 1) {
-      const stages = chains.repair(service, model, row.stages, row.lostIds);
+      const stages = chains.repair(service, model, row.stages, listExcluded(row));
       if (!stages) break;
-      const target: BackendTarget = { instanceId: head.id, address: head.address };
-      const outcome = await operations.repair(target, request.id, stages, REPAIR_TIMEOUT_MS);
+      const outcome = await orderPath(row, head, stages);
       log.info('stream-repair', {
         requestId: request.id,
         lost: [...row.lostIds],
@@ -250,11 +275,9 @@
 
   /** Orders a move; an order without an answer is repeated once, as it may have been executed. */
   async function orderMove(row: StreamRow, head: PathStage, stages: readonly PathStage[]) {
-    const target: BackendTarget = { instanceId: head.id, address: head.address };
-    const { id } = row.admitted.request;
-    const outcome = await operations.repair(target, id, stages, REPAIR_TIMEOUT_MS);
+    const outcome = await orderPath(row, head, stages);
     if (outcome.kind !== 'failed' || !isRunning(row)) return outcome;
-    return operations.repair(target, id, stages, REPAIR_TIMEOUT_MS);
+    return orderPath(row, head, stages);
   }
 
   function recordMove(due: DueMove, outcome: MoveOutcome, path: readonly string[]): void {
@@ -274,7 +297,7 @@
   async function move(due: DueMove): Promise<void> {
     const { row, leavingId, avoidedIds } = due;
     const [head] = row.stages;
-    const excluded = new Set([...row.lostIds, ...avoidedIds]);
+    const excluded = listExcluded(row, avoidedIds);
     const stages = chains.repair(row.admitted.service, row.model, row.stages, excluded);
     let outcome: MoveOutcome = 'no-path';
     if (head && stages) {
