fix(repair): move streams off later stages when their head leaves too

Cause: once the head of a stream left, listLeavingStages named the head or nothing, so that no later stage that left was moved: not for a stream that cannot be resumed, and not after a restart that failed. Plans of later stages were dropped meanwhile. Also, no path was ever found for a stream whose head leaves: its data centre was looked up by the head, which the routing view does not list from then on. The repair after a loss had the same fault.

Change: later stages that leave are planned always. They are not moved while a restart is due or running (isHandingOver), and are moved as usual otherwise. The data centre is taken from any engine of the path.

Conclusion: a later stage that leaves is vacated whether or not the head leaves.

--- a/packages/entry/__tests__/streamFixtures.ts
+++ b/packages/entry/__tests__/streamFixtures.ts
@@ -51,6 +51,7 @@
     checks: 0,
     isChecking: false,
     isRepairing: false,
+    isHandingOver: false,
     isPaused: false,
     abortReason: null,
     abort(reason) {
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -94,6 +94,7 @@
     checks: 0,
     isChecking: false,
     isRepairing: false,
+    isHandingOver: false,
     isPaused: false,
     abortReason: null,
     abort: (reason) => cuts.push(reason),
--- a/packages/entry/src/dispatch/chainCatalog.ts
+++ b/packages/entry/src/dispatch/chainCatalog.ts
@@ -62,11 +62,14 @@
   listOf(service: string, model: ModelDescription, dataCentre: string): readonly RatedChain[];
   /** The paths of a data centre, computed when first asked for after a change of its chains. */
   layoutOf(service: string, model: ModelDescription, dataCentre: string): PathLayout;
-  /** Engines that can run a stage of a path, in the data centre of the given engine. */
+  /**
+   * Engines that can run a stage of a path, in the data centre of the given path. Engines that
+   * leave are not listed, so that any engine of the path may tell its data centre.
+   */
   listEnginesInSameDataCentre(
     service: string,
     model: ModelDescription,
-    instanceId: string,
+    path: readonly PathStage[],
   ): readonly StageEngine[];
 }
 
@@ -302,8 +305,9 @@
       }
       return cached.layout;
     },
-    listEnginesInSameDataCentre(service, model, instanceId) {
-      const anchor = view.listBackends(service).find((fact) => fact.instanceId === instanceId);
+    listEnginesInSameDataCentre(service, model, path) {
+      const ids = new Set(path.map(({ id }) => id));
+      const anchor = view.listBackends(service).find((fact) => ids.has(fact.instanceId));
       return toStageEngines(groupByDataCentre(service).get(anchor?.dataCentre ?? '') ?? [], model);
     },
   };
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -159,6 +159,7 @@
       checks: 0,
       isChecking: false,
       isRepairing: false,
+      isHandingOver: false,
       isPaused: false,
       abortReason: null,
       abort(reason: AbortReason) {
--- a/packages/entry/src/dispatch/streamTable.ts
+++ b/packages/entry/src/dispatch/streamTable.ts
@@ -45,6 +45,8 @@
   isChecking: boolean;
   /** Whether the stream is being moved to another path. */
   isRepairing: boolean;
+  /** Whether the stream is being restarted on another chain, as its head leaves. */
+  isHandingOver: boolean;
   /** Whether the caller reads too slowly; silence is then no sign of a fault. */
   isPaused: boolean;
   /** Why this entry aborted the attempt; null while it has not. */
--- a/packages/entry/src/repair/pathRepair.ts
+++ b/packages/entry/src/repair/pathRepair.ts
@@ -77,7 +77,7 @@
     if (!head || lostIds.has(head.id)) return undefined;
     const kept = new Set(stages.map(({ id }) => id).filter((id) => !lostIds.has(id)));
     const engines = catalog
-      .listEnginesInSameDataCentre(service, model, head.id)
+      .listEnginesInSameDataCentre(service, model, stages)
       .filter(({ id }) => !lostIds.has(id) && (kept.has(id) || backoffMsOf(id) === 0));
     const candidates = engines.filter(({ id }) => !kept.has(id));
     const repaired: PathStage[] = [];
--- a/packages/entry/src/repair/streamMigration.ts
+++ b/packages/entry/src/repair/streamMigration.ts
@@ -39,7 +39,7 @@
   readonly leavingId: string;
   /** Whether it is the first engine of the path; the stream is then restarted on another chain. */
   readonly isHead: boolean;
-  /** The engines that the stream avoids from now on: all of its path that leave, if possible. */
+  /** The engines that a move avoids: all later ones of its path that leave, if possible. */
   readonly avoidedIds: readonly string[];
   readonly announcedAtMs: number;
 }
@@ -95,8 +95,9 @@
   return resumeSpacingMs({ model, stages: [stage], size, prefillFactorOf: () => slowest(model) });
 }
 
-function isReady({ hasBegun, isRepairing, isChecking, abortReason }: StreamRow): boolean {
-  return hasBegun && !isRepairing && !isChecking && abortReason === null;
+function isReady(row: StreamRow): boolean {
+  const isBusy = row.isRepairing || row.isHandingOver || row.isChecking;
+  return row.hasBegun && !isBusy && row.abortReason === null;
 }
 
 export function createStreamMigration(options: StreamMigrationOptions): StreamMigration {
@@ -120,15 +121,34 @@
     return isAllowed && remainingMs(row, nowMs) > servesMs;
   }
 
-  /** Stages of a stream that are to be taken over by other engines. */
-  function listLeavingStages(row: StreamRow): readonly PathStage[] {
-    const [head, ...later] = row.stages;
-    if (!head) return [];
+  /** Whether the head of a stream leaves and the stream is still to be restarted because of it. */
+  function isRestartDue(row: StreamRow): boolean {
+    const [head] = row.stages;
+    if (!head) return false;
     const departure = departureOf(head.id);
-    if (departure) return mayRestart(row, head, departure) ? [head] : [];
+    return departure !== undefined && mayRestart(row, head, departure);
+  }
+
+  /** Later stages of a stream that are to be taken over by other engines. */
+  function listLaterStages(row: StreamRow): readonly PathStage[] {
+    const [, ...later] = row.stages;
     return later.filter(({ id }) => departureOf(id) && triesOf(row, id) < MAX_TRIES);
   }
 
+  /** All stages that a stream is to leave; a head by a restart on another chain. */
+  function listLeavingStages(row: StreamRow): readonly PathStage[] {
+    const head = isRestartDue(row) ? row.stages.slice(0, 1) : [];
+    return [...head, ...listLaterStages(row)];
+  }
+
+  /**
+   * Whether a stream can be moved off an engine now. Later stages wait for a restart that is due,
+   * as it leaves them too; if it fails, they are moved.
+   */
+  function isMovable(row: StreamRow, id: string): boolean {
+    return isReady(row) && (row.stages[0]?.id === id || !isRestartDue(row));
+  }
+
   function addPlan(stage: PathStage, rows: readonly StreamRow[]): void {
     const departure = departureOf(stage.id);
     const [first] = rows;
@@ -154,7 +174,7 @@
       plans.delete(id);
       return undefined;
     }
-    const [first, ...rest] = open.filter(isReady);
+    const [first, ...rest] = open.filter((row) => isMovable(row, id));
     if (!first) {
       plan.nextAtMs = nowMs + NOT_READY_MS;
       return undefined;
@@ -166,7 +186,7 @@
     plan.nextAtMs = Math.max(plan.nextAtMs + plan.spacingMs, nowMs);
     // The second try avoids one engine only, as there may be no path without the others.
     const isFirstTry = triesOf(row, id) === 0;
-    const avoidedIds = isFirstTry ? listLeavingStages(row).map((stage) => stage.id) : [id];
+    const avoidedIds = isFirstTry ? listLaterStages(row).map((stage) => stage.id) : [id];
     recordTries(row, id, triesOf(row, id) + 1);
     const isHead = row.stages[0]?.id === id;
     return { row, leavingId: id, isHead, avoidedIds, announcedAtMs: plan.announcedAtMs };
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -329,7 +329,12 @@
     const { row } = due;
     if (quarantine.has(contentOf(row.admitted))) return;
     if (due.isHead) {
-      restart(due).catch((error: unknown) => recordMoveFailure(due, error));
+      row.isHandingOver = true;
+      restart(due)
+        .catch((error: unknown) => recordMoveFailure(due, error))
+        .finally(() => {
+          row.isHandingOver = false;
+        });
       return;
     }
     isMoving = true;
