--- a/packages/entry/__tests__/streamFixtures.ts
+++ b/packages/entry/__tests__/streamFixtures.ts
@@ -41,6 +41,7 @@
     headId: ids[0] ?? '',
     size: 1,
     stages: createStages(ids),
+    orderedStages: [],
     lostIds: new Set(),
     startedAtMs: clock.nowMs(),
     hasAnswered: true,
@@ -50,6 +51,7 @@
     checks: 0,
     isChecking: false,
     isRepairing: false,
+    isHandingOver: false,
     isPaused: false,
     abortReason: null,
     abort(reason) {
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -149,6 +149,7 @@
       headId: chain.headId,
       size: sizeOfRequest(admitted.request, model),
       stages: chain.stages,
+      orderedStages: [],
       lostIds: new Set(),
       startedAtMs: nowMs,
       hasAnswered: false,
@@ -158,6 +159,7 @@
       checks: 0,
       isChecking: false,
       isRepairing: false,
+      isHandingOver: false,
       isPaused: false,
       abortReason: null,
       abort(reason: AbortReason) {
