feat(slots): weigh organisations by their usual demand

Cause: without configured weights all organisations had the same one. In a long overload a large organisation got as many slots as a small one, less than half of the mean share served.

Change: where no weight is configured, the allocator weighs an organisation by the cost of its first asks, a moving average over 30 s relative to the median organisation, at least 0.5. Retries, begun streams and requests with the size and deadline of one counted before do not raise it. An interval of 3 s counts as at most three times the average. Weights are 1 without a history of 30 s, so a successor of the allocator and a new organisation decide as before. A refund takes back the cost and weight that were charged.

Conclusion: organisations are served in proportion to their usual demand once an allocator has seen them for 30 s. After a loss of the allocator, large organisations are served as equals for 30 s.

--- a/packages/entry/__tests__/slotSharing.spec.ts
+++ b/packages/entry/__tests__/slotSharing.spec.ts
@@ -186,3 +186,87 @@
     assert.deepEqual(shared, await replay(UNSHARED, 8, 26));
   });
 });
+
+describe('24 organisations, three of which send half of all requests, on two full chains', () => {
+  const FULL = ['c1', 'c2'];
+  const SMALL = Array.from({ length: 21 }, (_, index) => `small${index}`);
+  const LARGE = ['large0', 'large1', 'large2'];
+  const ORGANISATIONS = [...SMALL, ...LARGE];
+  /** The chains serve 47 a second. */
+  const USUAL_PER_S = 40;
+  const OVERLOAD = 94 / USUAL_PER_S;
+  const HISTORY_MS = 60_000;
+  const OVERLOAD_MS = 6000;
+  const END_MS = HISTORY_MS + OVERLOAD_MS;
+
+  const isOverload = (atMs: number): boolean => atMs >= HISTORY_MS;
+  const usualOf = (name: string): number =>
+    name.startsWith('large') ? USUAL_PER_S / 6 : USUAL_PER_S / 2 / SMALL.length;
+
+  async function play(
+    factorOf: (name: string, atMs: number) => number,
+    { weight, isAllocatorLost = false }: { weight?: number; isAllocatorLost?: boolean } = {},
+  ) {
+    const site = createDataCentre(VMS, FULL, { decisions: WITHOUT_FORECAST });
+    await site.pass(1500);
+    if (isAllocatorLost) {
+      site.schedule(() => {
+        site.allocator().isUp = false;
+      }, HISTORY_MS);
+    }
+    const callers = [...ORGANISATIONS, 'new'].map((name) => ({
+      name,
+      organisation: name,
+      perS: (atMs: number) => usualOf(name) * factorOf(name, atMs),
+      ...(weight === undefined ? {} : { weight }),
+    }));
+    const periodOf = (atMs: number) => (isOverload(atMs) ? '' : ' before');
+    const { endsOf } = await playLoad(site, callers, END_MS, periodOf);
+    const sumOf = (names: readonly string[], key: 'sent' | 'granted' | 'inTime') =>
+      names.reduce((sum, name) => sum + endsOf(name)[key], 0);
+    const mean = sumOf(ORGANISATIONS, 'granted') / sumOf(ORGANISATIONS, 'sent');
+    const relativeOf = (name: string) => shareOf(endsOf(name)) / mean;
+    const inTimeOf = (names: readonly string[]) => sumOf(names, 'inTime') / sumOf(names, 'sent');
+    const relative = ORGANISATIONS.map(relativeOf);
+    const range = { least: Math.min(...relative), most: Math.max(...relative) };
+    return { ...range, large: LARGE.map(relativeOf), mean, relativeOf, inTimeOf };
+  }
+
+  const overloadOf = (name: string, atMs: number): number => {
+    if (name === 'new') return 0;
+    return isOverload(atMs) ? OVERLOAD : 1;
+  };
+
+  // Guards against a large organisation that is starved by small ones in a long overload.
+  it('are served between half and twice the mean under twice the capacity', async () => {
+    const usual = await play(overloadOf);
+    const equal = await play(overloadOf, { weight: 1 });
+    assert.ok(usual.least > 0.5 && usual.most < 2, `${usual.least} to ${usual.most}`);
+    assert.ok(Math.max(...equal.large) < 0.75, `${equal.large} with equal weights`);
+  });
+
+  // Guards against usual demand that follows a flood, and so lets it displace the others.
+  it('are served in time beside a flood of ten times the usual requests of one of them', async () => {
+    const flood = await play((name, atMs) => {
+      if (name === 'new') return 0;
+      return name === 'large0' && isOverload(atMs) ? 10 : 1;
+    });
+    const others = ORGANISATIONS.filter((name) => name !== 'large0');
+    assert.ok(flood.inTimeOf(others) > 0.97, `${flood.inTimeOf(others)} in time`);
+  });
+
+  // Guards against an organisation that gets no slots as it has no usual demand.
+  it('leave slots to a new one that sends as much as a small one', async () => {
+    const { relativeOf } = await play((name, atMs) =>
+      name === 'new' ? Number(isOverload(atMs)) * OVERLOAD : overloadOf(name, atMs),
+    );
+    assert.ok(relativeOf('new') > 0.5, `${relativeOf('new')} of the mean`);
+  });
+
+  // Guards against a successor without history that serves some organisations not at all.
+  it('are served as equals by a successor of the allocator, which has no history', async () => {
+    const lost = await play(overloadOf, { isAllocatorLost: true });
+    const equal = await play(overloadOf, { weight: 1, isAllocatorLost: true });
+    assert.deepEqual([lost.least, lost.most], [equal.least, equal.most]);
+  });
+});
--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -12,11 +12,18 @@
 import {
   createResumePacing,
   createRetrySchedule,
+  createUsualDemand,
   DEFAULT_DECISIONS,
   resumeSpacingMs,
   toHeldPath,
 } from '@spoolplank/routing';
-import type { DecisionSettings, PathStage, SharingSettings, SlotClaim } from '@spoolplank/routing';
+import type {
+  DecisionSettings,
+  PathStage,
+  SharingSettings,
+  SlotClaim,
+  UsualDemand,
+} from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue } from '@spoolplank/shared';
 import { createAdmissionQueue } from '../admission/admissionQueue';
@@ -122,7 +129,7 @@
 const PERMIT_COST = 1;
 
 /** On whose account an ask is, and its cost. An older VM states neither. */
-function claimOf(ask: SlotAsk, { isEnabled }: SharingSettings): SlotClaim {
+function toClaim(ask: SlotAsk, { isEnabled }: SharingSettings): SlotClaim {
   const { priority, size, cost = size > 0 ? size : PERMIT_COST, organisation = '' } = ask;
   // Without sharing, all requests of one priority are in one class.
   const classPriority = isEnabled ? (ask.classPriority ?? priority) : priority;
@@ -173,6 +180,7 @@
     ...(chainReturnsInMs ? { chainReturnsInMs } : {}),
   });
   const queues = new Map<string, AdmissionQueue>();
+  const demands = new Map<string, UsualDemand>();
   const tickets = new Map<string, Ticket>();
   /** Charges for granted slots that their holders have not listed yet, oldest first. */
   const charges = new Map<string, Charge>();
@@ -199,6 +207,30 @@
     return queue;
   }
 
+  /** What the organisations of a class of a service usually ask for. */
+  function demandOf(service: string, { priority, classPriority }: SlotClaim): UsualDemand {
+    const name = `${service} ${priority} ${classPriority}`;
+    const known = demands.get(name);
+    if (known) return known;
+    const demand = createUsualDemand({ clock });
+    demands.set(name, demand);
+    return demand;
+  }
+
+  /** The claim of an ask; without a configured weight, the organisation's usual demand is it. */
+  function claimOf(ask: SlotAsk): SlotClaim {
+    const claim = toClaim(ask, sharing);
+    if (!sharing.isEnabled || ask.weight !== undefined) return claim;
+    return { ...claim, weight: demandOf(ask.service, claim).weightOf(claim.organisation) };
+  }
+
+  function recordDemand(ask: SlotAsk): void {
+    if (!sharing.isEnabled || ask.isRetry || ask.hasBegun) return;
+    const claim = toClaim(ask, sharing);
+    const { size, callerLeavesInMs: leavesInMs } = ask;
+    demandOf(ask.service, claim).recordAsk({ ...claim, size, leavesInMs });
+  }
+
   function isPaced({ hasBegun, heads }: SlotAsk): boolean {
     return hasBegun && heads === undefined;
   }
@@ -227,9 +259,8 @@
     turnsAtMs.set(slot, resumePacing.takeTurn(headId, spacingMs));
   }
 
-  function recordGrant(holder: string, ask: SlotAsk, waitedMs: number): void {
+  function recordGrant(holder: string, ask: SlotAsk, claim: SlotClaim, waitedMs: number): void {
     const atMs = clock.nowMs();
-    const claim = claimOf(ask, sharing);
     charges.set(keyOf(holder, ask.ticket), { service: ask.service, claim, atMs });
     const labels = { class: String(ask.classPriority ?? ask.priority) };
     metrics?.count('spoolplank_slot_grants_total', labels);
@@ -268,7 +299,13 @@
     };
   }
 
-  function findSlot(holder: string, ask: SlotAsk, waitedMs: number): GrantedSlot | undefined {
+  /** Looks for a slot, which is charged by `claim`. */
+  function findSlot(
+    holder: string,
+    ask: SlotAsk,
+    claim: SlotClaim,
+    waitedMs: number,
+  ): GrantedSlot | undefined {
     const chosen = findBest(ask);
     if (!chosen) return undefined;
     options.onGranted?.(ask, chosen);
@@ -277,7 +314,7 @@
     const limitPerS = permits.take(holder, ask.ticket, headId);
     const path = options.chains.layoutOf && !ask.heads ? toHeldPath(stages) : undefined;
     account.grant(holder, { ticket: ask.ticket, headId, size: ask.size }, path);
-    recordGrant(holder, ask, waitedMs);
+    recordGrant(holder, ask, claim, waitedMs);
     if (isForecast(ask)) outlook.recordGrant(holder, ask, headId);
     const inFlight = account.inFlightOn(headId);
     const slot = { grantedBy: options.host, headId, stages, capacity, inFlight, limitPerS };
@@ -286,6 +323,7 @@
   }
 
   function enqueue(holder: string, ask: SlotAsk): Ticket {
+    recordDemand(ask);
     const nowMs = clock.nowMs();
     const arrivedAtMs = nowMs - ask.waitedMs;
     const ticket: Ticket = {
@@ -298,14 +336,16 @@
       outcome: null,
       settled: Promise.resolve(),
     };
+    // The weight changes with time; a refund takes back what was charged.
+    const claim = claimOf(ask);
     const wait = {
-      ...claimOf(ask, sharing),
+      ...claim,
       hasBegun: ask.hasBegun,
       arrivedAtMs,
       latestStartAtMs: nowMs + ask.inTimeForMs,
       queueDeadlineAtMs: ticket.queueDeadlineAtMs,
       isRetry: ask.isRetry && !ticket.isEarly,
-      find: () => findSlot(holder, ticket.ask, clock.nowMs() - arrivedAtMs),
+      find: () => findSlot(holder, ticket.ask, claim, clock.nowMs() - arrivedAtMs),
       exclusionKey: () => exclusionKeyOf(ticket.ask),
       limitedPerS: () => slotChains.limitedRate(ticket.ask) ?? pacedRate(ticket.ask),
       isHopeless(ahead: number) {
@@ -343,8 +383,9 @@
   /** Tries once without queueing; grants nothing while requests are queued, as these come first. */
   function tryOnce(holder: string, ask: SlotAsk): SlotReply {
     const queue = queueOf(ask.service);
-    const slot = queue.length === 0 ? findSlot(holder, ask, ask.waitedMs) : undefined;
-    if (slot) queue.charge(claimOf(ask, sharing));
+    const claim = claimOf(ask);
+    const slot = queue.length === 0 ? findSlot(holder, ask, claim, ask.waitedMs) : undefined;
+    if (slot) queue.charge(claim);
     return slot ? { kind: 'granted', slot } : { kind: 'waiting', ahead: queue.length };
   }
 
--- a/packages/entry/src/slots/slotMessages.ts
+++ b/packages/entry/src/slots/slotMessages.ts
@@ -21,7 +21,7 @@
   readonly cost?: number;
   /** Organisation of the caller; those without one share as one organisation. */
   readonly organisation?: string;
-  /** Weight of the organisation among those of its class; 1 by default. */
+  /** Configured weight of the organisation in its class; its usual demand by default. */
   readonly weight?: number;
   /** Whether the caller has already received a part of the stream. */
   readonly hasBegun: boolean;
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -38,4 +38,5 @@
 export * from './src/tokenBucket';
 export * from './src/windowBudget';
 export * from './src/unseenLoad';
+export * from './src/usualDemand';
 export * from './src/queueOrder';
