fix(entry): hand a stream over again when its next head leaves

Cause: only the first run of an attempt could be handed over. When the head of the run that had taken over left too, nothing was tried or recorded, and the stream broke off with the exit of that head. In addition, a second call for the same run shared the record of the first one, and the caller got an event twice; the migration asks once for each head, so that this was not reached.

Change: a run that takes over is run like the first one, linked to its predecessor, so that it can be handed over within maxAttempts, retry budget and the limit of attempts. Cancelling a run cancels its successors.

Conclusion: a stream can leave several heads in turn.

--- a/packages/entry/__tests__/streamHandover.spec.ts
+++ b/packages/entry/__tests__/streamHandover.spec.ts
@@ -127,8 +127,8 @@
       await nextTurn();
       await nextTurn();
     },
-    handOver() {
-      const [row] = streams.list();
+    handOver(index = 0) {
+      const row = [...streams.list()][index];
       return dispatch.handOver(row as StreamRow);
     },
     leave() {
@@ -163,20 +163,22 @@
     assert.deepEqual([...setting.streams.list()], [], 'both slots are released');
   });
 
-  it('loses and repeats no event, whenever either run breaks off or ends', async () => {
+  /** Hands 300 streams over while their runs break off at random; returns how often they moved. */
+  async function countMoved(maxHandovers: number, maxAttempts: number): Promise<number> {
     const handovers: ReturnType<ReturnType<typeof createSetting>['handOver']>[] = [];
     for (let seed = 1; seed <= 300; seed += 1) {
       const random = createSeededRandom(seed);
-      const setting = createSetting({ route: { maxAttempts: 3 } });
+      const chains = Array.from({ length: maxAttempts }, (_, index) => `e${index + 2}`);
+      const setting = createSetting({ route: { maxAttempts }, chains });
       await nextTurn();
-      const handoverAt = 1 + random.nextInt(EVENTS - 2);
+      let handoverAt = 1 + random.nextInt(Math.ceil((EVENTS - 2) / maxHandovers));
       const breakChance = random.nextFloat() * 0.08;
       const unsent = new Map<Run, string>();
       let outcome = '';
       void setting.end.then((end) => {
         outcome = end.outcome;
       });
-      let isHandedOver = false;
+      let handedOver = 0;
       for (let step = 0; step < 2000 && outcome === ''; step += 1) {
         const open = setting.runs.filter(({ body }) => !body.destroyed && !body.writableEnded);
         const run = open[random.nextInt(Math.max(1, open.length))];
@@ -194,8 +196,9 @@
           else run.body.write(bytes.slice(0, length));
         }
         if (random.nextInt(3) === 0) await nextTurn();
-        if (!isHandedOver && setting.received().length >= handoverAt) {
-          isHandedOver = true;
+        if (handedOver < maxHandovers && setting.received().length >= handoverAt) {
+          handedOver += 1;
+          handoverAt += 4;
           handovers.push(setting.handOver());
         }
         if (!run) await nextTurn();
@@ -204,14 +207,76 @@
       const ids = setting.received();
       assert.deepEqual(ids, idsTo(ids.length), `seed ${seed}`);
       if (outcome === 'served') assert.equal(ids.length, EVENTS, `seed ${seed}`);
-      assert.ok(setting.runs.length <= 3, `seed ${seed} had ${setting.runs.length} runs`);
+      assert.ok(setting.runs.length <= maxAttempts, `seed ${seed} had ${setting.runs.length} runs`);
       assert.deepEqual([...setting.streams.list()], [], `seed ${seed}`);
     }
     const ends = await Promise.all(handovers);
-    const moved = ends.filter((end) => end?.outcome === 'moved').length;
+    return ends.filter((end) => end?.outcome === 'moved').length;
+  }
+
+  it('loses and repeats no event, whenever either run breaks off or ends', async () => {
+    const moved = await countMoved(1, 3);
     assert.ok(moved > 100, `${moved} of 300 were handed over`);
   });
 
+  it('loses and repeats no event when it is handed over several times', async () => {
+    const moved = await countMoved(4, 6);
+    assert.ok(moved > 400, `${moved} handovers of 300 streams`);
+  });
+
+  // A stream that had been handed over stayed on its next head until that one exited.
+  it('is handed over again when its next head leaves, within maxAttempts', async () => {
+    const setting = createSetting({ route: { maxAttempts: 3 } });
+    await nextTurn();
+    await setting.send(setting.runs[0], 2);
+    for (const index of [1, 2]) {
+      const handedOver = setting.handOver();
+      await nextTurn();
+      assert.equal(setting.runs.length, index + 1);
+      await setting.send(setting.runs[index], 2);
+      assert.deepEqual(await handedOver, { outcome: 'moved', path: [`e${index + 1}=0-8`] });
+      await nextTurn();
+      assert.equal(setting.runs[index - 1]?.signal.aborted, true);
+    }
+    assert.equal((await setting.handOver())?.outcome, 'refused');
+    assert.equal(setting.runs.length, 3);
+    await setting.send(setting.runs[2], EVENTS - 6);
+    await setting.finish(setting.runs[2]);
+    const { outcome, servedBy } = await setting.end;
+    assert.equal(outcome, 'served');
+    assert.deepEqual(servedBy, ['e3=0-8']);
+    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+    assert.deepEqual([...setting.streams.list()], [], 'all slots are released');
+  });
+
+  // A second successor of the same run repeated events, as it shared the record of the first.
+  it('has one successor at a time', async () => {
+    const setting = createSetting({ route: { maxAttempts: 6 } });
+    await nextTurn();
+    await setting.send(setting.runs[0], 2);
+    const first = setting.handOver();
+    assert.equal((await setting.handOver())?.outcome, 'refused', 'during the search');
+    assert.equal((await setting.handOver())?.outcome, 'refused', 'before the first event');
+    assert.equal(setting.runs.length, 2);
+    await setting.send(setting.runs[1]);
+    assert.equal((await first)?.outcome, 'moved');
+    setting.leave();
+    await setting.end;
+  });
+
+  it('is not handed over from a run that has not taken over yet', async () => {
+    const setting = createSetting({ route: { maxAttempts: 6 } });
+    await nextTurn();
+    await setting.send(setting.runs[0], 2);
+    void setting.handOver();
+    await nextTurn();
+    assert.equal((await setting.handOver(1))?.outcome, 'refused');
+    assert.equal(setting.runs.length, 2);
+    setting.leave();
+    assert.equal((await setting.end).outcome, 'caller-left');
+    setting.runs.forEach(({ signal }) => assert.equal(signal.aborted, true));
+  });
+
   it('stays where it is unless route, budget and maxAttempts allow another run', async () => {
     const cases: readonly Setting[] = [
       { route: { isResumable: false } },
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -18,6 +18,7 @@
 } from './streamAttempt';
 import type { BrokenRun, StreamProgress, StreamResult } from './streamAttempt';
 import { createHandover } from './streamHandover';
+import type { Handover } from './streamHandover';
 import { enginesOf } from './streamTable';
 import type { StreamRow, StreamTable } from './streamTable';
 
@@ -67,9 +68,25 @@
 interface Successor {
   readonly chain: ChosenChain;
   readonly cancel: () => void;
-  readonly result: Promise<StreamResult>;
+  readonly ending: Promise<AttemptEnd>;
 }
 
+/** Links a run to the one from which it takes over. */
+interface InboundLink {
+  /** Cancels the run. */
+  readonly signal: AbortSignal;
+  readonly handover: Handover;
+}
+
+/** The end of an attempt, with the chain of the run that ended it. */
+interface AttemptEnd {
+  readonly result: EndedResult;
+  readonly chain: ChosenChain;
+}
+
+/** A result after which no other run continues the stream. */
+type EndedResult = Exclude<StreamResult, { kind: 'superseded' }>;
+
 /** Number of rejections without a run after which a stream is not sent again. */
 const MAX_REJECTIONS = 4;
 /**
@@ -120,7 +137,7 @@
 }
 
 /** A run that was superseded although no other run continues the stream has broken off. */
-function toEnded(result: StreamResult): Exclude<StreamResult, { kind: 'superseded' }> {
+function toEnded(result: StreamResult): EndedResult {
   if (result.kind !== 'superseded') return result;
   const run = { ranMs: 0, hasAnswered: true, hasBegun: true, wasCutHere: true };
   return { kind: 'broken', problem: 'superseded', isHeadHealthy: false, run };
@@ -258,11 +275,21 @@
         return hasTime && isBelowLimits && budget.hasLeft(reservedShare());
       }
 
-      /** Runs an attempt and, if its head leaves, the one that takes over from it. */
-      async function runAttempt(search: SlotSearch, chain: ChosenChain) {
+      /**
+       * Runs an attempt and, if its head leaves, the one that takes over from it. That one is run
+       * in the same way, so that it can be handed over again; `inbound` links it to its
+       * predecessor.
+       */
+      async function runAttempt(
+        search: SlotSearch,
+        chain: ChosenChain,
+        inbound?: InboundLink,
+      ): Promise<AttemptEnd> {
         const old = new AbortController();
         const state: { successor?: Successor } = {};
         let isOver = false;
+        /** Whether a successor is being looked for or was opened: a handover records one run. */
+        let hasStarted = false;
         let reportSwitch = (): void => {};
         const whenSwitched = new Promise<'switched'>((resolve) => {
           reportSwitch = () => resolve('switched');
@@ -274,7 +301,8 @@
             reportSwitch();
           },
         });
-        const isObsolete = () => isOver || answer.isClosed || quarantine.has(content);
+        const isCancelled = () => isOver || inbound?.signal.aborted === true;
+        const isObsolete = () => isCancelled() || answer.isClosed || quarantine.has(content);
 
         async function findNext(next: SlotSearch): Promise<ChosenChain | null> {
           const found = await slots.findForResumed(next, clock.nowMs());
@@ -296,11 +324,13 @@
         async function handOver(row: StreamRow): Promise<HandoverEnd | null> {
           if (isObsolete()) return null;
           const { servedBy: path } = progress;
-          if (!mayHandOver()) return { outcome: 'refused', path };
+          const isWaiting = inbound !== undefined && !inbound.handover.isSwitched;
+          if (isWaiting || hasStarted || !mayHandOver()) return { outcome: 'refused', path };
+          hasStarted = true;
           const next: SlotSearch = {
             ...search,
             ticket: `${search.ticket}/moved`,
-            excludedHeads: new Set([...excluded, chain.headId]),
+            excludedHeads: new Set([...excluded, ...search.excludedHeads, chain.headId]),
             isQuarantined: isObsolete,
           };
           const found = await findNext(next);
@@ -308,6 +338,7 @@
           // Deadline and budget may have changed during the search.
           const isSpent = isUsable && mayHandOver() && budget.spend(reservedShare());
           if (!isSpent) {
+            hasStarted = false;
             // Releases the slot: an attempt that is cancelled before its start sends nothing.
             const link = { signal: AbortSignal.abort(), handover };
             if (found) await attempter.attempt(next, found, progress, link);
@@ -317,15 +348,13 @@
           runs += 1;
           attempts += 1;
           handover.open();
-          const result = attempter.attempt(next, found, progress, {
-            signal: cancel.signal,
-            handover,
-          });
-          state.successor = { chain: found, cancel: () => cancel.abort(), result };
-          const first = await Promise.race([whenSwitched, result]);
-          if (first === 'switched' || handover.isSwitched) {
+          const ending = runAttempt(next, found, { signal: cancel.signal, handover });
+          state.successor = { chain: found, cancel: () => cancel.abort(), ending };
+          const winner = await Promise.race([whenSwitched, ending]);
+          if (winner === 'switched' || handover.isSwitched) {
             return { outcome: 'moved', path: progress.servedBy };
           }
+          const { result: first } = winner;
           if (first.kind === 'not-run' || first.kind === 'held-back') runs -= 1;
           if (isOver) return null;
           // The first run goes on; if it breaks off, the stream is resumed as without a handover.
@@ -335,8 +364,13 @@
           return { outcome: 'refused', path };
         }
 
+        inbound?.signal.addEventListener('abort', () => {
+          old.abort();
+          state.successor?.cancel();
+        });
         const result = await attempter.attempt(search, chain, progress, {
           signal: old.signal,
+          handover: inbound?.handover,
           onStart: (row) => handOvers.set(row, handOver),
           onForwarded: handover.recordForwarded,
           onCompleted: handover.recordCompleted,
@@ -350,12 +384,12 @@
           return { result: toEnded(result), chain };
         }
         // A run that broke off before the switch is continued by the one that was sent already.
-        const next = await successor.result;
-        if (next.kind === 'not-run' || next.kind === 'held-back') {
+        const next = await successor.ending;
+        if (next.result.kind === 'not-run' || next.result.kind === 'held-back') {
           return { result: toEnded(result), chain };
         }
         excluded.add(chain.headId);
-        return { result: toEnded(next), chain: successor.chain };
+        return next;
       }
 
       budget.earn();
