fix(repair): send no repair order for a stream that has ended

Cause: when an engine was found lost during the last move or check of a stream, the repair that followed was started although the stream had ended meanwhile, and an order went to its head. A repair whose first order was refused also sent a second one after the end.

Change: a repair starts only for a row that is still in the table and not aborted, and stops after an order if it no longer is.

Measured: two new specs (loss during the last move; end during the first order) fail without the change. 101 specs of streams, engines and crashes pass.

Conclusion: nothing is ordered for a stream after its end.

--- a/packages/entry/__tests__/streamMigration.spec.ts
+++ b/packages/entry/__tests__/streamMigration.spec.ts
@@ -323,6 +323,20 @@
     assert.equal(line?.leaving, 'a2');
   });
 
+  it('is followed by no repair when the stream has ended meanwhile and its engine is lost', async () => {
+    const setting = single({
+      outcomeOf: () => ({ kind: 'unknown-request' }),
+      onOrder(row) {
+        setting.vms[0]?.repair.repairLost((id) => id === 'a2');
+        setting.vms[0]?.streams.remove(row);
+      },
+    });
+    setting.leave('a2');
+    await setting.pass(SERVES_MS);
+    assert.equal(setting.orders.length, 1);
+    assert.equal(setting.count('lost'), 0);
+  });
+
   it('is not repeated when the caller leaves during the move', async () => {
     const setting = single({
       outcomeOf: () => ({ kind: 'failed', problem: 't' }),
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -105,6 +105,7 @@
     streams,
     clock,
     table: tables.table,
+    announceEngine: (id: string) => announce(createEngine(id, 4, 8)),
     repairs,
     cuts,
     suspects,
@@ -244,6 +245,16 @@
     assert.deepEqual(setting.repairs, [['a1', 'a3']]);
   });
 
+  it('gets no second order when it ends during the first one', async () => {
+    const setting = createSetting({ outcome: { kind: 'unfit', address: 'a3:80' } });
+    setting.announceEngine('a4');
+    setting.repair.repairLost((instanceId) => instanceId === 'a2');
+    setting.streams.remove(setting.row);
+    await setting.pass(0);
+    assert.equal(setting.repairs.length, 1);
+    assert.deepEqual(setting.cuts, []);
+  });
+
   // An engine on the paths of both runs could not tell them apart, as they have one request id.
   it('is not repaired over an engine of the other run of its request', async () => {
     const stagesOf = (id: string) => [{ id, address: `${id}:80`, firstLayer: 4, endLayer: 8 }];
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -215,6 +215,10 @@
     return outcome;
   }
 
+  function isRunning(row: StreamRow): boolean {
+    return row.abortReason === null && [...streams.list()].includes(row);
+  }
+
   async function repairRow(row: StreamRow): Promise<void> {
     const { admitted, model } = row;
     const { request, service } = admitted;
@@ -240,6 +244,7 @@
         changePath(row, stages);
         return;
       }
+      if (!isRunning(row)) return;
       const unfit =
         outcome.kind === 'unfit' ? instanceAt(outcome.address ?? '', stages) : undefined;
       if (unfit === undefined || unfit === head.id) break;
@@ -250,7 +255,8 @@
   }
 
   function startRepair(row: StreamRow): void {
-    if (row.isRepairing || row.abortReason !== null) return;
+    // A check or a move may end after its stream, whose head must then get no further order.
+    if (row.isRepairing || !isRunning(row)) return;
     if (quarantine.has(contentOf(row.admitted))) {
       row.abort('quarantined');
       return;
@@ -269,10 +275,6 @@
       });
   }
 
-  function isRunning(row: StreamRow): boolean {
-    return row.abortReason === null && [...streams.list()].includes(row);
-  }
-
   /** Orders a move; an order without an answer is repeated once, as it may have been executed. */
   async function orderMove(row: StreamRow, head: PathStage, stages: readonly PathStage[]) {
     const outcome = await orderPath(row, head, stages);
