fix(slots): bound the lists and maps that grow with uptime

Cause: the forecast emptied its list of releases only when it was asked for one, which happens while slots are scarce. Until then every released slot stayed in it, and the first forecast counted all of them at once. The account kept the size granted since recovery started for every first engine, also after recovery, and the revision of a queue kept the load of chains that no longer exist.

Change: releases are counted from 256 on, twice those that the mean covers. The account records grants only during recovery, as they are read only then. The revision forgets the loads when the list of chains changes, which raises it anyway.

The two other maps show in no decision and have no test.

Conclusion: chargedHolders, charges, tickets and the turns of refused callers are removed by time already; the other maps have one key for each service, or service and class. avoidedUntilMs in slotChains.ts still keeps one key for each engine that ever rejected a request.

--- a/packages/entry/src/slots/slotAccount.ts
+++ b/packages/entry/src/slots/slotAccount.ts
@@ -41,9 +41,13 @@
   let usedAtMs = Number.NEGATIVE_INFINITY;
   let recoveredAtMs = Number.NEGATIVE_INFINITY;
 
+  function isRecovering(): boolean {
+    return clock.nowMs() < recoveredAtMs;
+  }
+
   /** Whether the ledger has the slots of all VMs. It lacks those granted by another allocator. */
   function isComplete(): boolean {
-    return clock.nowMs() >= recoveredAtMs && isAllocator();
+    return !isRecovering() && isAllocator();
   }
 
   /**
@@ -51,20 +55,23 @@
    * recovery, as the lists that the holders send replace it.
    */
   function inFlightAtStartOn(headId: string): number {
+    if (!isRecovering()) return 0;
     const known = reportedAtStart.get(headId) ?? reportedInFlight(headId);
     reportedAtStart.set(headId, known);
-    return (known * Math.max(0, recoveredAtMs - clock.nowMs())) / RECOVERY_MS;
+    return (known * (recoveredAtMs - clock.nowMs())) / RECOVERY_MS;
   }
 
   /** Total size granted on a chain since recovery started; zero once recovery has ended. */
   function grantedSinceStartOn(headId: string): number {
-    return clock.nowMs() < recoveredAtMs ? (grantedSinceStart.get(headId) ?? 0) : 0;
+    return isRecovering() ? (grantedSinceStart.get(headId) ?? 0) : 0;
   }
 
   return {
     grant(holder: string, slot: HeldSlot, path?: HeldPath) {
       const { headId, size } = slot;
       ledger.grant(holder, slot, path);
+      // Every restart of a first engine adds a key, so none is added once recovery has ended.
+      if (!isRecovering()) return;
       grantedSinceStart.set(headId, (grantedSinceStart.get(headId) ?? 0) + size);
     },
     report: ledger.report,
--- a/packages/entry/src/slots/slotRevision.ts
+++ b/packages/entry/src/slots/slotRevision.ts
@@ -15,7 +15,8 @@
 
 /** Returns a number that increases when a slot may have become free. */
 export function createSlotRevision({ listChains, inFlightOn }: SlotRevisionOptions): () => number {
-  const loads = new Map<string, number>();
+  /** Load of each present chain; every restart of a first engine adds a chain. */
+  let loads = new Map<string, number>();
   let known: readonly RatedChain[] | undefined;
   let revision = 0;
 
@@ -23,6 +24,7 @@
     const chains = listChains();
     let isChanged = chains !== known;
     known = chains;
+    if (isChanged) loads = new Map();
     chains.forEach(({ headId }) => {
       const load = inFlightOn(headId);
       if (load < (loads.get(headId) ?? 0)) isChanged = true;
--- a/packages/routing/__tests__/slotForecast.spec.ts
+++ b/packages/routing/__tests__/slotForecast.spec.ts
@@ -41,6 +41,30 @@
   });
 });
 
+describe('the releases of slots', () => {
+  /**
+   * Guards against a list that grows for as long as slots are not scarce, as it was emptied by
+   * forecasts only: the first one after a day would count millions of releases at once.
+   */
+  it('are counted while no forecast is made', () => {
+    const clock = createManualClock(100_000);
+    let counted = 0;
+    const hasChain = () => {
+      counted += 1;
+      return true;
+    };
+    const forecast = createSlotForecast({ clock, hasChain });
+    for (let index = 0; index < 5000; index += 1) {
+      forecast.recordGrant('vm', `r${index}`, 'c1');
+      clock.advance(25);
+      forecast.recordEnded('vm', `r${index}`);
+    }
+    const before = counted;
+    assert.equal(forecast.holdingMs(), 25);
+    assert.ok(counted - before <= 256, `${counted - before} of 5000 are left`);
+  });
+});
+
 describe('the longest wait for a slot', () => {
   it('is 0.6 of the time after which the caller leaves', () => {
     const waits = [
--- a/packages/routing/src/slotForecast.ts
+++ b/packages/routing/src/slotForecast.ts
@@ -84,6 +84,11 @@
  * their chain would make the mean too short just when the forecast matters.
  */
 const CONFIRM_MS = 500;
+/**
+ * Releases from which on they are counted although no forecast is made. Forecasts are made only
+ * while slots are scarce; until then the releases of days would add up.
+ */
+const MAX_UNCOUNTED = 2 * MEAN_RELEASES;
 /**
  * Time after which a grant that was never listed, or a holder that is silent, is forgotten without
  * a release. Holders list their slots once a second, and their leases last 2.6 s.
@@ -177,12 +182,6 @@
     return created;
   }
 
-  function recordRelease({ headId, grantedAtMs }: Held): void {
-    const nowMs = clock.nowMs();
-    const heldMs = nowMs - grantedAtMs;
-    if (heldMs >= MIN_HELD_MS) releases.push({ headId, heldMs, atMs: nowMs });
-  }
-
   /** Adds the releases to the mean whose chain was not lost. */
   function countReleases(): void {
     const untilMs = clock.nowMs() - CONFIRM_MS;
@@ -195,6 +194,13 @@
     });
   }
 
+  function recordRelease({ headId, grantedAtMs }: Held): void {
+    const nowMs = clock.nowMs();
+    const heldMs = nowMs - grantedAtMs;
+    if (heldMs >= MIN_HELD_MS) releases.push({ headId, heldMs, atMs: nowMs });
+    if (releases.length > MAX_UNCOUNTED) countReleases();
+  }
+
   function decayOvertaking(): void {
     const nowMs = clock.nowMs();
     overtaking *= Math.exp((overtakingAtMs - nowMs) / OVERTAKING_WINDOW_MS);
