refactor(slots): move the charges of granted slots to a module of their own

Change: slotCharges.ts has the charges, their refunds and the charges for slots of another allocator. Statements and their order are unchanged.

Conclusion: the pacing of resumed streams still stands in the allocator.

--- a/packages/entry/src/slots/slotAllocator.ts
+++ b/packages/entry/src/slots/slotAllocator.ts
@@ -23,6 +23,7 @@
 import type { AdmissionQueue } from '../admission/admissionQueue';
 import type { LimitAccount } from '../limits/limitAccount';
 import { createSlotAccount } from './slotAccount';
+import { createSlotCharges, keyOf } from './slotCharges';
 import { createSlotChains } from './slotChains';
 import type { ChosenPath } from './pathChoice';
 import type { SlotChainsOptions } from './slotChains';
@@ -33,14 +34,7 @@
 import { createSlotRevision } from './slotRevision';
 import { createSlotRefusals } from './slotRefusals';
 import type { SlotRefusalsOptions } from './slotRefusals';
-import type {
-  GrantedSlot,
-  HeldCost,
-  SlotAsk,
-  SlotCall,
-  SlotRefusal,
-  SlotReply,
-} from './slotMessages';
+import type { GrantedSlot, SlotAsk, SlotCall, SlotRefusal, SlotReply } from './slotMessages';
 
 export interface SlotAllocatorOptions extends Omit<
   SlotChainsOptions,
@@ -86,13 +80,6 @@
   describeShares(): JsonValue;
 }
 
-/** A slot that was charged to its class, and can be refunded until its request is sent. */
-interface Charge {
-  readonly service: string;
-  readonly claim: SlotClaim;
-  readonly atMs: number;
-}
-
 /** Forecast of a wait with `ahead` requests before it, made at `atMs`. */
 interface TicketForecast {
   readonly ahead: number;
@@ -137,21 +124,12 @@
   return { priority, classPriority, cost, organisation, weight };
 }
 
-const keyOf = (holder: string, ticket: string): string => `${holder} ${ticket}`;
-
 /**
  * Asks are repeated every half second; an ask that was not repeated for this long was abandoned.
  */
 const ABANDONED_AFTER_MS = 900;
 /** Interval at which the queue looks for slots. A released slot is reported within about 30 ms. */
 const POLL_MS = 20;
-/**
- * Time after which a granted slot that its holder never listed counts as unused; equal to the time
- * after which the ledger releases it.
- */
-const UNCLAIMED_MS = 1300;
-/** Time without a call after which a holder has lost its slots; equal to that of the ledger. */
-const HOLDER_LOST_MS = 2600;
 /** Interval at which abandoned tickets and lost holders are removed. */
 const SWEEP_MS = 100;
 /** Bounds memory; far above the number of requests that arrive within the maximum wait. */
@@ -187,10 +165,6 @@
   const queues = new Map<string, AdmissionQueue>();
   const tickets = new Map<string, Ticket>();
   let sweptAtMs = Number.NEGATIVE_INFINITY;
-  /** When each holder called last whose slots are charged. */
-  const chargedHolders = new Map<string, number>();
-  /** Charges for granted slots that their holders have not listed yet, oldest first. */
-  const charges = new Map<string, Charge>();
 
   /** Each service has its own queue, as its requests need slots on its own chains. */
   function queueOf(service: string): AdmissionQueue {
@@ -214,6 +188,8 @@
     return queue;
   }
 
+  const charges = createSlotCharges({ clock, queueOf });
+
   function isPaced({ hasBegun, heads }: SlotAsk): boolean {
     return hasBegun && heads === undefined;
   }
@@ -243,30 +219,12 @@
   }
 
   function recordGrant(holder: string, ask: SlotAsk, waitedMs: number): void {
-    const atMs = clock.nowMs();
-    const claim = claimOf(ask, sharing);
-    charges.set(keyOf(holder, ask.ticket), { service: ask.service, claim, atMs });
+    charges.record(keyOf(holder, ask.ticket), ask.service, claimOf(ask, sharing));
     const labels = { class: String(ask.classPriority ?? ask.priority) };
     metrics?.count('spoolplank_slot_grants_total', labels);
     metrics?.observe('spoolplank_slot_wait_ms', waitedMs, labels);
   }
 
-  /** Takes back the charge for a slot that its holder has not used. */
-  function refund(key: string): void {
-    const charge = charges.get(key);
-    if (!charge) return;
-    charges.delete(key);
-    queueOf(charge.service).refund(charge.claim);
-  }
-
-  function refundUnclaimed(): void {
-    const oldestMs = clock.nowMs() - UNCLAIMED_MS;
-    for (const [key, { atMs }] of charges) {
-      if (atMs >= oldestMs) return;
-      refund(key);
-    }
-  }
-
   /** Whether forecasts apply: to streams, whose chains set no rate limits. */
   function isForecast(ask: SlotAsk): boolean {
     return decisions.forecast.isEnabled && !ask.heads;
@@ -283,19 +241,6 @@
     };
   }
 
-  /**
-   * Charges the slots that a holder has when it first reports their costs, as they were granted by
-   * another allocator.
-   */
-  function chargeHeld(holder: string, heldCosts: readonly HeldCost[] | undefined): void {
-    const nowMs = clock.nowMs();
-    const lastMs = chargedHolders.get(holder) ?? Number.NEGATIVE_INFINITY;
-    const isCharged = nowMs - lastMs <= HOLDER_LOST_MS;
-    if (isCharged || heldCosts) chargedHolders.set(holder, nowMs);
-    if (isCharged) return;
-    heldCosts?.forEach(({ service, ...claim }) => queueOf(service).chargeElsewhere(claim));
-  }
-
   function findSlot(holder: string, ask: SlotAsk, waitedMs: number): GrantedSlot | undefined {
     const chosen = findBest(ask);
     if (!chosen) return undefined;
@@ -444,7 +389,7 @@
   function end(holder: string, name: string, wasUsed = true): void {
     outlook.recordReleased(holder, name, wasUsed);
     permits.recordUsed(holder, name);
-    charges.delete(keyOf(holder, name));
+    charges.settle(keyOf(holder, name));
     account.cancel(holder, name);
     const ticket = tickets.get(keyOf(holder, name));
     if (ticket) ticket.lastAskedAtMs = Number.NEGATIVE_INFINITY;
@@ -453,7 +398,7 @@
   /** Releases the slot of a request that was not sent, and refunds its permit. */
   function cancel(holder: string, name: string): void {
     permits.refund(holder, name);
-    refund(keyOf(holder, name));
+    charges.refund(keyOf(holder, name));
     end(holder, name, false);
   }
 
@@ -465,9 +410,7 @@
     const nowMs = clock.nowMs();
     if (nowMs - sweptAtMs < SWEEP_MS) return;
     sweptAtMs = nowMs;
-    chargedHolders.forEach((lastMs, holder) => {
-      if (nowMs - lastMs > HOLDER_LOST_MS) chargedHolders.delete(holder);
-    });
+    charges.sweep();
     const oldestMs = nowMs - ABANDONED_AFTER_MS;
     tickets.forEach(({ outcome, lastAskedAtMs }, key) => {
       if (outcome && lastAskedAtMs < oldestMs) tickets.delete(key);
@@ -484,9 +427,9 @@
       account.report(holder, { sequence, slots, ...(paths ? { paths } : {}) });
       outlook.recordCall(call);
       permits.recordListed(holder, slots);
-      slots.forEach(({ ticket }) => charges.delete(keyOf(holder, ticket)));
-      chargeHeld(holder, call.heldCosts);
-      refundUnclaimed();
+      slots.forEach(({ ticket }) => charges.settle(keyOf(holder, ticket)));
+      charges.chargeHeld(holder, call.heldCosts);
+      charges.refundUnclaimed();
       ended.forEach((ticket) => end(holder, ticket));
       givenUp.forEach((ticket) => cancel(holder, ticket));
       limits.recordReports(holder, limitReports, ask?.limits ?? []);
