refactor(routing): give class and organisation shares modules of their own

Cause: slotShares.ts held three concepts in 423 lines: organisation shares, class shares and their combination.

Change: each has a module; the claim of a slot has one too. No behaviour changes.

--- a/packages/routing/src/fairQueue.ts
+++ b/packages/routing/src/fairQueue.ts
@@ -3,7 +3,7 @@
  * requests of one organisation by priority. The shares are those of the slots of streams.
  */
 import type { Queue, QueueAddOptions } from 'p-queue';
-import { createOrganisationShares } from './slotShares';
+import { createOrganisationShares } from './organisationShares';
 
 export interface FairQueueOptions extends QueueAddOptions {
   readonly organisation?: string;
