feat(node): connect to a backend server through another VM

Cause: a VM has no other way to a backend server than its own links, so that one that loses them can only refuse its callers.

Change: no behaviour yet. `tunnel` accepts HTTP CONNECT on the port for peers, signed like every call between VMs, to servers that the accepting VM allows, up to 256 at a time; it passes on bytes, ends and resets. The signatures of peers move to `peerIdentity`.

Measured: tunnel.spec.ts, 8 cases.

Conclusion: a server can be reached as if directly, with all decisions left where the request was taken.

--- a/packages/entry/src/dispatch/backendOperations.ts
+++ b/packages/entry/src/dispatch/backendOperations.ts
@@ -26,6 +26,8 @@
   readonly connectTimeoutMs: number;
   /** Whether the request holds a permit under the rate limit that the target named. */
   readonly hasPermit?: boolean;
+  /** Called when the request has a connection, with whether it passes through another VM. */
+  readonly onConnected?: (isRelayed: boolean) => void;
 }
 
 /** Load that a backend server reports with a response, as numbers of requests. */
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -76,15 +76,8 @@
       isConnected = true;
       options.onConnected?.();
     };
-    const timer = setTimeout(
-      () => clientRequest.destroy(new Error(`no answer within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
-    clientRequest.on('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', markConnected);
-      else markConnected();
-    });
-    clientRequest.on('error', (error) => {
+    let timer: NodeJS.Timeout | undefined;
+    const fail = (error: Error) => {
       clearTimeout(timer);
       reject(
         new SpoolplankError('unreachable', {
@@ -93,7 +86,18 @@
           cause: error,
         }),
       );
+    };
+    timer = setTimeout(() => {
+      const error = new Error(`no answer within ${timeoutMs} ms`);
+      clientRequest.destroy(error);
+      // A request that still waits for a connection reports no error itself.
+      fail(error);
+    }, timeoutMs);
+    clientRequest.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', markConnected);
+      else markConnected();
     });
+    clientRequest.on('error', fail);
     clientRequest.on('response', (response) => {
       clearTimeout(timer);
       resolve(response);
--- a/packages/node/src/peerRpc.ts
+++ b/packages/node/src/peerRpc.ts
@@ -10,13 +10,10 @@
 import { callHttp, createAgent } from './httpClient';
 import type { Endpoint } from './httpClient';
 import { listen, readBody, sendError } from './httpServer';
-import { isEqualSecret, signMessage } from './tokens';
-
-export interface PeerIdentity {
-  readonly deployment: string;
-  readonly vmId: string;
-  readonly sharedKey: string;
-}
+import { authenticatePeer, signedPeerHeaders } from './peerIdentity';
+import type { PeerIdentity } from './peerIdentity';
+import { acceptTunnels } from './tunnel';
+import type { TunnelServerOptions } from './tunnel';
 
 /** Handles one RPC method; the signature of the request authenticates the sending VM. */
 export type PeerMethod = (params: JsonValue, senderVmId: string) => Promise<JsonValue> | JsonValue;
@@ -27,6 +24,8 @@
   readonly onRefused?: (reason: string) => void;
   /** Called after each request with the number of bytes received and sent. */
   readonly onTraffic?: (receivedBytes: number, sentBytes: number) => void;
+  /** Opens tunnels to backend servers for other VMs; none are opened without it. */
+  readonly tunnels?: TunnelServerOptions;
 }
 
 interface SenderContext {
@@ -35,31 +34,10 @@
 
 const RPC_PATH = '/rpc';
 const MAX_BODY_BYTES = 33_554_432;
-const DEPLOYMENT_HEADER = 'spoolplank-deployment';
-const SENDER_HEADER = 'spoolplank-vm';
-const RECEIVER_HEADER = 'spoolplank-to';
-const SIGNATURE_HEADER = 'spoolplank-signature';
 const APPLICATION_ERROR = -32_000;
 /** Estimated size of the HTTP headers of one message, used to measure control traffic. */
 const ESTIMATED_HEADER_BYTES = 350;
 
-function headerOf(request: IncomingMessage, name: string): string {
-  const value = request.headers[name];
-  return typeof value === 'string' ? value : '';
-}
-
-function authenticate(request: IncomingMessage, body: string, identity: PeerIdentity): string {
-  const deployment = headerOf(request, DEPLOYMENT_HEADER);
-  const sender = headerOf(request, SENDER_HEADER);
-  const receiver = headerOf(request, RECEIVER_HEADER);
-  const expected = signMessage(identity.sharedKey, [deployment, sender, receiver, body]);
-  const isForThisVm = deployment === identity.deployment && receiver === identity.vmId;
-  if (!isForThisVm || !isEqualSecret(expected, headerOf(request, SIGNATURE_HEADER))) {
-    throw new SpoolplankError('wrong-deployment');
-  }
-  return sender;
-}
-
 function createRpcServer(
   methods: Readonly<Record<string, PeerMethod>>,
 ): JSONRPCServer<SenderContext> {
@@ -82,14 +60,14 @@
 }
 
 /** Starts the server for requests of other VMs. */
-export function listenForPeers(options: PeerServerOptions): Promise<Server> {
+export async function listenForPeers(options: PeerServerOptions): Promise<Server> {
   const rpc = createRpcServer(options.methods);
 
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.method !== 'POST' || request.url !== RPC_PATH)
       throw new SpoolplankError('not-found');
     const body = (await readBody(request, MAX_BODY_BYTES)).toString('utf8');
-    const senderVmId = authenticate(request, body, options);
+    const senderVmId = authenticatePeer(request, body, options);
     const rpcResponse = await rpc.receiveJSON(body, { senderVmId });
     const text = rpcResponse ? JSON.stringify(rpcResponse) : '';
     options.onTraffic?.(body.length + ESTIMATED_HEADER_BYTES, text.length + ESTIMATED_HEADER_BYTES);
@@ -100,7 +78,7 @@
     response.end(text);
   }
 
-  return listen({
+  const server = await listen({
     host: options.host,
     port: options.port,
     onRequest(request, response) {
@@ -110,6 +88,8 @@
       });
     },
   });
+  if (options.tunnels) acceptTunnels(server, options, options.tunnels);
+  return server;
 }
 
 export interface PeerClientOptions extends PeerIdentity {
@@ -161,15 +141,7 @@
       body,
       headers: {
         'content-type': 'application/json',
-        [DEPLOYMENT_HEADER]: options.deployment,
-        [SENDER_HEADER]: options.vmId,
-        [RECEIVER_HEADER]: target.vmId,
-        [SIGNATURE_HEADER]: signMessage(options.sharedKey, [
-          options.deployment,
-          options.vmId,
-          target.vmId,
-          body,
-        ]),
+        ...signedPeerHeaders(options, target.vmId, body),
       },
     });
     options.onTraffic?.(
