fix(repair): confirm the loss of a server with VMs whose links work

An unreachable server and a broken path to it look alike to one VM; nothing said whose path the evidence was about. Ruled out: full chains, slots held by the VMs that were cut off (0 to 20 of 132 in use).

Change: an engine counts as lost when another VM does not reach it either, and none does (SWIM's indirect probe). The VM that probes for a data centre confirms in the same way, beside its last attempt. A report of another VM repairs no stream that has had an event in the last 40 ms; such a stream is looked at again with each tick. A run that broke off is evidence of a crash only if its server is lost.

Conclusion: the loss of one VM's links no longer ends work on others.

--- a/packages/entry/__tests__/streamMigration.spec.ts
+++ b/packages/entry/__tests__/streamMigration.spec.ts
@@ -38,6 +38,11 @@
   readonly restartMs?: number;
 }
 
+/** Makes a stream silent for longer than a report of a lost engine can be refuted by its events. */
+function silence(row: StreamRow): void {
+  row.lastProgressAtMs -= 60;
+}
+
 /** Streams of several VMs over one path of four engines. */
 function createSetting(setting: Setting = {}) {
   const { vms: vmCount = VMS, streams: streamCount = STREAMS, isEnabled = true } = setting;
@@ -310,7 +315,9 @@
       outcomeOf: (order) =>
         order === 0 ? { kind: 'unfit', address: 'a2:80' } : { kind: 'repaired' },
       onOrder() {
-        if (setting.orders.length === 1) setting.vms[0]?.repair.repairLost((id) => id === 'a2');
+        if (setting.orders.length !== 1) return;
+        setting.rows.forEach(silence);
+        setting.vms[0]?.repair.repairLost((id) => id === 'a2');
       },
     });
     setting.leave('a2');
@@ -327,6 +334,7 @@
     const setting = single({
       outcomeOf: () => ({ kind: 'unknown-request' }),
       onOrder(row) {
+        silence(row);
         setting.vms[0]?.repair.repairLost((id) => id === 'a2');
         setting.vms[0]?.streams.remove(row);
       },
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -6,6 +6,7 @@
 import { createSeededRandom } from '@spoolplank/shared';
 import type { BackendOperations, RepairOutcome } from '../src/dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
+import type { LossVerdict } from '../src/reach/indirectProbes';
 import { createStreamRepair } from '../src/repair/streamRepair';
 import { createStreamTable } from '../src/dispatch/streamTable';
 import type { StreamRow } from '../src/dispatch/streamTable';
@@ -18,11 +19,17 @@
   readonly outcome?: RepairOutcome;
   /** Engines that the designated VM reports as lost; it does not reply when this is undefined. */
   readonly lostByProbe?: readonly string[];
+  /** What other VMs say of engines that this VM does not reach. */
+  readonly verdict?: LossVerdict;
 }
 
+/** Silence from which a loss that another VM reports is believed. */
+const SILENT_MS = 50;
+
 const ROUTE = { targetGapMs: 200, targetLatencyMs: 500 } as Route;
 
-function createSetting({ unreachable = [], stalledAt, outcome, lostByProbe }: Setting = {}) {
+function createSetting(setting: Setting = {}) {
+  const { unreachable = [], stalledAt, outcome, lostByProbe, verdict = 'lost' } = setting;
   const tables = createTables();
   const { clock, view, announce } = tables;
   announce(createEngine('a1', 0, 4));
@@ -60,6 +67,9 @@
     chains,
     suspect: (instanceId) => suspects.push(instanceId),
     avoid: () => {},
+    paths: {
+      confirmLoss: () => Promise.resolve(verdict),
+    },
     requestProbe() {
       probeRequests += 1;
       return Promise.resolve(lostByProbe ?? null);
@@ -240,14 +250,37 @@
 
   it('is repaired at once when another entry has found the engine lost', async () => {
     const setting = createSetting();
+    setting.clock.advance(SILENT_MS);
     setting.repair.repairLost((instanceId) => instanceId === 'a2');
     await setting.pass(0);
     assert.deepEqual(setting.repairs, [['a1', 'a3']]);
   });
 
+  it('is not repaired for a reported loss while it has events, but once it falls silent', async () => {
+    const setting = createSetting();
+    setting.repair.repairLost((instanceId) => instanceId === 'a2');
+    for (let event = 0; event < 10; event += 1) {
+      await setting.pass(20);
+      setting.row.lastProgressAtMs = setting.clock.nowMs();
+    }
+    assert.deepEqual(setting.repairs, []);
+    await setting.pass(SILENT_MS);
+    assert.deepEqual(setting.repairs, [['a1', 'a3']]);
+  });
+
+  it('causes no report of a lost engine when other VMs reach all of them', async () => {
+    const setting = createSetting({
+      unreachable: ['a1:80', 'a2:80'],
+      verdict: 'unreachable',
+    });
+    await setting.pass(160);
+    assert.deepEqual(setting.suspects, []);
+  });
+
   it('gets no second order when it ends during the first one', async () => {
     const setting = createSetting({ outcome: { kind: 'unfit', address: 'a3:80' } });
     setting.announceEngine('a4');
+    setting.clock.advance(SILENT_MS);
     setting.repair.repairLost((instanceId) => instanceId === 'a2');
     setting.streams.remove(setting.row);
     await setting.pass(0);
@@ -266,6 +299,7 @@
     for (const [other, repairs, cuts] of cases) {
       const setting = createSetting();
       setting.streams.add({ ...setting.row, ticket: 'r/0/moved', lostIds: new Set(), ...other });
+      setting.clock.advance(SILENT_MS);
       setting.repair.repairLost((instanceId) => instanceId === 'a2');
       await setting.pass(0);
       assert.deepEqual(setting.repairs, repairs);
@@ -276,6 +310,7 @@
   it('keeps the engines of an order without an answer, as it may have been executed', async () => {
     const orderedBy = async (outcome: RepairOutcome) => {
       const setting = createSetting({ outcome });
+      setting.clock.advance(SILENT_MS);
       setting.repair.repairLost((instanceId) => instanceId === 'a2');
       const inFlight = setting.row.orderedStages.map(({ id }) => id);
       assert.deepEqual(inFlight, ['a1', 'a3']);
--- a/packages/entry/src/dispatch/streamPath.ts
+++ b/packages/entry/src/dispatch/streamPath.ts
@@ -18,6 +18,7 @@
 import type { EntryPosition } from '../repair/pathRepair';
 import { createStreamRepair } from '../repair/streamRepair';
 import type { StreamRepair } from '../repair/streamRepair';
+import type { ServerPaths } from '../reach/serverPaths';
 import type { StreamTable } from './streamTable';
 
 export interface StreamPathOptions {
@@ -27,6 +28,7 @@
   /** Records streams whose engine was lost, as their content may have crashed the engine. */
   readonly guard: Pick<CrashGuard, 'recordLost'>;
   readonly peers: PeerClient;
+  readonly paths?: ServerPaths;
   /** Unique to this incarnation of the process. */
   readonly run: string;
   readonly host: string;
@@ -102,6 +104,7 @@
     peers,
     host,
     operations,
+    confirmLoss: options.paths?.confirmLoss,
     findDesignated: slots.findAllocator,
     countEntries,
   });
@@ -116,6 +119,7 @@
     chains,
     suspect,
     avoid,
+    paths: options.paths,
     requestProbe: probes.requestProbe,
     onLost: guard.recordLost,
     migration,
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -3,7 +3,7 @@
 import { createSiblingBackoffs, findBackend } from '@spoolplank/membership';
 import type { LoadFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
-import type { EventLog, Metrics, PeerClient, PeerMethod } from '@spoolplank/node';
+import type { EventLog, Metrics, PeerClient, PeerMethod, ServerLinks } from '@spoolplank/node';
 import { createBackendLoadTable, DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, RoutingDocument } from '@spoolplank/routing';
 import { toSpoolplankError } from '@spoolplank/shared';
@@ -22,6 +22,7 @@
 import { createPlainDispatch } from './dispatch/plainDispatch';
 import { createPeriodicWork } from './periodicWork';
 import { createReadiness } from './readiness';
+import { createServerPaths } from './reach/serverPaths';
 import { createRequestAdmission } from './admission/requestAdmission';
 import { contentOf } from './quarantine/requestContent';
 import { createRequestReport, toRequestEnd } from './requestReport';
@@ -52,6 +53,8 @@
   /** Port on which other entries call this one. */
   readonly peerPort: number;
   readonly operations: BackendOperations;
+  /** Connections to backend servers; without them, no other VM is asked about a loss. */
+  readonly links?: ServerLinks;
   readonly readDocument: (document: StoredDocument) => RoutingDocument;
   readonly announcementMs: number;
   readonly retryLimits: RetryLimits;
@@ -144,7 +147,7 @@
   });
   publishedLoad = () => selfFacts.publishedLoad;
 
-  let isReachable = (_address: string): Promise<boolean> => Promise.resolve(true);
+  let isServerLost = (_address: string): Promise<boolean> => Promise.resolve(false);
   const guard = createCrashGuard({
     clock,
     random,
@@ -155,7 +158,7 @@
     view,
     streams,
     health,
-    isReachable: (address) => isReachable(address),
+    isReachable: async (address) => !(await isServerLost(address)),
     exchangeNow,
   });
   const { quarantine, crashes } = guard;
@@ -185,8 +188,11 @@
     decisions: options.decisions ?? DEFAULT_DECISIONS,
     factsAgeMs: () => clock.nowMs() - facts.syncedAtMs,
   };
+  const { links } = options;
+  const paths = links && createServerPaths({ ...context, peers, host, table, links });
   const stream = createStreamPath({
     context,
+    paths,
     streams,
     health,
     guard,
@@ -200,7 +206,7 @@
   });
   const { slots, repair } = stream;
   const plain = createPlainDispatch(context, slots.permits);
-  ({ isReachable } = repair);
+  ({ isServerLost } = repair);
   onStreamEnd = (row) => slots.recordReleased(row.dataCentre, row.ticket);
   const work = createPeriodicWork({
     clock,
@@ -258,7 +264,7 @@
       selfAddress: options.callerAddress,
       ownAddress: () => (readiness.isReady() ? options.callerAddress : null),
     }),
-    methods: { ...stream.methods, ...siblingBackoffs.methods },
+    methods: { ...stream.methods, ...siblingBackoffs.methods, ...paths?.methods },
     start() {
       work.start();
       facts.start();
--- a/packages/entry/src/quarantine/crashGuard.ts
+++ b/packages/entry/src/quarantine/crashGuard.ts
@@ -37,7 +37,7 @@
   readonly view: RoutingView;
   readonly streams: StreamTable;
   readonly health: Pick<EngineHealth, 'isLost'>;
-  /** Whether the server at an address accepts a new connection. */
+  /** Whether the server at an address accepts a new connection of this VM or of another one. */
   readonly isReachable: (address: string) => Promise<boolean>;
   /** Sends the facts that this VM publishes at once, instead of with the next exchange. */
   readonly exchangeNow: () => void;
--- a/packages/entry/src/repair/engineProbes.ts
+++ b/packages/entry/src/repair/engineProbes.ts
@@ -14,6 +14,7 @@
 import type { MemberFact } from '@spoolplank/membership';
 import type { EventLog, PeerClient, PeerMethod } from '@spoolplank/node';
 import type { Clock } from '@spoolplank/shared';
+import type { LossVerdict } from '../reach/indirectProbes';
 import type { BackendOperations, BackendTarget } from '../dispatch/backendOperations';
 
 export interface EngineProbesOptions {
@@ -24,6 +25,8 @@
   /** Host name of this VM. */
   readonly host: string;
   readonly operations: Pick<BackendOperations, 'isReachable'>;
+  /** Whether other VMs miss an engine too that this VM could not connect to. */
+  readonly confirmLoss?: (address: string) => Promise<LossVerdict>;
   /** The VM designated to probe the engines of a data centre; undefined when there is none. */
   readonly findDesignated: (dataCentre: string) => MemberFact | undefined;
   /** Number of known entries, including this one. */
@@ -113,6 +116,7 @@
 
 export function createEngineProbes(options: EngineProbesOptions): EngineProbes {
   const { clock, delay, log, peers, host, operations, findDesignated } = options;
+  const { confirmLoss = () => Promise.resolve('lost') } = options;
   const probes = new Map<string, Probe>();
   const namedEngines = new Map<string, NamedEngine>();
 
@@ -124,18 +128,22 @@
   async function probe(address: string): Promise<boolean> {
     const startedAtMs = clock.nowMs();
     const tries: Promise<boolean>[] = [];
+    let verdict: Promise<LossVerdict> = Promise.resolve('lost');
     for (let count = 0; count < MAX_TRIES; count += 1) {
       // A busy process may resume late. Without the minimum, the remainder could be 0, which means
       // no timeout and a wait of several seconds.
       const leftMs = Math.max(1, PROBE_TIMEOUT_MS - (clock.nowMs() - startedAtMs));
       const tried = operations.isReachable(address, leftMs);
       tries.push(tried);
+      // Other VMs are asked beside the last attempt, as a lost engine must be found quickly.
+      if (count === MAX_TRIES - 1) verdict = confirmLoss(address);
       const isAccepting = await Promise.race([tried, delay(NEXT_TRY_DELAY_MS)]);
       if (isAccepting === true) return true;
     }
     const isAccepting = (await Promise.all(tries)).includes(true);
     const isLocalStall = clock.nowMs() - startedAtMs > LOCAL_STALL_MS;
-    return isAccepting || isLocalStall;
+    if (isAccepting || isLocalStall) return true;
+    return (await verdict) !== 'lost';
   }
 
   function findProbe(address: string): Probe | undefined {
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -10,6 +10,8 @@
 import type { EngineProbes } from './engineProbes';
 import type { EntryContext } from '../entryContext';
 import { createPathSilence } from './pathSilence';
+import type { LossVerdict } from '../reach/indirectProbes';
+import type { ServerPaths } from '../reach/serverPaths';
 import type { DueMove, StreamMigration } from './streamMigration';
 import { contentOf } from '../quarantine/requestContent';
 import { enginesOf } from '../dispatch/streamTable';
@@ -23,6 +25,8 @@
   readonly suspect: (instanceId: string, evidence: string) => void;
   /** Excludes an engine on this VM for a short time. */
   readonly avoid: (instanceId: string) => void;
+  /** This VM's network paths; without them, an engine that it does not reach counts as lost. */
+  readonly paths?: StreamRepairPaths;
   /** Asks the designated VM to probe engines; resolves with null when it did not reply. */
   readonly requestProbe: EngineProbes['requestProbe'];
   /** Called when an engine on the path of a running stream is found lost. */
@@ -35,18 +39,24 @@
   readonly schedule?: (run: () => void, delayMs: number) => void;
 }
 
+/** What repair needs to know of the network paths of this VM. */
+export type StreamRepairPaths = Pick<ServerPaths, 'confirmLoss'>;
+
 export interface StreamRepair {
   /** Probes an engine after a failed connection, and reports it to all entries if it is lost. */
   probeAfterFailure(instanceId: string, address: string): void;
-  /** Whether a new connection to an address is accepted; concurrent callers share one probe. */
-  isReachable(address: string): Promise<boolean>;
+  /** Whether the server at an address is lost; concurrent callers share one probe. */
+  isServerLost(address: string): Promise<boolean>;
   /** Checks for streams that have been silent too long; called periodically by `watch`. */
   tick(): void;
   /** Makes the check that is due, if any; called when an event of a stream has arrived. */
   recordEvent(): void;
   /** Starts the periodic checks; called when a stream starts. They end with the last stream. */
   watch(): void;
-  /** Repairs every stream whose path includes a lost engine. */
+  /**
+   * Repairs every stream whose path includes an engine that another VM reports as lost. A stream
+   * that has just had an event is repaired once it has been silent.
+   */
   repairLost(isLost: (instanceId: string) => boolean): void;
 }
 
@@ -86,11 +96,17 @@
 const ACTIVE_PATH_SHARE = 0.5;
 /** Interval at which changed engines and streams are looked at for moves. */
 const PLAN_INTERVAL_MS = 100;
+/**
+ * Age up to which the last event of a stream refutes what other VMs say of its engines. A loss is
+ * reported after `MIN_TIMEOUT_MS` of silence at the earliest, see `pathSilence`.
+ */
+const FRESH_EVENT_MS = 40;
 /** Pause before the next check of a stream; it doubles with each check that finds nothing. */
 const RECHECK_MS = 300;
 const MAX_RECHECK_MS = 1200;
 /** A connection within a region takes 2 ms; lost packets, up to 10 %, are resent after 200 ms. */
-const CONNECT_TIMEOUTS_MS: readonly number[] = [120, 250];
+const FIRST_CONNECT_TIMEOUT_MS = 120;
+const SECOND_CONNECT_TIMEOUT_MS = 250;
 const REPORT_TIMEOUT_MS = 300;
 const REPAIR_TIMEOUT_MS = 400;
 /** Time for which a probe is reused, as the streams of a lost engine fall silent together. */
@@ -106,6 +122,13 @@
 /** Result of moving a stream off an engine that leaves; a label of the metric. */
 type MoveOutcome = 'moved' | 'refused' | 'no-path' | 'lost';
 
+/** Result of probing an engine: this VM reaches it, or what others say of it. */
+type Reachability = 'reachable' | LossVerdict;
+
+const NO_PATHS: StreamRepairPaths = {
+  confirmLoss: () => Promise.resolve('lost'),
+};
+
 /** A probe of an engine, which is reused for `PROBE_REUSE_MS`. */
 interface CachedProbe<Result> {
   readonly atMs: number;
@@ -115,8 +138,8 @@
 export function createStreamRepair(options: StreamRepairOptions): StreamRepair {
   const { context, streams, chains, suspect, avoid, onLost = () => {} } = options;
   const { clock, log, metrics, operations, random, view, quarantine } = context;
-  const { migration } = options;
-  const reachability = new Map<string, CachedProbe<boolean>>();
+  const { migration, paths: serverPaths = NO_PATHS } = options;
+  const reachability = new Map<string, CachedProbe<Reachability>>();
   const paths = createPathSilence(clock);
   const { schedule = scheduleTimer } = options;
   let isWatching = false;
@@ -127,17 +150,24 @@
   let isMoving = false;
   /** Time at which the designated VM was last asked to probe a path, by path key. */
   const probeRequestedAtMs = new Map<string, number>();
+  /** Reported losses that recent events refuted; they are looked at again with each tick. */
+  let refuted: ((instanceId: string) => boolean) | null = null;
   let probeDraw = { untilMs: Number.NEGATIVE_INFINITY, isProbing: true };
 
-  /** Tries a second, new connection, so that one lost packet does not make an engine a suspect. */
-  async function probe(address: string): Promise<boolean> {
-    for (const timeoutMs of CONNECT_TIMEOUTS_MS) {
-      if (await operations.isReachable(address, timeoutMs).catch(() => false)) return true;
-    }
-    return false;
+  /**
+   * Tries a second, new connection, so that one lost packet does not make an engine a suspect, and
+   * asks other VMs meanwhile.
+   */
+  async function probe(address: string): Promise<Reachability> {
+    const connects = (timeoutMs: number): Promise<boolean> =>
+      operations.isReachable(address, timeoutMs).catch(() => false);
+    if (await connects(FIRST_CONNECT_TIMEOUT_MS)) return 'reachable';
+    const confirmed = serverPaths.confirmLoss(address);
+    if (await connects(SECOND_CONNECT_TIMEOUT_MS)) return 'reachable';
+    return confirmed;
   }
 
-  function findReachability(address: string): Promise<boolean> {
+  function findReachability(address: string): Promise<Reachability> {
     const nowMs = clock.nowMs();
     const known = reachability.get(address);
     if (known && nowMs - known.atMs < PROBE_REUSE_MS) return known.result;
@@ -160,11 +190,11 @@
     const checks = await Promise.all(
       row.stages.map(async (stage) => ({
         stage,
-        isReachable: await findReachability(stage.address),
+        result: await findReachability(stage.address),
       })),
     );
     checks
-      .filter(({ isReachable }) => !isReachable)
+      .filter(({ result }) => result === 'lost')
       .forEach(({ stage }) => markLost(row, stage.id, 'no-connection'));
     row.checks += 1;
     const [head] = row.stages;
@@ -408,8 +438,13 @@
     return nowMs - row.lastProgressAtMs > limitMs && nowMs - row.lastCheckAtMs > recheckMs;
   }
 
-  function repairLost(isLost: (instanceId: string) => boolean): void {
-    for (const row of streams.list()) {
+  /** An event has passed all engines of its path. */
+  function hasFreshEvent({ hasBegun, lastProgressAtMs }: StreamRow): boolean {
+    return hasBegun && clock.nowMs() - lastProgressAtMs < FRESH_EVENT_MS;
+  }
+
+  function repairRows(rows: Iterable<StreamRow>, isLost: (instanceId: string) => boolean): void {
+    for (const row of rows) {
       const lost = row.stages.filter(({ id }) => !row.lostIds.has(id) && isLost(id));
       lost.forEach(({ id }) => {
         row.lostIds.add(id);
@@ -419,6 +454,18 @@
     }
   }
 
+  function repairLost(isLost: (instanceId: string) => boolean): void {
+    const rows = [...streams.list()];
+    const isAffected = ({ lostIds, stages }: StreamRow) =>
+      stages.some(({ id }) => !lostIds.has(id) && isLost(id));
+    const hasRefuted = rows.some((row) => hasFreshEvent(row) && isAffected(row));
+    refuted = hasRefuted ? isLost : null;
+    repairRows(
+      rows.filter((row) => !hasFreshEvent(row)),
+      isLost,
+    );
+  }
+
   /** Requests a probe of the engines of a silent path and repairs the streams over lost ones. */
   async function requestProbeOf({ stages, dataCentre }: StreamRow): Promise<void> {
     const engines = stages.map(({ id, address }) => ({ instanceId: id, address }));
@@ -460,6 +507,7 @@
     const nowMs = clock.nowMs();
     const isLate = nowMs - tickedAtMs > lateAfterMs;
     tickedAtMs = nowMs;
+    if (refuted) repairLost(refuted);
     const newest = paths.lastEventByPath(streams.list());
     pruneProbeRequests(newest);
     for (const row of streams.list()) {
@@ -495,11 +543,11 @@
 
   return {
     probeAfterFailure(instanceId, address) {
-      void findReachability(address).then((isReachable) => {
-        if (!isReachable) suspect(instanceId, 'connection-failed');
+      void findReachability(address).then((result) => {
+        if (result === 'lost') suspect(instanceId, 'connection-failed');
       });
     },
-    isReachable: findReachability,
+    isServerLost: async (address) => (await findReachability(address)) === 'lost',
     tick,
     recordEvent() {
       if (clock.nowMs() - tickedAtMs >= TICK_MS) tick();
