fix(entry): reach backend servers through other VMs while own links are cut

A VM sent to servers over its own links only. Ruled out: full chains and too much load (the three whole VMs served all their callers from 11 s on).

Change: a connection that is not accepted within 60 ms, or fails, is also tried through another VM, near ones first, each VM's least used ones; the first that is established is used. Nothing is sent before, so nothing runs twice, and slot, deadline, cancellation and answer stay where the request was taken. A server that was out of reach is connected to through other VMs until a direct attempt, made every 200 ms, is accepted; three servers out of reach without any sign of life from one, and the VM counts as partitioned and sends nothing directly. A relay connects directly only, to servers that it knows, and refuses at once when it is cut off itself. Streams over a dead link are resumed after their last event. The watch for silence finds a cut that loses bytes without an error.

--- a/packages/entry/__tests__/streamFixtures.ts
+++ b/packages/entry/__tests__/streamFixtures.ts
@@ -45,6 +45,7 @@
     lostIds: new Set(),
     startedAtMs: clock.nowMs(),
     hasAnswered: true,
+    isRelayed: false,
     hasBegun: true,
     lastProgressAtMs: clock.nowMs(),
     lastCheckAtMs: 0,
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -38,6 +38,7 @@
   const repairs: string[][] = [];
   const cuts: string[] = [];
   const suspects: string[] = [];
+  const reportedUnreachable: string[] = [];
   let connections = 0;
   let probeRequests = 0;
   let reports = 0;
@@ -69,6 +70,8 @@
     avoid: () => {},
     paths: {
       confirmLoss: () => Promise.resolve(verdict),
+      recordUnreachable: (address) => reportedUnreachable.push(address),
+      isPartitioned: false,
     },
     requestProbe() {
       probeRequests += 1;
@@ -98,6 +101,7 @@
     lostIds: new Set(),
     startedAtMs: clock.nowMs(),
     hasAnswered: true,
+    isRelayed: false,
     hasBegun: true,
     lastProgressAtMs: clock.nowMs(),
     lastCheckAtMs: 0,
@@ -119,6 +123,7 @@
     repairs,
     cuts,
     suspects,
+    unreachable: reportedUnreachable,
     repair,
     counts: () => ({ connections, reports }),
     probeRequests: () => probeRequests,
@@ -268,12 +273,21 @@
     assert.deepEqual(setting.repairs, [['a1', 'a3']]);
   });
 
-  it('causes no report of a lost engine when other VMs reach all of them', async () => {
+  it('is resumed, and no engine is reported as lost, when only this VM does not reach them', async () => {
     const setting = createSetting({
       unreachable: ['a1:80', 'a2:80'],
       verdict: 'unreachable',
     });
     await setting.pass(160);
+    assert.deepEqual(setting.cuts, ['link-lost']);
+    assert.deepEqual(setting.suspects, []);
+    assert.deepEqual(setting.unreachable, ['a1:80', 'a2:80']);
+  });
+
+  it('is not cut when only a later engine is out of the reach of this VM', async () => {
+    const setting = createSetting({ unreachable: ['a2:80'], verdict: 'unreachable' });
+    await setting.pass(160);
+    assert.deepEqual(setting.cuts, []);
     assert.deepEqual(setting.suspects, []);
   });
 
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -114,8 +114,11 @@
   ): Promise<StreamResult>;
 }
 
-/** A connection within a region takes 2 ms; the limit allows one lost packet to be sent again. */
-const CONNECT_TIMEOUT_MS = 150;
+/**
+ * A connection within a region takes 2 ms; the limit allows one lost packet to be sent again, and a
+ * connection through another VM meanwhile.
+ */
+const CONNECT_TIMEOUT_MS = 250;
 /** Time before the caller's timeout at which a stream is ended, so that its end arrives in time. */
 export const TIMEOUT_MARGIN_MS = 30;
 export const MAX_SUCCESS_STATUS = 299;
@@ -153,6 +156,7 @@
       lostIds: new Set(),
       startedAtMs: nowMs,
       hasAnswered: false,
+      isRelayed: null,
       hasBegun: false,
       lastProgressAtMs: nowMs,
       lastCheckAtMs: 0,
@@ -306,7 +310,7 @@
     if (known.outcome === 'not-run' && row.abortReason === null) {
       return { kind: 'not-run', problem, culprit: head?.address ?? null, backoffMs: null };
     }
-    const isHeadHealthy = row.abortReason === 'no-repair';
+    const isHeadHealthy = row.abortReason === 'no-repair' || row.abortReason === 'link-lost';
     return { kind: 'broken', problem, isHeadHealthy, run: describeRun(row) };
   }
 
@@ -360,6 +364,9 @@
         signal: abort.signal,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         hasPermit: chain.hasPermit,
+        onConnected(isRelayed) {
+          row.isRelayed = isRelayed;
+        },
       });
       row.hasAnswered = true;
       return await classifyResponse(row, response, progress, link);
--- a/packages/entry/src/dispatch/streamTable.ts
+++ b/packages/entry/src/dispatch/streamTable.ts
@@ -8,7 +8,14 @@
 import type { AdmittedRequest } from '../entryContext';
 
 /** Why this entry aborted an attempt. */
-export type AbortReason = 'caller-left' | 'head-lost' | 'no-repair' | 'deadline' | 'quarantined';
+export type AbortReason =
+  | 'caller-left'
+  | 'head-lost'
+  /** This VM does not reach the first engine any more, which other VMs reach. */
+  | 'link-lost'
+  | 'no-repair'
+  | 'deadline'
+  | 'quarantined';
 
 /** An attempt in progress to run a stream over a chain. */
 export interface StreamRow {
@@ -33,6 +40,8 @@
   readonly startedAtMs: number;
   /** Whether the first engine has sent the head of its response. */
   hasAnswered: boolean;
+  /** Whether the connection passes through another VM; null until there is one. */
+  isRelayed: boolean | null;
   /** Whether any part of the response body has arrived in this attempt. */
   hasBegun: boolean;
   /** Time at which the last part of the body arrived, or the caller began to read again. */
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -3,7 +3,14 @@
 import { createSiblingBackoffs, findBackend } from '@spoolplank/membership';
 import type { LoadFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
-import type { EventLog, Metrics, PeerClient, PeerMethod, ServerLinks } from '@spoolplank/node';
+import type {
+  EventLog,
+  Metrics,
+  PeerClient,
+  PeerMethod,
+  ServerLinks,
+  TunnelServerOptions,
+} from '@spoolplank/node';
 import { createBackendLoadTable, DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, RoutingDocument } from '@spoolplank/routing';
 import { toSpoolplankError } from '@spoolplank/shared';
@@ -53,7 +60,7 @@
   /** Port on which other entries call this one. */
   readonly peerPort: number;
   readonly operations: BackendOperations;
-  /** Connections to backend servers; without them, no other VM is asked about a loss. */
+  /** Connections to backend servers; without them, no other VM is used to reach a server. */
   readonly links?: ServerLinks;
   readonly readDocument: (document: StoredDocument) => RoutingDocument;
   readonly announcementMs: number;
@@ -71,6 +78,8 @@
   readonly addresses: AddressBook;
   /** RPC methods that other VMs call on this one. */
   readonly methods: Readonly<Record<string, PeerMethod>>;
+  /** How this VM connects to backend servers for other VMs; undefined without links. */
+  readonly tunnels?: TunnelServerOptions;
   start(): void;
   /** Serves one request until its response has ended. */
   handle(request: CallerRequest, answer: CallerAnswer): Promise<void>;
@@ -215,10 +224,12 @@
       const isSynced = Number.isFinite(facts.syncedAtMs);
       if (isSynced) firstSyncedAtMs = Math.min(firstSyncedAtMs, clock.steadyMs());
       syncHistory.tick();
+      paths?.tick();
     },
     slots,
     crashes,
-    sweep: () => [facts, guard, notices, limits, slots].forEach((component) => component.sweep()),
+    sweep: () =>
+      [facts, guard, notices, limits, slots, paths].forEach((component) => component?.sweep()),
   });
   facts.onUrgentFact((body) => {
     if (isGuardFact(body)) {
@@ -265,6 +276,7 @@
       ownAddress: () => (readiness.isReady() ? options.callerAddress : null),
     }),
     methods: { ...stream.methods, ...siblingBackoffs.methods, ...paths?.methods },
+    tunnels: paths?.tunnels,
     start() {
       work.start();
       facts.start();
@@ -314,6 +326,7 @@
         quarantine: quarantine.describe(),
         backoffs: notices.describe(),
         limits: limits.describe(),
+        paths: paths?.describe() ?? null,
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/entry/src/reach/serverPaths.ts
+++ b/packages/entry/src/reach/serverPaths.ts
@@ -1,11 +1,26 @@
-/** Wires what this VM knows of its network paths to backend servers. */
-import type { FactTable, SystemFact } from '@spoolplank/membership';
-import type { EventLog, Metrics, PeerClient, PeerMethod, ServerLinks } from '@spoolplank/node';
+/**
+ * Wires what this VM knows of its network paths to backend servers: which of them it reaches, which
+ * of the others are lost, and the connections through other VMs.
+ */
+import type { SystemFact, FactTable } from '@spoolplank/membership';
+import { delay, isUnreachableForRelay } from '@spoolplank/node';
+import type {
+  EventLog,
+  Metrics,
+  PeerClient,
+  PeerMethod,
+  ServerLinks,
+  TunnelServerOptions,
+} from '@spoolplank/node';
 import type { Clock, Random } from '@spoolplank/shared';
 import type { BackendOperations } from '../dispatch/backendOperations';
 import type { RoutingView } from '../gossip/routingView';
 import { createIndirectProbes } from './indirectProbes';
 import type { LossVerdict } from './indirectProbes';
+import { createRelayChoice } from './relayChoice';
+import { createServerConnector } from './serverConnector';
+import { createServerReach } from './serverReach';
+import { createSilenceWatch } from './silenceWatch';
 
 export interface ServerPathsOptions {
   readonly clock: Clock;
@@ -17,32 +32,148 @@
   readonly host: string;
   readonly dataCentre: string;
   readonly table: FactTable<SystemFact>;
-  readonly view: Pick<RoutingView, 'listMembers'>;
+  readonly view: Pick<RoutingView, 'listMembers' | 'findByAddress'>;
   readonly operations: Pick<BackendOperations, 'isReachable'>;
-  readonly links: Pick<ServerLinks, 'countContacts'>;
+  readonly links: ServerLinks;
 }
 
 export interface ServerPaths {
   /** RPC methods that other VMs call on this one. */
   readonly methods: Readonly<Record<string, PeerMethod>>;
+  /** How this VM connects to backend servers for other VMs. */
+  readonly tunnels: TunnelServerOptions;
   /** Decides whether a server that this VM failed to connect to is lost, or only its own path. */
   confirmLoss(address: string): Promise<LossVerdict>;
+  /** Records that a server is out of this VM's reach. */
+  recordUnreachable(address: string, evidence: string): void;
+  /** Whether this VM reaches no server. */
+  readonly isPartitioned: boolean;
+  /** Tries unreachable servers directly; called periodically. */
+  tick(): void;
+  /** Forgets servers that are gone. */
+  sweep(): void;
+  describe(): unknown;
 }
 
+/** Timeout of a direct attempt; a connection within a region takes 2 ms. */
+const RETRY_TIMEOUT_MS = 150;
+/** Servers that are tried when none shows a sign of life. */
+const MAX_SILENT_PROBES = 4;
+
 export function createServerPaths(options: ServerPathsOptions): ServerPaths {
-  const { clock, random, log, metrics, peers, host, dataCentre, table, view } = options;
-  return createIndirectProbes({
+  const { clock, random, log, metrics, host, dataCentre, table, view, operations, links } = options;
+
+  const listEntries = () => view.listMembers('entry');
+  const listServers = (): readonly string[] =>
+    table.list().flatMap(({ body }) => (body.kind === 'backend' ? [body.address] : []));
+  const isKnown = (address: string) => view.findByAddress(address) !== undefined;
+
+  const reach = createServerReach({
+    clock,
+    log,
+    metrics,
+    countContacts: links.countContacts,
+    countServers: () => listServers().length,
+    onChange(address) {
+      if (address === null) listServers().forEach(links.reroute);
+      else links.reroute(address);
+    },
+  });
+  metrics.gauge('spoolplank_is_partitioned', () => (reach.isPartitioned ? 1 : 0));
+
+  const relays = createRelayChoice({
+    clock,
+    random,
+    host,
+    dataCentre,
+    listEntries,
+    dataCentreOf(address) {
+      const body = view.findByAddress(address)?.body;
+      return body?.kind === 'backend' ? body.dataCentre : undefined;
+    },
+  });
+  const connector = createServerConnector({
+    clock,
+    log,
+    metrics,
+    reach,
+    relays,
+    connectDirectly: links.connectDirectly,
+    connectThrough: links.connectThrough,
+    isUnreachableForRelay,
+    onClosed: (socket, listener) => socket.once('close', listener),
+    discard: (socket) => socket.destroy(),
+    delay,
+  });
+  links.setConnector({
+    connect: connector.connect,
+    mayReuse: (address, isDirect) => reach.isUnreachable(address) !== isDirect,
+  });
+
+  const probes = createIndirectProbes({
     clock,
     random,
     log,
     metrics,
-    peers,
+    peers: options.peers,
     host,
     dataCentre,
-    listEntries: () => view.listMembers('entry'),
-    isReachable: options.operations.isReachable,
-    countContacts: options.links.countContacts,
-    listServers: () =>
-      table.list().flatMap(({ body }) => (body.kind === 'backend' ? [body.address] : [])),
+    listEntries,
+    isReachable: operations.isReachable,
+    countContacts: links.countContacts,
+    listServers,
   });
+
+  const silence = createSilenceWatch({ clock, countContacts: links.countContacts });
+
+  const tryDirectly = (address: string): Promise<boolean> =>
+    operations.isReachable(address, RETRY_TIMEOUT_MS).catch(() => false);
+
+  async function retry(address: string): Promise<void> {
+    if (await tryDirectly(address)) reach.recordContact(address);
+  }
+
+  /** Tries one server, and several others if it does not accept the connection. */
+  async function probeSilent(): Promise<void> {
+    const servers = listServers();
+    const start = servers.length > 0 ? random.nextInt(servers.length) : 0;
+    const chosen = [...servers.slice(start), ...servers.slice(0, start)].slice(
+      0,
+      MAX_SILENT_PROBES,
+    );
+    const [first, ...others] = chosen;
+    if (first === undefined) return;
+    if (await tryDirectly(first)) {
+      silence.recordAccepted();
+      return;
+    }
+    const isAccepted = await Promise.all(others.map(tryDirectly));
+    const missed = [first, ...others.filter((_, index) => !isAccepted[index])];
+    missed.forEach((address) => reach.recordFailure(address, 'silent'));
+  }
+
+  return {
+    methods: probes.methods,
+    tunnels: {
+      findRefusal(address) {
+        if (!isKnown(address)) return 'unknown-server';
+        return reach.isUnreachable(address) ? 'partitioned' : null;
+      },
+      connect: (address) => links.connectDirectly(address, AbortSignal.timeout(RETRY_TIMEOUT_MS)),
+    },
+    confirmLoss: probes.confirmLoss,
+    recordUnreachable: reach.recordFailure,
+    get isPartitioned() {
+      return reach.isPartitioned;
+    },
+    tick() {
+      reach.tick();
+      reach.takeDue().forEach((address) => {
+        void retry(address);
+      });
+      if (silence.isProbeDue() && !reach.isPartitioned) void probeSilent();
+    },
+    sweep: () => reach.sweep(isKnown),
+    describe: () => ({ ...reach.describe(), tunnels: relays.describe() }),
+  };
 }
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -40,7 +40,10 @@
 }
 
 /** What repair needs to know of the network paths of this VM. */
-export type StreamRepairPaths = Pick<ServerPaths, 'confirmLoss'>;
+export type StreamRepairPaths = Pick<
+  ServerPaths,
+  'confirmLoss' | 'recordUnreachable' | 'isPartitioned'
+>;
 
 export interface StreamRepair {
   /** Probes an engine after a failed connection, and reports it to all entries if it is lost. */
@@ -101,6 +104,8 @@
  * reported after `MIN_TIMEOUT_MS` of silence at the earliest, see `pathSilence`.
  */
 const FRESH_EVENT_MS = 40;
+/** Silence from which a stream over a direct connection of a partitioned VM is resumed. */
+const LINK_SILENCE_MS = 150;
 /** Pause before the next check of a stream; it doubles with each check that finds nothing. */
 const RECHECK_MS = 300;
 const MAX_RECHECK_MS = 1200;
@@ -127,6 +132,8 @@
 
 const NO_PATHS: StreamRepairPaths = {
   confirmLoss: () => Promise.resolve('lost'),
+  recordUnreachable: () => {},
+  isPartitioned: false,
 };
 
 /** A probe of an engine, which is reused for `PROBE_REUSE_MS`. */
@@ -164,7 +171,9 @@
     if (await connects(FIRST_CONNECT_TIMEOUT_MS)) return 'reachable';
     const confirmed = serverPaths.confirmLoss(address);
     if (await connects(SECOND_CONNECT_TIMEOUT_MS)) return 'reachable';
-    return confirmed;
+    const verdict = await confirmed;
+    if (verdict === 'unreachable') serverPaths.recordUnreachable(address, 'probe-failed');
+    return verdict;
   }
 
   function findReachability(address: string): Promise<Reachability> {
@@ -198,6 +207,11 @@
       .forEach(({ stage }) => markLost(row, stage.id, 'no-connection'));
     row.checks += 1;
     const [head] = row.stages;
+    // The engines reach each other; only the way from this VM to the first one matters to it.
+    if (row.lostIds.size === 0 && checks[0]?.result === 'unreachable') {
+      row.abort('link-lost');
+      return;
+    }
     // A report costs as much as a request and lags, so it is read only for faults that connection
     // attempts do not reveal.
     if (row.lostIds.size > 0 || row.checks === 1 || !head) return;
@@ -426,6 +440,12 @@
     if (row.lostIds.size > 0) startRepair(row);
   }
 
+  /** Whether a stream waits for bytes over a link that is cut. */
+  function isLinkLost(row: StreamRow, nowMs: number): boolean {
+    const isSilent = nowMs - row.lastProgressAtMs > LINK_SILENCE_MS;
+    return serverPaths.isPartitioned && row.isRelayed === false && isSilent;
+  }
+
   /**
    * Whether a stream has been silent for long enough to probe its path. A lost engine stops all
    * streams of its path at once, so a single silent stream on an active path is just slow.
@@ -512,6 +532,7 @@
     pruneProbeRequests(newest);
     for (const row of streams.list()) {
       const lastPathEventMs = newest.get(paths.keyOf(row.stages)) ?? Number.NEGATIVE_INFINITY;
+      if (isLinkLost(row, nowMs)) row.abort('link-lost');
       const isBusy = row.isChecking || row.isRepairing || row.isPaused || row.abortReason !== null;
       if (!isBusy && isProbeRequestDue(row, nowMs, lastPathEventMs, isLate)) {
         probeRequestedAtMs.set(paths.keyOf(row.stages), nowMs);
