refactor(reach): give the network paths to backend servers a package

Cause: the control plane needs the same decisions as the entry when its own links to engines are cut, and must not import the entry.

Change: the modules move from entry/src/reach to packages/reach; what they need of the routing view is handed in. No behaviour.

Conclusion: entry and controller can use one implementation.

--- a/packages/entry/src/dispatch/streamPath.ts
+++ b/packages/entry/src/dispatch/streamPath.ts
@@ -4,6 +4,7 @@
  */
 import { delay } from '@spoolplank/node';
 import type { PeerClient, PeerMethod } from '@spoolplank/node';
+import type { ServerPaths } from '@spoolplank/reach';
 import { createChainChoice } from './chainChoice';
 import type { CrashGuard } from '../quarantine/crashGuard';
 import type { EngineHealth } from '../repair/engineHealth';
@@ -18,7 +19,6 @@
 import type { EntryPosition } from '../repair/pathRepair';
 import { createStreamRepair } from '../repair/streamRepair';
 import type { StreamRepair } from '../repair/streamRepair';
-import type { ServerPaths } from '../reach/serverPaths';
 import type { StreamTable } from './streamTable';
 
 export interface StreamPathOptions {
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -11,6 +11,7 @@
   ServerLinks,
   TunnelServerOptions,
 } from '@spoolplank/node';
+import { createServerPaths } from '@spoolplank/reach';
 import { createBackendLoadTable, DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, RoutingDocument } from '@spoolplank/routing';
 import { toSpoolplankError } from '@spoolplank/shared';
@@ -29,7 +30,6 @@
 import { createPlainDispatch } from './dispatch/plainDispatch';
 import { createPeriodicWork } from './periodicWork';
 import { createReadiness } from './readiness';
-import { createServerPaths } from './reach/serverPaths';
 import { createRequestAdmission } from './admission/requestAdmission';
 import { contentOf } from './quarantine/requestContent';
 import { createRequestReport, toRequestEnd } from './requestReport';
@@ -198,7 +198,22 @@
     factsAgeMs: () => clock.nowMs() - facts.syncedAtMs,
   };
   const { links } = options;
-  const paths = links && createServerPaths({ ...context, peers, host, table, links });
+  const paths =
+    links &&
+    createServerPaths({
+      ...context,
+      peers,
+      host,
+      links,
+      listEntries: () => view.listMembers('entry'),
+      listServers: () =>
+        table.list().flatMap(({ body }) => (body.kind === 'backend' ? [body.address] : [])),
+      findServer(address) {
+        const body = view.findByAddress(address)?.body;
+        return body?.kind === 'backend' ? body : undefined;
+      },
+      isReachable: context.operations.isReachable,
+    });
   const stream = createStreamPath({
     context,
     paths,
--- a/packages/entry/src/repair/engineProbes.ts
+++ b/packages/entry/src/repair/engineProbes.ts
@@ -13,8 +13,8 @@
  */
 import type { MemberFact } from '@spoolplank/membership';
 import type { EventLog, PeerClient, PeerMethod } from '@spoolplank/node';
+import type { LossVerdict } from '@spoolplank/reach';
 import type { Clock } from '@spoolplank/shared';
-import type { LossVerdict } from '../reach/indirectProbes';
 import type { BackendOperations, BackendTarget } from '../dispatch/backendOperations';
 
 export interface EngineProbesOptions {
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -3,6 +3,7 @@
  * another path. A path is the sequence of engines that a stream passes through.
  */
 import { scheduleTimer } from '@spoolplank/node';
+import type { LossVerdict, ServerPaths } from '@spoolplank/reach';
 import type { PathStage } from '@spoolplank/routing';
 import type { BackendTarget } from '../dispatch/backendOperations';
 import type { ChainChoice } from '../dispatch/chainChoice';
@@ -10,8 +11,6 @@
 import type { EngineProbes } from './engineProbes';
 import type { EntryContext } from '../entryContext';
 import { createPathSilence } from './pathSilence';
-import type { LossVerdict } from '../reach/indirectProbes';
-import type { ServerPaths } from '../reach/serverPaths';
 import type { DueMove, StreamMigration } from './streamMigration';
 import { contentOf } from '../quarantine/requestContent';
 import { enginesOf } from '../dispatch/streamTable';
--- a/packages/entry/__tests__/indirectProbes.spec.ts
+++ b/packages/reach/__tests__/indirectProbes.spec.ts
@@ -5,8 +5,8 @@
 import type { PeerTarget } from '@spoolplank/node';
 import { createManualClock, createSeededRandom, SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
-import { createIndirectProbes } from '../src/reach/indirectProbes';
-import type { IndirectProbes, LossVerdict } from '../src/reach/indirectProbes';
+import { createIndirectProbes } from '../src/indirectProbes';
+import type { IndirectProbes, LossVerdict } from '../src/indirectProbes';
 
 const SERVERS = Array.from({ length: 12 }, (_, index) => `s${index}:80`);
 
--- a/packages/entry/__tests__/relayChoice.spec.ts
+++ b/packages/reach/__tests__/relayChoice.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import type { MemberFact } from '@spoolplank/membership';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
-import { createRelayChoice } from '../src/reach/relayChoice';
+import { createRelayChoice } from '../src/relayChoice';
 
 const MAX_IMBALANCE = 1.5;
 
--- a/packages/entry/__tests__/serverConnector.spec.ts
+++ b/packages/reach/__tests__/serverConnector.spec.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { MemberFact } from '@spoolplank/membership';
 import { createEventLog, createMetrics } from '@spoolplank/node';
-import { createSeededRandom } from '@spoolplank/shared';
-import { createRelayChoice } from '../src/reach/relayChoice';
-import { createServerConnector } from '../src/reach/serverConnector';
-import { createServerReach } from '../src/reach/serverReach';
-import { createVirtualTime } from './virtualTime';
+import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import { createRelayChoice } from '../src/relayChoice';
+import { createServerConnector } from '../src/serverConnector';
+import { createServerReach } from '../src/serverReach';
 
 const ADDRESS = 's1:80';
 
@@ -27,11 +27,17 @@
   isDiscarded: boolean;
 }
 
+const TEST_MS = 2000;
+
 class UnreachableForRelayError extends Error {}
 
 function createSetting({ direct, relay = () => direct, vms = 4 }: Setting) {
-  const time = createVirtualTime();
-  const { clock, delay } = time;
+  const clock = createManualClock(1000);
+  const timers: { readonly atMs: number; readonly resolve: () => void }[] = [];
+  const delay = (durationMs: number) =>
+    new Promise<void>((resolve) => {
+      timers.push({ atMs: clock.nowMs() + durationMs, resolve });
+    });
   const log = createEventLog({ vmId: 'h0', clock, writeChunk: () => {} });
   const metrics = createMetrics();
   const connections: FakeConnection[] = [];
@@ -87,7 +93,6 @@
     delay,
   });
   return {
-    time,
     reach,
     connections,
     asked,
@@ -100,7 +105,11 @@
           tookMs: clock.nowMs() - startedAtMs,
         }),
       );
-      await time.pass(2000);
+      for (let passedMs = 0; passedMs < TEST_MS; passedMs += 1) {
+        await nextTurn();
+        clock.advance(1);
+        timers.filter(({ atMs }) => atMs === clock.nowMs()).forEach(({ resolve }) => resolve());
+      }
       return found;
     },
   };
--- a/packages/entry/__tests__/serverReach.spec.ts
+++ b/packages/reach/__tests__/serverReach.spec.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test';
 import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createManualClock } from '@spoolplank/shared';
-import { createServerReach } from '../src/reach/serverReach';
-import { createSilenceWatch } from '../src/reach/silenceWatch';
+import { createServerReach } from '../src/serverReach';
+import { createSilenceWatch } from '../src/silenceWatch';
 
 function createSetting(servers = 40) {
   const clock = createManualClock(1000);
--- /dev/null
+++ b/packages/reach/index.ts
@@ -0,0 +1,2 @@
+export type { LossVerdict } from './src/indirectProbes';
+export * from './src/serverPaths';
--- a/packages/entry/src/reach/serverPaths.ts
+++ b/packages/reach/src/serverPaths.ts
@@ -2,7 +2,7 @@
  * Wires what this VM knows of its network paths to backend servers: which of them it reaches, which
  * of the others are lost, and the connections through other VMs.
  */
-import type { SystemFact, FactTable } from '@spoolplank/membership';
+import type { BackendFact, MemberFact } from '@spoolplank/membership';
 import { delay, isUnreachableForRelay } from '@spoolplank/node';
 import type {
   EventLog,
@@ -13,8 +13,6 @@
   TunnelServerOptions,
 } from '@spoolplank/node';
 import type { Clock, Random } from '@spoolplank/shared';
-import type { BackendOperations } from '../dispatch/backendOperations';
-import type { RoutingView } from '../gossip/routingView';
 import { createIndirectProbes } from './indirectProbes';
 import type { LossVerdict } from './indirectProbes';
 import { createRelayChoice } from './relayChoice';
@@ -31,10 +29,17 @@
   /** This VM. */
   readonly host: string;
   readonly dataCentre: string;
-  readonly table: FactTable<SystemFact>;
-  readonly view: Pick<RoutingView, 'listMembers' | 'findByAddress'>;
-  readonly operations: Pick<BackendOperations, 'isReachable'>;
+  /** All known entry VMs. */
+  readonly listEntries: () => readonly MemberFact[];
+  /** Addresses of all known backend servers. */
+  readonly listServers: () => readonly string[];
+  /** The backend server that last announced itself at an address. */
+  readonly findServer: (address: string) => BackendFact | undefined;
+  /** Whether a new, direct connection to the address is accepted within the timeout. */
+  readonly isReachable: (address: string, timeoutMs: number) => Promise<boolean>;
   readonly links: ServerLinks;
+  /** Whether to try a server when none shows a sign of life; by default true. */
+  readonly watchesSilence?: boolean;
 }
 
 export interface ServerPaths {
@@ -61,12 +66,9 @@
 const MAX_SILENT_PROBES = 4;
 
 export function createServerPaths(options: ServerPathsOptions): ServerPaths {
-  const { clock, random, log, metrics, host, dataCentre, table, view, operations, links } = options;
-
-  const listEntries = () => view.listMembers('entry');
-  const listServers = (): readonly string[] =>
-    table.list().flatMap(({ body }) => (body.kind === 'backend' ? [body.address] : []));
-  const isKnown = (address: string) => view.findByAddress(address) !== undefined;
+  const { clock, random, log, metrics, host, dataCentre, links } = options;
+  const { listEntries, listServers, findServer, isReachable, watchesSilence = true } = options;
+  const isKnown = (address: string) => findServer(address) !== undefined;
 
   const reach = createServerReach({
     clock,
@@ -87,10 +89,7 @@
     host,
     dataCentre,
     listEntries,
-    dataCentreOf(address) {
-      const body = view.findByAddress(address)?.body;
-      return body?.kind === 'backend' ? body.dataCentre : undefined;
-    },
+    dataCentreOf: (address) => findServer(address)?.dataCentre,
   });
   const connector = createServerConnector({
     clock,
@@ -119,7 +118,7 @@
     host,
     dataCentre,
     listEntries,
-    isReachable: operations.isReachable,
+    isReachable,
     countContacts: links.countContacts,
     listServers,
   });
@@ -127,7 +126,7 @@
   const silence = createSilenceWatch({ clock, countContacts: links.countContacts });
 
   const tryDirectly = (address: string): Promise<boolean> =>
-    operations.isReachable(address, RETRY_TIMEOUT_MS).catch(() => false);
+    isReachable(address, RETRY_TIMEOUT_MS).catch(() => false);
 
   async function retry(address: string): Promise<void> {
     if (await tryDirectly(address)) reach.recordContact(address);
@@ -171,7 +170,7 @@
       reach.takeDue().forEach((address) => {
         void retry(address);
       });
-      if (silence.isProbeDue() && !reach.isPartitioned) void probeSilent();
+      if (watchesSilence && silence.isProbeDue() && !reach.isPartitioned) void probeSilent();
     },
     sweep: () => reach.sweep(isKnown),
     describe: () => ({ ...reach.describe(), tunnels: relays.describe() }),
