fix(controller): send orders through an entry while own links are cut

Cause: the same as for requests of callers: a control VM ordered engines over its own links only. While the leader is cut off from all engines, an engine that is added gets no order; a layout that was broken by a loss stays broken until the end of the cut.

Change: the control VM connects to engines as an entry does, through an entry when its own connection fails. It tries no engines while idle, as it has nothing to send to them.

Measured: `still order engines to hold layers` with the leader cut off failed before (no order within 15 s) and passes.

Conclusion: placement no longer depends on the links of the leader.

--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -19,8 +19,15 @@
   SystemFact,
   SystemFactKind,
 } from '@spoolplank/membership';
-import { scheduleTimer } from '@spoolplank/node';
-import type { EventLog, Metrics, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
+import { createMetrics, scheduleTimer } from '@spoolplank/node';
+import type {
+  EventLog,
+  Metrics,
+  PeerClient,
+  PeerMethod,
+  PeerTarget,
+  ServerLinks,
+} from '@spoolplank/node';
 import { DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { DecisionSettings, RoutingDocument } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
@@ -30,6 +37,7 @@
 import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
 import { createDocumentCalls } from './documentCalls';
 import { createEngineNotices } from './engineNotices';
+import { createEnginePaths } from './enginePaths';
 import type { EngineOrders } from './engineOperations';
 import { createGroupMember } from './group/groupMember';
 import type { GroupMember } from './group/groupMember';
@@ -62,6 +70,9 @@
   /** Null on a VM without a disk, which has no replica and only forwards facts and calls. */
   readonly dataFolder: string | null;
   readonly engineOrders: EngineOrders;
+  /** Connections to engines; without them, no entry is used to reach an engine. */
+  readonly links?: ServerLinks;
+  readonly metrics?: Metrics;
   /** Decodes a stored document, which was validated before it was stored. */
   readonly readDocument: (document: StoredDocument) => RoutingDocument;
   readonly announcementMs: number;
@@ -190,6 +201,21 @@
   options.engineOrders.onNotice(notices.handle);
   siblingBackoffs.onDirective(notices.recordBackoff);
   const engineOrders = guardOrders(options.engineOrders, notices);
+  const { links, random, metrics: pathMetrics = createMetrics() } = options;
+  const paths =
+    links &&
+    createEnginePaths({
+      clock,
+      random,
+      log,
+      metrics: pathMetrics,
+      peers,
+      host,
+      dataCentre,
+      table,
+      orders: engineOrders,
+      links,
+    });
   const placement = createPlacementLoop({
     clock,
     log,
@@ -274,8 +300,10 @@
       feeds.follow(controlVms.listOthers());
       table.sweep(retentionMsOf);
       notices.sweep();
+      paths?.sweep();
     }
     if (ticks % LOAD_PUBLISH_TICKS === 0) publishLoads();
+    paths?.tick();
     placement.tick();
     stragglerWatch.tick();
     scheduleTimer(tick, TICK_MS);
@@ -356,6 +384,7 @@
         documentVersion: documents.current?.version ?? null,
         confirmedAgeMs: documents.confirmedAgeMs(),
         backoffs: notices.describe(),
+        paths: paths?.describe() ?? null,
         facts: table.list(),
       }) as unknown as JsonValue,
   };
