fix(reach): take one unreachable server for no sign of the others

Cause: found by reading the code that connects through other VMs. A relay refused a server that it didn't reach with the same reason as when it was partitioned, and was then not asked about any server for a second: one lost engine could take all relays from the VMs that are cut off. A VM that took the loss of three servers in a row for a partition tried only these directly afterwards, and would have stayed partitioned until they were forgotten. A direct connection that was merely slower than a relay counted as failed, and the idle connections to its server were closed.

Change: a relay that does not reach a server is excluded for that server only. A direct attempt goes on for 300 ms when a relay was faster; its own end decides. A partitioned VM asks no others whether a server is lost.

Conclusion: what is known of a path is kept by server and by VM.

--- a/packages/node/src/tunnel.ts
+++ b/packages/node/src/tunnel.ts
@@ -8,7 +8,6 @@
 import { request as startRequest } from 'node:http';
 import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
-import { SpoolplankError } from '@spoolplank/shared';
 import { authenticatePeer, signedPeerHeaders } from './peerIdentity';
 import type { PeerIdentity } from './peerIdentity';
 import type { Endpoint } from './httpClient';
@@ -174,13 +173,8 @@
   });
 }
 
-/** Whether a failure to open a tunnel means that the server is unreachable for the relay too. */
-export function isUnreachableForRelay(error: unknown): boolean {
-  return error instanceof TunnelRefusedError && error.reason === 'unreachable';
-}
-
-/** Maps the failure to connect to a server to the error that dispatch expects. */
-export function toUnreachableError(address: string, error: unknown): SpoolplankError {
-  const detail = `${address}: ${error instanceof Error ? error.message : String(error)}`;
-  return new SpoolplankError('unreachable', { detail, outcome: 'not-run', cause: error });
+/** Whether a relay opened no tunnel because of the server, and may open one to another server. */
+export function isRefusedForServer(error: unknown): boolean {
+  if (!(error instanceof TunnelRefusedError)) return false;
+  return error.reason === 'unreachable' || error.reason === 'unknown-server';
 }
--- a/packages/reach/__tests__/relayChoice.spec.ts
+++ b/packages/reach/__tests__/relayChoice.spec.ts
@@ -56,6 +56,13 @@
     assert.equal(choice.choose('s:80', new Set())?.host, 'h1');
   });
 
+  it('excludes a VM for a server that it does not reach either, and for no other one', () => {
+    const { choice } = createChoice(createMembers(2));
+    choice.recordUnreachable('h1', 's:80');
+    assert.equal(choice.choose('s:80', new Set()), undefined);
+    assert.equal(choice.choose('t:80', new Set())?.host, 'h1');
+  });
+
   [11, 78, 300].forEach((count) => {
     it(`spreads tunnels evenly over the reachable relays among ${count} VMs`, () => {
       const members = createMembers(count, 1);
--- a/packages/reach/src/relayChoice.ts
+++ b/packages/reach/src/relayChoice.ts
@@ -22,6 +22,8 @@
   choose(address: string, tried: ReadonlySet<string>): MemberFact | undefined;
   /** Excludes a VM for a short time, as it did not answer or opens no tunnels now. */
   recordUnavailable(host: string): void;
+  /** Excludes a VM for one server for a short time, as it does not reach it either. */
+  recordUnreachable(host: string, address: string): void;
   recordOpened(host: string): void;
   recordClosed(host: string): void;
   describe(): Readonly<Record<string, number>>;
@@ -32,6 +34,7 @@
 
 export function createRelayChoice(options: RelayChoiceOptions): RelayChoice {
   const { clock, random, host: ownHost, dataCentre, listEntries } = options;
+  /** By host, or by host and address. */
   const excludedUntilMs = new Map<string, number>();
   /** Open tunnels of this VM, by the host of the relay. */
   const open = new Map<string, number>();
@@ -42,6 +45,20 @@
     else open.delete(host);
   }
 
+  const keyOf = (relay: string, address: string): string => `${relay} ${address}`;
+
+  function exclude(key: string): void {
+    const nowMs = clock.nowMs();
+    excludedUntilMs.forEach((untilMs, known) => {
+      if (untilMs <= nowMs) excludedUntilMs.delete(known);
+    });
+    excludedUntilMs.set(key, nowMs + UNAVAILABLE_MS);
+  }
+
+  function isExcluded(key: string): boolean {
+    return (excludedUntilMs.get(key) ?? 0) > clock.nowMs();
+  }
+
   /** Bytes cross the border of a data centre once, either way. */
   function listNear(candidates: readonly MemberFact[], address: string): readonly MemberFact[] {
     const serverDataCentre = options.dataCentreOf(address);
@@ -53,14 +70,14 @@
 
   return {
     choose(address, tried) {
-      const nowMs = clock.nowMs();
       const candidates = listEntries().filter(
         ({ host, state, peerPort }) =>
           host !== ownHost &&
           state === 'ready' &&
           peerPort !== undefined &&
           !tried.has(host) &&
-          (excludedUntilMs.get(host) ?? 0) <= nowMs,
+          !isExcluded(host) &&
+          !isExcluded(keyOf(host, address)),
       );
       const near = listNear(candidates, address);
       const loadOf = ({ host }: MemberFact): number => open.get(host) ?? 0;
@@ -68,13 +85,8 @@
       const leastUsed = near.filter((member) => loadOf(member) === leastLoad);
       return leastUsed.length > 0 ? leastUsed[random.nextInt(leastUsed.length)] : undefined;
     },
-    recordUnavailable(host) {
-      const nowMs = clock.nowMs();
-      excludedUntilMs.forEach((untilMs, known) => {
-        if (untilMs <= nowMs) excludedUntilMs.delete(known);
-      });
-      excludedUntilMs.set(host, nowMs + UNAVAILABLE_MS);
-    },
+    recordUnavailable: exclude,
+    recordUnreachable: (host, address) => exclude(keyOf(host, address)),
     recordOpened: (host) => change(host, 1),
     recordClosed: (host) => change(host, -1),
     describe: () => Object.fromEntries(open),
--- a/packages/reach/src/serverConnector.ts
+++ b/packages/reach/src/serverConnector.ts
@@ -22,8 +22,8 @@
     address: string,
     signal: AbortSignal,
   ) => Promise<Connection>;
-  /** Whether a failed tunnel means that the relay does not reach the server either. */
-  readonly isUnreachableForRelay: (error: unknown) => boolean;
+  /** Whether a failed tunnel is due to the server, so that the relay may reach others. */
+  readonly isAboutServer: (error: unknown) => boolean;
   readonly onClosed: (connection: Connection, listener: () => void) => void;
   readonly discard: (connection: Connection) => void;
   readonly delay: (durationMs: number) => Promise<void>;
@@ -42,7 +42,9 @@
 /** Time after which no further VM is asked for a tunnel. */
 const RELAY_BUDGET_MS = 400;
 /** VMs that reach the server neither, after which no other one is asked. */
-const MAX_UNREACHABLE = 2;
+const MAX_UNREACHABLE = 3;
+/** Time for which a direct attempt goes on when a relay was faster, as its end tells which. */
+const DIRECT_GRACE_MS = 300;
 
 type Route<Connection> = (address: string, signal: AbortSignal) => Promise<Connection>;
 
@@ -57,8 +59,7 @@
       reach.recordContact(address);
       return connection;
     } catch (error) {
-      // The relay was faster by so much that the direct route counts as failed too.
-      reach.recordFailure(address, signal.aborted ? 'slower-than-relay' : 'connection-failed');
+      reach.recordFailure(address, 'connection-failed');
       throw error;
     }
   }
@@ -94,48 +95,54 @@
         failure = error;
         if (signal.aborted) break;
         metrics.count('spoolplank_relayed_connections_total', { outcome: 'failed' });
-        if (options.isUnreachableForRelay(error)) unreachable += 1;
-        else relays.recordUnavailable(relay.host);
+        if (options.isAboutServer(error)) {
+          unreachable += 1;
+          relays.recordUnreachable(relay.host, address);
+        } else relays.recordUnavailable(relay.host);
       }
     }
     throw failure;
   }
 
-  /** Starts a route, and discards its connection if another route was faster. */
-  async function start(
-    route: Route<Connection>,
-    address: string,
-    stop: AbortController,
-  ): Promise<Connection> {
-    const connection = await route(address, stop.signal);
-    if (!stop.signal.aborted) return connection;
-    discard(connection);
-    throw new Error('another route was faster');
-  }
-
   return {
     async connect(address) {
-      const routes = [connectDirectly, connectThroughRelay];
-      if (reach.isUnreachable(address)) routes.reverse();
-      const [first, second] = routes as [Route<Connection>, Route<Connection>];
-      const stop = new AbortController();
-      const started = start(first, address, stop);
+      const isRelayedFirst = reach.isUnreachable(address);
+      const stopDirect = new AbortController();
+      const stopRelay = new AbortController();
+      let isOver = false;
+
+      /** Follows a route, and discards its connection if the other route was faster. */
+      async function follow(route: Route<Connection>, stop: AbortController): Promise<Connection> {
+        const connection = await route(address, stop.signal);
+        if (!isOver) {
+          isOver = true;
+          return connection;
+        }
+        discard(connection);
+        throw new Error('the other route was faster');
+      }
+
+      const direct = () => follow(connectDirectly, stopDirect);
+      const relayed = () => follow(connectThroughRelay, stopRelay);
+      const [first, second] = isRelayedFirst ? [relayed, direct] : [direct, relayed];
+      const started = first();
       const hasFailed = started.then(
         () => new Promise<void>(() => {}),
         () => {},
       );
       const hedged = Promise.race([delay(HEDGE_MS), hasFailed]).then(() => {
-        if (stop.signal.aborted) throw new Error('the first route was faster');
-        return start(second, address, stop);
+        if (isOver) throw new Error('the first route was faster');
+        return second();
       });
       try {
         return await Promise.any([started, hedged]);
       } catch (error) {
         // The direct attempt tells more about the server than the absence of a relay.
         const [one, other] = (error as AggregateError).errors as readonly unknown[];
-        throw first === connectDirectly ? one : other;
+        throw isRelayedFirst ? other : one;
       } finally {
-        stop.abort();
+        stopRelay.abort();
+        void delay(DIRECT_GRACE_MS).then(() => stopDirect.abort());
       }
     },
   };
--- a/packages/reach/src/serverPaths.ts
+++ b/packages/reach/src/serverPaths.ts
@@ -3,7 +3,7 @@
  * of the others are lost, and the connections through other VMs.
  */
 import type { BackendFact, MemberFact } from '@spoolplank/membership';
-import { delay, isUnreachableForRelay } from '@spoolplank/node';
+import { delay, isRefusedForServer } from '@spoolplank/node';
 import type {
   EventLog,
   Metrics,
@@ -99,7 +99,7 @@
     relays,
     connectDirectly: links.connectDirectly,
     connectThrough: links.connectThrough,
-    isUnreachableForRelay,
+    isAboutServer: isRefusedForServer,
     onClosed: (socket, listener) => socket.once('close', listener),
     discard: (socket) => socket.destroy(),
     delay,
@@ -128,6 +128,11 @@
   const tryDirectly = (address: string): Promise<boolean> =>
     isReachable(address, RETRY_TIMEOUT_MS).catch(() => false);
 
+  function pickServer(): string | undefined {
+    const servers = listServers();
+    return servers.length > 0 ? servers[random.nextInt(servers.length)] : undefined;
+  }
+
   async function retry(address: string): Promise<void> {
     if (await tryDirectly(address)) reach.recordContact(address);
   }
@@ -156,18 +161,23 @@
     tunnels: {
       findRefusal(address) {
         if (!isKnown(address)) return 'unknown-server';
-        return reach.isUnreachable(address) ? 'partitioned' : null;
+        if (reach.isPartitioned) return 'partitioned';
+        return reach.isUnreachable(address) ? 'unreachable' : null;
       },
       connect: (address) => links.connectDirectly(address, AbortSignal.timeout(RETRY_TIMEOUT_MS)),
     },
-    confirmLoss: probes.confirmLoss,
+    confirmLoss: (address) =>
+      reach.isPartitioned ? Promise.resolve('unreachable') : probes.confirmLoss(address),
     recordUnreachable: reach.recordFailure,
     get isPartitioned() {
       return reach.isPartitioned;
     },
     tick() {
       reach.tick();
-      reach.takeDue().forEach((address) => {
+      const due = reach.takeDue();
+      // The servers that were out of reach first may be lost, so another one is tried too.
+      const other = reach.isPartitioned ? pickServer() : undefined;
+      (other === undefined ? due : [...due, other]).forEach((address) => {
         void retry(address);
       });
       if (watchesSilence && silence.isProbeDue() && !reach.isPartitioned) void probeSilent();
