refactor(streams): move the relay of a run's events to a module of its own

Change: `streamRelay.ts` forwards the events of one run. No change of logic.

Conclusion: nothing changes for callers.

--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -4,12 +4,11 @@
 import type { ModelDescription, PathStage } from '@spoolplank/routing';
 import type { BackendResponse } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
-import type { EntryContext, SlotDecision } from '../entryContext';
-import { createEventSplitter } from './eventSplitter';
-import { HandoverMismatchError } from './streamHandover';
-import type { Handover } from './streamHandover';
+import type { EntryContext } from '../entryContext';
 import type { SlotSearch } from '../slots/slotFinder';
 import { contentOf } from '../quarantine/requestContent';
+import { createStreamRelay } from './streamRelay';
+import type { RunLink, StreamProgress } from './streamRelay';
 import type { AbortReason, StreamRow, StreamTable } from './streamTable';
 
 /** Result of one attempt. */
@@ -57,42 +56,6 @@
   readonly wasCutHere: boolean;
 }
 
-/** State that a request keeps across its attempts. */
-export interface StreamProgress {
-  /** Id of the last event that the caller has received; the next attempt resumes after it. */
-  lastEventId: string | null;
-  /** Whether the caller has been sent the head of the response, in any attempt. */
-  hasBegun: boolean;
-  /** Time from the arrival of the request to the first byte forwarded; null before that. */
-  firstByteMs: number | null;
-  /** Status that was forwarded to the caller; 0 before that. */
-  status: number;
-  /** Engines and layers of the path of the last attempt. */
-  servedBy: readonly string[];
-  /** The last slot that the request was given, with the load of its chain at that time. */
-  slot: SlotDecision | null;
-  /** Time spent waiting for a chain with free capacity, over all attempts. */
-  waitedMs: number;
-  /** Time at which the last event was forwarded; null before the first one. */
-  lastEventAtMs: number | null;
-  /** Longest time between two forwarded events, including the change to another chain. */
-  longestPauseMs: number;
-}
-
-/** Connects an attempt with the one that takes over from it, or from which it takes over. */
-export interface RunLink {
-  /** Cancels the attempt: it sends and forwards nothing from then on. */
-  readonly signal: AbortSignal;
-  /** Called when the attempt has started. */
-  readonly onStart?: (row: StreamRow) => void;
-  /** Called with complete events that were forwarded. */
-  readonly onForwarded?: (events: Buffer) => void;
-  /** Called when the response has ended, before anything else is done. */
-  readonly onCompleted?: () => void;
-  /** Set for an attempt that takes over a stream from a run that still runs. */
-  readonly handover?: Pick<Handover, 'accept' | 'isCaughtUp'>;
-}
-
 export interface StreamAttemptOptions {
   readonly context: EntryContext;
   readonly streams: StreamTable;
@@ -137,6 +100,7 @@
 export function createStreamAttempts(options: StreamAttemptOptions): StreamAttempts {
   const { context, streams, probeAfterFailure } = options;
   const { clock, log, operations } = context;
+  const relay = createStreamRelay({ context, streams, onEvent: options.onEvent });
 
   function createRow(
     { admitted, model, ticket }: SlotSearch,
@@ -174,93 +138,6 @@
     return row;
   }
 
-  function recordPause(progress: StreamProgress): void {
-    const nowMs = clock.nowMs();
-    const pauseMs = nowMs - (progress.lastEventAtMs ?? nowMs);
-    progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
-    progress.lastEventAtMs = nowMs;
-  }
-
-  /** Forwards complete events until the stream ends; rejects when it breaks off. */
-  function relay(
-    row: StreamRow,
-    response: BackendResponse,
-    progress: StreamProgress,
-    link: RunLink | undefined,
-  ): Promise<void> {
-    const { answer, request } = row.admitted;
-    const splitter = createEventSplitter();
-    const { body } = response;
-    const isCancelled = () => link?.signal.aborted ?? false;
-    return new Promise((resolve, reject) => {
-      link?.signal.addEventListener('abort', () => reject(new Error('superseded')));
-      // The body of a run that was cancelled already emits no further event.
-      if (isCancelled()) reject(new Error('superseded'));
-      function forward(events: Buffer): void {
-        if (!progress.hasBegun) {
-          answer.begin(response.status, response.headers);
-          Object.assign(progress, {
-            hasBegun: true,
-            status: response.status,
-            firstByteMs: clock.nowMs() - request.arrivedAtMs,
-          });
-        }
-        progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
-        recordPause(progress);
-        link?.onForwarded?.(events);
-        if (answer.write(events)) return;
-        row.isPaused = true;
-        body.pause();
-        answer.onWritable(() => {
-          row.isPaused = false;
-          row.lastProgressAtMs = clock.nowMs();
-          body.resume();
-        });
-      }
-      /** Forwards those events that the caller has not received from another run. */
-      function forwardNew(events: Buffer): void {
-        if (isCancelled() || answer.isClosed) return;
-        const missing = link?.handover ? link.handover.accept(events) : events;
-        if (missing.length > 0) forward(missing);
-      }
-      function endStream(): void {
-        if (isCancelled()) return;
-        if (link?.handover && !link.handover.isCaughtUp) {
-          throw new HandoverMismatchError('ended before the events that were forwarded');
-        }
-        if (splitter.hasPartialEvent) forward(splitter.takePartialEvent());
-        else if (!progress.hasBegun) forward(Buffer.alloc(0));
-        link?.onCompleted?.();
-        resolve();
-      }
-      /** Ends the run, as its events do not continue what the caller has received. */
-      function guard(run: () => void): void {
-        try {
-          run();
-        } catch (error) {
-          reject(toSpoolplankError(error));
-          body.destroy();
-        }
-      }
-      body.on('data', (bytes: Buffer) => {
-        if (isCancelled()) return;
-        row.lastProgressAtMs = clock.nowMs();
-        row.checks = 0;
-        if (!row.hasBegun) {
-          row.hasBegun = true;
-          streams.recordFirstEvent(row.headId, clock.nowMs() - row.startedAtMs);
-          context.quarantine.recordServed(contentOf(row.admitted));
-        }
-        const completeEvents = splitter.push(bytes);
-        if (completeEvents.length > 0) guard(() => forwardNew(completeEvents));
-        options.onEvent?.();
-      });
-      body.once('end', () => guard(endStream));
-      body.once('error', reject);
-      body.once('close', () => reject(new Error('connection closed before the end of the stream')));
-    });
-  }
-
   function describeRun(row: StreamRow): BrokenRun {
     const { startedAtMs, hasAnswered, hasBegun, abortReason } = row;
     const wasCutHere = abortReason !== null && abortReason !== 'head-lost';
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -16,9 +16,10 @@
   recordChain,
   TIMEOUT_MARGIN_MS,
 } from './streamAttempt';
-import type { BrokenRun, StreamProgress, StreamResult } from './streamAttempt';
+import type { BrokenRun, StreamResult } from './streamAttempt';
 import { createHandover } from './streamHandover';
 import type { Handover } from './streamHandover';
+import type { StreamProgress } from './streamRelay';
 import { enginesOf } from './streamTable';
 import type { StreamRow, StreamTable } from './streamTable';
 
