feat(logs): say how an answer was framed, how it ended, and where in an event

Change: `request-ended` and `attempt-failed` have `framing` (length, chunked, connection), `ending` (ended, broken-off, aborted) and, for streams of events, `position` (no-event, between-events, inside-event). No change of decisions.

--- a/packages/entry/__tests__/backoffFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -68,6 +68,7 @@
     load: null,
     backoffMs: mood === 'backoff' ? BACKOFF_MS : null,
     limit: mood === 'limited' ? { kind: 'named', perS: LIMIT_PER_S } : { kind: 'unnamed' },
+    framing: 'chunked',
     body,
   };
 }
--- a/packages/entry/__tests__/crashDispatch.spec.ts
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -42,6 +42,7 @@
     load: null,
     backoffMs: null,
     limit: { kind: 'unnamed' },
+    framing: 'chunked',
     body,
   };
 }
--- a/packages/entry/index.ts
+++ b/packages/entry/index.ts
@@ -1,4 +1,5 @@
 export * from './src/addressBook';
+export type { AnswerFraming } from './src/dispatch/answerEnd';
 export * from './src/dispatch/backendOperations';
 export * from './src/callerRequest';
 export * from './src/entryNode';
--- a/packages/entry/src/dispatch/backendOperations.ts
+++ b/packages/entry/src/dispatch/backendOperations.ts
@@ -3,6 +3,7 @@
 import type { NoticeListener } from '@spoolplank/membership';
 import type { LimitDirective, PathStage } from '@spoolplank/routing';
 import type { CallerRequest, RawHeaders } from '../callerRequest';
+import type { AnswerFraming } from './answerEnd';
 
 export interface BackendTarget {
   readonly instanceId: string;
@@ -57,6 +58,7 @@
    * read or does not come from the target itself.
    */
   readonly limit: LimitDirective | null;
+  readonly framing: AnswerFraming;
   readonly body: Readable;
 }
 
--- a/packages/entry/src/dispatch/eventSplitter.ts
+++ b/packages/entry/src/dispatch/eventSplitter.ts
@@ -1,8 +1,12 @@
+import type { EventPosition } from './answerEnd';
+
 /**
  * Splits a stream of server-sent events at event boundaries, so that a stream that breaks inside
  * an event can be resumed on another chain after the last complete event.
  */
 export interface EventSplitter {
+  /** Where the bytes pushed so far end. */
+  readonly position: EventPosition;
   /** Buffers bytes and returns all complete events; empty when none is complete. */
   push(bytes: Buffer): Buffer;
   /** Id of the last complete event returned; null before the first one that has an id. */
@@ -40,7 +44,12 @@
 export function createEventSplitter(): EventSplitter {
   let partial: Buffer = EMPTY_BUFFER;
   let lastEventId: string | null = null;
+  let hasEvent = false;
   return {
+    get position() {
+      if (partial.length > 0) return 'inside-event';
+      return hasEvent ? 'between-events' : 'no-event';
+    },
     get lastEventId() {
       return lastEventId;
     },
@@ -50,6 +59,7 @@
     push(bytes) {
       // Mostly, a chunk is one event.
       if (partial.length === 0 && endsEvent(bytes)) {
+        hasEvent = true;
         lastEventId = findLastId(bytes) ?? lastEventId;
         return bytes;
       }
@@ -59,6 +69,7 @@
         partial = buffered;
         return EMPTY_BUFFER;
       }
+      hasEvent = true;
       const end = at + EVENT_END.length;
       const complete = buffered.subarray(0, end);
       partial = end < buffered.length ? buffered.subarray(end) : EMPTY_BUFFER;
--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -4,9 +4,13 @@
  */
 import { finished } from 'node:stream/promises';
 import type { BackendFact } from '@spoolplank/membership';
+import type { Route } from '@spoolplank/routing';
 import { delay } from '@spoolplank/node';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
+import type { AnswerEnd } from './answerEnd';
 import type { BackendResponse } from './backendOperations';
+import { createEventSplitter } from './eventSplitter';
 import type { RawHeaders } from '../callerRequest';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
 import type { PermitFinder } from '../limits/permitFinder';
@@ -23,6 +27,7 @@
       readonly status: number;
       readonly headers: RawHeaders;
       readonly body: Buffer;
+      readonly end: AnswerEnd;
     }
   /** The server rejected the request, or was unreachable; the request has not run. */
   | {
@@ -39,8 +44,18 @@
       readonly problem: string;
       /** Time until the connection broke; null when this entry aborted the attempt. */
       readonly brokenAfterMs: number | null;
+      /** How the response ended; null when none was read. */
+      readonly end: AnswerEnd | null;
     };
 
+/** What the result of a response depends on besides the response itself. */
+interface ResponseContext {
+  readonly backend: BackendFact;
+  readonly route: Route;
+  /** Time since the request was sent; null when this entry aborted the attempt. */
+  readonly measureBrokenMs: () => number | null;
+}
+
 /** Result of an attempt for which the request was sent. */
 type SentAttempt = Exclude<AttemptResult, { readonly kind: 'held-back' }>;
 
@@ -78,19 +93,38 @@
 ): AttemptResult {
   if (code === 'server-closed') return { kind: 'held-back', problem: message };
   if (outcome === 'not-run') return { kind: 'not-run', problem: message, backoffMs: null };
-  return { kind: 'unknown', problem: message, brokenAfterMs };
+  return { kind: 'unknown', problem: message, brokenAfterMs, end: null };
+}
+
+/** A body that was read to its end; `error` tells why it broke off. */
+interface ReadBody {
+  readonly bytes: Buffer;
+  readonly end: AnswerEnd;
+  readonly error: unknown;
+}
+
+function positionOf(body: Buffer): AnswerEnd['position'] {
+  const splitter = createEventSplitter();
+  splitter.push(body);
+  return splitter.position;
 }
 
-async function readBody(response: BackendResponse): Promise<Buffer> {
+async function readBody(response: BackendResponse, isEventStream: boolean): Promise<ReadBody> {
   const chunks: Buffer[] = [];
-  let bytes = 0;
+  let length = 0;
   response.body.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
+    length += chunk.length;
     chunks.push(chunk);
-    if (bytes > MAX_ANSWER_BYTES) response.body.destroy(new Error('response body exceeds 16 MiB'));
+    if (length > MAX_ANSWER_BYTES) response.body.destroy(new Error('response body exceeds 16 MiB'));
   });
-  await finished(response.body, { writable: false });
-  return Buffer.concat(chunks);
+  const error: unknown = await finished(response.body, { writable: false }).then(
+    () => null,
+    (failure: unknown) => failure,
+  );
+  const bytes = Buffer.concat(chunks);
+  const ending = error === null ? 'ended' : endingOfError(error);
+  const position = isEventStream ? positionOf(bytes) : null;
+  return { bytes, end: { framing: response.framing, ending, position }, error };
 }
 
 /** Whether the backend server completed the request and survived it. */
@@ -123,7 +157,7 @@
 
   async function classifyResponse(
     response: BackendResponse,
-    backend: BackendFact,
+    { backend, route, measureBrokenMs }: ResponseContext,
   ): Promise<AttemptResult> {
     const { status, headers, problem, isNotRun, load } = response;
     if (load) {
@@ -137,9 +171,13 @@
     }
     if (problem !== null) {
       response.body.destroy();
-      return { kind: 'unknown', problem, brokenAfterMs: null };
+      return { kind: 'unknown', problem, brokenAfterMs: null, end: null };
     }
-    return { kind: 'answered', status, headers, body: await readBody(response) };
+    const isEventStream = route.kind === 'stream' && status <= MAX_SUCCESS_STATUS;
+    const { bytes, end, error } = await readBody(response, isEventStream);
+    if (error === null) return { kind: 'answered', status, headers, body: bytes, end };
+    const { message } = toSpoolplankError(error);
+    return { kind: 'unknown', problem: message, brokenAfterMs: measureBrokenMs(), end };
   }
 
   async function attempt(
@@ -157,6 +195,7 @@
       () => abort.abort(),
       Math.max(1, attemptTimeoutMs - TIMEOUT_MARGIN_MS),
     );
+    const measureBrokenMs = () => (abort.signal.aborted ? null : clock.nowMs() - startedAtMs);
     loads.start(backend.instanceId);
     let result: AttemptResult;
     try {
@@ -170,10 +209,9 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         hasPermit: permit !== null,
       });
-      result = await classifyResponse(response, backend);
+      result = await classifyResponse(response, { backend, route, measureBrokenMs });
     } catch (error) {
-      const brokenAfterMs = abort.signal.aborted ? null : clock.nowMs() - startedAtMs;
-      result = classifyError(toSpoolplankError(error), brokenAfterMs);
+      result = classifyError(toSpoolplankError(error), measureBrokenMs());
     } finally {
       clearTimeout(timer);
       if (permit) permits.recordEnded(permit);
@@ -228,6 +266,7 @@
         attempts: runs + rejections,
         servedBy,
         firstByteMs: clock.nowMs() - request.arrivedAtMs,
+        answerEnd: last === null || last.kind === 'not-run' ? null : last.end,
       });
       const mayRunAgain = () => runs < route.maxAttempts && (runs === 0 || route.kind === 'safe');
       const isRetryable = (result: AttemptResult) =>
@@ -252,6 +291,7 @@
           problem: result.kind === 'answered' ? `status ${result.status}` : result.problem,
           backoffMs: result.kind === 'not-run' ? result.backoffMs : undefined,
           content: digestContent(content),
+          ...(result.kind === 'not-run' ? {} : result.end),
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
         return result.kind !== 'unknown' || route.kind === 'safe';
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -2,6 +2,7 @@
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import { isCompletePath, sizeOfRequest } from '@spoolplank/routing';
 import type { ModelDescription, PathStage } from '@spoolplank/routing';
+import { MAX_SUCCESS_STATUS } from './answerEnd';
 import type { BackendResponse } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
 import type { EntryContext } from '../entryContext';
@@ -84,7 +85,6 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** Time before the caller's timeout at which a stream is ended, so that its end arrives in time. */
 export const TIMEOUT_MARGIN_MS = 30;
-export const MAX_SUCCESS_STATUS = 299;
 
 function describePath(stages: readonly PathStage[]): readonly string[] {
   return stages.map(({ id, firstLayer, endLayer }) => `${id}=${firstLayer}-${endLayer}`);
@@ -225,7 +225,10 @@
     link?.onStart?.(row);
     link?.signal.addEventListener('abort', () => abort.abort());
     // A run that takes over is recorded when it does.
-    if (!link?.handover) recordChain(progress, chain);
+    if (!link?.handover) {
+      recordChain(progress, chain);
+      progress.answerEnd = null;
+    }
     const target = { instanceId: head.id, address: head.address };
     try {
       if (link?.signal.aborted) return { kind: 'superseded' };
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -6,16 +6,12 @@
 import { delay as delayByTimer } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { ModelDescription } from '@spoolplank/routing';
+import { MAX_SUCCESS_STATUS } from './answerEnd';
 import type { ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
 import type { SlotFinder, SlotSearch } from '../slots/slotFinder';
 import { contentOf, digestContent } from '../quarantine/requestContent';
-import {
-  createStreamAttempts,
-  MAX_SUCCESS_STATUS,
-  recordChain,
-  TIMEOUT_MARGIN_MS,
-} from './streamAttempt';
+import { createStreamAttempts, recordChain, TIMEOUT_MARGIN_MS } from './streamAttempt';
 import type { BrokenRun, StreamResult } from './streamAttempt';
 import { createHandover } from './streamHandover';
 import type { Handover } from './streamHandover';
@@ -221,6 +217,7 @@
         waitedMs: 0,
         lastEventAtMs: null,
         longestPauseMs: 0,
+        answerEnd: null,
       };
       const excluded = new Set<string>();
       let runs = 0;
@@ -247,6 +244,7 @@
         slot: progress.slot,
         waitedMs: progress.waitedMs,
         longestPauseMs: progress.longestPauseMs,
+        answerEnd: progress.answerEnd,
       });
 
       /** Share of the retry budget that this stream leaves to streams that have begun. */
@@ -440,6 +438,7 @@
           path: progress.servedBy,
           lastEventId: progress.lastEventId,
           ...(result.kind === 'broken' ? describeRun(admitted, result.run) : {}),
+          ...progress.answerEnd,
           factsAgeMs: Math.round(context.factsAgeMs()),
         });
         isSpacingDue ||= result.kind === 'broken' && progress.hasBegun;
--- a/packages/entry/src/dispatch/streamRelay.ts
+++ b/packages/entry/src/dispatch/streamRelay.ts
@@ -1,5 +1,7 @@
 /** Passes the events of one run on to the caller. */
 import { toSpoolplankError } from '@spoolplank/shared';
+import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
+import type { AnswerEnd, AnswerEnding } from './answerEnd';
 import type { BackendResponse } from './backendOperations';
 import { createEventSplitter } from './eventSplitter';
 import type { EntryContext, SlotDecision } from '../entryContext';
@@ -28,6 +30,8 @@
   lastEventAtMs: number | null;
   /** Longest time between two forwarded events, including the change to another chain. */
   longestPauseMs: number;
+  /** How the last response ended that was read; null before that. */
+  answerEnd: AnswerEnd | null;
 }
 
 /** Connects an attempt with the one that takes over from it, or from which it takes over. */
@@ -77,12 +81,17 @@
   ): Promise<void> {
     const { answer, request } = row.admitted;
     const splitter = createEventSplitter();
-    const { body } = response;
+    const { body, framing } = response;
+    const isEventStream = response.status <= MAX_SUCCESS_STATUS;
     const isCancelled = () => link?.signal.aborted ?? false;
     return new Promise((resolve, reject) => {
       link?.signal.addEventListener('abort', () => reject(new Error('superseded')));
       // The body of a run that was cancelled already emits no further event.
       if (isCancelled()) reject(new Error('superseded'));
+      function recordEnd(ending: AnswerEnding): void {
+        const position = isEventStream ? splitter.position : null;
+        progress.answerEnd = { framing, ending, position };
+      }
       function forward(events: Buffer): void {
         if (!progress.hasBegun) {
           answer.begin(response.status, response.headers);
@@ -112,6 +121,7 @@
       }
       function endStream(): void {
         if (isCancelled()) return;
+        recordEnd('ended');
         if (link?.handover && !link.handover.isCaughtUp) {
           throw new HandoverMismatchError('ended before the events that were forwarded');
         }
@@ -143,7 +153,10 @@
         onEvent?.();
       });
       body.once('end', () => guard(endStream));
-      body.once('error', reject);
+      body.once('error', (error) => {
+        if (!isCancelled()) recordEnd(endingOfError(error));
+        reject(error);
+      });
       body.once('close', () => reject(new Error('connection closed before the end of the stream')));
     });
   }
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -8,6 +8,7 @@
   WindowBudget,
 } from '@spoolplank/routing';
 import type { Clock, Random } from '@spoolplank/shared';
+import type { AnswerEnd } from './dispatch/answerEnd';
 import type { BackendOperations } from './dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
 import type { CrashReporter } from './quarantine/crashReporter';
@@ -84,4 +85,6 @@
   readonly waitedMs?: number;
   /** The longest pause between two forwarded events of a stream. */
   readonly longestPauseMs?: number;
+  /** How the last answer ended that was read; null before there was one. */
+  readonly answerEnd?: AnswerEnd | null;
 }
--- a/packages/entry/src/requestReport.ts
+++ b/packages/entry/src/requestReport.ts
@@ -72,6 +72,7 @@
       firstByteMs: end.firstByteMs === null ? null : Math.round(end.firstByteMs),
       waitedMs: roundIfKnown(end.waitedMs),
       longestPauseMs: roundIfKnown(end.longestPauseMs),
+      ...end.answerEnd,
       durationMs: Math.round(durationMs),
       remainingMs: request.deadlineMs,
       documentVersion: options.documentVersion(),
