fix(streams): split events whose lines end with CRLF

Cause: the splitter knew line feeds only. A stream with CRLF was kept back until its end and then passed on as the rest of an unfinished event, which would count as truncated once that is decided.

Change: a blank line with either line end ends an event, in the splitter and in the comparison of two runs.

Conclusion: events with CRLF are passed on as they arrive.

--- a/packages/entry/__tests__/eventRelay.spec.ts
+++ b/packages/entry/__tests__/eventRelay.spec.ts
@@ -85,6 +85,7 @@
     { text: 'data: x\nid: 7\n\n', id: '7' },
     { text: 'id:\ndata: x\n\n', id: '' },
     { text: 'idle: 5\ndata: x\n\n', id: null },
+    { text: 'id: 8\r\ndata: x\r\n\r\n', id: '8' },
   ];
 
   it('yields its events in order, and the id of the last one that has an id', () => {
--- a/packages/entry/src/dispatch/eventSplitter.ts
+++ b/packages/entry/src/dispatch/eventSplitter.ts
@@ -18,15 +18,27 @@
 }
 
 const EMPTY_BUFFER = Buffer.alloc(0);
-const LINE_END = 0x0a;
-const EVENT_END = Buffer.from('\n\n');
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+/** A blank line after another line, with either of the line ends that servers use. */
+const EVENT_ENDS = ['\n\n', '\n\r\n'].map((text) => Buffer.from(text));
 const ID_FIELD = Buffer.from('id:');
 const ID_LINE = Buffer.from('\nid:');
 
 /** Whether the last byte ends an event. */
 function endsEvent(bytes: Buffer): boolean {
-  const { length } = bytes;
-  return length > 1 && bytes[length - 1] === LINE_END && bytes[length - 2] === LINE_END;
+  if (bytes.at(-1) !== LINE_FEED) return false;
+  return bytes.at(bytes.at(-2) === CARRIAGE_RETURN ? -3 : -2) === LINE_FEED;
+}
+
+/** Offset after the last complete event; 0 if there is none. */
+function findLastEnd(bytes: Buffer): number {
+  return Math.max(
+    ...EVENT_ENDS.map((end) => {
+      const at = bytes.lastIndexOf(end);
+      return at < 0 ? 0 : at + end.length;
+    }),
+  );
 }
 
 function startsWithId(events: Buffer): boolean {
@@ -38,7 +50,7 @@
   const at = events.lastIndexOf(ID_LINE) + 1;
   if (at === 0 && !startsWithId(events)) return null;
   const from = at + ID_FIELD.length;
-  return events.toString('latin1', from, events.indexOf(LINE_END, from)).trim();
+  return events.toString('latin1', from, events.indexOf(LINE_FEED, from)).trim();
 }
 
 export function createEventSplitter(): EventSplitter {
@@ -64,13 +76,12 @@
         return bytes;
       }
       const buffered = partial.length ? Buffer.concat([partial, bytes]) : bytes;
-      const at = buffered.lastIndexOf(EVENT_END);
-      if (at < 0) {
+      const end = findLastEnd(buffered);
+      if (end === 0) {
         partial = buffered;
         return EMPTY_BUFFER;
       }
       hasEvent = true;
-      const end = at + EVENT_END.length;
       const complete = buffered.subarray(0, end);
       partial = end < buffered.length ? buffered.subarray(end) : EMPTY_BUFFER;
       lastEventId = findLastId(complete) ?? lastEventId;
--- a/packages/entry/src/dispatch/streamHandover.ts
+++ b/packages/entry/src/dispatch/streamHandover.ts
@@ -42,18 +42,16 @@
   readonly length: number;
 }
 
-const EVENT_END = '\n\n';
+/** An event up to and with the blank line that ends it. */
+const EVENT = /[^]*?\n\r?\n/g;
 const ID_FIELD = 'id:';
 
 function listEvents(events: Buffer): readonly StreamEvent[] {
-  const parts = events.toString('latin1').split(EVENT_END);
-  return parts
-    .filter((part, index) => part.length > 0 || index < parts.length - 1)
-    .map((part) => {
-      const line = part.split('\n').findLast((text) => text.startsWith(ID_FIELD));
-      const id = line === undefined ? null : line.slice(ID_FIELD.length).trim();
-      return { id, length: part.length + EVENT_END.length };
-    });
+  return [...events.toString('latin1').matchAll(EVENT)].map(([event]) => {
+    const line = event.split('\n').findLast((text) => text.startsWith(ID_FIELD));
+    const id = line === undefined ? null : line.slice(ID_FIELD.length).trim();
+    return { id, length: event.length };
+  });
 }
 
 export function createHandover({ onSwitch }: HandoverOptions): Handover {
