fix(entry): take a stream that ends inside an event for truncated

The relay took every end of a body for the end of the stream, forwarded what was left of an unfinished event and ended the caller's chunks. An answer with neither a length nor chunks ends with its connection, so a server that fails with a close was taken for one that had finished.

Change: `answerCompletion.ts` alone decides whether an answer is complete, from its framing, how it ended and where in an event; streams and plain answers ask it. A truncated run has broken off: it is resumed after the last event where the route allows it, counts as a run, as a possible crash and against the retry budget. A stream without an event is truncated unless its framing says that it is empty. A body that is no stream of events is judged by its framing.

A close between two events without a length remains undecidable from the bytes.

--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -7,6 +7,7 @@
 import type { Route } from '@spoolplank/routing';
 import { delay } from '@spoolplank/node';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import { findTruncation } from './answerCompletion';
 import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
 import type { AnswerEnd } from './answerEnd';
 import type { BackendResponse } from './backendOperations';
@@ -175,8 +176,10 @@
     }
     const isEventStream = route.kind === 'stream' && status <= MAX_SUCCESS_STATUS;
     const { bytes, end, error } = await readBody(response, isEventStream);
-    if (error === null) return { kind: 'answered', status, headers, body: bytes, end };
-    const { message } = toSpoolplankError(error);
+    const truncation = findTruncation(end);
+    if (truncation === null) return { kind: 'answered', status, headers, body: bytes, end };
+    const detail = error instanceof Error ? error.message : truncation;
+    const { message } = new SpoolplankError('answer-truncated', { detail, cause: error });
     return { kind: 'unknown', problem: message, brokenAfterMs: measureBrokenMs(), end };
   }
 
--- a/packages/entry/src/dispatch/streamRelay.ts
+++ b/packages/entry/src/dispatch/streamRelay.ts
@@ -1,5 +1,6 @@
 /** Passes the events of one run on to the caller. */
-import { toSpoolplankError } from '@spoolplank/shared';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import { findTruncation } from './answerCompletion';
 import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
 import type { AnswerEnd, AnswerEnding } from './answerEnd';
 import type { BackendResponse } from './backendOperations';
@@ -88,9 +89,11 @@
       link?.signal.addEventListener('abort', () => reject(new Error('superseded')));
       // The body of a run that was cancelled already emits no further event.
       if (isCancelled()) reject(new Error('superseded'));
-      function recordEnd(ending: AnswerEnding): void {
+      function recordEnd(ending: AnswerEnding): AnswerEnd {
         const position = isEventStream ? splitter.position : null;
-        progress.answerEnd = { framing, ending, position };
+        const end = { framing, ending, position };
+        progress.answerEnd = end;
+        return end;
       }
       function forward(events: Buffer): void {
         if (!progress.hasBegun) {
@@ -121,7 +124,10 @@
       }
       function endStream(): void {
         if (isCancelled()) return;
-        recordEnd('ended');
+        const truncation = findTruncation(recordEnd('ended'));
+        if (truncation !== null) {
+          throw new SpoolplankError('answer-truncated', { detail: truncation });
+        }
         if (link?.handover && !link.handover.isCaughtUp) {
           throw new HandoverMismatchError('ended before the events that were forwarded');
         }
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -130,6 +130,11 @@
     outcome: 'unknown',
     message: 'The answer broke a rule and was not passed on.',
   },
+  'answer-truncated': {
+    httpStatus: 502,
+    outcome: 'unknown',
+    message: 'The answer of the backend server is truncated.',
+  },
   'not-leader': {
     httpStatus: 503,
     outcome: 'not-run',
