fix(tunnel): pass on a reset that arrives with the last bytes

Cause: an answer without a length that a server reset reached callers of another VM as complete: 200 with 8 or 9 bytes of 38. When bytes and a reset arrive together, libuv reports the end of the stream; direct connections are guarded against that, the sockets that a relay reads were not, and the relay passed the end on as a normal close.

Change: a relay reads the server's socket with the same guard, whatever the bytes are, as it does not parse them.

The death of the relay itself still looks like the end of the server.

--- a/packages/node/src/resetDetection.ts
+++ b/packages/node/src/resetDetection.ts
@@ -5,10 +5,11 @@
  * stream instead of the reset: if poll reports a hang-up after a read that did not fill the
  * buffer, `uv__stream_io` in `unix/stream.c` skips the next read. A response that has neither a
  * length nor chunks, and ends with its connection, then looks complete although the sender aborted
- * it. Reading is therefore paused after each piece of such a response, so that the next read asks
- * the kernel, which reports the reset.
+ * it. Reading is therefore paused after each piece, so that the next read asks the kernel, which
+ * reports the reset.
  */
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 /**
  * The methods of a socket's internal handle that are used here; Node.js has no public interface to
@@ -27,12 +28,10 @@
 }
 
 /**
- * Makes a response fail if its connection is reset. Must be called when the headers of the response
- * arrive, before anything else is awaited.
+ * Makes a socket fail if its connection is reset together with the last bytes. Must be called
+ * before the socket is read, or in the listener of its first bytes.
  */
-export function detectReset(response: IncomingMessage): void {
-  if (!endsWithConnection(response)) return;
-  const { socket } = response;
+export function detectSocketReset(socket: Socket): void {
   const handleOf = () =>
     (socket as unknown as Readonly<Record<string, ReadableHandle | null>>)[HANDLE_FIELD] ?? null;
   const pauseReading = () => {
@@ -45,3 +44,11 @@
   socket.on('data', pauseReading);
   socket.once('close', () => socket.removeListener('data', pauseReading));
 }
+
+/**
+ * Makes a response fail if its connection is reset. Must be called when the headers of the response
+ * arrive, before anything else is awaited.
+ */
+export function detectReset(response: IncomingMessage): void {
+  if (endsWithConnection(response)) detectSocketReset(response.socket);
+}
--- a/packages/node/src/tunnel.ts
+++ b/packages/node/src/tunnel.ts
@@ -11,6 +11,7 @@
 import { authenticatePeer, signedPeerHeaders } from './peerIdentity';
 import type { PeerIdentity } from './peerIdentity';
 import type { Endpoint } from './httpClient';
+import { detectSocketReset } from './resetDetection';
 
 /**
  * Why a VM opens no tunnel. `unreachable`: it tried and could not connect to the server either.
@@ -99,6 +100,7 @@
     else if (isClosed) upstream.destroy();
     else {
       client.write('HTTP/1.1 200 Connected\r\n\r\n');
+      detectSocketReset(upstream);
       join(client, upstream);
     }
   }
