fix(tunnel): report the end of the server in a frame of its own

Cause: when a relay died, was stopped or closed an idle tunnel, callers of other VMs got truncated answers as complete: streams between two events, and plain answers without a length (200 with 9 bytes of 38). The kernel closes the connections of a dead process as a server closes its own, so the end of a tunnel was taken for the end of the server.

Change: the bytes from the server come in frames, with their length; its end and its reset are frames. A tunnel without one has broken off, which streams and plain answers treat as a lost connection (`tunnel-broken`). Frames are asked for by a header of the CONNECT request. A relay of a version without them cannot report an end, so its tunnels always break off at the end, which only concerns answers without a length; a VM of such a version gets plain bytes. `TunnelSocket` reads nothing before it is read, so the test of a reset reads.

Conclusion: a tunnel ends as complete only if its relay says that the server did.

--- a/packages/entry/__tests__/answerCompletion.spec.ts
+++ b/packages/entry/__tests__/answerCompletion.spec.ts
@@ -4,7 +4,7 @@
 import type { AnswerEnding, AnswerFraming, EventPosition } from '../src/dispatch/answerEnd';
 
 const FRAMINGS: readonly AnswerFraming[] = ['length', 'chunked', 'connection'];
-const INTERRUPTIONS: readonly AnswerEnding[] = ['broken-off', 'aborted'];
+const INTERRUPTIONS: readonly AnswerEnding[] = ['broken-off', 'tunnel-broken', 'aborted'];
 const POSITIONS: readonly (EventPosition | null)[] = [
   null,
   'no-event',
--- a/packages/entry/src/dispatch/answerCompletion.ts
+++ b/packages/entry/src/dispatch/answerCompletion.ts
@@ -7,6 +7,7 @@
 
 const INTERRUPTIONS: Readonly<Record<Exclude<AnswerEnding, 'ended'>, string>> = {
   'broken-off': 'Its connection broke off.',
+  'tunnel-broken': 'The tunnel to its server broke off.',
   aborted: 'Its connection was closed by this VM.',
 };
 
--- a/packages/node/__tests__/tunnel.spec.ts
+++ b/packages/node/__tests__/tunnel.spec.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { after, before, describe, it } from 'node:test';
 import { listenForPeers, openTunnel, TunnelRefusedError } from '..';
 import type { TunnelRefusal, TunnelServerOptions } from '..';
@@ -13,13 +14,13 @@
 
 const portOf = (server: { address(): unknown }): number => (server.address() as AddressInfo).port;
 
-async function readAll(socket: Socket): Promise<string> {
+async function readAll(socket: Duplex): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of socket as AsyncIterable<Buffer>) chunks.push(chunk);
   return Buffer.concat(chunks).toString();
 }
 
-async function reasonOf(tunnel: Promise<Socket>): Promise<string> {
+async function reasonOf(tunnel: Promise<Duplex>): Promise<string> {
   const error: unknown = await tunnel.catch((thrown: unknown) => thrown);
   assert.ok(error instanceof TunnelRefusedError, String(error));
   return error.reason;
@@ -54,7 +55,7 @@
     });
   }
 
-  async function openPair(): Promise<readonly [Socket, Socket]> {
+  async function openPair(): Promise<readonly [Duplex, Socket]> {
     const accepting = once(upstream, 'connection') as Promise<[Socket]>;
     const tunnel = await open();
     const [server] = await accepting;
@@ -92,6 +93,7 @@
   it('is reset when the server resets its connection', async () => {
     const [tunnel, server] = await openPair();
     const failed = once(tunnel, 'error') as Promise<[NodeJS.ErrnoException]>;
+    tunnel.resume();
     server.resetAndDestroy();
     const [error] = await failed;
     assert.equal(error.code, 'ECONNRESET');
--- a/packages/node/index.ts
+++ b/packages/node/index.ts
@@ -14,3 +14,4 @@
 export * from './src/systemClock';
 export * from './src/tokens';
 export * from './src/tunnel';
+export { TunnelBrokenError } from './src/tunnelSocket';
--- a/packages/node/src/serverLinks.ts
+++ b/packages/node/src/serverLinks.ts
@@ -4,6 +4,7 @@
  */
 import { connect as connectSocket } from 'node:net';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { parseAddress } from './httpClient';
 import type { PeerIdentity } from './peerIdentity';
 import type { PeerTarget } from './peerRpc';
@@ -12,20 +13,20 @@
 /** Establishes connections to backend servers. */
 export interface ServerConnector {
   /** @throws Error when there is no connection; nothing has been sent to the server then. */
-  connect(address: string): Promise<Socket>;
+  connect(address: string): Promise<Duplex>;
   /** Whether a connection that is idle may be used for another request. */
   mayReuse(address: string, isDirect: boolean): boolean;
 }
 
 export interface ServerLinks {
   /** Connects as the connector decides; directly, if none is set. */
-  connect(address: string): Promise<Socket>;
+  connect(address: string): Promise<Duplex>;
   connectDirectly(address: string, signal: AbortSignal): Promise<Socket>;
-  connectThrough(relay: PeerTarget, address: string, signal: AbortSignal): Promise<Socket>;
+  connectThrough(relay: PeerTarget, address: string, signal: AbortSignal): Promise<Duplex>;
   /** Whether an idle connection may be used for another request. */
-  mayReuse(socket: Socket): boolean;
+  mayReuse(socket: Duplex): boolean;
   /** Whether a connection passes through another VM. */
-  isRelayed(socket: Socket): boolean;
+  isRelayed(socket: Duplex): boolean;
   /**
    * Number of signs of life that came over direct connections: connections that were accepted, and
    * bytes received. It only increases.
@@ -49,7 +50,7 @@
 }
 
 export function createServerLinks(identity: PeerIdentity): ServerLinks {
-  const origins = new WeakMap<Socket, LinkOrigin>();
+  const origins = new WeakMap<Duplex, LinkOrigin>();
   const direct = new Set<Socket>();
   let closedContacts = 0;
   let connector: ServerConnector | null = null;
--- a/packages/node/src/tunnel.ts
+++ b/packages/node/src/tunnel.ts
@@ -1,17 +1,21 @@
 /**
  * Tunnels between VMs: a VM connects to a backend server on behalf of another one and passes the
  * bytes on in both directions. A tunnel is opened by an HTTP `CONNECT` request on the port for
- * peers, which is signed like every other call; from then on it behaves as the connection itself.
+ * peers, which is signed like every other call. From then on the bytes to the server pass as they
+ * are, and those from the server in frames, unless one of the two VMs does not know frames.
  *
  * Source: RFC 9110, section 9.3.6.
  */
 import { request as startRequest } from 'node:http';
 import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { authenticatePeer, signedPeerHeaders } from './peerIdentity';
 import type { PeerIdentity } from './peerIdentity';
 import type { Endpoint } from './httpClient';
 import { detectSocketReset } from './resetDetection';
+import { createFrameEncoder, RESET_FRAME } from './tunnelFrames';
+import { TunnelSocket } from './tunnelSocket';
 
 /**
  * Why a VM opens no tunnel. `unreachable`: it tried and could not connect to the server either.
@@ -43,6 +47,9 @@
 /** A tunnel without any byte for this time has lost one of its ends. */
 const IDLE_TIMEOUT_MS = 60_000;
 const REASON_HEADER = 'spoolplank-reason';
+/** Sent by a VM that reads frames, and by a relay that sends them. */
+const FRAMING_HEADER = 'spoolplank-framing';
+const FRAMING_VERSION = '1';
 const REFUSED_STATUS = 503;
 const FORBIDDEN_STATUS = 403;
 
@@ -52,17 +59,38 @@
   client.end(`HTTP/1.1 ${status} Refused\r\n${REASON_HEADER}: ${reason}\r\n\r\n`);
 }
 
-/** Passes bytes on in both directions; a reset of one end resets the other. */
-function join(one: Socket, other: Socket): void {
-  const link = (from: Socket, to: Socket): void => {
-    from.setNoDelay(true);
-    from.setTimeout(IDLE_TIMEOUT_MS, () => from.destroy());
-    from.on('error', () => to.resetAndDestroy());
-    from.on('close', () => to.destroySoon());
-    from.pipe(to);
-  };
-  link(one, other);
-  link(other, one);
+/** Passes the server's bytes on in frames, and how it ends its connection. */
+function sendFrames(server: Socket, client: Socket): void {
+  const encoder = createFrameEncoder();
+  server.pipe(encoder).pipe(client);
+  server.on('close', () => {
+    if (server.readableEnded || client.destroyed) return;
+    encoder.unpipe(client);
+    client.write(RESET_FRAME);
+    client.destroySoon();
+  });
+}
+
+/** Passes the server's bytes on as they are; a reset of the server resets the client. */
+function sendBytes(server: Socket, client: Socket): void {
+  server.pipe(client);
+  server.on('error', () => client.resetAndDestroy());
+  server.on('close', () => client.destroySoon());
+}
+
+/** Passes bytes on in both directions. */
+function join(client: Socket, server: Socket, isFramed: boolean): void {
+  [client, server].forEach((socket) => {
+    socket.setNoDelay(true);
+    socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy());
+    socket.on('error', () => {});
+  });
+  client.pipe(server);
+  client.on('error', () => server.resetAndDestroy());
+  client.on('close', () => server.destroySoon());
+  detectSocketReset(server);
+  if (isFramed) sendFrames(server, client);
+  else sendBytes(server, client);
 }
 
 /** Accepts tunnels on a server for peers. */
@@ -99,9 +127,10 @@
     if (!upstream) refuse(client, REFUSED_STATUS, 'unreachable');
     else if (isClosed) upstream.destroy();
     else {
-      client.write('HTTP/1.1 200 Connected\r\n\r\n');
-      detectSocketReset(upstream);
-      join(client, upstream);
+      const isFramed = request.headers[FRAMING_HEADER] === FRAMING_VERSION;
+      const framing = isFramed ? `${FRAMING_HEADER}: ${FRAMING_VERSION}\r\n` : '';
+      client.write(`HTTP/1.1 200 Connected\r\n${framing}\r\n`);
+      join(client, upstream, isFramed);
     }
   }
 
@@ -136,7 +165,7 @@
  *
  * @throws TunnelRefusedError when that VM opens none.
  */
-export function openTunnel(options: TunnelRequest): Promise<Socket> {
+export function openTunnel(options: TunnelRequest): Promise<Duplex> {
   const { identity, relay, address, timeoutMs, signal } = options;
   return new Promise((resolve, reject) => {
     const call = startRequest({
@@ -145,7 +174,10 @@
       method: 'CONNECT',
       path: address,
       agent: false,
-      headers: signedPeerHeaders(identity, relay.vmId, messageOf(address)),
+      headers: {
+        ...signedPeerHeaders(identity, relay.vmId, messageOf(address)),
+        [FRAMING_HEADER]: FRAMING_VERSION,
+      },
       signal,
     });
     let timer: NodeJS.Timeout | undefined;
@@ -159,7 +191,7 @@
     timer = setTimeout(() => noAnswer(`${timeoutMs} ms`), timeoutMs);
     call.on('error', (error) => noAnswer(error.message));
     call.on('response', (response) => noAnswer(`status ${response.statusCode ?? 0}`));
-    call.on('connect', (response, socket) => {
+    call.on('connect', (response, socket, head) => {
       const reason = response.headers[REASON_HEADER];
       if (response.statusCode !== 200) {
         socket.destroy();
@@ -168,8 +200,11 @@
         return;
       }
       clearTimeout(timer);
-      if (signal.aborted) socket.destroy();
-      resolve(socket);
+      if (head.length > 0) socket.unshift(head);
+      const isFramed = response.headers[FRAMING_HEADER] === FRAMING_VERSION;
+      const tunnel = new TunnelSocket({ socket, isFramed });
+      if (signal.aborted) tunnel.destroy();
+      resolve(tunnel);
     });
     call.end();
   });
--- a/packages/reach/src/serverPaths.ts
+++ b/packages/reach/src/serverPaths.ts
@@ -2,6 +2,7 @@
  * Wires what this VM knows of its network paths to backend servers: which of them it reaches, which
  * of the others are lost, and the connections through other VMs.
  */
+import type { Duplex } from 'node:stream';
 import type { BackendFact, MemberFact } from '@spoolplank/membership';
 import { delay, isRefusedForServer } from '@spoolplank/node';
 import type {
@@ -91,7 +92,7 @@
     listEntries,
     dataCentreOf: (address) => findServer(address)?.dataCentre,
   });
-  const connector = createServerConnector({
+  const connector = createServerConnector<Duplex>({
     clock,
     log,
     metrics,
