fix(http): take a reset response without a length for truncated

Cause: `callHttp`, which reports, orders, calls between VMs and the product's own interface use, returned the first bytes of a response without a length as complete when its connection was reset, at once or 20 ms later. The own interface stores the answer of a request with a key, so that repeats would have got the cut one too. Only the platform's client watched for resets.

Change: `failOnReset`, which that client had in parts, guards each response of `sendHttpRequest` as well.

--- a/packages/node/__tests__/resetDetection.spec.ts
+++ b/packages/node/__tests__/resetDetection.spec.ts
@@ -7,7 +7,7 @@
 import { setImmediate as nextImmediate } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
 import { describe, it } from 'node:test';
-import { detectReset } from '../src/resetDetection';
+import { failOnReset } from '../src/resetDetection';
 
 /**
  * Sends a request to a server that responds without a length and then ends the connection in the
@@ -32,8 +32,7 @@
       const call = request({ host: '127.0.0.1', port: (server.address() as AddressInfo).port });
       call.on('error', reject);
       call.on('response', (head) => {
-        call.on('error', (error) => head.destroy(error));
-        detectReset(head);
+        failOnReset(call, head);
         resolve(head);
       });
       call.end();
@@ -75,8 +74,7 @@
       const call = request({ host: '127.0.0.1', port });
       call.on('error', reject);
       call.on('response', (head) => {
-        call.on('error', (error) => head.destroy(error));
-        detectReset(head);
+        failOnReset(call, head);
         resolve(head);
       });
       call.end();
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -3,6 +3,7 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
+import { failOnReset } from './resetDetection';
 
 export interface Endpoint {
   readonly host: string;
@@ -100,6 +101,7 @@
     clientRequest.on('error', fail);
     clientRequest.on('response', (response) => {
       clearTimeout(timer);
+      failOnReset(clientRequest, response);
       resolve(response);
     });
     clientRequest.end(body);
--- a/packages/node/src/resetDetection.ts
+++ b/packages/node/src/resetDetection.ts
@@ -8,7 +8,7 @@
  * it. Reading is therefore paused after each piece, so that the next read asks the kernel, which
  * reports the reset.
  */
-import type { IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
 /**
@@ -49,6 +49,8 @@
  * Makes a response fail if its connection is reset. Must be called when the headers of the response
  * arrive, before anything else is awaited.
  */
-export function detectReset(response: IncomingMessage): void {
+export function failOnReset(request: ClientRequest, response: IncomingMessage): void {
+  // After a reset, a response without a length seems complete; only the request reports the error.
+  request.on('error', (error) => response.destroy(error));
   if (endsWithConnection(response)) detectSocketReset(response.socket);
 }
