fix(http): report JSON that is cut as an unreachable peer

Cause: JSON without a length that is cut by a close threw a `SyntaxError`, which callers of `callJson` report as an internal error with an unknown cause.

Change: it is the error `unreachable`, with an unknown outcome, as when the connection breaks.

Measured: `truncatedResponses.spec.ts`, cut at every byte: a `SyntaxError` before, `unreachable` after.

Conclusion: reports and orders that are cut are treated like lost ones.

--- a/packages/node/__tests__/truncatedResponses.spec.ts
+++ b/packages/node/__tests__/truncatedResponses.spec.ts
@@ -74,6 +74,13 @@
     });
   }
 
+  it('is an error if its JSON is cut at any byte', async () => {
+    for (let bytes = 1; bytes < BODY.length; bytes += 1) {
+      const cut = { framing: 'connection', bytes, ending: 'end' } as const;
+      await assert.rejects(callCut(cut, callJson), isUnreachable, `${bytes} bytes`);
+    }
+  });
+
   it('is complete if it has no length and its connection is closed normally', async () => {
     const whole = { framing: 'connection', bytes: BODY.length, ending: 'end' } as const;
     const { json } = await callCut(whole, callJson);
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -135,7 +135,20 @@
   readonly json: JsonValue;
 }
 
-/** Sends a JSON request and resolves with the parsed response. */
+function parseBody(body: Buffer): JsonValue {
+  if (body.length === 0) return null;
+  try {
+    return JSON.parse(body.toString('utf8')) as JsonValue;
+  } catch (error) {
+    throw new SpoolplankError('unreachable', { detail: 'The answer is not JSON.', cause: error });
+  }
+}
+
+/**
+ * Sends a JSON request and resolves with the parsed response.
+ *
+ * @throws SpoolplankError `unreachable`, also when the response is not JSON, such as a cut one.
+ */
 export async function callJson(
   options: Omit<HttpCallOptions, 'body'> & { readonly json?: unknown },
 ): Promise<JsonResponse> {
@@ -146,7 +159,5 @@
     body,
     headers: { 'content-type': 'application/json', ...headers },
   });
-  const text = answer.body.toString('utf8');
-  const parsed = text ? (JSON.parse(text) as JsonValue) : null;
-  return { status: answer.status, headers: answer.headers, json: parsed };
+  return { status: answer.status, headers: answer.headers, json: parseBody(answer.body) };
 }
