fix(entry): probe the server of an answer that only its connection ended

Cause: the kernel closes the connections of a server that dies as the server itself does. A stream without a length that stood between two events, and a plain answer of 9 of 38 bytes, reached callers as complete.

Change: an answer that has neither a length nor chunks and looks complete is followed by a probe of its server, which starts then and asks other VMs as for each loss. If the server is lost, the answer is truncated. Not so where the server had announced that it leaves, since it may end right after its last answer. Answers with a length or chunks cause no probe.

Conclusion: the death of a process is seen. The end of a single run between two events, while its server goes on, leaves no trace and stays open, as does a death that only a partitioned VM could notice.

--- a/packages/entry/__tests__/answerCompletion.spec.ts
+++ b/packages/entry/__tests__/answerCompletion.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { findTruncation } from '../src/dispatch/answerCompletion';
+import { createEndCheck, findTruncation } from '../src/dispatch/answerCompletion';
 import type { AnswerEnding, AnswerFraming, EventPosition } from '../src/dispatch/answerEnd';
 
 const FRAMINGS: readonly AnswerFraming[] = ['length', 'chunked', 'connection'];
@@ -37,3 +37,37 @@
     });
   });
 });
+
+describe('an answer whose server is lost when it ends', () => {
+  const TARGET = { instanceId: 'e1', address: 'e1:80' };
+
+  /** Checks an answer that looks complete; returns why it is truncated, and which were probed. */
+  async function check(framing: AnswerFraming, isLeaving = false) {
+    const probed: string[] = [];
+    const checkEnd = createEndCheck({
+      isServerLost(address) {
+        probed.push(address);
+        return Promise.resolve(true);
+      },
+      isLeaving: () => isLeaving,
+    });
+    const end = { framing, ending: 'ended', position: 'between-events' } as const;
+    return { truncation: await checkEnd(end, TARGET), probed };
+  }
+
+  it('is truncated if only the end of the connection marked its end', async () => {
+    const { truncation, probed } = await check('connection');
+    assert.notEqual(truncation, null);
+    assert.deepEqual(probed, [TARGET.address]);
+  });
+
+  (['length', 'chunked'] as const).forEach((framing) => {
+    it(`is complete by its framing, without a probe (${framing})`, async () => {
+      assert.deepEqual(await check(framing), { truncation: null, probed: [] });
+    });
+  });
+
+  it('is complete if its server had announced that it ends', async () => {
+    assert.deepEqual(await check('connection', true), { truncation: null, probed: [] });
+  });
+});
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -6,6 +6,7 @@
 import type { ModelDescription, Route, RouteKind, RoutingDocument } from '@spoolplank/routing';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
+import { createEndCheck } from '../src/dispatch/answerCompletion';
 import type { BackendOperations } from '../src/dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
 import type { ChosenChain, ChainChoice, ChainChoiceOptions } from '../src/dispatch/chainChoice';
@@ -124,6 +125,10 @@
     loads: createBackendLoadTable(),
     budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
     quarantine,
+    checkEnd: createEndCheck({
+      isServerLost: () => Promise.resolve(false),
+      isLeaving: () => false,
+    }),
     crashes: {
       recordSend: () => {},
       record: () => Promise.resolve(),
--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -7,7 +7,6 @@
 import type { Route } from '@spoolplank/routing';
 import { delay } from '@spoolplank/node';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
-import { findTruncation } from './answerCompletion';
 import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
 import type { AnswerEnd } from './answerEnd';
 import type { BackendResponse } from './backendOperations';
@@ -176,7 +175,7 @@
     }
     const isEventStream = route.kind === 'stream' && status <= MAX_SUCCESS_STATUS;
     const { bytes, end, error } = await readBody(response, isEventStream);
-    const truncation = findTruncation(end);
+    const truncation = await context.checkEnd(end, backend);
     if (truncation === null) return { kind: 'answered', status, headers, body: bytes, end };
     const detail = error instanceof Error ? error.message : truncation;
     const { message } = new SpoolplankError('answer-truncated', { detail, cause: error });
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -170,6 +170,12 @@
       };
     }
     await relay(row, response, progress, link);
+    const [head] = row.stages;
+    const truncation =
+      progress.answerEnd && head
+        ? await context.checkEnd(progress.answerEnd, { instanceId: head.id, address: head.address })
+        : null;
+    if (truncation !== null) throw new SpoolplankError('answer-truncated', { detail: truncation });
     return { kind: 'completed', status };
   }
 
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -9,6 +9,7 @@
 } from '@spoolplank/routing';
 import type { Clock, Random } from '@spoolplank/shared';
 import type { AnswerEnd } from './dispatch/answerEnd';
+import type { EndCheck } from './dispatch/answerCompletion';
 import type { BackendOperations } from './dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
 import type { CrashReporter } from './quarantine/crashReporter';
@@ -31,6 +32,7 @@
   /** Contents that must not run again, because they crashed backend servers. */
   readonly quarantine: Quarantine;
   /** Records requests that are sent, and runs whose backend server may have crashed. */
+  readonly checkEnd: EndCheck;
   readonly crashes: CrashReporter;
   /** Backoffs and departures that backend servers announced to this VM. */
   readonly notices: ServerNotices;
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -27,6 +27,7 @@
 import { createEntryFacts } from './gossip/entryFacts';
 import { createSelfFacts } from './gossip/selfFacts';
 import { createServerLimits } from './limits/serverLimits';
+import { createEndCheck } from './dispatch/answerCompletion';
 import { createPlainDispatch } from './dispatch/plainDispatch';
 import { createPeriodicWork } from './periodicWork';
 import { createReadiness } from './readiness';
@@ -157,6 +158,7 @@
   publishedLoad = () => selfFacts.publishedLoad;
 
   let isServerLost = (_address: string): Promise<boolean> => Promise.resolve(false);
+  let isServerLostNow = isServerLost;
   const guard = createCrashGuard({
     clock,
     random,
@@ -192,6 +194,14 @@
     }),
     quarantine,
     crashes,
+    checkEnd: createEndCheck({
+      isServerLost: (address) => isServerLostNow(address),
+      isLeaving({ instanceId, address }) {
+        const body = view.findByAddress(address)?.body;
+        const isReady = body?.kind === 'backend' && body.state === 'ready';
+        return !isReady || notices.closedReason(instanceId) === 'leaves';
+      },
+    }),
     notices,
     limits,
     decisions: options.decisions ?? DEFAULT_DECISIONS,
@@ -230,7 +240,7 @@
   });
   const { slots, repair } = stream;
   const plain = createPlainDispatch(context, slots.permits);
-  ({ isServerLost } = repair);
+  ({ isServerLost, isServerLostNow } = repair);
   onStreamEnd = (row) => slots.recordReleased(row.dataCentre, row.ticket);
   const work = createPeriodicWork({
     clock,
--- a/packages/entry/src/repair/streamRepair.ts
+++ b/packages/entry/src/repair/streamRepair.ts
@@ -49,6 +49,8 @@
   probeAfterFailure(instanceId: string, address: string): void;
   /** Whether the server at an address is lost; concurrent callers share one probe. */
   isServerLost(address: string): Promise<boolean>;
+  /** The same by a probe that starts with the call. */
+  isServerLostNow(address: string): Promise<boolean>;
   /** Checks for streams that have been silent too long; called periodically by `watch`. */
   tick(): void;
   /** Makes the check that is due, if any; called when an event of a stream has arrived. */
@@ -568,6 +570,7 @@
       });
     },
     isServerLost: async (address) => (await findReachability(address)) === 'lost',
+    isServerLostNow: async (address) => (await probe(address)) === 'lost',
     tick,
     recordEvent() {
       if (clock.nowMs() - tickedAtMs >= TICK_MS) tick();
