fix(node): detect a reset of a socket that is paused

A paused socket is still read until its buffer is full and emits none, so its reset was reported as an end.

Change: the guard pauses reading after each read, which calls `push` whatever the state of the stream; without room in the buffer it leaves the pause to the socket, so that backpressure holds.

Conclusion: a reset is seen in each state of a socket.

--- a/packages/node/__tests__/resetDetection.spec.ts
+++ b/packages/node/__tests__/resetDetection.spec.ts
@@ -1,13 +1,14 @@
 import assert from 'node:assert/strict';
 import { request } from 'node:http';
 import type { IncomingMessage } from 'node:http';
-import { createServer } from 'node:net';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { finished } from 'node:stream/promises';
-import { setImmediate as nextImmediate } from 'node:timers/promises';
+import { setImmediate as nextImmediate, setTimeout as delay } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
 import { describe, it } from 'node:test';
-import { failOnReset } from '../src/resetDetection';
+import { detectSocketReset, failOnReset } from '../src/resetDetection';
 
 /**
  * Sends a request to a server that responds without a length and then ends the connection in the
@@ -63,6 +64,12 @@
 /** How long the client blocks its event loop: longer than the server needs, also under load. */
 const BLOCKED_MS = 60;
 
+/** Blocks the event loop until the server has sent everything, also under load. */
+function blockEventLoop(): void {
+  const endsAtMs = performance.now() + BLOCKED_MS;
+  while (performance.now() < endsAtMs);
+}
+
 /** Reads a response after its data and the end of its connection have both arrived. */
 async function readAfterArrival(ending: 'end' | 'resetAndDestroy'): Promise<string> {
   const worker = new Worker(SERVER_THREAD_SOURCE, { eval: true, workerData: ending });
@@ -79,10 +86,7 @@
       });
       call.end();
       call.once('finish', () => {
-        void nextImmediate().then(() => {
-          const endsAtMs = performance.now() + BLOCKED_MS;
-          while (performance.now() < endsAtMs);
-        });
+        void nextImmediate().then(blockEventLoop);
       });
     });
     response.resume();
@@ -95,6 +99,44 @@
   }
 }
 
+/** Reads a socket that is paused while its last bytes and its end arrive. */
+async function readPaused(ending: 'end' | 'resetAndDestroy'): Promise<string> {
+  const worker = new Worker(SERVER_THREAD_SOURCE, { eval: true, workerData: ending });
+  const port = await new Promise<number>((resolve) => {
+    worker.once('message', resolve);
+  });
+  const socket = connect({ host: '127.0.0.1', port });
+  try {
+    await once(socket, 'connect');
+    detectSocketReset(socket);
+    socket.pause();
+    const outcome = finished(socket, { writable: false }).then(
+      () => 'complete',
+      () => 'broken',
+    );
+    socket.write('a request');
+    await nextImmediate();
+    blockEventLoop();
+    // The bytes are read here, and kept until the socket is resumed.
+    await delay(BLOCKED_MS);
+    socket.resume();
+    return await outcome;
+  } finally {
+    socket.destroy();
+    await worker.terminate();
+  }
+}
+
+describe('a socket that is paused while its end arrives', () => {
+  it('is broken when its connection was reset', async () => {
+    assert.equal(await readPaused('resetAndDestroy'), 'broken');
+  });
+
+  it('is complete when its connection was closed normally', async () => {
+    assert.equal(await readPaused('end'), 'complete');
+  });
+});
+
 describe('a response that has arrived completely before it is read', () => {
   it('is broken when its connection was reset', async () => {
     assert.equal(await readAfterArrival('resetAndDestroy'), 'broken');
--- a/packages/node/src/resetDetection.ts
+++ b/packages/node/src/resetDetection.ts
@@ -28,21 +28,27 @@
 }
 
 /**
- * Makes a socket fail if its connection is reset together with the last bytes. Must be called
- * before the socket is read, or in the listener of its first bytes.
+ * Makes a connected socket fail if its connection is reset together with the last bytes. Must be
+ * called before the socket is read, or in the listener of its first bytes.
  */
 export function detectSocketReset(socket: Socket): void {
   const handleOf = () =>
     (socket as unknown as Readonly<Record<string, ReadableHandle | null>>)[HANDLE_FIELD] ?? null;
-  const pauseReading = () => {
-    const handle = handleOf();
-    if (!handle) return;
-    handle.readStop();
+  const readLater = () => {
+    handleOf()?.readStop();
     setImmediate(() => handleOf()?.readStart());
   };
-  pauseReading();
-  socket.on('data', pauseReading);
-  socket.once('close', () => socket.removeListener('data', pauseReading));
+  const push = socket.push.bind(socket);
+  // Each read calls `push`, also while the socket is paused and emits no event.
+  Object.assign(socket, {
+    push(chunk: unknown, encoding?: BufferEncoding): boolean {
+      const canTakeMore = push(chunk, encoding);
+      // Without room in its buffer, the socket itself stops reading until there is some.
+      if (chunk !== null && canTakeMore) readLater();
+      return canTakeMore;
+    },
+  });
+  readLater();
 }
 
 /**
