fix(streams): end a run whose connection closed before it was read

A short answer that comes in one piece with its end closes its body before the relay of the stream has attached its listeners; an error without a listener is dropped, so that the attempt never ended, not even at the deadline, and the caller got no answer at all. Sockets of the kernel close later; a tunnel that delivers bytes and end at once does not.

Change: the relay also looks at the body when it begins; a body that closes without an end counts as broken off in the logs too.

Measured: `truncatedRuns.spec.ts` with a body that has closed before: never ends before, resumed after.

Conclusion: an attempt ends however early its body closes.

--- a/packages/entry/__tests__/truncatedRuns.spec.ts
+++ b/packages/entry/__tests__/truncatedRuns.spec.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { PassThrough } from 'node:stream';
 import { describe, it } from 'node:test';
 import { createManualClock } from '@spoolplank/shared';
@@ -24,11 +25,13 @@
 const WHOLE = EVENTS.join('');
 const FRAMINGS: readonly AnswerFraming[] = ['length', 'chunked', 'connection'];
 const ENDINGS = ['close', 'reset'] as const;
+type Ending = (typeof ENDINGS)[number] | 'closed-before';
 
 interface Cut {
   readonly bytes: number;
   readonly framing: AnswerFraming;
-  readonly ending: (typeof ENDINGS)[number];
+  /** `closed-before`: the connection has closed before anything is read. */
+  readonly ending: Ending;
 }
 
 interface Setting {
@@ -47,7 +50,7 @@
 
 /** Whether nothing in the bytes or their framing tells a cut run from a shorter, whole one. */
 function looksWhole({ bytes, framing, ending }: Cut): boolean {
-  if (ending === 'reset' || !BOUNDARIES.includes(bytes)) return false;
+  if (ending !== 'close' || !BOUNDARIES.includes(bytes)) return false;
   return framing !== 'connection' || bytes > 0;
 }
 
@@ -58,7 +61,7 @@
   ['e1', 'e2', 'e3', 'e4'].forEach((id) => announce(createEngine(id, 0, 8)));
   let runs = 0;
   const operations = {
-    open({ resumeAfter }: BackendCall) {
+    async open({ resumeAfter }: BackendCall) {
       const cut = cuts[runs];
       runs += 1;
       const rest = EVENTS.slice(Number(resumeAfter ?? 0)).join('');
@@ -68,9 +71,13 @@
         if (cut?.ending === 'reset') body.destroy(new Error('read ECONNRESET'));
         else body.end();
       });
+      if (cut?.ending === 'closed-before') {
+        body.destroy();
+        await once(body, 'close');
+      }
       const framing = cut?.framing ?? 'connection';
       const response = { status: 200, headers: [], isNotRun: false, problem: null, framing, body };
-      return Promise.resolve(response);
+      return response;
     },
     isReachable: () => Promise.resolve(true),
   } as unknown as BackendOperations;
@@ -162,6 +169,12 @@
     }
   });
 
+  it('is continued if its connection closed before it was read', async () => {
+    const cut = { bytes: 20, framing: 'length', ending: 'closed-before' } as const;
+    const { body, ending, runs } = await runCut({ cuts: [cut] });
+    assert.deepEqual([body, ending, runs], [WHOLE, 'complete', 2]);
+  });
+
   it('is not run again if it is whole', async () => {
     for (const framing of FRAMINGS) {
       const whole = { bytes: WHOLE.length, framing, ending: 'close' } as const;
--- a/packages/entry/src/dispatch/streamRelay.ts
+++ b/packages/entry/src/dispatch/streamRelay.ts
@@ -159,11 +159,15 @@
         onEvent?.();
       });
       body.once('end', () => guard(endStream));
-      body.once('error', (error) => {
-        if (!isCancelled()) recordEnd(endingOfError(error));
-        reject(error);
-      });
-      body.once('close', () => reject(new Error('connection closed before the end of the stream')));
+      function fail(error: Error | null): void {
+        // The end of the body closes it as well.
+        if (!isCancelled() && !body.readableEnded) recordEnd(endingOfError(error));
+        reject(error ?? new Error('connection closed before the end of the stream'));
+      }
+      body.once('error', fail);
+      body.once('close', () => fail(null));
+      // A short body may have closed before its response was handed over.
+      if (body.destroyed) fail(body.errored);
     });
   }
 
