refactor(streams): name a stream that breaks off in its error

Cause: logs called a reset stream "An unexpected error. read ECONNRESET".

Change: the error is `answer-truncated` with the cause as its detail, as for other truncated answers; its outcome is unknown as before. A misplaced doc comment is moved.

Measured: the tests of `packages/entry` and `truncated*.spec.ts` pass.

Conclusion: one name for one thing in the logs.

--- a/packages/entry/src/dispatch/streamRelay.ts
+++ b/packages/entry/src/dispatch/streamRelay.ts
@@ -162,7 +162,8 @@
       function fail(error: Error | null): void {
         // The end of the body closes it as well.
         if (!isCancelled() && !body.readableEnded) recordEnd(endingOfError(error));
-        reject(error ?? new Error('connection closed before the end of the stream'));
+        const detail = error?.message ?? 'Its connection closed before its end.';
+        reject(new SpoolplankError('answer-truncated', { detail, cause: error }));
       }
       body.once('error', fail);
       body.once('close', () => fail(null));
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -31,8 +31,9 @@
   readonly budgetOf: (service: string) => WindowBudget;
   /** Contents that must not run again, because they crashed backend servers. */
   readonly quarantine: Quarantine;
-  /** Records requests that are sent, and runs whose backend server may have crashed. */
+  /** Checks whether an answer that has ended is complete. */
   readonly checkEnd: EndCheck;
+  /** Records requests that are sent, and runs whose backend server may have crashed. */
   readonly crashes: CrashReporter;
   /** Backoffs and departures that backend servers announced to this VM. */
   readonly notices: ServerNotices;
