fix(tunnel): remove the timeout listener of a request that has ended

Node's HTTP client removes its listener by `setTimeout(0, listener)`, which `TunnelSocket` took for one to add, so that a tunnel that is used again kept one listener for each request.

Change: a duration of 0 removes the listener, as with a socket.

Conclusion: a tunnel holds nothing of requests that have ended.

--- a/packages/entry/__tests__/streamHandover.spec.ts
+++ b/packages/entry/__tests__/streamHandover.spec.ts
@@ -60,7 +60,9 @@
       const isNotRun = rejecting.includes(engine);
       const status = isNotRun ? 503 : 200;
       const rest = { headers: [], isMisdirected: false, problem: null, culpritAddress: null };
-      return Promise.resolve({ ...rest, status, isNotRun, backoffMs: null, limit: null, body });
+      const framing = 'connection';
+      const head = { ...rest, status, isNotRun, backoffMs: null, limit: null, framing };
+      return Promise.resolve({ ...head, body });
     },
     isReachable: () => Promise.resolve(true),
   } as unknown as BackendOperations;
@@ -224,6 +226,60 @@
     assert.ok(moved > 400, `${moved} handovers of 300 streams`);
   });
 
+  /** Closes the connection of a run inside its next event. */
+  async function cutInsideEvent(run: Run | undefined): Promise<void> {
+    run?.body.end(eventOf(run.sent + 1).slice(0, 8));
+    for (let turn = 0; turn < 4; turn += 1) await nextTurn();
+  }
+
+  it('is resumed if the run that took over is closed inside an event', async () => {
+    const setting = createSetting({ route: { maxAttempts: 3 } });
+    await nextTurn();
+    await setting.send(setting.runs[0], 3);
+    const handedOver = setting.handOver();
+    await nextTurn();
+    await setting.send(setting.runs[1]);
+    await handedOver;
+    await cutInsideEvent(setting.runs[1]);
+    const last = setting.runs[2];
+    assert.equal(last?.resumeAfter, '4');
+    await setting.send(last, EVENTS - 4);
+    await setting.finish(last);
+    assert.equal((await setting.end).outcome, 'served');
+    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+  });
+
+  it('stays with its run if the other one is closed inside its first event', async () => {
+    const setting = createSetting();
+    await nextTurn();
+    const [old] = setting.runs;
+    await setting.send(old, 3);
+    const handedOver = setting.handOver();
+    await nextTurn();
+    await cutInsideEvent(setting.runs[1]);
+    assert.equal((await handedOver)?.outcome, 'refused');
+    await setting.send(old, EVENTS - 3);
+    await setting.finish(old);
+    assert.equal((await setting.end).outcome, 'served');
+    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+  });
+
+  it('goes on with the new run if the old one is closed inside an event', async () => {
+    const setting = createSetting();
+    await nextTurn();
+    const [old] = setting.runs;
+    await setting.send(old, 3);
+    void setting.handOver();
+    await nextTurn();
+    const next = setting.runs[1];
+    await cutInsideEvent(old);
+    await setting.send(next, EVENTS - 3);
+    await setting.finish(next);
+    assert.equal((await setting.end).outcome, 'served');
+    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+    assert.equal(setting.runs.length, 2);
+  });
+
   // A stream that had been handed over stayed on its next head until that one exited.
   it('is handed over again when its next head leaves, within maxAttempts', async () => {
     const setting = createSetting({ route: { maxAttempts: 3 } });
--- a/packages/node/__tests__/tunnelEnds.spec.ts
+++ b/packages/node/__tests__/tunnelEnds.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { request } from 'node:http';
+import { Agent, request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
@@ -158,6 +159,26 @@
     assert.equal(received, sent.length);
   });
 
+  it('collects no listeners on a tunnel that is used again', async () => {
+    const answer = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+    serve = (socket) => socket.on('data', () => socket.write(answer));
+    const tunnel = await open(relay, address);
+    const agent = new Agent({ keepAlive: true, timeout: 3000 });
+    Object.assign(agent, { createConnection: () => tunnel });
+    const listenerCounts: number[] = [];
+    for (let count = 0; count < 4; count += 1) {
+      const call = request({ agent });
+      call.end();
+      const [response] = (await once(call, 'response')) as [IncomingMessage];
+      response.resume();
+      await once(response, 'end');
+      await new Promise(setImmediate);
+      listenerCounts.push(tunnel.listenerCount('timeout'));
+    }
+    agent.destroy();
+    assert.equal(new Set(listenerCounts).size, 1, listenerCounts.join(', '));
+  });
+
   it('passes on a reset of the server after bytes as a reset', async () => {
     serve = (socket) => {
       socket.write(BYTES);
--- a/packages/node/src/tunnelSocket.ts
+++ b/packages/node/src/tunnelSocket.ts
@@ -97,7 +97,9 @@
   public setTimeout(durationMs: number, listener?: () => void): this {
     this.timeout = durationMs;
     this.#socket.setTimeout(durationMs);
-    if (listener) this.once('timeout', listener);
+    // As with a socket, a duration of 0 removes the listener.
+    if (listener && durationMs === 0) this.removeListener('timeout', listener);
+    else if (listener) this.once('timeout', listener);
     return this;
   }
 
