--- a/packages/entry/__tests__/streamHandover.spec.ts
+++ b/packages/entry/__tests__/streamHandover.spec.ts
@@ -232,6 +232,18 @@
     for (let turn = 0; turn < 4; turn += 1) await nextTurn();
   }
 
+  /** Sends the rest of a stream from one run; the caller has the whole stream then. */
+  async function assertServedBy(
+    setting: ReturnType<typeof createSetting>,
+    run: Run | undefined,
+    count: number,
+  ): Promise<void> {
+    await setting.send(run, count);
+    await setting.finish(run);
+    assert.equal((await setting.end).outcome, 'served');
+    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+  }
+
   it('is resumed if the run that took over is closed inside an event', async () => {
     const setting = createSetting({ route: { maxAttempts: 3 } });
     await nextTurn();
@@ -243,10 +255,7 @@
     await cutInsideEvent(setting.runs[1]);
     const last = setting.runs[2];
     assert.equal(last?.resumeAfter, '4');
-    await setting.send(last, EVENTS - 4);
-    await setting.finish(last);
-    assert.equal((await setting.end).outcome, 'served');
-    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+    await assertServedBy(setting, last, EVENTS - 4);
   });
 
   it('stays with its run if the other one is closed inside its first event', async () => {
@@ -258,10 +267,7 @@
     await nextTurn();
     await cutInsideEvent(setting.runs[1]);
     assert.equal((await handedOver)?.outcome, 'refused');
-    await setting.send(old, EVENTS - 3);
-    await setting.finish(old);
-    assert.equal((await setting.end).outcome, 'served');
-    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+    await assertServedBy(setting, old, EVENTS - 3);
   });
 
   it('goes on with the new run if the old one is closed inside an event', async () => {
@@ -273,10 +279,7 @@
     await nextTurn();
     const next = setting.runs[1];
     await cutInsideEvent(old);
-    await setting.send(next, EVENTS - 3);
-    await setting.finish(next);
-    assert.equal((await setting.end).outcome, 'served');
-    assert.equal(setting.text(), idsTo(EVENTS).map(eventOf).join(''));
+    await assertServedBy(setting, next, EVENTS - 3);
     assert.equal(setting.runs.length, 2);
   });
 
