feat(control): report missing voters and a join that is not granted

Change: join-awaited every 5 s with each VM that was asked and its reply; group-awaited again every 5 s with the VMs that do not reply; voters-missing each minute with a remedy, voters-complete when it ends; missingVoters in the summary, the dump and spoolplank status; the gauge spoolplank_group_missing_voters.

Measured: groupWatch.spec.ts and renderGroup.spec.ts, four new tests.

--- a/packages/controller/__tests__/groupWatch.spec.ts
+++ b/packages/controller/__tests__/groupWatch.spec.ts
@@ -8,6 +8,7 @@
 const ELECTION_LIMIT_MS = 2000;
 const SILENT_AFTER_MS = 1500;
 const FEW_VOTERS_LIMIT_MS = 10_000;
+const SUMMARY_OPTIONS = { silentAfterMs: SILENT_AFTER_MS, votersWanted: 5 };
 
 function createStatus(overrides: Partial<ReplicaStatus> = {}): ReplicaStatus {
   return {
@@ -42,6 +43,7 @@
     silentAfterMs: SILENT_AFTER_MS,
     votersWanted: 3,
     fewVotersLimitMs: FEW_VOTERS_LIMIT_MS,
+    joinReplies: () => ['vm2: not-leader', 'vm3: unreachable'],
   });
   return { clock, lines, watch };
 }
@@ -95,16 +97,52 @@
   });
 });
 
+describe('the watch of a group that has got its voters back', () => {
+  it('logs that the losses in the settings are tolerated again', () => {
+    const { clock, lines, watch } = createFixture();
+    const configuration = { voters: ['vm1#a', 'vm2#b'], learners: [] };
+    const status = createStatus({ role: 'leader', leaderId: 'vm1#a', configuration });
+    watch.observe(status, true);
+    clock.advance(FEW_VOTERS_LIMIT_MS + 100);
+    watch.observe(status, true);
+    watch.observe(createStatus({ role: 'leader', leaderId: 'vm1#a' }), true);
+    assert.deepEqual(
+      lines.map(({ event }) => event),
+      ['voters-missing', 'voters-complete'],
+    );
+  });
+});
+
+describe('the watch of a replica that is no member', () => {
+  it('logs every five seconds whom it has asked to join and what they replied', () => {
+    const { clock, lines, watch } = createFixture();
+    const status = createStatus({ id: 'vm4#d' });
+    for (let second = 0; second <= 10; second += 1) {
+      watch.observe(status, false);
+      clock.advance(1000);
+    }
+    const replies = ['vm2: not-leader', 'vm3: unreachable'];
+    assert.deepEqual(lines, [
+      { event: 'join-awaited', fields: { leader: null, waitedMs: 5000, replies } },
+      { event: 'join-awaited', fields: { leader: null, waitedMs: 10_000, replies } },
+    ]);
+  });
+});
+
 describe('the summary of a group', () => {
+  it('counts the voters that the losses in the settings require in addition', () => {
+    assert.equal(summarizeGroup(createStatus(), SUMMARY_OPTIONS).missingVoters, 2);
+  });
+
   it('counts how many further voters may fail', () => {
-    const { silentVoters, tolerableLosses } = summarizeGroup(createStatus(), SILENT_AFTER_MS);
+    const { silentVoters, tolerableLosses } = summarizeGroup(createStatus(), SUMMARY_OPTIONS);
     assert.deepEqual(silentVoters, ['vm3#c']);
     assert.equal(tolerableLosses, 0);
   });
 
   it('has neither silent voters nor a count on a follower that knows its leader', () => {
     const status = createStatus({ leaderId: 'vm2#b' });
-    const { silentVoters, tolerableLosses } = summarizeGroup(status, SILENT_AFTER_MS);
+    const { silentVoters, tolerableLosses } = summarizeGroup(status, SUMMARY_OPTIONS);
     assert.equal(silentVoters, null);
     assert.equal(tolerableLosses, null);
   });
--- a/packages/controller/__tests__/renderGroup.spec.ts
+++ b/packages/controller/__tests__/renderGroup.spec.ts
@@ -11,6 +11,7 @@
   voters: ['vm1#a', 'vm2#b', 'vm3#c'],
   learners: [],
   standbys: ['vm4#d'],
+  missingVoters: 0,
   configurationIndex: 9,
   silentVoters: ['vm3#c'],
   tolerableLosses: 0,
@@ -28,6 +29,14 @@
     ]);
   });
 
+  it('shows how many control VMs are missing for the losses in the settings', () => {
+    const [, warning] = renderGroup({ ...SUMMARY, missingVoters: 2 });
+    assert.equal(
+      warning,
+      'TOO FEW VOTERS for the losses in the settings: run the role control on 2 more VMs with a disk',
+    );
+  });
+
   it('shows that there is no majority', () => {
     const [heading] = renderGroup({ ...SUMMARY, role: 'pre-candidate', tolerableLosses: -1 });
     assert.equal(
--- a/packages/controller/src/group/groupMember.ts
+++ b/packages/controller/src/group/groupMember.ts
@@ -22,7 +22,7 @@
 } from '@spoolplank/consensus';
 import { createFileStorage, delay, loadOrCreateReplicaId, scheduleTimer } from '@spoolplank/node';
 import type { EventLog, PeerClient, PeerMethod, PeerTarget } from '@spoolplank/node';
-import { SpoolplankError } from '@spoolplank/shared';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { loadGroupGeneration } from './groupGeneration';
 import { createGroupLoop } from './groupLoop';
@@ -120,6 +120,7 @@
     limits,
     dataCentreOf: (id) => options.dataCentreOf(vmIdOfReplica(id)),
   });
+  const joinReplies = new Map<string, string>();
   const watch = createGroupWatch({
     clock,
     log,
@@ -127,6 +128,7 @@
     silentAfterMs,
     votersWanted: limits.votersWanted,
     fewVotersLimitMs: limits.removeAfterMs,
+    joinReplies: () => [...joinReplies].map(([vm, reply]) => `${vm}: ${reply}`),
   });
 
   const status = () => runner?.status() ?? null;
@@ -216,10 +218,20 @@
   }
 
   function askOthers(method: string, request: JoinRequest, onAccepted: () => void): void {
-    search.listOthers().forEach((other) => {
+    const others = search.listOthers();
+    [...joinReplies.keys()]
+      .filter((vm) => !others.includes(vm))
+      .forEach((vm) => joinReplies.delete(vm));
+    others.forEach((other) => {
       const target = findTarget(other);
-      if (target)
-        peers.call(target, method, request, REQUEST_TIMEOUT_MS).then(onAccepted, () => null);
+      if (!target) return;
+      peers.call(target, method, request, REQUEST_TIMEOUT_MS).then(
+        () => {
+          joinReplies.set(other, 'accepted');
+          onAccepted();
+        },
+        (error: unknown) => joinReplies.set(other, toSpoolplankError(error).code),
+      );
     });
   }
 
@@ -307,7 +319,9 @@
     status,
     summary() {
       const current = status();
-      return current && summarizeGroup(current, silentAfterMs);
+      return (
+        current && summarizeGroup(current, { silentAfterMs, votersWanted: limits.votersWanted })
+      );
     },
     unconfirmedMs: () => watch.unconfirmedMs(),
   };
--- a/packages/controller/src/group/groupMetrics.ts
+++ b/packages/controller/src/group/groupMetrics.ts
@@ -16,6 +16,7 @@
 /** Registers the gauges, which are evaluated when the metrics are read. */
 export function registerGroupMetrics(metrics: Metrics, { summary, unconfirmedMs }: ObservedGroup) {
   metrics.gauge('spoolplank_group_voters', () => summary()?.voters.length ?? UNKNOWN);
+  metrics.gauge('spoolplank_group_missing_voters', () => summary()?.missingVoters ?? UNKNOWN);
   metrics.gauge('spoolplank_group_silent_voters', () => summary()?.silentVoters?.length ?? UNKNOWN);
   metrics.gauge('spoolplank_group_tolerable_losses', () => summary()?.tolerableLosses ?? UNKNOWN);
   metrics.gauge('spoolplank_group_unconfirmed_ms', unconfirmedMs);
--- a/packages/controller/src/group/groupSearch.ts
+++ b/packages/controller/src/group/groupSearch.ts
@@ -12,9 +12,11 @@
   ReplicaStorage,
 } from '@spoolplank/consensus';
 import type { EventLog, PeerClient, PeerTarget } from '@spoolplank/node';
+import type { Clock } from '@spoolplank/shared';
 import type { GroupGeneration } from './groupGeneration';
 
 export interface GroupSearchOptions {
+  readonly clock: Clock;
   readonly log: Pick<EventLog, 'info'>;
   readonly peers: PeerClient;
   readonly vmId: string;
@@ -38,14 +40,19 @@
 }
 
 const DESCRIBE_TIMEOUT_MS = 500;
+/** Interval at which a wait that continues for the same reason is logged again. */
+const WAIT_LOG_INTERVAL_MS = 5000;
 /** Log position of the bootstrap configuration, before the first elected term. */
 const FOUNDING_POSITION = { index: 1, term: 0 };
 
 export function createGroupSearch(options: GroupSearchOptions): GroupSearch {
-  const { log, peers, vmId, replicaId, bootstrapVmIds, storage, generation, findTarget } = options;
+  const { clock, log, peers, vmId, replicaId, bootstrapVmIds, storage, generation, findTarget } =
+    options;
   /** VMs of the voters that others reported; the list of known VMs may lack them. */
   const knownVoterVms = new Set<string>();
+  const startedAtMs = clock.nowMs();
   let lastWaitReason = '';
+  let waitLoggedAtMs = startedAtMs;
 
   function listOthers(): readonly string[] {
     const all = new Set([...options.listOthers(), ...knownVoterVms]);
@@ -71,9 +78,13 @@
     return descriptions;
   }
 
-  function logWaitReason(reason: string): void {
-    if (reason !== lastWaitReason) log.info('group-awaited', { reason });
+  /** Logs why this VM waits, and which of the others do not reply. */
+  function logWait(reason: string, silentVms: readonly string[]): void {
+    const nowMs = clock.nowMs();
+    if (reason === lastWaitReason && nowMs - waitLoggedAtMs < WAIT_LOG_INTERVAL_MS) return;
     lastWaitReason = reason;
+    waitLoggedAtMs = nowMs;
+    log.info('group-awaited', { reason, silentVms, waitedMs: Math.round(nowMs - startedAtMs) });
   }
 
   async function foundGroup(configuration: Configuration): Promise<void> {
@@ -90,12 +101,13 @@
         : listOthers();
       const descriptions = await describeOthers(others);
       const decision = decideBootstrap({ self: replicaId, others: descriptions });
+      const silentVms = others.filter((_other, index) => descriptions[index] === undefined);
       if (decision.kind === 'wait') {
-        logWaitReason(decision.reason);
+        logWait(decision.reason, silentVms);
         return false;
       }
       if (decision.kind === 'found' && !isBootstrapVm) {
-        logWaitReason('no control VM has a group, and this VM is not one of the founders');
+        logWait('no control VM has a group, and this VM is not one of the founders', silentVms);
         return false;
       }
       if (decision.kind === 'found') {
--- a/packages/controller/src/group/groupWatch.ts
+++ b/packages/controller/src/group/groupWatch.ts
@@ -1,4 +1,4 @@
-/** Logs when a replication group loses and regains its quorum, and which voters are silent. */
+/** Logs when a group lacks a quorum or voters, and when this replica waits to be admitted. */
 import { listReplicas, listVoters, majorityOf, voterSets } from '@spoolplank/consensus';
 import type { ReplicaId, ReplicaStatus, VoteDenial } from '@spoolplank/consensus';
 import type { EventLog, LogFields } from '@spoolplank/node';
@@ -16,6 +16,8 @@
   readonly learners: readonly ReplicaId[];
   /** Non-voting members that are kept up to date as replacements for lost voters. */
   readonly standbys: readonly ReplicaId[];
+  /** Number of further voters that the losses in the settings require; 0 if there are enough. */
+  readonly missingVoters: number;
   /** Index of the log entry that contains the configuration. */
   readonly configurationIndex: number;
   /**
@@ -41,8 +43,16 @@
   readonly votersWanted: number;
   /** Time with fewer voters after which a leader logs a warning, in milliseconds. */
   readonly fewVotersLimitMs: number;
+  /**
+   * Most recent reply of each VM that this replica has asked to let it join, as `VM: accepted` or
+   * `VM: CODE` with the code of the error; empty by default.
+   */
+  readonly joinReplies?: () => readonly string[];
 }
 
+/** What a summary needs to know beside the status of the replica. */
+export type GroupSummaryOptions = Pick<GroupWatchOptions, 'silentAfterMs' | 'votersWanted'>;
+
 export interface GroupWatch {
   /**
    * Logs what has changed in the replica's status since the last call. `isConfirmed` tells whether
@@ -57,8 +67,15 @@
   unconfirmedMs(): number;
 }
 
+/** Interval at which a state that continues is logged again. */
+const REPEAT_MS = 5000;
+const FEW_VOTERS_REPEAT_MS = 60_000;
+
 /** Summarizes a group as seen by one of its replicas. */
-export function summarizeGroup(status: ReplicaStatus, silentAfterMs: number): GroupSummary {
+export function summarizeGroup(
+  status: ReplicaStatus,
+  { silentAfterMs, votersWanted }: GroupSummaryOptions,
+): GroupSummary {
   const { id, role, term, leaderId, configuration, configurationIndex, contactAgesMs } = status;
   const { learners } = configuration;
   const isSilent = (voter: ReplicaId) =>
@@ -75,6 +92,7 @@
     voters: listVoters(configuration),
     learners,
     standbys: configuration.standbys ?? [],
+    missingVoters: Math.max(0, votersWanted - configuration.voters.length),
     configurationIndex,
     silentVoters,
     tolerableLosses: receivesFromVoters
@@ -98,7 +116,7 @@
 
 /** Creates the watch for one replica. */
 export function createGroupWatch(options: GroupWatchOptions): GroupWatch {
-  const { clock, log, electionLimitMs, silentAfterMs } = options;
+  const { clock, log, electionLimitMs, votersWanted, joinReplies = () => [] } = options;
   let confirmedAtMs: number | null = null;
   /** Like `confirmedAtMs`, but before the first confirmation the time at which the watch began. */
   let lastConfirmedOrStartMs = clock.nowMs();
@@ -107,14 +125,17 @@
   let lastLoggedDenial: VoteDenial | null = null;
   /** Last time at which the group had enough voters or this replica was not the leader. */
   let enoughVotersAtMs = clock.nowMs();
-  /** Whether the lack of voters has been logged and continues. */
-  let isBelowTarget = false;
+  /** When the lack of voters was last logged; null while there is none. */
+  let fewVotersLoggedAtMs: number | null = null;
+  /** When this replica started to wait for its admission; null while it is a member. */
+  let joiningSinceMs: number | null = null;
+  let joinLoggedAtMs = 0;
 
   function recordConfirmed(status: ReplicaStatus): void {
     const nowMs = clock.nowMs();
     if (isLost) {
       log.info('quorum-regained', {
-        ...toGroupFields(summarizeGroup(status, silentAfterMs)),
+        ...toGroupFields(summarizeGroup(status, options)),
         lostForMs: Math.round(nowMs - lastConfirmedOrStartMs),
       });
     }
@@ -128,19 +149,41 @@
     if (!listReplicas(status.configuration).includes(status.id)) return;
     if (isLost || clock.nowMs() - lastConfirmedOrStartMs <= electionLimitMs) return;
     isLost = true;
-    log.warn('quorum-lost', toGroupFields(summarizeGroup(status, silentAfterMs)));
+    log.warn('quorum-lost', toGroupFields(summarizeGroup(status, options)));
   }
 
   function recordVoters({ role, configuration }: ReplicaStatus): void {
     const { voters, standbys = [] } = configuration;
     const nowMs = clock.nowMs();
-    if (role !== 'leader' || voters.length >= options.votersWanted) {
+    if (role !== 'leader' || voters.length >= votersWanted) {
+      if (fewVotersLoggedAtMs !== null && role === 'leader')
+        log.info('voters-complete', { voters, votersWanted });
       enoughVotersAtMs = nowMs;
-      isBelowTarget = false;
-    } else if (!isBelowTarget && nowMs - enoughVotersAtMs > options.fewVotersLimitMs) {
-      isBelowTarget = true;
-      log.warn('voters-missing', { voters, standbys, votersWanted: options.votersWanted });
+      fewVotersLoggedAtMs = null;
+      return;
+    }
+    if (nowMs - enoughVotersAtMs <= options.fewVotersLimitMs) return;
+    if (fewVotersLoggedAtMs !== null && nowMs - fewVotersLoggedAtMs < FEW_VOTERS_REPEAT_MS) return;
+    fewVotersLoggedAtMs = nowMs;
+    const remedy = `run the role control on ${votersWanted - voters.length} more VMs with a disk`;
+    log.warn('voters-missing', { voters, standbys, votersWanted, remedy });
+  }
+
+  /** Logs for whom a replica waits that is not a member yet. */
+  function recordAdmission({ id, configuration, leaderId }: ReplicaStatus): void {
+    const nowMs = clock.nowMs();
+    if (listReplicas(configuration).includes(id)) {
+      joiningSinceMs = null;
+      return;
+    }
+    if (joiningSinceMs === null) {
+      joiningSinceMs = nowMs;
+      joinLoggedAtMs = nowMs;
     }
+    if (nowMs - joinLoggedAtMs < REPEAT_MS) return;
+    joinLoggedAtMs = nowMs;
+    const waitedMs = Math.round(nowMs - joiningSinceMs);
+    log.warn('join-awaited', { leader: leaderId, waitedMs, replies: joinReplies() });
   }
 
   function recordDenial({ lastDenial }: ReplicaStatus): void {
@@ -158,6 +201,7 @@
       else recordUnconfirmed(status);
       recordDenial(status);
       recordVoters(status);
+      recordAdmission(status);
     },
     unconfirmedMs: () =>
       confirmedAtMs === null ? Number.POSITIVE_INFINITY : clock.nowMs() - confirmedAtMs,
--- a/packages/controller/src/group/renderGroup.ts
+++ b/packages/controller/src/group/renderGroup.ts
@@ -8,7 +8,16 @@
   return `bears ${tolerableLosses} more ${tolerableLosses === 1 ? 'loss' : 'losses'}`;
 }
 
-/** Returns a heading and a table with one row per member. */
+/** Returns the warning that the losses in the settings are not tolerated, if that is so. */
+function describeMissingVoters({ missingVoters }: GroupSummary): readonly string[] {
+  if (missingVoters === 0) return [];
+  const vms = missingVoters === 1 ? 'VM' : 'VMs';
+  return [
+    `TOO FEW VOTERS for the losses in the settings: run the role control on ${missingVoters} more ${vms} with a disk`,
+  ];
+}
+
+/** Returns a heading, a warning if voters are missing, and a table with one row per member. */
 export function renderGroup(group: GroupSummary): readonly string[] {
   const { replica, role, term, leader, voters, learners, standbys, silentVoters } = group;
   const states: Readonly<Record<string, readonly string[]>> = {
@@ -27,6 +36,7 @@
   );
   return [
     `Control group: ${role} in term ${term}, ${describeLosses(group)}`,
+    ...describeMissingVoters(group),
     ...renderTable([['REPLICA', 'PART', 'LEADER', 'HEARD', ''], ...rows]),
   ];
 }
