--- a/packages/consensus/__tests__/groupSchedules.ts
+++ b/packages/consensus/__tests__/groupSchedules.ts
@@ -21,8 +21,13 @@
   readonly catchUpMs: number;
   /** Number of consecutive losses in each of the `lossesBorne` slots. */
   readonly lossesInRow: number;
+  /** Fault after which the recovery is observed, once all losses before it are over. */
+  readonly finalFault?: FinalFault;
 }
 
+/** `lossesBorne` VMs lose their disks at the same moment, and all others their power or nothing. */
+export type FinalFault = 'disks-lost' | 'disks-and-power-lost';
+
 export interface GroupScheduleResult {
   /** Time after the last loss until a leader is confirmed; null if none is. */
   readonly confirmedAfterMs: number | null;
@@ -58,6 +63,7 @@
 /** Time after which a process that was requested to stop is killed. */
 const GRACE_MS = 2000;
 const MAX_POWER_OFF_MS = 1000;
+const MAX_START_GAP_MS = 50;
 /** One in this many schedules has a power failure of all VMs midway, or with a last loss. */
 const SCHEDULES_PER_POWER_CYCLE = 3;
 const MAX_POWER_CYCLE_DELAY_MS = 12_000;
@@ -216,6 +222,34 @@
   return { confirmedAfterMs, completeAfterMs: null };
 }
 
+/** VMs that lose their disks: half of the time the leader, otherwise any; the rest are random. */
+function drawWipedVms({ group, random }: ScheduleContext, count: number): readonly GroupVm[] {
+  const running = group.vms.filter(({ isRunning }) => isRunning);
+  const shuffled = running
+    .map((vm) => ({ vm, rank: random.nextFloat() }))
+    .sort((a, b) => a.rank - b.rank)
+    .map(({ vm }) => vm);
+  const leader = random.nextInt(2) === 0 ? group.confirmedLeader() : undefined;
+  const inOrder = leader ? [leader, ...shuffled.filter((vm) => vm !== leader)] : shuffled;
+  return inOrder.slice(0, count);
+}
+
+/** Injects the final fault at a random moment and ends it; all VMs start again within 300 ms. */
+function injectFinalFault(context: ScheduleContext, fault: FinalFault, lossesBorne: number): void {
+  const { group, random, catchUpMs } = context;
+  group.run(catchUpMs + random.nextInt(MAX_PAUSE_MS));
+  const wiped = drawWipedVms(context, lossesBorne);
+  const others = group.vms.filter((vm) => vm.isRunning && !wiped.includes(vm));
+  const unpowered = fault === 'disks-and-power-lost' ? others : [];
+  wiped.forEach((vm) => group.loseDisk(vm));
+  unpowered.forEach((vm) => group.stop(vm));
+  group.run(randomInt(context, MAX_AWAY_MS));
+  [...wiped, ...unpowered].forEach((vm) => {
+    group.run(random.nextInt(MAX_START_GAP_MS));
+    group.start(vm);
+  });
+}
+
 /** Runs one schedule and observes the recovery after it. */
 export function runGroupSchedule(options: GroupScheduleOptions): GroupScheduleResult {
   const { seed, size, dataCentres, lossesBorne, catchUpMs, lossesInRow } = options;
@@ -275,6 +309,7 @@
     if (next.atMs > group.nowMs) group.run(next.atMs - group.nowMs);
     next.run();
   }
+  if (options.finalFault) injectFinalFault(context, options.finalFault, lossesBorne);
   const recovery = observeRecovery(group);
   const leader = group.confirmedLeader();
   const acked = group.cluster.ackedIndex;
