fix(quarantine): quarantine parts of prompts that crash servers

A verdict was made over contents only, so that ten ends under ten contents never counted together.

Change: a crashed run carries the keys of the parts that its prompt shares with others, and one judgement covers contents and parts. A part needs three crashes of different contents, each sent after the crash before, and some time in which a run that was sent after a crash and begins its answer clears it. A part that was never served is preferred over one that was; parts that all of these runs share are quarantined together, so that a sound request with one of them goes on. Only what clears a suspected part is published.

--- a/packages/entry/__tests__/crashGuard.spec.ts
+++ b/packages/entry/__tests__/crashGuard.spec.ts
@@ -77,6 +77,27 @@
   }));
 }
 
+describe('a stream with a part of its prompt under which three servers have ended', () => {
+  it('is cut while it waits for an answer, once the part can no longer be cleared', async (test) => {
+    test.mock.timers.enable({ apis: ['setTimeout'] });
+    const waiting = createRow('waiting');
+    const other = createRow('other');
+    const request = { ...waiting.row.admitted.request, promptParts: ['m/dead'] };
+    const row = { ...waiting.row, admitted: { ...waiting.row.admitted, request } };
+    const { clock, mergeFacts } = createSetting({ rows: [row, other.row] });
+    ['s1', 's2', 's3'].forEach((instanceId, index) => {
+      const [update] = createCrashes(`content ${index}`, [instanceId], 60);
+      assert.ok(update?.body?.kind === 'crash');
+      mergeFacts([{ ...update, body: { ...update.body, parts: ['m/dead'] } }]);
+      clock.advance(1000);
+    });
+    await Promise.resolve();
+    clock.advance(1000);
+    test.mock.timers.tick(1000);
+    assert.deepEqual([waiting.cuts, other.cuts], [['quarantined'], []]);
+  });
+});
+
 describe('a stream whose content three servers have ended under', () => {
   it('is cut while it waits for an answer, but not once it has events', async () => {
     const waiting = createRow('deadly');
--- a/packages/entry/src/callerRequest.ts
+++ b/packages/entry/src/callerRequest.ts
@@ -20,6 +20,11 @@
   /** Tokens of the prompt and maximum tokens of the answer; 0 when unknown. */
   readonly promptTokens: number;
   readonly maxAnswerTokens: number;
+  /**
+   * Keys of the parts of the prompt that other requests share, in order: each names a model and a
+   * part. Empty when unknown.
+   */
+  readonly promptParts: readonly string[];
   /** Headers that are passed through to backend servers unchanged. */
   readonly headers: RawHeaders;
   readonly body: Buffer;
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -10,7 +10,7 @@
 import type { ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
 import type { SlotFinder, SlotSearch } from '../slots/slotFinder';
-import { contentOf, digestContent } from '../quarantine/requestContent';
+import { contentOf, digestContent, partsOf } from '../quarantine/requestContent';
 import { createStreamAttempts, recordChain, TIMEOUT_MARGIN_MS } from './streamAttempt';
 import type { BrokenRun, StreamResult } from './streamAttempt';
 import { createHandover } from './streamHandover';
@@ -196,8 +196,14 @@
     { ranMs, hasAnswered, hasBegun, wasCutHere }: BrokenRun,
   ): Promise<void> {
     if (!head || !hasAnswered || hasBegun || wasCutHere) return;
-    const content = digestContent(contentOf(admitted));
-    const recorded = crashes.record({ content, instanceId: head.id, address: head.address, ranMs });
+    const content = contentOf(admitted);
+    const recorded = crashes.record({
+      content: digestContent(content),
+      instanceId: head.id,
+      address: head.address,
+      ranMs,
+      parts: partsOf(content),
+    });
     await Promise.race([recorded, delay(MAX_CRASH_EVIDENCE_WAIT_MS)]);
   }
 
--- a/packages/entry/src/dispatch/streamRelay.ts
+++ b/packages/entry/src/dispatch/streamRelay.ts
@@ -152,7 +152,7 @@
         if (!row.hasBegun) {
           row.hasBegun = true;
           streams.recordFirstEvent(row.headId, clock.nowMs() - row.startedAtMs);
-          context.quarantine.recordServed(contentOf(row.admitted));
+          context.quarantine.recordServed(contentOf(row.admitted), row.startedAtMs);
         }
         const completeEvents = splitter.push(bytes);
         if (completeEvents.length > 0) guard(() => forwardNew(completeEvents));
--- a/packages/entry/src/quarantine/crashGuard.ts
+++ b/packages/entry/src/quarantine/crashGuard.ts
@@ -22,7 +22,7 @@
 import { createFactPublisher } from '../gossip/factPublisher';
 import { createQuarantine } from './quarantine';
 import type { Quarantine } from './quarantine';
-import { contentOf, digestContent } from './requestContent';
+import { contentOf, digestContent, partsOf } from './requestContent';
 import type { RoutingView } from '../gossip/routingView';
 import type { StreamRow, StreamTable } from '../dispatch/streamTable';
 
@@ -57,6 +57,10 @@
   sweep(): void;
 }
 
+/** Collects the requests that a VM serves with a part before it clears the part. */
+const CLEARANCE_DELAY_MS = 100;
+const CLEARANCE_SPREAD_MS = 1;
+
 /** Facts about contents that may crash servers. */
 export type GuardFact = CrashFact | ClearanceFact | OpenRunFact;
 
@@ -84,7 +88,8 @@
 }
 
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
-  const { clock, host, table, view, streams, health } = options;
+  const { clock, random, host, table, view, streams, health } = options;
+  let isRefreshScheduled = false;
 
   /** Many streams report one crash at the same moment; their facts are sent in one exchange. */
   const exchangeSoon = createCoalesced((run) => scheduleTimer(run, 0), options.exchangeNow);
@@ -125,7 +130,18 @@
   }
 
   const publisher = createFactPublisher({ clock, table, exchangeNow: exchangeSoon });
-  const quarantine: Quarantine = createQuarantine({ ...options, publisher });
+  const quarantine: Quarantine = createQuarantine({
+    ...options,
+    publisher,
+    /**
+     * Many VMs serve a part that many requests share. The random delay grows with their number, so
+     * that only a few of them clear it before they hear that others have.
+     */
+    deferClearance(run) {
+      const spreadMs = 1 + view.listMembers('entry').length * CLEARANCE_SPREAD_MS;
+      scheduleTimer(run, CLEARANCE_DELAY_MS + random.nextInt(spreadMs));
+    },
+  });
   const crashes = createCrashReporter({
     clock,
     table,
@@ -145,12 +161,29 @@
       .forEach((row) => row.abort('quarantined'));
   }
 
+  /** Evaluates the quarantine again when time alone may change it. */
+  function refreshWhenDue(): void {
+    const { dueAtMs } = quarantine;
+    if (dueAtMs === null || isRefreshScheduled) return;
+    isRefreshScheduled = true;
+    scheduleTimer(
+      () => {
+        isRefreshScheduled = false;
+        quarantine.refresh();
+        endQuarantined();
+        refreshWhenDue();
+      },
+      Math.max(0, dueAtMs - clock.nowMs()),
+    );
+  }
+
   /**
    * Runs after all facts of one exchange have been merged. Judged by only a part of them, a request
    * that merely ran beside the crashing one could be quarantined, and its streams aborted.
    */
   const refreshSoon = createCoalesced(queueMicrotask, () => {
     if (quarantine.refresh()) endQuarantined();
+    refreshWhenDue();
   });
 
   return {
@@ -158,9 +191,16 @@
     crashes,
     recordLost(row, instanceId) {
       if (!row.hasAnswered || row.hasBegun) return;
-      const content = digestContent(contentOf(row.admitted));
-      const ranMs = Math.round(clock.nowMs() - row.startedAtMs);
-      quarantine.recordCrash({ content, instanceId, turn: 0, evidence: 'run', ranMs });
+      const content = contentOf(row.admitted);
+      const parts = partsOf(content);
+      quarantine.recordCrash({
+        content: digestContent(content),
+        instanceId,
+        turn: 0,
+        evidence: 'run',
+        ranMs: Math.round(clock.nowMs() - row.startedAtMs),
+        ...(parts.length > 0 ? { parts } : {}),
+      });
     },
     onFact(body) {
       if (body.kind === 'open-run') {
--- a/packages/entry/src/quarantine/crashReporter.ts
+++ b/packages/entry/src/quarantine/crashReporter.ts
@@ -27,6 +27,8 @@
   readonly address: string;
   /** How long the content had run on the server. */
   readonly ranMs: number;
+  /** Keys of the parts of its prompt; none by default. */
+  readonly parts?: readonly string[];
 }
 
 /**
@@ -130,9 +132,10 @@
    * Attempts always have turn 0, as an attempt after the server's end may have reached no server.
    */
   function toEnd(run: ServerRun, evidence: CrashEvidence, sentAtMs: number): CrashedRun {
-    const { content, instanceId, ranMs } = run;
+    const { content, instanceId, ranMs, parts = [] } = run;
     const turn = evidence === 'run' ? countBefore(run, sentAtMs) : 0;
-    return { content, instanceId, turn, evidence, ranMs: Math.round(ranMs) };
+    const end = { content, instanceId, turn, evidence, ranMs: Math.round(ranMs) };
+    return parts.length > 0 ? { ...end, parts } : end;
   }
 
   function open(end: CrashedRun, address: string): void {
@@ -173,7 +176,10 @@
     followed.set(key, { instanceId: receiverId, reportsAtMs: atMs });
     if (atMs === null || nowMs < atMs) return;
     forget(key);
-    onCrash({ ...body, instanceId: receiverId });
+    const { content, turn, evidence, ranMs, parts } = body;
+    const agedMs = Math.round(nowMs - fact.receivedAtMs);
+    const crashed = { content, instanceId: receiverId, turn, evidence, ranMs, agedMs };
+    onCrash(parts ? { ...crashed, parts } : crashed);
   }
 
   return {
--- a/packages/entry/src/quarantine/quarantine.ts
+++ b/packages/entry/src/quarantine/quarantine.ts
@@ -16,12 +16,14 @@
   SystemFact,
 } from '@spoolplank/membership';
 import type { EventLog, Metrics } from '@spoolplank/node';
-import { findPoisonContents, QUARANTINE_CRASHES } from '@spoolplank/routing';
+import { judgeCrashes, QUARANTINE_CRASHES } from '@spoolplank/routing';
+import type { CrashInvolvement, CrashJudgement } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { CrashedRun } from './crashReporter';
 import type { FactPublisher } from '../gossip/factPublisher';
-import { digestContent } from './requestContent';
+import { createPartClearances } from './partClearances';
+import { digestContent, partsOf } from './requestContent';
 import type { RequestContent } from './requestContent';
 import { createServedContents } from './servedContents';
 
@@ -32,6 +34,8 @@
   readonly metrics: Metrics;
   readonly table: FactTable<SystemFact>;
   readonly publisher: FactPublisher;
+  /** Runs a function that clears parts, after a delay; at once by default. */
+  readonly deferClearance?: (run: () => void) => void;
 }
 
 export interface Quarantine {
@@ -41,7 +45,7 @@
    * @throws SpoolplankError `quarantined` if it may not; the request has not run.
    */
   check(content: RequestContent): void;
-  /** Whether a content is quarantined. */
+  /** Whether a content, or a combination of parts of its prompt, is quarantined. */
   has(content: RequestContent): boolean;
   /**
    * Whether this VM itself may retry a request that broke off or was rejected. A request under
@@ -54,12 +58,16 @@
   /** Records the end of a server under a content. */
   recordCrash(end: CrashedRun): void;
   /**
-   * Records that a server has served a content and survived, which clears it of its earlier
-   * crashes.
+   * Records that a server has served a content that was sent at `sentAtMs`, by default now, and
+   * survived. This clears the content of its earlier crashes, and the parts of its prompt of those
+   * before `sentAtMs`.
    */
-  recordServed(content: RequestContent): void;
-  /** Clears a content by its digest, for an operator; false if it was not suspected. */
-  release(digest: string): boolean;
+  recordServed(content: RequestContent, sentAtMs?: number): void;
+  /**
+   * Clears a content by its digest, or a combination of parts by its name, for an operator; false
+   * if it was not suspected.
+   */
+  release(name: string): boolean;
   /** Must be called when a crash or a clearance was published, by this VM or another. */
   onFact(body: CrashFact | ClearanceFact): void;
   /**
@@ -67,6 +75,8 @@
    * quarantined.
    */
   refresh(): boolean;
+  /** When `refresh` is due although no fact has arrived; null if it is not. */
+  readonly dueAtMs: number | null;
   /** Drops the keys of facts that have left the table. */
   sweep(): void;
   /** Facts to publish with the next exchange. */
@@ -96,6 +106,21 @@
   return body.kind === 'crash' ? FACT_KEYS.crash(body) : FACT_KEYS.clearance(body.content);
 }
 
+function endedAtMsOf({ body, receivedAtMs }: CrashRow): number {
+  return receivedAtMs - (body.agedMs ?? 0);
+}
+
+/** Names a combination of parts in logs, the dump and for the operator. */
+function nameOf(combination: readonly string[]): string {
+  return combination.join(',');
+}
+
+const NOTHING_QUARANTINED: CrashJudgement = {
+  contents: new Set(),
+  combinations: [],
+  dueAtMs: null,
+};
+
 /** Identifies a crashed run. The turn distinguishes incarnations reached under one instance id. */
 function runOf({ instanceId, turn }: CrashFact): string {
   return `${instanceId}#${turn}`;
@@ -106,15 +131,29 @@
   /** Keys of the crashes and clearances in the table, in the order in which they were received. */
   const keys = new Set<string>();
   const served = createServedContents({ clock });
+  const parts = createPartClearances({
+    clock,
+    log,
+    table,
+    defer: options.deferClearance,
+    publish: (body) => publisher.publish(keyOf(body), body),
+  });
   let crashesByContent: ReadonlyMap<string, readonly CrashRow[]> = new Map();
-  let quarantined: ReadonlySet<string> = new Set();
+  let judgement = NOTHING_QUARANTINED;
   /** Set when a fact arrives. Facts arrive in bursts, so they are evaluated together on demand. */
   let isEvaluationDue = false;
   let republishAtMs = clock.nowMs() + REPUBLISH_EVERY_MS;
 
   function isCleared(row: CrashRow): boolean {
-    const clearance = table.find(FACT_KEYS.clearance(row.body.content));
-    return clearance !== undefined && clearance.receivedAtMs >= row.receivedAtMs;
+    return parts.clearedUntilMs(row.body.content) >= row.receivedAtMs;
+  }
+
+  function toInvolvement(row: CrashRow): CrashInvolvement {
+    const { body } = row;
+    const endedAtMs = endedAtMsOf(row);
+    const open = body.parts?.filter((part) => parts.clearedUntilMs(part) < endedAtMs) ?? [];
+    const servedParts = open.filter((part) => parts.wasServedBefore(part, endedAtMs));
+    return { ...body, instanceId: runOf(body), endedAtMs, parts: open, servedParts };
   }
 
   function listCrashes(): readonly CrashRow[] {
@@ -134,33 +173,55 @@
     return groups;
   }
 
-  function describeCrashes(digest: string) {
+  /** Crashes of runs whose prompts contain all of the given parts. */
+  function listCrashesOf(combination: readonly string[]): readonly CrashRow[] {
+    return [...crashesByContent.values()]
+      .flat()
+      .filter(({ body }) => combination.every((part) => body.parts?.includes(part)));
+  }
+
+  function describeCrashes(rows: readonly CrashRow[]) {
     const nowMs = clock.nowMs();
-    return (crashesByContent.get(digest) ?? []).map(({ body, receivedAtMs, origin }) => ({
+    return rows.map(({ body, receivedAtMs, origin }) => ({
       instanceId: body.instanceId,
       turn: body.turn,
       evidence: body.evidence,
       ranMs: body.ranMs,
+      parts: body.parts ?? [],
       ageMs: Math.round(nowMs - receivedAtMs),
       origin,
     }));
   }
 
+  function logChanges(before: CrashJudgement, after: CrashJudgement): void {
+    const added = [...after.contents].filter((content) => !before.contents.has(content));
+    const released = [...before.contents].filter((content) => !after.contents.has(content));
+    added.forEach((content) => {
+      const ends = JSON.stringify(describeCrashes(crashesByContent.get(content) ?? []));
+      log.warn('content-quarantined', { content, ends });
+    });
+    released.forEach((content) => log.info('content-released', { content }));
+    const namesBefore = before.combinations.map(nameOf);
+    const namesAfter = after.combinations.map(nameOf);
+    after.combinations
+      .filter((combination) => !namesBefore.includes(nameOf(combination)))
+      .forEach((combination) => {
+        const ends = JSON.stringify(describeCrashes(listCrashesOf(combination)));
+        log.warn('parts-quarantined', { parts: combination, ends });
+      });
+    before.combinations
+      .filter((combination) => !namesAfter.includes(nameOf(combination)))
+      .forEach((combination) => log.info('parts-released', { parts: combination }));
+  }
+
   function evaluate(): void {
-    const before = quarantined;
     isEvaluationDue = false;
     crashesByContent = groupByContent(listCrashes().filter((row) => !isCleared(row)));
-    quarantined = findPoisonContents(
-      [...crashesByContent.values()]
-        .flat()
-        .map(({ body }) => ({ ...body, instanceId: runOf(body) })),
-    );
-    const added = [...quarantined].filter((content) => !before.has(content));
-    const released = [...before].filter((content) => !quarantined.has(content));
-    added.forEach((content) =>
-      log.warn('content-quarantined', { content, ends: JSON.stringify(describeCrashes(content)) }),
-    );
-    released.forEach((content) => log.info('content-released', { content }));
+    const involvements = [...crashesByContent.values()].flat().map(toInvolvement);
+    parts.follow(involvements);
+    const before = judgement;
+    judgement = judgeCrashes(involvements, clock.nowMs());
+    logChanges(before, judgement);
   }
 
   /** Publishes a fact of this VM, which the table then passes to `onFact`. */
@@ -173,23 +234,31 @@
     publish({ kind: 'clearance', content, reason, wallMs: Math.floor(clock.wallMs()) });
   }
 
-  /** Republishes ageing crashes, so that a content that keeps coming stays quarantined. */
-  function renew(digest: string): void {
-    const nowMs = clock.nowMs();
-    (crashesByContent.get(digest) ?? [])
-      .filter(({ receivedAtMs }) => nowMs - receivedAtMs > CRASH_RETENTION_MS / 2)
-      .forEach(({ body }) => publish(body));
+  function isDue(): boolean {
+    return isEvaluationDue || (judgement.dueAtMs !== null && clock.nowMs() >= judgement.dueAtMs);
   }
 
   function refresh(): boolean {
-    if (!isEvaluationDue) return false;
-    const before = quarantined;
+    if (!isDue()) return false;
+    const before = judgement;
     evaluate();
     // Contents that this VM has served recently are suspected only by VMs that have not.
-    const known = [...quarantined].filter(served.has);
+    const known = [...judgement.contents].filter(served.has);
     known.forEach((content) => clear(content, 'served'));
     if (known.length > 0) evaluate();
-    return [...quarantined].some((content) => !before.has(content));
+    const namesBefore = before.combinations.map(nameOf);
+    return (
+      [...judgement.contents].some((content) => !before.contents.has(content)) ||
+      judgement.combinations.some((combination) => !namesBefore.includes(nameOf(combination)))
+    );
+  }
+
+  /** Republishes ageing crashes, so that what keeps coming stays quarantined. */
+  function renew(rows: readonly CrashRow[]): void {
+    const nowMs = clock.nowMs();
+    rows
+      .filter(({ receivedAtMs }) => nowMs - receivedAtMs > CRASH_RETENTION_MS / 2)
+      .forEach((row) => publish({ ...row.body, agedMs: Math.round(nowMs - endedAtMsOf(row)) }));
   }
 
   /** Number of distinct server incarnations that crashed under a content. */
@@ -203,9 +272,32 @@
     return crashesByContent.size === 0 ? [] : (crashesByContent.get(digestContent(content)) ?? []);
   }
 
-  function has(content: RequestContent): boolean {
+  function hasContent(content: RequestContent): boolean {
     refresh();
-    return quarantined.size > 0 && quarantined.has(digestContent(content));
+    return judgement.contents.size > 0 && judgement.contents.has(digestContent(content));
+  }
+
+  /** The quarantined combination that a prompt contains; undefined if there is none. */
+  function findCombination(content: RequestContent): readonly string[] | undefined {
+    refresh();
+    if (judgement.combinations.length === 0) return undefined;
+    const present = partsOf(content);
+    return judgement.combinations.find((combination) =>
+      combination.every((part) => present.includes(part)),
+    );
+  }
+
+  /** @throws SpoolplankError `quarantined`. */
+  function refuse(cause: 'content' | 'parts', name: string, rows: readonly CrashRow[]): never {
+    renew(rows);
+    metrics.count('spoolplank_requests_quarantined_total', { cause });
+    const lastMs = Math.max(...rows.map(({ receivedAtMs }) => receivedAtMs));
+    const ageS = Math.round((clock.nowMs() - lastMs) / MS_PER_S);
+    const subject = cause === 'content' ? 'Content' : 'Prompt with';
+    throw new SpoolplankError('quarantined', {
+      detail: `${subject} ${name}: ${countCrashes(rows)} ended, the last one ${ageS} s ago.`,
+      retryAfterMs: CRASH_RETENTION_MS,
+    });
   }
 
   function drawKeys(): readonly string[] {
@@ -219,42 +311,47 @@
   }
 
   return {
-    has,
+    has: (content) => hasContent(content) || findCombination(content) !== undefined,
     check(content) {
-      if (!has(content)) return;
-      const digest = digestContent(content);
-      const rows = crashesOf(content);
-      renew(digest);
-      metrics.count('spoolplank_requests_quarantined_total', {});
-      const lastMs = Math.max(...rows.map(({ receivedAtMs }) => receivedAtMs));
-      const ageS = Math.round((clock.nowMs() - lastMs) / MS_PER_S);
-      throw new SpoolplankError('quarantined', {
-        detail: `Content ${digest}: ${countCrashes(rows)} ended, the last one ${ageS} s ago.`,
-        retryAfterMs: CRASH_RETENTION_MS,
-      });
+      if (hasContent(content)) refuse('content', digestContent(content), crashesOf(content));
+      const combination = findCombination(content);
+      if (combination) refuse('parts', nameOf(combination), listCrashesOf(combination));
     },
     mayRetry: (content) => countCrashes(crashesOf(content)) < QUARANTINE_CRASHES - 1,
     isSuspected: (content) => crashesOf(content).length > 0,
-    recordCrash({ content, instanceId, turn, evidence, ranMs }) {
-      const body: CrashFact = { kind: 'crash', content, instanceId, turn, evidence, ranMs };
+    recordCrash(end) {
+      const { content, instanceId, turn, evidence, ranMs } = end;
+      const body: CrashFact = { kind: 'crash', ...end };
       // Skips a run that was already reported for another copy of the request, by any VM, and
       // contents that were served recently.
       if (table.find(keyOf(body)) || served.has(content)) return;
       publish(body);
       refresh();
       const ends = countCrashes(crashesByContent.get(content) ?? []);
-      log.info('content-suspected', { content, instanceId, turn, ranMs, evidence, ends });
+      log.info('content-suspected', {
+        content,
+        instanceId,
+        turn,
+        ranMs,
+        evidence,
+        ends,
+        parts: end.parts ?? [],
+      });
       metrics.count('spoolplank_content_ends_total', {});
     },
-    recordServed(content) {
+    recordServed(content, sentAtMs = clock.nowMs()) {
       const isTracked = content.request.body.length <= MAX_TRACKED_BYTES;
       if (isTracked) served.record(digestContent(content));
       if (crashesOf(content).length > 0) clear(digestContent(content), 'served');
+      parts.recordServed(partsOf(content), sentAtMs);
     },
-    release(digest) {
+    release(name) {
       refresh();
-      if (!crashesByContent.has(digest)) return false;
-      clear(digest, 'operator');
+      const combination = judgement.combinations.find((each) => nameOf(each) === name);
+      combination?.forEach((part) => parts.clear(part, 'operator', clock.nowMs()));
+      if (combination) return true;
+      if (!crashesByContent.has(name)) return false;
+      clear(name, 'operator');
       return true;
     },
     onFact(body) {
@@ -265,6 +362,9 @@
       isEvaluationDue = true;
     },
     refresh,
+    get dueAtMs() {
+      return judgement.dueAtMs;
+    },
     sweep() {
       keys.forEach((key) => {
         if (!table.find(key)) keys.delete(key);
@@ -279,11 +379,17 @@
     },
     describe() {
       refresh();
-      return [...crashesByContent.keys()].map((content) => ({
+      const contents = [...crashesByContent].map(([content, rows]) => ({
         content,
-        isQuarantined: quarantined.has(content),
-        ends: describeCrashes(content),
+        isQuarantined: judgement.contents.has(content),
+        ends: describeCrashes(rows),
+      }));
+      const combinations = judgement.combinations.map((combination) => ({
+        content: nameOf(combination),
+        isQuarantined: true,
+        ends: describeCrashes(listCrashesOf(combination)),
       }));
+      return [...contents, ...combinations];
     },
   };
 }
--- a/packages/entry/src/quarantine/requestContent.ts
+++ b/packages/entry/src/quarantine/requestContent.ts
@@ -4,7 +4,8 @@
 
 /** The parts of a request that make up its content. */
 export interface RequestContent {
-  readonly request: Pick<CallerRequest, 'host' | 'method' | 'url' | 'body'>;
+  readonly request: Pick<CallerRequest, 'host' | 'method' | 'url' | 'body'> &
+    Partial<Pick<CallerRequest, 'promptParts'>>;
   /** Name of the organisation; null for a caller without one. */
   readonly organisation: string | null;
 }
@@ -15,6 +16,11 @@
   readonly organisation: { readonly name: string } | null;
 }
 
+/** Keys of the parts of its prompt that a request shares with others. */
+export function partsOf({ request }: RequestContent): readonly string[] {
+  return request.promptParts ?? [];
+}
+
 export function contentOf({ request, organisation }: ContentSource): RequestContent {
   return { request, organisation: organisation?.name ?? null };
 }
--- a/packages/membership/src/systemFacts.ts
+++ b/packages/membership/src/systemFacts.ts
@@ -117,6 +117,10 @@
   readonly kind: 'crash';
   /** How long the server had been executing the content. */
   readonly ranMs: number;
+  /** Keys of the parts of its prompt that the content shares with others; absent without any. */
+  readonly parts?: readonly string[];
+  /** Time from the crash to this publication, where they differ; absent otherwise. */
+  readonly agedMs?: number;
 }
 
 /**
@@ -128,17 +132,25 @@
   readonly kind: 'open-run';
   readonly address: string;
   readonly ranMs: number;
+  /** As in `CrashFact`. */
+  readonly parts?: readonly string[];
   /** Wall-clock time of publication; it makes each further attempt at one incarnation distinct. */
   readonly wallMs: number;
 }
 
 /**
- * Clears a content of all crashes published before, because it was executed successfully or by
- * decision of an operator.
+ * Clears a content or a part of prompts of all crashes before, because it was executed successfully
+ * or by decision of an operator.
  */
 export interface ClearanceFact {
   readonly kind: 'clearance';
+  /** Digest of the content, or key of the part. */
   readonly content: string;
+  /**
+   * How long before the publication the successful run was sent: only crashes before that are
+   * cleared. Absent when all crashes before the publication are.
+   */
+  readonly ranMs?: number;
   readonly reason: 'served' | 'operator';
   /** Wall-clock time of publication; it makes each clearance distinct from the previous one. */
   readonly wallMs: number;
--- a/packages/routing/__tests__/crashJudgement.spec.ts
+++ b/packages/routing/__tests__/crashJudgement.spec.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createSeededRandom } from '@spoolplank/shared';
-import { findPoisonContents } from '../src/crashJudgement';
+import { judgeCrashes, PART_SETTLE_MS } from '../src/crashJudgement';
 import type { CrashInvolvement } from '../src/crashJudgement';
 
+const findPoisonContents = (involvements: readonly CrashInvolvement[]) =>
+  judgeCrashes(involvements, 0).contents;
+
 function createEnd(content: string, instanceId: string, ranMs = 100): CrashInvolvement {
   return { content, instanceId, ranMs, evidence: 'run' };
 }
@@ -111,3 +114,84 @@
     assert.equal(refused, 0);
   });
 });
+
+describe('a part of prompts that servers crash with', () => {
+  const GAP_MS = 1000;
+  const RAN_MS = 50;
+
+  /** One crash a second, each of another content with the given parts. */
+  function createPartEnds(
+    partsOfEnds: readonly (readonly string[])[],
+    servedParts: readonly string[] = [],
+    gapMs = GAP_MS,
+  ): readonly CrashInvolvement[] {
+    return partsOfEnds.map((parts, index) => ({
+      content: `c${index}`,
+      instanceId: `s${index}`,
+      ranMs: RAN_MS,
+      evidence: 'run',
+      endedAtMs: index * gapMs,
+      parts,
+      servedParts: servedParts.filter((part) => parts.includes(part)),
+    }));
+  }
+
+  const combinationsAt = (ends: readonly CrashInvolvement[], nowMs: number) =>
+    judgeCrashes(ends, nowMs).combinations;
+  const LATER_MS = 60_000;
+
+  it('is quarantined after three crashes of different contents, and some time to be cleared', () => {
+    const ends = createPartEnds([['a', 'dead'], ['b', 'dead'], ['dead']]);
+    assert.deepEqual(combinationsAt(ends.slice(0, 2), LATER_MS), []);
+    const lastEndedAtMs = 2 * GAP_MS;
+    assert.deepEqual(combinationsAt(ends, lastEndedAtMs + PART_SETTLE_MS - 1), []);
+    assert.equal(judgeCrashes(ends, lastEndedAtMs).dueAtMs, lastEndedAtMs + PART_SETTLE_MS);
+    assert.deepEqual(combinationsAt(ends, lastEndedAtMs + PART_SETTLE_MS), [['dead']]);
+  });
+
+  it('is quarantined together with the parts that all crashed runs share', () => {
+    const ends = createPartEnds([
+      ['a', 'dead'],
+      ['a', 'dead'],
+      ['a', 'dead'],
+    ]);
+    assert.deepEqual(combinationsAt(ends, LATER_MS), [['a', 'dead']]);
+    const more = createPartEnds([['a', 'dead'], ['a', 'dead'], ['a', 'dead'], ['dead']]);
+    assert.deepEqual(combinationsAt(more, LATER_MS), [['dead']]);
+  });
+
+  it('is preferred over a part that was served before, even one with more crashes', () => {
+    const ends = createPartEnds(
+      [
+        ['shared', 'dead1'],
+        ['shared', 'dead2'],
+        ['shared', 'dead1'],
+        ['shared', 'dead1'],
+        ['shared', 'dead2'],
+      ],
+      ['shared'],
+    );
+    assert.deepEqual(combinationsAt(ends, LATER_MS), [['dead1', 'shared']]);
+  });
+
+  it('is quarantined although it was served before, if nothing else explains the crashes', () => {
+    const ends = createPartEnds([['dead'], ['dead'], ['dead']], ['dead']);
+    assert.deepEqual(combinationsAt(ends, LATER_MS), [['dead']]);
+  });
+
+  it('is not quarantined if the servers ended at the same moment', () => {
+    const ends = createPartEnds([['a'], ['a'], ['a'], ['a'], ['a']], [], 0);
+    assert.deepEqual(combinationsAt(ends, LATER_MS), []);
+  });
+
+  it('is not quarantined if one content that is repeated explains the crashes', () => {
+    const ends = createPartEnds([['a'], ['a'], ['a']]).map((end) => ({ ...end, content: 'c' }));
+    const { contents, combinations } = judgeCrashes(ends, LATER_MS);
+    assert.deepEqual([[...contents], combinations], [['c'], []]);
+  });
+
+  it('is found beside a part that makes other servers crash', () => {
+    const ends = createPartEnds([['x'], ['y'], ['x'], ['y'], ['x'], ['y']]);
+    assert.deepEqual(combinationsAt(ends, LATER_MS), [['x'], ['y']]);
+  });
+});
--- a/packages/routing/src/crashJudgement.ts
+++ b/packages/routing/src/crashJudgement.ts
@@ -1,10 +1,14 @@
 /**
- * Determines which request contents crash the backend servers that run them.
+ * Determines which requests crash the backend servers that run them, by what the crashed runs have
+ * in common: the content of the whole request, or parts of their prompts.
  *
  * A caller may repeat a request that crashes every server which starts to run it, and each crash
  * takes dozens of other requests with it. All of these requests were on a server when it crashed, a
  * few of them in the same state; the cause is the content that most of the crashes have in common.
  * When engines are lost for other reasons, a content coincides with one or two crashes by chance.
+ *
+ * Requests that differ may share a part of their prompts that crashes servers. Sound requests share
+ * the other parts, so the cause is what all of the crashed runs share and no later run survived.
  */
 
 /**
@@ -18,6 +22,24 @@
   readonly ranMs: number;
   /** `run` if the server had started the content, `attempt` if only an attempt is known. */
   readonly evidence: 'run' | 'attempt';
+  /** When the crash was published, on this VM's monotonic clock; 0 by default. */
+  readonly endedAtMs?: number;
+  /**
+   * Keys of the parts of the prompt under which no server has begun an answer since; none by
+   * default.
+   */
+  readonly parts?: readonly string[];
+  /** The subset of `parts` that servers answered shortly before the crash; none by default. */
+  readonly servedParts?: readonly string[];
+}
+
+export interface CrashJudgement {
+  /** Contents to quarantine. */
+  readonly contents: ReadonlySet<string>;
+  /** Combinations of parts; a request that has all parts of one of them is to be quarantined. */
+  readonly combinations: readonly (readonly string[])[];
+  /** When the judgement must be repeated although no crash becomes known; null if not at all. */
+  readonly dueAtMs: number | null;
 }
 
 /**
@@ -31,84 +53,197 @@
  * progress at every crash by chance, so attempts alone are not sufficient evidence.
  */
 const MIN_RUN_CRASHES = 2;
+/**
+ * Time after the third crash in which runs that survive can still clear a part. A part that many
+ * requests share is in many crashes, and is cleared when one of these requests begins its answer.
+ */
+export const PART_SETTLE_MS = 750;
+/**
+ * The same for a part that servers answered before. A part that never was is the likelier cause of
+ * the same crashes, and gets the time to show as such.
+ */
+export const SERVED_PART_SETTLE_MS = 2000;
 
 interface Suspect {
-  readonly content: string;
+  readonly kind: 'content' | 'part';
+  /** Content or key of the part. */
+  readonly key: string;
+  readonly involvements: readonly CrashInvolvement[];
   readonly instanceIds: ReadonlySet<string>;
-  /** The subset of `instanceIds` that had started to run the content. */
+  /** The subset of `instanceIds` that had started to run it. */
   readonly ranOnIds: ReadonlySet<string>;
-  /** Mean time that the content had run on the servers in `ranOnIds`. */
+  /** Mean time that it had run on the servers in `ranOnIds`. */
   readonly meanRanMs: number;
+  /** Parts that all runs with this part share; empty for a content. */
+  readonly combination: readonly string[];
+  /** Whether it is a part that servers answered shortly before one of the crashes. */
+  readonly wasServed: boolean;
 }
 
-/** Number of crashes of a suspect that no quarantined content explains. */
+/** Number of crashes of a suspect that no quarantined suspect explains. */
 interface UnexplainedCounts {
   readonly suspect: Suspect;
   readonly crashes: number;
   readonly runCrashes: number;
 }
 
+type IsExplained = (instanceId: string) => boolean;
+
+/** Returns since when a suspect has had enough unexplained crashes; infinite if it has not. */
+type MaturityRule = (suspect: Suspect, isExplained: IsExplained) => number;
+
+function countUnexplained(ids: ReadonlySet<string>, isExplained: IsExplained): number {
+  return [...ids].filter((id) => !isExplained(id)).length;
+}
+
+/**
+ * A part needs crashes of different contents, each sent after the crash before: requests that were
+ * on servers which ended at the same moment share many parts by chance. What one content explains
+ * says nothing about its parts.
+ */
+function findPartMaturity({ involvements, wasServed }: Suspect, isExplained: IsExplained): number {
+  const settleMs = wasServed ? SERVED_PART_SETTLE_MS : PART_SETTLE_MS;
+  const inOrder = involvements
+    .filter(({ instanceId }) => !isExplained(instanceId))
+    .sort((a, b) => (a.endedAtMs ?? 0) - (b.endedAtMs ?? 0));
+  const contents = new Set<string>();
+  let lastEndedAtMs = Number.NEGATIVE_INFINITY;
+  for (const { content, endedAtMs = 0, ranMs } of inOrder) {
+    if (!contents.has(content) && endedAtMs - ranMs >= lastEndedAtMs) {
+      contents.add(content);
+      lastEndedAtMs = endedAtMs;
+      if (contents.size === QUARANTINE_CRASHES) return lastEndedAtMs + settleMs;
+    }
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+function findContentMaturity({ instanceIds, ranOnIds }: Suspect, isExplained: IsExplained): number {
+  const isMature =
+    countUnexplained(instanceIds, isExplained) >= QUARANTINE_CRASHES &&
+    countUnexplained(ranOnIds, isExplained) >= MIN_RUN_CRASHES;
+  return isMature ? Number.NEGATIVE_INFINITY : Number.POSITIVE_INFINITY;
+}
+
+const MATURITY_RULES: Readonly<Record<Suspect['kind'], MaturityRule>> = {
+  content: findContentMaturity,
+  part: findPartMaturity,
+};
+
+function groupInvolvements(
+  involvements: readonly CrashInvolvement[],
+  keysOf: (involvement: CrashInvolvement) => readonly string[],
+): ReadonlyMap<string, readonly CrashInvolvement[]> {
+  const groups = new Map<string, CrashInvolvement[]>();
+  involvements.forEach((involvement) =>
+    keysOf(involvement).forEach((key) => {
+      const known = groups.get(key);
+      if (known) known.push(involvement);
+      else groups.set(key, [involvement]);
+    }),
+  );
+  return groups;
+}
+
+function createSuspect(
+  kind: Suspect['kind'],
+  key: string,
+  involvements: readonly CrashInvolvement[],
+): Suspect {
+  const runs = involvements.filter(({ evidence }) => evidence === 'run');
+  const [{ parts: firstParts = [] } = {}] = involvements;
+  const isServedIn = ({ servedParts = [] }: CrashInvolvement) => servedParts.includes(key);
+  const isShared = (part: string) => involvements.every(({ parts }) => parts?.includes(part));
+  return {
+    kind,
+    key,
+    involvements,
+    instanceIds: new Set(involvements.map(({ instanceId }) => instanceId)),
+    ranOnIds: new Set(runs.map(({ instanceId }) => instanceId)),
+    meanRanMs: runs.reduce((sum, { ranMs }) => sum + ranMs, 0) / Math.max(1, runs.length),
+    combination: kind === 'part' ? firstParts.filter(isShared).sort() : [],
+    wasServed: kind === 'part' && involvements.some(isServedIn),
+  };
+}
+
 function listSuspects(involvements: readonly CrashInvolvement[]): readonly Suspect[] {
-  const byContent = new Map<string, CrashInvolvement[]>();
-  involvements.forEach((involvement) => {
-    const known = byContent.get(involvement.content);
-    if (known) known.push(involvement);
-    else byContent.set(involvement.content, [involvement]);
-  });
-  return [...byContent].map(([content, ofContent]) => {
-    const runs = ofContent.filter(({ evidence }) => evidence === 'run');
-    return {
-      content,
-      instanceIds: new Set(ofContent.map(({ instanceId }) => instanceId)),
-      ranOnIds: new Set(runs.map(({ instanceId }) => instanceId)),
-      meanRanMs: runs.reduce((sum, { ranMs }) => sum + ranMs, 0) / Math.max(1, runs.length),
-    };
-  });
+  const byContent = groupInvolvements(involvements, ({ content }) => [content]);
+  const runs = involvements.filter(({ evidence }) => evidence === 'run');
+  const byPart = groupInvolvements(runs, ({ parts = [] }) => parts);
+  return [
+    ...[...byContent].map(([key, group]) => createSuspect('content', key, group)),
+    ...[...byPart].map(([key, group]) => createSuspect('part', key, group)),
+  ];
 }
 
-/** Whether `a` is the likelier cause: it has more crashes or, if equal, ran for less time. */
+/**
+ * Whether `a` is the likelier cause: no server answered it before, it has more crashes or, if
+ * equal, is more specific (a content before parts, a larger combination before a smaller one), or
+ * ran for less time.
+ */
 function isLikelier(a: UnexplainedCounts, b: UnexplainedCounts): boolean {
+  const [suspectA, suspectB] = [a.suspect, b.suspect];
+  if (suspectA.wasServed !== suspectB.wasServed) return suspectB.wasServed;
   if (a.runCrashes !== b.runCrashes) return a.runCrashes > b.runCrashes;
   if (a.crashes !== b.crashes) return a.crashes > b.crashes;
-  const [suspectA, suspectB] = [a.suspect, b.suspect];
+  if (suspectA.kind !== suspectB.kind) return suspectA.kind === 'content';
+  if (suspectA.combination.length !== suspectB.combination.length)
+    return suspectA.combination.length > suspectB.combination.length;
   if (suspectA.meanRanMs !== suspectB.meanRanMs) return suspectA.meanRanMs < suspectB.meanRanMs;
-  return suspectA.content < suspectB.content;
+  return suspectA.key < suspectB.key;
 }
 
 /**
- * Returns the contents to quarantine. The content with most crashes is selected first, and the
- * crashes that it explains no longer count against other contents, which clears requests that
- * merely ran on the same servers. The result depends only on the set of crashes: VMs that know the
+ * Returns what to quarantine. The content or part with most crashes is selected first, and the
+ * crashes that it explains no longer count against others, which clears requests that merely ran on
+ * the same servers. The result depends only on the set of crashes and the time: VMs that know the
  * same crashes agree regardless of the order of arrival, and a result that was wrong because a
  * crash was not known yet is corrected when it becomes known.
  *
  * Source: the greedy algorithm for set cover, Chvatal, "A greedy heuristic for the set-covering
  * problem", Mathematics of Operations Research, 1979.
  */
-export function findPoisonContents(involvements: readonly CrashInvolvement[]): ReadonlySet<string> {
+export function judgeCrashes(
+  involvements: readonly CrashInvolvement[],
+  nowMs: number,
+): CrashJudgement {
   const suspects = listSuspects(involvements);
   const explained = new Set<string>();
-  const quarantined = new Set<string>();
-  const countUnexplained = (ids: ReadonlySet<string>) =>
-    [...ids].filter((id) => !explained.has(id)).length;
+  const isExplained: IsExplained = (id) => explained.has(id);
+  const quarantined = new Set<Suspect>();
+  let dueAtMs = Number.POSITIVE_INFINITY;
 
   for (;;) {
-    const likeliest = suspects
-      .filter(({ content }) => !quarantined.has(content))
-      .map((suspect): UnexplainedCounts => ({
+    const candidates = suspects
+      .filter((suspect) => !quarantined.has(suspect))
+      .map((suspect) => ({
+        suspect,
+        maturesAtMs: MATURITY_RULES[suspect.kind](suspect, isExplained),
+      }));
+    const likeliest = candidates
+      .filter(({ maturesAtMs }) => maturesAtMs <= nowMs)
+      .map(({ suspect }): UnexplainedCounts => ({
         suspect,
-        crashes: countUnexplained(suspect.instanceIds),
-        runCrashes: countUnexplained(suspect.ranOnIds),
+        crashes: countUnexplained(suspect.instanceIds, isExplained),
+        runCrashes: countUnexplained(suspect.ranOnIds, isExplained),
       }))
-      .filter(
-        ({ crashes, runCrashes }) => crashes >= QUARANTINE_CRASHES && runCrashes >= MIN_RUN_CRASHES,
-      )
       .reduce<UnexplainedCounts | undefined>(
         (best, next) => (best && !isLikelier(next, best) ? best : next),
         undefined,
       );
-    if (!likeliest) return quarantined;
-    quarantined.add(likeliest.suspect.content);
+    const futureMs = candidates
+      .map(({ maturesAtMs }) => maturesAtMs)
+      .filter((atMs) => atMs > nowMs);
+    dueAtMs = Math.min(dueAtMs, ...futureMs);
+    if (!likeliest) break;
+    quarantined.add(likeliest.suspect);
     likeliest.suspect.instanceIds.forEach((id) => explained.add(id));
   }
+  const listOf = (kind: Suspect['kind']) =>
+    [...quarantined].filter((suspect) => suspect.kind === kind);
+  return {
+    contents: new Set(listOf('content').map(({ key }) => key)),
+    combinations: listOf('part').map(({ combination }) => combination),
+    dueAtMs: Number.isFinite(dueAtMs) ? dueAtMs : null,
+  };
 }
