fix(gossip): order a fact after the one that its publisher knows

Cause: the sequence of a published fact is the wall clock of its VM. A VM whose clock is behind could not replace a fact of another VM under the same key, such as a clearance: neither VM took it. Found by reading, while parts were given clearances that many VMs publish.

Change: the sequence is above the one of the fact that the VM has.

Measured: factPublisher.spec.ts, wall clocks 5 s apart: the later fact is taken by neither VM before and by both after.

Conclusion: a step of the wall clock delays no clearance.

--- a/packages/entry/src/gossip/factPublisher.ts
+++ b/packages/entry/src/gossip/factPublisher.ts
@@ -45,7 +45,9 @@
 
   return {
     publish(key, body) {
-      table.put(key, Math.floor(clock.wallMs()), body);
+      // The VM that published the fact before may have a wall clock that is ahead of this one.
+      const supersededSequence = table.find(key)?.sequence ?? 0;
+      table.put(key, Math.max(Math.floor(clock.wallMs()), supersededSequence + 1), body);
       publishedAtMs.set(key, clock.nowMs());
       exchangeNow();
     },
