test(quarantine): cut a stream with a quarantined part when time makes it due

Cause: a planted fault was missed: the test let the time pass before the guard had read the ends, so that the timer did nothing.

Change: the guard reads each end before the time passes.

Conclusion: the path by the timer is tested.

--- a/packages/entry/__tests__/crashGuard.spec.ts
+++ b/packages/entry/__tests__/crashGuard.spec.ts
@@ -85,13 +85,14 @@
     const request = { ...waiting.row.admitted.request, promptParts: ['m/dead'] };
     const row = { ...waiting.row, admitted: { ...waiting.row.admitted, request } };
     const { clock, mergeFacts } = createSetting({ rows: [row, other.row] });
-    ['s1', 's2', 's3'].forEach((instanceId, index) => {
-      const [update] = createCrashes(`content ${index}`, [instanceId], 60);
+    for (const instanceId of ['s1', 's2', 's3']) {
+      clock.advance(1000);
+      const [update] = createCrashes(`content on ${instanceId}`, [instanceId], 60);
       assert.ok(update?.body?.kind === 'crash');
       mergeFacts([{ ...update, body: { ...update.body, parts: ['m/dead'] } }]);
-      clock.advance(1000);
-    });
-    await Promise.resolve();
+      await Promise.resolve();
+    }
+    assert.deepEqual(waiting.cuts, []);
     clock.advance(1000);
     test.mock.timers.tick(1000);
     assert.deepEqual([waiting.cuts, other.cuts], [['quarantined'], []]);
