fix(quarantine): judge contents and parts of prompts apart

Change: contents explain ends against contents, parts against parts. A part still needs three different contents, so a repeated content says nothing of its parts.

Conclusion: neither verdict costs the other its evidence.

--- a/packages/routing/__tests__/crashJudgement.spec.ts
+++ b/packages/routing/__tests__/crashJudgement.spec.ts
@@ -190,6 +190,27 @@
     assert.deepEqual([[...contents], combinations], [['c'], []]);
   });
 
+  it('is found although each of its contents is repeated until that is quarantined', () => {
+    const ends = [0, 1, 2].flatMap((index) =>
+      createPartEnds([['dead'], ['dead'], ['dead']]).map((end, turn) => ({
+        ...end,
+        content: `c${index}`,
+        instanceId: `s${index}/${turn}`,
+        endedAtMs: (3 * index + turn) * GAP_MS,
+      })),
+    );
+    const { contents, combinations } = judgeCrashes(ends, LATER_MS);
+    assert.deepEqual([[...contents].sort(), combinations], [['c0', 'c1', 'c2'], [['dead']]]);
+  });
+
+  it('does not clear a content that crashed the same servers', () => {
+    const ends = createPartEnds([['dead'], ['dead'], ['dead'], ['dead']]);
+    const repeated = ends
+      .slice(1)
+      .map((end) => ({ ...end, content: 'repeated', parts: [], servedParts: [] }));
+    assert.deepEqual([...judgeCrashes([...ends, ...repeated], LATER_MS).contents], ['repeated']);
+  });
+
   it('is found beside a part that makes other servers crash', () => {
     const ends = createPartEnds([['x'], ['y'], ['x'], ['y'], ['x'], ['y']]);
     assert.deepEqual(combinationsAt(ends, LATER_MS), [['x'], ['y']]);
--- a/packages/routing/src/crashJudgement.ts
+++ b/packages/routing/src/crashJudgement.ts
@@ -98,8 +98,8 @@
 
 /**
  * A part needs crashes of different contents, each sent after the crash before: requests that were
- * on servers which ended at the same moment share many parts by chance. What one content explains
- * says nothing about its parts.
+ * on servers which ended at the same moment share many parts by chance, and crashes of one content
+ * say nothing about its parts.
  */
 function findPartMaturity({ involvements, wasServed }: Suspect, isExplained: IsExplained): number {
   const settleMs = wasServed ? SERVED_PART_SETTLE_MS : PART_SETTLE_MS;
@@ -178,48 +178,49 @@
 
 /**
  * Whether `a` is the likelier cause: no server answered it before, it has more crashes or, if
- * equal, is more specific (a content before parts, a larger combination before a smaller one), or
- * ran for less time.
+ * equal, has a larger combination of parts, or ran for less time.
  */
 function isLikelier(a: UnexplainedCounts, b: UnexplainedCounts): boolean {
   const [suspectA, suspectB] = [a.suspect, b.suspect];
   if (suspectA.wasServed !== suspectB.wasServed) return suspectB.wasServed;
   if (a.runCrashes !== b.runCrashes) return a.runCrashes > b.runCrashes;
   if (a.crashes !== b.crashes) return a.crashes > b.crashes;
-  if (suspectA.kind !== suspectB.kind) return suspectA.kind === 'content';
   if (suspectA.combination.length !== suspectB.combination.length)
     return suspectA.combination.length > suspectB.combination.length;
   if (suspectA.meanRanMs !== suspectB.meanRanMs) return suspectA.meanRanMs < suspectB.meanRanMs;
   return suspectA.key < suspectB.key;
 }
 
+interface Selection {
+  readonly causes: readonly Suspect[];
+  readonly dueAtMs: number;
+}
+
 /**
- * Returns what to quarantine. The content or part with most crashes is selected first, and the
+ * Selects the suspects that cause crashes. The one with most crashes is selected first, and the
  * crashes that it explains no longer count against others, which clears requests that merely ran on
- * the same servers. The result depends only on the set of crashes and the time: VMs that know the
- * same crashes agree regardless of the order of arrival, and a result that was wrong because a
- * crash was not known yet is corrected when it becomes known.
+ * the same servers.
  *
  * Source: the greedy algorithm for set cover, Chvatal, "A greedy heuristic for the set-covering
  * problem", Mathematics of Operations Research, 1979.
  */
-export function judgeCrashes(
-  involvements: readonly CrashInvolvement[],
-  nowMs: number,
-): CrashJudgement {
-  const suspects = listSuspects(involvements);
+function selectCauses(suspects: readonly Suspect[], nowMs: number): Selection {
   const explained = new Set<string>();
   const isExplained: IsExplained = (id) => explained.has(id);
-  const quarantined = new Set<Suspect>();
+  const causes: Suspect[] = [];
   let dueAtMs = Number.POSITIVE_INFINITY;
 
   for (;;) {
     const candidates = suspects
-      .filter((suspect) => !quarantined.has(suspect))
+      .filter((suspect) => !causes.includes(suspect))
       .map((suspect) => ({
         suspect,
         maturesAtMs: MATURITY_RULES[suspect.kind](suspect, isExplained),
       }));
+    const futureMs = candidates
+      .map(({ maturesAtMs }) => maturesAtMs)
+      .filter((atMs) => atMs > nowMs);
+    dueAtMs = Math.min(dueAtMs, ...futureMs);
     const likeliest = candidates
       .filter(({ maturesAtMs }) => maturesAtMs <= nowMs)
       .map(({ suspect }): UnexplainedCounts => ({
@@ -231,19 +232,36 @@
         (best, next) => (best && !isLikelier(next, best) ? best : next),
         undefined,
       );
-    const futureMs = candidates
-      .map(({ maturesAtMs }) => maturesAtMs)
-      .filter((atMs) => atMs > nowMs);
-    dueAtMs = Math.min(dueAtMs, ...futureMs);
-    if (!likeliest) break;
-    quarantined.add(likeliest.suspect);
+    if (!likeliest) return { causes, dueAtMs };
+    causes.push(likeliest.suspect);
     likeliest.suspect.instanceIds.forEach((id) => explained.add(id));
   }
-  const listOf = (kind: Suspect['kind']) =>
-    [...quarantined].filter((suspect) => suspect.kind === kind);
+}
+
+/**
+ * Returns what to quarantine. The result depends only on the set of crashes and the time: VMs that
+ * know the same crashes agree regardless of the order of arrival, and a result that was wrong
+ * because a crash was not known yet is corrected when it becomes known.
+ *
+ * Contents and parts are judged apart, as neither explains the crashes of the other: a content that
+ * is repeated may crash the servers that a part crashes too.
+ */
+export function judgeCrashes(
+  involvements: readonly CrashInvolvement[],
+  nowMs: number,
+): CrashJudgement {
+  const suspects = listSuspects(involvements);
+  const select = (kind: Suspect['kind']) =>
+    selectCauses(
+      suspects.filter((suspect) => suspect.kind === kind),
+      nowMs,
+    );
+  const contents = select('content');
+  const parts = select('part');
+  const dueAtMs = Math.min(contents.dueAtMs, parts.dueAtMs);
   return {
-    contents: new Set(listOf('content').map(({ key }) => key)),
-    combinations: listOf('part').map(({ combination }) => combination),
+    contents: new Set(contents.causes.map(({ key }) => key)),
+    combinations: parts.causes.map(({ combination }) => combination),
     dueAtMs: Number.isFinite(dueAtMs) ? dueAtMs : null,
   };
 }
