refactor(quarantine): split the rows of crashes and the log of judgements

Change: crashRows.ts and judgementLog.ts; comments that had become wrong.

Measured: the tests of the quarantine pass as before; behaviour is unchanged.

Conclusion: one concept a file.

--- a/packages/entry/src/quarantine/crashGuard.ts
+++ b/packages/entry/src/quarantine/crashGuard.ts
@@ -57,8 +57,9 @@
   sweep(): void;
 }
 
-/** Collects the requests that a VM serves with a part before it clears the part. */
+/** Bounds how often a VM clears a part. */
 const CLEARANCE_DELAY_MS = 100;
+/** Longest random delay beyond that, for each entry VM of the deployment. */
 const CLEARANCE_SPREAD_MS = 1;
 
 /** Facts about contents that may crash servers. */
@@ -133,10 +134,8 @@
   const quarantine: Quarantine = createQuarantine({
     ...options,
     publisher,
-    /**
-     * Many VMs serve a part that many requests share. The random delay grows with their number, so
-     * that only a few of them clear it before they hear that others have.
-     */
+    // Many VMs serve a part that many requests share. The random delay grows with their number, so
+    // that only a few of them clear it before they hear that others have.
     deferClearance(run) {
       const spreadMs = 1 + view.listMembers('entry').length * CLEARANCE_SPREAD_MS;
       scheduleTimer(run, CLEARANCE_DELAY_MS + random.nextInt(spreadMs));
--- a/packages/entry/src/quarantine/quarantine.ts
+++ b/packages/entry/src/quarantine/quarantine.ts
@@ -1,16 +1,14 @@
 /**
- * Quarantines request contents that crash the backend servers that run them.
+ * Quarantines request contents, and parts of prompts, that crash the backend servers that run them.
  *
- * Every VM publishes which servers ended under which content as facts, which are records that all
- * VMs replicate by gossip, and decides from the facts of all VMs. No single VM keeps a count that
- * could be lost, delayed or partitioned off. See
- * docs/design/quarantine.md.
+ * Every VM publishes which servers ended under which content and parts as facts, which are records
+ * that all VMs replicate by gossip, and decides from the facts of all VMs. No single VM keeps a
+ * count that could be lost, delayed or partitioned off. See docs/design/quarantine.md.
  */
-import { CRASH_RETENTION_MS, FACT_KEYS } from '@spoolplank/membership';
+import { CRASH_RETENTION_MS } from '@spoolplank/membership';
 import type {
   ClearanceFact,
   CrashFact,
-  Fact,
   FactTable,
   FactUpdate,
   SystemFact,
@@ -22,6 +20,16 @@
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import type { CrashedRun } from './crashReporter';
 import type { FactPublisher } from '../gossip/factPublisher';
+import {
+  countCrashes,
+  describeCrashes,
+  endedAtMsOf,
+  groupByContent,
+  keyOf,
+  runOf,
+} from './crashRows';
+import type { CrashRow } from './crashRows';
+import { hasNewCauses, logJudgementChanges, nameOf } from './judgementLog';
 import { createPartClearances } from './partClearances';
 import { digestContent, partsOf } from './requestContent';
 import type { RequestContent } from './requestContent';
@@ -71,8 +79,8 @@
   /** Must be called when a crash or a clearance was published, by this VM or another. */
   onFact(body: CrashFact | ClearanceFact): void;
   /**
-   * Re-evaluates the quarantine if facts have arrived; returns whether a content was newly
-   * quarantined.
+   * Re-evaluates the quarantine if facts have arrived or time makes it due; returns whether a
+   * content or a combination of parts was newly quarantined.
    */
   refresh(): boolean;
   /** When `refresh` is due although no fact has arrived; null if it is not. */
@@ -100,32 +108,12 @@
 const MAX_TRACKED_BYTES = 65_536;
 const MS_PER_S = 1000;
 
-type CrashRow = Fact<SystemFact> & { readonly body: CrashFact };
-
-function keyOf(body: CrashFact | ClearanceFact): string {
-  return body.kind === 'crash' ? FACT_KEYS.crash(body) : FACT_KEYS.clearance(body.content);
-}
-
-function endedAtMsOf({ body, receivedAtMs }: CrashRow): number {
-  return receivedAtMs - (body.agedMs ?? 0);
-}
-
-/** Names a combination of parts in logs, the dump and for the operator. */
-function nameOf(combination: readonly string[]): string {
-  return combination.join(',');
-}
-
 const NOTHING_QUARANTINED: CrashJudgement = {
   contents: new Set(),
   combinations: [],
   dueAtMs: null,
 };
 
-/** Identifies a crashed run. The turn distinguishes incarnations reached under one instance id. */
-function runOf({ instanceId, turn }: CrashFact): string {
-  return `${instanceId}#${turn}`;
-}
-
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   const { clock, random, log, metrics, table, publisher } = options;
   /** Keys of the crashes and clearances in the table, in the order in which they were received. */
@@ -163,16 +151,6 @@
     });
   }
 
-  function groupByContent(rows: readonly CrashRow[]): ReadonlyMap<string, readonly CrashRow[]> {
-    const groups = new Map<string, CrashRow[]>();
-    rows.forEach((row) => {
-      const known = groups.get(row.body.content);
-      if (known) known.push(row);
-      else groups.set(row.body.content, [row]);
-    });
-    return groups;
-  }
-
   /** Crashes of runs whose prompts contain all of the given parts. */
   function listCrashesOf(combination: readonly string[]): readonly CrashRow[] {
     return [...crashesByContent.values()]
@@ -180,38 +158,8 @@
       .filter(({ body }) => combination.every((part) => body.parts?.includes(part)));
   }
 
-  function describeCrashes(rows: readonly CrashRow[]) {
-    const nowMs = clock.nowMs();
-    return rows.map(({ body, receivedAtMs, origin }) => ({
-      instanceId: body.instanceId,
-      turn: body.turn,
-      evidence: body.evidence,
-      ranMs: body.ranMs,
-      parts: body.parts ?? [],
-      ageMs: Math.round(nowMs - receivedAtMs),
-      origin,
-    }));
-  }
-
-  function logChanges(before: CrashJudgement, after: CrashJudgement): void {
-    const added = [...after.contents].filter((content) => !before.contents.has(content));
-    const released = [...before.contents].filter((content) => !after.contents.has(content));
-    added.forEach((content) => {
-      const ends = JSON.stringify(describeCrashes(crashesByContent.get(content) ?? []));
-      log.warn('content-quarantined', { content, ends });
-    });
-    released.forEach((content) => log.info('content-released', { content }));
-    const namesBefore = before.combinations.map(nameOf);
-    const namesAfter = after.combinations.map(nameOf);
-    after.combinations
-      .filter((combination) => !namesBefore.includes(nameOf(combination)))
-      .forEach((combination) => {
-        const ends = JSON.stringify(describeCrashes(listCrashesOf(combination)));
-        log.warn('parts-quarantined', { parts: combination, ends });
-      });
-    before.combinations
-      .filter((combination) => !namesAfter.includes(nameOf(combination)))
-      .forEach((combination) => log.info('parts-released', { parts: combination }));
+  function describeEnds(rows: readonly CrashRow[]) {
+    return describeCrashes(rows, clock.nowMs());
   }
 
   function evaluate(): void {
@@ -221,7 +169,13 @@
     parts.follow(involvements);
     const before = judgement;
     judgement = judgeCrashes(involvements, clock.nowMs());
-    logChanges(before, judgement);
+    logJudgementChanges({
+      log,
+      before,
+      after: judgement,
+      endsOfContent: (content) => describeEnds(crashesByContent.get(content) ?? []),
+      endsOfParts: (combination) => describeEnds(listCrashesOf(combination)),
+    });
   }
 
   /** Publishes a fact of this VM, which the table then passes to `onFact`. */
@@ -246,11 +200,7 @@
     const known = [...judgement.contents].filter(served.has);
     known.forEach((content) => clear(content, 'served'));
     if (known.length > 0) evaluate();
-    const namesBefore = before.combinations.map(nameOf);
-    return (
-      [...judgement.contents].some((content) => !before.contents.has(content)) ||
-      judgement.combinations.some((combination) => !namesBefore.includes(nameOf(combination)))
-    );
+    return hasNewCauses(before, judgement);
   }
 
   /** Republishes ageing crashes, so that what keeps coming stays quarantined. */
@@ -261,11 +211,6 @@
       .forEach((row) => publish({ ...row.body, agedMs: Math.round(nowMs - endedAtMsOf(row)) }));
   }
 
-  /** Number of distinct server incarnations that crashed under a content. */
-  function countCrashes(rows: readonly CrashRow[]): number {
-    return new Set(rows.map(({ body }) => runOf(body))).size;
-  }
-
   function crashesOf(content: RequestContent): readonly CrashRow[] {
     refresh();
     // Usually no content is suspected, and no digest has to be computed.
@@ -382,12 +327,12 @@
       const contents = [...crashesByContent].map(([content, rows]) => ({
         content,
         isQuarantined: judgement.contents.has(content),
-        ends: describeCrashes(rows),
+        ends: describeEnds(rows),
       }));
       const combinations = judgement.combinations.map((combination) => ({
         content: nameOf(combination),
         isQuarantined: true,
-        ends: describeCrashes(listCrashesOf(combination)),
+        ends: describeEnds(listCrashesOf(combination)),
       }));
       return [...contents, ...combinations];
     },
