--- a/packages/controller/src/group/groupWatch.ts
+++ b/packages/controller/src/group/groupWatch.ts
@@ -67,9 +67,9 @@
   unconfirmedMs(): number;
 }
 
-/** Interval at which a state that continues is logged again. */
-const REPEAT_MS = 5000;
-const FEW_VOTERS_REPEAT_MS = 60_000;
+/** Intervals at which a wait for admission and a lack of voters that continue are logged again. */
+const JOIN_LOG_INTERVAL_MS = 5000;
+const FEW_VOTERS_LOG_INTERVAL_MS = 60_000;
 
 /** Summarizes a group as seen by one of its replicas. */
 export function summarizeGroup(
@@ -163,7 +163,8 @@
       return;
     }
     if (nowMs - enoughVotersAtMs <= options.fewVotersLimitMs) return;
-    if (fewVotersLoggedAtMs !== null && nowMs - fewVotersLoggedAtMs < FEW_VOTERS_REPEAT_MS) return;
+    if (fewVotersLoggedAtMs !== null && nowMs - fewVotersLoggedAtMs < FEW_VOTERS_LOG_INTERVAL_MS)
+      return;
     fewVotersLoggedAtMs = nowMs;
     const remedy = `run the role control on ${votersWanted - voters.length} more VMs with a disk`;
     log.warn('voters-missing', { voters, standbys, votersWanted, remedy });
@@ -180,7 +181,7 @@
       joiningSinceMs = nowMs;
       joinLoggedAtMs = nowMs;
     }
-    if (nowMs - joinLoggedAtMs < REPEAT_MS) return;
+    if (nowMs - joinLoggedAtMs < JOIN_LOG_INTERVAL_MS) return;
     joinLoggedAtMs = nowMs;
     const waitedMs = Math.round(nowMs - joiningSinceMs);
     log.warn('join-awaited', { leader: leaderId, waitedMs, replies: joinReplies() });
