test(entry): wait for the pull after a reply, not for its backup

The fixture took two calls for the sign that a reply is processed. If the sync of the floor file takes more than 500 ms, the second call is the backup of the overdue pull, and the test reads the mirror before the first pull has ended. The duration was 628 ms.

Change: the fixture counts pulls without backups. The next one is sent only after the reply to the one before has been processed. No assertion changes.

Conclusion: a fault of the test; the mirror waits for the file on purpose.

--- a/packages/entry/__tests__/settingsMirror.spec.ts
+++ b/packages/entry/__tests__/settingsMirror.spec.ts
@@ -8,7 +8,7 @@
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { SettingsPullReply } from '@spoolplank/controller';
 import type { VmContext } from '@spoolplank/vm';
-import type { ControlClient } from '../src/sessions/controlClient';
+import type { ControlCallOptions, ControlClient } from '../src/sessions/controlClient';
 import { createSettingsMirror } from '../src/sessions/settingsMirror';
 import type { SettingsMirror } from '../src/sessions/settingsMirror';
 
@@ -46,10 +46,11 @@
       settings: { vm, peers: [], dataFolder },
     } as unknown as VmContext;
     let nextReply: SettingsPullReply | undefined;
-    let calls = 0;
+    /** Pulls without backups: each is sent only after the reply to the one before was processed. */
+    let pulls = 0;
     const control: ControlClient = {
-      call<Result>() {
-        calls += 1;
+      call<Result>(_method: string, _params: unknown, options: ControlCallOptions = {}) {
+        if (!options.startsElsewhere) pulls += 1;
         const reply = nextReply;
         // Each reply is given once; further calls fail until the next `replyOnceWith`.
         nextReply = undefined;
@@ -65,8 +66,8 @@
       async replyOnceWith(version: number, waitedMs = 0) {
         const tree = { policy: { priority: version % 10 } };
         nextReply = { version, waitedMs, leaseMs: 3000, delta: { kind: 'tree', version, tree } };
-        const callsBefore = calls;
-        while (calls < callsBefore + 2) await delay(5);
+        const pullsBefore = pulls;
+        while (pulls < pullsBefore + 2) await delay(5);
       },
     };
   }
