fix(limits): report answers without a limit to requests with a permit

A limit ends with answers that no longer name it, but a VM reported such an answer only where it had received the limit itself. The account gives its permits to all VMs, so most of these answers did not count, and at half a request a second the limit outlasted its server's by far.

Change: a VM reports an answer without a limit also when the request was sent with a permit, as a permit says that the account has the limit in force.

--- a/packages/entry/__tests__/advertisedLimits.spec.ts
+++ b/packages/entry/__tests__/advertisedLimits.spec.ts
@@ -84,6 +84,18 @@
     );
   });
 
+  it('ends when only VMs that never received it still get permits', async () => {
+    const site = await start({ vms: 11 });
+    const [informed] = site.vms;
+    site.setLimit('c1', 0.5);
+    await site.callFor(4000, 2, () => informed);
+    site.setLimit('c1', null);
+    await site.callFor(12_000, 10, (up) => up[1 + site.random.nextInt(up.length - 1)]);
+    const nowMs = site.clock.nowMs();
+    const late = site.arrivalsAt('c1').filter(({ atMs }) => atMs > nowMs - 2000).length;
+    assert.ok(late >= 16, `${late} in the last two seconds`);
+  });
+
   it('is not ended by late answers to requests sent before it was set', async () => {
     const site = await start({ vms: 3 });
     const [vm] = site.vms as [Vm];
--- a/packages/entry/__tests__/limitDispatch.spec.ts
+++ b/packages/entry/__tests__/limitDispatch.spec.ts
@@ -38,6 +38,17 @@
   }
 }
 
+/** Publishes a limit of each server that this VM did not receive itself. */
+function publishLimits(setting: Setting): void {
+  const limitsPerS = Object.fromEntries(SERVERS.map((id) => [id, LIMIT_PER_S]));
+  setting.table.put(FACT_KEYS.capacity('a', 'vm9'), 1, {
+    kind: 'capacity',
+    dataCentre: 'a',
+    services: {},
+    limitsPerS,
+  });
+}
+
 async function refusalOf(end: Promise<unknown>): Promise<SpoolplankError> {
   const error = await end.then(
     () => assert.fail('it was served'),
@@ -110,16 +121,23 @@
   it('requests a permit for a limit that only other VMs received', async () => {
     const { calls, permits } = createPermits([...SERVERS]);
     const setting = createBackoffSetting('safe', permits);
-    const limitsPerS = Object.fromEntries(SERVERS.map((id) => [id, LIMIT_PER_S]));
-    setting.table.put(FACT_KEYS.capacity('a', 'vm9'), 1, {
-      kind: 'capacity',
-      dataCentre: 'a',
-      services: {},
-      limitsPerS,
-    });
+    publishLimits(setting);
     for (let count = 0; count < SERVERS.length; count += 1) {
       assert.equal((await setting.send()).outcome, 'served');
     }
     assert.equal(calls.length, SERVERS.length);
   });
+
+  it('reports answers without a limit to requests under a limit that only other VMs received', async () => {
+    const { permits } = createPermits([...SERVERS]);
+    const setting = createBackoffSetting('safe', permits);
+    publishLimits(setting);
+    const reports: string[] = [];
+    setting.limits.onReport(({ directive }) => reports.push(directive.kind));
+    for (let count = 0; count < SERVERS.length; count += 1) await setting.send();
+    assert.deepEqual(
+      reports,
+      SERVERS.map(() => 'unnamed'),
+    );
+  });
 });
--- a/packages/entry/__tests__/limitFixtures.ts
+++ b/packages/entry/__tests__/limitFixtures.ts
@@ -51,7 +51,7 @@
 
   const limitPerSOf = (id: string): number | null => steps.get(id)?.at(-1)?.perS ?? null;
 
-  function answer(id: string, vm: Vm, sentAtMs: number): void {
+  function answer(id: string, vm: Vm, sentAtMs: number, hasPermit: boolean): void {
     answers += 1;
     const perS = limitPerSOf(id);
     const isNamed = perS !== null && answers % namingInterval === 0;
@@ -63,7 +63,8 @@
       const directive = isNamed
         ? ({ kind: 'named', perS } as const)
         : ({ kind: 'unnamed' } as const);
-      vm.limits.recordAnswer({ instanceId: id, address: `${id}:1` }, directive, sentAtMs);
+      const target = { instanceId: id, address: `${id}:1` };
+      vm.limits.recordAnswer(target, directive, sentAtMs, hasPermit);
     }, headMs);
   }
 
@@ -77,7 +78,7 @@
       .get(id)
       ?.push({ atMs, vm: vm.host, isInformed: atMs >= namedAtMs + INFORMED_AFTER_MS });
     outcomes.sent += 1;
-    answer(id, vm, clock.steadyMs());
+    answer(id, vm, clock.steadyMs(), hasPermit);
     return true;
   }
 
--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -36,13 +36,13 @@
   return {
     onNotice: (listener) => operations.onNotice(listener),
     async open(call) {
-      const { target } = call;
+      const { target, hasPermit } = call;
       const reason = findClosedReason(call);
       if (reason !== null) throw refuse(target, reason);
       backoffs.recordSent(target.instanceId);
       const sentAtMs = clock.steadyMs();
       const response = await operations.open(call);
-      if (response.limit) limits.recordAnswer(target, response.limit, sentAtMs);
+      if (response.limit) limits.recordAnswer(target, response.limit, sentAtMs, hasPermit);
       return response;
     },
     async report(target, timeoutMs) {
--- a/packages/entry/src/limits/serverLimits.ts
+++ b/packages/entry/src/limits/serverLimits.ts
@@ -20,8 +20,16 @@
 }
 
 export interface ServerLimits {
-  /** Records the directive in the answer to a request sent at `sentAtMs` on the steady clock. */
-  recordAnswer(target: BackendTarget, directive: LimitDirective, sentAtMs: number): void;
+  /**
+   * Records the directive in the answer to a request sent at `sentAtMs` on the steady clock. With a
+   * permit, an answer without a limit is reported even if this VM never received the limit.
+   */
+  recordAnswer(
+    target: BackendTarget,
+    directive: LimitDirective,
+    sentAtMs: number,
+    hasPermit?: boolean,
+  ): void;
   /** The rate limit of a server as known to this VM; null if it has none. */
   limitPerSOf(instanceId: string): number | null;
   /** Whether this VM may send without a permit: no limit applies, or it has some own quota left. */
@@ -75,10 +83,10 @@
   }
 
   return {
-    recordAnswer(target, directive, sentAtMs) {
+    recordAnswer(target, directive, sentAtMs, hasPermit = false) {
       const { instanceId } = target;
       if (directive.kind === 'named') recordNamed(target, directive.perS);
-      else if (named.limitPerSOf(instanceId) === null) return;
+      else if (!hasPermit && named.limitPerSOf(instanceId) === null) return;
       report({ instanceId, directive, sentAtMs, receivedAtMs: clock.steadyMs() });
     },
     limitPerSOf: named.limitPerSOf,
