feat(entry): log what forbids another attempt at a request

Change: `not-retried` with the reason: the route, the deadline, the number of attempts, the quarantine, or the retry budget. The conditions are the same as before, in the same order where one has an effect.

Conclusion: an operator can tell a used up retry budget from a route that allows no second run.

--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -9,6 +9,8 @@
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
 import type { AnswerEnd } from './answerEnd';
+import { logNotRetried } from './attemptLimit';
+import type { AttemptLimit } from './attemptLimit';
 import type { BackendResponse } from './backendOperations';
 import { createEventSplitter } from './eventSplitter';
 import type { RawHeaders } from '../callerRequest';
@@ -270,10 +272,20 @@
         firstByteMs: clock.nowMs() - request.arrivedAtMs,
         answerEnd: last === null || last.kind === 'not-run' ? null : last.end,
       });
-      const mayRunAgain = () => runs < route.maxAttempts && (runs === 0 || route.kind === 'safe');
       const isRetryable = (result: AttemptResult) =>
         result.kind !== 'answered' || result.status > MAX_FINAL_STATUS;
 
+      /** What forbids another attempt; if nothing does, spends a retry unless it is granted. */
+      function findAttemptLimit(): AttemptLimit | null {
+        if (admitted.deadlineAtMs - clock.nowMs() <= TIMEOUT_MARGIN_MS) return 'deadline';
+        if (runs >= route.maxAttempts || (runs > 0 && route.kind !== 'safe')) return 'route';
+        if (rejections >= MAX_REJECTIONS) return 'attempts';
+        if (heldBack >= MAX_HELD_BACK) return 'held-back';
+        if (isAttemptGranted) return null;
+        if (!quarantine.mayRetry(content)) return 'quarantine';
+        return budget.spend() ? null : 'retry-budget';
+      }
+
       /** Records the result of an attempt; resolves with whether to try another one. */
       async function handleResult(result: SentAttempt, backend: BackendFact): Promise<boolean> {
         if (result.kind === 'not-run') rejections += 1;
@@ -306,17 +318,12 @@
           await backoffWaits.wait(admitted, () => servers.backoffEndsInMs(service, excluded));
         }
         if (answer.isClosed) return end('caller-left', 0);
-        const remainingMs = admitted.deadlineAtMs - clock.nowMs();
         const isFirst = runs + rejections + heldBack === 0;
-        const canSend =
-          remainingMs > TIMEOUT_MARGIN_MS &&
-          mayRunAgain() &&
-          rejections < MAX_REJECTIONS &&
-          heldBack < MAX_HELD_BACK &&
-          (isAttemptGranted || (quarantine.mayRetry(content) && budget.spend()));
+        const limit = findAttemptLimit();
+        if (limit !== null) logNotRetried(log, request.id, limit);
         const ticket = `${request.id}/${runs + rejections + heldBack}`;
         const search = { admitted, ticket, excluded, mayWait: runs === 0 };
-        const server = canSend ? await servers.find(search) : undefined;
+        const server = limit === null ? await servers.find(search) : undefined;
         if (!server) break;
         const { backend } = server;
         // Other VMs may have reported crashes under this content while the request waited.
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -7,6 +7,8 @@
 import { SpoolplankError } from '@spoolplank/shared';
 import type { ModelDescription } from '@spoolplank/routing';
 import { MAX_SUCCESS_STATUS } from './answerEnd';
+import { logNotRetried } from './attemptLimit';
+import type { AttemptLimit } from './attemptLimit';
 import type { ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
 import type { SlotFinder, SlotSearch } from '../slots/slotFinder';
@@ -256,15 +258,22 @@
       /** Share of the retry budget that this stream leaves to streams that have begun. */
       const reservedShare = (): number => (progress.hasBegun ? 0 : RESUME_RESERVE_SHARE);
 
-      /** Whether another attempt is allowed by the deadline, the retry budget and the limits. */
-      function mayAttempt(): boolean {
-        if (heldBack > MAX_HELD_BACK) return false;
-        if (isAttemptGranted) return true;
+      /** What forbids another attempt; if nothing does, spends a retry unless it is granted. */
+      function findAttemptLimit(): AttemptLimit | null {
+        if (heldBack > MAX_HELD_BACK) return 'held-back';
+        if (isAttemptGranted) return null;
         const isAllowed = !mayHaveRun || (route.isResumable && runs < route.maxAttempts);
-        if (!quarantine.mayRetry(content)) return false;
-        const hasTime = admitted.deadlineAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
-        const isBelowLimits = rejections < MAX_REJECTIONS && attempts < MAX_ATTEMPTS;
-        return isAllowed && hasTime && isBelowLimits && budget.spend(reservedShare());
+        if (!isAllowed) return 'route';
+        if (!quarantine.mayRetry(content)) return 'quarantine';
+        if (admitted.deadlineAtMs - clock.nowMs() <= 2 * TIMEOUT_MARGIN_MS) return 'deadline';
+        if (rejections >= MAX_REJECTIONS || attempts >= MAX_ATTEMPTS) return 'attempts';
+        return budget.spend(reservedShare()) ? null : 'retry-budget';
+      }
+
+      function mayAttempt(): boolean {
+        const limit = findAttemptLimit();
+        if (limit !== null) logNotRetried(log, request.id, limit);
+        return limit === null;
       }
 
       /**
