--- a/packages/entry/__tests__/backoffFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { PassThrough } from 'node:stream';
 import type { NoticeListener, BackoffDirective, ServerNotice } from '@spoolplank/membership';
+import { createWindowBudget } from '@spoolplank/routing';
 import type { RouteKind } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendOperations, BackendResponse } from '../src/dispatch/backendOperations';
@@ -77,6 +78,7 @@
 export function createBackoffSetting(
   kind: RouteKind = 'safe',
   permits: PermitFinder = createNoPermits(),
+  retryAllowance = 10,
 ) {
   const tables = createTables();
   const { clock, view, table, announce } = tables;
@@ -122,7 +124,13 @@
   });
   operations.onNotice(notices.applyNotice);
   const guarded = guardOperations(operations, { clock, notices, limits: base.limits });
-  const context = { ...base, notices, operations: guarded };
+  const budget = createWindowBudget({
+    clock,
+    windowMs: 1000,
+    ratio: 0,
+    allowance: () => retryAllowance,
+  });
+  const context = { ...base, log, notices, operations: guarded, budgetOf: () => budget };
   const answers: number[] = [];
   const answer = createAnswer(answers);
   const route = createRoute(kind, { timeoutMs: 20_000 });
