feat(logs): name the source of a refusal by the document, and overdue confirmations

Cause: the line of a request refused with 404, 401 or settings-stale has the version and the age of its confirmation, but not the control VM that confirmed it, nor for how long an exchange has been unanswered. A confirmation that is overdue wrote nothing, on entries before an exchange timed out, on control VMs at all.

No decision changes.

Measured: 149 tests of membership, controller and the entry's r*.spec pass. The whole suite was not run on this commit.

--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -4,14 +4,17 @@
 import type { ReplaceResult, StoredDocument } from '@spoolplank/control';
 import { createDocumentState } from '@spoolplank/control';
 import {
+  createConfirmationWatch,
   createDocumentCache,
   createFactTable,
   createFeedServer,
   createSiblingBackoffs,
+  DEFAULT_CHANGE_BOUNDS,
   FACT_KEYS,
   retentionMsOf,
 } from '@spoolplank/membership';
 import type {
+  ChangeBounds,
   FactTable,
   FactUpdate,
   FeedRequest,
@@ -67,6 +70,8 @@
   readonly isFirstStart: boolean;
   /** Losses that the group must tolerate; one at a time by default. */
   readonly faultTolerance?: FaultTolerance;
+  /** How soon a change of the document is in force. */
+  readonly changeBounds?: ChangeBounds;
   /** Null on a VM without a disk, which has no replica and only forwards facts and calls. */
   readonly dataFolder: string | null;
   readonly engineOrders: EngineOrders;
@@ -141,6 +146,7 @@
 export async function createControlNode(options: ControlNodeOptions): Promise<ControlNode> {
   const { clock, log, peers, host, peerPort, dataCentre, run } = options;
   const { faultTolerance = DEFAULT_FAULT_TOLERANCE } = options;
+  const { changeBounds = DEFAULT_CHANGE_BOUNDS } = options;
   const state = createDocumentState();
   const documents = createDocumentCache<StoredDocument>(clock);
   let group: GroupMember | null = null;
@@ -149,6 +155,13 @@
   let ticks = 0;
   let metrics: Metrics | null = null;
 
+  /** Confirms the document if this replica leads with a valid lease. */
+  function refreshConfirmation(): void {
+    if (!group?.canRead()) return;
+    if (state.current) documents.offer(state.current);
+    documents.confirm(state.current?.version ?? 0, clock.nowMs());
+  }
+
   let wakeFeed = () => {};
   const table: FactTable<SystemFact> = createFactTable<SystemFact>({
     clock,
@@ -162,11 +175,7 @@
     documents,
     schedule: scheduleTimer,
     maxWaitMs: FEED_WAIT_MS,
-    refreshConfirmation() {
-      if (!group?.canRead()) return;
-      if (state.current) documents.offer(state.current);
-      documents.confirm(state.current?.version ?? 0, clock.nowMs());
-    },
+    refreshConfirmation,
   });
 
   wakeFeed = () => feed.wake();
@@ -282,6 +291,24 @@
     listOthers: controlVms.listOthers,
   });
 
+  const confirmationWatch = createConfirmationWatch({
+    confirmedAgeMs: documents.confirmedAgeMs,
+    overdueMs: changeBounds.applyMs,
+    onOverdue(confirmedAgeMs) {
+      log.warn('confirmation-overdue', {
+        version: documents.current?.version,
+        confirmedAgeMs: Math.round(confirmedAgeMs),
+        leader: group?.leaderVm(),
+      });
+    },
+    onRenewed(highestAgeMs) {
+      log.info('confirmation-renewed', {
+        version: documents.current?.version,
+        highestAgeMs: Math.round(highestAgeMs),
+      });
+    },
+  });
+
   function publishSelf(): void {
     sequence += 1;
     const { key, body } = describeSelf();
@@ -303,6 +330,8 @@
       paths?.sweep();
     }
     if (ticks % LOAD_PUBLISH_TICKS === 0) publishLoads();
+    refreshConfirmation();
+    confirmationWatch.tick();
     paths?.tick();
     placement.tick();
     stragglerWatch.tick();
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,7 +1,12 @@
 /** Wires the components of the role `entry` from injected dependencies. */
 import type { StoredDocument } from '@spoolplank/control';
-import { createSiblingBackoffs, findBackend } from '@spoolplank/membership';
-import type { LoadFact } from '@spoolplank/membership';
+import {
+  createConfirmationWatch,
+  createSiblingBackoffs,
+  DEFAULT_CHANGE_BOUNDS,
+  findBackend,
+} from '@spoolplank/membership';
+import type { ChangeBounds, LoadFact } from '@spoolplank/membership';
 import { scheduleTimer } from '@spoolplank/node';
 import type {
   EventLog,
@@ -68,6 +73,8 @@
   readonly retryLimits: RetryLimits;
   /** Maximum time for which a revoked key may still be served. */
   readonly revocationMs: number;
+  /** How soon a change of the document is in force. */
+  readonly changeBounds?: ChangeBounds;
   readonly onDocument: (document: RoutingDocument) => void;
   /** Whether the VM can accept new connections of callers; it is not ready while it cannot. */
   readonly canAccept?: () => boolean;
@@ -101,6 +108,7 @@
 
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   const { clock, random, log, metrics, peers, run, host, dataCentre } = options;
+  const { changeBounds = DEFAULT_CHANGE_BOUNDS } = options;
   const openRequests = new Set<CallerRequest>();
   let onStreamEnd = (_row: StreamRow): void => {};
   let publishedLoad = (): LoadFact['inFlight'] => ({});
@@ -143,6 +151,27 @@
     canAccept: options.canAccept,
   });
 
+  const describeConfirmation = () => ({
+    confirmationSource: facts.source(),
+    unansweredMs: Math.round(facts.unansweredMs),
+  });
+  const confirmationWatch = createConfirmationWatch({
+    confirmedAgeMs: documents.confirmedAgeMs,
+    overdueMs: changeBounds.applyMs,
+    onOverdue(confirmedAgeMs) {
+      const version = documents.current?.version;
+      log.warn('confirmation-overdue', {
+        version,
+        confirmedAgeMs: Math.round(confirmedAgeMs),
+        ...describeConfirmation(),
+      });
+    },
+    onRenewed(highestAgeMs) {
+      const version = documents.current?.version;
+      log.info('confirmation-renewed', { version, highestAgeMs: Math.round(highestAgeMs) });
+    },
+  });
+
   const selfFacts = createSelfFacts({
     table,
     run,
@@ -249,6 +278,7 @@
       const isSynced = Number.isFinite(facts.syncedAtMs);
       if (isSynced) firstSyncedAtMs = Math.min(firstSyncedAtMs, clock.steadyMs());
       syncHistory.tick();
+      confirmationWatch.tick();
       paths?.tick();
     },
     slots,
@@ -291,6 +321,7 @@
     metrics,
     documentVersion: () => documents.current?.version ?? null,
     confirmedAgeMs: () => documents.confirmedAgeMs(),
+    describeConfirmation,
     factsAgeMs: context.factsAgeMs,
   });
 
--- a/packages/entry/src/gossip/entryFacts.ts
+++ b/packages/entry/src/gossip/entryFacts.ts
@@ -51,6 +51,10 @@
   readonly view: RoutingView;
   /** Time of the last reply of a control VM, on this VM's clock; not finite before the first. */
   readonly syncedAtMs: number;
+  /** The control VM with which the next exchange is made. */
+  source(): string;
+  /** Time for which the exchange in flight has had no reply. */
+  readonly unansweredMs: number;
   addSource(source: OutgoingFactSource): void;
   /** Adds a listener for facts that require action as soon as they are received. */
   onUrgentFact(listener: (body: SystemFact) => void): void;
@@ -112,6 +116,10 @@
     get syncedAtMs() {
       return feed.syncedAtMs;
     },
+    source: feed.source,
+    get unansweredMs() {
+      return feed.unansweredMs;
+    },
     addSource: (source) => sources.push(source),
     onUrgentFact: (listener) => listeners.push(listener),
     exchangeNow() {
--- a/packages/entry/src/gossip/entryFeed.ts
+++ b/packages/entry/src/gossip/entryFeed.ts
@@ -45,11 +45,16 @@
 /** Larger and infinite ages are logged as this value. */
 const MAX_AGE_MS = 60_000;
 
-export function createEntryFeed(options: EntryFeedOptions): FeedClient {
+export interface EntryFeed extends FeedClient {
+  /** The control VM with which the next exchange is made. */
+  source(): string;
+}
+
+export function createEntryFeed(options: EntryFeedOptions): EntryFeed {
   const { clock, log, peers, table, documents } = options;
   const sources = createSourceChoice({ clock, list: createSourceRanking(options) });
 
-  return createFeedClient<SystemFact, StoredDocument>({
+  const client = createFeedClient<SystemFact, StoredDocument>({
     clock,
     table,
     documents,
@@ -85,4 +90,5 @@
         confirmedAgeMs: Math.round(Math.min(documents.confirmedAgeMs(), MAX_AGE_MS)),
       }),
   });
+  return Object.assign(client, { source: () => sources.current() });
 }
--- a/packages/entry/src/requestReport.ts
+++ b/packages/entry/src/requestReport.ts
@@ -1,5 +1,5 @@
 /** Reports the end of each request with a log line, a counter and a histogram. */
-import type { EventLog, Metrics } from '@spoolplank/node';
+import type { EventLog, LogFields, Metrics } from '@spoolplank/node';
 import type { Clock, SpoolplankError } from '@spoolplank/shared';
 import type { CallerRequest } from './callerRequest';
 import type { SlotDecision, RequestEnd } from './entryContext';
@@ -12,6 +12,8 @@
   readonly documentVersion: () => number | null;
   /** Age of the last confirmation that the document is the latest. */
   readonly confirmedAgeMs: () => number;
+  /** Where the confirmation comes from, logged with refusals that depend on it. */
+  readonly describeConfirmation: () => LogFields;
   /** Age of the facts, which are the records that VMs replicate by gossip. */
   readonly factsAgeMs: () => number;
 }
@@ -23,6 +25,13 @@
   fields: Readonly<Record<string, string>>,
 ) => void;
 
+/** Refusals of requests that another version of the document may allow. */
+const DOCUMENT_REFUSALS: ReadonlySet<string> = new Set([
+  'not-found',
+  'unauthorized',
+  'settings-stale',
+]);
+
 /** Larger and infinite ages are logged as this value. */
 const MAX_AGE_MS = 60_000;
 
@@ -78,6 +87,7 @@
       documentVersion: options.documentVersion(),
       confirmedAgeMs: capAge(options.confirmedAgeMs()),
       factsAgeMs: capAge(options.factsAgeMs()),
+      ...(DOCUMENT_REFUSALS.has(fields.code ?? '') ? options.describeConfirmation() : {}),
     });
   };
 }
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -1,5 +1,7 @@
 export * from './src/announcement';
 export * from './src/backendIdentity';
+export * from './src/changeBounds';
+export * from './src/confirmationWatch';
 export * from './src/directory';
 export * from './src/documentCache';
 export * from './src/factTable';
--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -43,6 +43,8 @@
   push(): Promise<void>;
   /** Time of the last reply of a source, on this VM's clock. */
   readonly syncedAtMs: number;
+  /** Time for which the exchange in flight has had no reply; 0 when none is in flight. */
+  readonly unansweredMs: number;
   /** Whether the last exchange succeeded. */
   readonly isConnected: boolean;
   /** Table instance of the source that replied last; empty before the first reply. */
@@ -67,6 +69,7 @@
   let isConnected: boolean | null = null;
   let restarts = 0;
   let sourceIncarnation = '';
+  let unansweredSinceMs: number | null = null;
 
   function recordConnection(nowConnected: boolean, problem = ''): void {
     if (isConnected === nowConnected) return;
@@ -111,6 +114,9 @@
     get syncedAtMs() {
       return syncedAtMs;
     },
+    get unansweredMs() {
+      return unansweredSinceMs === null ? 0 : clock.nowMs() - unansweredSinceMs;
+    },
     get isConnected() {
       return isConnected === true;
     },
@@ -123,6 +129,7 @@
     },
     async run() {
       while (!isStopped) {
+        unansweredSinceMs = clock.nowMs();
         try {
           const restartsBefore = restarts;
           // The first exchange with a source delivers all its facts, so it must not be held.
@@ -132,6 +139,7 @@
         } catch (error) {
           recordConnection(false, error instanceof Error ? error.message : String(error));
           instance = '';
+          unansweredSinceMs = null;
           await options.delay(options.retryMs);
         }
       }
