fix(config): never date a confirmation after a pause of the process

An entry dates a confirmation by two readings of its source: the time that the request waited, less the age of the confirmation. The wait was read after the age, and after the facts of the reply had been collected. A leader read its clock after the check of its lease. If the process paused in between (it was frozen, or its share of the processor was used up), the confirmation seemed younger by the pause, so that an entry trusted an older version for that much longer.

--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -48,6 +48,7 @@
 import type { RecoveryReport } from './group/groupRecovery';
 import type { GroupSummary } from './group/groupWatch';
 import { guardOrders } from './guardedOrders';
+import { createLeaderConfirmation } from './leaderConfirmation';
 import { createLoadSums } from './loadSums';
 import { createControlVms } from './controlVms';
 import { createStragglerWatch } from './stragglerWatch';
@@ -155,13 +156,12 @@
   let ticks = 0;
   let metrics: Metrics | null = null;
 
-  /** Confirms the document if this replica leads with a valid lease. */
-  function refreshConfirmation(): void {
-    if (!group?.canRead()) return;
-    if (state.current) documents.offer(state.current);
-    documents.confirm(state.current?.version ?? 0, clock.nowMs());
-  }
-
+  const refreshConfirmation = createLeaderConfirmation({
+    clock,
+    documents,
+    state,
+    canRead: () => group?.canRead() ?? false,
+  });
   let wakeFeed = () => {};
   const table: FactTable<SystemFact> = createFactTable<SystemFact>({
     clock,
--- a/packages/membership/src/feedServer.ts
+++ b/packages/membership/src/feedServer.ts
@@ -93,6 +93,9 @@
         await waitForChange(request);
         heldRequests = heldRequests.filter((held) => held.request !== request);
       }
+      // The requester dates the confirmation with the wait less its age. A pause of the process
+      // between the two readings must make it older, so the wait is read first.
+      const waitedMs = Math.floor(clock.steadyMs() - arrivedAtMs);
       options.refreshConfirmation();
       const document = documents.current;
       const documentVersion = document?.version ?? NO_DOCUMENT_VERSION;
@@ -102,7 +105,7 @@
         ...(document && documentVersion > request.documentVersion ? { document } : {}),
         documentVersion,
         confirmedAgeMs: Number.isFinite(ageMs) ? Math.ceil(ageMs) : null,
-        waitedMs: Math.floor(clock.steadyMs() - arrivedAtMs),
+        waitedMs,
       };
     },
     wake() {
