fix(peers): stop trusting pooled connections once a reply is overdue

When live connections between VMs fall silent without a reset, each call takes the next idle connection of the pool, which is as silent, and lasts until its time-out: 1.4 s for an exchange of the configuration, 0.7 s for Raft messages, which wait in one queue behind it. So an entry held an older version, with a confirmation of up to 4.2 s, and refused with 404 what the new one allows; a change was acknowledged after 1.6 to 2.7 s.

Change: a reply that is overdue, and each time-out, closes all idle connections that have not been used since the call was sent; the next calls open new ones. A connection that works meanwhile is kept, so a VM that is only late costs handshakes, no calls. A Raft request without a reply for one heartbeat interval no longer holds later messages back. A call may ask for a connection of its own. The options of a call are an object.

Conclusion: the way in which the record came about is closed; that an entry may refuse on an old confirmation, and renews it too late, is not.

--- a/packages/controller/src/controlFeeds.ts
+++ b/packages/controller/src/controlFeeds.ts
@@ -39,6 +39,7 @@
 /** A hold time that results in 1.25 exchanges per second for each pair of control VMs. */
 export const FEED_WAIT_MS = 800;
 const FEED_TIMEOUT_MS = 1400;
+const FEED_OVERDUE_MS = 1050;
 const RETRY_MS = 300;
 
 export function createControlFeeds(options: ControlFeedsOptions): ControlFeeds {
@@ -73,7 +74,7 @@
           findTarget(other),
           'feed.exchange',
           request,
-          FEED_TIMEOUT_MS,
+          { timeoutMs: FEED_TIMEOUT_MS, overdueMs: FEED_OVERDUE_MS },
         ),
       delay,
       waitMs: FEED_WAIT_MS,
--- a/packages/controller/src/documentCalls.ts
+++ b/packages/controller/src/documentCalls.ts
@@ -94,7 +94,7 @@
         if (leader !== undefined) {
           const leftMs = Math.max(MIN_FORWARD_MS, deadlineMs - clock.nowMs());
           const timeoutMs = Math.min(leftMs, FORWARD_TIMEOUT_MS);
-          return await peers.call<Result>(findTarget(leader), method, params, timeoutMs);
+          return await peers.call<Result>(findTarget(leader), method, params, { timeoutMs });
         }
       } catch (error) {
         lastError = toSpoolplankError(error);
--- a/packages/controller/src/group/groupMember.ts
+++ b/packages/controller/src/group/groupMember.ts
@@ -109,7 +109,11 @@
   const storage = createFileStorage({ folder: join(dataFolder, group) });
   const limits = deriveMembershipLimits(faultTolerance);
   const silentAfterMs = SILENT_AFTER_TIMEOUTS * timings.electionTimeoutMs;
-  const transport = createRaftTransport({ peers, findTarget });
+  const transport = createRaftTransport({
+    peers,
+    findTarget,
+    overdueMs: timings.heartbeatIntervalMs,
+  });
   const search = createGroupSearch({ ...options, replicaId, storage, generation });
   let runner: GroupRunner | null = null;
   let isStopping = false;
@@ -225,7 +229,7 @@
     others.forEach((other) => {
       const target = findTarget(other);
       if (!target) return;
-      peers.call(target, method, request, REQUEST_TIMEOUT_MS).then(
+      peers.call(target, method, request, { timeoutMs: REQUEST_TIMEOUT_MS }).then(
         () => {
           joinReplies.set(other, 'accepted');
           onAccepted();
--- a/packages/controller/src/group/groupRecovery.ts
+++ b/packages/controller/src/group/groupRecovery.ts
@@ -59,7 +59,7 @@
     const target = findTarget(other);
     if (!target) return null;
     return peers
-      .call<DescribedCopy | null>(target, 'group.inspect', {}, INSPECT_TIMEOUT_MS)
+      .call<DescribedCopy | null>(target, 'group.inspect', {}, { timeoutMs: INSPECT_TIMEOUT_MS })
       .catch(() => null);
   }
 
@@ -112,7 +112,7 @@
       const holder = before.copies.find((copy) => copy.replicaId === replicaId);
       const target = holder && findTarget(holder.vmId);
       if (!target) return refuse('Its VM cannot be reached.');
-      await peers.call(target, 'group.recover', { replicaId }, RECOVER_TIMEOUT_MS);
+      await peers.call(target, 'group.recover', { replicaId }, { timeoutMs: RECOVER_TIMEOUT_MS });
       return before;
     },
   };
--- a/packages/controller/src/group/groupSearch.ts
+++ b/packages/controller/src/group/groupSearch.ts
@@ -67,7 +67,7 @@
         const target = findTarget(other);
         if (!target) return undefined;
         return peers
-          .call<GroupDescription>(target, 'group.describe', {}, DESCRIBE_TIMEOUT_MS)
+          .call<GroupDescription>(target, 'group.describe', {}, { timeoutMs: DESCRIBE_TIMEOUT_MS })
           .catch(() => undefined);
       }),
     );
--- a/packages/controller/src/group/raftTransport.ts
+++ b/packages/controller/src/group/raftTransport.ts
@@ -1,12 +1,15 @@
 /** Transport of Raft messages between control VMs. */
 import { vmIdOfReplica } from '@spoolplank/consensus';
 import type { Message } from '@spoolplank/consensus';
+import { scheduleTimer } from '@spoolplank/node';
 import type { PeerClient, PeerTarget } from '@spoolplank/node';
 
 export interface RaftTransportOptions {
   readonly peers: PeerClient;
   /** The current address of a VM; undefined while unknown. */
   readonly findTarget: (vmId: string) => PeerTarget | undefined;
+  /** Time after which a request without a reply no longer delays later messages. */
+  readonly overdueMs: number;
   /** Called with each VM that accepted messages. */
   readonly onDelivered?: (vmId: string) => void;
 }
@@ -23,10 +26,15 @@
 /** Queue limit per VM; the oldest messages are dropped beyond it, which the protocol tolerates. */
 const MAX_QUEUED_MESSAGES = 1000;
 
-/** Sends the queued messages of a VM in one request, with one request in flight per VM. */
+/**
+ * Sends the queued messages of a VM in one request, and the next ones when it is answered or its
+ * reply is overdue. The messages of an overdue request may arrive later than those of its
+ * successor, which the protocol tolerates.
+ */
 export function createRaftTransport({
   peers,
   findTarget,
+  overdueMs,
   onDelivered = () => {},
 }: RaftTransportOptions): RaftTransport {
   const queues = new Map<string, SendQueue>();
@@ -36,14 +44,22 @@
     const messages = queue.waiting;
     queue.waiting = [];
     queue.isSending = true;
+    let isReleased = false;
+    const sendNext = () => {
+      if (isReleased) return;
+      isReleased = true;
+      queue.isSending = false;
+      flush(vmId, target, queue);
+    };
+    const cancelOverdue = scheduleTimer(sendNext, overdueMs);
     peers
-      .call(target, 'consensus.step', { messages })
+      .call(target, 'consensus.step', { messages }, { overdueMs })
       .then(() => onDelivered(vmId))
       // Raft resends lost messages, and its status shows which replicas are silent.
       .catch(() => {})
       .finally(() => {
-        queue.isSending = false;
-        flush(vmId, target, queue);
+        cancelOverdue();
+        sendNext();
       });
   }
 
--- a/packages/entry/__tests__/engineProbes.spec.ts
+++ b/packages/entry/__tests__/engineProbes.spec.ts
@@ -139,13 +139,18 @@
   for (let index = 0; index < VMS; index += 1) {
     const host = `v${index}`;
     const peers = {
-      async call(peer: PeerTarget, method: string, params: unknown, timeoutMs: number) {
+      async call(
+        peer: PeerTarget,
+        method: string,
+        params: unknown,
+        { timeoutMs }: { readonly timeoutMs: number },
+      ) {
         if (lostRequests.has(host)) {
           await delay(timeoutMs);
           throw new SpoolplankError('unreachable');
         }
         await delay(0.5);
-        if (answerAsOlder) return answerAsOlder(peer, method, params as never, timeoutMs);
+        if (answerAsOlder) return answerAsOlder(peer, method, params as never, { timeoutMs });
         return entries[0]?.methods[method]?.(structuredClone(params) as JsonValue, host);
       },
       close() {},
--- a/packages/entry/__tests__/silentControlVms.ts
+++ b/packages/entry/__tests__/silentControlVms.ts
@@ -4,7 +4,7 @@
  */
 import type { StoredDocument } from '@spoolplank/control';
 import { delay } from '@spoolplank/node';
-import type { PeerClient, PeerTarget } from '@spoolplank/node';
+import type { PeerCallOptions, PeerClient, PeerTarget } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 
 export interface SilentControlVmsOptions {
@@ -25,6 +25,7 @@
 /** A control VM that does not lead renews its confirmation at this interval. */
 const RENEWAL_MS = 800;
 const POLL_MS = 10;
+const TIMEOUT_MS = 700;
 
 export function createSilentControlVms(options: SilentControlVmsOptions) {
   const { hosts, pooled, latencyMs, phaseMs } = options;
@@ -66,12 +67,7 @@
     throw new SpoolplankError('unreachable', { detail: `no answer within ${timeoutMs} ms` });
   }
 
-  async function callOnNewConnection(
-    { host }: PeerTarget,
-    _method: string,
-    params: unknown,
-    timeoutMs = 700,
-  ) {
+  async function callOnNewConnection({ host }: PeerTarget, params: unknown, timeoutMs: number) {
     calls += 1;
     if (unreachable.has(host)) return failWithin(timeoutMs);
     // The handshake takes a message in each direction.
@@ -79,7 +75,13 @@
     return answer(host, params as ControlCall);
   }
 
-  async function call(target: PeerTarget, method: string, params: unknown, timeoutMs = 700) {
+  async function call(
+    target: PeerTarget,
+    _method: string,
+    params: unknown,
+    { timeoutMs = TIMEOUT_MS, usesNewConnection = false }: PeerCallOptions = {},
+  ) {
+    if (usesNewConnection) return callOnNewConnection(target, params, timeoutMs);
     const left = silent?.get(target.host) ?? 0;
     if (left > 0) {
       calls += 1;
@@ -87,7 +89,7 @@
       return failWithin(timeoutMs);
     }
     if (unreachable.has(target.host) || silent) {
-      return callOnNewConnection(target, method, params, timeoutMs);
+      return callOnNewConnection(target, params, timeoutMs);
     }
     calls += 1;
     const reply = await answer(target.host, params as ControlCall);
@@ -96,7 +98,7 @@
   }
 
   return {
-    peers: { call, callOnNewConnection, close() {} } as unknown as PeerClient,
+    peers: { call, close() {} } as unknown as PeerClient,
     /** Silences the live connections to some hosts, and makes others unreachable for good. */
     silence(silentHosts: readonly string[], unreachableHosts: readonly string[] = []): void {
       silent = new Map(silentHosts.map((host) => [host, pooled]));
--- a/packages/entry/src/gossip/entryFeed.ts
+++ b/packages/entry/src/gossip/entryFeed.ts
@@ -40,6 +40,7 @@
 const FEED_WAIT_MS = 800;
 /** Timeout of an exchange: the long-poll time plus 600 ms. */
 const FEED_TIMEOUT_MS = 1400;
+const FEED_OVERDUE_MS = 1050;
 /** Pause after a failed exchange. */
 const FEED_RETRY_MS = 100;
 /** Larger and infinite ages are logged as this value. */
@@ -67,7 +68,7 @@
           target,
           'feed.exchange',
           request,
-          FEED_TIMEOUT_MS,
+          { timeoutMs: FEED_TIMEOUT_MS, overdueMs: FEED_OVERDUE_MS },
         );
         const { confirmedAgeMs } = reply;
         if (sources.recordAnswer(confirmedAgeMs)) {
--- a/packages/entry/src/repair/engineProbes.ts
+++ b/packages/entry/src/repair/engineProbes.ts
@@ -243,7 +243,9 @@
       const call: ProbeCall = { engines };
       const peer = { vmId: designated.host, host: designated.host, port: designated.peerPort ?? 0 };
       try {
-        return await peers.call<readonly string[]>(peer, PROBE_METHOD, call, CALL_TIMEOUT_MS);
+        return await peers.call<readonly string[]>(peer, PROBE_METHOD, call, {
+          timeoutMs: CALL_TIMEOUT_MS,
+        });
       } catch (error) {
         const problem = error instanceof Error ? error.message : String(error);
         log.info('probe-unanswered', { designated: designated.host, dataCentre, problem });
--- a/packages/entry/src/sessions/controlClient.ts
+++ b/packages/entry/src/sessions/controlClient.ts
@@ -71,7 +71,7 @@
     const isLocal = vm.vmId === settings.vm.vmId;
     const local = isLocal ? localMethods[method] : undefined;
     if (local) return local(params as JsonValue, vm.vmId);
-    return peers.call(toPeerTarget(vm), method, params, timeoutMs);
+    return peers.call(toPeerTarget(vm), method, params, { timeoutMs });
   }
 
   function followLeaderHint(error: SpoolplankError): void {
--- a/packages/entry/src/sessions/directorySync.ts
+++ b/packages/entry/src/sessions/directorySync.ts
@@ -156,7 +156,7 @@
       toPeerTarget(target),
       'directory.pull',
       pull,
-      waitMs + PULL_TIMEOUT_MARGIN_MS,
+      { timeoutMs: waitMs + PULL_TIMEOUT_MARGIN_MS },
     );
     directory.merge(delta, pullSentAtMs + waitedMs);
     state.instance = delta.instance;
--- a/packages/entry/src/sessions/sessionLimits.ts
+++ b/packages/entry/src/sessions/sessionLimits.ts
@@ -129,7 +129,14 @@
     if (owner.vmId === vmId) return handlePermitCall(params);
     try {
       const target = toPeerTarget(owner);
-      return await peers.call<PermitReply>(target, PERMIT_METHOD, { ...params }, PERMIT_TIMEOUT_MS);
+      return await peers.call<PermitReply>(
+        target,
+        PERMIT_METHOD,
+        { ...params },
+        {
+          timeoutMs: PERMIT_TIMEOUT_MS,
+        },
+      );
     } catch (error) {
       log.info('limit-owner-silent', { owner: owner.vmId, instanceId, problem: String(error) });
       return null;
--- a/packages/entry/src/sessions/sessionReplication.ts
+++ b/packages/entry/src/sessions/sessionReplication.ts
@@ -127,7 +127,7 @@
               toPeerTarget(holder),
               'sessions.get',
               { id },
-              FETCH_TIMEOUT_MS,
+              { timeoutMs: FETCH_TIMEOUT_MS },
             )
             .catch(() => null),
         ),
--- a/packages/entry/src/sessions/settingsMirror.ts
+++ b/packages/entry/src/sessions/settingsMirror.ts
@@ -153,12 +153,9 @@
       const relay = settings.peers.find(({ vmId }) => vmId === relayId);
       try {
         if (relay) {
-          return await peers.call<SettingsPullReply>(
-            toPeerTarget(relay),
-            'settings.relay',
-            pull,
-            tryTimeoutMs,
-          );
+          return await peers.call<SettingsPullReply>(toPeerTarget(relay), 'settings.relay', pull, {
+            timeoutMs: tryTimeoutMs,
+          });
         }
       } catch {
         metrics.count('spoolplank_relay_failures_total');
--- a/packages/entry/src/slots/slotService.ts
+++ b/packages/entry/src/slots/slotService.ts
@@ -155,7 +155,7 @@
   async function call(target: MemberFact, params: SlotCall, timeoutMs: number): Promise<SlotReply> {
     if (target.host === host) return allocator.answer(params);
     const peer = { vmId: target.host, host: target.host, port: target.peerPort ?? 0 };
-    return peers.call<SlotReply>(peer, SLOTS_METHOD, params, timeoutMs);
+    return peers.call<SlotReply>(peer, SLOTS_METHOD, params, { timeoutMs });
   }
 
   function listServices(): readonly string[] {
--- a/packages/node/src/peerRpc.ts
+++ b/packages/node/src/peerRpc.ts
@@ -7,9 +7,10 @@
 import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0';
 import { fromErrorBody, SpoolplankError, toErrorBody, toSpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
-import { callHttp, createAgent } from './httpClient';
+import { callHttp } from './httpClient';
 import type { Endpoint } from './httpClient';
 import { listen, readBody, sendError } from './httpServer';
+import { createPeerConnections } from './peerConnections';
 import { authenticatePeer, signedPeerHeaders } from './peerIdentity';
 import type { PeerIdentity } from './peerIdentity';
 import { acceptTunnels } from './tunnel';
@@ -97,8 +98,18 @@
   readonly onTraffic?: (receivedBytes: number, sentBytes: number) => void;
 }
 
-interface CallContext {
-  readonly timeoutMs: number;
+export interface PeerCallOptions {
+  readonly timeoutMs?: number;
+  /**
+   * Time without a reply after which idle connections that have not been used since are closed, as
+   * they may have fallen silent too; `timeoutMs` by default.
+   */
+  readonly overdueMs?: number;
+  /** Opens a connection for this call, as one of the pool may have fallen silent. */
+  readonly usesNewConnection?: boolean;
+}
+
+interface CallContext extends Required<PeerCallOptions> {
   /** The original error of the transport; json-rpc-2.0 keeps only its message. */
   transportError?: SpoolplankError;
 }
@@ -117,33 +128,34 @@
     target: PeerTarget,
     method: string,
     params: unknown,
-    timeoutMs?: number,
+    callOptions?: PeerCallOptions,
   ): Promise<Result>;
   close(): void;
 }
 
 /** Creates the RPC client; a process needs only one. */
 export function createPeerClient(options: PeerClientOptions): PeerClient {
-  const agent = createAgent();
+  const connections = createPeerConnections();
   const clients = new Map<string, JSONRPCClient<CallContext>>();
 
   async function post(
     target: PeerTarget,
     body: string,
-    timeoutMs: number,
+    { timeoutMs, overdueMs, usesNewConnection }: CallContext,
   ): Promise<JSONRPCResponse> {
+    const endWatch = connections.watchCall(overdueMs);
     const answer = await callHttp({
       endpoint: target,
       method: 'POST',
       path: RPC_PATH,
-      agent,
+      agent: usesNewConnection ? connections.unpooled : connections.pooled,
       timeoutMs,
       body,
       headers: {
         'content-type': 'application/json',
         ...signedPeerHeaders(options, target.vmId, body),
       },
-    });
+    }).finally(endWatch);
     options.onTraffic?.(
       answer.body.length + ESTIMATED_HEADER_BYTES,
       body.length + ESTIMATED_HEADER_BYTES,
@@ -160,7 +172,7 @@
     const client: JSONRPCClient<CallContext> = new JSONRPCClient(
       async (request: JSONRPCRequest, context) => {
         try {
-          client.receive(await post(target, JSON.stringify(request), context.timeoutMs));
+          client.receive(await post(target, JSON.stringify(request), context));
         } catch (error) {
           Object.assign(context, { transportError: toSpoolplankError(error) });
           throw error;
@@ -176,9 +188,13 @@
       target: PeerTarget,
       method: string,
       params: unknown,
-      timeoutMs = options.timeoutMs,
+      {
+        timeoutMs = options.timeoutMs,
+        overdueMs = timeoutMs,
+        usesNewConnection = false,
+      }: PeerCallOptions = {},
     ) {
-      const context: CallContext = { timeoutMs };
+      const context: CallContext = { timeoutMs, overdueMs, usesNewConnection };
       try {
         return (await clientFor(target).request(method, params, context)) as Result;
       } catch (error) {
@@ -187,6 +203,6 @@
         throw new SpoolplankError('unreachable', { detail: String(error), cause: error });
       }
     },
-    close: () => agent.destroy(),
+    close: () => connections.close(),
   };
 }
--- a/packages/reach/src/indirectProbes.ts
+++ b/packages/reach/src/indirectProbes.ts
@@ -118,7 +118,12 @@
   async function ask(member: MemberFact, address: string): Promise<ProbeReport> {
     const peer = { vmId: member.host, host: member.host, port: member.peerPort ?? 0 };
     try {
-      return await peers.call<ProbeReport>(peer, PROBE_METHOD, { address }, CALL_TIMEOUT_MS);
+      return await peers.call<ProbeReport>(
+        peer,
+        PROBE_METHOD,
+        { address },
+        { timeoutMs: CALL_TIMEOUT_MS },
+      );
     } catch {
       return 'unknown';
     }
