fix(config): derive confirmations and refusals from the bound of a change

An entry refused with 404 or 401 while the confirmation of its document was younger than 0.85 of revoke_ms (4.25 s; the bound of a change is 2 s), and renewed it only by its long poll: hold 0.8 s, time-out 1.4 s, pause 0.1 s, so two silent control VMs took 3.0 s, which is contact_ms itself. Control VMs that do not lead did the same with a pause of 0.3 s.

Change: one derivation of the timings from config_apply_ms and contact_ms (changeBounds), and one renewal (confirmationRenewal) on entries and control VMs. When the exchanges have not renewed a confirmation in time, other sources are asked one after the other on connections of their own, each before the last one has failed; a source that replies without a recent confirmation counts as asked in vain. 404 and 401 need a confirmation younger than 0.9 of the bound; else the entry asks at once, once for all that wait and for two intervals at most, and refuses with 503 if no control VM confirms. Out of contact it refuses without the wait. Bounds into which the timings do not fit are logged as promise-not-kept.

--- a/packages/consensus/src/membershipLimits.ts
+++ b/packages/consensus/src/membershipLimits.ts
@@ -43,12 +43,19 @@
 const HEARTBEATS_PER_TIMEOUT = 3.5;
 /** Replaces a failed leader within 1.4 s, and tolerates pauses of 300 ms on a busy VM. */
 const MAX_ELECTION_TIMEOUT_MS = 700;
+/** Longest ordinary election: two random election timeouts, and one more for a split vote. */
+const ELECTION_LIMIT_TIMEOUTS = 3;
 /** A single voter could lose acknowledged entries, so at least one loss is always tolerated. */
 const MIN_LOSSES = 1;
 
 /** Lower bound for the election timeout, which must be well above the timer delay of a replica. */
 const MIN_ELECTION_TIMEOUT_MS = 200;
 
+/** Time within which an ordinary election has a result. */
+export function deriveElectionLimitMs({ electionTimeoutMs }: ElectionTimings): number {
+  return ELECTION_LIMIT_TIMEOUTS * electionTimeoutMs;
+}
+
 /** Returns why the required fault tolerance cannot be met, or null if it can. */
 export function findFaultToleranceProblem({ catchUpMs }: FaultTolerance): string | null {
   const minCatchUpMs = Math.ceil(MIN_ELECTION_TIMEOUT_MS / ELECTION_SHARE);
--- a/packages/controller/src/controlFeeds.ts
+++ b/packages/controller/src/controlFeeds.ts
@@ -2,6 +2,7 @@
 import type { StoredDocument } from '@spoolplank/control';
 import { createFeedClient } from '@spoolplank/membership';
 import type {
+  ConfirmationTimings,
   DocumentCache,
   FactTable,
   FactUpdate,
@@ -19,6 +20,7 @@
   readonly peers: PeerClient;
   readonly table: FactTable<SystemFact>;
   readonly documents: DocumentCache<StoredDocument>;
+  readonly timings: ConfirmationTimings;
   readonly findTarget: (vmId: string) => PeerTarget;
   /**
    * Facts that this VM publishes with each exchange, by which control VMs discover each other.
@@ -36,14 +38,10 @@
   stop(): void;
 }
 
-/** A hold time that results in 1.25 exchanges per second for each pair of control VMs. */
-export const FEED_WAIT_MS = 800;
-const FEED_TIMEOUT_MS = 1400;
-const FEED_OVERDUE_MS = 1050;
 const RETRY_MS = 300;
 
 export function createControlFeeds(options: ControlFeedsOptions): ControlFeeds {
-  const { clock, log, peers, table, documents, findTarget, onDocument } = options;
+  const { clock, log, peers, table, documents, timings, findTarget, onDocument } = options;
   const clients = new Map<string, FeedClient>();
 
   /**
@@ -74,10 +72,10 @@
           findTarget(other),
           'feed.exchange',
           request,
-          { timeoutMs: FEED_TIMEOUT_MS, overdueMs: FEED_OVERDUE_MS },
+          { timeoutMs: timings.exchangeTimeoutMs, overdueMs: timings.exchangeOverdueMs },
         ),
       delay,
-      waitMs: FEED_WAIT_MS,
+      waitMs: timings.holdMs,
       retryMs: RETRY_MS,
       onDocument,
       isRelay: true,
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -1,20 +1,28 @@
 /** The role `control` with injected dependencies: log, directory, feed and placement. */
-import { DEFAULT_FAULT_TOLERANCE, deriveElectionTimings } from '@spoolplank/consensus';
+import {
+  DEFAULT_FAULT_TOLERANCE,
+  deriveElectionLimitMs,
+  deriveElectionTimings,
+} from '@spoolplank/consensus';
 import type { GroupDescription, FaultTolerance } from '@spoolplank/consensus';
 import type { ReplaceResult, StoredDocument } from '@spoolplank/control';
 import { createDocumentState } from '@spoolplank/control';
 import {
+  CONFIRM_METHOD,
   createConfirmationWatch,
   createDocumentCache,
   createFactTable,
   createFeedServer,
   createSiblingBackoffs,
   DEFAULT_CHANGE_BOUNDS,
+  deriveConfirmationTimings,
   FACT_KEYS,
+  findChangeBoundProblem,
   retentionMsOf,
 } from '@spoolplank/membership';
 import type {
   ChangeBounds,
+  ConfirmationRequest,
   FactTable,
   FactUpdate,
   FeedRequest,
@@ -37,7 +45,8 @@
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { createBackendDirectory } from './backendDirectory';
 import type { BackendDirectory } from './backendDirectory';
-import { createControlFeeds, FEED_WAIT_MS } from './controlFeeds';
+import { createControlFeeds } from './controlFeeds';
+import { createControlRenewal } from './controlRenewal';
 import { createDocumentCalls } from './documentCalls';
 import { createEngineNotices } from './engineNotices';
 import { createEnginePaths } from './enginePaths';
@@ -148,6 +157,8 @@
   const { clock, log, peers, host, peerPort, dataCentre, run } = options;
   const { faultTolerance = DEFAULT_FAULT_TOLERANCE } = options;
   const { changeBounds = DEFAULT_CHANGE_BOUNDS } = options;
+  const timings = deriveConfirmationTimings(changeBounds);
+  const electionTimings = deriveElectionTimings(faultTolerance);
   const state = createDocumentState();
   const documents = createDocumentCache<StoredDocument>(clock);
   let group: GroupMember | null = null;
@@ -174,7 +185,7 @@
     table,
     documents,
     schedule: scheduleTimer,
-    maxWaitMs: FEED_WAIT_MS,
+    maxWaitMs: timings.holdMs,
     refreshConfirmation,
   });
 
@@ -277,10 +288,24 @@
     peers,
     table,
     documents,
+    timings,
     findTarget,
     outgoingFacts: () => [describeSelf()],
     onDocument: () => feed.wake(),
   });
+  const renewal = createControlRenewal({
+    clock,
+    log,
+    peers,
+    host,
+    documents,
+    bounds: changeBounds,
+    timings,
+    findTarget,
+    listOthers: controlVms.listOthers,
+    leaderVm: () => group?.leaderVm(),
+    onDocument: () => feed.wake(),
+  });
   const documentCalls = createDocumentCalls({
     clock,
     peers,
@@ -344,6 +369,8 @@
       const updates = loads.recordLoads(request.updates);
       return feed.answer({ ...request, updates }) as unknown as Promise<JsonValue>;
     },
+    [CONFIRM_METHOD]: (params) =>
+      feed.confirm(params as unknown as ConfirmationRequest) as unknown as JsonValue,
     ...documentCalls.methods,
     ...siblingBackoffs.methods,
     'group.describe': () => NO_REPLICA as unknown as JsonValue,
@@ -362,7 +389,7 @@
       bootstrapVmIds: options.isFirstStart ? options.bootstrapVmIds : [],
       isFirstStart: options.isFirstStart,
       faultTolerance,
-      timings: deriveElectionTimings(faultTolerance),
+      timings: electionTimings,
       running: GROUP_RUNNER_OPTIONS,
       listOthers: controlVms.listOthers,
       findTarget,
@@ -386,13 +413,17 @@
   return {
     methods: { ...methods, ...group?.methods },
     async start() {
+      const problem = findChangeBoundProblem(changeBounds, deriveElectionLimitMs(electionTimings));
+      if (problem !== null) log.warn('promise-not-kept', { problem });
       tick();
+      renewal.start();
       await group?.start();
     },
     async stop() {
       isStopped = true;
       publishSelf();
       feeds.stop();
+      renewal.stop();
       await group?.stop();
     },
     announce: backends.announce,
--- a/packages/controller/src/group/groupMember.ts
+++ b/packages/controller/src/group/groupMember.ts
@@ -6,6 +6,7 @@
 import {
   createGroupMembership,
   createGroupRunner,
+  deriveElectionLimitMs,
   deriveMembershipLimits,
   findFaultToleranceProblem,
   vmIdOfReplica,
@@ -96,8 +97,6 @@
 const REQUEST_TIMEOUT_MS = 500;
 /** Share of the interval between two tolerated VM losses that a process may use for hand-over. */
 const HAND_OVER_SHARE = 0.5;
-/** Longest ordinary election: two random election timeouts, and one more for a split vote. */
-const ELECTION_LIMIT_TIMEOUTS = 3;
 /** An active replica responds or requests votes within twice the election timeout. */
 const SILENT_AFTER_TIMEOUTS = 2;
 
@@ -128,7 +127,7 @@
   const watch = createGroupWatch({
     clock,
     log,
-    electionLimitMs: ELECTION_LIMIT_TIMEOUTS * timings.electionTimeoutMs,
+    electionLimitMs: deriveElectionLimitMs(timings),
     silentAfterMs,
     votersWanted: limits.votersWanted,
     fewVotersLimitMs: limits.removeAfterMs,
--- a/packages/entry/__tests__/readiness.spec.ts
+++ b/packages/entry/__tests__/readiness.spec.ts
@@ -3,6 +3,7 @@
 import { createReadiness } from '../src/readiness';
 
 const REVOCATION_MS = 5000;
+const REFUSAL_LIMIT_MS = 1800;
 
 function createSetting({ isAccepting = true } = {}) {
   let ageMs = 0;
@@ -13,6 +14,7 @@
   const readiness = createReadiness({
     documents,
     revocationMs: REVOCATION_MS,
+    refusalLimitMs: REFUSAL_LIMIT_MS,
     canAccept: () => isAccepting,
   });
   return {
@@ -32,6 +34,14 @@
     assert.deepEqual([readiness.isReady(), readiness.memberState()], [false, 'starting']);
   });
 
+  it('knows that nothing was added only by a confirmation within the bound of a change', () => {
+    const { readiness, age } = createSetting();
+    age(REFUSAL_LIMIT_MS - 1);
+    assert.equal(readiness.isCurrent(), true);
+    age(REFUSAL_LIMIT_MS);
+    assert.deepEqual([readiness.isCurrent(), readiness.isFresh()], [false, true]);
+  });
+
   it('is not ready before its first document', () => {
     const { readiness, documents } = createSetting();
     documents.current = null;
--- a/packages/entry/__tests__/requestAdmission.spec.ts
+++ b/packages/entry/__tests__/requestAdmission.spec.ts
@@ -46,6 +46,8 @@
       view,
       isReadyToRoute: () => isReady,
       isFresh: () => isReady,
+      isCurrent: () => isReady,
+      renewConfirmation: () => Promise.resolve(),
       decisions,
       delay,
     }),
--- a/packages/entry/__tests__/suspension.spec.ts
+++ b/packages/entry/__tests__/suspension.spec.ts
@@ -19,7 +19,11 @@
   const documents = createDocumentCache<{ readonly version: number }>(clock);
   documents.offer({ version: 1 });
   documents.confirm(1, clock.nowMs());
-  const readiness = createReadiness({ documents, revocationMs: REVOCATION_MS });
+  const readiness = createReadiness({
+    documents,
+    revocationMs: REVOCATION_MS,
+    refusalLimitMs: REVOCATION_MS,
+  });
   return { documents, readiness };
 }
 
--- a/packages/entry/src/admission/requestAdmission.ts
+++ b/packages/entry/src/admission/requestAdmission.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_DECISIONS, drawTarget, MAX_REMAINING_SHARE } from '@spoolplank/routing';
 import type { DecisionSettings } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
-import type { Clock, Random } from '@spoolplank/shared';
+import type { Clock, ErrorCode, Random } from '@spoolplank/shared';
 import { createCallerAge } from './callerAge';
 import type { CallerAnswer, CallerRequest } from '../callerRequest';
 import type { AdmittedRequest } from '../entryContext';
@@ -17,6 +17,10 @@
   readonly isReadyToRoute: () => boolean;
   /** Whether the last confirmation is recent enough to know of removed routes and keys. */
   readonly isFresh: () => boolean;
+  /** Whether the last confirmation is recent enough to know of added routes and keys. */
+  readonly isCurrent: () => boolean;
+  /** Asks for a confirmation; resolves when there is one, or after a short wait. */
+  readonly renewConfirmation: () => Promise<void>;
   readonly decisions?: Pick<DecisionSettings, 'forecast'>;
   readonly delay?: (durationMs: number) => Promise<void>;
 }
@@ -52,11 +56,18 @@
 const MAX_RETURN_SPREAD_MS = 4000;
 /** A caller that returns at once spends its retry on the state that it was refused in. */
 const MIN_RETRY_MS = 50;
+/** Refusals that a newer document may make wrong. */
+const DOCUMENT_REFUSALS: ReadonlySet<ErrorCode> = new Set<ErrorCode>(['not-found', 'unauthorized']);
 /** Short, as another entry can serve the request as soon as the caller has connected to it. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
 
+type MatchedRequest = Pick<AdmittedRequest, 'route' | 'organisation'>;
+
+const isRefusedByDocument = (error: unknown): boolean =>
+  error instanceof SpoolplankError && DOCUMENT_REFUSALS.has(error.code);
+
 export function createRequestAdmission(options: RequestAdmissionOptions): RequestAdmission {
-  const { clock, random, view, isReadyToRoute, isFresh } = options;
+  const { clock, random, view, isReadyToRoute, isFresh, isCurrent } = options;
   const { decisions = DEFAULT_DECISIONS, delay = realDelay } = options;
   const callerAge = createCallerAge();
   const startedAtMs = clock.nowMs();
@@ -107,7 +118,12 @@
     while (!isReadyToRoute() && clock.nowMs() < endsAtMs) await delay(STARTUP_POLL_MS);
   }
 
-  function decide(request: CallerRequest, answer: CallerAnswer): AdmittedRequest {
+  /**
+   * Finds the route and the organisation of a request in the document.
+   *
+   * @throws SpoolplankError the refusal for the caller.
+   */
+  function match(request: CallerRequest): MatchedRequest {
     if (isRefusing) {
       throw new SpoolplankError('shutting-down', { retryAfterMs: SHUTDOWN_RETRY_AFTER_MS });
     }
@@ -115,18 +131,41 @@
     if (!routes) throw staleError(request);
     const route = routes.findRoute(request.host, request.url);
     const needsKey = routes.document.isKeyRequired && !route?.isAnonymousAllowed;
-    // Without a fresh confirmation, recently added or removed routes and keys are unknown.
-    if ((needsKey || !route) && !isFresh()) throw staleError(request);
+    // Without a fresh confirmation, recently removed keys are unknown.
+    if (needsKey && !isFresh()) throw staleError(request);
     if (!route) throw new SpoolplankError('not-found');
     const organisation = request.key === null ? undefined : routes.findOrganisation(request.key);
     if (needsKey && !organisation) throw new SpoolplankError('unauthorized');
+    return { route, organisation: organisation ?? null };
+  }
+
+  /** Like `match`, but refuses a request only by a document that is known to be the latest. */
+  async function matchCurrent(request: CallerRequest): Promise<MatchedRequest> {
+    try {
+      return match(request);
+    } catch (error) {
+      if (isCurrent() || !isRefusedByDocument(error)) throw error;
+    }
+    await options.renewConfirmation();
+    try {
+      return match(request);
+    } catch (error) {
+      throw isCurrent() || !isRefusedByDocument(error) ? error : staleError(request);
+    }
+  }
+
+  function admitMatched(
+    request: CallerRequest,
+    answer: CallerAnswer,
+    { route, organisation }: MatchedRequest,
+  ): AdmittedRequest {
     const limitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     return {
       request,
       answer,
       route,
       service: drawTarget(route.targets, random).service,
-      organisation: organisation ?? null,
+      organisation,
       callerAgeMs: callerAge.estimateMs({
         route: route.name,
         organisation: organisation?.name ?? '',
@@ -143,7 +182,7 @@
     async admit(request, answer) {
       if (!isReadyToRoute()) await waitForStartup(request);
       wasReady ||= isReadyToRoute();
-      return decide(request, answer);
+      return admitMatched(request, answer, await matchCurrent(request));
     },
   };
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -4,6 +4,7 @@
   createConfirmationWatch,
   createSiblingBackoffs,
   DEFAULT_CHANGE_BOUNDS,
+  deriveConfirmationTimings,
   findBackend,
 } from '@spoolplank/membership';
 import type { ChangeBounds, LoadFact } from '@spoolplank/membership';
@@ -109,6 +110,7 @@
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   const { clock, random, log, metrics, peers, run, host, dataCentre } = options;
   const { changeBounds = DEFAULT_CHANGE_BOUNDS } = options;
+  const { refusalLimitMs } = deriveConfirmationTimings(changeBounds);
   const openRequests = new Set<CallerRequest>();
   let onStreamEnd = (_row: StreamRow): void => {};
   let publishedLoad = (): LoadFact['inFlight'] => ({});
@@ -148,6 +150,7 @@
   const readiness = createReadiness({
     documents,
     revocationMs: options.revocationMs,
+    refusalLimitMs,
     canAccept: options.canAccept,
   });
 
@@ -304,6 +307,7 @@
     random,
     view,
     decisions: context.decisions,
+    renewConfirmation: () => facts.renewNow(refusalLimitMs),
     ...readiness,
   });
 
--- a/packages/entry/src/gossip/entryFacts.ts
+++ b/packages/entry/src/gossip/entryFacts.ts
@@ -6,10 +6,13 @@
 import {
   createDocumentCache,
   createFactTable,
+  DEFAULT_CHANGE_BOUNDS,
+  deriveConfirmationTimings,
   isRestart,
   retentionMsOf,
 } from '@spoolplank/membership';
 import type {
+  ChangeBounds,
   DocumentCache,
   FactTable,
   FactUpdate,
@@ -21,8 +24,10 @@
 import type { RoutingDocument } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import { createEntryFeed } from './entryFeed';
+import { createEntryRenewal } from './entryRenewal';
 import { createRoutingView } from './routingView';
 import type { RoutingView } from './routingView';
+import { createSourceRanking } from './sourceRanking';
 
 export interface EntryFactsOptions {
   readonly clock: Clock;
@@ -40,6 +45,8 @@
   /** The last stated load of this VM. */
   readonly publishedLoad: () => LoadFact['inFlight'];
   readonly onDocument: (document: RoutingDocument) => void;
+  /** How soon a change of the document is in force. */
+  readonly changeBounds?: ChangeBounds;
 }
 
 /** Lists the facts of one component to publish with each exchange. */
@@ -60,6 +67,8 @@
   onUrgentFact(listener: (body: SystemFact) => void): void;
   /** Sends the facts that this VM publishes at once, without waiting for the next exchange. */
   exchangeNow(): void;
+  /** Asks other control VMs for a confirmation; see `ConfirmationRenewal`. */
+  renewNow(limitMs: number): Promise<void>;
   start(): void;
   /** Removes facts that are no longer stated by any VM. */
   sweep(): void;
@@ -95,17 +104,34 @@
     announcementMs,
     ownPublishedLoad: publishedLoad,
   });
+  const { changeBounds = DEFAULT_CHANGE_BOUNDS } = options;
+  const timings = deriveConfirmationTimings(changeBounds);
+  const listSources = createSourceRanking({
+    ...options,
+    listControlMembers: () => view.listMembers('control'),
+  });
+  function onDocument({ version }: StoredDocument): void {
+    const routes = view.routes();
+    log.info('document-in-force', { version, routes: routes?.document.routes.length });
+    if (routes) options.onDocument(routes.document);
+  }
   const feed = createEntryFeed({
     ...options,
     table,
     documents,
+    timings,
+    listSources,
     outgoingFacts: () => sources.flatMap((list) => list()),
-    listControlMembers: () => view.listMembers('control'),
-    onDocument({ version }) {
-      const routes = view.routes();
-      log.info('document-in-force', { version, routes: routes?.document.routes.length });
-      if (routes) options.onDocument(routes.document);
-    },
+    onDocument,
+  });
+  const renewal = createEntryRenewal({
+    ...options,
+    documents,
+    bounds: changeBounds,
+    timings,
+    listSources,
+    currentSource: feed.source,
+    onDocument,
   });
   syncedAtMs = () => feed.syncedAtMs;
 
@@ -125,10 +151,15 @@
     exchangeNow() {
       void feed.push();
     },
+    renewNow: renewal.renewNow,
     start() {
       void feed.run();
+      renewal.start();
     },
     sweep: () => table.sweep(retentionMsOf),
-    stop: () => feed.stop(),
+    stop() {
+      feed.stop();
+      renewal.stop();
+    },
   };
 }
--- a/packages/entry/src/gossip/entryFeed.ts
+++ b/packages/entry/src/gossip/entryFeed.ts
@@ -5,42 +5,34 @@
 import type { StoredDocument } from '@spoolplank/control';
 import { createFeedClient } from '@spoolplank/membership';
 import type {
+  ConfirmationTimings,
   DocumentCache,
   FactTable,
   FactUpdate,
   FeedClient,
   FeedReply,
-  MemberFact,
   SystemFact,
 } from '@spoolplank/membership';
 import { delay } from '@spoolplank/node';
 import type { EventLog, PeerClient } from '@spoolplank/node';
 import type { Clock } from '@spoolplank/shared';
 import { createSourceChoice } from './sourceChoice';
-import { createSourceRanking } from './sourceRanking';
 
 export interface EntryFeedOptions {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly peers: PeerClient;
-  readonly host: string;
-  readonly dataCentre: string;
   readonly table: FactTable<SystemFact>;
   readonly documents: DocumentCache<StoredDocument>;
   /** The facts that this VM publishes with each exchange. */
   readonly outgoingFacts: () => readonly FactUpdate<SystemFact>[];
-  readonly listControlMembers: () => readonly MemberFact[];
-  /** Hosts of control VMs named in the settings. */
-  readonly seeds: () => readonly string[];
+  /** Lists the control VMs in order of preference. */
+  readonly listSources: () => readonly string[];
+  readonly timings: ConfirmationTimings;
   readonly controlPeerPort: number;
   readonly onDocument: (document: StoredDocument) => void;
 }
 
-/** Long-poll time of an exchange; it amounts to 1.25 exchanges per second and process. */
-const FEED_WAIT_MS = 800;
-/** Timeout of an exchange: the long-poll time plus 600 ms. */
-const FEED_TIMEOUT_MS = 1400;
-const FEED_OVERDUE_MS = 1050;
 /** Pause after a failed exchange. */
 const FEED_RETRY_MS = 100;
 /** Larger and infinite ages are logged as this value. */
@@ -52,8 +44,8 @@
 }
 
 export function createEntryFeed(options: EntryFeedOptions): EntryFeed {
-  const { clock, log, peers, table, documents } = options;
-  const sources = createSourceChoice({ clock, list: createSourceRanking(options) });
+  const { clock, log, peers, table, documents, timings } = options;
+  const sources = createSourceChoice({ clock, list: options.listSources });
 
   const client = createFeedClient<SystemFact, StoredDocument>({
     clock,
@@ -68,7 +60,7 @@
           target,
           'feed.exchange',
           request,
-          { timeoutMs: FEED_TIMEOUT_MS, overdueMs: FEED_OVERDUE_MS },
+          { timeoutMs: timings.exchangeTimeoutMs, overdueMs: timings.exchangeOverdueMs },
         );
         const { confirmedAgeMs } = reply;
         if (sources.recordAnswer(confirmedAgeMs)) {
@@ -81,7 +73,7 @@
       }
     },
     delay,
-    waitMs: FEED_WAIT_MS,
+    waitMs: timings.holdMs,
     retryMs: FEED_RETRY_MS,
     onDocument: options.onDocument,
     onState: (isConnected, problem) =>
--- a/packages/entry/src/readiness.ts
+++ b/packages/entry/src/readiness.ts
@@ -9,6 +9,8 @@
   };
   /** Maximum time for which a revoked key may still be served. */
   readonly revocationMs: number;
+  /** Age from which a confirmation no longer shows that a route or key does not exist. */
+  readonly refusalLimitMs: number;
   /** Whether the VM can accept new connections of callers; otherwise it is not ready. */
   readonly canAccept?: () => boolean;
 }
@@ -16,6 +18,8 @@
 export interface Readiness {
   /** Whether the last confirmation is recent enough to include revoked routes and keys. */
   isFresh(): boolean;
+  /** Whether the last confirmation is recent enough to include added routes and keys. */
+  isCurrent(): boolean;
   /** Whether there is a document with a recent confirmation. */
   isReadyToRoute(): boolean;
   /** Whether callers should be directed to this VM. */
@@ -32,15 +36,17 @@
 const FRESH_SHARE = 0.85;
 
 export function createReadiness(options: ReadinessOptions): Readiness {
-  const { documents, revocationMs, canAccept = () => true } = options;
+  const { documents, revocationMs, refusalLimitMs, canAccept = () => true } = options;
   let isLeaving = false;
 
   const isFresh = () => documents.confirmedAgeMs() < revocationMs * FRESH_SHARE;
+  const isCurrent = () => isFresh() && documents.confirmedAgeMs() < refusalLimitMs;
   const isReadyToRoute = () => documents.current !== null && isFresh();
   const isReady = () => !isLeaving && isReadyToRoute() && canAccept();
 
   return {
     isFresh,
+    isCurrent,
     isReadyToRoute,
     isReady,
     memberState() {
--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@spoolplank/shared';
+import { applyConfirmation, NO_DOCUMENT_VERSION } from './confirmation';
 import type { DocumentCache } from './documentCache';
 import type { FactTable, FactUpdate } from './factTable';
-import { NO_DOCUMENT_VERSION } from './feed';
 import type { FeedReply, FeedRequest } from './feed';
 
 interface Versioned {
@@ -80,10 +80,7 @@
   function applyReply(reply: FeedReply<Body, Document>, sentAtMs: number): void {
     const nowMs = clock.nowMs();
     syncedAtMs = nowMs;
-    if (reply.document && documents.offer(reply.document)) options.onDocument?.(reply.document);
-    if (reply.confirmedAgeMs !== null) {
-      documents.confirm(reply.documentVersion, sentAtMs + reply.waitedMs - reply.confirmedAgeMs);
-    }
+    applyConfirmation(documents, reply, sentAtMs + reply.waitedMs, options.onDocument);
     const { instance: sourceInstance, updates } = reply.delta;
     // A restart after a failed exchange needs no handling: during the failure this process no
     // longer listed the source in `exceptOrigins`, so the other sources sent the facts of the
--- a/packages/membership/src/feedServer.ts
+++ b/packages/membership/src/feedServer.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@spoolplank/shared';
 import type { DocumentCache } from './documentCache';
 import type { FactTable } from './factTable';
-import { NO_DOCUMENT_VERSION } from './feed';
+import { describeConfirmation, NO_DOCUMENT_VERSION } from './confirmation';
+import type { Confirmation, ConfirmationRequest } from './confirmation';
 import type { FeedReply, FeedRequest } from './feed';
 
 interface Versioned {
@@ -24,6 +25,8 @@
 
 export interface FeedServer<Body, Document> {
   answer(request: FeedRequest<Body>): Promise<FeedReply<Body, Document>>;
+  /** Answers at once whether the requester's document is the latest. */
+  confirm(request: ConfirmationRequest): Confirmation<Document>;
   /** Answers the held requests whose senders lack an urgent change or a new document. */
   wake(): void;
 }
@@ -97,17 +100,16 @@
       // between the two readings must make it older, so the wait is read first.
       const waitedMs = Math.floor(clock.steadyMs() - arrivedAtMs);
       options.refreshConfirmation();
-      const document = documents.current;
-      const documentVersion = document?.version ?? NO_DOCUMENT_VERSION;
-      const ageMs = documents.confirmedAgeMs();
       return {
+        ...describeConfirmation(documents, request),
         delta: table.deltaSince(request.instance, request.revision, request.exceptOrigins),
-        ...(document && documentVersion > request.documentVersion ? { document } : {}),
-        documentVersion,
-        confirmedAgeMs: Number.isFinite(ageMs) ? Math.ceil(ageMs) : null,
         waitedMs,
       };
     },
+    confirm(request) {
+      options.refreshConfirmation();
+      return describeConfirmation(documents, request);
+    },
     wake() {
       if (isFlushScheduled) return;
       const sinceMs = clock.nowMs() - lastFlushAtMs;
