fix(settings): send the backup pull on a connection of its own

An overdue pull of the settings has a backup to another control VM, which took a connection of the pool. If all of them are silent, so was the backup, and the lease of 3 s ran out.

Change: the backup asks for a new connection; ControlClient passes this on.

Measured: settingsLease.spec, with all pooled connections silent from the fourth pull on: fails without the change, passes with it; the other 6 tests of settings pass.

--- a/packages/entry/__tests__/settingsLease.spec.ts
+++ b/packages/entry/__tests__/settingsLease.spec.ts
@@ -14,7 +14,9 @@
 const LOGGER = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 
 /** Runs a mirror whose n-th pull is answered or not; returns for how long it was not confirmed. */
-async function measureStaleMs(isAnswered: (pull: number) => boolean): Promise<number> {
+async function measureStaleMs(
+  isAnswered: (pull: number, usesNewConnection: boolean) => boolean,
+): Promise<number> {
   mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 100_000 });
   const clock = { nowMs: () => Date.now(), steadyMs: () => Date.now(), wallMs: () => Date.now() };
   let pulls = 0;
@@ -22,7 +24,7 @@
     async call<Result>(_method: string, params: unknown, options: ControlCallOptions = {}) {
       const { waitMs } = params as SettingsPull;
       pulls += 1;
-      if (!isAnswered(pulls)) {
+      if (!isAnswered(pulls, options.usesNewConnection ?? false)) {
         await delay(options.tryTimeoutMs ?? 0);
         throw new Error('no answer');
       }
@@ -66,6 +68,13 @@
     assert.equal(await measureStaleMs((pull) => pull % 4 !== 0), always);
   });
 
+  it('does not run out when all pooled connections are silent', async () => {
+    const always = await measureStaleMs(() => true);
+    const isAnswered = (pull: number, usesNewConnection: boolean) =>
+      usesNewConnection || pull < 4 || pull > 20;
+    assert.equal(await measureStaleMs(isAnswered), always);
+  });
+
   it('does not run out when two pulls in a row get no answer', async () => {
     const always = await measureStaleMs(() => true);
     assert.equal(await measureStaleMs((pull) => pull !== 4 && pull !== 5), always);
--- a/packages/entry/src/sessions/controlClient.ts
+++ b/packages/entry/src/sessions/controlClient.ts
@@ -1,7 +1,7 @@
 /** Client with which every VM calls the current leader of the control group. */
 import { vmIdOfReplica } from '@spoolplank/consensus';
 import { delay } from '@spoolplank/node';
-import type { PeerMethod } from '@spoolplank/node';
+import type { PeerCallOptions, PeerMethod } from '@spoolplank/node';
 import type { VmAddress } from '@spoolplank/settings';
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
@@ -25,6 +25,8 @@
   readonly tryTimeoutMs?: number;
   /** Whether to begin with another VM than usual, as a call to that one is overdue. */
   readonly startsElsewhere?: boolean;
+  /** Opens a connection for each attempt, as those of the pool may have fallen silent. */
+  readonly usesNewConnection?: boolean;
 }
 
 const DEFAULT_WITHIN_MS = 4000;
@@ -66,12 +68,12 @@
     vm: VmAddress,
     method: string,
     params: unknown,
-    timeoutMs: number,
+    callOptions: PeerCallOptions,
   ): Promise<unknown> {
     const isLocal = vm.vmId === settings.vm.vmId;
     const local = isLocal ? localMethods[method] : undefined;
     if (local) return local(params as JsonValue, vm.vmId);
-    return peers.call(toPeerTarget(vm), method, params, { timeoutMs });
+    return peers.call(toPeerTarget(vm), method, params, callOptions);
   }
 
   function followLeaderHint(error: SpoolplankError): void {
@@ -82,13 +84,15 @@
   return {
     async call<Result>(method: string, params: unknown, options: ControlCallOptions = {}) {
       const { withinMs = DEFAULT_WITHIN_MS, tryTimeoutMs = timings.peerTimeoutMs } = options;
+      const { usesNewConnection = false } = options;
+      const callOptions = { timeoutMs: tryTimeoutMs, usesNewConnection };
       const untilMs = clock.nowMs() + withinMs;
       let pick = options.startsElsewhere ? pickOtherVm : pickVm;
       for (;;) {
         const vm = pick();
         pick = pickVm;
         try {
-          const result = (await callOnce(vm, method, params, tryTimeoutMs)) as Result;
+          const result = (await callOnce(vm, method, params, callOptions)) as Result;
           preferredVmId = vm.vmId;
           return result;
         } catch (thrown) {
--- a/packages/entry/src/sessions/settingsMirror.ts
+++ b/packages/entry/src/sessions/settingsMirror.ts
@@ -173,6 +173,7 @@
       withinMs: timings.peerTimeoutMs,
       tryTimeoutMs: overdueMs,
       startsElsewhere: true,
+      usesNewConnection: true,
     });
   }
 
