fix(entry): give up answers without end, and limit the memory for unfinished ones

Cause: bytes that are no answer may come without end, in a head or a body. Heads, garbage and chunk extensions ended at once, as the parser limits them. Calls between VMs, orders and reports were read to the end, whatever its size, and for ever once their head had come.

Conclusion: what a faulty server sends costs a VM a bounded time and memory.

--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -7,6 +7,7 @@
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
 import { createEndCheck } from '../src/dispatch/answerCompletion';
+import { createAnswerMemory } from '../src/dispatch/answerMemory';
 import type { BackendOperations } from '../src/dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from '../src/callerRequest';
 import type { ChosenChain, ChainChoice, ChainChoiceOptions } from '../src/dispatch/chainChoice';
@@ -137,6 +138,7 @@
       isFollowing: false,
     },
     notices,
+    answerMemory: createAnswerMemory({ maxBytes: Number.POSITIVE_INFINITY }),
     limits: createServerLimits({
       clock,
       random: createSeededRandom(1),
--- a/packages/entry/src/dispatch/eventSplitter.ts
+++ b/packages/entry/src/dispatch/eventSplitter.ts
@@ -7,6 +7,8 @@
 export interface EventSplitter {
   /** Where the bytes pushed so far end. */
   readonly position: EventPosition;
+  /** Number of buffered bytes of an event that is not complete yet. */
+  readonly partialBytes: number;
   /** Buffers bytes and returns all complete events; empty when none is complete. */
   push(bytes: Buffer): Buffer;
   /** Id of the last complete event returned; null before the first one that has an id. */
@@ -22,6 +24,8 @@
 const CARRIAGE_RETURN = 0x0d;
 /** A blank line after another line, with either of the line ends that servers use. */
 const EVENT_ENDS = ['\n\n', '\n\r\n'].map((text) => Buffer.from(text));
+/** One byte less than the longest end of an event: they may lie in an earlier chunk. */
+const MAX_TAIL_BYTES = 2;
 const ID_FIELD = Buffer.from('id:');
 const ID_LINE = Buffer.from('\nid:');
 
@@ -54,43 +58,62 @@
 }
 
 export function createEventSplitter(): EventSplitter {
-  let partial: Buffer = EMPTY_BUFFER;
+  /** The bytes of the event that is not complete yet, and room for more of them. */
+  let buffer: Buffer = EMPTY_BUFFER;
+  let partialBytes = 0;
   let lastEventId: string | null = null;
   let hasEvent = false;
+
+  /** Adds bytes; the room grows by doubling, so that a long event is not copied for each chunk. */
+  function append(bytes: Buffer): void {
+    const neededBytes = partialBytes + bytes.length;
+    if (buffer.length < neededBytes) {
+      const grown = Buffer.allocUnsafe(Math.max(neededBytes, 2 * buffer.length));
+      buffer.copy(grown, 0, 0, partialBytes);
+      buffer = grown;
+    }
+    bytes.copy(buffer, partialBytes);
+    partialBytes = neededBytes;
+  }
+
+  function takePartial(): Buffer {
+    const taken = buffer.subarray(0, partialBytes);
+    buffer = EMPTY_BUFFER;
+    partialBytes = 0;
+    return taken;
+  }
+
+  function recordComplete(events: Buffer): Buffer {
+    hasEvent = true;
+    lastEventId = findLastId(events) ?? lastEventId;
+    return events;
+  }
+
   return {
     get position() {
-      if (partial.length > 0) return 'inside-event';
+      if (partialBytes > 0) return 'inside-event';
       return hasEvent ? 'between-events' : 'no-event';
     },
     get lastEventId() {
       return lastEventId;
     },
     get hasPartialEvent() {
-      return partial.length > 0;
+      return partialBytes > 0;
+    },
+    get partialBytes() {
+      return partialBytes;
     },
     push(bytes) {
       // Mostly, a chunk is one event.
-      if (partial.length === 0 && endsEvent(bytes)) {
-        hasEvent = true;
-        lastEventId = findLastId(bytes) ?? lastEventId;
-        return bytes;
-      }
-      const buffered = partial.length ? Buffer.concat([partial, bytes]) : bytes;
-      const end = findLastEnd(buffered);
-      if (end === 0) {
-        partial = buffered;
-        return EMPTY_BUFFER;
-      }
-      hasEvent = true;
-      const complete = buffered.subarray(0, end);
-      partial = end < buffered.length ? buffered.subarray(end) : EMPTY_BUFFER;
-      lastEventId = findLastId(complete) ?? lastEventId;
-      return complete;
-    },
-    takePartialEvent() {
-      const last = partial;
-      partial = EMPTY_BUFFER;
-      return last;
+      if (partialBytes === 0 && endsEvent(bytes)) return recordComplete(bytes);
+      const checkedBytes = Math.max(0, partialBytes - MAX_TAIL_BYTES);
+      append(bytes);
+      const end = findLastEnd(buffer.subarray(checkedBytes, partialBytes));
+      if (end === 0) return EMPTY_BUFFER;
+      const events = takePartial();
+      append(events.subarray(checkedBytes + end));
+      return recordComplete(events.subarray(0, checkedBytes + end));
     },
+    takePartialEvent: takePartial,
   };
 }
--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -12,6 +12,7 @@
 import { logNotRetried } from './attemptLimit';
 import type { AttemptLimit } from './attemptLimit';
 import type { BackendResponse } from './backendOperations';
+import type { AnswerMemory } from './answerMemory';
 import { createEventSplitter } from './eventSplitter';
 import type { RawHeaders } from '../callerRequest';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
@@ -111,22 +112,29 @@
   return splitter.position;
 }
 
-async function readBody(response: BackendResponse, isEventStream: boolean): Promise<ReadBody> {
+async function readBody(
+  { body, framing }: BackendResponse,
+  isEventStream: boolean,
+  memory: AnswerMemory,
+): Promise<ReadBody> {
   const chunks: Buffer[] = [];
   let length = 0;
-  response.body.on('data', (chunk: Buffer) => {
+  const kept = memory.open((error) => body.destroy(error));
+  body.on('data', (chunk: Buffer) => {
     length += chunk.length;
     chunks.push(chunk);
-    if (length > MAX_ANSWER_BYTES) response.body.destroy(new Error('response body exceeds 16 MiB'));
+    kept.setBytes(length);
+    if (length > MAX_ANSWER_BYTES) body.destroy(new SpoolplankError('answer-too-large'));
   });
-  const error: unknown = await finished(response.body, { writable: false }).then(
+  const error: unknown = await finished(body, { writable: false }).then(
     () => null,
     (failure: unknown) => failure,
   );
+  kept.release();
   const bytes = Buffer.concat(chunks);
   const ending = error === null ? 'ended' : endingOfError(error);
   const position = isEventStream ? positionOf(bytes) : null;
-  return { bytes, end: { framing: response.framing, ending, position }, error };
+  return { bytes, end: { framing, ending, position }, error };
 }
 
 /** Whether the backend server completed the request and survived it. */
@@ -176,7 +184,7 @@
       return { kind: 'unknown', problem, brokenAfterMs: null, end: null };
     }
     const isEventStream = route.kind === 'stream' && status <= MAX_SUCCESS_STATUS;
-    const { bytes, end, error } = await readBody(response, isEventStream);
+    const { bytes, end, error } = await readBody(response, isEventStream, context.answerMemory);
     const truncation = await context.checkEnd(end, backend);
     if (truncation === null) return { kind: 'answered', status, headers, body: bytes, end };
     const detail = error instanceof Error ? error.message : truncation;
--- a/packages/entry/src/dispatch/streamRelay.ts
+++ b/packages/entry/src/dispatch/streamRelay.ts
@@ -4,6 +4,7 @@
 import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
 import type { AnswerEnd, AnswerEnding } from './answerEnd';
 import type { BackendResponse } from './backendOperations';
+import type { KeptAnswer } from './answerMemory';
 import { createEventSplitter } from './eventSplitter';
 import type { EntryContext, SlotDecision } from '../entryContext';
 import { contentOf } from '../quarantine/requestContent';
@@ -50,7 +51,7 @@
 }
 
 export interface StreamRelayOptions {
-  readonly context: Pick<EntryContext, 'clock' | 'quarantine'>;
+  readonly context: Pick<EntryContext, 'answerMemory' | 'clock' | 'quarantine'>;
   readonly streams: Pick<StreamTable, 'recordFirstEvent'>;
   /** Called when a part of a stream has arrived, after it was forwarded. */
   readonly onEvent?: () => void;
@@ -63,6 +64,9 @@
   link: RunLink | undefined,
 ) => Promise<void>;
 
+/** Largest event of a stream; events hold a few tokens each. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 export function createStreamRelay({ context, streams, onEvent }: StreamRelayOptions): StreamRelay {
   const { clock } = context;
 
@@ -85,7 +89,13 @@
     const { body, framing } = response;
     const isEventStream = response.status <= MAX_SUCCESS_STATUS;
     const isCancelled = () => link?.signal.aborted ?? false;
-    return new Promise((resolve, reject) => {
+    let kept: KeptAnswer | null = null;
+    return new Promise<void>((resolve, reject) => {
+      const giveUp = (error: SpoolplankError) => {
+        reject(error);
+        body.destroy();
+      };
+      kept = context.answerMemory.open(giveUp);
       link?.signal.addEventListener('abort', () => reject(new Error('superseded')));
       // The body of a run that was cancelled already emits no further event.
       if (isCancelled()) reject(new Error('superseded'));
@@ -141,10 +151,17 @@
         try {
           run();
         } catch (error) {
-          reject(toSpoolplankError(error));
-          body.destroy();
+          giveUp(toSpoolplankError(error));
         }
       }
+      /** Keeps the bytes of an event that is not complete yet, within its limit. */
+      function keepPartialEvent(): void {
+        const { partialBytes } = splitter;
+        kept?.setBytes(partialBytes);
+        if (partialBytes <= MAX_EVENT_BYTES) return;
+        const detail = `${partialBytes} bytes of an event.`;
+        giveUp(new SpoolplankError('answer-too-large', { detail }));
+      }
       body.on('data', (bytes: Buffer) => {
         if (isCancelled()) return;
         row.lastProgressAtMs = clock.nowMs();
@@ -156,6 +173,7 @@
         }
         const completeEvents = splitter.push(bytes);
         if (completeEvents.length > 0) guard(() => forwardNew(completeEvents));
+        keepPartialEvent();
         onEvent?.();
       });
       body.once('end', () => guard(endStream));
@@ -169,7 +187,7 @@
       body.once('close', () => fail(null));
       // A short body may have closed before its response was handed over.
       if (body.destroyed) fail(body.errored);
-    });
+    }).finally(() => kept?.release());
   }
 
   return relay;
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -10,6 +10,7 @@
 import type { Clock, Random } from '@spoolplank/shared';
 import type { AnswerEnd } from './dispatch/answerEnd';
 import type { EndCheck } from './dispatch/answerCompletion';
+import type { AnswerMemory } from './dispatch/answerMemory';
 import type { BackendOperations } from './dispatch/backendOperations';
 import type { CallerAnswer, CallerRequest } from './callerRequest';
 import type { CrashReporter } from './quarantine/crashReporter';
@@ -31,6 +32,8 @@
   readonly budgetOf: (service: string) => WindowBudget;
   /** Contents that must not run again, because they crashed backend servers. */
   readonly quarantine: Quarantine;
+  /** Limits the memory for answers that have not ended. */
+  readonly answerMemory: AnswerMemory;
   /** Checks whether an answer that has ended is complete. */
   readonly checkEnd: EndCheck;
   /** Records requests that are sent, and runs whose backend server may have crashed. */
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -34,6 +34,7 @@
 import { createSelfFacts } from './gossip/selfFacts';
 import { createServerLimits } from './limits/serverLimits';
 import { createEndCheck } from './dispatch/answerCompletion';
+import { createAnswerMemory } from './dispatch/answerMemory';
 import { createPlainDispatch } from './dispatch/plainDispatch';
 import { createPeriodicWork } from './periodicWork';
 import { createReadiness } from './readiness';
@@ -81,6 +82,8 @@
   readonly canAccept?: () => boolean;
   /** Switches and bounds of the decisions under load. */
   readonly decisions?: DecisionSettings;
+  /** Bytes of answers that this VM keeps until they have ended, of all requests together. */
+  readonly maxAnswerBytes: number;
 }
 
 export interface EntryNode {
@@ -226,6 +229,7 @@
     }),
     quarantine,
     crashes,
+    answerMemory: createAnswerMemory({ maxBytes: options.maxAnswerBytes }),
     checkEnd: createEndCheck({
       isServerLost: (address) => isServerLostNow(address),
       isLeaving({ instanceId, address }) {
@@ -386,6 +390,7 @@
         quarantine: quarantine.describe(),
         backoffs: notices.describe(),
         limits: limits.describe(),
+        answerBytes: context.answerMemory.bytes,
         paths: paths?.describe() ?? null,
         facts: table.list(),
       }) as unknown as JsonValue,
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -1,6 +1,6 @@
 /** HTTP client on keep-alive connections. */
 import { Agent, request as startRequest } from 'node:http';
-import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
 import { failOnReset } from './resetDetection';
@@ -22,8 +22,13 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string | readonly string[]>>;
   readonly body?: Buffer | string;
-  /** Maximum time until the response headers arrive. */
+  /**
+   * Maximum time until the response headers arrive; for calls that read the whole response, also
+   * the maximum time from then until the body has arrived.
+   */
   readonly timeoutMs?: number;
+  /** Largest body of a response that is read as a whole. */
+  readonly maxBodyBytes?: number;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
   /** Called when the connection is open: from then on, bytes of the request may have been sent. */
@@ -38,6 +43,10 @@
 
 const DEFAULT_TIMEOUT_MS = 10_000;
 const MAX_FREE_SOCKETS = 64;
+/** The largest replies are those between VMs, with all facts or a part of a snapshot. */
+const DEFAULT_MAX_BODY_BYTES = 33_554_432;
+/** Informational responses (1xx) before a response; servers send one or two. */
+const MAX_INFORMATIONAL = 16;
 
 /** Creates a pool of keep-alive connections. */
 export function createAgent(maxSockets = Number.POSITIVE_INFINITY): Agent {
@@ -51,6 +60,16 @@
 
 const SHARED_AGENT = createAgent();
 
+/** Aborts a request that is answered with informational responses without end. */
+export function limitInformational(request: ClientRequest): void {
+  let count = 0;
+  request.on('information', () => {
+    count += 1;
+    if (count <= MAX_INFORMATIONAL) return;
+    request.destroy(new Error(`more than ${MAX_INFORMATIONAL} informational responses`));
+  });
+}
+
 /**
  * Sends a request and resolves with the response once its headers have arrived.
  *
@@ -99,6 +118,7 @@
       else markConnected();
     });
     clientRequest.on('error', fail);
+    limitInformational(clientRequest);
     clientRequest.on('response', (response) => {
       clearTimeout(timer);
       failOnReset(clientRequest, response);
@@ -108,26 +128,49 @@
   });
 }
 
+/** Reads a body to its end, within limits of time and size. */
+async function readBody(
+  response: IncomingMessage,
+  timeoutMs: number,
+  maxBytes: number,
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  const timer = setTimeout(
+    () => response.destroy(new Error(`no end within ${timeoutMs} ms`)),
+    timeoutMs,
+  );
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      chunks.push(chunk);
+      length += chunk.length;
+      // Leaving the loop closes the connection.
+      if (length > maxBytes) throw new Error(`more than ${maxBytes} bytes`);
+    }
+  } finally {
+    clearTimeout(timer);
+  }
+  return Buffer.concat(chunks);
+}
+
 /**
  * Sends a request and resolves with the complete response.
  *
- * @throws SpoolplankError `unreachable`, also when the connection ends before the body is complete.
+ * @throws SpoolplankError `unreachable`, also when the connection ends before the body is complete,
+ * and when the body does not end within its limits.
  */
 export async function callHttp(options: HttpCallOptions): Promise<HttpResponse> {
+  const { timeoutMs = DEFAULT_TIMEOUT_MS, maxBodyBytes = DEFAULT_MAX_BODY_BYTES } = options;
   const response = await sendHttpRequest(options);
-  const chunks: Buffer[] = [];
   try {
-    for await (const chunk of response as AsyncIterable<Buffer>) chunks.push(chunk);
+    const body = await readBody(response, timeoutMs, maxBodyBytes);
+    if (!response.complete) throw new Error('its connection ended');
+    return { status: response.statusCode ?? 0, headers: response.headers, body };
   } catch (error) {
-    throw new SpoolplankError('unreachable', { detail: 'The answer broke off.', cause: error });
+    const problem = error instanceof Error ? error.message : String(error);
+    const detail = `The answer broke off: ${problem}.`;
+    throw new SpoolplankError('unreachable', { detail, cause: error });
   }
-  if (!response.complete)
-    throw new SpoolplankError('unreachable', { detail: 'The answer broke off.' });
-  return {
-    status: response.statusCode ?? 0,
-    headers: response.headers,
-    body: Buffer.concat(chunks),
-  };
 }
 
 /** A response with a JSON body; `json` is null when the body is empty. */
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -135,6 +135,11 @@
     outcome: 'unknown',
     message: 'The answer of the backend server is truncated.',
   },
+  'answer-too-large': {
+    httpStatus: 502,
+    outcome: 'unknown',
+    message: 'The answer of the backend server is larger than this VM keeps.',
+  },
   'not-leader': {
     httpStatus: 503,
     outcome: 'not-run',
