fix(peers): do not take a late reply for a silent connection

Calls for slots wait 120 ms. Where a busy VM replied later, all idle connections that had not been used since were closed, so that it had to accept new ones and was later still.

Change: a reply is overdue after 250 ms at the earliest. Calls with a shorter time-out close only their own connection, as before.

Conclusion: a VM that is only late keeps its connections.

--- a/packages/node/src/peerConnections.ts
+++ b/packages/node/src/peerConnections.ts
@@ -15,13 +15,18 @@
   readonly unpooled: Agent;
   /**
    * Watches a call that is about to be sent. Returns the function to call when it has ended; until
-   * then its reply is overdue after the given time.
+   * then its reply is overdue after the given time, but not before 250 ms.
    */
   watchCall(overdueMs: number): () => void;
   close(): void;
 }
 
 const MAX_FREE_SOCKETS = 64;
+/**
+ * A busy VM may reply later than a call with a short time-out waits. New connections to it would
+ * make it later still, so a shorter silence ends no trust.
+ */
+const MIN_OVERDUE_MS = 250;
 
 /** A pool that can close the idle connections that were last used before a certain time. */
 class PeerAgent extends Agent {
@@ -54,7 +59,10 @@
     unpooled,
     watchCall(overdueMs) {
       const sentAtMs = performance.now();
-      return scheduleTimer(() => pooled.closeUnusedSince(sentAtMs), overdueMs);
+      return scheduleTimer(
+        () => pooled.closeUnusedSince(sentAtMs),
+        Math.max(overdueMs, MIN_OVERDUE_MS),
+      );
     },
     close() {
       pooled.destroy();
