refactor(config): keep what concerns the confirmation of a role in one module

Cause: reading the change as a newcomer. The renewal, the watch and their log lines stood in controlNode, entryNode and entryFacts, partly twice.

Change: controlConfirmation and entryConfirmation hold the renewal, the watch and the lines of their role; the watch reports what its lines contain; the renewal takes its timings as they are derived. No behaviour changes.

Conclusion: one concept a file.

--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -9,7 +9,6 @@
 import { createDocumentState } from '@spoolplank/control';
 import {
   CONFIRM_METHOD,
-  createConfirmationWatch,
   createDocumentCache,
   createFactTable,
   createFeedServer,
@@ -45,8 +44,8 @@
 import type { Clock, JsonValue, Random } from '@spoolplank/shared';
 import { createBackendDirectory } from './backendDirectory';
 import type { BackendDirectory } from './backendDirectory';
+import { createControlConfirmation } from './controlConfirmation';
 import { createControlFeeds } from './controlFeeds';
-import { createControlRenewal } from './controlRenewal';
 import { createDocumentCalls } from './documentCalls';
 import { createEngineNotices } from './engineNotices';
 import { createEnginePaths } from './enginePaths';
@@ -57,7 +56,6 @@
 import type { RecoveryReport } from './group/groupRecovery';
 import type { GroupSummary } from './group/groupWatch';
 import { guardOrders } from './guardedOrders';
-import { createLeaderConfirmation } from './leaderConfirmation';
 import { createLoadSums } from './loadSums';
 import { createControlVms } from './controlVms';
 import { createStragglerWatch } from './stragglerWatch';
@@ -167,12 +165,6 @@
   let ticks = 0;
   let metrics: Metrics | null = null;
 
-  const refreshConfirmation = createLeaderConfirmation({
-    clock,
-    documents,
-    state,
-    canRead: () => group?.canRead() ?? false,
-  });
   let wakeFeed = () => {};
   const table: FactTable<SystemFact> = createFactTable<SystemFact>({
     clock,
@@ -180,13 +172,39 @@
     isUrgent: ({ kind }) => !ROUTINE_FACTS.has(kind),
     onUrgent: () => wakeFeed(),
   });
+  const controlVms = createControlVms({
+    clock,
+    table,
+    host,
+    dataCentre,
+    seeds: options.seeds,
+    replicas: () => group?.summary()?.voters ?? [],
+  });
+  const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
+
+  const confirmation = createControlConfirmation({
+    clock,
+    log,
+    peers,
+    host,
+    documents,
+    state,
+    bounds: changeBounds,
+    timings,
+    canRead: () => group?.canRead() ?? false,
+    leaderVm: () => group?.leaderVm(),
+    findTarget,
+    listOthers: controlVms.listOthers,
+    onDocument: () => wakeFeed(),
+  });
+
   const feed = createFeedServer<SystemFact, StoredDocument>({
     clock,
     table,
     documents,
     schedule: scheduleTimer,
     maxWaitMs: timings.holdMs,
-    refreshConfirmation,
+    refreshConfirmation: confirmation.refresh,
   });
 
   wakeFeed = () => feed.wake();
@@ -249,14 +267,6 @@
     countMove: (cause) => metrics?.count('spoolplank_layer_moves_total', { cause }),
   });
 
-  const controlVms = createControlVms({
-    clock,
-    table,
-    host,
-    dataCentre,
-    seeds: options.seeds,
-    replicas: () => group?.summary()?.voters ?? [],
-  });
   const stragglerWatch = createStragglerWatch({
     clock,
     log,
@@ -266,8 +276,6 @@
     isDesignated: controlVms.isDesignated,
   });
 
-  const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
-
   function describeSelf(): FactUpdate<SystemFact> {
     const body: MemberFact = {
       kind: 'member',
@@ -293,19 +301,6 @@
     outgoingFacts: () => [describeSelf()],
     onDocument: () => feed.wake(),
   });
-  const renewal = createControlRenewal({
-    clock,
-    log,
-    peers,
-    host,
-    documents,
-    bounds: changeBounds,
-    timings,
-    findTarget,
-    listOthers: controlVms.listOthers,
-    leaderVm: () => group?.leaderVm(),
-    onDocument: () => feed.wake(),
-  });
   const documentCalls = createDocumentCalls({
     clock,
     peers,
@@ -316,24 +311,6 @@
     listOthers: controlVms.listOthers,
   });
 
-  const confirmationWatch = createConfirmationWatch({
-    confirmedAgeMs: documents.confirmedAgeMs,
-    overdueMs: changeBounds.applyMs,
-    onOverdue(confirmedAgeMs) {
-      log.warn('confirmation-overdue', {
-        version: documents.current?.version,
-        confirmedAgeMs: Math.round(confirmedAgeMs),
-        leader: group?.leaderVm(),
-      });
-    },
-    onRenewed(highestAgeMs) {
-      log.info('confirmation-renewed', {
-        version: documents.current?.version,
-        highestAgeMs: Math.round(highestAgeMs),
-      });
-    },
-  });
-
   function publishSelf(): void {
     sequence += 1;
     const { key, body } = describeSelf();
@@ -355,8 +332,7 @@
       paths?.sweep();
     }
     if (ticks % LOAD_PUBLISH_TICKS === 0) publishLoads();
-    refreshConfirmation();
-    confirmationWatch.tick();
+    confirmation.tick();
     paths?.tick();
     placement.tick();
     stragglerWatch.tick();
@@ -416,14 +392,14 @@
       const problem = findChangeBoundProblem(changeBounds, deriveElectionLimitMs(electionTimings));
       if (problem !== null) log.warn('promise-not-kept', { problem });
       tick();
-      renewal.start();
+      confirmation.start();
       await group?.start();
     },
     async stop() {
       isStopped = true;
       publishSelf();
       feeds.stop();
-      renewal.stop();
+      confirmation.stop();
       await group?.stop();
     },
     announce: backends.announce,
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -1,7 +1,6 @@
 /** Wires the components of the role `entry` from injected dependencies. */
 import type { StoredDocument } from '@spoolplank/control';
 import {
-  createConfirmationWatch,
   createSiblingBackoffs,
   DEFAULT_CHANGE_BOUNDS,
   deriveConfirmationTimings,
@@ -157,27 +156,6 @@
     canAccept: options.canAccept,
   });
 
-  const describeConfirmation = () => ({
-    confirmationSource: facts.source(),
-    unansweredMs: Math.round(facts.unansweredMs),
-  });
-  const confirmationWatch = createConfirmationWatch({
-    confirmedAgeMs: documents.confirmedAgeMs,
-    overdueMs: changeBounds.applyMs,
-    onOverdue(confirmedAgeMs) {
-      const version = documents.current?.version;
-      log.warn('confirmation-overdue', {
-        version,
-        confirmedAgeMs: Math.round(confirmedAgeMs),
-        ...describeConfirmation(),
-      });
-    },
-    onRenewed(highestAgeMs) {
-      const version = documents.current?.version;
-      log.info('confirmation-renewed', { version, highestAgeMs: Math.round(highestAgeMs) });
-    },
-  });
-
   const selfFacts = createSelfFacts({
     table,
     run,
@@ -285,7 +263,7 @@
       const isSynced = Number.isFinite(facts.syncedAtMs);
       if (isSynced) firstSyncedAtMs = Math.min(firstSyncedAtMs, clock.steadyMs());
       syncHistory.tick();
-      confirmationWatch.tick();
+      facts.confirmation.tick();
       paths?.tick();
     },
     slots,
@@ -311,7 +289,7 @@
     random,
     view,
     decisions: context.decisions,
-    renewConfirmation: () => facts.renewNow(refusalLimitMs),
+    renewConfirmation: facts.confirmation.renewNow,
     ...readiness,
   });
 
@@ -329,7 +307,7 @@
     metrics,
     documentVersion: () => documents.current?.version ?? null,
     confirmedAgeMs: () => documents.confirmedAgeMs(),
-    describeConfirmation,
+    describeConfirmation: facts.confirmation.describe,
     factsAgeMs: context.factsAgeMs,
   });
 
--- a/packages/entry/src/gossip/entryFacts.ts
+++ b/packages/entry/src/gossip/entryFacts.ts
@@ -24,7 +24,8 @@
 import type { RoutingDocument } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import { createEntryFeed } from './entryFeed';
-import { createEntryRenewal } from './entryRenewal';
+import { createEntryConfirmation } from './entryConfirmation';
+import type { EntryConfirmation } from './entryConfirmation';
 import { createRoutingView } from './routingView';
 import type { RoutingView } from './routingView';
 import { createSourceRanking } from './sourceRanking';
@@ -58,17 +59,12 @@
   readonly view: RoutingView;
   /** Time of the last reply of a control VM, on this VM's clock; not finite before the first. */
   readonly syncedAtMs: number;
-  /** The control VM with which the next exchange is made. */
-  source(): string;
-  /** Time for which the exchange in flight has had no reply. */
-  readonly unansweredMs: number;
+  readonly confirmation: Pick<EntryConfirmation, 'describe' | 'renewNow' | 'tick'>;
   addSource(source: OutgoingFactSource): void;
   /** Adds a listener for facts that require action as soon as they are received. */
   onUrgentFact(listener: (body: SystemFact) => void): void;
   /** Sends the facts that this VM publishes at once, without waiting for the next exchange. */
   exchangeNow(): void;
-  /** Asks other control VMs for a confirmation; see `ConfirmationRenewal`. */
-  renewNow(limitMs: number): Promise<void>;
   start(): void;
   /** Removes facts that are no longer stated by any VM. */
   sweep(): void;
@@ -124,13 +120,13 @@
     outgoingFacts: () => sources.flatMap((list) => list()),
     onDocument,
   });
-  const renewal = createEntryRenewal({
+  const confirmation = createEntryConfirmation({
     ...options,
     documents,
     bounds: changeBounds,
     timings,
+    feed,
     listSources,
-    currentSource: feed.source,
     onDocument,
   });
   syncedAtMs = () => feed.syncedAtMs;
@@ -142,24 +138,20 @@
     get syncedAtMs() {
       return feed.syncedAtMs;
     },
-    source: feed.source,
-    get unansweredMs() {
-      return feed.unansweredMs;
-    },
     addSource: (source) => sources.push(source),
     onUrgentFact: (listener) => listeners.push(listener),
     exchangeNow() {
       void feed.push();
     },
-    renewNow: renewal.renewNow,
+    confirmation,
     start() {
       void feed.run();
-      renewal.start();
+      confirmation.start();
     },
     sweep: () => table.sweep(retentionMsOf),
     stop() {
       feed.stop();
-      renewal.stop();
+      confirmation.stop();
     },
   };
 }
--- a/packages/membership/__tests__/confirmationRenewal.spec.ts
+++ b/packages/membership/__tests__/confirmationRenewal.spec.ts
@@ -11,12 +11,8 @@
 }
 type Source = () => Promise<Confirmation<VersionedDocument>>;
 
-const TIMINGS = {
-  dueMs: 1000,
-  askIntervalMs: 200,
-  idleIntervalMs: 800,
-  outOfContactMs: 5000,
-};
+const DUE_MS = 1000;
+const TIMINGS = { askIntervalMs: 200, holdMs: 800, outOfContactMs: 5000 };
 const LIMIT_MS = 1800;
 const STEP_MS = 10;
 
@@ -41,7 +37,8 @@
       return () => {};
     },
     documents,
-    ...TIMINGS,
+    dueMs: DUE_MS,
+    timings: TIMINGS,
     listSources: () => Object.keys(sources),
     request(source) {
       asked.push(`${source}@${clock.nowMs() - 100_000}`);
--- a/packages/membership/src/changeBounds.ts
+++ b/packages/membership/src/changeBounds.ts
@@ -24,6 +24,8 @@
   /** Time after which the next source is asked, also if the last one may still reply. */
   readonly askIntervalMs: number;
   readonly askTimeoutMs: number;
+  /** Age of a confirmation from which this VM is out of contact, and asks less often. */
+  readonly outOfContactMs: number;
   /** Age from which a confirmation no longer shows that a route or key does not exist. */
   readonly refusalLimitMs: number;
 }
@@ -47,7 +49,10 @@
 /** Shortest interval at which sources can be asked on links between regions. */
 const MIN_ASK_INTERVAL_MS = 100;
 
-export function deriveConfirmationTimings({ applyMs }: ChangeBounds): ConfirmationTimings {
+export function deriveConfirmationTimings({
+  applyMs,
+  contactMs,
+}: ChangeBounds): ConfirmationTimings {
   const holdMs = Math.min(MAX_HOLD_MS, applyMs * HOLD_SHARE);
   const askIntervalMs = applyMs * ASK_SHARE;
   return {
@@ -58,6 +63,7 @@
     entryDueMs: 2 * holdMs + askIntervalMs / 2,
     askIntervalMs,
     askTimeoutMs: ASKS_IN_FLIGHT * askIntervalMs,
+    outOfContactMs: applyMs + contactMs,
     refusalLimitMs: applyMs * REFUSAL_SHARE,
   };
 }
--- a/packages/membership/src/confirmationRenewal.ts
+++ b/packages/membership/src/confirmationRenewal.ts
@@ -4,6 +4,7 @@
  * failed, so that a silent one costs an interval and no time-out.
  */
 import type { Clock } from '@spoolplank/shared';
+import type { ConfirmationTimings } from './changeBounds';
 import { applyConfirmation, NO_DOCUMENT_VERSION } from './confirmation';
 import type { Confirmation, ConfirmationRequest } from './confirmation';
 import type { DocumentCache } from './documentCache';
@@ -25,10 +26,7 @@
   readonly documents: DocumentCache<Document>;
   /** Age from which sources are asked. */
   readonly dueMs: number;
-  readonly askIntervalMs: number;
-  /** Interval at which sources are asked once none has confirmed for `outOfContactMs`. */
-  readonly idleIntervalMs: number;
-  readonly outOfContactMs: number;
+  readonly timings: Pick<ConfirmationTimings, 'askIntervalMs' | 'holdMs' | 'outOfContactMs'>;
   /** Lists the sources in the order in which they are asked. */
   readonly listSources: () => readonly string[];
   /** Sends a request on a connection of its own; rejects when there is no reply. */
@@ -57,7 +55,8 @@
   options: ConfirmationRenewalOptions<Document>,
 ): ConfirmationRenewal {
   const { clock, schedule, documents, listSources, request, onDocument, onAsked } = options;
-  const { dueMs, askIntervalMs, idleIntervalMs, outOfContactMs } = options;
+  const { dueMs } = options;
+  const { askIntervalMs, holdMs, outOfContactMs } = options.timings;
   const { confirmedAgeMs } = documents;
   /** When each source was last asked in vain, or without a reply yet. */
   const vainlyAskedAtMs = new Map<string, number>();
@@ -102,7 +101,8 @@
     if (ageMs < dueMs) return dueMs - ageMs;
     // Before the first confirmation, the exchanges look for a source themselves.
     if (Number.isFinite(ageMs)) void askNext();
-    return ageMs < outOfContactMs ? askIntervalMs : idleIntervalMs;
+    // Out of contact, sources are asked no more often than the exchanges are made.
+    return ageMs < outOfContactMs ? askIntervalMs : holdMs;
   }
 
   function check(): void {
--- a/packages/membership/src/confirmationWatch.ts
+++ b/packages/membership/src/confirmationWatch.ts
@@ -1,14 +1,23 @@
 /** Reports when the confirmation of the document becomes overdue, and when it is renewed. */
+import type { DocumentCache } from './documentCache';
+
+export interface OverdueConfirmation {
+  readonly version: number | undefined;
+  readonly confirmedAgeMs: number;
+}
+
+export interface RenewedConfirmation {
+  readonly version: number | undefined;
+  /** The highest age that was observed while the confirmation was overdue. */
+  readonly highestAgeMs: number;
+}
 
 export interface ConfirmationWatchOptions {
-  /** Age of the last confirmation that the document is the latest; infinite without one. */
-  readonly confirmedAgeMs: () => number;
+  readonly documents: DocumentCache<{ readonly version: number }>;
   /** Age from which a confirmation is overdue. */
   readonly overdueMs: number;
-  /** Called with the age of the confirmation when it becomes overdue. */
-  readonly onOverdue: (confirmedAgeMs: number) => void;
-  /** Called when it is renewed, with the highest age that was observed. */
-  readonly onRenewed: (highestAgeMs: number) => void;
+  readonly onOverdue: (report: OverdueConfirmation) => void;
+  readonly onRenewed: (report: RenewedConfirmation) => void;
 }
 
 export interface ConfirmationWatch {
@@ -17,27 +26,28 @@
 }
 
 export function createConfirmationWatch(options: ConfirmationWatchOptions): ConfirmationWatch {
-  const { confirmedAgeMs, overdueMs, onOverdue, onRenewed } = options;
+  const { documents, overdueMs, onOverdue, onRenewed } = options;
   /** Null before the first confirmation, whose absence at the start is not reported. */
   let isOverdue: boolean | null = null;
   let highestAgeMs = 0;
 
   return {
     tick() {
-      const ageMs = confirmedAgeMs();
+      const ageMs = documents.confirmedAgeMs();
       const isNowOverdue = ageMs >= overdueMs;
       if (isOverdue === null) {
         if (!isNowOverdue) isOverdue = false;
         return;
       }
-      highestAgeMs = isNowOverdue ? Math.max(highestAgeMs, ageMs) : highestAgeMs;
+      if (isNowOverdue) highestAgeMs = Math.max(highestAgeMs, ageMs);
       if (isNowOverdue === isOverdue) return;
       isOverdue = isNowOverdue;
+      const version = documents.current?.version;
       if (isOverdue) {
-        onOverdue(ageMs);
+        onOverdue({ version, confirmedAgeMs: Math.round(ageMs) });
         return;
       }
-      onRenewed(highestAgeMs);
+      onRenewed({ version, highestAgeMs: Math.round(highestAgeMs) });
       highestAgeMs = 0;
     },
   };
