--- a/packages/consensus/__tests__/finalFault.spec.ts
+++ b/packages/consensus/__tests__/finalFault.spec.ts
@@ -9,6 +9,8 @@
 const FINAL_FAULTS = ['disks-lost', 'disks-and-power-lost'] as const;
 const GROUPS: readonly Group[] = [
   { size: 3, dataCentres: 3, lossesBorne: 1, catchUpMs: 4000, lossesInRow: 1 },
+  { size: 3, dataCentres: 1, lossesBorne: 1, catchUpMs: 4000, lossesInRow: 1 },
+  { size: 5, dataCentres: 1, lossesBorne: 2, catchUpMs: 4000, lossesInRow: 1 },
   { size: 5, dataCentres: 5, lossesBorne: 2, catchUpMs: 4000, lossesInRow: 1 },
   { size: 6, dataCentres: 3, lossesBorne: 2, catchUpMs: 6000, lossesInRow: 2 },
   { size: 6, dataCentres: 1, lossesBorne: 2, catchUpMs: 6000, lossesInRow: 1 },
--- a/packages/controller/__tests__/groupWatch.spec.ts
+++ b/packages/controller/__tests__/groupWatch.spec.ts
@@ -91,8 +91,8 @@
     watch.observe(status, true);
     watch.observe(status, true);
     assert.deepEqual(
-      lines.map(({ event, fields }) => [event, fields.votersWanted]),
-      [['voters-missing', 3]],
+      lines.map(({ event, fields }) => [event, fields.votersWanted, fields.lossesTolerated]),
+      [['voters-missing', 3, 0]],
     );
   });
 });
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -55,6 +55,7 @@
 import { registerGroupMetrics } from './group/groupMetrics';
 import type { RecoveryReport } from './group/groupRecovery';
 import type { GroupSummary } from './group/groupWatch';
+import { createFeedSources } from './feedSources';
 import { guardOrders } from './guardedOrders';
 import { createLoadSums } from './loadSums';
 import { createControlVms } from './controlVms';
@@ -180,6 +181,10 @@
     seeds: options.seeds,
     replicas: () => group?.summary()?.voters ?? [],
   });
+  const selectFeedSources = createFeedSources({
+    host,
+    sourcesPerRelay: faultTolerance.lossesBorne + 1,
+  });
   const findTarget = (vmId: string): PeerTarget => ({ vmId, host: vmId, port: peerPort });
 
   const confirmation = createControlConfirmation({
@@ -326,7 +331,12 @@
     ticks += 1;
     if (ticks % SELF_PUBLISH_TICKS === 1) {
       publishSelf();
-      feeds.follow(controlVms.listOthers());
+      feeds.follow(
+        selectFeedSources({
+          members: controlVms.listLiveMembers(),
+          others: controlVms.listOthers(),
+        }),
+      );
       table.sweep(retentionMsOf);
       notices.sweep();
       paths?.sweep();
--- a/packages/controller/src/controlVms.ts
+++ b/packages/controller/src/controlVms.ts
@@ -17,6 +17,8 @@
 export interface ControlVms {
   /** Hosts of the other control VMs: live members, seeds in the settings, and voters. */
   listOthers(): readonly string[];
+  /** Live control VMs, including this one once it has published its member fact. */
+  listLiveMembers(): readonly MemberFact[];
   /** Data centre of a live control VM; undefined for others. */
   dataCentreOf(host: string): string | undefined;
   /** Whether this VM performs the tasks that only one control VM of its data centre performs. */
@@ -41,6 +43,7 @@
   }
 
   return {
+    listLiveMembers,
     listOthers() {
       const memberHosts = listLiveMembers().map((member) => member.host);
       const voters = replicas().map((replica) => replica.split('#')[0] ?? '');
--- a/packages/controller/src/group/groupMember.ts
+++ b/packages/controller/src/group/groupMember.ts
@@ -130,7 +130,7 @@
     electionLimitMs: deriveElectionLimitMs(timings),
     silentAfterMs,
     votersWanted: limits.votersWanted,
-    fewVotersLimitMs: limits.removeAfterMs,
+    fewVotersLimitMs: faultTolerance.catchUpMs,
     joinReplies: () => [...joinReplies].map(([vm, reply]) => `${vm}: ${reply}`),
   });
 
--- a/packages/controller/src/group/groupWatch.ts
+++ b/packages/controller/src/group/groupWatch.ts
@@ -41,7 +41,10 @@
   readonly silentAfterMs: number;
   /** Number of voters of which a majority remains after the VM losses that must be tolerated. */
   readonly votersWanted: number;
-  /** Time with fewer voters after which a leader logs a warning, in milliseconds. */
+  /**
+   * Time with fewer voters after which a leader logs a warning, in milliseconds. By then a VM that
+   * started with the system or replaces another one is a voter, and the next loss may follow.
+   */
   readonly fewVotersLimitMs: number;
   /**
    * Most recent reply of each VM that this replica has asked to let it join, as `VM: accepted` or
@@ -153,7 +156,7 @@
   }
 
   function recordVoters({ role, configuration }: ReplicaStatus): void {
-    const { voters, standbys = [] } = configuration;
+    const { voters, learners, standbys = [] } = configuration;
     const nowMs = clock.nowMs();
     if (role !== 'leader' || voters.length >= votersWanted) {
       if (fewVotersLoggedAtMs !== null && role === 'leader')
@@ -167,7 +170,15 @@
       return;
     fewVotersLoggedAtMs = nowMs;
     const remedy = `run the role control on ${votersWanted - voters.length} more VMs with a disk`;
-    log.warn('voters-missing', { voters, standbys, votersWanted, remedy });
+    log.warn('voters-missing', {
+      voters,
+      // The group adds voters by itself only as long as there are other members.
+      learners,
+      standbys,
+      votersWanted,
+      lossesTolerated: voters.length - majorityOf(voters),
+      remedy,
+    });
   }
 
   /** Logs for whom a replica waits that is not a member yet. */
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -13,7 +13,7 @@
 let missed = 0;
 
 const TEST_TIMEOUT_MS = 120_000;
-const COPIED = ['packages', 'platform', 'node_modules', 'package.json', 'tsconfig.json'];
+const COPIED = ['packages', 'platform', 'deploy', 'node_modules', 'package.json', 'tsconfig.json'];
 
 const copy = mkdtempSync(join(tmpdir(), 'spoolplank-mutations-'));
 COPIED.forEach((name) =>
