fix(platform): match the answer of a worker to its call, not only to its request

Nothing in an answer without the id of the request is believed (`isMatched`), which replaces `isMisdirected`.

No answer counts for a call that it does not belong to. Open: the product's own interface, whose servers echo no id.

--- a/packages/entry/__tests__/backoffFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -63,7 +63,7 @@
     status: isGood ? 200 : status,
     headers: [],
     isNotRun,
-    isMisdirected: false,
+    isMatched: true,
     problem: null,
     culpritAddress: null,
     load: null,
--- a/packages/entry/__tests__/crashDispatch.spec.ts
+++ b/packages/entry/__tests__/crashDispatch.spec.ts
@@ -26,7 +26,7 @@
 const EVENT = Buffer.from('id: 1\ndata: x\n\n');
 
 /** How far a backend server gets with a request before its connection breaks. */
-type BreakPoint = 'before-head' | 'after-head' | 'after-event';
+type BreakPoint = 'before-head' | 'after-head' | 'after-event' | 'after-other-answer';
 
 function createResponse(chunks: readonly Buffer[]): BackendResponse {
   const body = new PassThrough();
@@ -36,7 +36,7 @@
     status: 200,
     headers: [],
     isNotRun: false,
-    isMisdirected: false,
+    isMatched: true,
     problem: null,
     culpritAddress: null,
     load: null,
@@ -52,6 +52,12 @@
   'before-head': () => Promise.reject(new SpoolplankError('unreachable', { outcome: 'unknown' })),
   'after-head': () => Promise.resolve(createResponse([])),
   'after-event': () => Promise.resolve(createResponse([EVENT])),
+  'after-other-answer': () =>
+    Promise.resolve({
+      ...createResponse([]),
+      isMatched: false,
+      problem: 'the answer belongs to another request',
+    }),
 };
 
 interface Setting {
@@ -158,6 +164,13 @@
     }
   });
 
+  it('is not suspected after an answer to another request', async () => {
+    const setting = createSetting({ breakPoint: 'after-other-answer' });
+    await setting.run();
+    assert.deepEqual(setting.recordedRuns, []);
+    assert.ok(setting.sends() >= 1);
+  });
+
   it('is retried only once, so that one request of a caller crashes two engines at most', async () => {
     const setting = createSetting();
     assert.equal(await setting.run(), 'backend-server-failed');
--- a/packages/entry/__tests__/eventRelay.spec.ts
+++ b/packages/entry/__tests__/eventRelay.spec.ts
@@ -48,7 +48,14 @@
         const body = new PassThrough();
         chunks.forEach((chunk) => body.write(chunk));
         body.end();
-        const response = { status: 200, headers: [], isNotRun: false, problem: null, body };
+        const response = {
+          status: 200,
+          headers: [],
+          isMatched: true,
+          isNotRun: false,
+          problem: null,
+          body,
+        };
         return Promise.resolve(response as unknown as BackendResponse);
       },
     } as unknown as BackendOperations;
--- a/packages/entry/__tests__/resumePacing.spec.ts
+++ b/packages/entry/__tests__/resumePacing.spec.ts
@@ -91,7 +91,7 @@
         if (target.instanceId === 'lost') setImmediate(() => body.destroy(new Error('aborted')));
         else body.end();
         const response = { status: 200, headers: [], isNotRun: false, problem: null, body };
-        return Promise.resolve({ ...response, isMisdirected: false, limit: null });
+        return Promise.resolve({ ...response, isMatched: true, limit: null });
       },
     } as unknown as BackendOperations;
     const delaysMs: number[] = [];
--- a/packages/entry/__tests__/streamHandover.spec.ts
+++ b/packages/entry/__tests__/streamHandover.spec.ts
@@ -59,7 +59,7 @@
       signal.addEventListener('abort', () => body.destroy(new Error('aborted')));
       const isNotRun = rejecting.includes(engine);
       const status = isNotRun ? 503 : 200;
-      const rest = { headers: [], isMisdirected: false, problem: null, culpritAddress: null };
+      const rest = { headers: [], isMatched: true, problem: null, culpritAddress: null };
       const framing = 'connection';
       const head = { ...rest, status, isNotRun, backoffMs: null, limit: null, framing };
       return Promise.resolve({ ...head, body });
--- a/packages/entry/__tests__/truncatedRuns.spec.ts
+++ b/packages/entry/__tests__/truncatedRuns.spec.ts
@@ -76,7 +76,15 @@
         await once(body, 'close');
       }
       const framing = cut?.framing ?? 'connection';
-      const response = { status: 200, headers: [], isNotRun: false, problem: null, framing, body };
+      const response = {
+        status: 200,
+        headers: [],
+        isMatched: true,
+        isNotRun: false,
+        problem: null,
+        framing,
+        body,
+      };
       return response;
     },
     isReachable: () => Promise.resolve(true),
--- a/packages/entry/src/dispatch/backendOperations.ts
+++ b/packages/entry/src/dispatch/backendOperations.ts
@@ -42,10 +42,13 @@
   readonly status: number;
   /** Headers that are passed through to the caller unchanged. */
   readonly headers: RawHeaders;
+  /**
+   * Whether the response is known to answer this call. If not, it says nothing about the request or
+   * the target, and all other fields that do are false or null.
+   */
+  readonly isMatched: boolean;
   /** Whether the backend server guarantees that it has not run the request. */
   readonly isNotRun: boolean;
-  /** Whether the address now belongs to another backend server. */
-  readonly isMisdirected: boolean;
   /** Why the response must not be passed on to the caller; null when it may be. */
   readonly problem: string | null;
   /** Address of the engine that failed to run its stage; null when none is named. */
@@ -87,7 +90,8 @@
   /** Sets the listener for the notices that backend servers attach to any response. */
   onNotice(listener: NoticeListener): void;
   /**
-   * Sends a request and resolves with the head of the response.
+   * Sends a request and resolves with the head of the response. Calls with the same request never
+   * share a connection, as an answer tells only to which request it belongs, not to which call.
    *
    * @throws SpoolplankError `unreachable`; its outcome is `not-run` when nothing was sent.
    */
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -151,7 +151,7 @@
     link: RunLink | undefined,
   ): Promise<StreamResult> {
     const { status, isNotRun, problem } = response;
-    if (isNotRun || response.isMisdirected) {
+    if (isNotRun) {
       response.body.resume();
       const { culpritAddress: culprit, backoffMs } = response;
       return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit, backoffMs };
@@ -254,7 +254,7 @@
           row.isRelayed = isRelayed;
         },
       });
-      row.hasAnswered = true;
+      row.hasAnswered = response.isMatched;
       return await classifyResponse(row, response, progress, link);
     } catch (error) {
       return classifyError(row, error, link);
