--- a/packages/controller/src/group/groupMember.ts
+++ b/packages/controller/src/group/groupMember.ts
@@ -113,7 +113,13 @@
     findTarget,
     overdueMs: timings.heartbeatIntervalMs,
   });
-  const search = createGroupSearch({ ...options, replicaId, storage, generation });
+  const search = createGroupSearch({
+    ...options,
+    replicaId,
+    storage,
+    generation,
+    votersWanted: limits.votersWanted,
+  });
   let runner: GroupRunner | null = null;
   let isStopping = false;
 
--- a/packages/controller/src/group/groupSearch.ts
+++ b/packages/controller/src/group/groupSearch.ts
@@ -23,6 +23,8 @@
   readonly replicaId: ReplicaId;
   /** VMs that bootstrap the group when none of them has data; empty when the group must exist. */
   readonly bootstrapVmIds: readonly string[];
+  /** Number of voters that the losses in the settings require; for the log. */
+  readonly votersWanted: number;
   readonly storage: ReplicaStorage;
   readonly generation: GroupGeneration;
   /** The other control VMs that are currently known. */
@@ -48,6 +50,7 @@
 export function createGroupSearch(options: GroupSearchOptions): GroupSearch {
   const { clock, log, peers, vmId, replicaId, bootstrapVmIds, storage, generation, findTarget } =
     options;
+  const { votersWanted } = options;
   /** VMs of the voters that others reported; the list of known VMs may lack them. */
   const knownVoterVms = new Set<string>();
   const startedAtMs = clock.nowMs();
@@ -89,7 +92,8 @@
 
   async function foundGroup(configuration: Configuration): Promise<void> {
     await storage.installSnapshot({ ...FOUNDING_POSITION, configuration }, '');
-    log.info('group-founded', { voters: configuration.voters });
+    // The other VMs that start with the system join later, so fewer voters are no shortage yet.
+    log.info('group-founded', { voters: configuration.voters, votersWanted });
   }
 
   return {
