feat(entry): log and count what each retry budget gives out

Cause: no line tells how many retries an entry has spent in the window, out of which part and from how many entries it computed that; `not-retried` has only the reason.

Change: `retry-spent` and `retry-refused` with attempts, retries and allowed retries in the window, the number of entries and how long this one is in sync; `spoolplank_sends_total` counts all requests that are sent, by service and cause, in the last check before a send.

--- a/packages/entry/__tests__/backoffFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -123,7 +123,12 @@
     onBackoff: (directive) => passedOn.push(directive),
   });
   operations.onNotice(notices.applyNotice);
-  const guarded = guardOperations(operations, { clock, notices, limits: base.limits });
+  const guarded = guardOperations(operations, {
+    clock,
+    metrics: base.metrics,
+    notices,
+    limits: base.limits,
+  });
   const budget = createWindowBudget({
     clock,
     windowMs: 1000,
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -14,6 +14,7 @@
   const budgets = Array.from({ length: VMS }, () =>
     createRetryBudgets({
       clock,
+      log: { info: () => {} },
       limits: LIMITS,
       entries: () => (knowsOthers() ? VMS : 1),
       firstSyncedAtMs: () => startedAtMs,
--- a/packages/entry/__tests__/slotFinder.spec.ts
+++ b/packages/entry/__tests__/slotFinder.spec.ts
@@ -48,6 +48,7 @@
       ticket,
       excludedHeads: new Set<string>(),
       isQuarantined: () => false,
+      cause: 'first' as const,
     };
     try {
       const chain = await finder.findForNew(search);
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -2,6 +2,7 @@
  * This entry's share of the retry budgets of all services. A budget bounds the retries to a share
  * of the requests.
  */
+import type { EventLog } from '@spoolplank/node';
 import { createWindowBudget } from '@spoolplank/routing';
 import type { WindowBudget } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
@@ -16,6 +17,7 @@
 
 export interface RetryBudgetsOptions {
   readonly clock: Clock;
+  readonly log: Pick<EventLog, 'info'>;
   readonly limits: RetryLimits;
   /** Number of entries that share the allowance, including this one. */
   readonly entries: () => number;
@@ -52,7 +54,7 @@
 const STARTUP_ALLOWANCE = 2;
 
 export function createRetryBudgets(options: RetryBudgetsOptions): RetryBudgets {
-  const { clock, limits, entries, firstSyncedAtMs } = options;
+  const { clock, log, limits, entries, firstSyncedAtMs } = options;
   const budgets = new Map<string, WindowBudget>();
 
   function ownAllowance(): number {
@@ -70,7 +72,23 @@
       ratio: limits.ratio * RATIO_SHARE,
       allowance: ownAllowance,
     });
-    budgets.set(service, budget);
-    return budget;
+    const logged: WindowBudget = {
+      ...budget,
+      spend(reservedShare) {
+        const isSpent = budget.spend(reservedShare);
+        const { attempts, retries, allowed } = budget.describe();
+        log.info(isSpent ? 'retry-spent' : 'retry-refused', {
+          service,
+          attempts,
+          retries,
+          allowed: Math.round(allowed),
+          entries: entries(),
+          inSyncMs: Math.round(clock.steadyMs() - firstSyncedAtMs()),
+        });
+        return isSpent;
+      },
+    };
+    budgets.set(service, logged);
+    return logged;
   };
 }
--- a/packages/entry/src/dispatch/backendOperations.ts
+++ b/packages/entry/src/dispatch/backendOperations.ts
@@ -10,8 +10,17 @@
   readonly address: string;
 }
 
+/**
+ * Why a request is sent: for the first time, again after a failed attempt, to continue a stream
+ * that broke off, or beside a running stream whose first engine leaves.
+ */
+export type SendCause = 'first' | 'retry' | 'resumed' | 'handover';
+
 export interface BackendCall {
   readonly target: BackendTarget;
+  /** Service of the request. */
+  readonly service: string;
+  readonly cause: SendCause;
   readonly request: CallerRequest;
   /** Name of the caller's organisation; null when it has none. */
   readonly organisation: string | null;
--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -2,6 +2,7 @@
  * Wraps the backend operations with a last check before anything is sent: after a server was
  * chosen, it may have asked for a backoff, announced its departure, or named a rate limit.
  */
+import type { Metrics } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
 import type { BackendCall, BackendOperations, BackendTarget } from './backendOperations';
@@ -10,13 +11,14 @@
 
 export interface GuardOptions {
   readonly clock: Pick<Clock, 'steadyMs'>;
+  readonly metrics: Pick<Metrics, 'count'>;
   readonly notices: ServerNotices;
   readonly limits: Pick<ServerLimits, 'recordAnswer' | 'limitPerSOf' | 'takeOwnQuota'>;
 }
 
 export function guardOperations(
   operations: BackendOperations,
-  { clock, notices, limits }: GuardOptions,
+  { clock, metrics, notices, limits }: GuardOptions,
 ): BackendOperations {
   const { backoffs } = notices;
 
@@ -36,10 +38,11 @@
   return {
     onNotice: (listener) => operations.onNotice(listener),
     async open(call) {
-      const { target, hasPermit } = call;
+      const { target, hasPermit, service, cause } = call;
       const reason = findClosedReason(call);
       if (reason !== null) throw refuse(target, reason);
       backoffs.recordSent(target.instanceId);
+      metrics.count('spoolplank_sends_total', { service, cause });
       const sentAtMs = clock.steadyMs();
       const response = await operations.open(call);
       if (response.limit) limits.recordAnswer(target, response.limit, sentAtMs, hasPermit);
--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -11,7 +11,7 @@
 import type { AnswerEnd } from './answerEnd';
 import { logNotRetried } from './attemptLimit';
 import type { AttemptLimit } from './attemptLimit';
-import type { BackendResponse } from './backendOperations';
+import type { BackendResponse, SendCause } from './backendOperations';
 import type { AnswerMemory } from './answerMemory';
 import { createEventSplitter } from './eventSplitter';
 import type { RawHeaders } from '../callerRequest';
@@ -59,6 +59,14 @@
   readonly measureBrokenMs: () => number | null;
 }
 
+interface AttemptOptions {
+  readonly cause: SendCause;
+  /** Whether the route allows another run after this one. */
+  readonly canRetry: boolean;
+  /** Aborts the attempt. */
+  readonly abort: AbortController;
+}
+
 /** Result of an attempt for which the request was sent. */
 type SentAttempt = Exclude<AttemptResult, { readonly kind: 'held-back' }>;
 
@@ -193,10 +201,9 @@
   }
 
   async function attempt(
-    { request, organisation, deadlineAtMs, route }: AdmittedRequest,
+    { request, organisation, deadlineAtMs, route, service }: AdmittedRequest,
     { backend, permit }: ChosenServer,
-    canRetry: boolean,
-    abort: AbortController,
+    { cause, canRetry, abort }: AttemptOptions,
   ): Promise<AttemptResult> {
     const startedAtMs = clock.nowMs();
     const remainingMs = deadlineAtMs - startedAtMs;
@@ -213,6 +220,8 @@
     try {
       const response = await operations.open({
         target: backend,
+        service,
+        cause,
         request,
         organisation: organisation?.name ?? null,
         remainingMs,
@@ -340,9 +349,10 @@
         excluded.add(backend.instanceId);
         servedBy = [backend.instanceId];
         current = new AbortController();
-        const canRepeat = route.kind === 'safe' && runs + 1 < route.maxAttempts;
+        const canRetry = route.kind === 'safe' && runs + 1 < route.maxAttempts;
         crashes.recordSend(content, backend);
-        const result = await attempt(admitted, server, canRepeat, current);
+        const cause = runs + rejections === 0 ? 'first' : 'retry';
+        const result = await attempt(admitted, server, { cause, canRetry, abort: current });
         isAttemptGranted = result.kind === 'held-back';
         if (result.kind === 'held-back') {
           excluded.delete(backend.instanceId);
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -242,6 +242,8 @@
       context.crashes.recordSend(contentOf(search.admitted), target);
       const response = await operations.open({
         target,
+        service: search.admitted.service,
+        cause: search.cause,
         request,
         organisation: organisation?.name ?? null,
         remainingMs,
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -9,6 +9,7 @@
 import { MAX_SUCCESS_STATUS } from './answerEnd';
 import { logNotRetried } from './attemptLimit';
 import type { AttemptLimit } from './attemptLimit';
+import type { SendCause } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
 import type { SlotFinder, SlotSearch } from '../slots/slotFinder';
@@ -270,6 +271,11 @@
         return budget.spend(reservedShare()) ? null : 'retry-budget';
       }
 
+      function nextCause(): SendCause {
+        if (progress.hasBegun) return 'resumed';
+        return rejections > 0 || mayHaveRun ? 'retry' : 'first';
+      }
+
       function mayAttempt(): boolean {
         const limit = findAttemptLimit();
         if (limit !== null) logNotRetried(log, request.id, limit);
@@ -346,6 +352,7 @@
             ticket: `${search.ticket}/moved`,
             excludedHeads: new Set([...excluded, ...search.excludedHeads, chain.headId]),
             isQuarantined: isObsolete,
+            cause: 'handover',
           };
           const found = await findNext(next);
           const isUsable = found && !isObsolete() && isFit(found, row);
@@ -409,13 +416,14 @@
       budget.earn();
       while (mayAttempt()) {
         const waitStartMs = clock.nowMs();
-        const search = {
+        const search: SlotSearch = {
           admitted,
           model,
           // Identifies the slot of this attempt.
           ticket: `${request.id}/${attempts + heldBack}`,
           excludedHeads: excluded,
           isQuarantined: () => quarantine.has(content),
+          cause: nextCause(),
         };
         const chosen = mayHaveRun
           ? await slots.findForResumed(search, progress.lastEventAtMs ?? waitStartMs)
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -197,10 +197,11 @@
     metrics,
     dataCentre,
     view,
-    operations: guardOperations(options.operations, { clock, notices, limits }),
+    operations: guardOperations(options.operations, { clock, metrics, notices, limits }),
     loads: createBackendLoadTable(),
     budgetOf: createRetryBudgets({
       clock,
+      log,
       limits: options.retryLimits,
       entries: countEntries,
       firstSyncedAtMs: () => firstSyncedAtMs,
--- a/packages/entry/src/slots/slotFinder.ts
+++ b/packages/entry/src/slots/slotFinder.ts
@@ -14,6 +14,7 @@
   sizeOfRequest,
 } from '@spoolplank/routing';
 import type { BackoffTable, DecisionSettings, ModelDescription } from '@spoolplank/routing';
+import type { SendCause } from '../dispatch/backendOperations';
 import type { ChainChoice, ChosenChain } from '../dispatch/chainChoice';
 import type { AdmittedRequest } from '../entryContext';
 import { createBackoffWaits } from '../admission/backoffWaits';
@@ -50,6 +51,8 @@
    * Whether the request must not be run any more, because its content was quarantined meanwhile.
    */
   readonly isQuarantined: () => boolean;
+  /** Why the request is sent once a chain is found. */
+  readonly cause: SendCause;
 }
 
 export interface SlotFinder {
--- a/packages/routing/src/windowBudget.ts
+++ b/packages/routing/src/windowBudget.ts
@@ -23,6 +23,14 @@
   spend(reservedShare?: number): boolean;
   /** Whether `spend` would succeed now; takes nothing out of the budget. */
   hasLeft(reservedShare?: number): boolean;
+  /** What was earned and spent within the window, and the retries that this allows. */
+  describe(): BudgetUse;
+}
+
+export interface BudgetUse {
+  readonly attempts: number;
+  readonly retries: number;
+  readonly allowed: number;
 }
 
 export function createWindowBudget({
@@ -59,5 +67,11 @@
       return true;
     },
     hasLeft,
+    describe() {
+      dropExpired(attemptsAtMs);
+      dropExpired(retriesAtMs);
+      const attempts = attemptsAtMs.length;
+      return { attempts, retries: retriesAtMs.length, allowed: attempts * ratio + allowance() };
+    },
   };
 }
