--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -63,6 +63,8 @@
   readonly term: number;
   readonly leaderId: ReplicaId | null;
   readonly commitIndex: number;
+  /** Leader only: index of the first entry of its term. */
+  readonly termStartIndex: number;
   readonly lastIndex: number;
   readonly lastTerm: number;
   readonly savedIndex: number;
@@ -284,6 +286,7 @@
     term: state.term,
     leaderId: state.leaderId,
     commitIndex: state.commitIndex,
+    termStartIndex: state.termStartIndex,
     lastIndex: log.lastIndex,
     lastTerm: log.lastTerm,
     savedIndex: log.savedIndex,
--- a/packages/controller/__tests__/documentCalls.spec.ts
+++ b/packages/controller/__tests__/documentCalls.spec.ts
@@ -6,6 +6,7 @@
 import { SYSTEM_CLOCK } from '@spoolplank/node';
 import { SpoolplankError } from '@spoolplank/shared';
 import { createDocumentCalls } from '../src/documentCalls';
+import { createLeaderCalls } from '../src/leaderCalls';
 
 const DOCUMENT: StoredDocument = { version: 7, data: 'x' };
 
@@ -19,15 +20,15 @@
     },
     close() {},
   };
-  const calls = createDocumentCalls({
+  const leader = createLeaderCalls({
     clock: SYSTEM_CLOCK,
     peers,
     host: 'relay',
-    state: createDocumentState(),
     group: () => null,
     findTarget: (vmId) => ({ vmId, host: vmId, port: 1 }),
     listOthers: () => Object.keys(answers),
   });
+  const calls = createDocumentCalls({ state: createDocumentState(), group: () => null, leader });
   return { called, calls };
 }
 
--- /dev/null
+++ b/packages/controller/__tests__/retryLoans.spec.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { RETRY_LOAN_METHOD } from '@spoolplank/membership';
+import { createMetrics } from '@spoolplank/node';
+import type { PeerClient, PeerTarget } from '@spoolplank/node';
+import { RETRY_ARRIVAL_MS } from '@spoolplank/routing';
+import type { RetryLoan } from '@spoolplank/routing';
+import { createManualClock, SpoolplankError } from '@spoolplank/shared';
+import type { JsonValue, ManualClock } from '@spoolplank/shared';
+import { createLeaderCalls } from '../src/leaderCalls';
+import { createRetryLoans } from '../src/retryLoans';
+
+const LIMITS = { windowMs: 10_000, allowance: 100 };
+const LENT = 97;
+const LEADER_METHOD = 'retries.lend-as-leader';
+const COUNTED_MS = LIMITS.windowMs + RETRY_ARRIVAL_MS;
+
+/** Control VMs of one group, of which at most one leads. */
+function createGroup(hosts: readonly string[], clock: ManualClock = createManualClock(100_000)) {
+  const state = { leader: hosts[0] ?? '', term: 1, isFirstOfGroup: true };
+  const calls: string[] = [];
+  const vms = new Map<string, ReturnType<typeof createRetryLoans>>();
+  const peers: PeerClient = {
+    async call<Result>({ vmId }: PeerTarget, method: string, params: unknown): Promise<Result> {
+      calls.push(vmId);
+      const answer = vms.get(vmId)?.methods[method];
+      if (!answer) throw new SpoolplankError('unreachable');
+      return (await answer(params as JsonValue, vmId)) as Result;
+    },
+    close() {},
+  };
+  hosts.forEach((host) => {
+    const group = () => ({
+      canRead: () => state.leader === host,
+      leaderVm: () => state.leader,
+      leadership: () => ({ term: state.term, isFirstOfGroup: state.isFirstOfGroup }),
+    });
+    const leader = createLeaderCalls({
+      clock,
+      peers,
+      host,
+      group,
+      findTarget: (vmId) => ({ vmId, host: vmId, port: 1 }),
+      listOthers: () => hosts.filter((other) => other !== host),
+    });
+    const log = { info: () => {} };
+    const metrics = createMetrics();
+    vms.set(host, createRetryLoans({ clock, log, metrics, limits: LIMITS, group, leader }));
+  });
+
+  async function lend(
+    host: string,
+    wanted: number,
+    late = 0,
+    method = RETRY_LOAN_METHOD,
+  ): Promise<RetryLoan> {
+    const request = { service: 'app', wanted, reserved: 0, late };
+    return (await vms.get(host)?.methods[method]?.(request, 'entry')) as unknown as RetryLoan;
+  }
+  return { clock, state, calls, lend, tickAll: () => vms.forEach((vm) => vm.tick()) };
+}
+
+describe('the retries that control VMs lend', () => {
+  it('come from the account of the leader, whichever control VM is asked', async () => {
+    const { lend } = createGroup(['a', 'b', 'c']);
+    assert.equal((await lend('a', 40)).granted, 40);
+    assert.equal((await lend('b', 40)).granted, 40);
+    assert.equal((await lend('c', 40)).granted, LENT - 80);
+  });
+
+  it('are not lent by a new leader until those of the one before have expired', async () => {
+    const { clock, state, lend, tickAll } = createGroup(['a', 'b']);
+    assert.equal((await lend('a', LENT)).granted, LENT);
+    Object.assign(state, { leader: 'b', term: 2, isFirstOfGroup: false });
+    tickAll();
+    assert.deepEqual(await lend('a', 1), { granted: 0, retryInMs: COUNTED_MS });
+    clock.advance(COUNTED_MS);
+    assert.equal((await lend('a', 200)).granted, LENT);
+  });
+
+  it('are not lent by a leader that another one has led in between', async () => {
+    const { clock, state, lend } = createGroup(['a', 'b']);
+    assert.equal((await lend('a', 1)).granted, 1);
+    Object.assign(state, { leader: 'b', term: 2, isFirstOfGroup: false });
+    clock.advance(COUNTED_MS);
+    await lend('b', 1);
+    Object.assign(state, { leader: 'a', term: 3 });
+    assert.equal((await lend('a', 1)).granted, 0);
+  });
+
+  it('are lent at once again by a leader whose lease was interrupted within its term', async () => {
+    const { state, lend } = createGroup(['a', 'b']);
+    await lend('a', 1);
+    state.leader = '';
+    await assert.rejects(lend('a', 1, 0, LEADER_METHOD), { code: 'not-leader' });
+    state.leader = 'a';
+    assert.equal((await lend('a', 200)).granted, LENT - 1);
+  });
+
+  it('are refused without a call to the leader until it has some again', async () => {
+    const { clock, calls, lend } = createGroup(['a', 'b']);
+    await lend('b', LENT);
+    assert.equal((await lend('b', 1)).granted, 0);
+    clock.advance(1000);
+    const called = calls.length;
+    assert.deepEqual(await lend('b', 1), { granted: 0, retryInMs: COUNTED_MS - 1000 });
+    assert.equal(calls.length, called);
+    clock.advance(COUNTED_MS);
+    assert.equal((await lend('b', 1)).granted, 1);
+  });
+
+  it('count those that arrived late, also while none are lent', async () => {
+    const { clock, lend } = createGroup(['a', 'b']);
+    assert.equal((await lend('b', 200)).granted, LENT);
+    clock.advance(LIMITS.windowMs);
+    await lend('b', 0, 5);
+    clock.advance(COUNTED_MS - LIMITS.windowMs + 1);
+    assert.equal((await lend('a', 200)).granted, LENT - 5);
+  });
+});
--- a/packages/controller/src/controlNode.ts
+++ b/packages/controller/src/controlNode.ts
@@ -55,6 +55,9 @@
 import { registerGroupMetrics } from './group/groupMetrics';
 import type { RecoveryReport } from './group/groupRecovery';
 import type { GroupSummary } from './group/groupWatch';
+import { createLeaderCalls } from './leaderCalls';
+import { createRetryLoans, DEFAULT_RETRY_LOAN_LIMITS } from './retryLoans';
+import type { RetryLoanLimits } from './retryLoans';
 import { createFeedSources } from './feedSources';
 import { guardOrders } from './guardedOrders';
 import { createLoadSums } from './loadSums';
@@ -90,6 +93,8 @@
   /** Decodes a stored document, which was validated before it was stored. */
   readonly readDocument: (document: StoredDocument) => RoutingDocument;
   readonly announcementMs: number;
+  /** Window of the retry budget, and the retries lent within it; none by default. */
+  readonly retryLoanLimits?: RetryLoanLimits;
   /** Switches of the decisions under load. */
   readonly decisions?: DecisionSettings;
   readonly onFatal: (error: SpoolplankError) => void;
@@ -306,15 +311,23 @@
     outgoingFacts: () => [describeSelf()],
     onDocument: () => feed.wake(),
   });
-  const documentCalls = createDocumentCalls({
+  const leader = createLeaderCalls({
     clock,
     peers,
     host,
-    state,
     group: () => group,
     findTarget,
     listOthers: controlVms.listOthers,
   });
+  const documentCalls = createDocumentCalls({ state, group: () => group, leader });
+  const retryLoans = createRetryLoans({
+    clock,
+    log,
+    metrics: pathMetrics,
+    limits: options.retryLoanLimits ?? DEFAULT_RETRY_LOAN_LIMITS,
+    group: () => group,
+    leader,
+  });
 
   function publishSelf(): void {
     sequence += 1;
@@ -345,6 +358,7 @@
     confirmation.tick();
     paths?.tick();
     placement.tick();
+    retryLoans.tick();
     stragglerWatch.tick();
     scheduleTimer(tick, TICK_MS);
   }
@@ -358,6 +372,7 @@
     [CONFIRM_METHOD]: (params) =>
       feed.confirm(params as unknown as ConfirmationRequest) as unknown as JsonValue,
     ...documentCalls.methods,
+    ...retryLoans.methods,
     ...siblingBackoffs.methods,
     'group.describe': () => NO_REPLICA as unknown as JsonValue,
   };
@@ -431,6 +446,7 @@
         confirmedAgeMs: documents.confirmedAgeMs(),
         backoffs: notices.describe(),
         paths: paths?.describe() ?? null,
+        retriesLent: retryLoans.describe(),
         facts: table.list(),
       }) as unknown as JsonValue,
   };
--- a/packages/entry/__tests__/backoffFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -2,7 +2,6 @@
 import assert from 'node:assert/strict';
 import { PassThrough } from 'node:stream';
 import type { NoticeListener, BackoffDirective, ServerNotice } from '@spoolplank/membership';
-import { createWindowBudget } from '@spoolplank/routing';
 import type { RouteKind } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendOperations, BackendResponse } from '../src/dispatch/backendOperations';
@@ -24,6 +23,7 @@
   createNoPermits,
   createRoute,
   createTables,
+  createTestBudgets,
   MODEL,
 } from './fixtures';
 
@@ -123,19 +123,15 @@
     onBackoff: (directive) => passedOn.push(directive),
   });
   operations.onNotice(notices.applyNotice);
+  const budgetOf = createTestBudgets(clock, retryAllowance);
   const guarded = guardOperations(operations, {
     clock,
     metrics: base.metrics,
     notices,
+    budgetOf,
     limits: base.limits,
   });
-  const budget = createWindowBudget({
-    clock,
-    windowMs: 1000,
-    ratio: 0,
-    allowance: () => retryAllowance,
-  });
-  const context = { ...base, log, notices, operations: guarded, budgetOf: () => budget };
+  const context = { ...base, log, notices, operations: guarded, budgetOf };
   const answers: number[] = [];
   const answer = createAnswer(answers);
   const route = createRoute(kind, { timeoutMs: 20_000 });
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -2,10 +2,13 @@
 import { createEventLog, createMetrics } from '@spoolplank/node';
 import { createDocumentCache, createFactTable, FACT_KEYS } from '@spoolplank/membership';
 import type { BackendFact, FactTable, SystemFact } from '@spoolplank/membership';
-import { createBackendLoadTable, createWindowBudget, DEFAULT_DECISIONS } from '@spoolplank/routing';
+import { createBackendLoadTable, createRetryAccount, DEFAULT_DECISIONS } from '@spoolplank/routing';
 import type { ModelDescription, Route, RouteKind, RoutingDocument } from '@spoolplank/routing';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
+import { createRetryBudgets } from '../src/admission/retryBudgets';
+import type { RetryBudgets } from '../src/admission/retryBudgets';
+import { createRetryLoans } from '../src/admission/retryLoans';
 import { createEndCheck } from '../src/dispatch/answerCompletion';
 import { createAnswerMemory } from '../src/dispatch/answerMemory';
 import type { BackendOperations } from '../src/dispatch/backendOperations';
@@ -18,6 +21,7 @@
 import { createFactPublisher } from '../src/gossip/factPublisher';
 import { createQuarantine } from '../src/quarantine/quarantine';
 import { createRoutingView } from '../src/gossip/routingView';
+import { guardOperations } from '../src/dispatch/guardedOperations';
 import { createServerNotices } from '../src/dispatch/serverNotices';
 import type { RoutingView } from '../src/gossip/routingView';
 
@@ -91,12 +95,35 @@
   };
 }
 
-/** Creates the context of an entry's components, with a budget of ten retries. */
+/** Creates retry budgets whose retries are all lent, by an account of this process. */
+export function createTestBudgets(clock: ManualClock, allowance: number): RetryBudgets {
+  const limits = { windowMs: 1000, ratio: 0, allowance };
+  const account = createRetryAccount({ clock, ...limits });
+  const log = { info: () => {} };
+  const loans = createRetryLoans({
+    clock,
+    log,
+    metrics: createMetrics(),
+    ask: (request) => Promise.resolve(account.lend(request)),
+  });
+  return createRetryBudgets({
+    clock,
+    log,
+    limits,
+    loans,
+    runningStreams: () => 0,
+  });
+}
+
+/** Creates the context of an entry's components, with a retry budget for all services. */
 export function createContext(
   clock: ManualClock,
   view: RoutingView,
   operations: BackendOperations,
+  retries = 10,
 ): EntryContext {
+  const metrics = createMetrics();
+  const budgetOf = createTestBudgets(clock, retries);
   const log = createEventLog({ vmId: 'vm', clock, writeChunk: () => {} });
   const table = createFactTable<SystemFact>({ clock, instance: 'run', isUrgent: () => false });
   const quarantine = createQuarantine({
@@ -115,16 +142,23 @@
     findByAddress: view.findByAddress,
     exchangeNow: () => {},
   });
+  const limits = createServerLimits({
+    clock,
+    random: createSeededRandom(1),
+    log,
+    metrics,
+    countEntries: () => 1,
+  });
   return {
     clock,
     random: createSeededRandom(1),
     log,
-    metrics: createMetrics(),
+    metrics,
     dataCentre: 'a',
     view,
-    operations,
+    operations: guardOperations(operations, { clock, metrics, notices, budgetOf, limits }),
     loads: createBackendLoadTable(),
-    budgetOf: () => createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 }),
+    budgetOf,
     quarantine,
     checkEnd: createEndCheck({
       isServerLost: () => Promise.resolve(false),
@@ -139,13 +173,7 @@
     },
     notices,
     answerMemory: createAnswerMemory({ maxBytes: Number.POSITIVE_INFINITY }),
-    limits: createServerLimits({
-      clock,
-      random: createSeededRandom(1),
-      log,
-      metrics: createMetrics(),
-      countEntries: () => 1,
-    }),
+    limits,
     decisions: DEFAULT_DECISIONS,
     factsAgeMs: () => 0,
   };
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -1,62 +1,182 @@
 import assert from 'node:assert/strict';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { describe, it } from 'node:test';
-import { createManualClock } from '@spoolplank/shared';
-import { createRetryBudgets, MEMBERS_KNOWN_MS } from '../src/admission/retryBudgets';
+import { createMetrics } from '@spoolplank/node';
+import { createRetryAccount, LOAN_VALIDITY_MS, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
+import type { RetryLoanRequest } from '@spoolplank/routing';
+import { createManualClock, SpoolplankError } from '@spoolplank/shared';
+import { createRetryBudgets } from '../src/admission/retryBudgets';
+import type { RetryBudget, RetryUrgency } from '../src/admission/retryBudgets';
+import { createRetryLoans } from '../src/admission/retryLoans';
 
 const LIMITS = { windowMs: 10_000, ratio: 0.2, allowance: 200 };
 const VMS = 78;
 
-/** Creates entries that start at the same time and learn of each other a second later. */
-function createEntries() {
+interface SettingOptions {
+  readonly allowance?: number;
+  readonly running?: number;
+}
+
+/** Creates the account of a deployment, and entries that borrow from it. */
+function createSetting({ allowance = LIMITS.allowance, running = 0 }: SettingOptions = {}) {
   const clock = createManualClock(100_000);
-  const startedAtMs = clock.nowMs();
-  const knowsOthers = () => clock.nowMs() - startedAtMs >= 1000;
-  const budgets = Array.from({ length: VMS }, () =>
-    createRetryBudgets({
-      clock,
-      log: { info: () => {} },
-      limits: LIMITS,
-      entries: () => (knowsOthers() ? VMS : 1),
-      firstSyncedAtMs: () => startedAtMs,
-    }),
-  );
-  return {
-    clock,
-    /** Total number of retries that the entries allow now, if each requests `each` of them. */
-    spendAll: (each: number) =>
-      budgets.reduce((sum, budgetOf) => {
-        const budget = budgetOf('engines');
-        const spent = Array.from({ length: each }, () => budget.spend()).filter(Boolean);
-        return sum + spent.length;
-      }, 0),
-    earnAll: (each: number) =>
-      budgets.forEach((budgetOf) => {
-        for (let count = 0; count < each; count += 1) budgetOf('engines').earn();
-      }),
-  };
+  const account = createRetryAccount({ clock, windowMs: LIMITS.windowMs, allowance });
+  const log = { info: () => {} };
+  const requests: RetryLoanRequest[] = [];
+  const state = { isReachable: true, replyMs: 0 };
+
+  async function ask(request: RetryLoanRequest) {
+    requests.push(request);
+    if (!state.isReachable) throw new SpoolplankError('unreachable');
+    const loan = account.lend(request);
+    clock.advance(state.replyMs);
+    return loan;
+  }
+
+  /** Creates the budget of an entry that has just started. */
+  function createEntry() {
+    const loans = createRetryLoans({ clock, log, metrics: createMetrics(), ask });
+    const limits = { ...LIMITS, allowance };
+    const runningStreams = () => running;
+    const budget = createRetryBudgets({ clock, log, limits, loans, runningStreams })('engines');
+    return Object.assign(budget, { tick: loans.tick });
+  }
+  return { clock, account, requests, state, createEntry };
+}
+
+/** Number of retries that a budget allows of `count`; each arrives at once. */
+async function takeAll(budget: RetryBudget, count: number, urgency: RetryUrgency = 'usual') {
+  const permits = await Promise.all(Array.from({ length: count }, () => budget.take(urgency)));
+  permits.forEach((permit) => permit?.settle());
+  return permits.filter((permit) => permit !== null).length;
+}
+
+async function takeFromEach(budgets: readonly RetryBudget[], each: number): Promise<number> {
+  const taken = await Promise.all(budgets.map((budget) => takeAll(budget, each)));
+  return taken.reduce((sum, count) => sum + count, 0);
+}
+
+function earn(budget: RetryBudget, count: number): void {
+  for (let index = 0; index < count; index += 1) budget.earn();
 }
 
 describe('the retry budget that all entries share', () => {
-  it('is not exceeded by entries that started together and do not know each other yet', () => {
-    const { clock, spendAll } = createEntries();
-    const atOnce = spendAll(20);
+  it('is not exceeded by entries that started together and do not know each other yet', async () => {
+    const { clock, createEntry } = createSetting();
+    const budgets = Array.from({ length: VMS }, createEntry);
+    const atOnce = await takeFromEach(budgets, 20);
     clock.advance(1500);
-    const later = spendAll(20);
-    clock.advance(MEMBERS_KNOWN_MS);
+    const later = await takeFromEach(budgets, 20);
+    clock.advance(2600);
     assert.ok(atOnce > 0, 'a first request that meets a lost server is sent on');
-    assert.ok(atOnce + later + spendAll(20) <= LIMITS.allowance, `${atOnce} retries at once`);
+    assert.ok(atOnce + later + (await takeFromEach(budgets, 20)) <= LIMITS.allowance);
+  });
+
+  it('is used up by whichever entries need it', async () => {
+    const { createEntry } = createSetting();
+    const budgets = Array.from({ length: VMS }, createEntry);
+    assert.equal(await takeAll(budgets[0] as RetryBudget, 150), 150);
+    assert.equal(await takeFromEach(budgets.slice(1), 20), LIMITS.allowance - 150);
+  });
+
+  it('is not renewed by entries that restart', async () => {
+    const { clock, createEntry } = createSetting();
+    let taken = 0;
+    for (let second = 0; second < 10; second += 1) {
+      const budgets = Array.from({ length: VMS }, createEntry);
+      taken += await takeFromEach(budgets, 2);
+      clock.advance(1000);
+    }
+    assert.equal(taken, LIMITS.allowance);
+  });
+
+  it('lets an entry that has just started use the retries that its own requests earn', async () => {
+    const { state, createEntry } = createSetting();
+    state.isReachable = false;
+    const budgets = Array.from({ length: VMS }, createEntry);
+    budgets.forEach((budget) => earn(budget, 60));
+    assert.equal(await takeFromEach(budgets, 20), VMS);
+  });
+
+  it('gets an own retry back that was not sent', async () => {
+    const { createEntry } = createSetting({ allowance: 0 });
+    const budget = createEntry();
+    earn(budget, 60);
+    (await budget.take('usual'))?.cancel();
+    assert.ok(await budget.take('usual'));
+    assert.equal(await budget.take('usual'), null);
+  });
+
+  it('asks the account once for all requests that wait together', async () => {
+    const { requests, createEntry } = createSetting({ allowance: 8 });
+    const budget = createEntry();
+    assert.equal(await takeAll(budget, 20), 8);
+    assert.deepEqual(
+      requests.map(({ wanted }) => wanted),
+      [1, 19],
+    );
+  });
+
+  it('refuses at once after a refusal until the account has a retry again', async () => {
+    const { clock, requests, createEntry } = createSetting({ allowance: 1 });
+    const budget = createEntry();
+    assert.equal(budget.isExhausted('usual'), false);
+    assert.equal(await takeAll(budget, 2), 1);
+    assert.equal(budget.isExhausted('usual'), true);
+    const asked = requests.length;
+    assert.equal(await budget.take('usual'), null);
+    assert.equal(requests.length, asked);
+    clock.advance(budget.refusedForMs('usual') + 1);
+    assert.equal(budget.isExhausted('usual'), false);
+    assert.equal(await takeAll(budget, 1), 1);
+  });
+
+  it('asks again soon when no account answered', async () => {
+    const { clock, state, createEntry } = createSetting();
+    const budget = createEntry();
+    state.isReachable = false;
+    assert.equal(await budget.take('usual'), null);
+    assert.equal(budget.isExhausted('usual'), true);
+    state.isReachable = true;
+    clock.advance(budget.refusedForMs('usual'));
+    assert.ok(await budget.take('usual'));
+  });
+
+  it('does not use a loan that arrives late, as the account may count it no longer', async () => {
+    const { state, createEntry } = createSetting();
+    const budget = createEntry();
+    state.replyMs = LOAN_VALIDITY_MS + 1;
+    assert.equal(await budget.take('usual'), null);
   });
 
-  it('is shared among the entries once they have had time to learn of each other', () => {
-    const { clock, spendAll } = createEntries();
-    clock.advance(MEMBERS_KNOWN_MS);
-    const spent = spendAll(20);
-    assert.ok(spent > 0 && spent <= LIMITS.allowance, `${spent}`);
+  it('reports a borrowed retry that arrives late, again until the account has heard of it', async () => {
+    const { clock, account, state, createEntry } = createSetting({ allowance: 1 });
+    const budget = createEntry();
+    const permit = await budget.take('usual');
+    clock.advance(LIMITS.windowMs);
+    state.isReachable = false;
+    permit?.settle();
+    await nextTurn();
+    state.isReachable = true;
+    budget.tick();
+    await nextTurn();
+    clock.advance(RETRY_ARRIVAL_MS + 1);
+    assert.deepEqual(account.describe(), { engines: 1 });
+    assert.equal(await budget.take('usual'), null);
   });
 
-  it('lets an entry that has just started use the retries that its own requests earn', () => {
-    const { spendAll, earnAll } = createEntries();
-    earnAll(20);
-    assert.equal(spendAll(20), VMS * 5);
+  it('leaves retries for streams that have begun, one for each at the most', async () => {
+    const cases: readonly (readonly [number, number])[] = [
+      [0, 200],
+      [30, 170],
+      [500, 120],
+    ];
+    for (const [running, yielding] of cases) {
+      const { clock, createEntry } = createSetting({ running });
+      const budget = createEntry();
+      assert.equal(await takeAll(budget, 300, 'yielding'), yielding);
+      assert.equal(await takeAll(budget, 300, 'begun'), 200 - yielding);
+      clock.advance(1);
+    }
   });
 });
--- /dev/null
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -0,0 +1,215 @@
+/**
+ * Random schedules of failures around a service whose servers reject most requests, in virtual
+ * time: entries and accounts of retries that are killed, restarted, cut off and suspended, and
+ * requests that wait before they are sent or arrive late.
+ */
+import { createMetrics } from '@spoolplank/node';
+import { createRetryAccount, LOAN_VALIDITY_MS, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
+import type { RetryAccount, RetryLoan, RetryLoanRequest } from '@spoolplank/routing';
+import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
+import { createRetryBudgets } from '../src/admission/retryBudgets';
+import type { RetryBudget } from '../src/admission/retryBudgets';
+import { createRetryLoans } from '../src/admission/retryLoans';
+import { createVirtualTime } from './virtualTime';
+
+/** Deliberate faults of the model, each of which must break the bound in some schedule. */
+export type PlantedFault =
+  | 'account-forgets-at-takeover'
+  | 'arrival-time-not-counted'
+  | 'slack-by-entry'
+  | 'late-arrivals-unreported'
+  | 'two-accounts-lend';
+
+export interface ScheduleResult {
+  /** Retries in the worst window as a share of the allowed ones. */
+  readonly worstShare: number;
+  readonly retries: number;
+}
+
+interface Entry {
+  budget: RetryBudget;
+  tick: () => void;
+  /** Identifies the incarnation; 0 while the entry is down. */
+  incarnation: number;
+  isCut: boolean;
+  suspendedUntilMs: number;
+}
+
+const LIMITS = { windowMs: 10_000, ratio: 0.2, allowance: 12 };
+const ENTRIES = 4;
+const KEEPERS = 3;
+const STEPS = 12;
+const MAX_ATTEMPTS = 3;
+
+const countBetween = (timesMs: readonly number[], fromMs: number, toMs: number): number =>
+  timesMs.filter((atMs) => atMs >= fromMs && atMs < toMs).length;
+
+/** The requests count in the window, the one before it or half a window earlier: the most. */
+function findWorstShare(requestsAtMs: readonly number[], retriesAtMs: readonly number[]): number {
+  const { windowMs, ratio, allowance } = LIMITS;
+  const shares = retriesAtMs.map((lastAtMs) => {
+    const endMs = lastAtMs + 1;
+    const requests = [0, windowMs / 2, windowMs].map((earlierMs) =>
+      countBetween(requestsAtMs, endMs - earlierMs - windowMs, endMs - earlierMs),
+    );
+    const retries = countBetween(retriesAtMs, endMs - windowMs, endMs);
+    return retries / (Math.max(...requests) * ratio + allowance);
+  });
+  return Math.max(0, ...shares);
+}
+
+export async function playRetrySchedule(
+  seed: number,
+  planted?: PlantedFault,
+): Promise<ScheduleResult> {
+  const random = createSeededRandom(seed);
+  const time = createVirtualTime();
+  const { clock, delay } = time;
+  const requestsAtMs: number[] = [];
+  const retriesAtMs: number[] = [];
+  const isLucky = (share: number) => random.nextFloat() < share;
+  const drawMs = (limitMs: number) => random.nextInt(limitMs);
+  const countedMs =
+    planted === 'arrival-time-not-counted' ? LIMITS.windowMs - RETRY_ARRIVAL_MS : LIMITS.windowMs;
+  const createKeeper = (): RetryAccount =>
+    createRetryAccount({ clock, windowMs: countedMs, allowance: LIMITS.allowance });
+  const keepers = Array.from({ length: KEEPERS }, createKeeper);
+  let leader: number | null = 0;
+  let incarnations = 0;
+
+  /** Delay of a message between an entry and the leader. */
+  function drawMessageMs(): number {
+    if (isLucky(0.05)) return drawMs(3 * LOAN_VALIDITY_MS);
+    return 1 + drawMs(4);
+  }
+
+  function findKeeper(): RetryAccount | undefined {
+    const index = planted === 'two-accounts-lend' ? random.nextInt(KEEPERS) : leader;
+    return index === null ? undefined : keepers[index];
+  }
+
+  async function ask(entry: Entry, request: RetryLoanRequest): Promise<RetryLoan> {
+    if (entry.isCut) {
+      await delay(LOAN_VALIDITY_MS);
+      throw new SpoolplankError('unreachable');
+    }
+    await delay(drawMessageMs());
+    const keeper = findKeeper();
+    if (!keeper) throw new SpoolplankError('not-leader');
+    const late = planted === 'late-arrivals-unreported' ? 0 : request.late;
+    const loan = keeper.lend({ ...request, late });
+    await delay(drawMessageMs());
+    if (isLucky(0.05)) throw new SpoolplankError('unreachable');
+    return loan;
+  }
+
+  function start(entry: Entry): void {
+    incarnations += 1;
+    const log = { info: () => {} };
+    const loans = createRetryLoans({
+      clock,
+      log,
+      metrics: createMetrics(),
+      ask: (request) => ask(entry, request),
+    });
+    const runningStreams = () => 0;
+    const budget = createRetryBudgets({ clock, log, limits: LIMITS, loans, runningStreams })('app');
+    Object.assign(entry, { budget, tick: loans.tick, incarnation: incarnations });
+    if (planted !== 'slack-by-entry') return;
+    const part = createRetryAccount({
+      clock,
+      windowMs: LIMITS.windowMs,
+      allowance: LIMITS.allowance / ENTRIES,
+    });
+    const ownLoans = createRetryLoans({
+      clock,
+      log,
+      metrics: createMetrics(),
+      ask: (request) => Promise.resolve(part.lend(request)),
+    });
+    const options = { clock, log, limits: LIMITS, loans: ownLoans, runningStreams };
+    Object.assign(entry, { budget: createRetryBudgets(options)('app') });
+  }
+
+  const entries = Array.from({ length: ENTRIES }, () => {
+    const entry = { isCut: false, suspendedUntilMs: 0 } as Entry;
+    start(entry);
+    return entry;
+  });
+
+  /** Time from the moment at which a request is sent until it arrives. */
+  function drawArrivalMs(): number {
+    if (isLucky(0.05)) return RETRY_ARRIVAL_MS + drawMs(4000);
+    if (isLucky(0.1)) return drawMs(RETRY_ARRIVAL_MS - LOAN_VALIDITY_MS);
+    return 1 + drawMs(5);
+  }
+
+  async function serve(entry: Entry): Promise<void> {
+    const { incarnation, budget } = entry;
+    const isUp = () => entry.incarnation === incarnation;
+    if (incarnation === 0) return;
+    requestsAtMs.push(clock.nowMs());
+    budget.earn();
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      // Waits for a server or a slot.
+      await delay(isLucky(0.1) ? drawMs(1500) : 1);
+      await delay(Math.max(0, entry.suspendedUntilMs - clock.nowMs()));
+      if (!isUp()) return;
+      const permit = attempt === 0 ? undefined : await budget.take('usual');
+      if (permit === null || !isUp()) return;
+      await delay(drawArrivalMs());
+      // The connections of a process end with it.
+      if (!isUp()) return;
+      if (attempt > 0) retriesAtMs.push(clock.nowMs());
+      permit?.settle();
+      if (isLucky(0.1)) return;
+    }
+  }
+
+  function drawEntry(): Entry {
+    return entries[random.nextInt(ENTRIES)] as Entry;
+  }
+
+  function replaceLeader(): void {
+    const next = random.nextInt(KEEPERS);
+    leader = null;
+    time.schedule(() => {
+      if (planted !== 'account-forgets-at-takeover') keepers[next]?.takeOver();
+      else keepers[next] = createKeeper();
+      leader = next;
+    }, drawMs(1500));
+  }
+
+  function kill(entry: Entry): void {
+    Object.assign(entry, { incarnation: 0 });
+    time.schedule(() => start(entry), 50 + drawMs(600));
+  }
+
+  const faults: readonly (() => void)[] = [
+    () => kill(drawEntry()),
+    () => entries.forEach(kill),
+    () => {
+      const entry = drawEntry();
+      entry.isCut = !entry.isCut;
+    },
+    () => {
+      drawEntry().suspendedUntilMs = clock.nowMs() + drawMs(4000);
+    },
+    replaceLeader,
+    () => {},
+  ];
+
+  for (let step = 0; step < STEPS; step += 1) {
+    const endMs = clock.nowMs() + 500 + drawMs(4000);
+    const pauseMs = [60, 150, 400][random.nextInt(3)] ?? 150;
+    const few = 1 + random.nextInt(ENTRIES);
+    while (clock.nowMs() < endMs) {
+      void serve(entries[random.nextInt(few)] as Entry);
+      entries.forEach(({ tick }) => tick());
+      await time.pass(1 + drawMs(2 * pauseMs));
+    }
+    faults[random.nextInt(faults.length)]?.();
+  }
+  await time.pass(5000);
+  return { worstShare: findWorstShare(requestsAtMs, retriesAtMs), retries: retriesAtMs.length };
+}
--- a/packages/entry/__tests__/streamHandover.spec.ts
+++ b/packages/entry/__tests__/streamHandover.spec.ts
@@ -2,7 +2,6 @@
 import { PassThrough } from 'node:stream';
 import { describe, it } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { createWindowBudget } from '@spoolplank/routing';
 import type { Route } from '@spoolplank/routing';
 import { createSeededRandom } from '@spoolplank/shared';
 import type { CallerAnswer } from '../src/callerRequest';
@@ -66,8 +65,7 @@
     },
     isReachable: () => Promise.resolve(true),
   } as unknown as BackendOperations;
-  const budget = createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => retries });
-  const context = { ...createContext(clock, view, operations), budgetOf: () => budget };
+  const context = createContext(clock, view, operations, retries);
   const streams = createStreamTable({ clock });
   let granted = 0;
   const dispatch = createStreamDispatch({
@@ -110,7 +108,7 @@
   const end = dispatch.run(createAdmitted(clock, route, answer), MODEL);
   return {
     runs,
-    budget,
+    budget: context.budgetOf('engines'),
     end,
     streams,
     grants: () => granted,
@@ -315,6 +313,8 @@
     await setting.send(setting.runs[0], 2);
     const first = setting.handOver();
     assert.equal((await setting.handOver())?.outcome, 'refused', 'during the search');
+    // The retry is taken out of the budget before the run is sent.
+    await nextTurn();
     assert.equal((await setting.handOver())?.outcome, 'refused', 'before the first event');
     assert.equal(setting.runs.length, 2);
     await setting.send(setting.runs[1]);
@@ -392,7 +392,7 @@
     await nextTurn();
     await setting.send(setting.runs[0], 2);
     const handedOver = setting.handOver();
-    assert.ok(setting.budget.spend());
+    assert.ok(await setting.budget.take('begun'));
     assert.equal((await handedOver)?.outcome, 'refused');
     assert.equal(setting.runs.length, 1, 'no run beyond the budget');
     assert.equal([...setting.streams.list()].length, 1, 'the slot is released');
--- a/packages/entry/__tests__/suspension.spec.ts
+++ b/packages/entry/__tests__/suspension.spec.ts
@@ -6,11 +6,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createDocumentCache, createFactTable, createFeedServer } from '@spoolplank/membership';
-import { createWindowBudget } from '@spoolplank/routing';
+import { RETRY_ARRIVAL_MS } from '@spoolplank/routing';
 import { createManualClock } from '@spoolplank/shared';
 import type { ManualClock } from '@spoolplank/shared';
 import { createReadiness } from '../src/readiness';
-import { createTables, createEngine } from './fixtures';
+import { createEngine, createTables, createTestBudgets } from './fixtures';
 
 const REVOCATION_MS = 5000;
 const SUSPENSIONS_MS = [1000, 5000, 30_000] as const;
@@ -52,14 +52,14 @@
     });
   });
 
-  it('does not renew its retry budget', () => {
+  it('does not renew its retry budget', async () => {
     const clock = createManualClock(100_000);
-    const budget = createWindowBudget({ clock, windowMs: 10_000, ratio: 0, allowance: () => 1 });
-    assert.equal(budget.spend(), true);
+    const budget = createTestBudgets(clock, 1)('engines');
+    assert.ok(await budget.take('usual'));
     clock.suspend(30_000);
-    assert.equal(budget.spend(), false);
-    clock.advance(10_001);
-    assert.equal(budget.spend(), true);
+    assert.equal(await budget.take('usual'), null);
+    clock.advance(1000 + RETRY_ARRIVAL_MS + 1);
+    assert.ok(await budget.take('usual'));
   });
 
   it('keeps a backend server that it received just before its last exchange', () => {
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -1,13 +1,14 @@
 /**
- * This entry's share of the retry budgets of all services. A budget bounds the retries to a share
- * of the requests.
+ * The retries that this entry may send. A retry is taken from those that the requests of this entry
+ * have earned; when there is none, it is borrowed from the account of all entries.
+ * See docs/design/retry-budget.md.
  */
 import type { EventLog } from '@spoolplank/node';
-import { createWindowBudget } from '@spoolplank/routing';
-import type { WindowBudget } from '@spoolplank/routing';
+import { createEarnedRetries, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
+import type { RetryLoans, RetryPurpose } from './retryLoans';
 
-/** A retry budget that all entries share. */
+/** The bound on the retries of a service over all entries. */
 export interface RetryLimits {
   readonly windowMs: number;
   readonly ratio: number;
@@ -19,76 +20,114 @@
   readonly clock: Clock;
   readonly log: Pick<EventLog, 'info'>;
   readonly limits: RetryLimits;
-  /** Number of entries that share the allowance, including this one. */
-  readonly entries: () => number;
-  /**
-   * Time on the steady clock at which this entry first received facts (gossiped records) from a
-   * control VM; infinite before that.
-   */
-  readonly firstSyncedAtMs: () => number;
+  readonly loans: RetryLoans;
+  /** Number of streams of a service that run on all entries, in streams of the usual size. */
+  readonly runningStreams: (service: string) => number;
 }
 
-/** Returns the budget of a service; created on first use. */
-export type RetryBudgets = (service: string) => WindowBudget;
-
-/**
- * Share of the deployment's allowance that is used. The rest is a margin for entries that do not
- * know all others and therefore take too large a part.
- */
-const ALLOWANCE_SHARE = 0.7;
 /**
- * Share of the ratio that is used. The rest is a margin, as the windows of this entry lag behind
- * those of the callers.
+ * Urgency of a retry. `begun`: the caller has received a part of the answer, which would be lost.
+ * `yielding`: it leaves retries for streams that have begun, as its caller can be refused and come
+ * back.
  */
-const RATIO_SHARE = 0.85;
-/**
- * Time until an entry knows the entries that started together with it. They announce themselves
- * every 800 ms, and each announcement passes through two control VMs. An entry that knows no others
- * would count itself as the only one and use the whole allowance.
- */
-export const MEMBERS_KNOWN_MS = 2600;
+export type RetryUrgency = 'begun' | 'usual' | 'yielding';
+
+/** A retry that was taken out of the budget. */
+export interface RetryPermit {
+  /** Records that the retry has arrived, or can no longer arrive. */
+  settle(): void;
+  /** Returns the retry, as it was not sent. */
+  cancel(): void;
+}
+
+/** The retry budget of a service on this entry. */
+export interface RetryBudget {
+  /** Counts a request that arrived. */
+  earn(): void;
+  /** Whether a retry is refused without asking anyone; one that is not may be refused later. */
+  isExhausted(urgency: RetryUrgency): boolean;
+  /** Takes a retry that is sent as soon as this resolves; null when there is none. */
+  take(urgency: RetryUrgency): Promise<RetryPermit | null>;
+  /** Time until the account may lend again after a refusal; 0 if it was not refused. */
+  refusedForMs(urgency: RetryUrgency): number;
+}
+
+/** Returns the budget of a service; created on first use. */
+export type RetryBudgets = (service: string) => RetryBudget;
+
 /**
- * Retries that an entry may use while it does not know the others yet, so that a first request
- * whose backend server is lost is retried.
+ * Largest share of the allowance that is left for streams that have begun, at most one retry for
+ * each running stream. Other requests can be refused and retried by their callers.
  */
-const STARTUP_ALLOWANCE = 2;
+const RESERVED_SHARE = 0.4;
 
 export function createRetryBudgets(options: RetryBudgetsOptions): RetryBudgets {
-  const { clock, log, limits, entries, firstSyncedAtMs } = options;
-  const budgets = new Map<string, WindowBudget>();
+  const { clock, log, limits, loans, runningStreams } = options;
+  const budgets = new Map<string, RetryBudget>();
 
-  function ownAllowance(): number {
-    const knowsOthers = clock.steadyMs() - firstSyncedAtMs() >= MEMBERS_KNOWN_MS;
-    if (!knowsOthers) return Math.min(STARTUP_ALLOWANCE, limits.allowance);
-    return (limits.allowance * ALLOWANCE_SHARE) / Math.max(1, entries());
+  function purposeOf(service: string, urgency: RetryUrgency): RetryPurpose {
+    const most = Math.floor(limits.allowance * RESERVED_SHARE);
+    const reserved = urgency === 'yielding' ? Math.min(most, runningStreams(service)) : 0;
+    return { service, reserved };
+  }
+
+  /** A retry is counted as if it arrived soon after it was taken; a later arrival is reported. */
+  function createPermit(purpose: RetryPurpose, takenAtMs: number, cancel: () => void): RetryPermit {
+    return {
+      settle() {
+        if (clock.nowMs() - takenAtMs > RETRY_ARRIVAL_MS) loans.recordLate(purpose);
+      },
+      cancel,
+    };
+  }
+
+  function createBudget(service: string): RetryBudget {
+    const { windowMs, ratio } = limits;
+    const own = createEarnedRetries({ clock, windowMs, ratio });
+
+    function report(urgency: RetryUrgency, source: 'own' | 'account' | 'none'): void {
+      const { requests, saved } = own.describe();
+      log.info(source === 'none' ? 'retry-refused' : 'retry-spent', {
+        service,
+        urgency,
+        source,
+        requests,
+        saved: Math.round(saved),
+        refusedForMs: Math.round(loans.refusedForMs(purposeOf(service, urgency))),
+      });
+    }
+
+    async function borrow(purpose: RetryPurpose): Promise<RetryPermit | null> {
+      const askedAtMs = await loans.borrow(purpose);
+      // The account counts a retry that it has lent, whether it is sent or not.
+      return askedAtMs === null ? null : createPermit(purpose, askedAtMs, () => {});
+    }
+
+    return {
+      earn: own.earn,
+      isExhausted(urgency) {
+        if (own.hasLeft()) return false;
+        return limits.allowance < 1 || loans.refusedForMs(purposeOf(service, urgency)) > 0;
+      },
+      async take(urgency) {
+        const purpose = purposeOf(service, urgency);
+        if (own.take()) {
+          report(urgency, 'own');
+          return createPermit(purpose, clock.nowMs(), own.refund);
+        }
+        const permit = await borrow(purpose);
+        report(urgency, permit ? 'account' : 'none');
+        return permit;
+      },
+      refusedForMs: (urgency) => loans.refusedForMs(purposeOf(service, urgency)),
+    };
   }
 
   return (service) => {
     const known = budgets.get(service);
     if (known) return known;
-    const budget = createWindowBudget({
-      clock,
-      windowMs: limits.windowMs,
-      ratio: limits.ratio * RATIO_SHARE,
-      allowance: ownAllowance,
-    });
-    const logged: WindowBudget = {
-      ...budget,
-      spend(reservedShare) {
-        const isSpent = budget.spend(reservedShare);
-        const { attempts, retries, allowed } = budget.describe();
-        log.info(isSpent ? 'retry-spent' : 'retry-refused', {
-          service,
-          attempts,
-          retries,
-          allowed: Math.round(allowed),
-          entries: entries(),
-          inSyncMs: Math.round(clock.steadyMs() - firstSyncedAtMs()),
-        });
-        return isSpent;
-      },
-    };
-    budgets.set(service, logged);
-    return logged;
+    const budget = createBudget(service);
+    budgets.set(service, budget);
+    return budget;
   };
 }
--- /dev/null
+++ b/packages/entry/src/admission/retryLoans.ts
@@ -0,0 +1,156 @@
+/** Borrows retries from the account that lends them to all entries; see `createRetryAccount`. */
+import { RETRY_LOAN_METHOD } from '@spoolplank/membership';
+import type { EventLog, Metrics, PeerClient } from '@spoolplank/node';
+import { LOAN_VALIDITY_MS } from '@spoolplank/routing';
+import type { RetryLoan, RetryLoanRequest } from '@spoolplank/routing';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
+import type { Clock } from '@spoolplank/shared';
+
+/** What a request for a retry is made for. */
+export interface RetryPurpose {
+  readonly service: string;
+  /** Retries that are left for streams that have begun; 0 for those. */
+  readonly reserved: number;
+}
+
+export interface RetryLoansOptions {
+  readonly clock: Pick<Clock, 'nowMs'>;
+  readonly log: Pick<EventLog, 'info'>;
+  readonly metrics: Pick<Metrics, 'observe'>;
+  /** @throws SpoolplankError when no account answered in time. */
+  readonly ask: (request: RetryLoanRequest) => Promise<RetryLoan>;
+}
+
+export interface RetryLoans {
+  /**
+   * Borrows one retry, to be sent at once; null when there is none. Resolves with the time of the
+   * request for it, on the clock `nowMs`.
+   */
+  borrow(purpose: RetryPurpose): Promise<number | null>;
+  /** Reports to the account that a borrowed retry arrived, late, just now. */
+  recordLate(purpose: RetryPurpose): void;
+  /** Time until the account may lend again after a refusal; 0 if it was not refused. */
+  refusedForMs(purpose: RetryPurpose): number;
+  /** Repeats reports that have not reached the account; called periodically. */
+  tick(): void;
+}
+
+/** Requests of one service and urgency that wait for the account. */
+interface Line {
+  purpose: RetryPurpose;
+  readonly waiting: ((askedAtMs: number | null) => void)[];
+  /** Retries that arrived late and are not reported yet. */
+  late: number;
+  isAsking: boolean;
+  refusedUntilMs: number;
+}
+
+/** Time after which an account that did not answer is asked again. */
+const UNAVAILABLE_MS = 300;
+
+export function createRetryLoans(options: RetryLoansOptions): RetryLoans {
+  const { clock, log, metrics, ask } = options;
+  const lines = new Map<string, Line>();
+
+  function lineOf(purpose: RetryPurpose): Line {
+    const key = `${purpose.service}/${purpose.reserved > 0}`;
+    const known = lines.get(key);
+    if (known) return known;
+    const refusedUntilMs = Number.NEGATIVE_INFINITY;
+    const line = { purpose, waiting: [], late: 0, isAsking: false, refusedUntilMs };
+    lines.set(key, line);
+    return line;
+  }
+
+  const remainingMs = ({ refusedUntilMs }: Line): number =>
+    Math.max(0, refusedUntilMs - clock.nowMs());
+
+  /** Returns null when there was no answer in time. */
+  async function askFor(request: RetryLoanRequest): Promise<RetryLoan | null> {
+    const { service, wanted, late = 0 } = request;
+    const askedAtMs = clock.nowMs();
+    try {
+      const loan = await ask(request);
+      const durationMs = clock.nowMs() - askedAtMs;
+      metrics.observe('spoolplank_retry_loan_ms', durationMs, { service });
+      if (durationMs <= LOAN_VALIDITY_MS) return loan;
+      log.info('retry-loan-late', { service, wanted, granted: loan.granted, durationMs });
+    } catch (error) {
+      const problem = toSpoolplankError(error).message;
+      log.info('retry-account-silent', { service, wanted, late, problem });
+    }
+    return null;
+  }
+
+  /** Asks for all that wait at once, one call after the other. */
+  async function serve(line: Line): Promise<void> {
+    const batch = line.waiting.splice(0);
+    const { late, purpose } = line;
+    const askedAtMs = clock.nowMs();
+    Object.assign(line, { late: 0 });
+    const loan = await askFor({ ...purpose, wanted: batch.length, late });
+    const { granted, retryInMs } = loan ?? { granted: 0, retryInMs: UNAVAILABLE_MS };
+    if (!loan) Object.assign(line, { late: line.late + late });
+    batch.forEach((resolve, index) => resolve(index < granted ? askedAtMs : null));
+    if (granted < batch.length) {
+      Object.assign(line, { refusedUntilMs: clock.nowMs() + retryInMs });
+      line.waiting.splice(0).forEach((resolve) => resolve(null));
+    }
+    if (line.waiting.length > 0) await serve(line);
+  }
+
+  function serveIfIdle(line: Line): void {
+    if (line.isAsking) return;
+    Object.assign(line, { isAsking: true });
+    void serve(line).finally(() => Object.assign(line, { isAsking: false }));
+  }
+
+  return {
+    borrow(purpose) {
+      const line = lineOf(purpose);
+      Object.assign(line, { purpose });
+      if (remainingMs(line) > 0) return Promise.resolve(null);
+      return new Promise((resolve) => {
+        line.waiting.push(resolve);
+        serveIfIdle(line);
+      });
+    },
+    recordLate(purpose) {
+      const line = lineOf(purpose);
+      line.late += 1;
+      serveIfIdle(line);
+    },
+    refusedForMs: (purpose) => remainingMs(lineOf(purpose)),
+    tick: () => [...lines.values()].filter(({ late }) => late > 0).forEach(serveIfIdle),
+  };
+}
+
+export interface LoanCallsOptions {
+  readonly clock: Pick<Clock, 'nowMs'>;
+  readonly peers: PeerClient;
+  readonly controlPeerPort: number;
+  /** Lists the control VMs in the order in which they are asked. */
+  readonly listSources: () => readonly string[];
+}
+
+const MAX_SOURCES = 2;
+
+/** Creates the calls to the control VMs that reach the account. */
+export function createLoanCalls(options: LoanCallsOptions): RetryLoansOptions['ask'] {
+  const { clock, peers, controlPeerPort: port, listSources } = options;
+  return async (request) => {
+    const endsAtMs = clock.nowMs() + LOAN_VALIDITY_MS;
+    let problem = new SpoolplankError('unreachable', { detail: 'No control VM is known.' });
+    for (const host of listSources().slice(0, MAX_SOURCES)) {
+      const timeoutMs = endsAtMs - clock.nowMs();
+      if (timeoutMs <= 0) break;
+      try {
+        const target = { vmId: host, host, port };
+        return await peers.call<RetryLoan>(target, RETRY_LOAN_METHOD, request, { timeoutMs });
+      } catch (error) {
+        problem = toSpoolplankError(error);
+      }
+    }
+    throw problem;
+  };
+}
--- a/packages/entry/src/dispatch/backendOperations.ts
+++ b/packages/entry/src/dispatch/backendOperations.ts
@@ -2,6 +2,7 @@
 import type { Readable } from 'node:stream';
 import type { NoticeListener } from '@spoolplank/membership';
 import type { LimitDirective, PathStage } from '@spoolplank/routing';
+import type { RetryUrgency } from '../admission/retryBudgets';
 import type { CallerRequest, RawHeaders } from '../callerRequest';
 import type { AnswerFraming } from './answerEnd';
 
@@ -21,6 +22,8 @@
   /** Service of the request. */
   readonly service: string;
   readonly cause: SendCause;
+  /** Urgency of a retry, which the retry budget must allow; null for the first sending. */
+  readonly retryUrgency: RetryUrgency | null;
   readonly request: CallerRequest;
   /** Name of the caller's organisation; null when it has none. */
   readonly organisation: string | null;
--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -1,11 +1,19 @@
 /**
  * Wraps the backend operations with a last check before anything is sent: after a server was
- * chosen, it may have asked for a backoff, announced its departure, or named a rate limit.
+ * chosen, it may have asked for a backoff, announced its departure, or named a rate limit. Retries
+ * are taken out of the retry budget here, so that a retry that waited for a server counts in the
+ * window in which it is sent, and no sending is left out.
  */
 import type { Metrics } from '@spoolplank/node';
-import { SpoolplankError } from '@spoolplank/shared';
+import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
-import type { BackendCall, BackendOperations, BackendTarget } from './backendOperations';
+import type { RetryBudgets, RetryPermit } from '../admission/retryBudgets';
+import type {
+  BackendCall,
+  BackendOperations,
+  BackendResponse,
+  BackendTarget,
+} from './backendOperations';
 import type { ServerLimits } from '../limits/serverLimits';
 import type { ClosedReason, ServerNotices } from './serverNotices';
 
@@ -13,12 +21,13 @@
   readonly clock: Pick<Clock, 'steadyMs'>;
   readonly metrics: Pick<Metrics, 'count'>;
   readonly notices: ServerNotices;
+  readonly budgetOf: RetryBudgets;
   readonly limits: Pick<ServerLimits, 'recordAnswer' | 'limitPerSOf' | 'takeOwnQuota'>;
 }
 
 export function guardOperations(
   operations: BackendOperations,
-  { clock, metrics, notices, limits }: GuardOptions,
+  { clock, metrics, notices, budgetOf, limits }: GuardOptions,
 ): BackendOperations {
   const { backoffs } = notices;
 
@@ -35,18 +44,39 @@
     return new SpoolplankError('server-closed', { detail: `${address} ${reason}.` });
   }
 
+  /** @throws SpoolplankError `retry-refused`. */
+  async function takeRetry({ service, retryUrgency }: BackendCall): Promise<RetryPermit | null> {
+    if (retryUrgency === null) return null;
+    const permit = await budgetOf(service).take(retryUrgency);
+    if (!permit) throw new SpoolplankError('retry-refused');
+    return permit;
+  }
+
+  async function sendNow(call: BackendCall): Promise<BackendResponse> {
+    const { target, hasPermit, service, cause } = call;
+    const reason = findClosedReason(call);
+    if (reason !== null) throw refuse(target, reason);
+    backoffs.recordSent(target.instanceId);
+    metrics.count('spoolplank_sends_total', { service, cause });
+    const sentAtMs = clock.steadyMs();
+    const response = await operations.open(call);
+    if (response.limit) limits.recordAnswer(target, response.limit, sentAtMs, hasPermit);
+    return response;
+  }
+
   return {
     onNotice: (listener) => operations.onNotice(listener),
     async open(call) {
-      const { target, hasPermit, service, cause } = call;
-      const reason = findClosedReason(call);
-      if (reason !== null) throw refuse(target, reason);
-      backoffs.recordSent(target.instanceId);
-      metrics.count('spoolplank_sends_total', { service, cause });
-      const sentAtMs = clock.steadyMs();
-      const response = await operations.open(call);
-      if (response.limit) limits.recordAnswer(target, response.limit, sentAtMs, hasPermit);
-      return response;
+      const permit = await takeRetry(call);
+      try {
+        const response = await sendNow(call);
+        permit?.settle();
+        return response;
+      } catch (error) {
+        if (toSpoolplankError(error).outcome === 'not-run') permit?.cancel();
+        else permit?.settle();
+        throw error;
+      }
     },
     async report(target, timeoutMs) {
       if (backoffs.isBackingOff(target.instanceId)) throw refuse(target, 'backoff');
--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -9,7 +9,7 @@
 import { SpoolplankError, toSpoolplankError } from '@spoolplank/shared';
 import { endingOfError, MAX_SUCCESS_STATUS } from './answerEnd';
 import type { AnswerEnd } from './answerEnd';
-import { logNotRetried } from './attemptLimit';
+import { isHeldBack, laterRetryAfterMs, logNotRetried } from './attemptLimit';
 import type { AttemptLimit } from './attemptLimit';
 import type { BackendResponse, SendCause } from './backendOperations';
 import type { AnswerMemory } from './answerMemory';
@@ -36,10 +36,15 @@
   | {
       readonly kind: 'not-run';
       readonly problem: string;
+      /** Whether the request reached the server. */
+      readonly hasArrived: boolean;
       /** Backoff that the server asked for, in milliseconds; null when it asked for none. */
       readonly backoffMs: number | null;
     }
-  /** Nothing was sent: after the choice, the server asked for a backoff or began to leave. */
+  /**
+   * Nothing was sent: after the choice, the server asked for a backoff or began to leave, or the
+   * retry budget refused the retry.
+   */
   | { readonly kind: 'held-back'; readonly problem: string }
   /** The request may have run on the server, and there is no response to pass on. */
   | {
@@ -102,8 +107,10 @@
   { code, outcome, message }: SpoolplankError,
   brokenAfterMs: number | null,
 ): AttemptResult {
-  if (code === 'server-closed') return { kind: 'held-back', problem: message };
-  if (outcome === 'not-run') return { kind: 'not-run', problem: message, backoffMs: null };
+  if (isHeldBack(code)) return { kind: 'held-back', problem: message };
+  if (outcome === 'not-run') {
+    return { kind: 'not-run', problem: message, hasArrived: false, backoffMs: null };
+  }
   return { kind: 'unknown', problem: message, brokenAfterMs, end: null };
 }
 
@@ -185,7 +192,8 @@
     if (isNotRun) {
       response.body.resume();
       const { backoffMs } = response;
-      return { kind: 'not-run', problem: problem ?? `rejected with status ${status}`, backoffMs };
+      const reason = problem ?? `rejected with status ${status}`;
+      return { kind: 'not-run', problem: reason, hasArrived: true, backoffMs };
     }
     if (problem !== null) {
       response.body.destroy();
@@ -222,6 +230,7 @@
         target: backend,
         service,
         cause,
+        retryUrgency: cause === 'first' ? null : 'usual',
         request,
         organisation: organisation?.name ?? null,
         remainingMs,
@@ -273,13 +282,11 @@
       let runs = 0;
       let rejections = 0;
       let heldBack = 0;
-      /**
-       * Whether the next attempt spends no retry budget. This holds for the first attempt, and
-       * after one that was held back, as nothing was sent.
-       */
-      let isAttemptGranted = true;
+      /** Whether an attempt may have reached a server, so that the next one is a retry. */
+      let hasArrived = false;
       let last: SentAttempt | null = null as SentAttempt | null;
       let servedBy: readonly string[] = [];
+      let limit: AttemptLimit | null = null;
 
       const end = (outcome: RequestEnd['outcome'], status: number): RequestEnd => ({
         outcome,
@@ -292,21 +299,22 @@
       const isRetryable = (result: AttemptResult) =>
         result.kind !== 'answered' || result.status > MAX_FINAL_STATUS;
 
-      /** What forbids another attempt; if nothing does, spends a retry unless it is granted. */
+      /** What forbids another attempt. */
       function findAttemptLimit(): AttemptLimit | null {
         if (admitted.deadlineAtMs - clock.nowMs() <= TIMEOUT_MARGIN_MS) return 'deadline';
         if (runs >= route.maxAttempts || (runs > 0 && route.kind !== 'safe')) return 'route';
         if (rejections >= MAX_REJECTIONS) return 'attempts';
         if (heldBack >= MAX_HELD_BACK) return 'held-back';
-        if (isAttemptGranted) return null;
+        if (runs + rejections === 0) return null;
         if (!quarantine.mayRetry(content)) return 'quarantine';
-        return budget.spend() ? null : 'retry-budget';
+        return hasArrived && budget.isExhausted('usual') ? 'retry-budget' : null;
       }
 
       /** Records the result of an attempt; resolves with whether to try another one. */
       async function handleResult(result: SentAttempt, backend: BackendFact): Promise<boolean> {
         if (result.kind === 'not-run') rejections += 1;
         else runs += 1;
+        hasArrived ||= result.kind !== 'not-run' || result.hasArrived;
         // A received response is kept, to be passed on if later attempts get none.
         if (result.kind === 'answered' || last?.kind !== 'answered') last = result;
         if (isSuccess(result)) quarantine.recordServed(content);
@@ -328,6 +336,7 @@
         return result.kind !== 'unknown' || route.kind === 'safe';
       }
 
+      budget.earn();
       for (;;) {
         // A request that may have run cannot be refused as `not-run` if the backoff is too long, so
         // it does not wait for the end of a backoff.
@@ -335,8 +344,7 @@
           await backoffWaits.wait(admitted, () => servers.backoffEndsInMs(service, excluded));
         }
         if (answer.isClosed) return end('caller-left', 0);
-        const isFirst = runs + rejections + heldBack === 0;
-        const limit = findAttemptLimit();
+        limit = findAttemptLimit();
         if (limit !== null) logNotRetried(log, request.id, limit);
         const ticket = `${request.id}/${runs + rejections + heldBack}`;
         const search = { admitted, ticket, excluded, mayWait: runs === 0 };
@@ -345,15 +353,13 @@
         const { backend } = server;
         // Other VMs may have reported crashes under this content while the request waited.
         if (runs === 0) quarantine.check(content);
-        if (isFirst) budget.earn();
         excluded.add(backend.instanceId);
         servedBy = [backend.instanceId];
         current = new AbortController();
         const canRetry = route.kind === 'safe' && runs + 1 < route.maxAttempts;
         crashes.recordSend(content, backend);
-        const cause = runs + rejections === 0 ? 'first' : 'retry';
+        const cause = hasArrived ? 'retry' : 'first';
         const result = await attempt(admitted, server, { cause, canRetry, abort: current });
-        isAttemptGranted = result.kind === 'held-back';
         if (result.kind === 'held-back') {
           excluded.delete(backend.instanceId);
           heldBack += 1;
@@ -368,9 +374,9 @@
         return end(last.status > MAX_FINAL_STATUS ? 'failed-there' : 'served', last.status);
       }
       if (runs === 0) {
-        throw new SpoolplankError('no-backend-server', {
-          retryAfterMs: servers.retryAfterMs(service),
-        });
+        const refusedForMs = limit === 'retry-budget' ? budget.refusedForMs('usual') : 0;
+        const retryAfterMs = laterRetryAfterMs(servers.retryAfterMs(service), refusedForMs);
+        throw new SpoolplankError('no-backend-server', { retryAfterMs });
       }
       const isLate = clock.nowMs() >= admitted.deadlineAtMs - 2 * TIMEOUT_MARGIN_MS;
       throw new SpoolplankError(isLate ? 'deadline-exceeded' : 'backend-server-failed', {
--- a/packages/entry/src/dispatch/streamAttempt.ts
+++ b/packages/entry/src/dispatch/streamAttempt.ts
@@ -3,7 +3,9 @@
 import { isCompletePath, sizeOfRequest } from '@spoolplank/routing';
 import type { ModelDescription, PathStage } from '@spoolplank/routing';
 import { MAX_SUCCESS_STATUS } from './answerEnd';
-import type { BackendResponse } from './backendOperations';
+import type { RetryUrgency } from '../admission/retryBudgets';
+import { isHeldBack } from './attemptLimit';
+import type { BackendResponse, SendCause } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
 import type { EntryContext } from '../entryContext';
 import type { SlotSearch } from '../slots/slotFinder';
@@ -23,6 +25,8 @@
       readonly culprit: string | null;
       /** Backoff that the engine asked for, in milliseconds; null when it asked for none. */
       readonly backoffMs: number | null;
+      /** Whether the request reached the engine. */
+      readonly hasArrived: boolean;
     }
   /** The stream broke off or was aborted here; the caller keeps the events it has received. */
   | {
@@ -36,7 +40,7 @@
     }
   /**
    * Nothing was sent: after the chain was chosen, its first engine asked for a backoff or began to
-   * leave, or the path does not cover all layers.
+   * leave, the retry budget refused the retry, or the path does not cover all layers.
    */
   | { readonly kind: 'held-back'; readonly problem: string }
   /** Another run has taken over the stream, or the attempt was cancelled before it took over. */
@@ -83,6 +87,13 @@
  * connection through another VM meanwhile.
  */
 const CONNECT_TIMEOUT_MS = 250;
+/** A partly received stream would be lost; the caller of another one can be refused and retry. */
+export const RETRY_URGENCIES: Readonly<Record<SendCause, RetryUrgency | null>> = {
+  first: null,
+  retry: 'yielding',
+  resumed: 'begun',
+  handover: 'begun',
+};
 /** Time before the caller's timeout at which a stream is ended, so that its end arrives in time. */
 export const TIMEOUT_MARGIN_MS = 30;
 
@@ -154,7 +165,13 @@
     if (isNotRun) {
       response.body.resume();
       const { culpritAddress: culprit, backoffMs } = response;
-      return { kind: 'not-run', problem: problem ?? `status ${status}`, culprit, backoffMs };
+      return {
+        kind: 'not-run',
+        problem: problem ?? `status ${status}`,
+        culprit,
+        backoffMs,
+        hasArrived: true,
+      };
     }
     if (problem !== null) {
       response.body.destroy();
@@ -185,13 +202,14 @@
     const [head] = row.stages;
     const known = toSpoolplankError(error);
     const problem = row.abortReason ?? known.message;
-    if (known.code === 'server-closed') return { kind: 'held-back', problem };
+    if (isHeldBack(known.code)) return { kind: 'held-back', problem };
     if (row.abortReason === null && head) {
       // Either the engine is lost or just this response: a probe tells which.
       probeAfterFailure(head.id, head.address);
     }
     if (known.outcome === 'not-run' && row.abortReason === null) {
-      return { kind: 'not-run', problem, culprit: head?.address ?? null, backoffMs: null };
+      const culprit = head?.address ?? null;
+      return { kind: 'not-run', problem, culprit, backoffMs: null, hasArrived: false };
     }
     const isHeadHealthy = row.abortReason === 'no-repair' || row.abortReason === 'link-lost';
     return { kind: 'broken', problem, isHeadHealthy, run: describeRun(row) };
@@ -244,6 +262,7 @@
         target,
         service: search.admitted.service,
         cause: search.cause,
+        retryUrgency: RETRY_URGENCIES[search.cause],
         request,
         organisation: organisation?.name ?? null,
         remainingMs,
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -7,14 +7,19 @@
 import { SpoolplankError } from '@spoolplank/shared';
 import type { ModelDescription } from '@spoolplank/routing';
 import { MAX_SUCCESS_STATUS } from './answerEnd';
-import { logNotRetried } from './attemptLimit';
+import { laterRetryAfterMs, logNotRetried } from './attemptLimit';
 import type { AttemptLimit } from './attemptLimit';
 import type { SendCause } from './backendOperations';
 import type { ChosenChain } from './chainChoice';
 import type { AdmittedRequest, EntryContext, RequestEnd } from '../entryContext';
 import type { SlotFinder, SlotSearch } from '../slots/slotFinder';
 import { contentOf, digestContent, partsOf } from '../quarantine/requestContent';
-import { createStreamAttempts, recordChain, TIMEOUT_MARGIN_MS } from './streamAttempt';
+import {
+  createStreamAttempts,
+  recordChain,
+  RETRY_URGENCIES,
+  TIMEOUT_MARGIN_MS,
+} from './streamAttempt';
 import type { BrokenRun, StreamResult } from './streamAttempt';
 import { createHandover } from './streamHandover';
 import type { Handover } from './streamHandover';
@@ -117,11 +122,6 @@
 const MAX_RESUME_DELAY_MS = 900;
 /** Pause after which a stream is resumed without further delay, as its caller leaves after 2 s. */
 const RESUME_BY_MS = 1400;
-/**
- * Share of the retry budget that is reserved for streams of which the caller has received a part.
- * Other streams can be refused and retried by their callers; a partly received one would be lost.
- */
-const RESUME_RESERVE_SHARE = 0.4;
 
 /**
  * Log fields of a broken run. The content digest is equal for all attempts of a request, so that
@@ -232,11 +232,9 @@
       let runs = 0;
       let rejections = 0;
       let heldBack = 0;
-      /**
-       * Whether the next attempt spends no retry budget. This holds for the first attempt, and
-       * after one that was held back, as nothing was sent.
-       */
-      let isAttemptGranted = true;
+      /** Whether an attempt may have reached an engine, so that the next one is a retry. */
+      let hasArrived = false;
+      let limit: AttemptLimit | null = null;
       let attempts = 0;
       /** Whether an earlier attempt may have run; the caller then cannot be told `not-run`. */
       let mayHaveRun = false;
@@ -256,35 +254,33 @@
         answerEnd: progress.answerEnd,
       });
 
-      /** Share of the retry budget that this stream leaves to streams that have begun. */
-      const reservedShare = (): number => (progress.hasBegun ? 0 : RESUME_RESERVE_SHARE);
+      function nextCause(): SendCause {
+        if (!hasArrived) return 'first';
+        return progress.hasBegun ? 'resumed' : 'retry';
+      }
 
-      /** What forbids another attempt; if nothing does, spends a retry unless it is granted. */
+      /** What forbids another attempt. */
       function findAttemptLimit(): AttemptLimit | null {
         if (heldBack > MAX_HELD_BACK) return 'held-back';
-        if (isAttemptGranted) return null;
+        if (rejections === 0 && !mayHaveRun) return null;
         const isAllowed = !mayHaveRun || (route.isResumable && runs < route.maxAttempts);
         if (!isAllowed) return 'route';
         if (!quarantine.mayRetry(content)) return 'quarantine';
         if (admitted.deadlineAtMs - clock.nowMs() <= 2 * TIMEOUT_MARGIN_MS) return 'deadline';
         if (rejections >= MAX_REJECTIONS || attempts >= MAX_ATTEMPTS) return 'attempts';
-        return budget.spend(reservedShare()) ? null : 'retry-budget';
-      }
-
-      function nextCause(): SendCause {
-        if (progress.hasBegun) return 'resumed';
-        return rejections > 0 || mayHaveRun ? 'retry' : 'first';
+        const urgency = RETRY_URGENCIES[nextCause()];
+        return urgency !== null && budget.isExhausted(urgency) ? 'retry-budget' : null;
       }
 
       function mayAttempt(): boolean {
-        const limit = findAttemptLimit();
+        limit = findAttemptLimit();
         if (limit !== null) logNotRetried(log, request.id, limit);
         return limit === null;
       }
 
       /**
-       * Whether a run may be sent beside the running one. The retry is spent only when that run is
-       * opened: a search without a slot must leave it for the resumption after the head has exited.
+       * Whether a run may be sent beside the running one. Its retry is taken only when that run is
+       * sent: a search without a slot must leave it for the resumption after the head has exited.
        */
       function mayHandOver(): boolean {
         if (!route.isResumable || !progress.hasBegun || progress.lastEventId === null) return false;
@@ -292,7 +288,7 @@
         const hasTime = admitted.deadlineAtMs - clock.nowMs() > 2 * TIMEOUT_MARGIN_MS;
         // The running run counts as one, and the new one as another.
         const isBelowLimits = runs + 1 < route.maxAttempts && attempts < MAX_ATTEMPTS;
-        return hasTime && isBelowLimits && budget.hasLeft(reservedShare());
+        return hasTime && isBelowLimits && !budget.isExhausted('begun');
       }
 
       /**
@@ -357,8 +353,7 @@
           const found = await findNext(next);
           const isUsable = found && !isObsolete() && isFit(found, row);
           // Deadline and budget may have changed during the search.
-          const isSpent = isUsable && mayHandOver() && budget.spend(reservedShare());
-          if (!isSpent) {
+          if (!isUsable || !mayHandOver()) {
             hasStarted = false;
             // Releases the slot: an attempt that is cancelled before its start sends nothing.
             const link = { signal: AbortSignal.abort(), handover };
@@ -380,7 +375,9 @@
           if (isOver) return null;
           // The first run goes on; if it breaks off, the stream is resumed as without a handover.
           state.successor = undefined;
-          excluded.add(found.headId);
+          // Nothing was sent, so the stream may be handed over later.
+          if (first.kind === 'held-back') hasStarted = false;
+          else excluded.add(found.headId);
           if (first.kind === 'broken') await recordBrokenRun(admitted, found, first.run);
           return { outcome: 'refused', path };
         }
@@ -441,7 +438,8 @@
         attempts += 1;
         const { result, chain } = await runAttempt(search, chosen);
         if (result.kind === 'caller-left') return end('caller-left', progress.status);
-        isAttemptGranted = result.kind === 'held-back';
+        hasArrived ||=
+          result.kind !== 'held-back' && (result.kind !== 'not-run' || result.hasArrived);
         if (result.kind === 'held-back') {
           heldBack += 1;
           attempts -= 1;
@@ -483,9 +481,11 @@
         return end('broken-off', progress.status);
       }
       if (!mayHaveRun) {
+        const refusedForMs = limit === 'retry-budget' ? budget.refusedForMs('yielding') : 0;
+        const retryAfterMs = slots.retryAfterMs({ admitted, model });
         throw new SpoolplankError('no-backend-server', {
           detail: problem,
-          retryAfterMs: slots.retryAfterMs({ admitted, model }),
+          retryAfterMs: laterRetryAfterMs(retryAfterMs, refusedForMs),
         });
       }
       throw new SpoolplankError('backend-server-failed', { detail: problem });
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -1,13 +1,8 @@
 /** Dependencies and types shared by the components of an entry. */
 import type { EventLog, Metrics } from '@spoolplank/node';
-import type {
-  BackendLoadTable,
-  DecisionSettings,
-  Organisation,
-  Route,
-  WindowBudget,
-} from '@spoolplank/routing';
+import type { BackendLoadTable, DecisionSettings, Organisation, Route } from '@spoolplank/routing';
 import type { Clock, Random } from '@spoolplank/shared';
+import type { RetryBudgets } from './admission/retryBudgets';
 import type { AnswerEnd } from './dispatch/answerEnd';
 import type { EndCheck } from './dispatch/answerCompletion';
 import type { AnswerMemory } from './dispatch/answerMemory';
@@ -29,7 +24,7 @@
   readonly operations: BackendOperations;
   readonly loads: BackendLoadTable;
   /** The retry budget of a service. */
-  readonly budgetOf: (service: string) => WindowBudget;
+  readonly budgetOf: RetryBudgets;
   /** Contents that must not run again, because they crashed backend servers. */
   readonly quarantine: Quarantine;
   /** Limits the memory for answers that have not ended. */
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -41,6 +41,7 @@
 import { contentOf } from './quarantine/requestContent';
 import { createRequestReport, toRequestEnd } from './requestReport';
 import { createRetryBudgets } from './admission/retryBudgets';
+import { createLoanCalls, createRetryLoans } from './admission/retryLoans';
 import type { RetryLimits } from './admission/retryBudgets';
 import { guardOperations } from './dispatch/guardedOperations';
 import { createServerNotices } from './dispatch/serverNotices';
@@ -116,8 +117,6 @@
   const openRequests = new Set<CallerRequest>();
   let onStreamEnd = (_row: StreamRow): void => {};
   let publishedLoad = (): LoadFact['inFlight'] => ({});
-  let firstSyncedAtMs = Number.POSITIVE_INFINITY;
-
   const streams = createStreamTable({ clock, onEnd: (row) => onStreamEnd(row) });
   const facts = createEntryFacts({ ...options, publishedLoad: () => publishedLoad() });
   const { table, documents, view, exchangeNow } = facts;
@@ -190,6 +189,28 @@
   const countEntries = () => view.listMembers('entry').length;
   const limits = createServerLimits({ clock, random, log, metrics, countEntries });
   const syncHistory = createSyncHistory({ clock, syncedAtMs: () => facts.syncedAtMs });
+  const loans = createRetryLoans({
+    clock,
+    log,
+    metrics,
+    ask: createLoanCalls({
+      clock,
+      peers,
+      controlPeerPort: options.controlPeerPort,
+      listSources: facts.listSources,
+    }),
+  });
+  const budgetOf = createRetryBudgets({
+    clock,
+    log,
+    limits: options.retryLimits,
+    loans,
+    runningStreams(service) {
+      const heads = view.listBackends(service).map(({ instanceId }) => instanceId);
+      const runningOn = (headId: string) => streams.countOn(headId) + view.othersInFlight(headId);
+      return heads.reduce((sum, headId) => sum + runningOn(headId), 0);
+    },
+  });
   const context: EntryContext = {
     clock,
     random,
@@ -197,15 +218,15 @@
     metrics,
     dataCentre,
     view,
-    operations: guardOperations(options.operations, { clock, metrics, notices, limits }),
-    loads: createBackendLoadTable(),
-    budgetOf: createRetryBudgets({
+    operations: guardOperations(options.operations, {
       clock,
-      log,
-      limits: options.retryLimits,
-      entries: countEntries,
-      firstSyncedAtMs: () => firstSyncedAtMs,
+      metrics,
+      notices,
+      budgetOf,
+      limits,
     }),
+    loads: createBackendLoadTable(),
+    budgetOf,
     quarantine,
     crashes,
     answerMemory: createAnswerMemory({ maxBytes: options.maxAnswerBytes }),
@@ -261,9 +282,8 @@
     clock,
     schedule: scheduleTimer,
     onTick() {
-      const isSynced = Number.isFinite(facts.syncedAtMs);
-      if (isSynced) firstSyncedAtMs = Math.min(firstSyncedAtMs, clock.steadyMs());
       syncHistory.tick();
+      loans.tick();
       facts.confirmation.tick();
       paths?.tick();
     },
--- a/packages/entry/src/gossip/entryFacts.ts
+++ b/packages/entry/src/gossip/entryFacts.ts
@@ -59,6 +59,8 @@
   readonly view: RoutingView;
   /** Time of the last reply of a control VM, on this VM's clock; not finite before the first. */
   readonly syncedAtMs: number;
+  /** Lists the control VMs to call: the one with which facts are exchanged, then the others. */
+  readonly listSources: () => readonly string[];
   readonly confirmation: Pick<EntryConfirmation, 'describe' | 'renewNow' | 'tick'>;
   addSource(source: OutgoingFactSource): void;
   /** Adds a listener for facts that require action as soon as they are received. */
@@ -138,6 +140,8 @@
     get syncedAtMs() {
       return feed.syncedAtMs;
     },
+    listSources: () =>
+      [...new Set([feed.source(), ...listSources()])].filter((host) => host !== ''),
     addSource: (source) => sources.push(source),
     onUrgentFact: (listener) => listeners.push(listener),
     exchangeNow() {
--- a/packages/entry/src/gossip/syncHistory.ts
+++ b/packages/entry/src/gossip/syncHistory.ts
@@ -3,7 +3,6 @@
  * interruption.
  */
 import type { Clock } from '@spoolplank/shared';
-import { MEMBERS_KNOWN_MS } from '../admission/retryBudgets';
 
 export interface SyncHistoryOptions {
   readonly clock: Pick<Clock, 'nowMs'>;
@@ -21,6 +20,12 @@
   isMembershipComplete(): boolean;
 }
 
+/**
+ * Time until a VM knows the members that started together with it. They announce themselves every
+ * 800 ms, and each announcement passes through two control VMs.
+ */
+export const MEMBERS_KNOWN_MS = 2600;
+
 export function createSyncHistory({ clock, syncedAtMs }: SyncHistoryOptions): SyncHistory {
   let inSyncSinceMs = Number.POSITIVE_INFINITY;
   let lastTickAtMs = clock.nowMs();
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -14,4 +14,5 @@
 export * from './src/feedServer';
 export * from './src/slowdown';
 export * from './src/serverNotice';
+export * from './src/retryLoans';
 export * from './src/siblingBackoffs';
--- /dev/null
+++ b/packages/routing/__tests__/retryAccount.spec.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock } from '@spoolplank/shared';
+import { createRetryAccount, RETRY_ARRIVAL_MS } from '../src/retryAccount';
+
+const WINDOW_MS = 10_000;
+const COUNTED_MS = WINDOW_MS + RETRY_ARRIVAL_MS;
+
+function createAccount(allowance = 10) {
+  const clock = createManualClock(100_000);
+  const account = createRetryAccount({ clock, windowMs: WINDOW_MS, allowance });
+  const lend = (wanted: number, reserved = 0, service = 'app') =>
+    account.lend({ service, wanted, reserved });
+  return { clock, account, lend };
+}
+
+describe('the account of retries', () => {
+  it('lends no more than the allowance until a window after the last arrival', () => {
+    const { clock, lend } = createAccount();
+    assert.equal(lend(6).granted, 6);
+    clock.advance(5000);
+    assert.equal(lend(6).granted, 4);
+    assert.equal(lend(1).granted, 0);
+    clock.advance(COUNTED_MS - 5000);
+    assert.equal(lend(1).granted, 0);
+    clock.advance(1);
+    assert.equal(lend(20).granted, 6);
+  });
+
+  it('counts a suspension of its VM as no time', () => {
+    const { clock, lend } = createAccount();
+    assert.equal(lend(10).granted, 10);
+    clock.suspend(COUNTED_MS + 1);
+    assert.equal(lend(1).granted, 0);
+  });
+
+  it('says when the next retry is free', () => {
+    const { clock, lend } = createAccount();
+    lend(10);
+    clock.advance(4000);
+    assert.equal(lend(1).retryInMs, COUNTED_MS - 4000);
+    assert.equal(createAccount().lend(1).retryInMs, 0);
+  });
+
+  it('leaves reserved retries to others', () => {
+    const { lend } = createAccount();
+    assert.equal(lend(10, 4).granted, 6);
+    assert.equal(lend(1, 4).granted, 0);
+    assert.equal(lend(10).granted, 4);
+  });
+
+  it('keeps the services apart', () => {
+    const { account, lend } = createAccount();
+    assert.equal(lend(10, 0, 'app').granted, 10);
+    assert.equal(lend(10, 0, 'engines').granted, 10);
+    assert.deepEqual(account.describe(), { app: 10, engines: 10 });
+  });
+
+  it('lends nothing after a takeover until the loans of the account before have expired', () => {
+    const { clock, account, lend } = createAccount();
+    account.takeOver();
+    assert.deepEqual(lend(1), { granted: 0, retryInMs: COUNTED_MS });
+    clock.advance(COUNTED_MS - 1);
+    assert.equal(lend(1).granted, 0);
+    clock.advance(1);
+    assert.equal(lend(20).granted, 10);
+  });
+
+  it('lends no parts of retries', () => {
+    const { lend } = createAccount(2.9);
+    assert.equal(lend(5).granted, 2);
+  });
+});
--- a/packages/routing/__tests__/routingDocument.spec.ts
+++ b/packages/routing/__tests__/routingDocument.spec.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
 import { describe, it, mock } from 'node:test';
-import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import { createSeededRandom } from '@spoolplank/shared';
 import { collectDocumentFindings } from '../src/routingDocument';
 import type { Route, RoutingDocument } from '../src/routingDocument';
 import { createRouteTable, drawTarget } from '../src/routeTable';
-import { createWindowBudget } from '../src/windowBudget';
 
 function createRoute(overrides: Partial<Route> = {}): Route {
   return {
@@ -128,34 +127,3 @@
     }
   });
 });
-
-describe('a retry budget over a window', () => {
-  it('allows the ratio plus the allowance until the window has passed', () => {
-    const clock = createManualClock();
-    const budget = createWindowBudget({
-      clock,
-      windowMs: 10_000,
-      ratio: 0.2,
-      allowance: () => 2,
-    });
-    for (let count = 0; count < 10; count += 1) budget.earn();
-    assert.deepEqual(
-      Array.from({ length: 5 }, () => budget.spend()),
-      [true, true, true, true, false],
-    );
-    clock.advance(10_001);
-    assert.deepEqual(
-      Array.from({ length: 3 }, () => budget.spend()),
-      [true, true, false],
-    );
-  });
-
-  it('reserves a share for retries of higher importance', () => {
-    const clock = createManualClock();
-    const budget = createWindowBudget({ clock, windowMs: 1000, ratio: 0, allowance: () => 10 });
-    const spendAll = (reservedShare: number) =>
-      Array.from({ length: 20 }, () => budget.spend(reservedShare)).filter(Boolean).length;
-    assert.equal(spendAll(0.4), 6);
-    assert.equal(spendAll(0), 4);
-  });
-});
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -69,6 +69,11 @@
     outcome: 'not-run',
     message: 'The backend server takes nothing from this VM now.',
   },
+  'retry-refused': {
+    httpStatus: 503,
+    outcome: 'not-run',
+    message: 'The retry budget of the service is used up.',
+  },
   quarantined: {
     httpStatus: 503,
     outcome: 'not-run',
