fix(entry): keep asking for retries of streams that have begun

By reading: a request that came while the last call was being settled could wait for ever.

Change: a control VM keeps the leader that answered or was named last, and goes on with the next VM otherwise. A retry of a stream that has begun waits up to 1 s for an account that does not answer; a stream is lost without it, where others can be refused. The loop that asks ends in the same turn in which it sees that nothing waits. A reservation names how many retries count, so that the next leader finds no more than these: a restart of all control VMs counts what was lent.

--- a/packages/control/src/retryReservations.ts
+++ b/packages/control/src/retryReservations.ts
@@ -9,7 +9,7 @@
   readonly kind: 'retries.reserve';
   readonly service: string;
   readonly count: number;
-  /** Largest number of retries that can be lent at a time; older reservations are dropped. */
+  /** Retries that are lent and count, with these; the older reservations are dropped. */
   readonly most: number;
 }
 
--- a/packages/controller/__tests__/documentCalls.spec.ts
+++ b/packages/controller/__tests__/documentCalls.spec.ts
@@ -61,4 +61,14 @@
     assert.equal(result.status, 'accepted');
     assert.equal(called.at(-1), 'c');
   });
+
+  it('is forwarded at once to the leader that answered the change before', async () => {
+    const { called, calls } = createRelay({
+      a: redirectTo('b'),
+      b: () => ({ status: 'accepted', versionInForce: 7 }),
+    });
+    await calls.replace(DOCUMENT);
+    await calls.replace(DOCUMENT);
+    assert.deepEqual(called, ['a', 'b', 'b']);
+  });
 });
--- a/packages/controller/src/leaderCalls.ts
+++ b/packages/controller/src/leaderCalls.ts
@@ -42,15 +42,19 @@
 export function createLeaderCalls(options: LeaderCallsOptions): LeaderCalls {
   const { clock, peers, host, findTarget, listOthers } = options;
 
+  /** The VM that answered the last call as the leader, or that another one named since. */
+  let lastLeader: string | undefined;
+  let turn = 0;
+
   /** The VM to call: the leader, or, without a local replica, each of the others in turn. */
-  function findLeader(turn: number): string | undefined {
+  function findLeader(): string | undefined {
     const group = options.group();
-    if (!group) {
-      const others = listOthers();
-      return others[turn % others.length];
-    }
-    const leader = group.leaderVm();
-    return leader === host ? undefined : leader;
+    const known = group ? group.leaderVm() : lastLeader;
+    if (group || known !== undefined) return known === host ? undefined : known;
+    const others = listOthers();
+    const other = others[turn % others.length];
+    turn += 1;
+    return other;
   }
 
   return {
@@ -58,23 +62,28 @@
     async call<Result>({ runLocally, method, params, timeoutMs }: LeaderCall<Result>) {
       const deadlineMs = clock.nowMs() + timeoutMs;
       let lastError: SpoolplankError = new SpoolplankError('not-leader');
-      let turn = 0;
       while (clock.nowMs() < deadlineMs) {
         try {
           if (options.group()?.canRead()) return await runLocally();
           // A VM that is not the leader names it; most control VMs have no replica to look it up
           // in.
           const reportedLeader = lastError.leaderId === host ? undefined : lastError.leaderId;
-          const leader = reportedLeader ?? findLeader(turn);
-          if (reportedLeader === undefined) turn += 1;
+          const leader = reportedLeader ?? findLeader();
+          // Without an answer, the next call does not start with the same VM.
+          lastLeader = undefined;
           if (leader !== undefined) {
             const leftMs = Math.max(MIN_FORWARD_MS, deadlineMs - clock.nowMs());
             const forwardMs = Math.min(leftMs, FORWARD_TIMEOUT_MS);
             const target = findTarget(leader);
-            return await peers.call<Result>(target, method, params, { timeoutMs: forwardMs });
+            const result = await peers.call<Result>(target, method, params, {
+              timeoutMs: forwardMs,
+            });
+            lastLeader = leader;
+            return result;
           }
         } catch (error) {
           lastError = toSpoolplankError(error);
+          lastLeader = lastError.leaderId;
           if (lastError.outcome === 'unknown' && lastError.code !== 'unreachable') throw lastError;
         }
         await delay(RETRY_MS);
--- a/packages/controller/src/retryLoans.ts
+++ b/packages/controller/src/retryLoans.ts
@@ -103,7 +103,8 @@
 
   function reserve(service: string, count: number): Promise<void> {
     const sinceMs = clock.nowMs();
-    const most = Math.floor(limits.allowance);
+    // The newest reservations that cover what is lent are enough for the next leader.
+    const most = (account.describe()[service] ?? 0) + count;
     return commitAlone({ kind: 'retries.reserve', service, count, most }, () =>
       account.setReserved(service, count, sinceMs),
     );
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -124,6 +124,7 @@
     clock,
     log,
     metrics: createMetrics(),
+    delay: () => Promise.resolve(),
     ask: (request) => Promise.resolve(account.lend(request)),
   });
   return createRetryBudgets({
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -34,9 +34,14 @@
     return loan;
   }
 
+  const delay = (durationMs: number) => {
+    clock.advance(durationMs);
+    return Promise.resolve();
+  };
+
   /** Creates the budget of an entry that has just started. */
   function createEntry() {
-    const loans = createRetryLoans({ clock, log, metrics: createMetrics(), ask });
+    const loans = createRetryLoans({ clock, log, metrics: createMetrics(), delay, ask });
     const limits = { ...LIMITS, allowance };
     const runningStreams = () => running;
     const budget = createRetryBudgets({ clock, log, limits, loans, runningStreams })('engines');
@@ -143,6 +148,21 @@
     assert.ok(await budget.take('usual'));
   });
 
+  it('keeps asking for a stream that has begun until its caller would leave', async () => {
+    const { clock, requests, state, createEntry } = createSetting();
+    const budget = createEntry();
+    state.isReachable = false;
+    const startedAtMs = clock.nowMs();
+    assert.equal(await budget.take('begun'), null);
+    assert.ok(clock.nowMs() - startedAtMs > 500 && clock.nowMs() - startedAtMs <= 1000);
+    clock.advance(budget.refusedForMs('begun'));
+    const taken = budget.take('begun');
+    const before = requests.length;
+    state.isReachable = true;
+    assert.ok(await taken);
+    assert.ok(requests.length > before);
+  });
+
   it('does not use a loan that arrives late, as the account may count it no longer', async () => {
     const { state, createEntry } = createSetting();
     const budget = createEntry();
--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -127,6 +127,7 @@
       clock,
       log: quiet,
       metrics: createMetrics(),
+      delay,
       ask: (request) => ask(entry, request),
     });
     const runningStreams = () => 0;
@@ -148,6 +149,7 @@
       clock,
       log: quiet,
       metrics: createMetrics(),
+      delay,
       ask: (request) => Promise.resolve(part.lend(request)),
     });
     const options = { clock, log: quiet, limits: LIMITS, loans: ownLoans, runningStreams };
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -61,6 +61,12 @@
  */
 const RESERVED_SHARE = 0.4;
 
+/**
+ * Time for which a retry waits while no account answers. A stream that has begun is lost without
+ * it; its caller leaves after a pause of 2 s.
+ */
+const PATIENCE_MS: Readonly<Record<RetryUrgency, number>> = { begun: 1000, usual: 0, yielding: 0 };
+
 export function createRetryBudgets(options: RetryBudgetsOptions): RetryBudgets {
   const { clock, log, limits, loans, runningStreams } = options;
   const budgets = new Map<string, RetryBudget>();
@@ -68,7 +74,7 @@
   function purposeOf(service: string, urgency: RetryUrgency): RetryPurpose {
     const most = Math.floor(limits.allowance * RESERVED_SHARE);
     const reserved = urgency === 'yielding' ? Math.min(most, runningStreams(service)) : 0;
-    return { service, reserved };
+    return { service, reserved, patienceMs: PATIENCE_MS[urgency] };
   }
 
   /** A retry is counted as if it arrived soon after it was taken; a later arrival is reported. */
--- a/packages/entry/src/admission/retryLoans.ts
+++ b/packages/entry/src/admission/retryLoans.ts
@@ -11,12 +11,15 @@
   readonly service: string;
   /** Retries that are left for streams that have begun; 0 for those. */
   readonly reserved: number;
+  /** Time for which the request waits while no account answers; only one call by default. */
+  readonly patienceMs?: number;
 }
 
 export interface RetryLoansOptions {
   readonly clock: Pick<Clock, 'nowMs'>;
   readonly log: Pick<EventLog, 'info'>;
   readonly metrics: Pick<Metrics, 'observe'>;
+  readonly delay: (durationMs: number) => Promise<void>;
   /** @throws SpoolplankError when no account answered in time. */
   readonly ask: (request: RetryLoanRequest) => Promise<RetryLoan>;
 }
@@ -35,21 +38,29 @@
   tick(): void;
 }
 
-/** Requests of one service and urgency that wait for the account. */
+/** A request that waits for the account. */
+interface Waiter {
+  readonly endsAtMs: number;
+  readonly resolve: (askedAtMs: number | null) => void;
+}
+
+/** Requests of one service and urgency. */
 interface Line {
   purpose: RetryPurpose;
-  readonly waiting: ((askedAtMs: number | null) => void)[];
+  readonly waiting: Waiter[];
   /** Retries that arrived late and are not reported yet. */
   late: number;
   isAsking: boolean;
   refusedUntilMs: number;
 }
 
-/** Time after which an account that did not answer is asked again. */
+/** Time after which an account that did not answer is asked again for new requests. */
 const UNAVAILABLE_MS = 300;
+/** Pause before it is asked again for requests that wait. */
+const RETRY_MS = 50;
 
 export function createRetryLoans(options: RetryLoansOptions): RetryLoans {
-  const { clock, log, metrics, ask } = options;
+  const { clock, log, metrics, ask, delay } = options;
   const lines = new Map<string, Line>();
 
   function lineOf(purpose: RetryPurpose): Line {
@@ -82,27 +93,53 @@
     return null;
   }
 
-  /** Asks for all that wait at once, one call after the other. */
-  async function serve(line: Line): Promise<void> {
+  function settleLoan(
+    line: Line,
+    batch: readonly Waiter[],
+    { granted, retryInMs }: RetryLoan,
+    askedAtMs: number,
+  ): void {
+    batch.forEach(({ resolve }, index) => resolve(index < granted ? askedAtMs : null));
+    if (granted >= batch.length) return;
+    Object.assign(line, { refusedUntilMs: clock.nowMs() + retryInMs });
+    line.waiting.splice(0).forEach(({ resolve }) => resolve(null));
+  }
+
+  /** Keeps the requests that can wait for another call, and refuses the others. */
+  async function waitForAccount(line: Line, batch: readonly Waiter[]): Promise<void> {
+    const isPatient = ({ endsAtMs }: Waiter) => endsAtMs > clock.nowMs() + LOAN_VALIDITY_MS;
+    const patient = batch.filter(isPatient);
+    batch.filter((waiter) => !isPatient(waiter)).forEach(({ resolve }) => resolve(null));
+    line.waiting.unshift(...patient);
+    if (patient.length > 0) await delay(RETRY_MS);
+    else Object.assign(line, { refusedUntilMs: clock.nowMs() + UNAVAILABLE_MS });
+  }
+
+  /** Asks once for all that wait. */
+  async function askForAll(line: Line): Promise<void> {
     const batch = line.waiting.splice(0);
     const { late, purpose } = line;
+    const { service, reserved } = purpose;
     const askedAtMs = clock.nowMs();
     Object.assign(line, { late: 0 });
-    const loan = await askFor({ ...purpose, wanted: batch.length, late });
-    const { granted, retryInMs } = loan ?? { granted: 0, retryInMs: UNAVAILABLE_MS };
-    if (!loan) Object.assign(line, { late: line.late + late });
-    batch.forEach((resolve, index) => resolve(index < granted ? askedAtMs : null));
-    if (granted < batch.length) {
-      Object.assign(line, { refusedUntilMs: clock.nowMs() + retryInMs });
-      line.waiting.splice(0).forEach((resolve) => resolve(null));
+    const loan = await askFor({ service, reserved, wanted: batch.length, late });
+    if (loan) settleLoan(line, batch, loan, askedAtMs);
+    else {
+      Object.assign(line, { late: line.late + late });
+      await waitForAccount(line, batch);
     }
-    if (line.waiting.length > 0) await serve(line);
+  }
+
+  async function serve(line: Line): Promise<void> {
+    do await askForAll(line);
+    while (line.waiting.length > 0);
+    Object.assign(line, { isAsking: false });
   }
 
   function serveIfIdle(line: Line): void {
     if (line.isAsking) return;
     Object.assign(line, { isAsking: true });
-    void serve(line).finally(() => Object.assign(line, { isAsking: false }));
+    void serve(line);
   }
 
   return {
@@ -110,8 +147,9 @@
       const line = lineOf(purpose);
       Object.assign(line, { purpose });
       if (remainingMs(line) > 0) return Promise.resolve(null);
+      const endsAtMs = clock.nowMs() + (purpose.patienceMs ?? 0);
       return new Promise((resolve) => {
-        line.waiting.push(resolve);
+        line.waiting.push({ endsAtMs, resolve });
         serveIfIdle(line);
       });
     },
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -7,7 +7,7 @@
   findBackend,
 } from '@spoolplank/membership';
 import type { ChangeBounds, LoadFact } from '@spoolplank/membership';
-import { scheduleTimer } from '@spoolplank/node';
+import { delay, scheduleTimer } from '@spoolplank/node';
 import type {
   EventLog,
   Metrics,
@@ -193,6 +193,7 @@
     clock,
     log,
     metrics,
+    delay,
     ask: createLoanCalls({
       clock,
       peers,
