--- a/packages/controller/__tests__/retryLoans.spec.ts
+++ b/packages/controller/__tests__/retryLoans.spec.ts
@@ -97,6 +97,22 @@
     assert.equal((await lend('b', 200)).granted, LENT - 10);
   });
 
+  it('are lent by a new leader up to what still counts, beside older ones that have expired', async () => {
+    const { clock, state, replicas, lend } = createGroup(['a', 'b']);
+    await lend('a', 50);
+    clock.advance(6000);
+    await lend('a', 10);
+    clock.advance(COUNTED_MS - 6000 + 1);
+    await lend('a', 5);
+    const counts = replicas
+      .get('b')
+      ?.list()
+      .map(({ count }) => count);
+    assert.deepEqual(counts, [10, 7]);
+    Object.assign(state, { leader: 'b', term: 2 });
+    assert.equal((await lend('b', 200)).granted, LENT - 17);
+  });
+
   it('are all lent by a new leader if nothing that was reserved can still arrive', async () => {
     const { clock, state, replicas, lend, tickAll } = createGroup(['a', 'b']);
     await lend('a', 50);
