fix(entry): hand a server only the time that is left after the wait for a retry

A server would have been handed more time than the caller has left.

Conclusion: no stated bound on the time handed to servers changes with the lent retries.

--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -18,7 +18,7 @@
 import type { ClosedReason, ServerNotices } from './serverNotices';
 
 export interface GuardOptions {
-  readonly clock: Pick<Clock, 'steadyMs'>;
+  readonly clock: Pick<Clock, 'nowMs' | 'steadyMs'>;
   readonly metrics: Pick<Metrics, 'count'>;
   readonly notices: ServerNotices;
   readonly budgetOf: RetryBudgets;
@@ -67,9 +67,12 @@
   return {
     onNotice: (listener) => operations.onNotice(listener),
     async open(call) {
+      const askedAtMs = clock.nowMs();
       const permit = await takeRetry(call);
+      // The server must not be handed the time for which the retry was waited for.
+      const remainingMs = call.remainingMs - (clock.nowMs() - askedAtMs);
       try {
-        const response = await sendNow(call);
+        const response = await sendNow({ ...call, remainingMs });
         permit?.settle();
         return response;
       } catch (error) {
