fix(controller): cover what is lent while a reservation is committed

Cause: by reading: a reservation named the retries that were lent when it was proposed. Loans under the reservation before go on until it is committed; if nothing had been lent before, the older reservation was dropped though loans under it counted, and a leader that took over then could lend up to a sixteenth of the allowance twice.

Change: the reservation also names what may still be lent under the one before.

Conclusion: the newest reservations cover every loan that counts.

--- a/packages/controller/__tests__/retryLoans.spec.ts
+++ b/packages/controller/__tests__/retryLoans.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { createRetryReservations } from '@spoolplank/control';
 import type { ReserveRetries } from '@spoolplank/control';
 import { RETRY_LOAN_METHOD } from '@spoolplank/membership';
@@ -14,6 +15,7 @@
 
 const LIMITS = { windowMs: 10_000, allowance: 100 };
 const LENT = 97;
+const MIN_WAIT_MS = 250;
 const LEADER_METHOD = 'retries.lend-as-leader';
 const COUNTED_MS = LIMITS.windowMs + RETRY_ARRIVAL_MS;
 
@@ -22,6 +24,7 @@
   const state = { leader: hosts[0] ?? '', term: 1 };
   const replicas = new Map(hosts.map((host) => [host, createRetryReservations(clock)]));
   const calls: string[] = [];
+  let committing = Promise.resolve();
   const vms = new Map<string, ReturnType<typeof createRetryLoans>>();
   const peers: PeerClient = {
     async call<Result>({ vmId }: PeerTarget, method: string, params: unknown): Promise<Result> {
@@ -37,9 +40,10 @@
       canRead: () => state.leader === host,
       leaderVm: () => state.leader,
       term: () => state.term,
-      propose(command: JsonValue) {
+      async propose(command: JsonValue) {
+        await committing;
         replicas.forEach((replica) => replica.apply(command as unknown as ReserveRetries));
-        return Promise.resolve(null);
+        return null;
       },
     });
     const reservations = replicas.get(host) ?? createRetryReservations(clock);
@@ -67,7 +71,15 @@
     return (await vms.get(host)?.methods[method]?.(request, 'entry')) as unknown as RetryLoan;
   }
   const tickAll = () => vms.forEach((vm) => vm.tick());
-  return { clock, state, calls, replicas, lend, tickAll };
+  /** Holds back all commits until the returned function is called. */
+  function holdCommits(): () => void {
+    let release = () => {};
+    committing = new Promise((resolve) => {
+      release = resolve;
+    });
+    return () => release();
+  }
+  return { clock, state, calls, replicas, lend, tickAll, holdCommits };
 }
 
 describe('the retries that control VMs lend', () => {
@@ -97,6 +109,23 @@
     assert.equal((await lend('b', 200)).granted, LENT - 10);
   });
 
+  it('are covered for a new leader also if they were lent while a reservation was committed', async () => {
+    const { clock, state, lend, holdCommits } = createGroup(['a', 'b']);
+    const commitLate = holdCommits();
+    const late = lend('a', 1);
+    clock.advance(300);
+    commitLate();
+    assert.equal((await late).granted, 0, 'the entry has given up');
+    clock.advance(MIN_WAIT_MS);
+    const commit = holdCommits();
+    const many = lend('a', 14);
+    assert.equal((await lend('a', 6)).granted, 6);
+    commit();
+    assert.equal((await many).granted, 14);
+    Object.assign(state, { leader: 'b', term: 2 });
+    assert.equal((await lend('b', 200)).granted, LENT - 21);
+  });
+
   it('are lent by a new leader up to what still counts, beside older ones that have expired', async () => {
     const { clock, state, replicas, lend } = createGroup(['a', 'b']);
     await lend('a', 50);
@@ -118,6 +147,7 @@
     await lend('a', 50);
     clock.advance(COUNTED_MS + 1);
     tickAll();
+    await nextTurn();
     assert.deepEqual(replicas.get('b')?.list(), []);
     Object.assign(state, { leader: 'b', term: 2 });
     assert.equal((await lend('b', 200)).granted, LENT);
--- a/packages/controller/src/retryLoans.ts
+++ b/packages/controller/src/retryLoans.ts
@@ -63,8 +63,7 @@
     const term = group.term();
     if (term === knownTerm) return true;
     knownTerm = term;
-    const earlier = reservations.list();
-    account.takeOver(earlier);
+    account.takeOver(reservations.list());
     log.info('retry-account-taken-over', { term, lent: JSON.stringify(account.describe()) });
     return true;
   }
@@ -103,8 +102,9 @@
 
   function reserve(service: string, count: number): Promise<void> {
     const sinceMs = clock.nowMs();
-    // The newest reservations that cover what is lent are enough for the next leader.
-    const most = (account.describe()[service] ?? 0) + count;
+    // The newest reservations that cover what is lent, or may be until this one is committed, are
+    // enough for the next leader.
+    const most = account.exposedOf(service) + count;
     return commitAlone({ kind: 'retries.reserve', service, count, most }, () =>
       account.setReserved(service, count, sinceMs),
     );
--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -53,6 +53,8 @@
    * clock `nowMs`. Replaces the reservation before.
    */
   setReserved(service: string, count: number, sinceMs: number): void;
+  /** Retries of a service that are lent and count, or that may be lent without a new reservation. */
+  exposedOf(service: string): number;
   /** Forgets its loans and takes over the account of earlier keepers. */
   takeOver(earlier: readonly EarlierReservation[]): void;
   /** Retries of each service that are lent and count. */
@@ -148,6 +150,11 @@
       const reservedUntilMs = sinceMs + RESERVATION_VALIDITY_MS;
       Object.assign(rowOf(service), { reserved: count, reservedUntilMs });
     },
+    exposedOf(service) {
+      const row = rowOf(service);
+      dropExpired(row);
+      return row.lent + row.reserved;
+    },
     takeOver(earlier) {
       rows.clear();
       const nowMs = clock.steadyMs();
