--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -53,7 +53,7 @@
    * clock `nowMs`. Replaces the reservation before.
    */
   setReserved(service: string, count: number, sinceMs: number): void;
-  /** Retries of a service that are lent and count, or that may be lent without a new reservation. */
+  /** Retries of a service that are lent and count, or may be lent without a new reservation. */
   exposedOf(service: string): number;
   /** Forgets its loans and takes over the account of earlier keepers. */
   takeOver(earlier: readonly EarlierReservation[]): void;
