feat(entry): log reading gaps, and count the retries that may arrive late

The logs could not tell whether retries are earned too early, arrive late, are returned though they arrive, or are lent beyond the allowance.

Change: `reading-gap` and the histogram spoolplank_reading_gap_ms when an entry did not run for more than 0.4 s; counters of the decisions on retries by source, of retries that were answered late, of own retries that were returned, and of sends that were given up without an answer.

--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -130,6 +130,7 @@
   return createRetryBudgets({
     clock,
     log,
+    metrics: createMetrics(),
     limits,
     loans,
     runningStreams: () => 0,
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -41,10 +41,12 @@
 
   /** Creates the budget of an entry that has just started. */
   function createEntry() {
-    const loans = createRetryLoans({ clock, log, metrics: createMetrics(), delay, ask });
+    const metrics = createMetrics();
+    const loans = createRetryLoans({ clock, log, metrics, delay, ask });
     const limits = { ...LIMITS, allowance };
     const runningStreams = () => running;
-    const budget = createRetryBudgets({ clock, log, limits, loans, runningStreams })('engines');
+    const options = { clock, log, metrics, limits, loans, runningStreams };
+    const budget = createRetryBudgets(options)('engines');
     return Object.assign(budget, { tick: loans.tick });
   }
   return { clock, account, requests, state, createEntry };
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -3,7 +3,7 @@
  * have earned; when there is none, it is borrowed from the account of all entries.
  * See docs/design/retry-budget.md.
  */
-import type { EventLog } from '@spoolplank/node';
+import type { EventLog, Metrics } from '@spoolplank/node';
 import { createEarnedRetries, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
 import type { RetryLoans, RetryPurpose } from './retryLoans';
@@ -19,6 +19,7 @@
 export interface RetryBudgetsOptions {
   readonly clock: Clock;
   readonly log: Pick<EventLog, 'info'>;
+  readonly metrics: Pick<Metrics, 'count'>;
   readonly limits: RetryLimits;
   readonly loans: RetryLoans;
   /** Number of streams of a service that run on all entries, in streams of the usual size. */
@@ -68,7 +69,7 @@
 const PATIENCE_MS: Readonly<Record<RetryUrgency, number>> = { begun: 1000, usual: 0, yielding: 0 };
 
 export function createRetryBudgets(options: RetryBudgetsOptions): RetryBudgets {
-  const { clock, log, limits, loans, runningStreams } = options;
+  const { clock, log, metrics, limits, loans, runningStreams } = options;
   const budgets = new Map<string, RetryBudget>();
 
   function purposeOf(service: string, urgency: RetryUrgency): RetryPurpose {
@@ -81,7 +82,9 @@
   function createPermit(purpose: RetryPurpose, takenAtMs: number, cancel: () => void): RetryPermit {
     return {
       settle() {
-        if (clock.nowMs() - takenAtMs > RETRY_ARRIVAL_MS) loans.recordLate(purpose);
+        if (clock.nowMs() - takenAtMs <= RETRY_ARRIVAL_MS) return;
+        metrics.count('spoolplank_retries_late_total', { service: purpose.service });
+        loans.recordLate(purpose);
       },
       cancel,
     };
@@ -91,8 +94,14 @@
     const { windowMs, ratio } = limits;
     const own = createEarnedRetries({ clock, windowMs, ratio });
 
+    function refundOwn(): void {
+      metrics.count('spoolplank_retries_returned_total', { service });
+      own.refund();
+    }
+
     function report(urgency: RetryUrgency, source: 'own' | 'account' | 'none'): void {
       const { requests, saved } = own.describe();
+      metrics.count('spoolplank_retry_decisions_total', { service, source });
       log.info(source === 'none' ? 'retry-refused' : 'retry-spent', {
         service,
         urgency,
@@ -119,7 +128,7 @@
         const purpose = purposeOf(service, urgency);
         if (own.take()) {
           report(urgency, 'own');
-          return createPermit(purpose, clock.nowMs(), own.refund);
+          return createPermit(purpose, clock.nowMs(), refundOwn);
         }
         const permit = await borrow(purpose);
         report(urgency, permit ? 'account' : 'none');
--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -77,7 +77,11 @@
         return response;
       } catch (error) {
         if (toSpoolplankError(error).outcome === 'not-run') permit?.cancel();
-        else permit?.settle();
+        else {
+          const { service, cause } = call;
+          metrics.count('spoolplank_sends_unanswered_total', { service, cause });
+          permit?.settle();
+        }
         throw error;
       }
     },
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -36,6 +36,7 @@
 import { createAnswerMemory } from './dispatch/answerMemory';
 import { createPlainDispatch } from './dispatch/plainDispatch';
 import { createPeriodicWork } from './periodicWork';
+import { createReadingGaps } from './admission/readingGaps';
 import { createReadiness } from './readiness';
 import { createRequestAdmission } from './admission/requestAdmission';
 import { contentOf } from './quarantine/requestContent';
@@ -204,6 +205,7 @@
   const budgetOf = createRetryBudgets({
     clock,
     log,
+    metrics,
     limits: options.retryLimits,
     loans,
     runningStreams(service) {
@@ -279,10 +281,12 @@
   const plain = createPlainDispatch(context, slots.permits);
   ({ isServerLost, isServerLostNow } = repair);
   onStreamEnd = (row) => slots.recordReleased(row.dataCentre, row.ticket);
+  const readingGaps = createReadingGaps({ clock, log, metrics });
   const work = createPeriodicWork({
     clock,
     schedule: scheduleTimer,
     onTick() {
+      readingGaps.mark();
       syncHistory.tick();
       loans.tick();
       facts.confirmation.tick();
@@ -346,6 +350,7 @@
       facts.start();
     },
     async handle(request, answer) {
+      readingGaps.mark();
       let route = '';
       let service = '';
       openRequests.add(request);
