--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -1,7 +1,8 @@
 /**
  * Random schedules of failures around a service whose servers reject most requests, in virtual
  * time: entries and accounts of retries that are killed, restarted, cut off and suspended, and
- * requests that wait before they are sent or arrive late.
+ * requests that wait before they are read or sent, or arrive late. A request counts when its caller
+ * sends it, whenever the entry reads it.
  */
 import { createMetrics } from '@spoolplank/node';
 import { createRetryAccount, LOAN_VALIDITY_MS, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
@@ -42,6 +43,10 @@
 const KEEPERS = 3;
 const STEPS = 12;
 const MAX_ATTEMPTS = 3;
+const TICK_MS = 200;
+const SUSPENSIONS_MS: readonly number[] = [200, 1000, 4000, 10_000];
+/** Time over which an entry reads the requests that came while it was suspended. */
+const CATCH_UP_MS = 300;
 
 const countBetween = (timesMs: readonly number[], fromMs: number, toMs: number): number =>
   timesMs.filter((atMs) => atMs >= fromMs && atMs < toMs).length;
@@ -74,6 +79,8 @@
   const createKeeper = (): RetryAccount =>
     createRetryAccount({ clock, windowMs: LIMITS.windowMs, allowance: LIMITS.allowance });
   const keepers = Array.from({ length: KEEPERS }, createKeeper);
+  /** Until when each keeper is suspended. */
+  const keepersAwakeAtMs = keepers.map(() => 0);
   let leader: number | null = 0;
   let incarnations = 0;
   let terms = 1;
@@ -86,11 +93,12 @@
     return 1 + drawMs(4);
   }
 
-  function findKeeper(): RetryAccount | undefined {
-    const index = planted === 'two-accounts-lend' ? random.nextInt(KEEPERS) : leader;
-    return index === null ? undefined : keepers[index];
+  function findKeeper(): number | null {
+    return planted === 'two-accounts-lend' ? random.nextInt(KEEPERS) : leader;
   }
 
+  const leads = (index: number) => index === leader || planted === 'two-accounts-lend';
+
   /** Commits a reservation; false if the keeper does not lead any more. */
   async function reserve(keeper: RetryAccount, request: RetryLoanRequest): Promise<boolean> {
     const count = keeper.missingFor(request);
@@ -111,8 +119,11 @@
       throw new SpoolplankError('unreachable');
     }
     await delay(drawMessageMs());
-    const keeper = findKeeper();
-    if (!keeper) throw new SpoolplankError('not-leader');
+    const index = findKeeper();
+    if (index === null) throw new SpoolplankError('not-leader');
+    await delay(Math.max(0, (keepersAwakeAtMs[index] ?? 0) - clock.nowMs()));
+    const keeper = keepers[index];
+    if (!keeper || !leads(index)) throw new SpoolplankError('not-leader');
     if (!(await reserve(keeper, request))) throw new SpoolplankError('not-leader');
     const loan = keeper.lend(request);
     await delay(drawMessageMs());
@@ -131,13 +142,9 @@
       ask: (request) => ask(entry, request),
     });
     const runningStreams = () => 0;
-    const budget = createRetryBudgets({
-      clock,
-      log: quiet,
-      limits: LIMITS,
-      loans,
-      runningStreams,
-    })('app');
+    const metrics = createMetrics();
+    const shared = { clock, log: quiet, metrics, limits: LIMITS, runningStreams };
+    const budget = createRetryBudgets({ ...shared, loans })('app');
     Object.assign(entry, { budget, tick: loans.tick, incarnation: incarnations });
     if (planted !== 'slack-by-entry') return;
     const part = createTestAccount({
@@ -152,8 +159,8 @@
       delay,
       ask: (request) => Promise.resolve(part.lend(request)),
     });
-    const options = { clock, log: quiet, limits: LIMITS, loans: ownLoans, runningStreams };
-    Object.assign(entry, { budget: createRetryBudgets(options)('app') });
+    const budgets = createRetryBudgets({ ...shared, loans: ownLoans });
+    Object.assign(entry, { budget: budgets('app') });
   }
 
   const entries = Array.from({ length: ENTRIES }, () => {
@@ -169,11 +176,24 @@
     return 1 + drawMs(5);
   }
 
+  const isSuspended = (entry: Entry) => entry.suspendedUntilMs > clock.nowMs();
+
+  /** Resolves when an entry has read a request that is sent to it now. */
+  async function deliver(entry: Entry): Promise<void> {
+    await delay(isLucky(0.03) ? drawMs(400) : 1 + drawMs(4));
+    while (isSuspended(entry)) {
+      await delay(entry.suspendedUntilMs - clock.nowMs());
+      if (!isSuspended(entry)) await delay(drawMs(CATCH_UP_MS));
+    }
+  }
+
   async function serve(entry: Entry): Promise<void> {
     const { incarnation, budget } = entry;
     const isUp = () => entry.incarnation === incarnation;
-    if (incarnation === 0) return;
     requestsAtMs.push(clock.nowMs());
+    if (incarnation === 0) return;
+    await deliver(entry);
+    if (!isUp()) return;
     budget.earn();
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       // Waits for a server or a slot.
@@ -218,6 +238,20 @@
     time.schedule(() => start(entry), 50 + drawMs(600));
   }
 
+  function drawSuspensionMs(): number {
+    return drawMs(SUSPENSIONS_MS[random.nextInt(SUSPENSIONS_MS.length)] ?? 1);
+  }
+
+  function suspend(entry: Entry): void {
+    entry.suspendedUntilMs = clock.nowMs() + drawSuspensionMs();
+  }
+
+  function tick(): void {
+    entries.filter((entry) => !isSuspended(entry)).forEach((entry) => entry.tick());
+    time.schedule(tick, TICK_MS);
+  }
+  tick();
+
   const faults: readonly (() => void)[] = [
     () => kill(drawEntry()),
     () => entries.forEach(kill),
@@ -225,8 +259,12 @@
       const entry = drawEntry();
       entry.isCut = !entry.isCut;
     },
+    () => suspend(drawEntry()),
+    () => entries.forEach((entry) => suspend(entry)),
     () => {
-      drawEntry().suspendedUntilMs = clock.nowMs() + drawMs(4000);
+      keepersAwakeAtMs[random.nextInt(KEEPERS)] = clock.nowMs() + drawSuspensionMs();
+      // Another keeper is elected once the lease of a suspended one has expired.
+      if (isLucky(0.5)) time.schedule(replaceLeader, 700);
     },
     replaceLeader,
     () => {},
@@ -238,7 +276,6 @@
     const few = 1 + random.nextInt(ENTRIES);
     while (clock.nowMs() < endMs) {
       void serve(entries[random.nextInt(few)] as Entry);
-      entries.forEach(({ tick }) => tick());
       await time.pass(1 + drawMs(2 * pauseMs));
     }
     faults[random.nextInt(faults.length)]?.();
