fix(entry): earn retries as of a time before their requests were sent

Cause: callers' requests that waited unread while an entry stood still earned retries when they were read, and the bound counts them when they are sent. The class: a bound over time that is counted by the clock of the reader instead of that of the sender.

Change: a request earns as of a lower bound of the time at which it was sent, and only as much as could have been saved since then, so what waited adds at most what an entry may save, a tenth of a window. The bound is the last moment at which the process is known to have run before it was read (`readingGaps`: marks with each tick and request, gaps from 0.3 s, on both clocks), less 0.3 s for a shorter gap and a packet that is sent again; a process is given as long to read what came meanwhile as it stood still. A request that waits for the routing document or a confirmation keeps that time. A returned retry counts as of the time at which it was taken. It holds for the sum over entries: retries in a window are at most a tenth of what the window before earned, by sending time, and nine tenths of what was sent in it.

Conclusion: the bound holds when requests wait unread.

--- a/packages/entry/__tests__/documentRefusals.spec.ts
+++ b/packages/entry/__tests__/documentRefusals.spec.ts
@@ -33,6 +33,7 @@
     isReadyToRoute: () => true,
     isFresh: () => true,
     isCurrent: () => state.isCurrent,
+    readingGaps: { sentAfterMs: (arrivedAtMs) => arrivedAtMs },
     async renewConfirmation() {
       renewals += 1;
       onRenewal(state);
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -253,6 +253,7 @@
     service: 'engines',
     organisation: null,
     callerAgeMs: 0,
+    sentAfterMs: clock.steadyMs(),
     deadlineAtMs: clock.nowMs() + route.timeoutMs,
   };
 }
--- a/packages/entry/__tests__/plainDispatch.spec.ts
+++ b/packages/entry/__tests__/plainDispatch.spec.ts
@@ -54,6 +54,7 @@
     service: 'engines',
     organisation: null,
     callerAgeMs: 0,
+    sentAfterMs: clock.steadyMs(),
     deadlineAtMs: clock.nowMs() + 600,
   };
   return { calls, clock, run: () => dispatch.run(admitted) };
--- a/packages/entry/__tests__/requestAdmission.spec.ts
+++ b/packages/entry/__tests__/requestAdmission.spec.ts
@@ -48,6 +48,7 @@
       isFresh: () => isReady,
       isCurrent: () => isReady,
       renewConfirmation: () => Promise.resolve(),
+      readingGaps: { sentAfterMs: (arrivedAtMs) => arrivedAtMs },
       decisions,
       delay,
     }),
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -64,8 +64,8 @@
   return taken.reduce((sum, count) => sum + count, 0);
 }
 
-function earn(budget: RetryBudget, count: number): void {
-  for (let index = 0; index < count; index += 1) budget.earn();
+function earn(budget: RetryBudget, count: number, sentAfterMs: number): void {
+  for (let index = 0; index < count; index += 1) budget.earn(sentAfterMs);
 }
 
 describe('the retry budget that all entries share', () => {
@@ -99,17 +99,17 @@
   });
 
   it('lets an entry that has just started use the retries that its own requests earn', async () => {
-    const { state, createEntry } = createSetting();
+    const { clock, state, createEntry } = createSetting();
     state.isReachable = false;
     const budgets = Array.from({ length: VMS }, createEntry);
-    budgets.forEach((budget) => earn(budget, 60));
+    budgets.forEach((budget) => earn(budget, 60, clock.steadyMs()));
     assert.equal(await takeFromEach(budgets, 20), VMS);
   });
 
   it('gets an own retry back that was not sent', async () => {
-    const { createEntry } = createSetting({ allowance: 0 });
+    const { clock, createEntry } = createSetting({ allowance: 0 });
     const budget = createEntry();
-    earn(budget, 60);
+    earn(budget, 60, clock.steadyMs());
     (await budget.take('usual'))?.cancel();
     assert.ok(await budget.take('usual'));
     assert.equal(await budget.take('usual'), null);
--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -11,11 +11,17 @@
 import { createRetryBudgets } from '../src/admission/retryBudgets';
 import type { RetryBudget } from '../src/admission/retryBudgets';
 import { createTestAccount } from './fixtures';
+import { createReadingGaps } from '../src/admission/readingGaps';
+import type { ReadingGaps } from '../src/admission/readingGaps';
 import { createRetryLoans } from '../src/admission/retryLoans';
 import { createVirtualTime } from './virtualTime';
 
 /** Deliberate faults of the model, each of which must break the bound in some schedule. */
-export type PlantedFault = 'account-forgets-at-takeover' | 'slack-by-entry' | 'two-accounts-lend';
+export type PlantedFault =
+  | 'account-forgets-at-takeover'
+  | 'requests-dated-by-reading'
+  | 'slack-by-entry'
+  | 'two-accounts-lend';
 
 export interface ScheduleResult {
   /** Retries in the worst window as a share of the allowed ones. */
@@ -31,6 +37,7 @@
 
 interface Entry {
   budget: RetryBudget;
+  gaps: ReadingGaps;
   tick: () => void;
   /** Identifies the incarnation; 0 while the entry is down. */
   incarnation: number;
@@ -43,6 +50,10 @@
 const KEEPERS = 3;
 const STEPS = 12;
 const MAX_ATTEMPTS = 3;
+/** Pauses between requests, one of which is drawn for each step. */
+const PAUSES_MS: readonly number[] = [60, 150, 400];
+/** Pauses of every fourth schedule, in which requests earn most of the allowed retries. */
+const SHORT_PAUSES_MS: readonly number[] = [10, 20, 60];
 const TICK_MS = 200;
 const SUSPENSIONS_MS: readonly number[] = [200, 1000, 4000, 10_000];
 /** Time over which an entry reads the requests that came while it was suspended. */
@@ -72,6 +83,7 @@
   const random = createSeededRandom(seed);
   const time = createVirtualTime();
   const { clock, delay } = time;
+  const pausesMs = seed % 4 === 0 ? SHORT_PAUSES_MS : PAUSES_MS;
   const requestsAtMs: number[] = [];
   const retriesAtMs: number[] = [];
   const isLucky = (share: number) => random.nextFloat() < share;
@@ -145,7 +157,9 @@
     const metrics = createMetrics();
     const shared = { clock, log: quiet, metrics, limits: LIMITS, runningStreams };
     const budget = createRetryBudgets({ ...shared, loans })('app');
-    Object.assign(entry, { budget, tick: loans.tick, incarnation: incarnations });
+    const gaps = createReadingGaps({ clock, log: quiet, metrics });
+    const tickAll = () => [gaps.mark, loans.tick].forEach((tickOne) => tickOne());
+    Object.assign(entry, { budget, gaps, tick: tickAll, incarnation: incarnations });
     if (planted !== 'slack-by-entry') return;
     const part = createTestAccount({
       clock,
@@ -188,13 +202,15 @@
   }
 
   async function serve(entry: Entry): Promise<void> {
-    const { incarnation, budget } = entry;
+    const { incarnation, budget, gaps } = entry;
     const isUp = () => entry.incarnation === incarnation;
     requestsAtMs.push(clock.nowMs());
     if (incarnation === 0) return;
     await deliver(entry);
     if (!isUp()) return;
-    budget.earn();
+    gaps.mark();
+    const isDatedByReading = planted === 'requests-dated-by-reading';
+    budget.earn(isDatedByReading ? clock.steadyMs() : gaps.sentAfterMs(clock.nowMs()));
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       // Waits for a server or a slot.
       await delay(isLucky(0.1) ? drawMs(1500) : 1);
@@ -272,7 +288,7 @@
 
   for (let step = 0; step < STEPS; step += 1) {
     const endMs = clock.nowMs() + 500 + drawMs(4000);
-    const pauseMs = [60, 150, 400][random.nextInt(3)] ?? 150;
+    const pauseMs = pausesMs[random.nextInt(pausesMs.length)] ?? 150;
     const few = 1 + random.nextInt(ENTRIES);
     while (clock.nowMs() < endMs) {
       void serve(entries[random.nextInt(few)] as Entry);
--- a/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
+++ b/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
@@ -6,6 +6,7 @@
 const SCHEDULES = 1000;
 const PLANTED: readonly PlantedFault[] = [
   'account-forgets-at-takeover',
+  'requests-dated-by-reading',
   'slack-by-entry',
   'two-accounts-lend',
 ];
--- a/packages/entry/__tests__/streamFixtures.ts
+++ b/packages/entry/__tests__/streamFixtures.ts
@@ -33,6 +33,7 @@
       service: 'engines',
       organisation: null,
       callerAgeMs: 0,
+      sentAfterMs: clock.steadyMs(),
       deadlineAtMs: clock.nowMs() + 20_000,
     },
     model: MODEL,
--- a/packages/entry/__tests__/streamRepair.spec.ts
+++ b/packages/entry/__tests__/streamRepair.spec.ts
@@ -86,6 +86,7 @@
       service: 'engines',
       organisation: null,
       callerAgeMs: 0,
+      sentAfterMs: clock.steadyMs(),
       deadlineAtMs: clock.nowMs() + 20_000,
     },
     model: MODEL,
--- a/packages/entry/src/admission/readingGaps.ts
+++ b/packages/entry/src/admission/readingGaps.ts
@@ -31,10 +31,10 @@
   readonly readUntilMs: number;
 }
 
-/** Twice the longest interval between two marks of a process that runs. */
-const MIN_GAP_MS = 400;
+/** Longer than the interval between two marks of a process that runs. */
+const MIN_GAP_MS = 300;
 /** Covers a gap that is too short to be noticed, and a packet that is sent again on the way. */
-const MAX_DELIVERY_MS = 500;
+const MAX_DELIVERY_MS = 300;
 /** Age from which a gap is forgotten; requests wait less long before they are dispatched. */
 const KEPT_MS = 10_000;
 
--- a/packages/entry/src/admission/requestAdmission.ts
+++ b/packages/entry/src/admission/requestAdmission.ts
@@ -8,6 +8,7 @@
 import type { CallerAnswer, CallerRequest } from '../callerRequest';
 import type { AdmittedRequest } from '../entryContext';
 import type { RoutingView } from '../gossip/routingView';
+import type { ReadingGaps } from './readingGaps';
 
 export interface RequestAdmissionOptions {
   readonly clock: Clock;
@@ -21,6 +22,7 @@
   readonly isCurrent: () => boolean;
   /** Asks for a confirmation; resolves when there is one, or after a short wait. */
   readonly renewConfirmation: () => Promise<void>;
+  readonly readingGaps: Pick<ReadingGaps, 'sentAfterMs'>;
   readonly decisions?: Pick<DecisionSettings, 'forecast'>;
   readonly delay?: (durationMs: number) => Promise<void>;
 }
@@ -67,7 +69,7 @@
   error instanceof SpoolplankError && DOCUMENT_REFUSALS.has(error.code);
 
 export function createRequestAdmission(options: RequestAdmissionOptions): RequestAdmission {
-  const { clock, random, view, isReadyToRoute, isFresh, isCurrent } = options;
+  const { clock, random, view, readingGaps, isReadyToRoute, isFresh, isCurrent } = options;
   const { decisions = DEFAULT_DECISIONS, delay = realDelay } = options;
   const callerAge = createCallerAge();
   const startedAtMs = clock.nowMs();
@@ -171,6 +173,7 @@
         organisation: organisation?.name ?? '',
         remainingMs: request.deadlineMs,
       }),
+      sentAfterMs: readingGaps.sentAfterMs(request.arrivedAtMs),
       deadlineAtMs: request.arrivedAtMs + limitMs,
     };
   }
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -43,8 +43,8 @@
 
 /** The retry budget of a service on this entry. */
 export interface RetryBudget {
-  /** Counts a request that arrived. */
-  earn(): void;
+  /** Counts a request that was sent after a time on the clock `steadyMs`. */
+  earn(sentAfterMs: number): void;
   /** Whether a retry is refused without asking anyone; one that is not may be refused later. */
   isExhausted(urgency: RetryUrgency): boolean;
   /** Takes a retry that is sent as soon as this resolves; null when there is none. */
@@ -94,9 +94,12 @@
     const { windowMs, ratio } = limits;
     const own = createEarnedRetries({ clock, windowMs, ratio });
 
-    function refundOwn(): void {
-      metrics.count('spoolplank_retries_returned_total', { service });
-      own.refund();
+    function createOwnPermit(purpose: RetryPurpose): RetryPermit {
+      const takenAtMs = clock.steadyMs();
+      return createPermit(purpose, clock.nowMs(), () => {
+        metrics.count('spoolplank_retries_returned_total', { service });
+        own.refund(takenAtMs);
+      });
     }
 
     function report(urgency: RetryUrgency, source: 'own' | 'account' | 'none'): void {
@@ -128,7 +131,7 @@
         const purpose = purposeOf(service, urgency);
         if (own.take()) {
           report(urgency, 'own');
-          return createPermit(purpose, clock.nowMs(), refundOwn);
+          return createOwnPermit(purpose);
         }
         const permit = await borrow(purpose);
         report(urgency, permit ? 'account' : 'none');
--- a/packages/entry/src/dispatch/plainDispatch.ts
+++ b/packages/entry/src/dispatch/plainDispatch.ts
@@ -336,7 +336,7 @@
         return result.kind !== 'unknown' || route.kind === 'safe';
       }
 
-      budget.earn();
+      budget.earn(admitted.sentAfterMs);
       for (;;) {
         // A request that may have run cannot be refused as `not-run` if the backoff is too long, so
         // it does not wait for the end of a backoff.
--- a/packages/entry/src/dispatch/streamDispatch.ts
+++ b/packages/entry/src/dispatch/streamDispatch.ts
@@ -410,7 +410,7 @@
         return next;
       }
 
-      budget.earn();
+      budget.earn(admitted.sentAfterMs);
       while (mayAttempt()) {
         const waitStartMs = clock.nowMs();
         const search: SlotSearch = {
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -52,6 +52,8 @@
   readonly organisation: Organisation | null;
   /** Time from the caller's first attempt to the arrival of this request. */
   readonly callerAgeMs: number;
+  /** Lower bound of the time at which the caller sent the request, on the clock `steadyMs`. */
+  readonly sentAfterMs: number;
   /** Deadline set by the caller or the operator, on this VM's clock. */
   readonly deadlineAtMs: number;
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -316,6 +316,7 @@
     view,
     decisions: context.decisions,
     renewConfirmation: facts.confirmation.renewNow,
+    readingGaps,
     ...readiness,
   });
 
--- a/packages/routing/__tests__/earnedRetries.spec.ts
+++ b/packages/routing/__tests__/earnedRetries.spec.ts
@@ -12,8 +12,8 @@
   return { clock, retries: createEarnedRetries({ clock, windowMs: WINDOW_MS, ratio: RATIO }) };
 }
 
-function earn(retries: EarnedRetries, count: number): void {
-  for (let index = 0; index < count; index += 1) retries.earn();
+function earn(retries: EarnedRetries, count: number, sentAfterMs: number): void {
+  for (let index = 0; index < count; index += 1) retries.earn(sentAfterMs);
 }
 
 function takeAll(retries: EarnedRetries): number {
@@ -25,8 +25,8 @@
 describe('the retries that the requests of a VM earn', () => {
   it('are none at its start', () => {
     assert.equal(createRetries().retries.take(), false);
-    const { retries } = createRetries();
-    earn(retries, 5);
+    const { clock, retries } = createRetries();
+    earn(retries, 5, clock.steadyMs());
     assert.equal(retries.take(), false);
   });
 
@@ -34,7 +34,7 @@
     const { clock, retries } = createRetries();
     let taken = 0;
     for (let index = 0; index < 2000; index += 1) {
-      retries.earn();
+      retries.earn(clock.steadyMs());
       if (index >= 1000) taken += takeAll(retries);
       clock.advance(10);
     }
@@ -43,7 +43,7 @@
 
   it('are saved for one window, up to a tenth of what its requests earn', () => {
     const { clock, retries } = createRetries();
-    earn(retries, 1000);
+    earn(retries, 1000, clock.steadyMs());
     assert.equal(retries.describe().saved, 20);
     clock.advance(WINDOW_MS + 1);
     assert.equal(takeAll(retries), 0);
@@ -53,7 +53,7 @@
     const { clock, retries } = createRetries();
     let taken = 0;
     for (let index = 0; index < 200; index += 1) {
-      earn(retries, 1);
+      earn(retries, 1, clock.steadyMs());
       clock.advance(1000);
       if (retries.take()) taken += 1;
     }
@@ -61,13 +61,47 @@
   });
 
   it('are returned when they were not sent', () => {
-    const { retries } = createRetries();
-    earn(retries, 60);
+    const { clock, retries } = createRetries();
+    earn(retries, 60, clock.steadyMs());
     assert.equal(takeAll(retries), 1);
-    retries.refund();
+    retries.refund(clock.steadyMs());
     assert.equal(takeAll(retries), 1);
   });
 
+  it('are no more than may be saved when they are read together after they have waited', () => {
+    const { clock, retries } = createRetries();
+    for (let index = 0; index < 1000; index += 1) {
+      retries.earn(clock.steadyMs());
+      takeAll(retries);
+      clock.advance(10);
+    }
+    const sentAfterMs = clock.steadyMs();
+    clock.advance(4000);
+    let taken = 0;
+    for (let index = 0; index < 400; index += 1) {
+      retries.earn(sentAfterMs);
+      taken += takeAll(retries);
+    }
+    assert.ok(taken > 0 && taken <= 0.1 * RATIO * 1000, `${taken}`);
+  });
+
+  it('are used nearly up to the ratio by a VM that reads each request half a second late', () => {
+    const { clock, retries } = createRetries();
+    let taken = 0;
+    for (let index = 0; index < 2000; index += 1) {
+      retries.earn(clock.steadyMs() - 500);
+      if (index >= 1000) taken += takeAll(retries);
+      clock.advance(10);
+    }
+    assert.ok(taken >= 0.89 * RATIO * 1000 && taken <= RATIO * 1000, `${taken}`);
+  });
+
+  it('are not earned by requests that were sent before the window', () => {
+    const { clock, retries } = createRetries();
+    earn(retries, 1000, clock.steadyMs() - WINDOW_MS - 1);
+    assert.deepEqual(retries.describe(), { requests: 0, saved: 0 });
+  });
+
   // A VM that shares the ratio by its own window uses it twice when demand moves to another VM.
   it('stay within the ratio for the sum over VMs whose demand moves and that restart', () => {
     for (let seed = 1; seed <= 300; seed += 1) {
@@ -86,7 +120,9 @@
         if (random.nextInt(100) === 0) isNeeded = !isNeeded;
         if (random.nextInt(200) === 0) vms[random.nextInt(5)] = create();
         const count = Math.ceil(20 / pauses);
-        for (let index = 0; index < count; index += 1) vms[random.nextInt(used)]?.earn();
+        for (let index = 0; index < count; index += 1) {
+          vms[random.nextInt(used)]?.earn(clock.steadyMs());
+        }
         requests.push(count);
         taken.push(isNeeded ? vms.reduce((sum, vm) => sum + takeAll(vm), 0) : 0);
         clock.advance(50);
@@ -101,4 +137,54 @@
       }
     }
   });
+
+  // A VM that dates requests by when it reads them earns those of 14 s in 10 s.
+  it('stay within the ratio of the requests sent, while VMs stand still and read them later', () => {
+    const STEP_MS = 50;
+    for (let seed = 1; seed <= 300; seed += 1) {
+      const random = createSeededRandom(seed);
+      const clock = createManualClock(100_000);
+      const create = () => ({
+        retries: createEarnedRetries({ clock, windowMs: WINDOW_MS, ratio: RATIO }),
+        unread: 0,
+        lastReadMs: clock.steadyMs(),
+        awakeAtMs: 0,
+      });
+      const vms = Array.from({ length: 5 }, create);
+      const requests: number[] = [];
+      const taken: number[] = [];
+      let isNeeded = true;
+      for (let step = 0; step < 1200; step += 1) {
+        if (random.nextInt(200) === 0) isNeeded = !isNeeded;
+        if (random.nextInt(400) === 0) vms[random.nextInt(5)] = create();
+        const suspended = random.nextInt(100) === 0 ? vms : vms.slice(random.nextInt(6), 1);
+        const awakeAtMs = clock.steadyMs() + random.nextInt(2 * WINDOW_MS);
+        if (random.nextInt(20) === 0) suspended.forEach((vm) => Object.assign(vm, { awakeAtMs }));
+        for (let index = 0; index < 20; index += 1) {
+          const vm = vms[random.nextInt(5)];
+          if (vm) vm.unread += 1;
+        }
+        requests.push(20);
+        const reading = vms.filter((vm) => clock.steadyMs() >= vm.awakeAtMs);
+        let takenNow = 0;
+        for (const vm of reading) {
+          // Retries are sent while the VM still reads what waited.
+          for (let read = 0; vm.unread > 0 && read < 12; read += 1) {
+            vm.unread -= 1;
+            vm.retries.earn(vm.lastReadMs);
+            if (isNeeded) takenNow += takeAll(vm.retries);
+          }
+          if (vm.unread === 0) vm.lastReadMs = clock.steadyMs();
+        }
+        taken.push(takenNow);
+        clock.advance(STEP_MS);
+      }
+      const windowSteps = WINDOW_MS / STEP_MS;
+      for (let from = 0; from + windowSteps <= taken.length; from += 10) {
+        const used = taken.slice(from, from + windowSteps).reduce((a, b) => a + b, 0);
+        const allowed = RATIO * 20 * windowSteps;
+        assert.ok(used <= allowed, `seed ${seed}, step ${from}: ${used} of ${allowed}`);
+      }
+    }
+  });
 });
--- a/packages/routing/src/earnedRetries.ts
+++ b/packages/routing/src/earnedRetries.ts
@@ -6,6 +6,10 @@
  * whole window earn, and earns the rest of the ratio, so the sum stays within the ratio of the
  * requests in the window or of those in the one before, however demand moves between VMs. A VM
  * that restarts has saved nothing.
+ *
+ * The requests of a window are those that were sent in it, and a request may be read much later. It
+ * therefore earns as of a time before it was sent, and only as much as could have been saved from
+ * then on: the requests that waited while a VM stood still earn no more than it may save.
  */
 import type { Clock } from '@spoolplank/shared';
 
@@ -17,13 +21,13 @@
 }
 
 export interface EarnedRetries {
-  /** Counts a request that arrived. */
-  earn(): void;
+  /** Counts a request that was sent after a time on the clock `steadyMs`. */
+  earn(sentAfterMs: number): void;
   hasLeft(): boolean;
   /** Takes a retry that is about to be sent; false when none is left. */
   take(): boolean;
-  /** Returns a retry that was not sent. */
-  refund(): void;
+  /** Returns a retry that was taken at a time on the clock `steadyMs` and not sent. */
+  refund(takenAtMs: number): void;
   describe(): EarnedRetriesState;
 }
 
@@ -33,50 +37,103 @@
   readonly saved: number;
 }
 
+/** State from a time until the next span begins. */
+interface Span {
+  readonly fromMs: number;
+  /** Fewest requests within the window. */
+  requests: number;
+  /** Most retries that were saved, or could have been, had all requests been read at once. */
+  saved: number;
+}
+
 /** Share of the retries of a window that a VM may save; the others are used as they are earned. */
 const SAVED_SHARE = 0.1;
+/** A retry is taken whole, and requests that are read late earn what was saved before. */
+const MIN_SAVED = 1.5;
+/** Bounds the number of spans that are kept. */
+const MIN_SPAN_MS = 50;
 
 export function createEarnedRetries(options: EarnedRetriesOptions): EarnedRetries {
   const { clock, windowMs, ratio } = options;
-  const requestsAtMs: number[] = [];
+  /** Oldest first. */
+  const sentAfter: number[] = [];
+  /** Those that began within the window, oldest first. */
+  let spans: Span[] = [];
   let saved = 0;
 
-  /** A VM with few requests saves a larger share, as it needs a whole retry; at most all. */
-  function savedShare(): number {
-    return Math.min(1, Math.max(SAVED_SHARE, 1 / (requestsAtMs.length * ratio)));
+  /** A VM with few requests saves a larger share, at most all. */
+  const savedShare = (requests: number): number =>
+    Math.min(1, Math.max(SAVED_SHARE, MIN_SAVED / (requests * ratio)));
+
+  const mostSaved = (requests: number): number => requests * ratio * savedShare(requests);
+
+  const beginSpan = (): void => {
+    spans.push({ fromMs: clock.steadyMs(), requests: sentAfter.length, saved });
+  };
+
+  function update(): void {
+    const nowMs = clock.steadyMs();
+    const kept = sentAfter.findIndex((atMs) => atMs >= nowMs - windowMs);
+    sentAfter.splice(0, kept === -1 ? sentAfter.length : kept);
+    saved = Math.min(saved, mostSaved(sentAfter.length));
+    spans = spans.filter(({ fromMs }) => fromMs >= nowMs - windowMs);
+    const last = spans.at(-1);
+    if (!last || nowMs - last.fromMs >= MIN_SPAN_MS) beginSpan();
+    else {
+      last.requests = Math.min(last.requests, sentAfter.length);
+      last.saved = Math.max(last.saved, saved);
+    }
+  }
+
+  /** Adds retries as of an earlier time, as far as they could have been saved since. */
+  function add(count: number, sinceMs: number): void {
+    const first = spans.findLastIndex(({ fromMs }) => fromMs <= sinceMs);
+    const since = spans.slice(Math.max(0, first));
+    const free = since.map((span) => mostSaved(span.requests) - span.saved);
+    const added = Math.max(0, Math.min(count, ...free));
+    since.forEach((span) => {
+      span.saved += added;
+    });
+    saved += added;
   }
 
-  function dropExpired(): void {
-    const oldestMs = clock.steadyMs() - windowMs;
-    let expired = 0;
-    while (expired < requestsAtMs.length && (requestsAtMs[expired] ?? 0) < oldestMs) expired += 1;
-    if (expired) requestsAtMs.splice(0, expired);
-    saved = Math.min(saved, requestsAtMs.length * ratio * savedShare());
+  function insert(sentAfterMs: number): void {
+    // Requests are read nearly in the order in which they were sent.
+    const before = sentAfter.findLastIndex((atMs) => atMs <= sentAfterMs);
+    sentAfter.splice(before + 1, 0, sentAfterMs);
+    spans
+      .filter(({ fromMs }) => fromMs >= sentAfterMs)
+      .forEach((span) => {
+        span.requests += 1;
+      });
   }
 
   function hasLeft(): boolean {
-    dropExpired();
+    update();
     return saved >= 1;
   }
 
   return {
-    earn() {
-      requestsAtMs.push(clock.steadyMs());
-      saved += ratio * (1 - savedShare());
-      dropExpired();
+    earn(sentAfterMs) {
+      update();
+      if (sentAfterMs < clock.steadyMs() - windowMs) return;
+      insert(sentAfterMs);
+      add(ratio * (1 - savedShare(sentAfter.length)), sentAfterMs);
     },
     hasLeft,
     take() {
       if (!hasLeft()) return false;
       saved -= 1;
+      beginSpan();
       return true;
     },
-    refund() {
-      saved += 1;
+    refund(takenAtMs) {
+      update();
+      add(1, takenAtMs);
     },
     describe() {
-      dropExpired();
-      return { requests: requestsAtMs.length, saved };
+      update();
+      return { requests: sentAfter.length, saved };
     },
   };
 }
