test(entry): check which time a request earns its retry as of

Cause: no unit test failed if a dispatch, or the admission after its wait for the routing document, dated a request by its own time; only schedules and processes did.

Spans that have expired are dropped without a copy of the list.

Conclusion: no behaviour changes.

--- a/packages/entry/__tests__/backoffFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -4,6 +4,7 @@
 import type { NoticeListener, BackoffDirective, ServerNotice } from '@spoolplank/membership';
 import type { RouteKind } from '@spoolplank/routing';
 import { SpoolplankError } from '@spoolplank/shared';
+import type { RetryBudgets } from '../src/admission/retryBudgets';
 import type { BackendOperations, BackendResponse } from '../src/dispatch/backendOperations';
 import type { ChosenChain } from '../src/dispatch/chainChoice';
 import type { RequestEnd } from '../src/entryContext';
@@ -123,7 +124,12 @@
     onBackoff: (directive) => passedOn.push(directive),
   });
   operations.onNotice(notices.applyNotice);
-  const budgetOf = createTestBudgets(clock, retryAllowance);
+  const budgets = createTestBudgets(clock, retryAllowance);
+  const earnedAsOfMs: number[] = [];
+  const budgetOf: RetryBudgets = (service) => {
+    const budget = budgets(service);
+    return { ...budget, earn: (sentAfterMs) => earnedAsOfMs.push(sentAfterMs) };
+  };
   const guarded = guardOperations(operations, {
     clock,
     metrics: base.metrics,
@@ -169,8 +175,10 @@
     whenSent(next: (id: string) => void) {
       onSend = next;
     },
-    send(): Promise<RequestEnd> {
-      const admitted = createAdmitted(clock, route, answer);
+    /** Times as of which requests have earned retries. */
+    earnedAsOfMs,
+    send(sentAfterMs = clock.steadyMs()): Promise<RequestEnd> {
+      const admitted = { ...createAdmitted(clock, route, answer), sentAfterMs };
       return kind === 'stream' ? stream.run(admitted, MODEL) : plain.run(admitted);
     },
   };
--- a/packages/routing/src/earnedRetries.ts
+++ b/packages/routing/src/earnedRetries.ts
@@ -46,6 +46,12 @@
   saved: number;
 }
 
+/** Drops the first elements of a list, up to the first one that is kept. */
+function dropUntil<Element>(list: Element[], isKept: (element: Element) => boolean): void {
+  const kept = list.findIndex(isKept);
+  list.splice(0, kept === -1 ? list.length : kept);
+}
+
 /** Share of the retries of a window that a VM may save; the others are used as they are earned. */
 const SAVED_SHARE = 0.1;
 /** A retry is taken whole, and requests that are read late earn what was saved before. */
@@ -58,7 +64,7 @@
   /** Oldest first. */
   const sentAfter: number[] = [];
   /** Those that began within the window, oldest first. */
-  let spans: Span[] = [];
+  const spans: Span[] = [];
   let saved = 0;
 
   /** A VM with few requests saves a larger share, at most all. */
@@ -73,10 +79,10 @@
 
   function update(): void {
     const nowMs = clock.steadyMs();
-    const kept = sentAfter.findIndex((atMs) => atMs >= nowMs - windowMs);
-    sentAfter.splice(0, kept === -1 ? sentAfter.length : kept);
+    const oldestMs = nowMs - windowMs;
+    dropUntil(sentAfter, (atMs) => atMs >= oldestMs);
     saved = Math.min(saved, mostSaved(sentAfter.length));
-    spans = spans.filter(({ fromMs }) => fromMs >= nowMs - windowMs);
+    dropUntil(spans, ({ fromMs }) => fromMs >= oldestMs);
     const last = spans.at(-1);
     if (!last || nowMs - last.fromMs >= MIN_SPAN_MS) beginSpan();
     else {
