--- a/packages/routing/src/earnedRetries.ts
+++ b/packages/routing/src/earnedRetries.ts
@@ -54,7 +54,7 @@
 
 /** Share of the retries of a window that a VM may save; the others are used as they are earned. */
 const SAVED_SHARE = 0.1;
-/** A retry is taken whole, and requests that are read late earn what was saved before. */
+/** A retry is taken whole; the rest is room for what requests earn as of before they were read. */
 const MIN_SAVED = 1.5;
 /** Bounds the number of spans that are kept. */
 const MIN_SPAN_MS = 50;
