feat(entry): track and log requests that servers may still read

Nothing told how many of the requests that an entry has given up may still be read, by which server, and when that ended.

Change: `unreadSendings` tracks each request that was sent until its server answered it or a later one, or has restarted; `sending-unread`, `sendings-read`, a gauge, and the counts by server in the dump. No decision changes.

--- a/packages/entry/__tests__/backoffFixtures.ts
+++ b/packages/entry/__tests__/backoffFixtures.ts
@@ -25,6 +25,7 @@
   createRoute,
   createTables,
   createTestBudgets,
+  createTestSendings,
   MODEL,
 } from './fixtures';
 
@@ -136,6 +137,7 @@
     notices,
     budgetOf,
     limits: base.limits,
+    unread: createTestSendings(clock),
   });
   const context = { ...base, log, notices, operations: guarded, budgetOf };
   const answers: number[] = [];
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -12,7 +12,7 @@
   RoutingDocument,
 } from '@spoolplank/routing';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
-import type { ManualClock } from '@spoolplank/shared';
+import type { Clock, ManualClock } from '@spoolplank/shared';
 import { createRetryBudgets } from '../src/admission/retryBudgets';
 import type { RetryBudgets } from '../src/admission/retryBudgets';
 import { createRetryLoans } from '../src/admission/retryLoans';
@@ -30,6 +30,8 @@
 import { createRoutingView } from '../src/gossip/routingView';
 import { guardOperations } from '../src/dispatch/guardedOperations';
 import { createServerNotices } from '../src/dispatch/serverNotices';
+import { createUnreadSendings } from '../src/dispatch/unreadSendings';
+import type { UnreadSendings } from '../src/dispatch/unreadSendings';
 import type { RoutingView } from '../src/gossip/routingView';
 
 export const MODEL: ModelDescription = {
@@ -137,6 +139,17 @@
   });
 }
 
+/** Creates the sendings of an entry whose servers never restart. */
+export function createTestSendings(clock: Clock): UnreadSendings {
+  const metrics = createMetrics();
+  return createUnreadSendings({
+    clock,
+    log: { info: () => {} },
+    metrics,
+    hasRestarted: () => false,
+  });
+}
+
 /** Creates the context of an entry's components, with a retry budget for all services. */
 export function createContext(
   clock: ManualClock,
@@ -178,7 +191,14 @@
     metrics,
     dataCentre: 'a',
     view,
-    operations: guardOperations(operations, { clock, metrics, notices, budgetOf, limits }),
+    operations: guardOperations(operations, {
+      clock,
+      metrics,
+      notices,
+      budgetOf,
+      limits,
+      unread: createTestSendings(clock),
+    }),
     loads: createBackendLoadTable(),
     budgetOf,
     quarantine,
--- a/packages/entry/__tests__/guardedRetries.spec.ts
+++ b/packages/entry/__tests__/guardedRetries.spec.ts
@@ -5,7 +5,7 @@
 import type { BackendCall, BackendOperations } from '../src/dispatch/backendOperations';
 import { guardOperations } from '../src/dispatch/guardedOperations';
 import type { RetryPermit } from '../src/admission/retryBudgets';
-import { createContext, createTables } from './fixtures';
+import { createContext, createTables, createTestSendings } from './fixtures';
 
 interface SettingOptions {
   /** Time for which a retry is waited for. */
@@ -23,7 +23,12 @@
     open(call: BackendCall) {
       calls.push(call);
       if (error) return Promise.reject(error);
-      return Promise.resolve({ status: 503, limit: null, body: new PassThrough() });
+      return Promise.resolve({
+        status: 503,
+        isMatched: true,
+        limit: null,
+        body: new PassThrough(),
+      });
     },
   } as unknown as BackendOperations;
   const permit: RetryPermit = {
@@ -38,9 +43,14 @@
       return Promise.resolve(isRefused ? null : permit);
     },
   };
-  const guarded = guardOperations(operations, { ...context, budgetOf: () => budget });
+  const guarded = guardOperations(operations, {
+    ...context,
+    budgetOf: () => budget,
+    unread: createTestSendings(clock),
+  });
   const call = {
     target: { instanceId: 'e1', address: 'e1:80' },
+    request: { id: 'request-1' },
     service: 'engines',
     cause: 'retry',
     retryUrgency: 'usual',
--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -16,6 +16,7 @@
 } from './backendOperations';
 import type { ServerLimits } from '../limits/serverLimits';
 import type { ClosedReason, ServerNotices } from './serverNotices';
+import type { Sending, UnreadSendings } from './unreadSendings';
 
 export interface GuardOptions {
   readonly clock: Pick<Clock, 'nowMs' | 'steadyMs'>;
@@ -23,11 +24,12 @@
   readonly notices: ServerNotices;
   readonly budgetOf: RetryBudgets;
   readonly limits: Pick<ServerLimits, 'recordAnswer' | 'limitPerSOf' | 'takeOwnQuota'>;
+  readonly unread: Pick<UnreadSendings, 'add'>;
 }
 
 export function guardOperations(
   operations: BackendOperations,
-  { clock, metrics, notices, budgetOf, limits }: GuardOptions,
+  { clock, metrics, notices, budgetOf, limits, unread }: GuardOptions,
 ): BackendOperations {
   const { backoffs } = notices;
 
@@ -52,14 +54,27 @@
     return permit;
   }
 
-  async function sendNow(call: BackendCall): Promise<BackendResponse> {
+  function addSending({ request, service, target }: BackendCall): Sending {
+    const { instanceId } = target;
+    return unread.add({ requestId: request.id, service, instanceId }, () => {});
+  }
+
+  async function sendNow(call: BackendCall, sending: Sending): Promise<BackendResponse> {
     const { target, hasPermit, service, cause } = call;
     const reason = findClosedReason(call);
     if (reason !== null) throw refuse(target, reason);
     backoffs.recordSent(target.instanceId);
     metrics.count('spoolplank_sends_total', { service, cause });
     const sentAtMs = clock.steadyMs();
-    const response = await operations.open(call);
+    const response = await operations.open({
+      ...call,
+      onConnected(isRelayed) {
+        sending.begin();
+        call.onConnected?.(isRelayed);
+      },
+    });
+    if (response.isMatched) sending.recordAnswer();
+    else sending.giveUp();
     if (response.limit) limits.recordAnswer(target, response.limit, sentAtMs, hasPermit);
     return response;
   }
@@ -71,13 +86,17 @@
       const permit = await takeRetry(call);
       // The server must not be handed the time for which the retry was waited for.
       const remainingMs = call.remainingMs - (clock.nowMs() - askedAtMs);
+      const sending = addSending(call);
       try {
-        const response = await sendNow({ ...call, remainingMs });
+        const response = await sendNow({ ...call, remainingMs }, sending);
         permit?.settle();
         return response;
       } catch (error) {
-        if (toSpoolplankError(error).outcome === 'not-run') permit?.cancel();
-        else {
+        if (toSpoolplankError(error).outcome === 'not-run') {
+          sending.cancel();
+          permit?.cancel();
+        } else {
+          sending.giveUp();
           const { service, cause } = call;
           metrics.count('spoolplank_sends_unanswered_total', { service, cause });
           permit?.settle();
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -5,6 +5,7 @@
   DEFAULT_CHANGE_BOUNDS,
   deriveConfirmationTimings,
   findBackend,
+  hasRestarted,
 } from '@spoolplank/membership';
 import type { ChangeBounds, LoadFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
@@ -46,6 +47,7 @@
 import type { RetryLimits } from './admission/retryBudgets';
 import { guardOperations } from './dispatch/guardedOperations';
 import { createServerNotices } from './dispatch/serverNotices';
+import { createUnreadSendings } from './dispatch/unreadSendings';
 import { createSyncHistory } from './gossip/syncHistory';
 import { createStreamPath } from './dispatch/streamPath';
 import { createStreamTable } from './dispatch/streamTable';
@@ -214,6 +216,12 @@
       return heads.reduce((sum, headId) => sum + runningOn(headId), 0);
     },
   });
+  const unread = createUnreadSendings({
+    clock,
+    log,
+    metrics,
+    hasRestarted: (instanceId) => hasRestarted(table, instanceId),
+  });
   const context: EntryContext = {
     clock,
     random,
@@ -227,6 +235,7 @@
       notices,
       budgetOf,
       limits,
+      unread,
     }),
     loads: createBackendLoadTable(),
     budgetOf,
@@ -288,6 +297,7 @@
     onTick() {
       readingGaps.mark();
       syncHistory.tick();
+      unread.tick();
       loans.tick();
       facts.confirmation.tick();
       paths?.tick();
@@ -396,6 +406,7 @@
         quarantine: quarantine.describe(),
         backoffs: notices.describe(),
         limits: limits.describe(),
+        unread: unread.describe(),
         answerBytes: context.answerMemory.bytes,
         paths: paths?.describe() ?? null,
         facts: table.list(),
