fix(entry): count retries until their servers have read what was sent

Cause: operators report more retries at servers than the bound on the retries of a service allows. A retry counted from its loan until a window after it was expected to arrive. A server that stands still reads it later: its kernel takes the bytes of each attempt, the entry gives up, and the loan expires before the server reads on. It also reads the first sending of a request whose retry has arrived before, which is then the arrival beyond the first.

Change: a request with n sendings that may still arrive keeps up to n of its retries open (`requestArrivals`). A borrowed retry that is open when its loan expires, and one that arrived late, are held: entries report them to the account, which counts them until a window after the arrival (`openRetries`, `heldReports`, `heldRetries`). An own retry that is open counts against what its entry may save, and from a window after it was taken in the account. Reports of entries that end stay valid for 75 s. This replaces the report of retries that had arrived late, which came when it was too late to lend less.

Conclusion: what servers read late stays within the bound, at the price of retries while servers stand still.

--- a/packages/controller/__tests__/retryLoans.spec.ts
+++ b/packages/controller/__tests__/retryLoans.spec.ts
@@ -64,10 +64,11 @@
   async function lend(
     host: string,
     wanted: number,
-    late = 0,
+    held: readonly number[] | undefined = undefined,
     method = RETRY_LOAN_METHOD,
   ): Promise<RetryLoan> {
-    const request = { service: 'app', wanted, reserved: 0, late };
+    const report = held && { held: { holder: 'entry', countsInMs: held } };
+    const request = { service: 'app', wanted, reserved: 0, ...report };
     return (await vms.get(host)?.methods[method]?.(request, 'entry')) as unknown as RetryLoan;
   }
   const tickAll = () => vms.forEach((vm) => vm.tick());
@@ -166,7 +167,7 @@
     const { state, lend } = createGroup(['a', 'b']);
     await lend('a', 1);
     state.leader = '';
-    await assert.rejects(lend('a', 1, 0, LEADER_METHOD), { code: 'not-leader' });
+    await assert.rejects(lend('a', 1, undefined, LEADER_METHOD), { code: 'not-leader' });
     state.leader = 'a';
     assert.equal((await lend('a', 200)).granted, LENT - 1);
   });
@@ -183,12 +184,24 @@
     assert.equal((await lend('b', 1)).granted, 1);
   });
 
-  it('count those that arrived late, also while none are lent', async () => {
+  it('count those that entries hold, also while none are lent', async () => {
     const { clock, lend } = createGroup(['a', 'b']);
     assert.equal((await lend('b', 200)).granted, LENT);
     clock.advance(LIMITS.windowMs);
-    await lend('b', 0, 5);
+    await lend('b', 0, [0, 0, RETRY_ARRIVAL_MS, RETRY_ARRIVAL_MS, RETRY_ARRIVAL_MS]);
     clock.advance(COUNTED_MS - LIMITS.windowMs + 1);
     assert.equal((await lend('a', 200)).granted, LENT - 5);
   });
+
+  it('are not lent by a new leader while entries hold them, once these have reported again', async () => {
+    const { clock, state, lend, tickAll } = createGroup(['a', 'b']);
+    await lend('a', LENT);
+    clock.advance(COUNTED_MS + 1);
+    await lend('a', 0, [0, 0]);
+    Object.assign(state, { leader: 'b', term: 2 });
+    tickAll();
+    await lend('b', 0, [0, 0]);
+    clock.advance(COUNTED_MS);
+    assert.equal((await lend('b', 200)).granted, LENT - 2);
+  });
 });
--- a/packages/controller/src/retryLoans.ts
+++ b/packages/controller/src/retryLoans.ts
@@ -37,7 +37,7 @@
 
 export const DEFAULT_RETRY_LOAN_LIMITS: RetryLoanLimits = { windowMs: 10_000, allowance: 0 };
 const LEADER_METHOD = 'retries.lend-as-leader';
-/** Share of the allowance that is lent. The rest is a margin for retries that arrive late. */
+/** Share of the allowance that is lent. The rest is a margin for retries that are not held yet. */
 const ALLOWANCE_SHARE = 0.97;
 /** Entries discard a loan that arrives later. */
 const FORWARD_TIMEOUT_MS = 250;
@@ -135,7 +135,7 @@
     const key = `${request.service}/${request.reserved > 0}`;
     const remainingMs = (refusedUntilMs.get(key) ?? 0) - clock.nowMs();
     // Keeps the load of the leader independent of the number of entries that ask in vain.
-    const isRefused = remainingMs > 0 && !request.late;
+    const isRefused = remainingMs > 0 && !request.held;
     if (isRefused) return { granted: 0, retryInMs: Math.round(remainingMs) };
     const loan = await leader.call({
       runLocally: () => lendAsLeader(request),
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -13,6 +13,7 @@
 } from '@spoolplank/routing';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
 import type { Clock, ManualClock } from '@spoolplank/shared';
+import { createOpenRetries } from '../src/admission/openRetries';
 import { createRetryBudgets } from '../src/admission/retryBudgets';
 import type { RetryBudgets } from '../src/admission/retryBudgets';
 import { createRetryLoans } from '../src/admission/retryLoans';
@@ -135,6 +136,7 @@
     metrics: createMetrics(),
     limits,
     loans,
+    open: createOpenRetries({ clock, windowMs: limits.windowMs }),
     runningStreams: () => 0,
   });
 }
--- a/packages/entry/__tests__/guardedRetries.spec.ts
+++ b/packages/entry/__tests__/guardedRetries.spec.ts
@@ -35,6 +35,7 @@
     settle: () => ends.push('settled'),
     cancel: () => ends.push('cancelled'),
   };
+  const unread = createTestSendings(clock);
   const context = createContext(clock, view, operations);
   const budget = {
     ...context.budgetOf('engines'),
@@ -46,7 +47,7 @@
   const guarded = guardOperations(operations, {
     ...context,
     budgetOf: () => budget,
-    unread: createTestSendings(clock),
+    unread,
   });
   const call = {
     target: { instanceId: 'e1', address: 'e1:80' },
@@ -56,7 +57,7 @@
     retryUrgency: 'usual',
     remainingMs: 1000,
   } as BackendCall;
-  return { calls, ends, open: () => guarded.open(call) };
+  return { clock, unread, calls, ends, open: () => guarded.open(call) };
 }
 
 describe('a retry before it is sent', () => {
@@ -73,15 +74,29 @@
   });
 
   it('is returned only if nothing was sent', async () => {
-    const cases: readonly (readonly [SpoolplankError | undefined, string])[] = [
-      [undefined, 'settled'],
-      [new SpoolplankError('unreachable', { outcome: 'not-run' }), 'cancelled'],
-      [new SpoolplankError('unreachable'), 'settled'],
+    const cases: readonly (readonly [SpoolplankError | undefined, readonly string[]])[] = [
+      [undefined, ['settled']],
+      [new SpoolplankError('unreachable', { outcome: 'not-run' }), ['cancelled']],
+      [new SpoolplankError('unreachable'), []],
     ];
-    for (const [error, end] of cases) {
+    for (const [error, expected] of cases) {
       const { ends, open } = createSetting({ error });
       await open().catch(() => {});
-      assert.deepEqual(ends, [end]);
+      assert.deepEqual(ends, expected);
     }
   });
+
+  it('may arrive after it was given up, until its server is known to have read it', async () => {
+    const { clock, unread, ends, open } = createSetting({
+      error: new SpoolplankError('unreachable'),
+    });
+    await open().catch(() => {});
+    const later = { requestId: 'request-2', service: 'engines', instanceId: 'e1' };
+    clock.advance(1);
+    unread.add(later, () => {}).recordAnswer();
+    assert.deepEqual(ends, []);
+    clock.advance(300);
+    unread.tick();
+    assert.deepEqual(ends, ['settled']);
+  });
 });
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -5,6 +5,8 @@
 import { LOAN_VALIDITY_MS, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
 import type { RetryLoanRequest } from '@spoolplank/routing';
 import { createManualClock, SpoolplankError } from '@spoolplank/shared';
+import { createHeldReports } from '../src/admission/heldReports';
+import { createOpenRetries } from '../src/admission/openRetries';
 import { createRetryBudgets } from '../src/admission/retryBudgets';
 import type { RetryBudget, RetryUrgency } from '../src/admission/retryBudgets';
 import { createRetryLoans } from '../src/admission/retryLoans';
@@ -25,6 +27,7 @@
   const log = { info: () => {} };
   const requests: RetryLoanRequest[] = [];
   const state = { isReachable: true, replyMs: 0 };
+  let entries = 0;
 
   async function ask(request: RetryLoanRequest) {
     requests.push(request);
@@ -45,9 +48,12 @@
     const loans = createRetryLoans({ clock, log, metrics, delay, ask });
     const limits = { ...LIMITS, allowance };
     const runningStreams = () => running;
-    const options = { clock, log, metrics, limits, loans, runningStreams };
+    const open = createOpenRetries({ clock, windowMs: LIMITS.windowMs });
+    entries += 1;
+    const reports = createHeldReports({ clock, log, holder: `entry-${entries}`, open, ask });
+    const options = { clock, log, metrics, limits, loans, open, runningStreams };
     const budget = createRetryBudgets(options)('engines');
-    return Object.assign(budget, { tick: loans.tick });
+    return Object.assign(budget, { tick: reports.tick });
   }
   return { clock, account, requests, state, createEntry };
 }
@@ -179,6 +185,7 @@
     clock.advance(LIMITS.windowMs);
     state.isReachable = false;
     permit?.settle();
+    budget.tick();
     await nextTurn();
     state.isReachable = true;
     budget.tick();
@@ -188,6 +195,58 @@
     assert.equal(await budget.take('usual'), null);
   });
 
+  it('counts a borrowed retry until a window after it can no longer arrive', async () => {
+    const { clock, account, createEntry } = createSetting({ allowance: 1 });
+    const budget = createEntry();
+    const permit = await budget.take('usual');
+    const pass = async (durationMs: number) => {
+      clock.advance(durationMs);
+      budget.tick();
+      await nextTurn();
+    };
+    await pass(1000);
+    await pass(2 * LIMITS.windowMs);
+    assert.deepEqual(account.describe(), { engines: 1 });
+    permit?.settle();
+    await pass(LIMITS.windowMs);
+    assert.deepEqual(account.describe(), { engines: 1 });
+    await pass(1);
+    clock.advance(1000);
+    assert.deepEqual(account.describe(), { engines: 0 });
+    assert.ok(await budget.take('usual'));
+  });
+
+  it('counts an own retry here for a window, and after that in the account', async () => {
+    const { clock, account, createEntry } = createSetting();
+    const budget = createEntry();
+    earn(budget, 60, clock.steadyMs());
+    const permit = await budget.take('usual');
+    clock.advance(LIMITS.windowMs - 1);
+    earn(budget, 60, clock.steadyMs());
+    budget.tick();
+    await nextTurn();
+    assert.deepEqual(account.describe(), { engines: 0 });
+    clock.advance(100);
+    assert.deepEqual(account.describe(), { engines: 1 });
+    permit?.settle();
+    clock.advance(LIMITS.windowMs + 1);
+    budget.tick();
+    await nextTurn();
+    assert.deepEqual(account.describe(), { engines: 0 });
+  });
+
+  it('does not count retries that arrived in time any longer than the window', async () => {
+    const { clock, account, requests, createEntry } = createSetting();
+    const budget = createEntry();
+    assert.equal(await takeAll(budget, 5), 5);
+    const asked = requests.length;
+    clock.advance(LIMITS.windowMs + RETRY_ARRIVAL_MS + 1);
+    budget.tick();
+    await nextTurn();
+    assert.equal(requests.length, asked);
+    assert.deepEqual(account.describe(), { engines: 0 });
+  });
+
   it('leaves retries for streams that have begun, one for each at the most', async () => {
     const cases: readonly (readonly [number, number])[] = [
       [0, 200],
--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -1,8 +1,9 @@
 /**
  * Random schedules of failures around a service whose servers reject most requests, in virtual
- * time: entries and accounts of retries that are killed, restarted, cut off and suspended, and
- * requests that wait before they are read or sent, or arrive late. A request counts when its caller
- * sends it, whenever the entry reads it.
+ * time: entries and accounts of retries that are killed, restarted, cut off and suspended, servers
+ * that stand still and read later what was sent to them, and requests that wait before they are
+ * read or sent, or arrive late. A request counts when its caller sends it, whenever the entry reads
+ * it, and each of its arrivals but the first is a retry when a server reads it.
  */
 import { createMetrics } from '@spoolplank/node';
 import { createRetryAccount, LOAN_VALIDITY_MS, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
@@ -10,7 +11,12 @@
 import { createSeededRandom, SpoolplankError } from '@spoolplank/shared';
 import { createRetryBudgets } from '../src/admission/retryBudgets';
 import type { RetryBudget } from '../src/admission/retryBudgets';
-import { createTestAccount } from './fixtures';
+import type { BackendCall } from '../src/dispatch/backendOperations';
+import { createRequestArrivals } from '../src/dispatch/requestArrivals';
+import type { RequestArrivals } from '../src/dispatch/requestArrivals';
+import { createHeldReports } from '../src/admission/heldReports';
+import { createOpenRetries } from '../src/admission/openRetries';
+import { createTestAccount, createTestSendings } from './fixtures';
 import { createReadingGaps } from '../src/admission/readingGaps';
 import type { ReadingGaps } from '../src/admission/readingGaps';
 import { createRetryLoans } from '../src/admission/retryLoans';
@@ -20,6 +26,7 @@
 export type PlantedFault =
   | 'account-forgets-at-takeover'
   | 'requests-dated-by-reading'
+  | 'sendings-forgotten-when-given-up'
   | 'slack-by-entry'
   | 'two-accounts-lend';
 
@@ -38,6 +45,7 @@
 interface Entry {
   budget: RetryBudget;
   gaps: ReadingGaps;
+  arrivals: RequestArrivals;
   tick: () => void;
   /** Identifies the incarnation; 0 while the entry is down. */
   incarnation: number;
@@ -50,6 +58,9 @@
 const KEEPERS = 3;
 const STEPS = 12;
 const MAX_ATTEMPTS = 3;
+const SERVERS = 4;
+/** Time after which an entry gives up a request that its server has not read. */
+const ATTEMPT_TIMEOUT_MS = 400;
 /** Pauses between requests, one of which is drawn for each step. */
 const PAUSES_MS: readonly number[] = [60, 150, 400];
 /** Pauses of every fourth schedule, in which requests earn most of the allowed retries. */
@@ -93,6 +104,8 @@
   const keepers = Array.from({ length: KEEPERS }, createKeeper);
   /** Until when each keeper is suspended. */
   const keepersAwakeAtMs = keepers.map(() => 0);
+  /** Until when each server stands still. */
+  const serversAwakeAtMs = Array.from({ length: SERVERS }, () => 0);
   let leader: number | null = 0;
   let incarnations = 0;
   let terms = 1;
@@ -155,11 +168,21 @@
     });
     const runningStreams = () => 0;
     const metrics = createMetrics();
-    const shared = { clock, log: quiet, metrics, limits: LIMITS, runningStreams };
+    const open = createOpenRetries({ clock, windowMs: LIMITS.windowMs });
+    const reports = createHeldReports({
+      clock,
+      log: quiet,
+      holder: `entry-${incarnations}`,
+      open,
+      ask: (request) => ask(entry, request),
+    });
+    const shared = { clock, log: quiet, metrics, limits: LIMITS, open, runningStreams };
     const budget = createRetryBudgets({ ...shared, loans })('app');
     const gaps = createReadingGaps({ clock, log: quiet, metrics });
-    const tickAll = () => [gaps.mark, loans.tick].forEach((tickOne) => tickOne());
-    Object.assign(entry, { budget, gaps, tick: tickAll, incarnation: incarnations });
+    const unread = createTestSendings(clock);
+    const arrivals = createRequestArrivals(unread);
+    const tickAll = () => [gaps.mark, unread.tick, reports.tick].forEach((tickOne) => tickOne());
+    Object.assign(entry, { budget, gaps, arrivals, tick: tickAll, incarnation: incarnations });
     if (planted !== 'slack-by-entry') return;
     const part = createTestAccount({
       clock,
@@ -202,7 +225,7 @@
   }
 
   async function serve(entry: Entry): Promise<void> {
-    const { incarnation, budget, gaps } = entry;
+    const { incarnation, budget, gaps, arrivals } = entry;
     const isUp = () => entry.incarnation === incarnation;
     requestsAtMs.push(clock.nowMs());
     if (incarnation === 0) return;
@@ -211,18 +234,51 @@
     gaps.mark();
     const isDatedByReading = planted === 'requests-dated-by-reading';
     budget.earn(isDatedByReading ? clock.steadyMs() : gaps.sentAfterMs(clock.nowMs()));
+    const request = { id: `request-${requestsAtMs.length}` } as BackendCall['request'];
+    const first = random.nextInt(SERVERS);
+    let hasArrived = false;
+
+    /** Delivers a request to a server; resolves when the server has read it. */
+    async function arrive(server: number): Promise<void> {
+      await delay(drawArrivalMs());
+      const isAwake = () => (serversAwakeAtMs[server] ?? 0) <= clock.nowMs();
+      // The connections of a process end with it, but not what a server has received.
+      if (isAwake() && !isUp()) return;
+      while (!isAwake()) await delay((serversAwakeAtMs[server] ?? 0) - clock.nowMs());
+      if (hasArrived) retriesAtMs.push(clock.nowMs());
+      hasArrived = true;
+    }
+
+    /** Waits for an answer; a server that stands still does not answer in time. */
+    async function awaitAnswer(
+      server: number,
+      arrived: Promise<void>,
+    ): Promise<'answered' | 'none'> {
+      const timeout = delay(ATTEMPT_TIMEOUT_MS).then(async () => {
+        const isSilent = (serversAwakeAtMs[server] ?? 0) > clock.nowMs() - ATTEMPT_TIMEOUT_MS;
+        if (!isSilent) await arrived;
+        return isSilent ? ('none' as const) : ('answered' as const);
+      });
+      return Promise.race([arrived.then(() => 'answered' as const), timeout]);
+    }
+
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       // Waits for a server or a slot.
       await delay(isLucky(0.1) ? drawMs(1500) : 1);
       await delay(Math.max(0, entry.suspendedUntilMs - clock.nowMs()));
       if (!isUp()) return;
-      const permit = attempt === 0 ? undefined : await budget.take('usual');
-      if (permit === null || !isUp()) return;
-      await delay(drawArrivalMs());
-      // The connections of a process end with it.
+      const permit = attempt === 0 ? null : await budget.take('usual');
+      if ((attempt > 0 && permit === null) || !isUp()) return;
+      const server = (first + attempt) % SERVERS;
+      const call = { request, target: { instanceId: `s${server}`, address: '' }, service: 'app' };
+      const sending = arrivals.add(call as unknown as BackendCall, permit);
+      sending.begin();
+      const outcome = await awaitAnswer(server, arrive(server));
+      await delay(Math.max(0, entry.suspendedUntilMs - clock.nowMs()));
       if (!isUp()) return;
-      if (attempt > 0) retriesAtMs.push(clock.nowMs());
-      permit?.settle();
+      const isForgetting = planted === 'sendings-forgotten-when-given-up';
+      if (outcome === 'answered' || isForgetting) sending.recordAnswer();
+      else sending.giveUp();
       if (isLucky(0.1)) return;
     }
   }
@@ -262,6 +318,13 @@
     entry.suspendedUntilMs = clock.nowMs() + drawSuspensionMs();
   }
 
+  function stopServers(servers: readonly number[]): void {
+    const awakeAtMs = clock.nowMs() + drawSuspensionMs();
+    servers.forEach((server) => {
+      serversAwakeAtMs[server] = awakeAtMs;
+    });
+  }
+
   function tick(): void {
     entries.filter((entry) => !isSuspended(entry)).forEach((entry) => entry.tick());
     time.schedule(tick, TICK_MS);
@@ -283,6 +346,9 @@
       if (isLucky(0.5)) time.schedule(replaceLeader, 700);
     },
     replaceLeader,
+    () => stopServers([random.nextInt(SERVERS)]),
+    () => stopServers([0, 1]),
+    () => stopServers([0, 1, 2, 3]),
     () => {},
   ];
 
@@ -296,7 +362,7 @@
     }
     faults[random.nextInt(faults.length)]?.();
   }
-  await time.pass(5000);
+  await time.pass(12_000);
   return { worstShare: findWorstShare(requestsAtMs, retriesAtMs), retries: retriesAtMs.length };
 }
 
--- a/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
+++ b/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
@@ -7,6 +7,7 @@
 const PLANTED: readonly PlantedFault[] = [
   'account-forgets-at-takeover',
   'requests-dated-by-reading',
+  'sendings-forgotten-when-given-up',
   'slack-by-entry',
   'two-accounts-lend',
 ];
--- a/packages/entry/__tests__/serverNotices.spec.ts
+++ b/packages/entry/__tests__/serverNotices.spec.ts
@@ -74,7 +74,8 @@
 
 describe('the check before a send', () => {
   const target = { instanceId: 'e1', address: 'e1:80' };
-  const call = { target } as unknown as Parameters<BackendOperations['open']>[0];
+  const request = { id: 'request-1' };
+  const call = { target, request } as unknown as Parameters<BackendOperations['open']>[0];
 
   it('holds back requests, reports and repairs to a server in backoff', async () => {
     const { notices, guarded, sends, metrics } = createBackoffSetting();
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -6,6 +6,7 @@
 import type { EventLog, Metrics } from '@spoolplank/node';
 import { createEarnedRetries, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
+import type { OpenRetries, OpenRetry } from './openRetries';
 import type { RetryLoans, RetryPurpose } from './retryLoans';
 
 /** The bound on the retries of a service over all entries. */
@@ -22,6 +23,7 @@
   readonly metrics: Pick<Metrics, 'count'>;
   readonly limits: RetryLimits;
   readonly loans: RetryLoans;
+  readonly open: Pick<OpenRetries, 'open'>;
   /** Number of streams of a service that run on all entries, in streams of the usual size. */
   readonly runningStreams: (service: string) => number;
 }
@@ -35,7 +37,7 @@
 
 /** A retry that was taken out of the budget. */
 export interface RetryPermit {
-  /** Records that the retry has arrived, or can no longer arrive. */
+  /** Records that no sending of its request is left whose arrival this retry would be. */
   settle(): void;
   /** Returns the retry, as it was not sent. */
   cancel(): void;
@@ -69,7 +71,7 @@
 const PATIENCE_MS: Readonly<Record<RetryUrgency, number>> = { begun: 1000, usual: 0, yielding: 0 };
 
 export function createRetryBudgets(options: RetryBudgetsOptions): RetryBudgets {
-  const { clock, log, metrics, limits, loans, runningStreams } = options;
+  const { clock, log, metrics, limits, loans, open, runningStreams } = options;
   const budgets = new Map<string, RetryBudget>();
 
   function purposeOf(service: string, urgency: RetryUrgency): RetryPurpose {
@@ -78,32 +80,43 @@
     return { service, reserved, patienceMs: PATIENCE_MS[urgency] };
   }
 
-  /** A retry is counted as if it arrived soon after it was taken; a later arrival is reported. */
-  function createPermit(purpose: RetryPurpose, takenAtMs: number, cancel: () => void): RetryPermit {
-    return {
-      settle() {
-        if (clock.nowMs() - takenAtMs <= RETRY_ARRIVAL_MS) return;
-        metrics.count('spoolplank_retries_late_total', { service: purpose.service });
-        loans.recordLate(purpose);
-      },
-      cancel,
-    };
+  function settle(service: string, retry: OpenRetry): void {
+    if (!retry.settle()) metrics.count('spoolplank_retries_late_total', { service });
+  }
+
+  /** The account counts a retry that it has lent, whether it is sent or not. */
+  function createLentPermit(service: string, takenAtMs: number): RetryPermit {
+    const coveredUntilMs = takenAtMs + RETRY_ARRIVAL_MS;
+    const countsFromMs = coveredUntilMs + limits.windowMs;
+    const retry = open.open({ service, takenAtMs, coveredUntilMs, countsFromMs });
+    return { settle: () => settle(service, retry), cancel: retry.cancel };
   }
 
   function createBudget(service: string): RetryBudget {
     const { windowMs, ratio } = limits;
     const own = createEarnedRetries({ clock, windowMs, ratio });
 
-    function createOwnPermit(purpose: RetryPurpose): RetryPermit {
-      const takenAtMs = clock.steadyMs();
-      return createPermit(purpose, clock.nowMs(), () => {
-        metrics.count('spoolplank_retries_returned_total', { service });
-        own.refund(takenAtMs);
-      });
+    /** A retry that this VM has earned counts here for a window, however late it arrives. */
+    function createOwnPermit(takenAtSteadyMs: number): RetryPermit {
+      const takenAtMs = clock.nowMs();
+      const coveredUntilMs = takenAtMs + windowMs;
+      const countsFromMs = coveredUntilMs;
+      const retry = open.open({ service, takenAtMs, coveredUntilMs, countsFromMs });
+      return {
+        settle() {
+          own.settle(takenAtSteadyMs);
+          settle(service, retry);
+        },
+        cancel() {
+          metrics.count('spoolplank_retries_returned_total', { service });
+          own.refund(takenAtSteadyMs);
+          retry.cancel();
+        },
+      };
     }
 
     function report(urgency: RetryUrgency, source: 'own' | 'account' | 'none'): void {
-      const { requests, saved } = own.describe();
+      const { requests, saved, underWay } = own.describe();
       metrics.count('spoolplank_retry_decisions_total', { service, source });
       log.info(source === 'none' ? 'retry-refused' : 'retry-spent', {
         service,
@@ -111,14 +124,14 @@
         source,
         requests,
         saved: Math.round(saved),
+        underWay,
         refusedForMs: Math.round(loans.refusedForMs(purposeOf(service, urgency))),
       });
     }
 
     async function borrow(purpose: RetryPurpose): Promise<RetryPermit | null> {
       const askedAtMs = await loans.borrow(purpose);
-      // The account counts a retry that it has lent, whether it is sent or not.
-      return askedAtMs === null ? null : createPermit(purpose, askedAtMs, () => {});
+      return askedAtMs === null ? null : createLentPermit(service, askedAtMs);
     }
 
     return {
@@ -129,9 +142,10 @@
       },
       async take(urgency) {
         const purpose = purposeOf(service, urgency);
-        if (own.take()) {
+        const takenAtSteadyMs = own.take();
+        if (takenAtSteadyMs !== null) {
           report(urgency, 'own');
-          return createOwnPermit(purpose);
+          return createOwnPermit(takenAtSteadyMs);
         }
         const permit = await borrow(purpose);
         report(urgency, permit ? 'account' : 'none');
--- a/packages/entry/src/admission/retryLoans.ts
+++ b/packages/entry/src/admission/retryLoans.ts
@@ -30,12 +30,8 @@
    * request for it, on the clock `nowMs`.
    */
   borrow(purpose: RetryPurpose): Promise<number | null>;
-  /** Reports to the account that a borrowed retry arrived, late, just now. */
-  recordLate(purpose: RetryPurpose): void;
   /** Time until the account may lend again after a refusal; 0 if it was not refused. */
   refusedForMs(purpose: RetryPurpose): number;
-  /** Repeats reports that have not reached the account; called periodically. */
-  tick(): void;
 }
 
 /** A request that waits for the account. */
@@ -48,8 +44,6 @@
 interface Line {
   purpose: RetryPurpose;
   readonly waiting: Waiter[];
-  /** Retries that arrived late and are not reported yet. */
-  late: number;
   isAsking: boolean;
   refusedUntilMs: number;
 }
@@ -68,7 +62,7 @@
     const known = lines.get(key);
     if (known) return known;
     const refusedUntilMs = Number.NEGATIVE_INFINITY;
-    const line = { purpose, waiting: [], late: 0, isAsking: false, refusedUntilMs };
+    const line = { purpose, waiting: [], isAsking: false, refusedUntilMs };
     lines.set(key, line);
     return line;
   }
@@ -78,7 +72,7 @@
 
   /** Returns null when there was no answer in time. */
   async function askFor(request: RetryLoanRequest): Promise<RetryLoan | null> {
-    const { service, wanted, late = 0 } = request;
+    const { service, wanted } = request;
     const askedAtMs = clock.nowMs();
     try {
       const loan = await ask(request);
@@ -88,7 +82,7 @@
       log.info('retry-loan-late', { service, wanted, granted: loan.granted, durationMs });
     } catch (error) {
       const problem = toSpoolplankError(error).message;
-      log.info('retry-account-silent', { service, wanted, late, problem });
+      log.info('retry-account-silent', { service, wanted, problem });
     }
     return null;
   }
@@ -118,16 +112,11 @@
   /** Asks once for all that wait. */
   async function askForAll(line: Line): Promise<void> {
     const batch = line.waiting.splice(0);
-    const { late, purpose } = line;
-    const { service, reserved } = purpose;
+    const { service, reserved } = line.purpose;
     const askedAtMs = clock.nowMs();
-    Object.assign(line, { late: 0 });
-    const loan = await askFor({ service, reserved, wanted: batch.length, late });
+    const loan = await askFor({ service, reserved, wanted: batch.length });
     if (loan) settleLoan(line, batch, loan, askedAtMs);
-    else {
-      Object.assign(line, { late: line.late + late });
-      await waitForAccount(line, batch);
-    }
+    else await waitForAccount(line, batch);
   }
 
   async function serve(line: Line): Promise<void> {
@@ -153,13 +142,7 @@
         serveIfIdle(line);
       });
     },
-    recordLate(purpose) {
-      const line = lineOf(purpose);
-      line.late += 1;
-      serveIfIdle(line);
-    },
     refusedForMs: (purpose) => remainingMs(lineOf(purpose)),
-    tick: () => [...lines.values()].filter(({ late }) => late > 0).forEach(serveIfIdle),
   };
 }
 
--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -16,6 +16,7 @@
 } from './backendOperations';
 import type { ServerLimits } from '../limits/serverLimits';
 import type { ClosedReason, ServerNotices } from './serverNotices';
+import { createRequestArrivals } from './requestArrivals';
 import type { Sending, UnreadSendings } from './unreadSendings';
 
 export interface GuardOptions {
@@ -32,6 +33,7 @@
   { clock, metrics, notices, budgetOf, limits, unread }: GuardOptions,
 ): BackendOperations {
   const { backoffs } = notices;
+  const arrivals = createRequestArrivals(unread);
 
   /** Why a request must not be sent now; null when it may be. */
   function findClosedReason({ target, hasPermit }: BackendCall): ClosedReason | null {
@@ -54,11 +56,6 @@
     return permit;
   }
 
-  function addSending({ request, service, target }: BackendCall): Sending {
-    const { instanceId } = target;
-    return unread.add({ requestId: request.id, service, instanceId }, () => {});
-  }
-
   async function sendNow(call: BackendCall, sending: Sending): Promise<BackendResponse> {
     const { target, hasPermit, service, cause } = call;
     const reason = findClosedReason(call);
@@ -86,20 +83,15 @@
       const permit = await takeRetry(call);
       // The server must not be handed the time for which the retry was waited for.
       const remainingMs = call.remainingMs - (clock.nowMs() - askedAtMs);
-      const sending = addSending(call);
+      const sending = arrivals.add(call, permit);
       try {
-        const response = await sendNow({ ...call, remainingMs }, sending);
-        permit?.settle();
-        return response;
+        return await sendNow({ ...call, remainingMs }, sending);
       } catch (error) {
-        if (toSpoolplankError(error).outcome === 'not-run') {
-          sending.cancel();
-          permit?.cancel();
-        } else {
-          sending.giveUp();
+        if (toSpoolplankError(error).outcome === 'not-run') sending.cancel();
+        else {
           const { service, cause } = call;
           metrics.count('spoolplank_sends_unanswered_total', { service, cause });
-          permit?.settle();
+          sending.giveUp();
         }
         throw error;
       }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -42,6 +42,8 @@
 import { createRequestAdmission } from './admission/requestAdmission';
 import { contentOf } from './quarantine/requestContent';
 import { createRequestReport, toRequestEnd } from './requestReport';
+import { createHeldReports } from './admission/heldReports';
+import { createOpenRetries } from './admission/openRetries';
 import { createRetryBudgets } from './admission/retryBudgets';
 import { createLoanCalls, createRetryLoans } from './admission/retryLoans';
 import type { RetryLimits } from './admission/retryBudgets';
@@ -192,17 +194,20 @@
   const countEntries = () => view.listMembers('entry').length;
   const limits = createServerLimits({ clock, random, log, metrics, countEntries });
   const syncHistory = createSyncHistory({ clock, syncedAtMs: () => facts.syncedAtMs });
-  const loans = createRetryLoans({
+  const askForLoan = createLoanCalls({
+    clock,
+    peers,
+    controlPeerPort: options.controlPeerPort,
+    listSources: facts.listSources,
+  });
+  const loans = createRetryLoans({ clock, log, metrics, delay, ask: askForLoan });
+  const openRetries = createOpenRetries({ clock, windowMs: options.retryLimits.windowMs });
+  const heldReports = createHeldReports({
     clock,
     log,
-    metrics,
-    delay,
-    ask: createLoanCalls({
-      clock,
-      peers,
-      controlPeerPort: options.controlPeerPort,
-      listSources: facts.listSources,
-    }),
+    holder: `${host}/${run}`,
+    open: openRetries,
+    ask: askForLoan,
   });
   const budgetOf = createRetryBudgets({
     clock,
@@ -210,6 +215,7 @@
     metrics,
     limits: options.retryLimits,
     loans,
+    open: openRetries,
     runningStreams(service) {
       const heads = view.listBackends(service).map(({ instanceId }) => instanceId);
       const runningOn = (headId: string) => streams.countOn(headId) + view.othersInFlight(headId);
@@ -298,7 +304,7 @@
       readingGaps.mark();
       syncHistory.tick();
       unread.tick();
-      loans.tick();
+      heldReports.tick();
       facts.confirmation.tick();
       paths?.tick();
     },
--- a/packages/routing/__tests__/earnedRetries.spec.ts
+++ b/packages/routing/__tests__/earnedRetries.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock, createSeededRandom } from '@spoolplank/shared';
+import type { ManualClock } from '@spoolplank/shared';
 import { createEarnedRetries } from '../src/earnedRetries';
 import type { EarnedRetries } from '../src/earnedRetries';
 
@@ -16,18 +17,46 @@
   for (let index = 0; index < count; index += 1) retries.earn(sentAfterMs);
 }
 
-function takeAll(retries: EarnedRetries): number {
+/** Takes all retries that are left; each arrives at once. */
+function takeAll(clock: Pick<ManualClock, 'advance'>, retries: EarnedRetries): number {
   let taken = 0;
-  while (retries.take()) taken += 1;
-  return taken;
+  for (;;) {
+    const takenAtMs = retries.take();
+    if (takenAtMs === null) return taken;
+    // Time passes until the server has answered.
+    clock.advance(0.001);
+    retries.settle(takenAtMs);
+    taken += 1;
+  }
+}
+
+interface TakenRetry {
+  readonly retries: EarnedRetries;
+  readonly takenAtMs: number;
+}
+
+/** Takes all retries that are left; they are under way. */
+function listTaken(retries: EarnedRetries): readonly TakenRetry[] {
+  const taken: TakenRetry[] = [];
+  for (;;) {
+    const takenAtMs = retries.take();
+    if (takenAtMs === null) return taken;
+    taken.push({ retries, takenAtMs });
+  }
+}
+
+/** Counts retries that arrive now in the last of the steps. */
+function countArrivals(arrived: number[], taken: readonly TakenRetry[]): void {
+  arrived.push((arrived.pop() ?? 0) + taken.length);
+  taken.forEach(({ retries, takenAtMs }) => retries.settle(takenAtMs));
 }
 
 describe('the retries that the requests of a VM earn', () => {
   it('are none at its start', () => {
-    assert.equal(createRetries().retries.take(), false);
+    assert.equal(createRetries().retries.take(), null);
     const { clock, retries } = createRetries();
     earn(retries, 5, clock.steadyMs());
-    assert.equal(retries.take(), false);
+    assert.equal(retries.take(), null);
   });
 
   it('are used nearly up to the ratio while they are needed all the time', () => {
@@ -35,7 +64,7 @@
     let taken = 0;
     for (let index = 0; index < 2000; index += 1) {
       retries.earn(clock.steadyMs());
-      if (index >= 1000) taken += takeAll(retries);
+      if (index >= 1000) taken += takeAll(clock, retries);
       clock.advance(10);
     }
     assert.ok(taken >= 0.9 * RATIO * 1000 && taken <= RATIO * 1000, `${taken}`);
@@ -46,7 +75,7 @@
     earn(retries, 1000, clock.steadyMs());
     assert.equal(retries.describe().saved, 20);
     clock.advance(WINDOW_MS + 1);
-    assert.equal(takeAll(retries), 0);
+    assert.equal(takeAll(clock, retries), 0);
   });
 
   it('can be saved one at a time by a VM with few requests', () => {
@@ -63,16 +92,18 @@
   it('are returned when they were not sent', () => {
     const { clock, retries } = createRetries();
     earn(retries, 60, clock.steadyMs());
-    assert.equal(takeAll(retries), 1);
+    assert.ok(retries.take());
+    assert.equal(retries.take(), null);
     retries.refund(clock.steadyMs());
-    assert.equal(takeAll(retries), 1);
+    assert.ok(retries.take());
+    assert.equal(retries.take(), null);
   });
 
   it('are no more than may be saved when they are read together after they have waited', () => {
     const { clock, retries } = createRetries();
     for (let index = 0; index < 1000; index += 1) {
       retries.earn(clock.steadyMs());
-      takeAll(retries);
+      takeAll(clock, retries);
       clock.advance(10);
     }
     const sentAfterMs = clock.steadyMs();
@@ -80,7 +111,7 @@
     let taken = 0;
     for (let index = 0; index < 400; index += 1) {
       retries.earn(sentAfterMs);
-      taken += takeAll(retries);
+      taken += takeAll(clock, retries);
     }
     assert.ok(taken > 0 && taken <= 0.1 * RATIO * 1000, `${taken}`);
   });
@@ -90,7 +121,7 @@
     let taken = 0;
     for (let index = 0; index < 2000; index += 1) {
       retries.earn(clock.steadyMs() - 500);
-      if (index >= 1000) taken += takeAll(retries);
+      if (index >= 1000) taken += takeAll(clock, retries);
       clock.advance(10);
     }
     assert.ok(taken >= 0.89 * RATIO * 1000 && taken <= RATIO * 1000, `${taken}`);
@@ -99,7 +130,7 @@
   it('are not earned by requests that were sent before the window', () => {
     const { clock, retries } = createRetries();
     earn(retries, 1000, clock.steadyMs() - WINDOW_MS - 1);
-    assert.deepEqual(retries.describe(), { requests: 0, saved: 0 });
+    assert.deepEqual(retries.describe(), { requests: 0, saved: 0, underWay: 0 });
   });
 
   // A VM that shares the ratio by its own window uses it twice when demand moves to another VM.
@@ -124,7 +155,7 @@
           vms[random.nextInt(used)]?.earn(clock.steadyMs());
         }
         requests.push(count);
-        taken.push(isNeeded ? vms.reduce((sum, vm) => sum + takeAll(vm), 0) : 0);
+        taken.push(isNeeded ? vms.reduce((sum, vm) => sum + takeAll(clock, vm), 0) : 0);
         clock.advance(50);
       }
       const windowSteps = WINDOW_MS / 50;
@@ -172,7 +203,7 @@
           for (let read = 0; vm.unread > 0 && read < 12; read += 1) {
             vm.unread -= 1;
             vm.retries.earn(vm.lastReadMs);
-            if (isNeeded) takenNow += takeAll(vm.retries);
+            if (isNeeded) takenNow += takeAll(clock, vm.retries);
           }
           if (vm.unread === 0) vm.lastReadMs = clock.steadyMs();
         }
@@ -187,4 +218,63 @@
       }
     }
   });
+
+  it('are not saved again while they may still arrive, for a window', () => {
+    const { clock, retries } = createRetries();
+    const take = () => {
+      let taken = 0;
+      while (retries.take() !== null) taken += 1;
+      return taken;
+    };
+    earn(retries, 1000, clock.steadyMs());
+    assert.equal(take(), 20);
+    clock.advance(WINDOW_MS / 2);
+    earn(retries, 500, clock.steadyMs());
+    assert.equal(take(), 10, 'a tenth of what 1500 requests earn, less 20');
+    clock.advance(WINDOW_MS / 2 + 1);
+    earn(retries, 500, clock.steadyMs());
+    assert.equal(take(), 10, 'a tenth of what 1000 requests earn, less 10');
+  });
+
+  // A VM that forgets retries once they are sent has those that wait at servers besides.
+  it('stay within the ratio by arrival, while servers stand still and read them later', () => {
+    const STEP_MS = 49;
+    for (let seed = 1; seed <= 300; seed += 1) {
+      const random = createSeededRandom(seed);
+      const clock = createManualClock(100_000);
+      const create = () => createEarnedRetries({ clock, windowMs: WINDOW_MS, ratio: RATIO });
+      const vms = Array.from({ length: 5 }, create);
+      const requestsPerStep = [4, 20, 100][seed % 3] ?? 20;
+      const arrived: number[] = [];
+      const waiting: TakenRetry[] = [];
+      let awakeAtMs = 0;
+      for (let step = 0; step < 1200; step += 1) {
+        const isAwake = clock.steadyMs() >= awakeAtMs;
+        if (isAwake && random.nextInt(60) === 0) {
+          awakeAtMs = clock.steadyMs() + random.nextInt(WINDOW_MS);
+        }
+        for (let index = 0; index < requestsPerStep; index += 1) {
+          vms[random.nextInt(5)]?.earn(clock.steadyMs());
+        }
+        arrived.push(0);
+        if (isAwake) {
+          countArrivals(arrived, waiting.splice(0));
+        }
+        const taken = vms.flatMap((retries) => listTaken(retries));
+        const late = isAwake ? [] : taken.filter(() => random.nextInt(2) === 0);
+        waiting.push(...late);
+        countArrivals(
+          arrived,
+          taken.filter((retry) => !late.includes(retry)),
+        );
+        clock.advance(STEP_MS);
+      }
+      const windowSteps = Math.ceil(WINDOW_MS / STEP_MS);
+      const allowed = RATIO * requestsPerStep * windowSteps;
+      for (let from = 0; from + windowSteps <= arrived.length; from += 1) {
+        const used = arrived.slice(from, from + windowSteps).reduce((a, b) => a + b, 0);
+        assert.ok(used <= allowed, `seed ${seed}, step ${from}: ${used} of ${allowed}`);
+      }
+    }
+  });
 });
--- a/packages/routing/__tests__/retryAccount.spec.ts
+++ b/packages/routing/__tests__/retryAccount.spec.ts
@@ -89,4 +89,32 @@
     const { lend } = createAccount(2.9);
     assert.equal(lend(5).granted, 2);
   });
+
+  it('counts what borrowers hold from the time at which it counts nowhere else', () => {
+    const { clock, account, lend } = createAccount();
+    const report = (holder: string, ...countsInMs: readonly number[]) =>
+      account.lend({ service: 'app', wanted: 0, reserved: 0, held: { holder, countsInMs } });
+    assert.equal(lend(2).granted, 2);
+    report('a', 0, 1000, COUNTED_MS + 1);
+    report('b', 0, 0, 0);
+    assert.equal(lend(20).granted, 10 - 2 - 4);
+    clock.advance(1000);
+    assert.deepEqual(account.describe(), { app: 11 });
+    report('b');
+    assert.equal(lend(20).granted, 2);
+    clock.advance(COUNTED_MS - 999);
+    assert.deepEqual(account.describe(), { app: 5 });
+    report('a', 0);
+    assert.equal(lend(20).granted, 7);
+  });
+
+  it('counts what a borrower holds until long after its last report', () => {
+    const { clock, account } = createAccount();
+    const held = { holder: 'a', countsInMs: [0, 0] };
+    account.lend({ service: 'app', wanted: 0, reserved: 0, held });
+    clock.advance(60_000 + WINDOW_MS);
+    assert.deepEqual(account.describe(), { app: 2 });
+    clock.advance(WINDOW_MS);
+    assert.deepEqual(account.describe(), { app: 0 });
+  });
 });
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -22,6 +22,7 @@
 export * from './src/resumePacing';
 export * from './src/backoffTable';
 export * from './src/backoffWait';
+export * from './src/heldRetries';
 export * from './src/retryAccount';
 export * from './src/retryBudget';
 export * from './src/retryDelays';
--- a/packages/routing/src/earnedRetries.ts
+++ b/packages/routing/src/earnedRetries.ts
@@ -1,11 +1,11 @@
 /**
  * The retries that the requests of one VM earn, which it may send without asking anyone.
  *
- * For the sum over all VMs and any window, the retries are at most what was saved when the window
- * began plus what is earned within it. A VM saves at most `savedShare` of what the requests of a
- * whole window earn, and earns the rest of the ratio, so the sum stays within the ratio of the
- * requests in the window or of those in the one before, however demand moves between VMs. A VM
- * that restarts has saved nothing.
+ * For the sum over all VMs and any window, the retries that arrive are at most what was saved or
+ * under way when the window began plus what is earned within it. A VM saves at most `savedShare` of
+ * what the requests of a whole window earn, less what is under way, and earns the rest of the
+ * ratio, so the sum stays within the ratio of the requests in the window or of those in the one
+ * before, however demand moves between VMs. A VM that restarts has saved nothing.
  *
  * The requests of a window are those that were sent in it, and a request may be read much later. It
  * therefore earns as of a time before it was sent, and only as much as could have been saved from
@@ -24,9 +24,14 @@
   /** Counts a request that was sent after a time on the clock `steadyMs`. */
   earn(sentAfterMs: number): void;
   hasLeft(): boolean;
-  /** Takes a retry that is about to be sent; false when none is left. */
-  take(): boolean;
-  /** Returns a retry that was taken at a time on the clock `steadyMs` and not sent. */
+  /** Takes a retry to be sent now: its time on the clock `steadyMs`, or null if none is left. */
+  take(): number | null;
+  /**
+   * Records that a retry that was taken at a time cannot arrive any more. One that may still arrive
+   * a window after it was taken does not count here from then on.
+   */
+  settle(takenAtMs: number): void;
+  /** Returns a retry that was taken at a time and not sent. */
   refund(takenAtMs: number): void;
   describe(): EarnedRetriesState;
 }
@@ -35,6 +40,8 @@
   /** Requests within the window. */
   readonly requests: number;
   readonly saved: number;
+  /** Retries that were taken and may still arrive. */
+  readonly underWay: number;
 }
 
 /** State from a time until the next span begins. */
@@ -42,8 +49,11 @@
   readonly fromMs: number;
   /** Fewest requests within the window. */
   requests: number;
-  /** Most retries that were saved, or could have been, had all requests been read at once. */
-  saved: number;
+  /**
+   * Most retries that were saved or under way, or could have been, had all requests been read at
+   * once.
+   */
+  exposed: number;
 }
 
 /** Drops the first elements of a list, up to the first one that is kept. */
@@ -65,6 +75,8 @@
   const sentAfter: number[] = [];
   /** Those that began within the window, oldest first. */
   const spans: Span[] = [];
+  /** When the retries that may still arrive were taken, oldest first. */
+  const underWay: number[] = [];
   let saved = 0;
 
   /** A VM with few requests saves a larger share, at most all. */
@@ -73,21 +85,25 @@
 
   const mostSaved = (requests: number): number => requests * ratio * savedShare(requests);
 
+  const exposed = (): number => saved + underWay.length;
+
   const beginSpan = (): void => {
-    spans.push({ fromMs: clock.steadyMs(), requests: sentAfter.length, saved });
+    spans.push({ fromMs: clock.steadyMs(), requests: sentAfter.length, exposed: exposed() });
   };
 
   function update(): void {
     const nowMs = clock.steadyMs();
     const oldestMs = nowMs - windowMs;
     dropUntil(sentAfter, (atMs) => atMs >= oldestMs);
-    saved = Math.min(saved, mostSaved(sentAfter.length));
+    dropUntil(underWay, (atMs) => atMs >= oldestMs);
+    const free = Math.max(0, mostSaved(sentAfter.length) - underWay.length);
+    saved = Math.min(saved, free);
     dropUntil(spans, ({ fromMs }) => fromMs >= oldestMs);
     const last = spans.at(-1);
     if (!last || nowMs - last.fromMs >= MIN_SPAN_MS) beginSpan();
     else {
       last.requests = Math.min(last.requests, sentAfter.length);
-      last.saved = Math.max(last.saved, saved);
+      last.exposed = Math.max(last.exposed, exposed());
     }
   }
 
@@ -95,10 +111,10 @@
   function add(count: number, sinceMs: number): void {
     const first = spans.findLastIndex(({ fromMs }) => fromMs <= sinceMs);
     const since = spans.slice(Math.max(0, first));
-    const free = since.map((span) => mostSaved(span.requests) - span.saved);
+    const free = since.map((span) => mostSaved(span.requests) - span.exposed);
     const added = Math.max(0, Math.min(count, ...free));
     since.forEach((span) => {
-      span.saved += added;
+      span.exposed += added;
     });
     saved += added;
   }
@@ -114,6 +130,15 @@
       });
   }
 
+  /** Returns whether a retry that was taken at a time is still counted. */
+  function endUnderWay(takenAtMs: number): boolean {
+    update();
+    const index = underWay.indexOf(takenAtMs);
+    if (index < 0) return false;
+    underWay.splice(index, 1);
+    return true;
+  }
+
   function hasLeft(): boolean {
     update();
     return saved >= 1;
@@ -128,18 +153,21 @@
     },
     hasLeft,
     take() {
-      if (!hasLeft()) return false;
+      if (!hasLeft()) return null;
+      const takenAtMs = clock.steadyMs();
       saved -= 1;
-      beginSpan();
-      return true;
+      underWay.push(takenAtMs);
+      return takenAtMs;
+    },
+    settle(takenAtMs) {
+      if (endUnderWay(takenAtMs)) beginSpan();
     },
     refund(takenAtMs) {
-      update();
-      add(1, takenAtMs);
+      if (endUnderWay(takenAtMs)) saved += 1;
     },
     describe() {
       update();
-      return { requests: sentAfter.length, saved };
+      return { requests: sentAfter.length, saved, underWay: underWay.length };
     },
   };
 }
--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -8,10 +8,15 @@
  * counts a retry from the moment at which it is lent until a window after it can last arrive, so
  * the borrower may end, restart or lose its connection without effect on the sum.
  *
+ * A retry that may arrive later than that is held: its borrower reports it, and it counts until a
+ * window after it has arrived.
+ *
  * It lends only what was reserved before, where the next VM that keeps the account finds it. That
  * VM counts each reservation as if all of it had been lent at the last moment.
  */
 import type { Clock } from '@spoolplank/shared';
+import { createHeldRetries } from './heldRetries';
+import type { HeldReport, HeldRetries } from './heldRetries';
 
 export interface RetryAccountOptions {
   readonly clock: Pick<Clock, 'nowMs' | 'steadyMs'>;
@@ -25,8 +30,8 @@
   readonly wanted: number;
   /** Retries that are left for others, because these are less urgent. */
   readonly reserved: number;
-  /** Retries lent earlier that arrived late, just now; none by default. */
-  readonly late?: number;
+  /** What the borrower holds of the service; as it last reported by default. */
+  readonly held?: HeldReport;
 }
 
 export interface RetryLoan {
@@ -57,13 +62,13 @@
   exposedOf(service: string): number;
   /** Forgets its loans and takes over the account of earlier keepers. */
   takeOver(earlier: readonly EarlierReservation[]): void;
-  /** Retries of each service that are lent and count. */
+  /** Retries of each service that are lent or held and count. */
   describe(): Readonly<Record<string, number>>;
 }
 
 /**
  * Time from the request for a retry until it has arrived at a server: the time for which a loan may
- * be used, a connection attempt, and a margin. A retry that arrives later is reported.
+ * be used, a connection attempt, and a margin. A retry that may arrive later is held.
  */
 export const RETRY_ARRIVAL_MS = 800;
 /** Minimum time after which a VM that was refused asks again. */
@@ -83,6 +88,7 @@
 interface AccountRow {
   /** Oldest first. */
   readonly loans: Loan[];
+  readonly held: HeldRetries;
   lent: number;
   /** Reserved retries that are not lent, and until when they may be. */
   reserved: number;
@@ -98,7 +104,13 @@
   function rowOf(service: string): AccountRow {
     const known = rows.get(service);
     if (known) return known;
-    const row = { loans: [], lent: 0, reserved: 0, reservedUntilMs: Number.NEGATIVE_INFINITY };
+    const row = {
+      loans: [],
+      held: createHeldRetries(clock),
+      lent: 0,
+      reserved: 0,
+      reservedUntilMs: Number.NEGATIVE_INFINITY,
+    };
     rows.set(service, row);
     return row;
   }
@@ -111,6 +123,8 @@
     if (clock.nowMs() > row.reservedUntilMs) row.reserved = 0;
   }
 
+  const countOf = (row: AccountRow): number => row.lent + row.held.count();
+
   function add(row: AccountRow, count: number, atMs: number): void {
     if (count <= 0) return;
     row.loans.push({ atMs, count });
@@ -127,14 +141,14 @@
 
   function freeFor(row: AccountRow, { wanted, reserved }: RetryLoanRequest): number {
     dropExpired(row);
-    return Math.min(wanted, Math.max(0, Math.floor(allowance - row.lent - reserved)));
+    return Math.min(wanted, Math.max(0, Math.floor(allowance - countOf(row) - reserved)));
   }
 
   return {
     lend(request) {
-      const { service, wanted, late = 0 } = request;
+      const { service, wanted, held } = request;
       const row = rowOf(service);
-      add(row, late, clock.steadyMs());
+      if (held) row.held.report(held);
       const granted = Math.min(freeFor(row, request), row.reserved);
       add(row, granted, clock.steadyMs());
       row.reserved -= granted;
@@ -144,7 +158,7 @@
       const row = rowOf(request.service);
       const free = freeFor(row, request);
       if (free <= row.reserved) return 0;
-      return Math.min(Math.floor(allowance - row.lent), Math.max(reservedAtOnce, free));
+      return Math.min(Math.floor(allowance - countOf(row)), Math.max(reservedAtOnce, free));
     },
     setReserved(service, count, sinceMs) {
       const reservedUntilMs = sinceMs + RESERVATION_VALIDITY_MS;
@@ -164,7 +178,7 @@
     },
     describe() {
       rows.forEach(dropExpired);
-      return Object.fromEntries([...rows].map(([service, { lent }]) => [service, lent]));
+      return Object.fromEntries([...rows].map(([service, row]) => [service, countOf(row)]));
     },
   };
 }
