--- a/packages/routing/__tests__/earnedRetries.spec.ts
+++ b/packages/routing/__tests__/earnedRetries.spec.ts
@@ -236,6 +236,17 @@
     assert.equal(take(), 10, 'a tenth of what 1000 requests earn, less 10');
   });
 
+  it('are saved no longer when there are fewer requests and others may still arrive', () => {
+    const { clock, retries } = createRetries();
+    earn(retries, 500, clock.steadyMs());
+    clock.advance(WINDOW_MS / 2);
+    earn(retries, 500, clock.steadyMs());
+    for (let taken = 0; taken < 10; taken += 1) assert.ok(retries.take());
+    assert.equal(retries.describe().saved, 10);
+    clock.advance(WINDOW_MS / 2 + 1);
+    assert.equal(retries.describe().saved, 0);
+  });
+
   // A VM that forgets retries once they are sent has those that wait at servers besides.
   it('stay within the ratio by arrival, while servers stand still and read them later', () => {
     const STEP_MS = 49;
