fix(routing): count loans for longer that their borrowers have not confirmed

An entry reports a retry that may arrive late after 0.8 s. One that is killed before has reported nothing, so its loan expires, and the stopped worker reads the retry later, in a window in which the account has lent everything again.

Change: the account knows who borrowed each loan and when it was asked for. The reports of an entry confirm its loans up to 0.8 s before: their retries have arrived, can no longer arrive, or are held. A loan that is not confirmed counts for 10 s longer than others. A report is due each second after a loan that was made, or may have been as its answer was lost. A loan of a borrower that confirms none, as the entries of the version before, counts like the others, so that a rolling upgrade loses none.

--- a/packages/controller/__tests__/retryLoans.spec.ts
+++ b/packages/controller/__tests__/retryLoans.spec.ts
@@ -67,8 +67,9 @@
     held: readonly number[] | undefined = undefined,
     method = RETRY_LOAN_METHOD,
   ): Promise<RetryLoan> {
-    const report = held && { held: { holder: 'entry', countsInMs: held } };
-    const request = { service: 'app', wanted, reserved: 0, ...report };
+    const origin = { borrower: 'entry', askedAtMs: clock.nowMs() };
+    const report = held && { held: { confirmedToMs: clock.nowMs(), countsInMs: held } };
+    const request = { service: 'app', origin, wanted, reserved: 0, ...report };
     return (await vms.get(host)?.methods[method]?.(request, 'entry')) as unknown as RetryLoan;
   }
   const tickAll = () => vms.forEach((vm) => vm.tick());
@@ -146,6 +147,7 @@
   it('are all lent by a new leader if nothing that was reserved can still arrive', async () => {
     const { clock, state, replicas, lend, tickAll } = createGroup(['a', 'b']);
     await lend('a', 50);
+    await lend('a', 0, []);
     clock.advance(COUNTED_MS + 1);
     tickAll();
     await nextTurn();
@@ -175,6 +177,7 @@
   it('are refused without a call to the leader until it has some again', async () => {
     const { clock, calls, lend } = createGroup(['a', 'b']);
     await lend('b', LENT);
+    await lend('b', 0, []);
     assert.equal((await lend('b', 1)).granted, 0);
     clock.advance(1000);
     const called = calls.length;
--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -128,7 +128,13 @@
     log,
     metrics: createMetrics(),
     delay: () => Promise.resolve(),
-    ask: (request) => Promise.resolve(account.lend(request)),
+    borrower: 'entry',
+    ask(request) {
+      const loan = account.lend(request);
+      const held = { confirmedToMs: clock.nowMs(), countsInMs: [] };
+      account.lend({ ...request, wanted: 0, held });
+      return Promise.resolve(loan);
+    },
   });
   return createRetryBudgets({
     clock,
--- a/packages/entry/__tests__/loanCalls.spec.ts
+++ b/packages/entry/__tests__/loanCalls.spec.ts
@@ -4,7 +4,12 @@
 import { createManualClock, SpoolplankError } from '@spoolplank/shared';
 import { createLoanCalls } from '../src/admission/retryLoans';
 
-const REQUEST = { service: 'app', wanted: 1, reserved: 0 };
+const REQUEST = {
+  service: 'app',
+  origin: { borrower: 'entry', askedAtMs: 0 },
+  wanted: 1,
+  reserved: 0,
+};
 const LOAN = { granted: 1, retryInMs: 0 };
 
 /** Creates the calls of an entry to control VMs that are all silent except `sound`. */
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -45,12 +45,13 @@
   /** Creates the budget of an entry that has just started. */
   function createEntry() {
     const metrics = createMetrics();
-    const loans = createRetryLoans({ clock, log, metrics, delay, ask });
+    entries += 1;
+    const borrower = `entry-${entries}`;
+    const loans = createRetryLoans({ clock, log, metrics, delay, borrower, ask });
     const limits = { ...LIMITS, allowance };
     const runningStreams = () => running;
     const open = createOpenRetries({ clock, windowMs: LIMITS.windowMs });
-    entries += 1;
-    const reports = createHeldReports({ clock, log, holder: `entry-${entries}`, open, ask });
+    const reports = createHeldReports({ clock, log, borrower, open, loans, ask });
     const options = { clock, log, metrics, limits, loans, open, runningStreams };
     const budget = createRetryBudgets(options)('engines');
     return Object.assign(budget, { tick: reports.tick });
@@ -137,6 +138,9 @@
     assert.equal(budget.isExhausted('usual'), false);
     assert.equal(await takeAll(budget, 2), 1);
     assert.equal(budget.isExhausted('usual'), true);
+    clock.advance(1000);
+    budget.tick();
+    await nextTurn();
     const asked = requests.length;
     assert.equal(await budget.take('usual'), null);
     assert.equal(requests.length, asked);
@@ -235,18 +239,41 @@
     assert.deepEqual(account.describe(), { engines: 0 });
   });
 
-  it('does not count retries that arrived in time any longer than the window', async () => {
+  it('confirms retries that arrived in time once, so that they count no longer', async () => {
     const { clock, account, requests, createEntry } = createSetting();
     const budget = createEntry();
     assert.equal(await takeAll(budget, 5), 5);
+    clock.advance(1000);
+    budget.tick();
+    await nextTurn();
     const asked = requests.length;
-    clock.advance(LIMITS.windowMs + RETRY_ARRIVAL_MS + 1);
+    clock.advance(LIMITS.windowMs);
     budget.tick();
     await nextTurn();
     assert.equal(requests.length, asked);
     assert.deepEqual(account.describe(), { engines: 0 });
   });
 
+  it('confirms loans whose answers are lost, so that they count no longer', async () => {
+    const { clock, account, state, createEntry } = createSetting();
+    const budget = createEntry();
+    state.replyMs = LOAN_VALIDITY_MS + 1;
+    assert.equal(await takeAll(budget, 5), 0);
+    state.replyMs = 0;
+    clock.advance(1000);
+    budget.tick();
+    await nextTurn();
+    clock.advance(LIMITS.windowMs);
+    assert.deepEqual(account.describe(), { engines: 0 });
+  });
+
+  it('counts retries for longer that an entry has borrowed and not confirmed when it ends', async () => {
+    const { clock, account, createEntry } = createSetting();
+    assert.equal(await takeAll(createEntry(), 5), 5);
+    clock.advance(LIMITS.windowMs + RETRY_ARRIVAL_MS + 1);
+    assert.deepEqual(account.describe(), { engines: 5 });
+  });
+
   it('leaves retries for streams that have begun, one for each at the most', async () => {
     const cases: readonly (readonly [number, number])[] = [
       [0, 200],
--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -159,11 +159,13 @@
   function start(entry: Entry): void {
     incarnations += 1;
     const quiet = { info: () => {} };
+    const borrower = `entry-${incarnations}`;
     const loans = createRetryLoans({
       clock,
       log: quiet,
       metrics: createMetrics(),
       delay,
+      borrower,
       ask: (request) => ask(entry, request),
     });
     const runningStreams = () => 0;
@@ -172,8 +174,9 @@
     const reports = createHeldReports({
       clock,
       log: quiet,
-      holder: `entry-${incarnations}`,
+      borrower,
       open,
+      loans,
       ask: (request) => ask(entry, request),
     });
     const shared = { clock, log: quiet, metrics, limits: LIMITS, open, runningStreams };
@@ -194,6 +197,7 @@
       log: quiet,
       metrics: createMetrics(),
       delay,
+      borrower,
       ask: (request) => Promise.resolve(part.lend(request)),
     });
     const budgets = createRetryBudgets({ ...shared, loans: ownLoans });
--- a/packages/entry/src/admission/heldReports.ts
+++ b/packages/entry/src/admission/heldReports.ts
@@ -1,16 +1,21 @@
-/** Reports the retries that this entry holds to the account of all entries. */
+/**
+ * Reports the retries that this entry holds to the account of all entries, and confirms the loans
+ * whose retries have arrived, can no longer arrive, or are reported.
+ */
+import { RETRY_ARRIVAL_MS } from '@spoolplank/routing';
 import type { EventLog } from '@spoolplank/node';
 import { toSpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
 import type { OpenRetries } from './openRetries';
-import type { RetryLoansOptions } from './retryLoans';
+import type { RetryLoans, RetryLoansOptions } from './retryLoans';
 
 export interface HeldReportsOptions {
   readonly clock: Pick<Clock, 'nowMs'>;
   readonly log: Pick<EventLog, 'info'>;
   /** Identifies this incarnation of the entry. */
-  readonly holder: string;
+  readonly borrower: string;
   readonly open: Pick<OpenRetries, 'listHeld' | 'listServices'>;
+  readonly loans: Pick<RetryLoans, 'newestLoanAtMs' | 'listServices'>;
   readonly ask: RetryLoansOptions['ask'];
 }
 
@@ -22,26 +27,46 @@
 /** What the account was last told about a service. */
 interface LastReport {
   held: number;
+  confirmedToMs: number;
   atMs: number;
   isSending: boolean;
 }
 
-/** Interval of the reports without a change, for an account that another VM has taken over. */
+/**
+ * Interval of the reports that only confirm loans, and of those without a change, for an account
+ * that another VM has taken over.
+ */
 const REPEAT_MS = 1000;
 
 export function createHeldReports(options: HeldReportsOptions): HeldReports {
-  const { clock, log, holder, open, ask } = options;
+  const { clock, log, borrower, open, loans, ask } = options;
   const reports = new Map<string, LastReport>();
 
+  /** Whether what is held is to be told again, or loans are to be confirmed. */
+  function isRepeatDue(service: string, { held, confirmedToMs, atMs }: LastReport): boolean {
+    if (clock.nowMs() - atMs < REPEAT_MS) return false;
+    // A loan whose answer was lost counts in the account as well.
+    const newestLoanAtMs = loans.newestLoanAtMs(service) ?? Number.NEGATIVE_INFINITY;
+    return held > 0 || newestLoanAtMs > confirmedToMs;
+  }
+
   async function report(service: string, last: LastReport): Promise<void> {
+    const askedAtMs = clock.nowMs();
     const countsInMs = open.listHeld(service);
     const held = countsInMs.length;
-    if (held === last.held && (held === 0 || clock.nowMs() - last.atMs < REPEAT_MS)) return;
+    if (held === last.held && !isRepeatDue(service, last)) return;
+    const confirmedToMs = askedAtMs - RETRY_ARRIVAL_MS;
     Object.assign(last, { isSending: true });
     try {
-      await ask({ service, wanted: 0, reserved: 0, held: { holder, countsInMs } });
+      await ask({
+        service,
+        origin: { borrower, askedAtMs },
+        wanted: 0,
+        reserved: 0,
+        held: { confirmedToMs, countsInMs },
+      });
       if (held !== last.held) log.info('retries-held', { service, held });
-      Object.assign(last, { held, atMs: clock.nowMs() });
+      Object.assign(last, { held, confirmedToMs, atMs: clock.nowMs() });
     } catch (error) {
       log.info('retries-not-held', { service, held, problem: toSpoolplankError(error).message });
     } finally {
@@ -50,14 +75,19 @@
   }
 
   function findReport(service: string): LastReport {
-    const last = reports.get(service) ?? { held: 0, atMs: 0, isSending: false };
+    const last = reports.get(service) ?? {
+      held: 0,
+      confirmedToMs: Number.NEGATIVE_INFINITY,
+      atMs: 0,
+      isSending: false,
+    };
     reports.set(service, last);
     return last;
   }
 
   return {
     tick() {
-      open.listServices().forEach(findReport);
+      [...open.listServices(), ...loans.listServices()].forEach(findReport);
       reports.forEach((last, service) => {
         if (!last.isSending) void report(service, last);
       });
--- a/packages/entry/src/admission/openRetries.ts
+++ b/packages/entry/src/admission/openRetries.ts
@@ -53,7 +53,7 @@
   }
 
   function isHeld({ takenAtMs, untilMs }: Row): boolean {
-    return Number.isFinite(untilMs) || clock.nowMs() > takenAtMs + RETRY_ARRIVAL_MS;
+    return Number.isFinite(untilMs) || clock.nowMs() >= takenAtMs + RETRY_ARRIVAL_MS;
   }
 
   return {
--- a/packages/entry/src/admission/retryLoans.ts
+++ b/packages/entry/src/admission/retryLoans.ts
@@ -20,6 +20,8 @@
   readonly log: Pick<EventLog, 'info'>;
   readonly metrics: Pick<Metrics, 'observe'>;
   readonly delay: (durationMs: number) => Promise<void>;
+  /** Identifies this incarnation of the entry. */
+  readonly borrower: string;
   /** @throws SpoolplankError when no account answered in time. */
   readonly ask: (request: RetryLoanRequest) => Promise<RetryLoan>;
 }
@@ -32,6 +34,13 @@
   borrow(purpose: RetryPurpose): Promise<number | null>;
   /** Time until the account may lend again after a refusal; 0 if it was not refused. */
   refusedForMs(purpose: RetryPurpose): number;
+  /**
+   * When the newest loan was asked for that was made, or may have been as its answer is missing, on
+   * the clock `nowMs`; null before the first one.
+   */
+  newestLoanAtMs(service: string): number | null;
+  /** Services with such a loan. */
+  listServices(): readonly string[];
 }
 
 /** A request that waits for the account. */
@@ -54,8 +63,9 @@
 const RETRY_MS = 50;
 
 export function createRetryLoans(options: RetryLoansOptions): RetryLoans {
-  const { clock, log, metrics, ask, delay } = options;
+  const { clock, log, metrics, borrower, ask, delay } = options;
   const lines = new Map<string, Line>();
+  const newestLoanAtMs = new Map<string, number>();
 
   function lineOf(purpose: RetryPurpose): Line {
     const key = `${purpose.service}/${purpose.reserved > 0}`;
@@ -71,9 +81,8 @@
     Math.max(0, refusedUntilMs - clock.nowMs());
 
   /** Returns null when there was no answer in time. */
-  async function askFor(request: RetryLoanRequest): Promise<RetryLoan | null> {
+  async function askFor(request: RetryLoanRequest, askedAtMs: number): Promise<RetryLoan | null> {
     const { service, wanted } = request;
-    const askedAtMs = clock.nowMs();
     try {
       const loan = await ask(request);
       const durationMs = clock.nowMs() - askedAtMs;
@@ -114,7 +123,10 @@
     const batch = line.waiting.splice(0);
     const { service, reserved } = line.purpose;
     const askedAtMs = clock.nowMs();
-    const loan = await askFor({ service, reserved, wanted: batch.length });
+    const origin = { borrower, askedAtMs };
+    const request = { service, origin, reserved, wanted: batch.length };
+    const loan = await askFor(request, askedAtMs);
+    if (loan?.granted !== 0) newestLoanAtMs.set(service, askedAtMs);
     if (loan) settleLoan(line, batch, loan, askedAtMs);
     else await waitForAccount(line, batch);
   }
@@ -143,6 +155,8 @@
       });
     },
     refusedForMs: (purpose) => remainingMs(lineOf(purpose)),
+    newestLoanAtMs: (service) => newestLoanAtMs.get(service) ?? null,
+    listServices: () => [...newestLoanAtMs.keys()],
   };
 }
 
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -200,13 +200,15 @@
     controlPeerPort: options.controlPeerPort,
     listSources: facts.listSources,
   });
-  const loans = createRetryLoans({ clock, log, metrics, delay, ask: askForLoan });
+  const borrower = `${host}/${run}`;
+  const loans = createRetryLoans({ clock, log, metrics, delay, borrower, ask: askForLoan });
   const openRetries = createOpenRetries({ clock, windowMs: options.retryLimits.windowMs });
   const heldReports = createHeldReports({
     clock,
     log,
-    holder: `${host}/${run}`,
+    borrower,
     open: openRetries,
+    loans,
     ask: askForLoan,
   });
   const budgetOf = createRetryBudgets({
--- a/packages/routing/__tests__/retryAccount.spec.ts
+++ b/packages/routing/__tests__/retryAccount.spec.ts
@@ -5,18 +5,31 @@
 
 const WINDOW_MS = 10_000;
 const COUNTED_MS = WINDOW_MS + RETRY_ARRIVAL_MS;
+const UNCONFIRMED_MS = 10_000;
 
 function createAccount(allowance = 10) {
   const clock = createManualClock(100_000);
   const account = createRetryAccount({ clock, windowMs: WINDOW_MS, allowance });
+  const originOf = (borrower: string) => ({ borrower, askedAtMs: clock.nowMs() });
+  /** Reports what a borrower holds of `app`, and confirms what it has asked for. */
+  function report(borrower: string, ...countsInMs: readonly number[]) {
+    const held = { confirmedToMs: clock.nowMs(), countsInMs };
+    const origin = originOf(borrower);
+    account.lend({ service: 'app', origin, wanted: 0, reserved: 0, held });
+  }
   /** Lends after the reservation that it needs. */
-  function lend(wanted: number, reserved = 0, service = 'app') {
-    const request = { service, wanted, reserved };
+  function lendUnconfirmed(wanted: number, reserved = 0, service = 'app') {
+    const request = { service, origin: originOf('borrower'), wanted, reserved };
     const missing = account.missingFor(request);
     if (missing > 0) account.setReserved(service, missing, clock.nowMs());
     return account.lend(request);
   }
-  return { clock, account, lend };
+  function lend(...loan: Parameters<typeof lendUnconfirmed>) {
+    const granted = lendUnconfirmed(...loan);
+    report('borrower');
+    return granted;
+  }
+  return { clock, account, originOf, report, lendUnconfirmed, lend };
 }
 
 describe('the account of retries', () => {
@@ -62,8 +75,8 @@
   });
 
   it('lends only what was reserved, for a short time', () => {
-    const { clock, account } = createAccount(100);
-    const request = { service: 'app', wanted: 5, reserved: 0 };
+    const { clock, account, originOf } = createAccount(100);
+    const request = { service: 'app', origin: originOf('a'), wanted: 5, reserved: 0 };
     assert.equal(account.lend(request).granted, 0);
     assert.equal(account.missingFor(request), 7);
     account.setReserved('app', 7, clock.nowMs());
@@ -91,9 +104,7 @@
   });
 
   it('counts what borrowers hold from the time at which it counts nowhere else', () => {
-    const { clock, account, lend } = createAccount();
-    const report = (holder: string, ...countsInMs: readonly number[]) =>
-      account.lend({ service: 'app', wanted: 0, reserved: 0, held: { holder, countsInMs } });
+    const { clock, account, report, lend } = createAccount();
     assert.equal(lend(2).granted, 2);
     report('a', 0, 1000, COUNTED_MS + 1);
     report('b', 0, 0, 0);
@@ -109,12 +120,46 @@
   });
 
   it('counts what a borrower holds until long after its last report', () => {
-    const { clock, account } = createAccount();
-    const held = { holder: 'a', countsInMs: [0, 0] };
-    account.lend({ service: 'app', wanted: 0, reserved: 0, held });
+    const { clock, account, report } = createAccount();
+    report('a', 0, 0);
     clock.advance(60_000 + WINDOW_MS);
     assert.deepEqual(account.describe(), { app: 2 });
     clock.advance(WINDOW_MS);
     assert.deepEqual(account.describe(), { app: 0 });
   });
+
+  it('counts a loan for longer whose borrower ended before it could confirm it', () => {
+    const { clock, account, report, lendUnconfirmed } = createAccount();
+    lendUnconfirmed(2);
+    clock.advance(1000);
+    report('borrower');
+    clock.advance(1000);
+    assert.equal(lendUnconfirmed(3).granted, 3);
+    report('another');
+    clock.advance(COUNTED_MS + 1);
+    assert.deepEqual(account.describe(), { app: 3 });
+    assert.equal(lendUnconfirmed(20).granted, 7);
+    report('another');
+    clock.advance(UNCONFIRMED_MS - 1);
+    assert.deepEqual(account.describe(), { app: 10 });
+    clock.advance(1);
+    assert.deepEqual(account.describe(), { app: 7 });
+  });
+
+  it('counts a loan no longer than the others if its borrower confirms none', () => {
+    const { clock, account } = createAccount();
+    account.setReserved('app', 3, clock.nowMs());
+    assert.equal(account.lend({ service: 'app', wanted: 3, reserved: 0 }).granted, 3);
+    clock.advance(COUNTED_MS + 1);
+    assert.deepEqual(account.describe(), { app: 0 });
+  });
+
+  it('ceases to count a loan whose borrower confirms it late', () => {
+    const { clock, account, report, lendUnconfirmed } = createAccount();
+    lendUnconfirmed(2);
+    clock.advance(COUNTED_MS + 1);
+    assert.deepEqual(account.describe(), { app: 2 });
+    report('borrower');
+    assert.deepEqual(account.describe(), { app: 0 });
+  });
 });
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -23,6 +23,7 @@
 export * from './src/backoffTable';
 export * from './src/backoffWait';
 export * from './src/heldRetries';
+export * from './src/loanConfirmations';
 export * from './src/retryAccount';
 export * from './src/retryBudget';
 export * from './src/retryDelays';
--- a/packages/routing/src/heldRetries.ts
+++ b/packages/routing/src/heldRetries.ts
@@ -6,15 +6,18 @@
 
 /** All retries of a service that one borrower holds. */
 export interface HeldReport {
-  /** Identifies an incarnation of the borrower. */
-  readonly holder: string;
+  /**
+   * Time up to which the borrower asked for the loans that this report confirms, on its own clock:
+   * their retries have arrived, can no longer arrive, or are listed here.
+   */
+  readonly confirmedToMs: number;
   /** For each retry, the time until which it is counted otherwise, from now in milliseconds. */
   readonly countsInMs: readonly number[];
 }
 
 export interface HeldRetries {
   /** Replaces the report of a borrower. */
-  report(held: HeldReport): void;
+  report(borrower: string, countsInMs: HeldReport['countsInMs']): void;
   /** Number of retries that are not counted otherwise. */
   count(): number;
 }
@@ -55,7 +58,7 @@
   }
 
   return {
-    report({ holder: key, countsInMs }) {
+    report(key, countsInMs) {
       recount();
       const reportedAtMs = clock.steadyMs();
       // What counts at once has counted since the last count.
--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -9,7 +9,8 @@
  * the borrower may end, restart or lose its connection without effect on the sum.
  *
  * A retry that may arrive later than that is held: its borrower reports it, and it counts until a
- * window after it has arrived.
+ * window after it has arrived. A borrower that ends cannot report, so a loan that it has not
+ * confirmed counts for longer.
  *
  * It lends only what was reserved before, where the next VM that keeps the account finds it. That
  * VM counts each reservation as if all of it had been lent at the last moment.
@@ -17,6 +18,8 @@
 import type { Clock } from '@spoolplank/shared';
 import { createHeldRetries } from './heldRetries';
 import type { HeldReport, HeldRetries } from './heldRetries';
+import { createLoanConfirmations } from './loanConfirmations';
+import type { LoanConfirmations, LoanOrigin } from './loanConfirmations';
 
 export interface RetryAccountOptions {
   readonly clock: Pick<Clock, 'nowMs' | 'steadyMs'>;
@@ -27,6 +30,8 @@
 
 export interface RetryLoanRequest {
   readonly service: string;
+  /** Who borrows, and when it asks; absent if the borrower confirms no loans. */
+  readonly origin?: LoanOrigin;
   readonly wanted: number;
   /** Retries that are left for others, because these are less urgent. */
   readonly reserved: number;
@@ -77,18 +82,25 @@
 export const LOAN_VALIDITY_MS = 300;
 /** Time for which reserved retries may be lent. */
 const RESERVATION_VALIDITY_MS = 2000;
+/** Time for which a loan counts longer that its borrower has not confirmed. */
+const UNCONFIRMED_MS = 10_000;
 /** Share of the allowance that is reserved at a time. */
 const RESERVED_AT_ONCE_SHARE = 1 / 16;
 
 interface Loan {
   readonly atMs: number;
   readonly count: number;
+  /** Absent if nobody confirms the loan, such as a reservation of an earlier keeper. */
+  readonly origin?: LoanOrigin;
 }
 
 interface AccountRow {
   /** Oldest first. */
   readonly loans: Loan[];
   readonly held: HeldRetries;
+  readonly confirmations: LoanConfirmations;
+  /** Loans that would have expired, had their borrowers confirmed them. */
+  unconfirmed: readonly Loan[];
   lent: number;
   /** Reserved retries that are not lent, and until when they may be. */
   reserved: number;
@@ -104,9 +116,11 @@
   function rowOf(service: string): AccountRow {
     const known = rows.get(service);
     if (known) return known;
-    const row = {
+    const row: AccountRow = {
       loans: [],
       held: createHeldRetries(clock),
+      confirmations: createLoanConfirmations(clock),
+      unconfirmed: [],
       lent: 0,
       reserved: 0,
       reservedUntilMs: Number.NEGATIVE_INFINITY,
@@ -115,22 +129,32 @@
     return row;
   }
 
+  const countLoans = (loans: readonly Loan[]): number =>
+    loans.reduce((sum, { count }) => sum + count, 0);
+
   function dropExpired(row: AccountRow): void {
     const nowMs = clock.steadyMs();
     const kept = row.loans.findIndex(({ atMs }) => atMs >= nowMs - countedMs);
     const expired = row.loans.splice(0, kept === -1 ? row.loans.length : kept);
-    row.lent -= expired.reduce((sum, { count }) => sum + count, 0);
+    row.lent -= countLoans(expired);
+    row.unconfirmed = [...row.unconfirmed, ...expired].filter(
+      ({ atMs, origin }) =>
+        origin !== undefined &&
+        atMs >= nowMs - countedMs - UNCONFIRMED_MS &&
+        !row.confirmations.isConfirmed(origin),
+    );
     if (clock.nowMs() > row.reservedUntilMs) row.reserved = 0;
   }
 
-  const countOf = (row: AccountRow): number => row.lent + row.held.count();
+  const countOf = ({ lent, unconfirmed, held }: AccountRow): number =>
+    lent + countLoans(unconfirmed) + held.count();
 
-  function add(row: AccountRow, count: number, atMs: number): void {
-    if (count <= 0) return;
-    row.loans.push({ atMs, count });
+  function add(row: AccountRow, loan: Loan): void {
+    if (loan.count <= 0) return;
+    row.loans.push(loan);
     // Reservations of earlier keepers count as lent later than they were.
     row.loans.sort((one, other) => one.atMs - other.atMs);
-    row.lent += count;
+    row.lent += loan.count;
   }
 
   /** Time until the next retry is free. */
@@ -144,13 +168,22 @@
     return Math.min(wanted, Math.max(0, Math.floor(allowance - countOf(row) - reserved)));
   }
 
+  function recordReport(
+    row: AccountRow,
+    borrower: string,
+    { confirmedToMs, countsInMs }: HeldReport,
+  ): void {
+    row.held.report(borrower, countsInMs);
+    row.confirmations.confirm({ borrower, askedAtMs: confirmedToMs });
+  }
+
   return {
     lend(request) {
-      const { service, wanted, held } = request;
+      const { service, origin, wanted, held } = request;
       const row = rowOf(service);
-      if (held) row.held.report(held);
+      if (held && origin) recordReport(row, origin.borrower, held);
       const granted = Math.min(freeFor(row, request), row.reserved);
-      add(row, granted, clock.steadyMs());
+      add(row, { atMs: clock.steadyMs(), count: granted, origin });
       row.reserved -= granted;
       return { granted, retryInMs: granted < wanted ? Math.round(waitMs(row)) : 0 };
     },
@@ -173,7 +206,7 @@
       rows.clear();
       const nowMs = clock.steadyMs();
       earlier.forEach(({ service, count, knownForMs }) =>
-        add(rowOf(service), count, nowMs - knownForMs + RESERVATION_VALIDITY_MS),
+        add(rowOf(service), { atMs: nowMs - knownForMs + RESERVATION_VALIDITY_MS, count }),
       );
     },
     describe() {
