fix(entry): confirm loans once a second while no account answers

Cause: with the leader lost, an entry that had borrowed asked at each tick (0.2 s) to confirm its loans.

Change: a report that only confirms loans is tried again after a second, also when it fails. One that names held retries is tried at each tick as before.

Measured: the new test asks twice in 2 s.

Conclusion: fewer calls while there is no leader.

--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -267,6 +267,21 @@
     assert.deepEqual(account.describe(), { engines: 0 });
   });
 
+  it('confirms loans once a second while no account answers', async () => {
+    const { clock, requests, state, createEntry } = createSetting();
+    const budget = createEntry();
+    assert.equal(await takeAll(budget, 5), 5);
+    state.isReachable = false;
+    clock.advance(1000);
+    const asked = requests.length;
+    for (let ticks = 0; ticks < 10; ticks += 1) {
+      budget.tick();
+      await nextTurn();
+      clock.advance(200);
+    }
+    assert.equal(requests.length, asked + 2);
+  });
+
   it('counts retries for longer that an entry has borrowed and not confirmed when it ends', async () => {
     const { clock, account, createEntry } = createSetting();
     assert.equal(await takeAll(createEntry(), 5), 5);
--- a/packages/entry/src/admission/heldReports.ts
+++ b/packages/entry/src/admission/heldReports.ts
@@ -68,6 +68,8 @@
       if (held !== last.held) log.info('retries-held', { service, held });
       Object.assign(last, { held, confirmedToMs, atMs: clock.nowMs() });
     } catch (error) {
+      // What is held is told as soon as an account answers; a confirmation can wait.
+      if (held === 0 && last.held === 0) Object.assign(last, { atMs: clock.nowMs() });
       log.info('retries-not-held', { service, held, problem: toSpoolplankError(error).message });
     } finally {
       Object.assign(last, { isSending: false });
