fix(entry): lend once to a request for a retry, and return unused loans

An entry gave up a slow control VM after 150 ms and asked another, so that one request was lent to twice, and what was lent to a request that was given up counted for 10.8 s. Ruled out by the same runs: entries that stand still (no `reading-gap`), and own retries (340 to 380 in each 10 s).

Change: requests for loans are numbered. The account answers one that arrives twice with the same loan, so the first control VM may still answer while the second is asked; a refusal is taken once neither lends. The next report names the requests that were given up, and the account takes back what it lent to them. An entry uses no loan of a request that it has given up, so a returned one cannot be sent; a copy of the request that arrives later is lent to in vain. Entries of other versions number nothing and borrow as before.

Conclusion: retries that the account lends reach callers also where control VMs answer slowly, and the account still counts each loan once.

--- a/packages/controller/src/retryLoans.ts
+++ b/packages/controller/src/retryLoans.ts
@@ -119,7 +119,10 @@
       if (!observeLeadership()) throw leader.notLeader();
     }
     const isTooLate = clock.nowMs() - askedAtMs > FORWARD_TIMEOUT_MS;
-    const loan = account.lend(isTooLate ? { ...request, wanted: 0 } : request);
+    const answered = isTooLate ? { ...request, wanted: 0 } : request;
+    const isRepeated = account.isRepeated(answered);
+    const loan = account.lend(answered);
+    if (isRepeated) return loan;
     const { granted, retryInMs } = loan;
     metrics.count('spoolplank_retry_loans_total', { service, outcome: 'granted' }, granted);
     const refused = wanted - granted;
--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -267,6 +267,53 @@
     assert.deepEqual(account.describe(), { engines: 0 });
   });
 
+  it('returns loans whose answers are lost, so that others can borrow them', async () => {
+    const { clock, requests, state, createEntry } = createSetting({ allowance: 5 });
+    const budget = createEntry();
+    state.replyMs = LOAN_VALIDITY_MS + 1;
+    assert.equal(await takeAll(budget, 5), 0);
+    state.replyMs = 0;
+    clock.advance(1000);
+    budget.tick();
+    await nextTurn();
+    assert.equal(await takeAll(createEntry(), 5), 5);
+    clock.advance(1000);
+    assert.equal(await takeAll(budget, 1), 0);
+    budget.tick();
+    await nextTurn();
+    assert.deepEqual(requests.at(-1)?.held?.unused ?? [], []);
+  });
+
+  it('returns what may have been lent besides a late refusal', async () => {
+    const { clock, requests, state, createEntry } = createSetting({ allowance: 0 });
+    const budget = createEntry();
+    for (const replyMs of [LOAN_VALIDITY_MS / 2 - 1, LOAN_VALIDITY_MS / 2]) {
+      Object.assign(state, { replyMs });
+      assert.equal(await takeAll(budget, 1), 0);
+      clock.advance(1000);
+    }
+    budget.tick();
+    await nextTurn();
+    assert.deepEqual(requests.at(-1)?.held?.unused, [2]);
+  });
+
+  it('returns a loan again whose return was lost', async () => {
+    const { clock, state, createEntry } = createSetting({ allowance: 1 });
+    const budget = createEntry();
+    state.replyMs = LOAN_VALIDITY_MS + 1;
+    assert.equal(await takeAll(budget, 1), 0);
+    Object.assign(state, { replyMs: 0, isReachable: false });
+    clock.advance(1000);
+    budget.tick();
+    await nextTurn();
+    state.isReachable = true;
+    assert.equal(await takeAll(createEntry(), 1), 0);
+    clock.advance(1000);
+    budget.tick();
+    await nextTurn();
+    assert.equal(await takeAll(createEntry(), 1), 1);
+  });
+
   it('confirms loans once a second while no account answers', async () => {
     const { clock, requests, state, createEntry } = createSetting();
     const budget = createEntry();
--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -25,6 +25,7 @@
 /** Deliberate faults of the model, each of which must break the bound in some schedule. */
 export type PlantedFault =
   | 'account-forgets-at-takeover'
+  | 'loan-requests-numbered-alike'
   | 'requests-dated-by-reading'
   | 'sendings-forgotten-when-given-up'
   | 'slack-by-entry'
@@ -138,7 +139,7 @@
     return true;
   }
 
-  async function ask(entry: Entry, request: RetryLoanRequest): Promise<RetryLoan> {
+  async function askOnce(entry: Entry, request: RetryLoanRequest): Promise<RetryLoan> {
     if (entry.isCut) {
       await delay(LOAN_VALIDITY_MS);
       throw new SpoolplankError('unreachable');
@@ -156,6 +157,19 @@
     return loan;
   }
 
+  /** Asks through one control VM, or later through a second one as well. */
+  async function ask(entry: Entry, request: RetryLoanRequest): Promise<RetryLoan> {
+    const { origin } = request;
+    const isNumberedAlike = planted === 'loan-requests-numbered-alike' && origin !== undefined;
+    const sent = isNumberedAlike ? { ...request, origin: { ...origin, sequence: 1 } } : request;
+    const answer = askOnce(entry, sent);
+    if (!isLucky(0.2)) return answer;
+    const second = delay(drawMs(LOAN_VALIDITY_MS)).then(() => askOnce(entry, sent));
+    return Promise.any([answer, second]).catch(() => {
+      throw new SpoolplankError('unreachable');
+    });
+  }
+
   function start(entry: Entry): void {
     incarnations += 1;
     const quiet = { info: () => {} };
--- a/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
+++ b/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
@@ -6,6 +6,7 @@
 const SCHEDULES = 1000;
 const PLANTED: readonly PlantedFault[] = [
   'account-forgets-at-takeover',
+  'loan-requests-numbered-alike',
   'requests-dated-by-reading',
   'sendings-forgotten-when-given-up',
   'slack-by-entry',
--- a/packages/entry/src/admission/heldReports.ts
+++ b/packages/entry/src/admission/heldReports.ts
@@ -15,7 +15,10 @@
   /** Identifies this incarnation of the entry. */
   readonly borrower: string;
   readonly open: Pick<OpenRetries, 'listHeld' | 'listServices'>;
-  readonly loans: Pick<RetryLoans, 'newestLoanAtMs' | 'listServices'>;
+  readonly loans: Pick<
+    RetryLoans,
+    'newestLoanAtMs' | 'listServices' | 'listUnused' | 'forgetUnused'
+  >;
   readonly ask: RetryLoansOptions['ask'];
 }
 
@@ -56,6 +59,7 @@
     const held = countsInMs.length;
     if (held === last.held && !isRepeatDue(service, last)) return;
     const confirmedToMs = askedAtMs - RETRY_ARRIVAL_MS;
+    const unused = loans.listUnused(service);
     Object.assign(last, { isSending: true });
     try {
       await ask({
@@ -63,8 +67,10 @@
         origin: { borrower, askedAtMs },
         wanted: 0,
         reserved: 0,
-        held: { confirmedToMs, countsInMs },
+        held: { confirmedToMs, countsInMs, unused },
       });
+      loans.forgetUnused(service, unused);
+      if (unused.length > 0) log.info('retry-loans-returned', { service, requests: unused.length });
       if (held !== last.held) log.info('retries-held', { service, held });
       Object.assign(last, { held, confirmedToMs, atMs: clock.nowMs() });
     } catch (error) {
--- a/packages/entry/src/admission/retryLoans.ts
+++ b/packages/entry/src/admission/retryLoans.ts
@@ -41,6 +41,13 @@
   newestLoanAtMs(service: string): number | null;
   /** Services with such a loan. */
   listServices(): readonly string[];
+  /**
+   * Requests, by `LoanOrigin.sequence`, that were given up without an answer in time. Their loans,
+   * if there are any, are not used.
+   */
+  listUnused(service: string): readonly number[];
+  /** Records that the account has taken back loans. */
+  forgetUnused(service: string, sequences: readonly number[]): void;
 }
 
 /** A request that waits for the account. */
@@ -61,11 +68,23 @@
 const UNAVAILABLE_MS = 300;
 /** Pause before it is asked again for requests that wait. */
 const RETRY_MS = 50;
+/** Time after which a second control VM is asked as well. */
+const SECOND_SOURCE_AFTER_MS = LOAN_VALIDITY_MS / 2;
+/** Bounds the unused loans that are kept of a service; the others expire. */
+const MAX_UNUSED = 100;
 
 export function createRetryLoans(options: RetryLoansOptions): RetryLoans {
   const { clock, log, metrics, borrower, ask, delay } = options;
   const lines = new Map<string, Line>();
   const newestLoanAtMs = new Map<string, number>();
+  const unusedByService = new Map<string, readonly number[]>();
+  let requests = 0;
+
+  const listUnused = (service: string): readonly number[] => unusedByService.get(service) ?? [];
+
+  function addUnused(service: string, sequence: number): void {
+    unusedByService.set(service, [...listUnused(service), sequence].slice(-MAX_UNUSED));
+  }
 
   function lineOf(purpose: RetryPurpose): Line {
     const key = `${purpose.service}/${purpose.reserved > 0}`;
@@ -123,10 +142,16 @@
     const batch = line.waiting.splice(0);
     const { service, reserved } = line.purpose;
     const askedAtMs = clock.nowMs();
-    const origin = { borrower, askedAtMs };
+    requests += 1;
+    const sequence = requests;
+    const origin = { borrower, askedAtMs, sequence };
     const request = { service, origin, reserved, wanted: batch.length };
     const loan = await askFor(request, askedAtMs);
-    if (loan?.granted !== 0) newestLoanAtMs.set(service, askedAtMs);
+    // Another control VM was asked as well, whose answer may be missing.
+    const isDoubtful = clock.nowMs() - askedAtMs >= SECOND_SOURCE_AFTER_MS;
+    const isUnused = !loan || (loan.granted === 0 && isDoubtful);
+    if (isUnused) addUnused(service, sequence);
+    if (isUnused || loan.granted > 0) newestLoanAtMs.set(service, askedAtMs);
     if (loan) settleLoan(line, batch, loan, askedAtMs);
     else await waitForAccount(line, batch);
   }
@@ -157,6 +182,11 @@
     refusedForMs: (purpose) => remainingMs(lineOf(purpose)),
     newestLoanAtMs: (service) => newestLoanAtMs.get(service) ?? null,
     listServices: () => [...newestLoanAtMs.keys()],
+    listUnused,
+    forgetUnused(service, sequences) {
+      const left = listUnused(service).filter((sequence) => !sequences.includes(sequence));
+      unusedByService.set(service, left);
+    },
   };
 }
 
@@ -166,27 +196,53 @@
   readonly controlPeerPort: number;
   /** Lists the control VMs in the order in which they are asked. */
   readonly listSources: () => readonly string[];
+  readonly delay: (durationMs: number) => Promise<void>;
 }
 
-const MAX_SOURCES = 2;
+/** A refusal by one control VM, while the other one may still lend. */
+class NothingLent extends Error {}
 
-/** Creates the calls to the control VMs that reach the account. */
+async function requireLoan(answer: Promise<RetryLoan>): Promise<RetryLoan> {
+  const loan = await answer;
+  if (loan.granted === 0) throw new NothingLent();
+  return loan;
+}
+
+/** Resolves with a loan if either control VM lends, else with a refusal or the last problem. */
+async function takeLoan(first: Promise<RetryLoan>, second: Promise<RetryLoan>): Promise<RetryLoan> {
+  try {
+    return await Promise.any([requireLoan(first), requireLoan(second)]);
+  } catch {
+    // Both have answered or failed.
+    return first.catch(() => second);
+  }
+}
+
+/**
+ * Creates the calls to the control VMs that reach the account. The account answers a request that
+ * comes through both control VMs with the same loan, so either answer can be used.
+ */
 export function createLoanCalls(options: LoanCallsOptions): RetryLoansOptions['ask'] {
-  const { clock, peers, controlPeerPort: port, listSources } = options;
+  const { clock, peers, controlPeerPort: port, listSources, delay } = options;
+
   return async (request) => {
     const endsAtMs = clock.nowMs() + LOAN_VALIDITY_MS;
-    let problem = new SpoolplankError('unreachable', { detail: 'No control VM is known.' });
-    const hosts = listSources().slice(0, MAX_SOURCES);
-    for (const [index, host] of hosts.entries()) {
-      // A silent control VM leaves time for the next one.
-      const timeoutMs = (endsAtMs - clock.nowMs()) / (hosts.length - index);
-      try {
-        const target = { vmId: host, host, port };
-        return await peers.call<RetryLoan>(target, RETRY_LOAN_METHOD, request, { timeoutMs });
-      } catch (error) {
-        problem = toSpoolplankError(error);
-      }
-    }
-    throw problem;
+    const call = (host: string): Promise<RetryLoan> => {
+      const target = { vmId: host, host, port };
+      const timeoutMs = endsAtMs - clock.nowMs();
+      return peers.call<RetryLoan>(target, RETRY_LOAN_METHOD, request, { timeoutMs });
+    };
+    const [first, second] = listSources();
+    if (!first) throw new SpoolplankError('unreachable', { detail: 'No control VM is known.' });
+    const answer = call(first);
+    if (!second) return answer;
+    const isAnswered = await Promise.race([
+      answer.then(
+        () => true,
+        () => false,
+      ),
+      delay(SECOND_SOURCE_AFTER_MS).then(() => false),
+    ]);
+    return isAnswered ? answer : takeLoan(answer, call(second));
   };
 }
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -199,6 +199,7 @@
     peers,
     controlPeerPort: options.controlPeerPort,
     listSources: facts.listSources,
+    delay,
   });
   const borrower = `${host}/${run}`;
   const loans = createRetryLoans({ clock, log, metrics, delay, borrower, ask: askForLoan });
--- a/packages/routing/__tests__/retryAccount.spec.ts
+++ b/packages/routing/__tests__/retryAccount.spec.ts
@@ -154,6 +154,47 @@
     assert.deepEqual(account.describe(), { app: 0 });
   });
 
+  it('answers a request that arrives twice with the same loan', () => {
+    const { clock, account, originOf } = createAccount();
+    account.setReserved('app', 5, clock.nowMs());
+    const origin = { ...originOf('a'), sequence: 1 };
+    const request = { service: 'app', origin, wanted: 2, reserved: 0 };
+    assert.equal(account.isRepeated(request), false);
+    assert.equal(account.lend(request).granted, 2);
+    assert.equal(account.isRepeated(request), true);
+    assert.equal(account.missingFor({ ...request, wanted: 9 }), 0);
+    assert.equal(account.lend(request).granted, 2);
+    assert.deepEqual(account.describe(), { app: 2 });
+    const others = [
+      { ...originOf('b'), sequence: 1 },
+      { ...originOf('a'), sequence: 2 },
+    ];
+    others.forEach((other) => account.lend({ ...request, origin: other, wanted: 1 }));
+    assert.deepEqual(account.describe(), { app: 4 });
+  });
+
+  it('lends again what a borrower has not used', () => {
+    const { clock, account, originOf } = createAccount();
+    const ask = (
+      borrower: string,
+      sequence: number,
+      wanted: number,
+      unused?: readonly number[],
+    ) => {
+      const held = unused && { confirmedToMs: 0, countsInMs: [], unused };
+      account.setReserved('app', 10, clock.nowMs());
+      const origin = { ...originOf(borrower), sequence };
+      return account.lend({ service: 'app', origin, wanted, reserved: 0, held }).granted;
+    };
+    assert.equal(ask('a', 1, 4), 4);
+    assert.equal(ask('a', 2, 3), 3);
+    assert.equal(ask('b', 1, 9), 3);
+    assert.equal(ask('a', 3, 0, [1, 7]), 0);
+    assert.deepEqual(account.describe(), { app: 6 });
+    assert.equal(ask('a', 4, 0, [1]), 0);
+    assert.equal(ask('b', 2, 9), 4);
+  });
+
   it('ceases to count a loan whose borrower confirms it late', () => {
     const { clock, account, report, lendUnconfirmed } = createAccount();
     lendUnconfirmed(2);
--- a/packages/routing/src/heldRetries.ts
+++ b/packages/routing/src/heldRetries.ts
@@ -13,6 +13,8 @@
   readonly confirmedToMs: number;
   /** For each retry, the time until which it is counted otherwise, from now in milliseconds. */
   readonly countsInMs: readonly number[];
+  /** Requests, by `LoanOrigin.sequence`, whose loans the borrower has not used and will not use. */
+  readonly unused?: readonly number[];
 }
 
 export interface HeldRetries {
--- a/packages/routing/src/loanConfirmations.ts
+++ b/packages/routing/src/loanConfirmations.ts
@@ -10,6 +10,8 @@
   /** Identifies an incarnation of the borrower. */
   readonly borrower: string;
   readonly askedAtMs: number;
+  /** Number of the request among those of the borrower; absent if it sends none twice. */
+  readonly sequence?: number;
 }
 
 export interface LoanConfirmations {
--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -54,8 +54,13 @@
 }
 
 export interface RetryAccount {
-  /** Lends what was reserved; the rest needs a reservation first. */
+  /**
+   * Lends what was reserved; the rest needs a reservation first. A request that reaches the account
+   * twice, through two control VMs, is answered with the same loan.
+   */
   lend(request: RetryLoanRequest): RetryLoan;
+  /** Whether a loan was made to this very request before. */
+  isRepeated(request: RetryLoanRequest): boolean;
   /** Number of retries to reserve before a request can be lent all that is free; 0 if none. */
   missingFor(request: RetryLoanRequest): number;
   /**
@@ -94,6 +99,12 @@
   readonly origin?: LoanOrigin;
 }
 
+const isOf = (
+  { origin }: Loan,
+  borrower: string,
+  sequences: readonly (number | undefined)[],
+): boolean => origin?.borrower === borrower && sequences.includes(origin.sequence);
+
 interface AccountRow {
   /** Oldest first. */
   readonly loans: Loan[];
@@ -168,13 +179,32 @@
     return Math.min(wanted, Math.max(0, Math.floor(allowance - countOf(row) - reserved)));
   }
 
+  function findLoan(row: AccountRow, { origin, wanted }: RetryLoanRequest): Loan | undefined {
+    if (origin?.sequence === undefined || wanted === 0) return undefined;
+    return row.loans.findLast((loan) => isOf(loan, origin.borrower, [origin.sequence]));
+  }
+
+  function takeBack(row: AccountRow, borrower: string, sequences: readonly number[]): void {
+    const unused = row.loans.filter((loan) => isOf(loan, borrower, sequences));
+    unused.forEach((loan) => row.loans.splice(row.loans.indexOf(loan), 1));
+    row.lent -= countLoans(unused);
+  }
+
   function recordReport(
     row: AccountRow,
     borrower: string,
-    { confirmedToMs, countsInMs }: HeldReport,
+    { confirmedToMs, countsInMs, unused = [] }: HeldReport,
   ): void {
     row.held.report(borrower, countsInMs);
     row.confirmations.confirm({ borrower, askedAtMs: confirmedToMs });
+    takeBack(row, borrower, unused);
+  }
+
+  function lendFree(row: AccountRow, request: RetryLoanRequest): number {
+    const granted = Math.min(freeFor(row, request), row.reserved);
+    add(row, { atMs: clock.steadyMs(), count: granted, origin: request.origin });
+    row.reserved -= granted;
+    return granted;
   }
 
   return {
@@ -182,13 +212,13 @@
       const { service, origin, wanted, held } = request;
       const row = rowOf(service);
       if (held && origin) recordReport(row, origin.borrower, held);
-      const granted = Math.min(freeFor(row, request), row.reserved);
-      add(row, { atMs: clock.steadyMs(), count: granted, origin });
-      row.reserved -= granted;
+      const granted = findLoan(row, request)?.count ?? lendFree(row, request);
       return { granted, retryInMs: granted < wanted ? Math.round(waitMs(row)) : 0 };
     },
+    isRepeated: (request) => findLoan(rowOf(request.service), request) !== undefined,
     missingFor(request) {
       const row = rowOf(request.service);
+      if (findLoan(row, request)) return 0;
       const free = freeFor(row, request);
       if (free <= row.reserved) return 0;
       return Math.min(Math.floor(allowance - countOf(row)), Math.max(reservedAtOnce, free));
