test(entry): report held own retries again as soon as an account answers

Cause: the mutation "forget held retries when their report fails" was no longer caught, on either: its test uses a borrowed retry, which counts for 10 s longer as it is not confirmed.

Conclusion: no logic is changed.

--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -199,6 +199,23 @@
     assert.equal(await budget.take('usual'), null);
   });
 
+  it('reports an own retry that may arrive late, again as soon as an account answers', async () => {
+    const { clock, account, state, createEntry } = createSetting();
+    const budget = createEntry();
+    earn(budget, 60, clock.steadyMs());
+    assert.ok(await budget.take('usual'));
+    clock.advance(1000);
+    state.isReachable = false;
+    budget.tick();
+    await nextTurn();
+    state.isReachable = true;
+    clock.advance(200);
+    budget.tick();
+    await nextTurn();
+    clock.advance(LIMITS.windowMs);
+    assert.deepEqual(account.describe(), { engines: 1 });
+  });
+
   it('counts a borrowed retry until a window after it can no longer arrive', async () => {
     const { clock, account, createEntry } = createSetting({ allowance: 1 });
     const budget = createEntry();
