refactor(controller): name the request that is answered in time

Cause: `answered` named a request, and read like a state of it.

Change: it is called `timely`, as it asks for nothing once its entry has given up.

Conclusion: no logic is changed.

--- a/packages/controller/src/retryLoans.ts
+++ b/packages/controller/src/retryLoans.ts
@@ -119,9 +119,9 @@
       if (!observeLeadership()) throw leader.notLeader();
     }
     const isTooLate = clock.nowMs() - askedAtMs > FORWARD_TIMEOUT_MS;
-    const answered = isTooLate ? { ...request, wanted: 0 } : request;
-    const isRepeated = account.isRepeated(answered);
-    const loan = account.lend(answered);
+    const timely = isTooLate ? { ...request, wanted: 0 } : request;
+    const isRepeated = account.isRepeated(timely);
+    const loan = account.lend(timely);
     if (isRepeated) return loan;
     const { granted, retryInMs } = loan;
     metrics.count('spoolplank_retry_loans_total', { service, outcome: 'granted' }, granted);
