feat(entry): name the request and the cause of each retry in the logs

Cause: the lines retry-spent and retry-refused did not say for which request a retry was taken, so the arrivals at servers could not be compared with them by request. Only sums were compared so far, in which an arrival that nothing counts and a retry that is not sent cancel out.

Change: both lines carry requestId and cause (retry, resumed, handover).

Measured: no decision is changed; a unit test holds that the budget is given both.

Conclusion: an arrival that no retry explains can be found in the logs of real processes.

--- a/packages/entry/__tests__/guardedRetries.spec.ts
+++ b/packages/entry/__tests__/guardedRetries.spec.ts
@@ -4,7 +4,7 @@
 import { SpoolplankError } from '@spoolplank/shared';
 import type { BackendCall, BackendOperations } from '../src/dispatch/backendOperations';
 import { guardOperations } from '../src/dispatch/guardedOperations';
-import type { RetryPermit } from '../src/admission/retryBudgets';
+import type { RetryPermit, RetryUrgency, RetryUse } from '../src/admission/retryBudgets';
 import { createContext, createTables, createTestSendings } from './fixtures';
 
 interface SettingOptions {
@@ -19,6 +19,7 @@
   const { clock, view } = createTables();
   const calls: BackendCall[] = [];
   const ends: string[] = [];
+  const uses: (RetryUse | undefined)[] = [];
   const operations = {
     open(call: BackendCall) {
       calls.push(call);
@@ -39,7 +40,8 @@
   const context = createContext(clock, view, operations);
   const budget = {
     ...context.budgetOf('engines'),
-    take() {
+    take(_urgency: RetryUrgency, use?: RetryUse) {
+      uses.push(use);
       clock.advance(waitMs);
       return Promise.resolve(isRefused ? null : permit);
     },
@@ -57,7 +59,7 @@
     retryUrgency: 'usual',
     remainingMs: 1000,
   } as BackendCall;
-  return { clock, unread, calls, ends, open: () => guarded.open(call) };
+  return { clock, unread, calls, ends, uses, open: () => guarded.open(call) };
 }
 
 describe('a retry before it is sent', () => {
@@ -67,6 +69,12 @@
     assert.equal(calls[0]?.remainingMs, 700);
   });
 
+  it('is taken for its request, which the logs name', async () => {
+    const { uses, open } = createSetting({});
+    await open();
+    assert.deepEqual(uses, [{ requestId: 'request-1', cause: 'retry' }]);
+  });
+
   it('is not sent when the budget refuses it', async () => {
     const { calls, ends, open } = createSetting({ isRefused: true });
     await assert.rejects(open(), { code: 'retry-refused', outcome: 'not-run' });
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -35,6 +35,12 @@
  */
 export type RetryUrgency = 'begun' | 'usual' | 'yielding';
 
+/** The sending for which a retry is taken, as the logs name it. */
+export interface RetryUse {
+  readonly requestId: string;
+  readonly cause: string;
+}
+
 /** A retry that was taken out of the budget. */
 export interface RetryPermit {
   /** Records that no sending of its request is left whose arrival this retry would be. */
@@ -50,7 +56,7 @@
   /** Whether a retry is refused without asking anyone; one that is not may be refused later. */
   isExhausted(urgency: RetryUrgency): boolean;
   /** Takes a retry that is sent as soon as this resolves; null when there is none. */
-  take(urgency: RetryUrgency): Promise<RetryPermit | null>;
+  take(urgency: RetryUrgency, use?: RetryUse): Promise<RetryPermit | null>;
   /** Time until the account may lend again after a refusal; 0 if it was not refused. */
   refusedForMs(urgency: RetryUrgency): number;
 }
@@ -115,10 +121,15 @@
       };
     }
 
-    function report(urgency: RetryUrgency, source: 'own' | 'account' | 'none'): void {
+    function report(
+      urgency: RetryUrgency,
+      source: 'own' | 'account' | 'none',
+      use: RetryUse | undefined,
+    ): void {
       const { requests, saved, underWay } = own.describe();
       metrics.count('spoolplank_retry_decisions_total', { service, source });
       log.info(source === 'none' ? 'retry-refused' : 'retry-spent', {
+        ...use,
         service,
         urgency,
         source,
@@ -140,15 +151,15 @@
         if (own.hasLeft()) return false;
         return limits.allowance < 1 || loans.refusedForMs(purposeOf(service, urgency)) > 0;
       },
-      async take(urgency) {
+      async take(urgency, use) {
         const purpose = purposeOf(service, urgency);
         const takenAtSteadyMs = own.take();
         if (takenAtSteadyMs !== null) {
-          report(urgency, 'own');
+          report(urgency, 'own', use);
           return createOwnPermit(takenAtSteadyMs);
         }
         const permit = await borrow(purpose);
-        report(urgency, permit ? 'account' : 'none');
+        report(urgency, permit ? 'account' : 'none', use);
         return permit;
       },
       refusedForMs: (urgency) => loans.refusedForMs(purposeOf(service, urgency)),
--- a/packages/entry/src/dispatch/guardedOperations.ts
+++ b/packages/entry/src/dispatch/guardedOperations.ts
@@ -49,9 +49,10 @@
   }
 
   /** @throws SpoolplankError `retry-refused`. */
-  async function takeRetry({ service, retryUrgency }: BackendCall): Promise<RetryPermit | null> {
+  async function takeRetry(call: BackendCall): Promise<RetryPermit | null> {
+    const { service, cause, request, retryUrgency } = call;
     if (retryUrgency === null) return null;
-    const permit = await budgetOf(service).take(retryUrgency);
+    const permit = await budgetOf(service).take(retryUrgency, { requestId: request.id, cause });
     if (!permit) throw new SpoolplankError('retry-refused');
     return permit;
   }
