test(routing): show that retries of entries with few requests add up beyond the bound

Cause: an entry with few requests saves 1.5 retries at the least, as it needs a whole one. That is more than a tenth of what these requests earn, and the others earn nine tenths. When the demand of many such entries moves to one, servers get what all of them have saved and what that one earns.

--- a/packages/routing/__tests__/earnedRetries.spec.ts
+++ b/packages/routing/__tests__/earnedRetries.spec.ts
@@ -169,6 +169,31 @@
     }
   });
 
+  // VMs that each save a whole retry of few requests have saved more than the ratio leaves room for.
+  it('stay within the ratio when the demand of many VMs with few requests moves to one', () => {
+    const VMS = 78;
+    const REQUESTS_PER_VM = 12;
+    const SAVING_WINDOWS = 6;
+    const clock = createManualClock(100_000);
+    const create = () => createEarnedRetries({ clock, windowMs: WINDOW_MS, ratio: RATIO });
+    const vms = Array.from({ length: VMS }, create);
+    const [last] = vms;
+    assert.ok(last);
+    const pauseMs = WINDOW_MS / REQUESTS_PER_VM;
+    for (let index = 0; index < SAVING_WINDOWS * REQUESTS_PER_VM; index += 1) {
+      vms.forEach((vm) => vm.earn(clock.steadyMs()));
+      clock.advance(pauseMs);
+    }
+    let taken = vms.reduce((sum, vm) => sum + takeAll(clock, vm), 0);
+    const requests = VMS * REQUESTS_PER_VM;
+    for (let index = 0; index < requests - 1; index += 1) {
+      last.earn(clock.steadyMs());
+      taken += takeAll(clock, last);
+      clock.advance((WINDOW_MS - 1) / requests);
+    }
+    assert.ok(taken <= RATIO * requests, `${taken} of ${RATIO * requests}`);
+  });
+
   // A VM that dates requests by when it reads them earns those of 14 s in 10 s.
   it('stay within the ratio of the requests sent, while VMs stand still and read them later', () => {
     const STEP_MS = 50;
