fix(routing): save whole retries of few requests only on a credit of the account

Cause: servers got more retries than the bound allows while the demand of many entries with few requests moved to one of them. An entry saved 1.5 retries at the least, as it needs a whole one, however little its requests earn; the others earned nine tenths of the ratio. The share that is saved must be the same on all entries: what all of them have saved and what one of them earns come together in one window.

Change: every entry saves a tenth. One whose tenth is less than 1.5 retries asks the account for a credit to save one more, while retries are needed, and renews it each second. The account gives it out of what is reserved in the log, and counts it for a window after it can last be used. Saved retries beyond a tenth are thus part of the allowance, so that the sum stays within the bound however demand moves.

Conclusion: the proof holds for all entries again. Own retries of few requests need the account once.

--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -16,6 +16,7 @@
 import { createOpenRetries } from '../src/admission/openRetries';
 import { createRetryBudgets } from '../src/admission/retryBudgets';
 import type { RetryBudgets } from '../src/admission/retryBudgets';
+import { createCreditRequests } from '../src/admission/creditRequests';
 import { createRetryLoans } from '../src/admission/retryLoans';
 import { createEndCheck } from '../src/dispatch/answerCompletion';
 import { createAnswerMemory } from '../src/dispatch/answerMemory';
@@ -143,6 +144,7 @@
     limits,
     loans,
     open: createOpenRetries({ clock, windowMs: limits.windowMs }),
+    credits: createCreditRequests({ clock, windowMs: limits.windowMs }),
     runningStreams: () => 0,
   });
 }
--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -14,6 +14,7 @@
 import type { BackendCall } from '../src/dispatch/backendOperations';
 import { createRequestArrivals } from '../src/dispatch/requestArrivals';
 import type { RequestArrivals } from '../src/dispatch/requestArrivals';
+import { createCreditRequests } from '../src/admission/creditRequests';
 import { createHeldReports } from '../src/admission/heldReports';
 import { createOpenRetries } from '../src/admission/openRetries';
 import { createTestAccount, createTestSendings } from './fixtures';
@@ -185,15 +186,17 @@
     const runningStreams = () => 0;
     const metrics = createMetrics();
     const open = createOpenRetries({ clock, windowMs: LIMITS.windowMs });
+    const credits = createCreditRequests({ clock, windowMs: LIMITS.windowMs });
     const reports = createHeldReports({
       clock,
       log: quiet,
       borrower,
       open,
       loans,
+      credits,
       ask: (request) => ask(entry, request),
     });
-    const shared = { clock, log: quiet, metrics, limits: LIMITS, open, runningStreams };
+    const shared = { clock, log: quiet, metrics, limits: LIMITS, open, credits, runningStreams };
     const budget = createRetryBudgets({ ...shared, loans })('app');
     const gaps = createReadingGaps({ clock, log: quiet, metrics });
     const unread = createTestSendings(clock);
--- a/packages/entry/src/admission/heldReports.ts
+++ b/packages/entry/src/admission/heldReports.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '@spoolplank/node';
 import { toSpoolplankError } from '@spoolplank/shared';
 import type { Clock } from '@spoolplank/shared';
+import type { CreditRequests } from './creditRequests';
 import type { OpenRetries } from './openRetries';
 import type { RetryLoans, RetryLoansOptions } from './retryLoans';
 
@@ -19,6 +20,7 @@
     RetryLoans,
     'newestLoanAtMs' | 'listServices' | 'listUnused' | 'forgetUnused'
   >;
+  readonly credits: Pick<CreditRequests, 'isWanted' | 'recordGranted' | 'listServices'>;
   readonly ask: RetryLoansOptions['ask'];
 }
 
@@ -32,17 +34,19 @@
   held: number;
   confirmedToMs: number;
   atMs: number;
+  /** When a credit was asked for last. */
+  creditAskedAtMs: number;
   isSending: boolean;
 }
 
 /**
- * Interval of the reports that only confirm loans, and of those without a change, for an account
- * that another VM has taken over.
+ * Interval of the reports that only confirm loans, of requests for a credit, and of reports without
+ * a change, for an account that another VM has taken over.
  */
 const REPEAT_MS = 1000;
 
 export function createHeldReports(options: HeldReportsOptions): HeldReports {
-  const { clock, log, borrower, open, loans, ask } = options;
+  const { clock, log, borrower, open, loans, credits, ask } = options;
   const reports = new Map<string, LastReport>();
 
   /** Whether what is held is to be told again, or loans are to be confirmed. */
@@ -57,19 +61,22 @@
     const askedAtMs = clock.nowMs();
     const countsInMs = open.listHeld(service);
     const held = countsInMs.length;
-    if (held === last.held && !isRepeatDue(service, last)) return;
+    const wantsCredit = credits.isWanted(service) && askedAtMs - last.creditAskedAtMs >= REPEAT_MS;
+    if (held === last.held && !wantsCredit && !isRepeatDue(service, last)) return;
+    if (wantsCredit) Object.assign(last, { creditAskedAtMs: askedAtMs });
     const confirmedToMs = askedAtMs - RETRY_ARRIVAL_MS;
     const unused = loans.listUnused(service);
     Object.assign(last, { isSending: true });
     try {
-      await ask({
+      const { hasCredit } = await ask({
         service,
         origin: { borrower, askedAtMs },
         wanted: 0,
         reserved: 0,
-        held: { confirmedToMs, countsInMs, unused },
+        held: { confirmedToMs, countsInMs, unused, ...(wantsCredit ? { wantsCredit } : {}) },
       });
       loans.forgetUnused(service, unused);
+      if (hasCredit) credits.recordGranted(service, askedAtMs);
       if (unused.length > 0) log.info('retry-loans-returned', { service, requests: unused.length });
       if (held !== last.held) log.info('retries-held', { service, held });
       Object.assign(last, { held, confirmedToMs, atMs: clock.nowMs() });
@@ -87,6 +94,7 @@
       held: 0,
       confirmedToMs: Number.NEGATIVE_INFINITY,
       atMs: 0,
+      creditAskedAtMs: Number.NEGATIVE_INFINITY,
       isSending: false,
     };
     reports.set(service, last);
@@ -95,7 +103,8 @@
 
   return {
     tick() {
-      [...open.listServices(), ...loans.listServices()].forEach(findReport);
+      const services = [open, loans, credits].flatMap((source) => source.listServices());
+      services.forEach(findReport);
       reports.forEach((last, service) => {
         if (!last.isSending) void report(service, last);
       });
--- a/packages/entry/src/admission/retryBudgets.ts
+++ b/packages/entry/src/admission/retryBudgets.ts
@@ -6,6 +6,7 @@
 import type { EventLog, Metrics } from '@spoolplank/node';
 import { createEarnedRetries, RETRY_ARRIVAL_MS } from '@spoolplank/routing';
 import type { Clock } from '@spoolplank/shared';
+import type { CreditRequests } from './creditRequests';
 import type { OpenRetries, OpenRetry } from './openRetries';
 import type { RetryLoans, RetryPurpose } from './retryLoans';
 
@@ -24,6 +25,7 @@
   readonly limits: RetryLimits;
   readonly loans: RetryLoans;
   readonly open: Pick<OpenRetries, 'open'>;
+  readonly credits: Pick<CreditRequests, 'recordNeed' | 'has'>;
   /** Number of streams of a service that run on all entries, in streams of the usual size. */
   readonly runningStreams: (service: string) => number;
 }
@@ -77,7 +79,7 @@
 const PATIENCE_MS: Readonly<Record<RetryUrgency, number>> = { begun: 1000, usual: 0, yielding: 0 };
 
 export function createRetryBudgets(options: RetryBudgetsOptions): RetryBudgets {
-  const { clock, log, metrics, limits, loans, open, runningStreams } = options;
+  const { clock, log, metrics, limits, loans, open, credits, runningStreams } = options;
   const budgets = new Map<string, RetryBudget>();
 
   function purposeOf(service: string, urgency: RetryUrgency): RetryPurpose {
@@ -100,7 +102,8 @@
 
   function createBudget(service: string): RetryBudget {
     const { windowMs, ratio } = limits;
-    const own = createEarnedRetries({ clock, windowMs, ratio });
+    const hasCredit = () => credits.has(service);
+    const own = createEarnedRetries({ clock, windowMs, ratio, hasCredit });
 
     /** A retry that this VM has earned counts here for a window, however late it arrives. */
     function createOwnPermit(takenAtSteadyMs: number): RetryPermit {
@@ -153,6 +156,7 @@
       },
       async take(urgency, use) {
         const purpose = purposeOf(service, urgency);
+        if (own.needsCredit()) credits.recordNeed(service);
         const takenAtSteadyMs = own.take();
         if (takenAtSteadyMs !== null) {
           report(urgency, 'own', use);
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -42,6 +42,7 @@
 import { createRequestAdmission } from './admission/requestAdmission';
 import { contentOf } from './quarantine/requestContent';
 import { createRequestReport, toRequestEnd } from './requestReport';
+import { createCreditRequests } from './admission/creditRequests';
 import { createHeldReports } from './admission/heldReports';
 import { createOpenRetries } from './admission/openRetries';
 import { createRetryBudgets } from './admission/retryBudgets';
@@ -203,13 +204,16 @@
   });
   const borrower = `${host}/${run}`;
   const loans = createRetryLoans({ clock, log, metrics, delay, borrower, ask: askForLoan });
-  const openRetries = createOpenRetries({ clock, windowMs: options.retryLimits.windowMs });
+  const { windowMs: retryWindowMs } = options.retryLimits;
+  const openRetries = createOpenRetries({ clock, windowMs: retryWindowMs });
+  const credits = createCreditRequests({ clock, windowMs: retryWindowMs });
   const heldReports = createHeldReports({
     clock,
     log,
     borrower,
     open: openRetries,
     loans,
+    credits,
     ask: askForLoan,
   });
   const budgetOf = createRetryBudgets({
@@ -219,6 +223,7 @@
     limits: options.retryLimits,
     loans,
     open: openRetries,
+    credits,
     runningStreams(service) {
       const heads = view.listBackends(service).map(({ instanceId }) => instanceId);
       const runningOn = (headId: string) => streams.countOn(headId) + view.othersInFlight(headId);
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -28,6 +28,7 @@
 export * from './src/retryBudget';
 export * from './src/retryDelays';
 export * from './src/retryTurns';
+export * from './src/savingCredits';
 export * from './src/selection';
 export * from './src/slotForecast';
 export * from './src/slotLedger';
--- a/packages/routing/src/earnedRetries.ts
+++ b/packages/routing/src/earnedRetries.ts
@@ -5,7 +5,8 @@
  * under way when the window began plus what is earned within it. A VM saves at most `savedShare` of
  * what the requests of a whole window earn, less what is under way, and earns the rest of the
  * ratio, so the sum stays within the ratio of the requests in the window or of those in the one
- * before, however demand moves between VMs. A VM that restarts has saved nothing.
+ * before, however demand moves between VMs. A VM that restarts has saved nothing. A VM whose
+ * requests earn too little to save a whole retry needs a credit, which counts beside the ratio.
  *
  * The requests of a window are those that were sent in it, and a request may be read much later. It
  * therefore earns as of a time before it was sent, and only as much as could have been saved from
@@ -18,12 +19,16 @@
   readonly windowMs: number;
   /** Retries allowed per request. */
   readonly ratio: number;
+  /** Whether one retry more may be saved, on a credit; by default not. */
+  readonly hasCredit?: () => boolean;
 }
 
 export interface EarnedRetries {
   /** Counts a request that was sent after a time on the clock `steadyMs`. */
   earn(sentAfterMs: number): void;
   hasLeft(): boolean;
+  /** Whether the requests earn whole retries, but too few to save one without a credit. */
+  needsCredit(): boolean;
   /** Takes a retry to be sent now: its time on the clock `steadyMs`, or null if none is left. */
   take(): number | null;
   /**
@@ -66,11 +71,13 @@
 const SAVED_SHARE = 0.1;
 /** A retry is taken whole; the rest is room for what requests earn as of before they were read. */
 const MIN_SAVED = 1.5;
+/** Retries that the requests of a window earn, from which a credit of one is worth its price. */
+const MIN_EARNED = 1;
 /** Bounds the number of spans that are kept. */
 const MIN_SPAN_MS = 50;
 
 export function createEarnedRetries(options: EarnedRetriesOptions): EarnedRetries {
-  const { clock, windowMs, ratio } = options;
+  const { clock, windowMs, ratio, hasCredit = () => false } = options;
   /** Oldest first. */
   const sentAfter: number[] = [];
   /** Those that began within the window, oldest first. */
@@ -79,11 +86,9 @@
   const underWay: number[] = [];
   let saved = 0;
 
-  /** A VM with few requests saves a larger share, at most all. */
-  const savedShare = (requests: number): number =>
-    Math.min(1, Math.max(SAVED_SHARE, MIN_SAVED / (requests * ratio)));
+  const tenthOf = (requests: number): number => requests * ratio * SAVED_SHARE;
 
-  const mostSaved = (requests: number): number => requests * ratio * savedShare(requests);
+  const mostSaved = (requests: number): number => tenthOf(requests) + (hasCredit() ? 1 : 0);
 
   const exposed = (): number => saved + underWay.length;
 
@@ -149,9 +154,14 @@
       update();
       if (sentAfterMs < clock.steadyMs() - windowMs) return;
       insert(sentAfterMs);
-      add(ratio * (1 - savedShare(sentAfter.length)), sentAfterMs);
+      add(ratio * (1 - SAVED_SHARE), sentAfterMs);
     },
     hasLeft,
+    needsCredit() {
+      update();
+      const { length: requests } = sentAfter;
+      return tenthOf(requests) < MIN_SAVED && requests * ratio >= MIN_EARNED;
+    },
     take() {
       if (!hasLeft()) return null;
       const takenAtMs = clock.steadyMs();
--- a/packages/routing/src/heldRetries.ts
+++ b/packages/routing/src/heldRetries.ts
@@ -15,6 +15,8 @@
   readonly countsInMs: readonly number[];
   /** Requests, by `LoanOrigin.sequence`, whose loans the borrower has not used and will not use. */
   readonly unused?: readonly number[];
+  /** Whether the borrower asks for a credit to save one retry more; see `createSavingCredits`. */
+  readonly wantsCredit?: boolean;
 }
 
 export interface HeldRetries {
--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -20,6 +20,8 @@
 import type { HeldReport, HeldRetries } from './heldRetries';
 import { createLoanConfirmations } from './loanConfirmations';
 import type { LoanConfirmations, LoanOrigin } from './loanConfirmations';
+import { createSavingCredits } from './savingCredits';
+import type { SavingCredits } from './savingCredits';
 
 export interface RetryAccountOptions {
   readonly clock: Pick<Clock, 'nowMs' | 'steadyMs'>;
@@ -43,6 +45,8 @@
   readonly granted: number;
   /** Time after which to ask again if less was granted than wanted, in milliseconds. */
   readonly retryInMs: number;
+  /** Whether the borrower has the credit that its report asked for. */
+  readonly hasCredit?: boolean;
 }
 
 /** A reservation that an earlier keeper of the account made. */
@@ -110,6 +114,7 @@
   readonly loans: Loan[];
   readonly held: HeldRetries;
   readonly confirmations: LoanConfirmations;
+  readonly credits: SavingCredits;
   /** Loans that would have expired, had their borrowers confirmed them. */
   unconfirmed: readonly Loan[];
   lent: number;
@@ -131,6 +136,7 @@
       loans: [],
       held: createHeldRetries(clock),
       confirmations: createLoanConfirmations(clock),
+      credits: createSavingCredits({ clock, countedMs }),
       unconfirmed: [],
       lent: 0,
       reserved: 0,
@@ -157,8 +163,8 @@
     if (clock.nowMs() > row.reservedUntilMs) row.reserved = 0;
   }
 
-  const countOf = ({ lent, unconfirmed, held }: AccountRow): number =>
-    lent + countLoans(unconfirmed) + held.count();
+  const countOf = ({ lent, unconfirmed, held, credits }: AccountRow): number =>
+    lent + countLoans(unconfirmed) + held.count() + credits.count();
 
   function add(row: AccountRow, loan: Loan): void {
     if (loan.count <= 0) return;
@@ -207,19 +213,38 @@
     return granted;
   }
 
+  /** Whether a credit is asked for that the borrower does not have yet. */
+  const wantsNewCredit = (row: AccountRow, { origin, held }: RetryLoanRequest): boolean =>
+    origin !== undefined && held?.wantsCredit === true && !row.credits.has(origin.borrower);
+
+  /** Gives the credit that a report asks for, out of what is reserved, or renews it. */
+  function giveCredit(row: AccountRow, request: RetryLoanRequest): boolean {
+    const { origin, held } = request;
+    if (!origin || !held?.wantsCredit) return false;
+    if (wantsNewCredit(row, request)) {
+      if (Math.min(freeFor(row, { ...request, wanted: 1 }), row.reserved) < 1) return false;
+      row.reserved -= 1;
+    }
+    row.credits.grant(origin.borrower);
+    return true;
+  }
+
   return {
     lend(request) {
       const { service, origin, wanted, held } = request;
       const row = rowOf(service);
       if (held && origin) recordReport(row, origin.borrower, held);
       const granted = findLoan(row, request)?.count ?? lendFree(row, request);
-      return { granted, retryInMs: granted < wanted ? Math.round(waitMs(row)) : 0 };
+      const hasCredit = giveCredit(row, request);
+      const retryInMs = granted < wanted ? Math.round(waitMs(row)) : 0;
+      return { granted, retryInMs, ...(hasCredit ? { hasCredit } : {}) };
     },
     isRepeated: (request) => findLoan(rowOf(request.service), request) !== undefined,
     missingFor(request) {
       const row = rowOf(request.service);
       if (findLoan(row, request)) return 0;
-      const free = freeFor(row, request);
+      const wanted = request.wanted + Number(wantsNewCredit(row, request));
+      const free = freeFor(row, { ...request, wanted });
       if (free <= row.reserved) return 0;
       return Math.min(Math.floor(allowance - countOf(row)), Math.max(reservedAtOnce, free));
     },
@@ -230,7 +255,7 @@
     exposedOf(service) {
       const row = rowOf(service);
       dropExpired(row);
-      return row.lent + row.reserved;
+      return row.lent + row.credits.count() + row.reserved;
     },
     takeOver(earlier) {
       rows.clear();
