feat(entry): log when a credit for saved retries is given or refused

Cause: an entry that has a credit uses retries which the account counts, and nothing said since when.

Change: one line retry-credit when an entry gets a credit, and one when it is not renewed.

Conclusion: the logs tell why an entry with few requests used own retries, or borrowed each one.

--- a/packages/entry/src/admission/heldReports.ts
+++ b/packages/entry/src/admission/heldReports.ts
@@ -20,7 +20,7 @@
     RetryLoans,
     'newestLoanAtMs' | 'listServices' | 'listUnused' | 'forgetUnused'
   >;
-  readonly credits: Pick<CreditRequests, 'isWanted' | 'recordGranted' | 'listServices'>;
+  readonly credits: Pick<CreditRequests, 'has' | 'isWanted' | 'recordGranted' | 'listServices'>;
   readonly ask: RetryLoansOptions['ask'];
 }
 
@@ -57,6 +57,11 @@
     return held > 0 || newestLoanAtMs > confirmedToMs;
   }
 
+  function recordCredit(service: string, askedAtMs: number, isGranted: boolean): void {
+    if (isGranted !== credits.has(service)) log.info('retry-credit', { service, isGranted });
+    if (isGranted) credits.recordGranted(service, askedAtMs);
+  }
+
   async function report(service: string, last: LastReport): Promise<void> {
     const askedAtMs = clock.nowMs();
     const countsInMs = open.listHeld(service);
@@ -76,7 +81,7 @@
         held: { confirmedToMs, countsInMs, unused, ...(wantsCredit ? { wantsCredit } : {}) },
       });
       loans.forgetUnused(service, unused);
-      if (hasCredit) credits.recordGranted(service, askedAtMs);
+      if (wantsCredit) recordCredit(service, askedAtMs, hasCredit === true);
       if (unused.length > 0) log.info('retry-loans-returned', { service, requests: unused.length });
       if (held !== last.held) log.info('retries-held', { service, held });
       Object.assign(last, { held, confirmedToMs, atMs: clock.nowMs() });
