--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -12,6 +12,8 @@
  * window after it has arrived. A borrower that ends cannot report, so a loan that it has not
  * confirmed counts for longer.
  *
+ * A borrower with few requests may have a credit to save a retry, which counts like a loan.
+ *
  * It lends only what was reserved before, where the next VM that keeps the account finds it. That
  * VM counts each reservation as if all of it had been lent at the last moment.
  */
