style(routing): keep a comment within 100 characters

Cause: the line was one character too long, so that the linter failed.

Change: the paragraph is wrapped anew.

Measured: the linter passes.

Conclusion: none.

--- a/packages/routing/src/earnedRetries.ts
+++ b/packages/routing/src/earnedRetries.ts
@@ -2,8 +2,8 @@
  * The retries that the requests of one VM earn, which it may send without asking anyone.
  *
  * For the sum over all VMs and any window, the retries that arrive are at most what was saved or
- * under way when the window began plus what is earned within it. A VM saves at most `SAVED_SHARE` of
- * what the requests of a whole window earn, less what is under way, and earns the rest of the
+ * under way when the window began plus what is earned within it. A VM saves at most `SAVED_SHARE`
+ * of what the requests of a whole window earn, less what is under way, and earns the rest of the
  * ratio, so the sum stays within the ratio of the requests in the window or of those in the one
  * before, however demand moves between VMs. A VM that restarts has saved nothing. A VM whose
  * requests earn too little to save a whole retry needs a credit, which counts beside the ratio.
