feat(entry): name the requests that a server is taken to have read

Cause: `sendings-read` counts the sendings that cannot arrive any more, but does not name them, so a line cannot be compared with a later arrival at the server.

Change: the line names up to 32 request ids.

Measured: the unit test of the line; no decision is changed.

--- a/packages/entry/__tests__/unreadSendings.spec.ts
+++ b/packages/entry/__tests__/unreadSendings.spec.ts
@@ -128,6 +128,7 @@
           instanceId: 's1',
           evidence: 'answered',
           sendings: 2,
+          requestIds: ['r1', 'r2'],
           oldestMs: 2300,
           unread: 0,
         },
--- a/packages/entry/src/dispatch/unreadSendings.ts
+++ b/packages/entry/src/dispatch/unreadSendings.ts
@@ -61,6 +61,8 @@
 /** Time after which a server that shows no sign of life is taken for gone. */
 const MAX_UNREAD_MS = 60_000;
 const MAX_ROWS = 10_000;
+/** Request ids that a log line names. */
+const MAX_LOGGED_IDS = 32;
 
 export function createUnreadSendings(options: UnreadSendingsOptions): UnreadSendings {
   const { clock, log, metrics, hasRestarted } = options;
@@ -108,8 +110,14 @@
     byEvidence.forEach((found, evidence) => {
       const oldestMs = Math.round(clock.nowMs() - (found[0]?.sentAtMs ?? clock.nowMs()));
       found.forEach(settle);
-      const { length: sendings } = found;
-      log.info('sendings-read', { instanceId, evidence, sendings, oldestMs, unread: set.size });
+      log.info('sendings-read', {
+        instanceId,
+        evidence,
+        sendings: found.length,
+        requestIds: found.slice(0, MAX_LOGGED_IDS).map(({ requestId }) => requestId),
+        oldestMs,
+        unread: set.size,
+      });
     });
   }
 
