fix(routing): date reports of held retries by their borrower, not by their arrival

Cause: a report says for each held retry in how long its loan ceases to count, and the account added that to the time at which the report arrived. A report that was delayed, or its second copy through another control VM, moved the change-over to later, so the retry counted nowhere for that long and was lent again.

Change: the account knows the lowest difference between its clock and the borrower's and dates reports by it, drops reports that a later one has overtaken, and counts a retry twice for 300 ms, as the first report is delayed as well.

Conclusion: with all retries lent, any delay of a report showed as arrivals beyond the bound. It needs no held connection, only servers that stand still, so it may be what the users saw; that is a suspicion.

--- a/packages/routing/__tests__/retryAccount.spec.ts
+++ b/packages/routing/__tests__/retryAccount.spec.ts
@@ -119,6 +119,33 @@
     assert.equal(lend(20).granted, 7);
   });
 
+  it('counts a loan that is held without a gap if a report comes late, twice, or out of order', () => {
+    const { clock, account, lendUnconfirmed } = createAccount();
+    lendUnconfirmed(10);
+    /** Delivers a report that was sent at a time, with what it says of the only loans. */
+    function deliver(askedAtMs: number): void {
+      const countsInMs = new Array<number>(10).fill(100_000 + COUNTED_MS - askedAtMs);
+      const held = { confirmedToMs: askedAtMs - RETRY_ARRIVAL_MS, countsInMs };
+      const origin = { borrower: 'borrower', askedAtMs };
+      account.lend({ service: 'app', origin, wanted: 0, reserved: 0, held });
+    }
+    const count = () => account.describe().app ?? 0;
+    clock.advance(1000);
+    deliver(clock.nowMs());
+    const firstAtMs = clock.nowMs();
+    clock.advance(COUNTED_MS - 1300);
+    const lateAtMs = clock.nowMs();
+    clock.advance(250);
+    deliver(lateAtMs);
+    deliver(lateAtMs);
+    deliver(firstAtMs);
+    for (let passedMs = 0; passedMs < 1000; passedMs += 10) {
+      clock.advance(10);
+      assert.ok(count() >= 10, `${count()} after ${passedMs} ms`);
+    }
+    assert.equal(count(), 10);
+  });
+
   it('counts what a borrower holds until long after its last report', () => {
     const { clock, account, report } = createAccount();
     report('a', 0, 0);
--- a/packages/routing/src/heldRetries.ts
+++ b/packages/routing/src/heldRetries.ts
@@ -19,9 +19,15 @@
   readonly wantsCredit?: boolean;
 }
 
+/** Who sent a report, and when, on its own clock. */
+export interface ReportOrigin {
+  readonly borrower: string;
+  readonly askedAtMs: number;
+}
+
 export interface HeldRetries {
-  /** Replaces the report of a borrower. */
-  report(borrower: string, countsInMs: HeldReport['countsInMs']): void;
+  /** Replaces the earlier report of a borrower, but not a later one that has overtaken it. */
+  report(origin: ReportOrigin, countsInMs: HeldReport['countsInMs']): void;
   /** Number of retries that are not counted otherwise. */
   count(): number;
 }
@@ -29,6 +35,10 @@
 /** What a borrower reported, on the clock `steadyMs`. */
 interface Holder {
   readonly reportedAtMs: number;
+  /** Time of the report on the borrower's clock. */
+  readonly askedAtMs: number;
+  /** Lowest known difference between this clock and the borrower's, which contains a delay. */
+  readonly offsetMs: number;
   readonly countsFromMs: readonly number[];
 }
 
@@ -40,7 +50,10 @@
 /** Bounds the work of counting; retries are reported long before they count here. */
 const RECOUNT_MS = 20;
 
-const NOTHING: Holder = { reportedAtMs: 0, countsFromMs: [] };
+/** Rate at which the clocks of two VMs may drift apart. */
+const MAX_DRIFT = 0.001;
+/** Time for which a retry counts twice, as the report with the lowest delay was delayed too. */
+const OVERLAP_MS = 300;
 
 export function createHeldRetries(clock: Pick<Clock, 'steadyMs'>): HeldRetries {
   const holders = new Map<string, Holder>();
@@ -61,16 +74,28 @@
     });
   }
 
+  /** Difference between this clock and a borrower's, with the lowest delay of its reports. */
+  function findOffsetMs(last: Holder | undefined, askedAtMs: number): number {
+    const nowMs = clock.steadyMs();
+    const offsetMs = nowMs - askedAtMs;
+    if (!last) return offsetMs;
+    return Math.min(offsetMs, last.offsetMs + (nowMs - last.reportedAtMs) * MAX_DRIFT);
+  }
+
   return {
-    report(key, countsInMs) {
+    report({ borrower, askedAtMs }, countsInMs) {
       recount();
+      const last = holders.get(borrower);
+      if (last && askedAtMs <= last.askedAtMs) return;
+      const offsetMs = findOffsetMs(last, askedAtMs);
+      // What counts already has counted since the last count.
+      const countsFromMs = countsInMs.map((inMs) =>
+        Math.max(countedAtMs, askedAtMs + offsetMs + inMs - OVERLAP_MS),
+      );
       const reportedAtMs = clock.steadyMs();
-      // What counts at once has counted since the last count.
-      const countsFromMs = countsInMs.map((inMs) => (inMs > 0 ? reportedAtMs + inMs : countedAtMs));
-      const holder: Holder = { reportedAtMs, countsFromMs };
-      counted += countOf(holder) - countOf(holders.get(key) ?? NOTHING);
-      if (countsInMs.length > 0) holders.set(key, holder);
-      else holders.delete(key);
+      const holder: Holder = { reportedAtMs, askedAtMs, offsetMs, countsFromMs };
+      counted += countOf(holder) - (last ? countOf(last) : 0);
+      holders.set(borrower, holder);
     },
     count() {
       recount();
--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -200,10 +200,10 @@
 
   function recordReport(
     row: AccountRow,
-    borrower: string,
+    { borrower, askedAtMs }: LoanOrigin,
     { confirmedToMs, countsInMs, unused = [] }: HeldReport,
   ): void {
-    row.held.report(borrower, countsInMs);
+    row.held.report({ borrower, askedAtMs }, countsInMs);
     row.confirmations.confirm({ borrower, askedAtMs: confirmedToMs });
     takeBack(row, borrower, unused);
   }
@@ -235,7 +235,7 @@
     lend(request) {
       const { service, origin, wanted, held } = request;
       const row = rowOf(service);
-      if (held && origin) recordReport(row, origin.borrower, held);
+      if (held && origin) recordReport(row, origin, held);
       const granted = findLoan(row, request)?.count ?? lendFree(row, request);
       const hasCredit = giveCredit(row, request);
       const retryInMs = granted < wanted ? Math.round(waitMs(row)) : 0;
