fix(controller): record retries that count beyond their loans for the next leader

Cause: reservations tell a new leader what was lent in the last 12.8 s. Retries that are held for longer, and loans of entries that ended before they confirmed them, were known to the old leader alone, so the new one lent their part again until the entries had reported, or for good.

Change: while there are such retries, the leader reserves their number again every 2 s. The schedules use the reservations of the control group, hold requests on links, and lend all retries (no ratio), so that each one that is not counted shows.

--- a/packages/controller/__tests__/retryLoans.spec.ts
+++ b/packages/controller/__tests__/retryLoans.spec.ts
@@ -131,6 +131,8 @@
   it('are lent by a new leader up to what still counts, beside older ones that have expired', async () => {
     const { clock, state, replicas, lend } = createGroup(['a', 'b']);
     await lend('a', 50);
+    // Loans that nobody has confirmed expire later.
+    await lend('a', 0, []);
     clock.advance(6000);
     await lend('a', 10);
     clock.advance(COUNTED_MS - 6000 + 1);
@@ -196,6 +198,32 @@
     assert.equal((await lend('a', 200)).granted, LENT - 5);
   });
 
+  it('are not lent by a new leader while entries hold them, before these have reported again', async () => {
+    const { clock, state, lend, tickAll } = createGroup(['a', 'b']);
+    await lend('a', 20);
+    clock.advance(1000);
+    for (let passedMs = 0; passedMs < 30_000; passedMs += 1000) {
+      await lend('a', 0, new Array<number>(20).fill(Math.max(0, 9800 - passedMs)));
+      tickAll();
+      await nextTurn();
+      clock.advance(1000);
+    }
+    Object.assign(state, { leader: 'b', term: 2 });
+    assert.equal((await lend('b', 200)).granted, LENT - 20);
+  });
+
+  it('are lent by a new leader that counts loans which an ended entry had not confirmed', async () => {
+    const { clock, state, lend, tickAll } = createGroup(['a', 'b']);
+    await lend('a', 20);
+    for (let passedMs = 0; passedMs < COUNTED_MS; passedMs += 1000) {
+      clock.advance(1000);
+      tickAll();
+      await nextTurn();
+    }
+    Object.assign(state, { leader: 'b', term: 2 });
+    assert.equal((await lend('b', 200)).granted, LENT - 20);
+  });
+
   it('are not lent by a new leader while entries hold them, once these have reported again', async () => {
     const { clock, state, lend, tickAll } = createGroup(['a', 'b']);
     await lend('a', LENT);
--- a/packages/controller/src/retryLoans.ts
+++ b/packages/controller/src/retryLoans.ts
@@ -45,6 +45,8 @@
 const MAX_COMMITS = 2;
 /** Age from which the reservations of a service are released once nothing lent counts any more. */
 const RELEASE_AFTER_MS = 5000;
+/** Interval at which the leader records what counts beyond the time of its loans. */
+const CARRIED_INTERVAL_MS = 2000;
 
 export function createRetryLoans(options: RetryLoansOptions): RetryLoans {
   const { clock, log, metrics, leader, reservations } = options;
@@ -53,6 +55,8 @@
   let knownTerm: number | null = null;
   /** Reservations and releases that are being committed, by service. */
   const pending = new Map<string, Promise<void>>();
+  /** When the retries of a service that count beyond their loans were recorded last. */
+  const carriedAtMs = new Map<string, number>();
   /** Services for which the leader refused, and until when it has nothing to lend. */
   const refusedUntilMs = new Map<string, number>();
 
@@ -150,6 +154,20 @@
     return loan;
   }
 
+  /**
+   * Records retries that count for longer than the reservations under which they were lent, as if
+   * they were reserved again, so that a new leader counts them before borrowers report to it.
+   */
+  function recordCarried(): void {
+    account.listCarried().forEach(({ service, count }) => {
+      const sinceMs = clock.nowMs() - (carriedAtMs.get(service) ?? Number.NEGATIVE_INFINITY);
+      if (sinceMs < CARRIED_INTERVAL_MS || pending.has(service)) return;
+      carriedAtMs.set(service, clock.nowMs());
+      const most = Math.max(account.exposedOf(service), count);
+      void commitAlone({ kind: 'retries.reserve', service, count, most }, () => {});
+    });
+  }
+
   /** A leader that takes over would count reservations that no loan uses any more. */
   function releaseUnused(): void {
     const lent = account.describe();
@@ -168,7 +186,9 @@
         (await lendAsLeader(params as unknown as RetryLoanRequest)) as unknown as JsonValue,
     },
     tick() {
-      if (observeLeadership()) releaseUnused();
+      if (!observeLeadership()) return;
+      recordCarried();
+      releaseUnused();
     },
     describe: () => account.describe(),
   };
--- a/packages/entry/__tests__/retryScheduleShards.ts
+++ b/packages/entry/__tests__/retryScheduleShards.ts
@@ -4,6 +4,7 @@
 
 const SHARDS = 4;
 const SCHEDULES = 10_000 / SHARDS;
+const HELD_SCHEDULES = 2000 / SHARDS;
 
 /** Registers the tests of one shard; each runs in a process of its own. */
 export function describeRetrySchedules(shard: number): void {
@@ -12,5 +13,11 @@
     it(`stay within the bound in every window (${shard} of ${SHARDS})`, async () => {
       assert.equal(await findBrokenSchedule(first, SCHEDULES), null);
     });
+
+    it(`stay within the bound while links hold requests (${shard} of ${SHARDS})`, async () => {
+      const firstHeld = (shard - 1) * HELD_SCHEDULES + 1;
+      const options = { hasHeldLinks: true };
+      assert.equal(await findBrokenSchedule(firstHeld, HELD_SCHEDULES, options), null);
+    });
   });
 }
--- a/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
+++ b/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
@@ -16,7 +16,19 @@
 describe('the schedules of retries', () => {
   PLANTED.forEach((fault) => {
     it(`break the bound with the planted fault ${fault}`, async () => {
-      assert.notEqual(await findBrokenSchedule(1, SCHEDULES, fault), null);
+      assert.notEqual(await findBrokenSchedule(1, SCHEDULES, { planted: fault }), null);
     });
   });
+
+  it('break the bound if an answer proves that other connections hold nothing', async () => {
+    const options = { planted: 'answers-prove-other-connections', hasHeldLinks: true } as const;
+    assert.notEqual(await findBrokenSchedule(1, SCHEDULES, options), null);
+  });
+});
+
+describe('the retries of entries that end or are cut off before the leader is replaced', () => {
+  it('stay within the bound while links hold requests', async () => {
+    const options = { hasHeldLinks: true, hasUnreportedRequests: true };
+    assert.equal(await findBrokenSchedule(1, SCHEDULES, options), null);
+  });
 });
--- a/packages/routing/src/heldRetries.ts
+++ b/packages/routing/src/heldRetries.ts
@@ -30,6 +30,8 @@
   report(origin: ReportOrigin, countsInMs: HeldReport['countsInMs']): void;
   /** Number of retries that are not counted otherwise. */
   count(): number;
+  /** Number of all that were reported, also those that are still counted otherwise. */
+  countAll(): number;
 }
 
 /** What a borrower reported, on the clock `steadyMs`. */
@@ -101,5 +103,9 @@
       recount();
       return counted;
     },
+    countAll() {
+      recount();
+      return [...holders.values()].reduce((sum, holder) => sum + holder.countsFromMs.length, 0);
+    },
   };
 }
--- a/packages/routing/src/retryAccount.ts
+++ b/packages/routing/src/retryAccount.ts
@@ -59,6 +59,11 @@
   readonly knownForMs: number;
 }
 
+export interface RetriesOfService {
+  readonly service: string;
+  readonly count: number;
+}
+
 export interface RetryAccount {
   /**
    * Lends what was reserved; the rest needs a reservation first. A request that reaches the account
@@ -74,8 +79,14 @@
    * clock `nowMs`. Replaces the reservation before.
    */
   setReserved(service: string, count: number, sinceMs: number): void;
-  /** Retries of a service that are lent and count, or may be lent without a new reservation. */
+  /** Retries of a service that count, or may be lent without a new reservation. */
   exposedOf(service: string): number;
+  /**
+   * Retries of each service that count, or may count, beyond the time of their loans. The next VM
+   * that keeps the account learns them from the borrowers after a while, and not from those that
+   * have ended.
+   */
+  listCarried(): readonly RetriesOfService[];
   /** Forgets its loans and takes over the account of earlier keepers. */
   takeOver(earlier: readonly EarlierReservation[]): void;
   /** Retries of each service that are lent or held and count. */
@@ -95,6 +106,8 @@
 const RESERVATION_VALIDITY_MS = 2000;
 /** Time for which a loan counts longer that its borrower has not confirmed. */
 const UNCONFIRMED_MS = 10_000;
+/** Time after which a borrower that is alive has confirmed a loan. */
+const CONFIRMED_AFTER_MS = 3000;
 /** Share of the allowance that is reserved at a time. */
 const RESERVED_AT_ONCE_SHARE = 1 / 16;
 
@@ -168,6 +181,16 @@
   const countOf = ({ lent, unconfirmed, held, credits }: AccountRow): number =>
     lent + countLoans(unconfirmed) + held.count() + credits.count();
 
+  function countCarried(row: AccountRow): number {
+    dropExpired(row);
+    const lateMs = clock.steadyMs() - CONFIRMED_AFTER_MS;
+    const unconfirmed = row.loans.filter(
+      ({ atMs, origin }) =>
+        atMs <= lateMs && origin !== undefined && !row.confirmations.isConfirmed(origin),
+    );
+    return countLoans(row.unconfirmed) + countLoans(unconfirmed) + row.held.countAll();
+  }
+
   function add(row: AccountRow, loan: Loan): void {
     if (loan.count <= 0) return;
     row.loans.push(loan);
@@ -257,8 +280,13 @@
     exposedOf(service) {
       const row = rowOf(service);
       dropExpired(row);
-      return row.lent + row.credits.count() + row.reserved;
+      return countOf(row) + row.reserved;
     },
+    listCarried: () =>
+      [...rows].flatMap(([service, row]) => {
+        const count = countCarried(row);
+        return count > 0 ? [{ service, count }] : [];
+      }),
     takeOver(earlier) {
       rows.clear();
       const nowMs = clock.steadyMs();
