test(controller): replace the leader after the reservations of unconfirmed loans have expired

Cause: the test replaced the leader within the 12.8 s in which the reservation itself counts, so it passed without the fix.

Change: the leader is replaced after 14 s.

--- a/packages/controller/__tests__/retryLoans.spec.ts
+++ b/packages/controller/__tests__/retryLoans.spec.ts
@@ -215,7 +215,7 @@
   it('are lent by a new leader that counts loans which an ended entry had not confirmed', async () => {
     const { clock, state, lend, tickAll } = createGroup(['a', 'b']);
     await lend('a', 20);
-    for (let passedMs = 0; passedMs < COUNTED_MS; passedMs += 1000) {
+    for (let passedMs = 0; passedMs < 14_000; passedMs += 1000) {
       clock.advance(1000);
       tickAll();
       await nextTurn();
