--- a/packages/entry/__tests__/retryBudgets.spec.ts
+++ b/packages/entry/__tests__/retryBudgets.spec.ts
@@ -15,15 +15,15 @@
 
 const LIMITS = { windowMs: 10_000, ratio: 0.2, allowance: 200 };
 const VMS = 78;
+/** Time for which the account counts a retry beside the entry that holds it. */
+const REPORT_OVERLAP_MS = 300;
 
 interface SettingOptions {
   readonly allowance?: number;
   readonly running?: number;
 }
 
-/** Creates the account of a deployment, and entries that borrow from it. */ /** Time for which the account counts a retry beside the entry that holds it. */
-const REPORT_OVERLAP_MS = 300;
-
+/** Creates the account of a deployment, and entries that borrow from it. */
 function createSetting({ allowance = LIMITS.allowance, running = 0 }: SettingOptions = {}) {
   const clock = createManualClock(100_000);
   const account = createTestAccount({ clock, windowMs: LIMITS.windowMs, allowance });
