fix(node): bound what all clients together make a process hold

Cause: clients outside the limits ended, hung or bloated processes, and ordinary callers got no answer. Limits stood per request: the sum of all bodies had no bound, each piece of a body was kept as an object, all requests of a read of 64 KiB were begun at once, and no listener limited its connections.

Change: one account of the bytes of requests a process, a share of its memory: bodies are copied into blocks, reading pauses beyond the share, and while others wait those that stand still are refused, the largest first; a quarter is left for small ones. The next request on a connection is parsed once the one before is answered, in pieces, a few in a turn of the event loop. Answers that callers have not read count like those that are read. Each listener has a share of the descriptors, and a new connection takes the place of the one that was idle for longest. Messages between VMs have an account of their own.

Heads, tunnels and event buffers are not in the account.

--- a/packages/entry/index.ts
+++ b/packages/entry/index.ts
@@ -1,4 +1,6 @@
 export * from './src/addressBook';
+export { createAnswerMemory } from './src/dispatch/answerMemory';
+export type { AnswerMemory } from './src/dispatch/answerMemory';
 export type { AnswerFraming } from './src/dispatch/answerEnd';
 export * from './src/dispatch/backendOperations';
 export * from './src/callerRequest';
--- a/packages/entry/src/entryNode.ts
+++ b/packages/entry/src/entryNode.ts
@@ -10,6 +10,7 @@
 import type { ChangeBounds, LoadFact } from '@spoolplank/membership';
 import { delay, scheduleTimer } from '@spoolplank/node';
 import type {
+  ClientMemory,
   EventLog,
   Metrics,
   PeerClient,
@@ -34,7 +35,7 @@
 import { createSelfFacts } from './gossip/selfFacts';
 import { createServerLimits } from './limits/serverLimits';
 import { createEndCheck } from './dispatch/answerCompletion';
-import { createAnswerMemory } from './dispatch/answerMemory';
+import type { AnswerMemory } from './dispatch/answerMemory';
 import { createPlainDispatch } from './dispatch/plainDispatch';
 import { createPeriodicWork } from './periodicWork';
 import { createReadingGaps } from './admission/readingGaps';
@@ -88,8 +89,10 @@
   readonly canAccept?: () => boolean;
   /** Switches and bounds of the decisions under load. */
   readonly decisions?: DecisionSettings;
-  /** Bytes of answers that this VM keeps until they have ended, of all requests together. */
-  readonly maxAnswerBytes: number;
+  /** Memory for answers that have not ended. */
+  readonly answerMemory: AnswerMemory;
+  /** Memory for requests that are not answered; only described here. */
+  readonly requestMemory: Pick<ClientMemory, 'bytes' | 'maxBytes'>;
 }
 
 export interface EntryNode {
@@ -255,7 +258,7 @@
     budgetOf,
     quarantine,
     crashes,
-    answerMemory: createAnswerMemory({ maxBytes: options.maxAnswerBytes }),
+    answerMemory: options.answerMemory,
     checkEnd: createEndCheck({
       isServerLost: (address) => isServerLostNow(address),
       isLeaving({ instanceId, address }) {
@@ -422,6 +425,8 @@
         limits: limits.describe(),
         unread: unread.describe(),
         answerBytes: context.answerMemory.bytes,
+        requestBytes: options.requestMemory.bytes,
+        maxRequestBytes: options.requestMemory.maxBytes,
         paths: paths?.describe() ?? null,
         facts: table.list(),
       }) as unknown as JsonValue,
--- a/packages/node/index.ts
+++ b/packages/node/index.ts
@@ -1,3 +1,4 @@
+export * from './src/clientMemory';
 export * from './src/dataFolder';
 export * from './src/fileStorage';
 export * from './src/httpClient';
@@ -7,6 +8,7 @@
 export * from './src/peerIdentity';
 export * from './src/peerRpc';
 export * from './src/recordFile';
+export * from './src/requestBody';
 export * from './src/resetDetection';
 export * from './src/rates';
 export * from './src/retryAfter';
--- a/packages/node/src/httpServer.ts
+++ b/packages/node/src/httpServer.ts
@@ -4,6 +4,8 @@
 import type { AddressInfo } from 'node:net';
 import { SpoolplankError, toErrorBody, toSpoolplankError } from '@spoolplank/shared';
 import type { JsonValue } from '@spoolplank/shared';
+import { limitConnections } from './connectionLimit';
+import { limitRequestsAhead } from './requestsAhead';
 
 export interface HttpServerOptions {
   readonly host: string;
@@ -13,6 +15,8 @@
   readonly headersTimeoutMs?: number;
   readonly keepAliveTimeoutMs?: number;
   readonly maxHeaderBytes?: number;
+  /** Connections that are open at the same time; see `limitConnections`. */
+  readonly maxConnections?: number;
 }
 
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
@@ -35,6 +39,8 @@
   );
   return new Promise((resolve, reject) => {
     server.once('error', reject);
+    limitRequestsAhead(server);
+    if (options.maxConnections !== undefined) limitConnections(server, options.maxConnections);
     server.listen(options.port, options.host, () => resolve(server));
   });
 }
@@ -53,33 +59,6 @@
   });
 }
 
-/**
- * Reads the complete body of a request.
- *
- * @throws SpoolplankError `body-too-large` as soon as the limit is exceeded, `bad-request` when the
- * body is incomplete.
- */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
-  const declaredBytes = Number(request.headers['content-length'] ?? 0);
-  if (declaredBytes > maxBytes) {
-    throw new SpoolplankError('body-too-large', { detail: `At most ${maxBytes} bytes are taken.` });
-  }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > maxBytes) {
-      throw new SpoolplankError('body-too-large', {
-        detail: `At most ${maxBytes} bytes are taken.`,
-      });
-    }
-    chunks.push(chunk);
-  }
-  if (!request.complete)
-    throw new SpoolplankError('bad-request', { detail: 'The body ended early.' });
-  return Buffer.concat(chunks);
-}
-
 /**
  * Parses a JSON body.
  *
--- a/packages/node/src/peerRpc.ts
+++ b/packages/node/src/peerRpc.ts
@@ -9,10 +9,13 @@
 import type { JsonValue } from '@spoolplank/shared';
 import { callHttp } from './httpClient';
 import type { Endpoint } from './httpClient';
-import { listen, readBody, sendError } from './httpServer';
+import type { ClientMemory } from './clientMemory';
+import { listen, sendError } from './httpServer';
 import { createPeerConnections } from './peerConnections';
 import { authenticatePeer, signedPeerHeaders } from './peerIdentity';
 import type { PeerIdentity } from './peerIdentity';
+import { readBody, readKeptBody } from './requestBody';
+import type { KeptBody } from './requestBody';
 import { acceptTunnels } from './tunnel';
 import type { TunnelServerOptions } from './tunnel';
 
@@ -27,6 +30,8 @@
   readonly onTraffic?: (receivedBytes: number, sentBytes: number) => void;
   /** Opens tunnels to backend servers for other VMs; none are opened without it. */
   readonly tunnels?: TunnelServerOptions;
+  /** Memory for messages that are being read; without it, it is not limited. */
+  readonly memory?: ClientMemory;
 }
 
 interface SenderContext {
@@ -34,7 +39,8 @@
 }
 
 const RPC_PATH = '/rpc';
-const MAX_BODY_BYTES = 33_554_432;
+/** Largest message between VMs. */
+export const MAX_PEER_MESSAGE_BYTES = 33_554_432;
 const APPLICATION_ERROR = -32_000;
 /** Estimated size of the HTTP headers of one message, used to measure control traffic. */
 const ESTIMATED_HEADER_BYTES = 350;
@@ -60,6 +66,19 @@
   return server;
 }
 
+async function readWhole(request: IncomingMessage, memory?: ClientMemory): Promise<KeptBody> {
+  const maxBytes = MAX_PEER_MESSAGE_BYTES;
+  if (memory) return readKeptBody(request, { maxBytes, memory });
+  return { bytes: await readBody(request, maxBytes), release: () => {} };
+}
+
+async function readMessage(request: IncomingMessage, memory?: ClientMemory): Promise<string> {
+  const { bytes, release } = await readWhole(request, memory);
+  const message = bytes.toString('utf8');
+  release();
+  return message;
+}
+
 /** Starts the server for requests of other VMs. */
 export async function listenForPeers(options: PeerServerOptions): Promise<Server> {
   const rpc = createRpcServer(options.methods);
@@ -67,7 +86,7 @@
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.method !== 'POST' || request.url !== RPC_PATH)
       throw new SpoolplankError('not-found');
-    const body = (await readBody(request, MAX_BODY_BYTES)).toString('utf8');
+    const body = await readMessage(request, options.memory);
     const senderVmId = authenticatePeer(request, body, options);
     const rpcResponse = await rpc.receiveJSON(body, { senderVmId });
     const text = rpcResponse ? JSON.stringify(rpcResponse) : '';
--- a/packages/node/src/tunnel.ts
+++ b/packages/node/src/tunnel.ts
@@ -13,6 +13,7 @@
 import { authenticatePeer, signedPeerHeaders } from './peerIdentity';
 import type { PeerIdentity } from './peerIdentity';
 import type { Endpoint } from './httpClient';
+import { detachFromParser } from './requestsAhead';
 import { detectSocketReset } from './resetDetection';
 import { createFrameEncoder, RESET_FRAME } from './tunnelFrames';
 import { TunnelSocket } from './tunnelSocket';
@@ -103,6 +104,7 @@
 
   async function accept(request: IncomingMessage, client: Socket): Promise<void> {
     const address = request.url ?? '';
+    detachFromParser(client);
     let isClosed = false;
     client.on('error', () => {});
     client.once('close', () => {
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -33,6 +33,16 @@
     outcome: 'not-run',
     message: 'The request body is larger than allowed.',
   },
+  'request-timeout': {
+    httpStatus: 408,
+    outcome: 'not-run',
+    message: 'The request did not arrive whole in time.',
+  },
+  'memory-full': {
+    httpStatus: 503,
+    outcome: 'not-run',
+    message: 'The memory for requests is full.',
+  },
   'not-found': { httpStatus: 404, outcome: 'not-run', message: 'There is nothing at this path.' },
   'method-not-allowed': {
     httpStatus: 405,
