fix(node): read a request that is alone whatever its size

Cause: where the largest body exceeds three quarters of the memory for requests, no such body could be read, even in calm.

Change: a request that holds all of the memory in use is read on; its own limit bounds it.

Measured: the new unit test.

Conclusion: a request inside the limits is served in calm whatever the settings.

--- a/packages/node/__tests__/clientMemory.spec.ts
+++ b/packages/node/__tests__/clientMemory.spec.ts
@@ -46,6 +46,14 @@
     assert.ok(open('small').grow(SMALL_BYTES));
   });
 
+  it('has capacity for a request of any size that is alone', (test) => {
+    const { open } = createSetting(test);
+    const alone = open('alone');
+    assert.ok(alone.grow(LARGE_BYTES));
+    assert.ok(alone.grow(2 * MAX_BYTES));
+    assert.ok(!open('other').grow(SMALL_BYTES));
+  });
+
   it('refuses the largest that has stopped sending for one that waits', (test) => {
     const { ends, open, pass } = createSetting(test);
     open('less').grow(200_000);
--- a/packages/node/src/clientMemory.ts
+++ b/packages/node/src/clientMemory.ts
@@ -90,8 +90,9 @@
   const limitOf = (bytes: number): number =>
     bytes <= SMALL_BYTES ? maxBytes : maxBytes * (1 - SMALL_SHARE);
 
+  /** A request that is alone is read whatever its size, as its own limit bounds it. */
   const hasCapacity = (hold: Hold, bytes: number): boolean =>
-    total - hold.bytes + bytes <= limitOf(bytes);
+    total === hold.bytes || total - hold.bytes + bytes <= limitOf(bytes);
 
   function setBytes(hold: Hold, bytes: number): void {
     total += bytes - hold.bytes;
