--- a/packages/entry/__tests__/retrySchedules.ts
+++ b/packages/entry/__tests__/retrySchedules.ts
@@ -38,6 +38,8 @@
 
 export interface ScheduleOptions {
   readonly planted?: PlantedFault | undefined;
+  /** Whether entries have many requests, and all retries are earned by these; by default not. */
+  readonly areAllEarned?: boolean;
   /** Whether links hold single requests back; by default not. */
   readonly hasHeldLinks?: boolean;
   /**
@@ -69,6 +71,8 @@
 const LIMITS: RetryLimits = { windowMs: 10_000, ratio: 0.2, allowance: 12 };
 /** All retries are lent, so that each one that is not counted shows. */
 const HELD_LIMITS: RetryLimits = { windowMs: 10_000, ratio: 0, allowance: 12 };
+/** No retries are lent, so that each one that was earned too many shows. */
+const EARNED_LIMITS: RetryLimits = { windowMs: 10_000, ratio: 0.2, allowance: 0 };
 const ENTRIES = 4;
 const KEEPERS = 3;
 const STEPS = 12;
@@ -80,6 +84,7 @@
 const PAUSES_MS: readonly number[] = [60, 150, 400];
 /** Pauses of every fourth schedule, in which requests earn most of the allowed retries. */
 const SHORT_PAUSES_MS: readonly number[] = [10, 20, 60];
+const SHORTEST_PAUSES_MS: readonly number[] = [4, 8, 16];
 const TICK_MS = 200;
 /** Interval at which a leader records what counts beyond the time of its loans. */
 const CARRIED_INTERVAL_MS = 2000;
@@ -119,16 +124,24 @@
   return Math.max(0, ...shares);
 }
 
+function findLimits({ hasHeldLinks = false, areAllEarned = false }: ScheduleOptions): RetryLimits {
+  if (areAllEarned) return EARNED_LIMITS;
+  return hasHeldLinks ? HELD_LIMITS : LIMITS;
+}
+
 export async function playRetrySchedule(
   seed: number,
-  { planted, hasHeldLinks = false, hasUnreportedRequests = false }: ScheduleOptions = {},
+  options: ScheduleOptions = {},
 ): Promise<ScheduleResult> {
-  const limits = hasHeldLinks ? HELD_LIMITS : LIMITS;
+  const { planted, areAllEarned = false } = options;
+  const { hasHeldLinks = false, hasUnreportedRequests = false } = options;
+  const limits = findLimits(options);
   const random = createSeededRandom(seed);
   const linkRandom = createSeededRandom(-seed);
   const time = createVirtualTime();
   const { clock, delay } = time;
-  const pausesMs = seed % 4 === 0 ? SHORT_PAUSES_MS : PAUSES_MS;
+  const usualPausesMs = seed % 4 === 0 ? SHORT_PAUSES_MS : PAUSES_MS;
+  const pausesMs = areAllEarned ? SHORTEST_PAUSES_MS : usualPausesMs;
   const requestsAtMs: number[] = [];
   const retriesAtMs: number[] = [];
   const isLucky = (share: number) => random.nextFloat() < share;
--- a/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
+++ b/packages/entry/__tests__/retrySchedulesPlanted.spec.ts
@@ -7,7 +7,6 @@
 const PLANTED: readonly PlantedFault[] = [
   'account-forgets-at-takeover',
   'loan-requests-numbered-alike',
-  'requests-dated-by-reading',
   'sendings-forgotten-when-given-up',
   'slack-by-entry',
   'two-accounts-lend',
@@ -20,6 +19,11 @@
     });
   });
 
+  it('break the bound with the planted fault requests-dated-by-reading', async () => {
+    const options = { planted: 'requests-dated-by-reading', areAllEarned: true } as const;
+    assert.notEqual(await findBrokenSchedule(1, SCHEDULES, options), null);
+  });
+
   it('break the bound if an answer proves that other connections hold nothing', async () => {
     const options = { planted: 'answers-prove-other-connections', hasHeldLinks: true } as const;
     assert.notEqual(await findBrokenSchedule(1, SCHEDULES, options), null);
